--- /dev/null
+++ b/crates/consensus/src/replication.rs
@@ -0,0 +1,221 @@
+//! Replication: appends, snapshots, commitment and the leader's lease.
+
+use crate::config::MAX_APPEND_ENTRIES;
+use crate::log::{Entry, Snapshot};
+use crate::message::Body;
+use crate::raft::{Raft, Role};
+use beamtray_types::{LogIndex, Member, Term, Time};
+
+impl Raft {
+    pub(crate) fn tick_leader(&mut self, now: Time) {
+        if self.lost_quorum(now) {
+            return self.become_follower(now, self.term);
+        }
+        // A transfer that led to no election leaves this member leading.
+        if let Some(since) = self.transferring
+            && now.since(since) > self.config.election * 2
+        {
+            self.transferring = None;
+        }
+        if now >= self.heartbeat_due {
+            self.replicate_all(now);
+        }
+    }
+
+    /// Check-quorum: a leader that a majority no longer answers steps down, so
+    /// that its clients look for another.
+    fn lost_quorum(&self, now: Time) -> bool {
+        let answered = self.quorum_answered().unwrap_or(self.elected_at);
+        now.since(answered.max(self.elected_at)) > self.config.election * 2
+    }
+
+    pub(crate) fn replicate_all(&mut self, now: Time) {
+        self.heartbeat_due = now + self.config.heartbeat;
+        let others: Vec<Member> = self
+            .progress
+            .keys()
+            .copied()
+            .filter(|member| *member != self.me)
+            .collect();
+        for member in others {
+            self.replicate(now, member);
+        }
+        self.advance_leader_commit();
+    }
+
+    fn replicate(&mut self, now: Time, to: Member) {
+        let Some(progress) = self.progress.get(&to).copied() else {
+            return;
+        };
+        let previous_index = LogIndex(progress.next.0.saturating_sub(1));
+        let Some(previous_term) = self.log.term_at(previous_index) else {
+            let snapshot = self.log.snapshot.clone();
+            let sent_at = now;
+            return self.send(to, Body::Install { snapshot, sent_at });
+        };
+        let entries = self.log.from(progress.next, MAX_APPEND_ENTRIES);
+        let next = LogIndex(progress.next.0 + entries.len() as u64);
+        if let Some(progress) = self.progress.get_mut(&to) {
+            progress.next = next;
+        }
+        let body = Body::Append {
+            previous_index,
+            previous_term,
+            entries,
+            commit: self.commit,
+            sent_at: now,
+        };
+        self.send(to, body);
+    }
+
+    /// Whether a message from a claimed leader is to be followed; an old
+    /// leader is told the present term.
+    pub(crate) fn accept_leader(
+        &mut self,
+        now: Time,
+        from: Member,
+        term: Term,
+        sent_at: Time,
+    ) -> bool {
+        if term < self.term {
+            let body = Body::AppendReply {
+                accepted: false,
+                matched: LogIndex(0),
+                echoed: sent_at,
+            };
+            self.send(from, body);
+            return false;
+        }
+        if self.role != Role::Follower {
+            self.become_follower(now, term);
+        }
+        self.leader = Some(from);
+        self.leader_contact = now;
+        self.reset_election(now);
+        true
+    }
+
+    /// Merges a leader's entries and answers with what the log now matches.
+    pub(crate) fn on_append(
+        &mut self,
+        from: Member,
+        previous: (LogIndex, Term),
+        entries: Vec<Entry>,
+        commit: LogIndex,
+        sent_at: Time,
+    ) {
+        let accepted = self.matches(previous);
+        let matched = if accepted {
+            // Only what this message vouches for may be confirmed or
+            // committed: the log may hold more, from a leader since replaced.
+            let vouched = LogIndex(previous.0.0 + entries.len() as u64);
+            self.log.merge(entries);
+            self.advance_commit(commit.min(vouched));
+            vouched
+        } else {
+            let before = LogIndex(previous.0.0.saturating_sub(1));
+            before.min(self.log.last_index())
+        };
+        let body = Body::AppendReply {
+            accepted,
+            matched,
+            echoed: sent_at,
+        };
+        self.send(from, body);
+    }
+
+    /// Log matching: whether the log holds what precedes a message's entries.
+    fn matches(&self, (index, term): (LogIndex, Term)) -> bool {
+        index < self.log.snapshot.index || self.log.term_at(index) == Some(term)
+    }
+
+    pub(crate) fn on_install(&mut self, from: Member, snapshot: Snapshot, sent_at: Time) {
+        if snapshot.index > self.commit {
+            self.restore(snapshot);
+        }
+        let body = Body::AppendReply {
+            accepted: true,
+            matched: self.commit,
+            echoed: sent_at,
+        };
+        self.send(from, body);
+    }
+
+    pub(crate) fn on_append_reply(
+        &mut self,
+        now: Time,
+        from: Member,
+        term: Term,
+        (accepted, matched): (bool, LogIndex),
+        echoed: Time,
+    ) {
+        if self.role != Role::Leader || term != self.term {
+            return;
+        }
+        let last = self.log.last_index();
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        progress.answered = progress.answered.max(Some(echoed));
+        let behind = if accepted {
+            progress.matched = progress.matched.max(matched.min(last));
+            progress.next = progress.next.max(progress.matched.next());
+            progress.next <= last
+        } else {
+            progress.next = matched.next().max(progress.matched.next());
+            true
+        };
+        self.advance_leader_commit();
+        if behind {
+            self.replicate(now, from);
+        }
+    }
+
+    /// Commits the highest index of this term that a majority holds. Entries of
+    /// earlier terms are committed only with it (Raft, section 5.4.2).
+    fn advance_leader_commit(&mut self) {
+        let membership = self.membership();
+        let mut matched: Vec<LogIndex> = membership
+            .voters
+            .iter()
+            .map(|member| self.matched_index(*member))
+            .collect();
+        matched.sort_unstable_by(|left, right| right.cmp(left));
+        let Some(index) = matched.get(membership.quorum() - 1).copied() else {
+            return;
+        };
+        if self.log.term_at(index) == Some(self.term) {
+            self.advance_commit(index);
+        }
+        let removed = self.is_membership_settled() && !self.is_voter();
+        if self.role == Role::Leader && removed {
+            let (now, term) = (self.heartbeat_due, self.term);
+            self.become_follower(now, term);
+        }
+    }
+
+    fn matched_index(&self, member: Member) -> LogIndex {
+        if member == self.me {
+            return self.log.last_index();
+        }
+        self.matched(member).unwrap_or_default()
+    }
+
+    /// The latest moment such that a majority answered something sent then or
+    /// later.
+    pub(crate) fn quorum_answered(&self) -> Option<Time> {
+        let membership = self.membership();
+        let mut answered: Vec<Option<Time>> = membership
+            .voters
+            .iter()
+            .map(|member| {
+                if *member == self.me {
+                    return Some(Time(u64::MAX / 2));
+                }
+                self.last_answer(*member)
+            })
+            .collect();
+        answered.sort_unstable_by(|left, right| right.cmp(left));
+        answered.get(membership.quorum() - 1).copied().flatten()
+    }
+}
--- /dev/null
+++ b/crates/control/src/core.rs
@@ -0,0 +1,424 @@
+//! The core of one node: takes inputs, keeps the parts in step, gives outputs.
+
+use crate::config::ControlConfig;
+use crate::event::{Event, Level};
+use crate::founding::Founding;
+use crate::io::{Input, KeyValueCall, Output};
+use crate::leader::Leadership;
+use crate::message::PeerMessage;
+use crate::operator::OperatorAnswer;
+use crate::peers::Peers;
+use beamtray_consensus::Raft;
+use beamtray_ownership::ControlState;
+use beamtray_platform::KeyValueRequest;
+use beamtray_routing::{
+    GateMap, NotRunReason, Router, RouterConfig, RouterOutput, RoutingView, UpstreamOutcome,
+};
+use beamtray_types::{Generation, Member, NodeId, Time};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Why the key-value service was called.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    ReadFounding,
+    WriteFounding,
+    ReadCheckpointToFound,
+    Leader(LeaderPurpose),
+}
+
+/// Why a leader called it. Answers to an earlier term's calls are dropped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum LeaderPurpose {
+    ReadCheckpoint,
+    WriteCheckpoint(beamtray_types::LogIndex),
+    ReadConfiguration,
+    WriteConfiguration(beamtray_types::OperationId),
+    ReadBack(beamtray_types::OperationId),
+    ReadVoters,
+    WriteVoters,
+}
+
+/// An operator's request that the leader answers for this node.
+#[derive(Clone, Debug)]
+pub(crate) struct ForwardedOperator {
+    pub(crate) call: crate::io::OperatorCall,
+    pub(crate) expires: Time,
+    /// The answer when none comes.
+    pub(crate) otherwise: OperatorAnswer,
+}
+
+/// One node's decisions.
+#[derive(Debug)]
+pub struct NodeCore {
+    pub(crate) config: ControlConfig,
+    pub(crate) now: Time,
+    pub(crate) outputs: Vec<Output>,
+    /// Generation of `state`; 0 before the node knows of any.
+    pub(crate) generation: Generation,
+    pub(crate) state: ControlState,
+    pub(crate) gates: GateMap,
+    pub(crate) raft: Option<Raft>,
+    /// Generation whose log `raft` is or was. A run joins the log of a
+    /// generation at most once, so it never forgets a vote.
+    pub(crate) raft_generation: Generation,
+    pub(crate) leadership: Option<Leadership>,
+    pub(crate) router: Router,
+    /// This node's clock when a leader was last known to have nothing newer
+    /// than `state`.
+    pub(crate) contact: Option<Time>,
+    pub(crate) leader_hint: Option<Member>,
+    pub(crate) peers: Peers,
+    pub(crate) founding: Founding,
+    pub(crate) calls: BTreeMap<KeyValueCall, (Time, Purpose)>,
+    next_call: u64,
+    pub(crate) forwarded: BTreeMap<u64, ForwardedOperator>,
+    pub(crate) hello_due: Time,
+    pub(crate) stopping: Option<Time>,
+    stopped: bool,
+    was_admitting: bool,
+    pub(crate) rng: ChaCha8Rng,
+}
+
+/// How long an answer of the key-value service is awaited.
+pub(crate) const KEY_VALUE_PATIENCE: Duration = Duration::from_secs(5);
+/// How long a stopping node waits to be taken out of the group's lists.
+const LEAVE_PATIENCE: Duration = Duration::from_secs(3);
+
+impl NodeCore {
+    /// A node that knows of no group yet.
+    pub fn new(config: ControlConfig, now: Time) -> Self {
+        let router = Router::new(RouterConfig {
+            seed: config.seed,
+            keeps_unknown: config.guards.keeps_unknown,
+        });
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(config.seed),
+            config,
+            now,
+            outputs: Vec::new(),
+            generation: Generation(0),
+            state: ControlState::default(),
+            gates: GateMap::default(),
+            raft: None,
+            raft_generation: Generation(0),
+            leadership: None,
+            router,
+            contact: None,
+            leader_hint: None,
+            peers: Peers::default(),
+            founding: Founding::new(now),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            forwarded: BTreeMap::new(),
+            hello_due: now,
+            stopping: None,
+            stopped: false,
+            was_admitting: false,
+        }
+    }
+
+    /// Takes one input in and returns what is to be done, in order.
+    pub fn handle(&mut self, now: Time, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => self.tick(),
+            Input::Peer { from, message } => self.on_peer(from, message),
+            Input::Unsent { to, message } => self.on_unsent(to, message),
+            Input::PeerLost { node } => {
+                let outputs = self.route(|router, now, view| router.on_node_lost(now, view, node));
+                self.carry(outputs);
+            }
+            Input::Caller { id, request } => {
+                let outputs =
+                    self.route(|router, now, view| router.on_request(now, view, id, request));
+                self.carry(outputs);
+            }
+            Input::CallerGone { id } => {
+                let outputs = self.route(|router, now, view| router.on_caller_gone(now, view, id));
+                self.carry(outputs);
+            }
+            Input::CallResult { call, outcome } => {
+                let outputs =
+                    self.route(|router, now, view| router.on_call_result(now, view, call, outcome));
+                self.carry(outputs);
+            }
+            Input::Grant { server, reply } => self.on_grant_reply(&server, reply),
+            Input::KeyValue { call, result } => self.on_key_value(call, result),
+            Input::Machines { list } => self.on_machines(list),
+            Input::Operator { call, request } => self.on_operator(call, request),
+            Input::Stop => self.on_stop(),
+        }
+        self.pump_raft();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The group's state as far as this node has it.
+    pub fn state(&self) -> &ControlState {
+        &self.state
+    }
+
+    /// Generation of the group, 0 when unknown.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// Whether this node leads its group under a valid lease.
+    pub fn is_leader(&self) -> bool {
+        self.leadership.is_some() && self.has_lease()
+    }
+
+    /// Whether this node has a vote.
+    pub fn is_voter(&self) -> bool {
+        self.raft.as_ref().is_some_and(Raft::is_voter)
+    }
+
+    /// Whether this node admits callers' requests.
+    pub fn admits(&self) -> bool {
+        let lease = self.config.timing.configuration_lease();
+        let fresh = self.contact.is_some_and(|at| self.now.since(at) < lease);
+        let known = self.generation > Generation(0) && self.state.revision.0 > 0;
+        let fresh = fresh || !self.config.guards.configuration_lease;
+        known && fresh && self.stopping.is_none()
+    }
+
+    /// The node's requests and tries in flight, for metrics.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// Number of upstreams whose gate this node is.
+    pub fn gate_count(&self) -> usize {
+        self.gates.count(self.config.me.node)
+    }
+
+    pub(crate) fn has_lease(&self) -> bool {
+        let guard = self.config.guards.leader_lease;
+        self.raft.as_ref().is_some_and(|raft| {
+            raft.has_lease(self.now)
+                || (!guard && raft.lease_until().is_some())
+        })
+    }
+
+    fn tick(&mut self) {
+        if let Some(raft) = &mut self.raft {
+            raft.tick(self.now);
+        }
+        self.pump_raft();
+        self.expire_calls();
+        self.tick_contact();
+        self.tick_founding();
+        self.tick_leader();
+        self.tick_operators();
+        let outputs = self.route(|router, now, view| router.tick(now, view));
+        self.carry(outputs);
+        self.tick_stop();
+        self.note_admission();
+    }
+
+    fn on_peer(&mut self, from: Member, message: PeerMessage) {
+        match message {
+            PeerMessage::Consensus {
+                generation,
+                message,
+            } => self.on_consensus(generation, message),
+            PeerMessage::Hello(hello) => self.on_hello(from, hello),
+            PeerMessage::Feed(feed) => self.on_feed(from, feed),
+            PeerMessage::LeaderHint { generation, leader } => {
+                if generation >= self.generation && !self.is_in_contact() {
+                    self.leader_hint = Some(leader);
+                    self.hello_due = self.now;
+                }
+            }
+            PeerMessage::Forward(forward) => {
+                let outputs =
+                    self.route(|router, now, view| router.on_forward(now, view, from, forward));
+                self.carry(outputs);
+            }
+            PeerMessage::Cancel(attempt) => self.router.on_cancel(attempt),
+            PeerMessage::Result { attempt, outcome } => {
+                let outputs =
+                    self.route(|router, now, view| router.on_result(now, view, attempt, outcome));
+                self.carry(outputs);
+            }
+            PeerMessage::Operator { call, request } => {
+                self.on_remote_operator(from, call, request);
+            }
+            PeerMessage::OperatorAnswer { call, answer } => {
+                if let Some(forwarded) = self.forwarded.remove(&call) {
+                    self.answer_operator(forwarded.call, answer);
+                }
+            }
+        }
+    }
+
+    /// A try that never left this node did not run.
+    fn on_unsent(&mut self, to: NodeId, message: PeerMessage) {
+        match message {
+            PeerMessage::Forward(forward) => {
+                let outcome = UpstreamOutcome::NotRun {
+                    reason: NotRunReason::NotConnected,
+                    retry_after_micros: None,
+                };
+                let outputs = self.route(|router, now, view| {
+                    router.on_result(now, view, forward.attempt, outcome)
+                });
+                self.carry(outputs);
+            }
+            PeerMessage::Operator { call, .. } => {
+                if let Some(forwarded) = self.forwarded.remove(&call) {
+                    let reason = format!("the leader, node {to}, cannot be reached");
+                    self.answer_operator(forwarded.call, OperatorAnswer::Unavailable { reason });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Runs the router with the present view.
+    pub(crate) fn route(
+        &mut self,
+        step: impl FnOnce(&mut Router, Time, &RoutingView) -> Vec<RouterOutput>,
+    ) -> Vec<RouterOutput> {
+        let view = RoutingView {
+            me: self.config.me,
+            admits: self.admits(),
+            state: &self.state,
+            gates: &self.gates,
+        };
+        step(&mut self.router, self.now, &view)
+    }
+
+    pub(crate) fn carry(&mut self, outputs: Vec<RouterOutput>) {
+        for output in outputs {
+            let output = match output {
+                RouterOutput::Forward { to, forward } => Output::Peer {
+                    to,
+                    message: PeerMessage::Forward(forward),
+                },
+                RouterOutput::Cancel { to, attempt } => Output::Peer {
+                    to,
+                    message: PeerMessage::Cancel(attempt),
+                },
+                RouterOutput::Result {
+                    to,
+                    attempt,
+                    outcome,
+                } => Output::Peer {
+                    to: to.node,
+                    message: PeerMessage::Result { attempt, outcome },
+                },
+                RouterOutput::Call {
+                    call,
+                    address,
+                    forward,
+                    timeout,
+                } => Output::Call {
+                    call,
+                    address,
+                    forward,
+                    timeout,
+                },
+                RouterOutput::Answer { request, answer } => Output::Answer {
+                    id: request,
+                    answer,
+                },
+            };
+            self.outputs.push(output);
+        }
+    }
+
+    /// To be called whenever `state` changed.
+    pub(crate) fn on_state_changed(&mut self) {
+        self.gates = GateMap::of(&self.state);
+        let outputs = self.route(|router, now, view| router.tick(now, view));
+        self.carry(outputs);
+    }
+
+    pub(crate) fn call_key_value(&mut self, purpose: Purpose, request: KeyValueRequest) {
+        let call = KeyValueCall(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(call, (self.now, purpose));
+        self.outputs.push(Output::KeyValue { call, request });
+    }
+
+    /// Whether a call for `purpose` is under way.
+    pub(crate) fn is_calling(&self, purpose: &Purpose) -> bool {
+        self.calls.values().any(|(_, other)| other == purpose)
+    }
+
+    fn expire_calls(&mut self) {
+        let now = self.now;
+        let expired: Vec<KeyValueCall> = self
+            .calls
+            .iter()
+            .filter(|(_, (since, _))| now.since(*since) > KEY_VALUE_PATIENCE)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in expired {
+            let result = beamtray_platform::KeyValueResult::Unavailable {
+                cause: "no answer in time".to_owned(),
+            };
+            self.on_key_value(call, result);
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: NodeId, message: PeerMessage) {
+        self.outputs.push(Output::Peer { to, message });
+    }
+
+    pub(crate) fn log(&mut self, event: Event) {
+        self.outputs.push(Output::Log(event));
+    }
+
+    fn on_stop(&mut self) {
+        if self.stopping.is_some() {
+            return;
+        }
+        self.stopping = Some(self.now);
+        self.router.stop();
+        self.hello_due = self.now;
+        self.log(Event::new(Level::Info, "stopping").with("pending", self.router.pending()));
+        self.hand_over_leadership();
+    }
+
+    /// Ends a planned stop: when the group no longer counts on this node and
+    /// nothing is in flight, or when the time allowed is over.
+    fn tick_stop(&mut self) {
+        let Some(since) = self.stopping else { return };
+        if self.stopped {
+            return;
+        }
+        let waited = self.now.since(since);
+        let listed = self.state.nodes.contains_key(&self.config.me.node) || self.is_voter();
+        let left = !listed || waited >= LEAVE_PATIENCE;
+        let overdue = waited >= Duration::from_millis(self.config.stop_millis);
+        if (left && self.router.is_idle()) || overdue {
+            self.stopped = true;
+            let event = Event::new(Level::Info, "stopped")
+                .with("waited_ms", waited.as_millis())
+                .with("cut_off", self.router.pending() + self.router.running());
+            self.log(event);
+            self.outputs.push(Output::Stopped);
+        }
+    }
+
+    fn note_admission(&mut self) {
+        let admits = self.admits();
+        if admits == self.was_admitting {
+            return;
+        }
+        self.was_admitting = admits;
+        let (level, name) = if admits {
+            (Level::Info, "admitting")
+        } else {
+            (Level::Warning, "not_admitting")
+        };
+        let event = Event::new(level, name)
+            .with("generation", self.generation)
+            .with("revision", self.state.revision);
+        self.log(event);
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader.rs
@@ -0,0 +1,355 @@
+//! What only a leader does: it lists nodes, grants, places slices, keeps
+//! voters, checkpoints and the configuration. Ends with its term.
+
+use crate::checkpoint::Checkpointing;
+use crate::config::ControlConfig;
+use crate::configure::Configuring;
+use crate::core::NodeCore;
+use crate::event::{Event, Level};
+use crate::io::Output;
+use crate::message::{FeedEntry, Hello};
+use crate::placing::Loads;
+use crate::voters::VoterChange;
+use beamtray_ownership::{
+    Command, CommandBatch, GrantReply, Granter, GranterConfig, NodeRecord,
+};
+use beamtray_platform::{Machine, MachineState};
+use beamtray_routing::SliceCount;
+use beamtray_types::{Generation, LogIndex, Member, NodeId, ServerName, Term, Time, Zone};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// A node that has not reported for this long is not live.
+const NODE_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Entries kept for nodes that lack a few.
+const REMEMBERED_ENTRIES: usize = 1_024;
+/// Between readings of the machine list.
+const MACHINES_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Between plans for balance.
+const BALANCE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// A node as the leader knows it.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownNode {
+    pub(crate) member: Member,
+    pub(crate) zone: Zone,
+    pub(crate) heard: Time,
+    pub(crate) leaving: bool,
+}
+
+/// The work of one leader in one term.
+#[derive(Debug)]
+pub(crate) struct Leadership {
+    pub(crate) term: Term,
+    pub(crate) started: Time,
+    pub(crate) granter: Granter,
+    pub(crate) nodes: BTreeMap<NodeId, KnownNode>,
+    pub(crate) loads: Loads,
+    pub(crate) checkpointing: Checkpointing,
+    pub(crate) configuring: Configuring,
+    pub(crate) voter_change: VoterChange,
+    recent: VecDeque<FeedEntry>,
+    pushed: Option<LogIndex>,
+    /// Plans wait until what was proposed last is applied.
+    planned_until: LogIndex,
+    balance_due: Time,
+    machines_due: Time,
+    leaving: BTreeSet<ServerName>,
+    gone_nodes: BTreeSet<String>,
+}
+
+impl Leadership {
+    pub(crate) fn new(
+        config: &ControlConfig,
+        generation: Generation,
+        term: Term,
+        elected_at: Time,
+    ) -> Self {
+        let granter = GranterConfig {
+            group: config.group,
+            renewal: config.timing.renewal(),
+            grant: config.timing.grant(),
+            grant_bound: config.timing.grant_bound(),
+            guards: config.guards.granter,
+        };
+        Self {
+            term,
+            started: elected_at,
+            granter: Granter::new(granter, generation, term, elected_at),
+            nodes: BTreeMap::new(),
+            loads: Loads::default(),
+            checkpointing: Checkpointing::new(elected_at),
+            configuring: Configuring::new(elected_at),
+            voter_change: VoterChange::new(elected_at),
+            recent: VecDeque::new(),
+            pushed: None,
+            planned_until: LogIndex(0),
+            balance_due: elected_at + BALANCE_INTERVAL,
+            machines_due: elected_at,
+            leaving: BTreeSet::new(),
+            gone_nodes: BTreeSet::new(),
+        }
+    }
+
+    pub(crate) fn remember(&mut self, entry: FeedEntry) {
+        self.recent.push_back(entry);
+        if self.recent.len() > REMEMBERED_ENTRIES {
+            self.recent.pop_front();
+        }
+    }
+
+    /// The entries after `index` up to `applied`, when all are remembered.
+    pub(crate) fn entries_after(
+        &self,
+        index: LogIndex,
+        applied: LogIndex,
+    ) -> Option<Vec<FeedEntry>> {
+        if index >= applied {
+            return Some(Vec::new());
+        }
+        let oldest = self.recent.front()?.index;
+        (oldest <= index.next()).then(|| {
+            let newer = self.recent.iter().filter(|entry| entry.index > index);
+            newer.cloned().collect()
+        })
+    }
+
+    /// Entries that were not pushed yet; none when there are none.
+    pub(crate) fn take_unpushed(&mut self, applied: LogIndex) -> Option<Vec<FeedEntry>> {
+        let from = self.pushed.replace(applied)?;
+        let entries = self.entries_after(from, applied)?;
+        (!entries.is_empty()).then_some(entries)
+    }
+
+    pub(crate) fn note_node(&mut self, now: Time, member: Member, hello: &Hello) {
+        let known = KnownNode {
+            member,
+            zone: hello.zone.clone(),
+            heard: now,
+            leaving: hello.leaving,
+        };
+        self.nodes.insert(member.node, known);
+    }
+
+    pub(crate) fn known_nodes(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.nodes.keys().copied()
+    }
+
+    pub(crate) fn is_node_live(&self, now: Time, member: Member) -> bool {
+        self.nodes.get(&member.node).is_some_and(|node| {
+            node.member == member && now.since(node.heard) < NODE_PATIENCE && !node.leaving
+        })
+    }
+
+    /// Whether the platform says that the node's machine is reclaimed.
+    pub(crate) fn is_machine_gone(&self, name: &str) -> bool {
+        self.gone_nodes.contains(name)
+    }
+
+    fn note_machines(&mut self, list: &[Machine]) {
+        let named = |state| {
+            list.iter()
+                .filter(move |machine| machine.state == state)
+                .map(|machine| machine.name.clone())
+        };
+        self.leaving = named(MachineState::Leaving)
+            .chain(named(MachineState::Gone))
+            .map(ServerName)
+            .collect();
+        self.gone_nodes = named(MachineState::Gone).collect();
+    }
+}
+
+impl NodeCore {
+    pub(crate) fn tick_leader(&mut self) {
+        if self.leadership.is_none() || !self.has_lease() {
+            return;
+        }
+        let now = self.now;
+        let me = self.config.me;
+        let (zone, leaving) = (self.config.zone.clone(), self.stopping.is_some());
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let myself = KnownNode {
+            member: me,
+            zone,
+            heard: now,
+            leaving,
+        };
+        leadership.nodes.insert(me.node, myself);
+        leadership.loads.advance(now);
+        if now >= leadership.machines_due {
+            leadership.machines_due = now + MACHINES_INTERVAL;
+            self.outputs.push(Output::ReadMachines);
+        }
+        self.plan_changes();
+        self.send_grants();
+        self.tick_configuring();
+        self.tick_checkpoint();
+        self.tick_voters();
+    }
+
+    /// Proposes what the leader's knowledge calls for, one batch at a time.
+    fn plan_changes(&mut self) {
+        let now = self.now;
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if self.state.applied < leadership.planned_until {
+            return;
+        }
+        let balance = now >= leadership.balance_due;
+        if balance {
+            leadership.balance_due = now + BALANCE_INTERVAL;
+        }
+        let mut commands = Vec::new();
+        commands.extend(self.node_changes());
+        commands.extend(self.leaving_changes());
+        commands.extend(self.slice_changes(balance));
+        if commands.is_empty() {
+            return;
+        }
+        self.propose(commands);
+    }
+
+    /// Adds commands to the log and holds further plans until it is applied.
+    pub(crate) fn propose(&mut self, commands: Vec<Command>) {
+        let now = self.now;
+        let batch = borsh::to_vec(&CommandBatch { commands }).unwrap_or_default();
+        let Some(raft) = &mut self.raft else { return };
+        let Ok(index) = raft.propose(now, batch) else {
+            return;
+        };
+        if let Some(leadership) = &mut self.leadership {
+            leadership.planned_until = index;
+        }
+    }
+
+    /// The live nodes, when they differ from those listed.
+    fn node_changes(&self) -> Option<Command> {
+        let now = self.now;
+        let leadership = self.leadership.as_ref()?;
+        let live = leadership
+            .nodes
+            .iter()
+            .filter(|(_, node)| now.since(node.heard) < NODE_PATIENCE && !node.leaving);
+        let mut nodes: BTreeMap<NodeId, NodeRecord> = live
+            .map(|(id, node)| {
+                let record = NodeRecord {
+                    incarnation: node.member.incarnation,
+                    zone: node.zone.clone(),
+                };
+                (*id, record)
+            })
+            .collect();
+        // A new leader has not heard of everyone yet.
+        if now.since(leadership.started) < NODE_PATIENCE {
+            for (id, record) in &self.state.nodes {
+                if !leadership.nodes.contains_key(id) {
+                    nodes.insert(*id, record.clone());
+                }
+            }
+        }
+        (nodes != self.state.nodes).then_some(Command::SetNodes { nodes })
+    }
+
+    fn leaving_changes(&self) -> Option<Command> {
+        let leadership = self.leadership.as_ref()?;
+        let servers: BTreeSet<ServerName> = leadership
+            .leaving
+            .iter()
+            .filter(|name| self.state.declaration.server(name).is_some())
+            .cloned()
+            .collect();
+        let changed = self.config.guards.drains && servers != self.state.leaving;
+        changed.then_some(Command::SetLeaving { servers })
+    }
+
+    /// Follows a change of the state: nodes are told, grants are adapted.
+    pub(crate) fn on_leader_state_changed(&mut self) {
+        if self.leadership.is_none() {
+            return;
+        }
+        self.push_feed();
+        self.adapt_grants();
+        if self.has_lease() {
+            self.send_grants();
+        }
+        self.settle_confirmations();
+    }
+
+    fn adapt_grants(&mut self) {
+        let now = self.now;
+        let mut grants = self.state.grants();
+        let keyed = self.state.declaration.services.iter();
+        let servers: Vec<_> = keyed
+            .filter(|service| self.state.services.contains_key(&service.name))
+            .flat_map(|service| &service.servers)
+            .map(|server| {
+                let set = grants.remove(&server.name).unwrap_or_default();
+                (server.name.clone(), server.address, set)
+            })
+            .collect();
+        let names: BTreeSet<ServerName> = servers.iter().map(|(name, _, _)| name.clone()).collect();
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        leadership.granter.set_servers(now, servers);
+        leadership.granter.retain(now, |name| names.contains(name));
+    }
+
+    fn send_grants(&mut self) {
+        let (now, has_lease) = (self.now, self.has_lease());
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let pending = leadership.granter.poll(now, has_lease);
+        self.outputs.extend(pending.into_iter().map(Output::Grant));
+    }
+
+    pub(crate) fn on_grant_reply(&mut self, server: &ServerName, reply: Option<GrantReply>) {
+        let (now, has_lease) = (self.now, self.has_lease());
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        match reply {
+            Some(reply) => leadership.granter.handle(now, server, &reply, has_lease),
+            None => leadership.granter.failed(server),
+        }
+        if has_lease {
+            self.plan_changes();
+            self.send_grants();
+        }
+    }
+
+    pub(crate) fn on_machines(&mut self, list: Option<Vec<Machine>>) {
+        let Some(list) = list else { return };
+        self.founding.note_machines(&list);
+        if let Some(leadership) = &mut self.leadership {
+            leadership.note_machines(&list);
+        }
+    }
+
+    pub(crate) fn note_load(&mut self, load: Vec<SliceCount>) {
+        if let Some(leadership) = &mut self.leadership {
+            leadership.loads.note(load);
+        }
+    }
+
+    /// Answers what waits for this leader as unknown and forgets the rest.
+    pub(crate) fn end_leadership(&mut self) {
+        let waiting = match self.leadership.take() {
+            Some(leadership) => leadership.configuring.into_waiting(),
+            None => return,
+        };
+        for (operation, reply) in waiting {
+            let event = Event::new(Level::Warning, "confirmation_unknown")
+                .with("operation", operation)
+                .with("cause", "leadership ended");
+            self.log(event);
+            let answer = crate::operator::OperatorAnswer::Unknown { operation };
+            self.reply_to_operator(reply, answer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,60 @@
+//! What a node has heard of others directly.
+
+use beamtray_types::{Member, NodeId, Time, Zone};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A node that reported itself.
+#[derive(Clone, Debug)]
+pub(crate) struct HeardPeer {
+    pub(crate) member: Member,
+    pub(crate) zone: Zone,
+    pub(crate) at: Time,
+    pub(crate) leaving: bool,
+}
+
+/// The latest report of each node.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Peers {
+    heard: BTreeMap<NodeId, HeardPeer>,
+}
+
+impl Peers {
+    pub(crate) fn note(&mut self, peer: HeardPeer) {
+        self.heard.insert(peer.member.node, peer);
+    }
+
+    pub(crate) fn get(&self, node: NodeId) -> Option<&HeardPeer> {
+        self.heard.get(&node)
+    }
+
+    /// Nodes that reported within `patience` and are not stopping.
+    pub(crate) fn live(&self, now: Time, patience: Duration) -> Vec<HeardPeer> {
+        self.heard
+            .values()
+            .filter(|peer| now.since(peer.at) < patience && !peer.leaving)
+            .cloned()
+            .collect()
+    }
+}
+
+/// Chooses `count` of `candidates`, spread over zones: of each zone in turn
+/// the lowest node.
+pub(crate) fn spread_over_zones(candidates: &[(Member, Zone)], count: usize) -> Vec<Member> {
+    let mut zones: BTreeMap<&Zone, Vec<Member>> = BTreeMap::new();
+    for (member, zone) in candidates {
+        zones.entry(zone).or_default().push(*member);
+    }
+    for members in zones.values_mut() {
+        members.sort_unstable_by(|left, right| right.cmp(left));
+    }
+    let mut chosen = Vec::new();
+    while chosen.len() < count && zones.values().any(|members| !members.is_empty()) {
+        for members in zones.values_mut() {
+            if chosen.len() < count {
+                chosen.extend(members.pop());
+            }
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/control/src/voters.rs
@@ -0,0 +1,271 @@
+//! Keeping the group at its number of voters, spread over zones.
+//!
+//! A voter that is lost or leaves is replaced by a live node: the newcomer
+//! first learns the log, then gets a vote, then the old voter loses its own.
+//! Each step that changes votes is written to the founding record before it is
+//! proposed, and the record is trimmed once the step is committed.
+
+use crate::core::{LeaderPurpose, NodeCore, Purpose};
+use crate::event::{Event, Level};
+use crate::founding::{founding_key, FoundingRecord};
+use crate::peers::spread_over_zones;
+use beamtray_consensus::Membership;
+use beamtray_platform::{machine_name, KeyValueRequest, KeyValueResult};
+use beamtray_types::{Member, Time, Zone};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Between looks at the voters.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Silence after which a voter counts as lost.
+const VOTER_PATIENCE: Duration = Duration::from_secs(4);
+/// A learner this close to the leader's log may get a vote.
+const CAUGHT_UP_ENTRIES: u64 = 16;
+
+/// A change of voters under way.
+#[derive(Clone, Debug)]
+pub(crate) struct VoterChange {
+    due: Time,
+    busy: bool,
+    /// The record as last read or written, with its version.
+    record: Option<(u64, FoundingRecord)>,
+    wanted: Option<BTreeSet<Member>>,
+}
+
+impl VoterChange {
+    pub(crate) fn new(now: Time) -> Self {
+        Self {
+            due: now + VOTER_PATIENCE / 4,
+            busy: false,
+            record: None,
+            wanted: None,
+        }
+    }
+}
+
+impl NodeCore {
+    pub(crate) fn tick_voters(&mut self) {
+        let now = self.now;
+        let settled = self
+            .raft
+            .as_ref()
+            .is_some_and(|raft| raft.is_membership_settled());
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let change = &mut leadership.voter_change;
+        if now < change.due || change.busy || !settled {
+            return;
+        }
+        change.due = now + CHECK_INTERVAL;
+        if let Some(learners) = self.wanted_learners() {
+            return self.propose_learners(learners);
+        }
+        let wanted = self.wanted_voters();
+        if let Some(leadership) = &mut self.leadership {
+            leadership.voter_change.wanted = wanted;
+        }
+        if !self.config.guards.records_voters {
+            return self.propose_wanted();
+        }
+        self.record_voters();
+    }
+
+    /// Voters that no longer count on the node's side: lost or leaving.
+    fn failing_voters(&self, voters: &BTreeSet<Member>) -> BTreeSet<Member> {
+        let (Some(leadership), Some(raft)) = (&self.leadership, &self.raft) else {
+            return BTreeSet::new();
+        };
+        let failing = |member: &Member| {
+            if *member == self.config.me {
+                return self.stopping.is_some();
+            }
+            let node = leadership.nodes.get(&member.node);
+            let replaced =
+                node.is_some_and(|node| node.member.incarnation > member.incarnation);
+            let leaving = node.is_some_and(|node| node.leaving);
+            let answered = raft.last_answer(*member).unwrap_or(leadership.started);
+            let silent = self.now.since(answered.max(leadership.started)) > VOTER_PATIENCE;
+            replaced || leaving || silent || leadership.is_machine_gone(&machine_name(*member))
+        };
+        voters.iter().copied().filter(failing).collect()
+    }
+
+    /// Live nodes that could vote, with their zones.
+    fn candidates(&self, voters: &BTreeSet<Member>) -> Vec<(Member, Zone)> {
+        let Some(leadership) = &self.leadership else {
+            return Vec::new();
+        };
+        leadership
+            .nodes
+            .values()
+            .filter(|node| leadership.is_node_live(self.now, node.member))
+            .filter(|node| !voters.contains(&node.member))
+            .map(|node| (node.member, node.zone.clone()))
+            .collect()
+    }
+
+    /// The learners that there should be, when there are others.
+    fn wanted_learners(&self) -> Option<BTreeSet<Member>> {
+        let membership = self.raft.as_ref()?.membership();
+        let failing = self.failing_voters(&membership.voters);
+        let healthy: BTreeSet<Member> = membership.voters.difference(&failing).copied().collect();
+        let missing = self.config.voters.saturating_sub(healthy.len());
+        let used: BTreeSet<Zone> = healthy.iter().filter_map(|m| self.zone_of(*m)).collect();
+        let candidates = self.candidates(&membership.voters);
+        let (elsewhere, same): (Vec<_>, Vec<_>) = candidates
+            .into_iter()
+            .partition(|(_, zone)| !used.contains(zone));
+        let mut chosen = spread_over_zones(&elsewhere, missing);
+        chosen.extend(spread_over_zones(&same, missing - chosen.len()));
+        let wanted: BTreeSet<Member> = chosen.into_iter().collect();
+        (wanted != membership.learners).then_some(wanted)
+    }
+
+    fn zone_of(&self, member: Member) -> Option<Zone> {
+        let node = self.leadership.as_ref()?.nodes.get(&member.node)?;
+        Some(node.zone.clone())
+    }
+
+    fn propose_learners(&mut self, learners: BTreeSet<Member>) {
+        let now = self.now;
+        let Some(raft) = &mut self.raft else { return };
+        let next = Membership {
+            voters: raft.membership().voters.clone(),
+            learners,
+        };
+        // A refusal is tried again at the next look.
+        let _ = raft.propose_membership(now, next);
+    }
+
+    /// The voters after the next step, when a step is due.
+    fn wanted_voters(&self) -> Option<BTreeSet<Member>> {
+        let raft = self.raft.as_ref()?;
+        let membership = raft.membership();
+        let failing = self.failing_voters(&membership.voters);
+        let healthy = membership.voters.len() - failing.len();
+        let mut next = membership.voters.clone();
+        let ready = membership.learners.iter().find(|member| {
+            let matched = raft.matched(**member).map_or(0, |index| index.0);
+            matched + CAUGHT_UP_ENTRIES >= raft.commit().0
+        });
+        if let Some(member) = ready.filter(|_| healthy < self.config.voters) {
+            next.insert(*member);
+            return Some(next);
+        }
+        let removable = failing.into_iter().find(|member| *member != self.config.me)?;
+        let leaving = self.leadership.as_ref()?.nodes.get(&removable.node);
+        let leaving = leaving.is_some_and(|node| node.leaving && node.member == removable);
+        // A lost voter stays until another has taken its place: the group's
+        // majority does not shrink by accident.
+        let spare = membership.voters.len() > self.config.voters;
+        let smaller = leaving && membership.voters.len() > 1 && membership.learners.is_empty();
+        if !spare && !smaller {
+            return None;
+        }
+        next.remove(&removable);
+        Some(next)
+    }
+
+    /// Brings the founding record in line: with the wanted voters beside the
+    /// present ones, or with the present ones alone.
+    fn record_voters(&mut self) {
+        let Some(present) = self.raft.as_ref().map(|raft| raft.membership().voters.clone()) else {
+            return;
+        };
+        let generation = self.raft_generation;
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let change = &mut leadership.voter_change;
+        let Some((version, record)) = &change.record else {
+            change.busy = true;
+            let key = founding_key(self.config.group);
+            let purpose = Purpose::Leader(LeaderPurpose::ReadVoters);
+            return self.call_key_value(purpose, KeyValueRequest::Get { key });
+        };
+        if record.generation != generation {
+            return;
+        }
+        let mut sets = vec![present];
+        sets.extend(change.wanted.clone());
+        if record.voters == sets {
+            return self.propose_wanted();
+        }
+        let (version, mut record) = (*version, record.clone());
+        record.voters = sets;
+        change.busy = true;
+        change.record = Some((version, record.clone()));
+        let request = KeyValueRequest::Put {
+            key: founding_key(self.config.group),
+            expected: version,
+            value: borsh::to_vec(&record).unwrap_or_default(),
+        };
+        let purpose = Purpose::Leader(LeaderPurpose::WriteVoters);
+        self.call_key_value(purpose, request);
+    }
+
+    fn propose_wanted(&mut self) {
+        let now = self.now;
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let Some(wanted) = leadership.voter_change.wanted.take() else {
+            return;
+        };
+        let Some(raft) = &mut self.raft else { return };
+        let mut learners = raft.membership().learners.clone();
+        learners.retain(|member| !wanted.contains(member));
+        let count = wanted.len();
+        let next = Membership {
+            voters: wanted,
+            learners,
+        };
+        let proposed = raft.propose_membership(now, next).is_ok();
+        let event = Event::new(Level::Info, "voters_change")
+            .with("voters", count)
+            .with("proposed", proposed);
+        self.log(event);
+    }
+
+    pub(crate) fn on_voters_read(&mut self, result: KeyValueResult) {
+        let generation = self.raft_generation;
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let change = &mut leadership.voter_change;
+        change.busy = false;
+        let KeyValueResult::Value { version, value } = result else {
+            change.due = self.now + VOTER_PATIENCE / 4;
+            return;
+        };
+        let Ok(record) = borsh::from_slice::<FoundingRecord>(&value) else {
+            return;
+        };
+        if record.generation > generation {
+            // The group was founded again without this leader.
+            self.founding.read_soon(self.now);
+            return;
+        }
+        change.record = Some((version, record));
+    }
+
+    pub(crate) fn on_voters_written(&mut self, result: KeyValueResult) {
+        let now = self.now;
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let change = &mut leadership.voter_change;
+        change.busy = false;
+        match (&mut change.record, result) {
+            (Some((known, _)), KeyValueResult::Stored { version }) => {
+                *known = version;
+                self.propose_wanted();
+            }
+            _ => {
+                change.record = None;
+                change.due = now + VOTER_PATIENCE / 4;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/placement/src/balance.rs
@@ -0,0 +1,287 @@
+//! Placement by load.
+//!
+//! A slice weighs its share of the service's load and, less, its share of the
+//! hash space, both in units of the mean per server, so that 1.0 is what one
+//! server should carry. Moves go from the heaviest server to the lightest
+//! while the gain exceeds the service's cost of a move. A slice too heavy to
+//! move with gain is split; splitting moves nothing.
+
+use crate::baseline::{modulo_targets, ring_targets};
+use crate::input::{Change, PlacementInput, Policy, SliceLoad};
+use beamtray_types::{ServerName, SliceRange};
+use std::collections::BTreeMap;
+
+/// Part of a slice's weight that is load; the rest is its share of keys.
+const LOAD_PART: f64 = 0.9;
+/// Excess over the mean below which a server is left alone.
+const TOLERATED_EXCESS: f64 = 0.08;
+/// Moves for balance that may be under way, per four servers.
+const SERVERS_PER_MOVE: usize = 4;
+/// Moves for emptying a server that may be under way, per server.
+const DRAIN_MOVES_PER_SERVER: usize = 2;
+/// A slice may be split until a service has this many times its founding
+/// number of slices.
+const MAX_SLICE_GROWTH: usize = 3;
+/// Neighbours this light together, in shares of a founding slice, are merged.
+const MERGE_WEIGHT: f64 = 0.5;
+
+/// The changes worth making now.
+pub fn plan(input: &PlacementInput) -> Vec<Change> {
+    if input.available.is_empty() {
+        return Vec::new();
+    }
+    match input.policy {
+        Policy::Balanced => Planner::new(input).plan(),
+        Policy::Ring => follow(input, ring_targets(&ranges(input), &input.available)),
+        Policy::Modulo => follow(input, modulo_targets(&ranges(input), &input.available)),
+    }
+}
+
+fn ranges(input: &PlacementInput) -> Vec<SliceRange> {
+    input.slices.iter().map(|slice| slice.range).collect()
+}
+
+/// Moves every slice to the owner that a baseline names.
+fn follow(input: &PlacementInput, targets: Vec<Option<ServerName>>) -> Vec<Change> {
+    let pairs = input.slices.iter().zip(targets);
+    pairs
+        .filter(|(slice, _)| !slice.moving)
+        .filter_map(|(slice, target)| {
+            let (first, to) = (slice.range.first, target?);
+            match &slice.owner {
+                None => Some(Change::Place { first, to }),
+                Some(owner) if *owner != to => Some(Change::Move { first, to }),
+                Some(_) => None,
+            }
+        })
+        .collect()
+}
+
+struct Planner<'a> {
+    input: &'a PlacementInput,
+    weights: Vec<f64>,
+    totals: BTreeMap<&'a ServerName, f64>,
+    moves_under_way: usize,
+    changes: Vec<Change>,
+}
+
+impl<'a> Planner<'a> {
+    fn new(input: &'a PlacementInput) -> Self {
+        let servers = input.available.len() as f64;
+        let rate: f64 = input.slices.iter().map(|slice| slice.rate).sum();
+        let weight = |slice: &SliceLoad| {
+            let keys = slice.range.share() * servers;
+            if rate <= 0.0 {
+                return keys;
+            }
+            LOAD_PART * slice.rate / rate * servers + (1.0 - LOAD_PART) * keys
+        };
+        let weights: Vec<f64> = input.slices.iter().map(weight).collect();
+        let mut totals: BTreeMap<&ServerName, f64> =
+            input.available.iter().map(|server| (server, 0.0)).collect();
+        for (slice, weight) in input.slices.iter().zip(&weights) {
+            if let Some(total) = slice.owner.as_ref().and_then(|owner| totals.get_mut(owner)) {
+                *total += weight;
+            }
+        }
+        Self {
+            input,
+            weights,
+            totals,
+            moves_under_way: input.slices.iter().filter(|slice| slice.moving).count(),
+            changes: Vec::new(),
+        }
+    }
+
+    fn plan(mut self) -> Vec<Change> {
+        self.place_unowned();
+        self.empty_unavailable();
+        // Balance waits until every key has an owner that may keep it.
+        if self.changes.is_empty() && self.input.allow_balance {
+            self.balance();
+        }
+        if self.changes.is_empty() && self.input.allow_balance {
+            self.merge_light();
+        }
+        self.changes
+    }
+
+    /// Heaviest first, each to the lightest server.
+    fn place_unowned(&mut self) {
+        let mut unowned: Vec<usize> = (0..self.input.slices.len())
+            .filter(|position| {
+                let slice = &self.input.slices[*position];
+                slice.owner.is_none() && !slice.moving
+            })
+            .collect();
+        unowned.sort_by(|left, right| self.weights[*right].total_cmp(&self.weights[*left]));
+        for position in unowned {
+            if let Some(to) = self.lightest() {
+                let first = self.input.slices[position].range.first;
+                *self.totals.entry(to).or_default() += self.weights[position];
+                let to = to.clone();
+                self.changes.push(Change::Place { first, to });
+            }
+        }
+    }
+
+    /// Moves slices off servers that may hold none, a few at a time.
+    fn empty_unavailable(&mut self) {
+        let limit = self.input.available.len() * DRAIN_MOVES_PER_SERVER;
+        for (position, slice) in self.input.slices.iter().enumerate() {
+            if self.moves_under_way >= limit {
+                return;
+            }
+            let Some(owner) = &slice.owner else { continue };
+            let stays = self.totals.contains_key(owner) || self.input.keeping.contains(owner);
+            if slice.moving || stays {
+                continue;
+            }
+            if let Some(to) = self.lightest() {
+                *self.totals.entry(to).or_default() += self.weights[position];
+                self.moves_under_way += 1;
+                let (first, to) = (slice.range.first, to.clone());
+                self.changes.push(Change::Move { first, to });
+            }
+        }
+    }
+
+    fn balance(&mut self) {
+        let limit = self.input.available.len().div_ceil(SERVERS_PER_MOVE);
+        let mut moved = vec![false; self.input.slices.len()];
+        while self.moves_under_way < limit {
+            let Some((heaviest, most)) = self.heaviest() else {
+                return;
+            };
+            let Some(lightest) = self.lightest() else {
+                return;
+            };
+            let least = self.totals[lightest];
+            if most < 1.0 + TOLERATED_EXCESS {
+                return;
+            }
+            let candidate = self.best_move(heaviest, most, least, &moved);
+            let Some((position, gain)) = candidate else {
+                return self.split_heaviest(heaviest, most - least);
+            };
+            if gain <= self.cost_of(position) {
+                return self.split_heaviest(heaviest, most - least);
+            }
+            moved[position] = true;
+            let weight = self.weights[position];
+            *self.totals.entry(heaviest).or_default() -= weight;
+            *self.totals.entry(lightest).or_default() += weight;
+            self.moves_under_way += 1;
+            let first = self.input.slices[position].range.first;
+            let to = lightest.clone();
+            self.changes.push(Change::Move { first, to });
+        }
+    }
+
+    /// A move costs by the keys that change owner: a slice of the founding
+    /// size costs the service's `move_cost` of one such slice's weight.
+    fn cost_of(&self, position: usize) -> f64 {
+        let founding = f64::from(self.input.slices_per_server.max(1));
+        let servers = self.input.available.len() as f64;
+        let size = self.input.slices[position].range.share() * servers * founding;
+        self.input.move_cost * size.min(1.0) / founding.sqrt()
+    }
+
+    /// The slice of `server` whose move lowers the larger of both totals most,
+    /// per cost.
+    fn best_move(
+        &self,
+        server: &ServerName,
+        most: f64,
+        least: f64,
+        moved: &[bool],
+    ) -> Option<(usize, f64)> {
+        let gain = |weight: f64| most - (most - weight).max(least + weight);
+        (0..self.input.slices.len())
+            .filter(|position| {
+                let slice = &self.input.slices[*position];
+                slice.owner.as_ref() == Some(server) && !slice.moving && !moved[*position]
+            })
+            .map(|position| (position, gain(self.weights[position])))
+            .filter(|(_, gain)| *gain > 0.0)
+            .max_by(|left, right| {
+                let net = |(position, gain): &(usize, f64)| gain - self.cost_of(*position);
+                net(left).total_cmp(&net(right))
+            })
+    }
+
+    /// Splits the heaviest slice of a server that no single move relieves.
+    fn split_heaviest(&mut self, server: &ServerName, excess: f64) {
+        let founding = self.input.slices_per_server as usize * self.input.available.len();
+        if self.input.slices.len() >= founding.max(1) * MAX_SLICE_GROWTH {
+            return;
+        }
+        let heaviest = (0..self.input.slices.len())
+            .filter(|position| {
+                let slice = &self.input.slices[*position];
+                slice.owner.as_ref() == Some(server) && !slice.moving
+            })
+            .max_by(|left, right| self.weights[*left].total_cmp(&self.weights[*right]));
+        let Some(position) = heaviest else { return };
+        if self.weights[position] < excess / 2.0 {
+            return;
+        }
+        let slice = &self.input.slices[position];
+        if let Some(at) = split_point(slice) {
+            let first = slice.range.first;
+            self.changes.push(Change::Split { first, at });
+        }
+    }
+
+    /// Joins neighbours that are light together and have one owner, once a
+    /// service has clearly more slices than it was founded with.
+    fn merge_light(&mut self) {
+        let founding = self.input.slices_per_server as usize * self.input.available.len();
+        if self.input.slices.len() <= founding + founding / 2 {
+            return;
+        }
+        let limit = MERGE_WEIGHT / f64::from(self.input.slices_per_server.max(1));
+        let pairs = self.input.slices.windows(2).enumerate();
+        let found = pairs.into_iter().find(|(position, pair)| {
+            let [lower, upper] = pair else { return false };
+            let together = self.weights[*position] + self.weights[position + 1];
+            lower.owner.is_some()
+                && lower.owner == upper.owner
+                && !lower.moving
+                && !upper.moving
+                && together < limit
+        });
+        if let Some((position, _)) = found {
+            let first = self.input.slices[position].range.first;
+            self.changes.push(Change::Merge { first });
+        }
+    }
+
+    fn lightest(&self) -> Option<&'a ServerName> {
+        let totals = self.totals.iter();
+        totals
+            .min_by(|left, right| left.1.total_cmp(right.1))
+            .map(|(server, _)| *server)
+    }
+
+    fn heaviest(&self) -> Option<(&'a ServerName, f64)> {
+        let totals = self.totals.iter();
+        totals
+            .max_by(|left, right| left.1.total_cmp(right.1))
+            .map(|(server, total)| (*server, *total))
+    }
+}
+
+/// Where to divide a slice: around its hot hash, so that the hash ends up in a
+/// slice of its own, or else in the middle.
+fn split_point(slice: &SliceLoad) -> Option<u64> {
+    let SliceRange { first, last } = slice.range;
+    if first == last {
+        return None;
+    }
+    match slice.hot_hash {
+        Some(hash) if hash > first && hash <= last => Some(hash),
+        Some(hash) if hash == first => Some(hash + 1),
+        _ => Some(first + (last - first) / 2 + 1),
+    }
+}
--- /dev/null
+++ b/crates/routing/src/gate.rs
@@ -0,0 +1,252 @@
+//! The gate: one place per upstream that counts slots and keeps the queue.
+
+use crate::load::LoadCounter;
+use crate::message::{AttemptId, CallId, Forward, NotRunReason, UpstreamOutcome};
+use crate::router::{RouterOutput, RoutingView};
+use beamtray_types::{Member, ServerName, Time};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Weight of the newest sample in the mean service time.
+const SERVICE_TIME_WEIGHT: f64 = 0.1;
+
+#[derive(Clone, Debug)]
+struct Queued {
+    origin: Member,
+    forward: Forward,
+    expires: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    origin: Member,
+    attempt: AttemptId,
+    server: ServerName,
+    started: Time,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Upstream {
+    running: u32,
+    queue: VecDeque<Queued>,
+    mean_service_seconds: f64,
+}
+
+/// The queues and slots of the upstreams that this node is the gate of.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Gate {
+    upstreams: BTreeMap<ServerName, Upstream>,
+    running: BTreeMap<CallId, Running>,
+    cancelled: BTreeSet<AttemptId>,
+    next_call: u64,
+    pub(crate) load: LoadCounter,
+}
+
+impl Gate {
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.upstreams.values().all(|up| up.queue.is_empty())
+    }
+
+    pub(crate) fn queued(&self) -> usize {
+        self.upstreams.values().map(|up| up.queue.len()).sum()
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Takes a try in: sends it, queues it or says why not.
+    pub(crate) fn accept(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        origin: Member,
+        forward: Forward,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let refuse = |reason, after: Option<Duration>| RouterOutput::Result {
+            to: origin,
+            attempt: forward.attempt,
+            outcome: UpstreamOutcome::NotRun {
+                reason,
+                retry_after_micros: after.map(|after| after.as_micros() as u64),
+            },
+        };
+        let declared = view.state.declaration.server(&forward.server);
+        let is_gate = view.gates.get(&forward.server) == Some(view.me.node);
+        let Some((service, server)) = declared.filter(|_| is_gate) else {
+            return outputs.push(refuse(NotRunReason::NotGate, None));
+        };
+        let upstream = self.upstreams.entry(forward.server.clone()).or_default();
+        let limit = service.queue as usize;
+        if upstream.running >= server.slots && upstream.queue.len() >= limit {
+            let wait = upstream.expected_wait(server.slots);
+            return outputs.push(refuse(NotRunReason::QueueFull, Some(wait)));
+        }
+        if let Some(hash) = forward.request.hash() {
+            self.load.record(view.state, &service.name, hash);
+        }
+        let expires = now + Duration::from_micros(forward.remaining_micros);
+        let name = forward.server.clone();
+        upstream.queue.push_back(Queued {
+            origin,
+            forward,
+            expires,
+        });
+        self.dispatch(now, view, &name, outputs);
+    }
+
+    /// Sends what waits for `server` while it has free slots.
+    fn dispatch(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        server: &ServerName,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let is_gate = view.gates.get(server) == Some(view.me.node);
+        let declared = view.state.declaration.server(server);
+        let declared = declared.filter(|_| is_gate);
+        let slots = declared.map_or(0, |(_, declared)| declared.slots);
+        let Some(upstream) = self.upstreams.get_mut(server) else {
+            return;
+        };
+        while declared.is_none() || upstream.running < slots {
+            let Some(queued) = upstream.queue.pop_front() else {
+                return;
+            };
+            let attempt = queued.forward.attempt;
+            if self.cancelled.remove(&attempt) {
+                continue;
+            }
+            let reason = match declared {
+                None => Some(NotRunReason::NotGate),
+                Some(_) if now >= queued.expires => Some(NotRunReason::Expired),
+                Some(_) => None,
+            };
+            if let Some(reason) = reason {
+                outputs.push(RouterOutput::Result {
+                    to: queued.origin,
+                    attempt,
+                    outcome: UpstreamOutcome::NotRun {
+                        reason,
+                        retry_after_micros: None,
+                    },
+                });
+                continue;
+            }
+            let Some((_, declared)) = declared else {
+                return;
+            };
+            let call = CallId(self.next_call);
+            self.next_call += 1;
+            upstream.running += 1;
+            self.running.insert(
+                call,
+                Running {
+                    origin: queued.origin,
+                    attempt,
+                    server: server.clone(),
+                    started: now,
+                },
+            );
+            let mut forward = queued.forward;
+            let timeout = Duration::from_micros(queued.expires.since(now).as_micros() as u64);
+            forward.remaining_micros = timeout.as_micros() as u64;
+            outputs.push(RouterOutput::Call {
+                call,
+                address: declared.address,
+                forward,
+                timeout,
+            });
+        }
+    }
+
+    /// Takes the result of a call in and passes it to its ingress.
+    pub(crate) fn finished(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        call: CallId,
+        outcome: UpstreamOutcome,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let Some(running) = self.running.remove(&call) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(&running.server) {
+            upstream.running = upstream.running.saturating_sub(1);
+            upstream.sample(now.since(running.started));
+        }
+        if !self.cancelled.remove(&running.attempt) {
+            outputs.push(RouterOutput::Result {
+                to: running.origin,
+                attempt: running.attempt,
+                outcome,
+            });
+        }
+        self.dispatch(now, view, &running.server, outputs);
+    }
+
+    /// Forgets a try whose caller is gone: it leaves the queue, or its answer
+    /// is dropped. A call already sent cannot be taken back.
+    pub(crate) fn cancel(&mut self, attempt: AttemptId) {
+        let mut found = false;
+        for upstream in self.upstreams.values_mut() {
+            let before = upstream.queue.len();
+            upstream
+                .queue
+                .retain(|queued| queued.forward.attempt != attempt);
+            found |= upstream.queue.len() < before;
+        }
+        if !found && self.running.values().any(|run| run.attempt == attempt) {
+            self.cancelled.insert(attempt);
+        }
+    }
+
+    /// Answers what expired in the queues and sends what can be sent.
+    pub(crate) fn tick(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let mut waiting: Vec<ServerName> = Vec::new();
+        for (name, upstream) in &mut self.upstreams {
+            if upstream.queue.is_empty() {
+                continue;
+            }
+            waiting.push(name.clone());
+            upstream.queue.retain(|queued| {
+                let expired = now >= queued.expires;
+                if expired {
+                    outputs.push(RouterOutput::Result {
+                        to: queued.origin,
+                        attempt: queued.forward.attempt,
+                        outcome: UpstreamOutcome::NotRun {
+                            reason: NotRunReason::Expired,
+                            retry_after_micros: None,
+                        },
+                    });
+                }
+                !expired
+            });
+        }
+        for name in waiting {
+            self.dispatch(now, view, &name, outputs);
+        }
+    }
+}
+
+impl Upstream {
+    fn sample(&mut self, service_time: Duration) {
+        let seconds = service_time.as_secs_f64();
+        self.mean_service_seconds += SERVICE_TIME_WEIGHT * (seconds - self.mean_service_seconds);
+    }
+
+    /// When the queue will have drained.
+    fn expected_wait(&self, slots: u32) -> Duration {
+        let rounds = self.queue.len() as f64 / f64::from(slots.max(1));
+        Duration::from_secs_f64((rounds * self.mean_service_seconds).clamp(0.05, 30.0))
+    }
+}
--- /dev/null
+++ b/crates/routing/src/ingress.rs
@@ -0,0 +1,538 @@
+//! The ingress: from a caller's request to its one final answer.
+//!
+//! Invariant: a request is tried again only when the try before provably did
+//! not run, or when it may be repeated. A final answer says `not run` only if
+//! that holds for every try.
+
+use crate::budget::RetryBudget;
+use crate::message::{
+    Answer, AttemptId, CallerRequest, Forward, NotRunReason, RequestId, RunState, UpstreamOutcome,
+};
+use crate::pool::Pool;
+use crate::router::{RouterConfig, RouterOutput, RoutingView};
+use beamtray_settings::{Division, ServiceDeclaration};
+use beamtray_types::{Fence, NodeId, ServerName, ServiceName, Time};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Pause before a try that was refused for its owner or gate is made again,
+/// unless a new view comes first.
+const REROUTE_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before an upstream that could not be reached is tried again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// How long a try may stay out after its slice went to another owner. A
+/// planned move waits for what is in flight, so its answer is on the way; an
+/// owner that was lost will not answer.
+const SUPERSEDED_GRACE: Duration = Duration::from_millis(300);
+/// When to come back while ownership is moving or the node is out of touch.
+const RETRY_AFTER_MOVE: Duration = Duration::from_millis(1_000);
+/// When to come back to a node that is stopping: at once, elsewhere.
+const RETRY_AFTER_STOP: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Debug)]
+struct Try {
+    id: AttemptId,
+    gate: NodeId,
+    server: ServerName,
+    fence: Option<Fence>,
+    superseded: Option<Time>,
+}
+
+impl Try {
+    fn cancellation(&self) -> RouterOutput {
+        RouterOutput::Cancel {
+            to: self.gate,
+            attempt: self.id,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    Waiting { until: Time, view: u64 },
+    Out(Try),
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    request: CallerRequest,
+    repeatable: bool,
+    deadline: Time,
+    /// Whether a try before the present stage may have run.
+    may_have_run: bool,
+    stage: Stage,
+}
+
+/// Requests of callers that have no final answer yet.
+#[derive(Debug)]
+pub(crate) struct Ingress {
+    pending: BTreeMap<RequestId, Pending>,
+    tries: BTreeMap<u64, RequestId>,
+    next_try: u64,
+    waiting: BTreeMap<ServiceName, usize>,
+    budgets: BTreeMap<ServiceName, RetryBudget>,
+    pools: BTreeMap<ServiceName, Pool>,
+    rng: ChaCha8Rng,
+    stopping: bool,
+    keeps_unknown: bool,
+}
+
+impl Ingress {
+    pub(crate) fn new(config: RouterConfig) -> Self {
+        Self {
+            pending: BTreeMap::new(),
+            tries: BTreeMap::new(),
+            next_try: 0,
+            waiting: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(config.seed),
+            stopping: false,
+            keeps_unknown: config.keeps_unknown,
+        }
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    pub(crate) fn pending(&self) -> usize {
+        self.pending.len()
+    }
+
+    pub(crate) fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    pub(crate) fn on_request(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        id: RequestId,
+        request: CallerRequest,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let refuse = |status, reason: &str, after| RouterOutput::Answer {
+            request: id,
+            answer: Answer::failure(status, RunState::NotRun, reason, after),
+        };
+        if self.stopping {
+            let output = refuse(503, "this node is stopping", Some(RETRY_AFTER_STOP));
+            return outputs.push(output);
+        }
+        if !view.admits {
+            let reason = "this node is out of touch with its control group";
+            return outputs.push(refuse(503, reason, Some(RETRY_AFTER_MOVE)));
+        }
+        let Some(service) = view.state.declaration.service(&request.service) else {
+            return outputs.push(refuse(404, "no such service", None));
+        };
+        if service.division == Division::Keyed && request.key.is_none() {
+            return outputs.push(refuse(400, "the service is keyed and the path has no key", None));
+        }
+        let longest = Duration::from_millis(service.deadline_millis);
+        let asked = request.deadline_micros.map(Duration::from_micros);
+        let deadline = now + asked.map_or(longest, |asked| asked.min(longest));
+        self.budgets
+            .entry(service.name.clone())
+            .or_insert_with(|| RetryBudget::new(service.retry_share))
+            .deposit();
+        let repeatable = service.is_repeatable(&request.method, &request.path);
+        let pending = Pending {
+            request,
+            repeatable,
+            deadline,
+            may_have_run: false,
+            stage: Stage::Waiting { until: now, view: 0 },
+        };
+        *self.waiting.entry(service.name.clone()).or_default() += 1;
+        self.pending.insert(id, pending);
+        self.route(now, view, id, outputs);
+    }
+
+    pub(crate) fn on_caller_gone(
+        &mut self,
+        _now: Time,
+        id: RequestId,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let Some(pending) = self.remove(id) else {
+            return;
+        };
+        if let Stage::Out(attempt) = pending.stage {
+            self.tries.remove(&attempt.id.number);
+            outputs.push(attempt.cancellation());
+        }
+    }
+
+    /// Sends a waiting request to its upstream's gate, or lets it wait on.
+    fn route(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        id: RequestId,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let Some(pending) = self.pending.get(&id) else {
+            return;
+        };
+        let Some(service) = view.state.declaration.service(&pending.request.service) else {
+            return self.give_up(id, 404, "the service is no longer declared", None, outputs);
+        };
+        let Some((server, fence)) = self.target(now, view, service, id) else {
+            return self.wait(now, view, service, id, REROUTE_PAUSE, outputs);
+        };
+        let Some(gate) = view.gates.get(&server) else {
+            return self.wait(now, view, service, id, REROUTE_PAUSE, outputs);
+        };
+        let number = self.next_try;
+        self.next_try += 1;
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        let attempt = AttemptId {
+            ingress: view.me,
+            number,
+        };
+        let forward = Forward {
+            attempt,
+            server: server.clone(),
+            fence,
+            remaining_micros: pending.deadline.since(now).as_micros() as u64,
+            request: pending.request.clone(),
+        };
+        pending.stage = Stage::Out(Try {
+            id: attempt,
+            gate,
+            server: server.clone(),
+            fence,
+            superseded: None,
+        });
+        self.uncount_waiting(&service.name);
+        self.tries.insert(number, id);
+        if let Some(pool) = self.pools.get_mut(&service.name) {
+            pool.started(&server);
+        }
+        outputs.push(RouterOutput::Forward { to: gate, forward });
+    }
+
+    /// The upstream for a request, and the fence of its ownership.
+    fn target(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        service: &ServiceDeclaration,
+        id: RequestId,
+    ) -> Option<(ServerName, Option<Fence>)> {
+        if service.division == Division::Keyed {
+            let hash = self.pending.get(&id)?.request.hash()?;
+            let (_, slice) = view.state.services.get(&service.name)?.find(hash)?;
+            let owner = slice.ownership.owner()?;
+            return Some((owner.clone(), slice.ownership.fence()));
+        }
+        let candidates: Vec<ServerName> = service
+            .servers
+            .iter()
+            .filter(|server| !view.state.is_leaving(&server.name))
+            .map(|server| server.name.clone())
+            .collect();
+        let pool = self.pools.entry(service.name.clone()).or_default();
+        let chosen = pool.choose(now, &candidates, &mut self.rng)?;
+        Some((chosen, None))
+    }
+
+    /// Lets a request wait for a new view or a pause, or refuses it when too
+    /// many wait.
+    fn wait(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        service: &ServiceDeclaration,
+        id: RequestId,
+        pause: Duration,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let waiting = self.waiting.get(&service.name).copied().unwrap_or(0);
+        if waiting > service.queue as usize {
+            let reason = "too many requests wait for an owner";
+            return self.give_up(id, 503, reason, Some(RETRY_AFTER_MOVE), outputs);
+        }
+        if let Some(pending) = self.pending.get_mut(&id) {
+            pending.stage = Stage::Waiting {
+                until: now + pause,
+                view: view.state.applied.0,
+            };
+        }
+    }
+
+    pub(crate) fn on_result(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        attempt: AttemptId,
+        outcome: UpstreamOutcome,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        if attempt.ingress != view.me {
+            return;
+        }
+        // A try that was given up on is not in the table: its late answer is
+        // nobody's.
+        let Some(id) = self.tries.remove(&attempt.number) else {
+            return;
+        };
+        let Some(pending) = self.pending.get(&id) else {
+            return;
+        };
+        if let (Stage::Out(current), Some(pool)) =
+            (&pending.stage, self.pools.get_mut(&pending.request.service))
+        {
+            let failed = !matches!(outcome, UpstreamOutcome::Answered(ref answer) if answer.status < 500);
+            pool.finished(now, &current.server, failed);
+        }
+        match outcome {
+            UpstreamOutcome::Answered(answer) => {
+                self.remove(id);
+                outputs.push(RouterOutput::Answer {
+                    request: id,
+                    answer: Answer {
+                        status: answer.status,
+                        body: answer.body,
+                        run_state: RunState::Complete,
+                        retry_after: None,
+                    },
+                });
+            }
+            UpstreamOutcome::NotRun {
+                reason,
+                retry_after_micros,
+            } => {
+                let after = retry_after_micros.map(Duration::from_micros);
+                self.on_not_run(now, view, id, reason, after, outputs);
+            }
+            UpstreamOutcome::Lost { cause } => self.on_lost(now, view, id, &cause, outputs),
+        }
+    }
+
+    fn on_not_run(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        id: RequestId,
+        reason: NotRunReason,
+        after: Option<Duration>,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        match reason {
+            NotRunReason::NotOwner | NotRunReason::NotGate => {
+                self.retry(now, view, id, REROUTE_PAUSE, outputs);
+            }
+            NotRunReason::NotConnected => self.retry(now, view, id, RECONNECT_PAUSE, outputs),
+            NotRunReason::Shed => {
+                let pause = after.unwrap_or(RECONNECT_PAUSE);
+                if self.withdraw(id) {
+                    return self.retry(now, view, id, pause, outputs);
+                }
+                let reason = "the upstream is over its limit";
+                self.give_up(id, 503, reason, Some(pause), outputs);
+            }
+            NotRunReason::QueueFull => {
+                let after = after.or(Some(RECONNECT_PAUSE));
+                self.give_up(id, 503, "the queue is full", after, outputs);
+            }
+            NotRunReason::Expired => {
+                let reason = "the deadline passed before the request was sent";
+                self.give_up(id, 504, reason, Some(RECONNECT_PAUSE), outputs);
+            }
+        }
+    }
+
+    fn on_lost(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        id: RequestId,
+        cause: &str,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let keeps_unknown = self.keeps_unknown;
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        pending.may_have_run |= keeps_unknown;
+        let repeatable = pending.repeatable || !keeps_unknown;
+        if repeatable && self.withdraw(id) {
+            return self.retry(now, view, id, Duration::ZERO, outputs);
+        }
+        let reason = format!("no whole answer: {cause}");
+        self.give_up(id, 502, &reason, None, outputs);
+    }
+
+    /// Puts a request back among those that wait, when time is left.
+    fn retry(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        id: RequestId,
+        pause: Duration,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        let name = pending.request.service.clone();
+        if now + pause >= pending.deadline {
+            let reason = "the deadline comes before the next try";
+            return self.give_up(id, 504, reason, Some(pause), outputs);
+        }
+        if matches!(pending.stage, Stage::Out(_)) {
+            *self.waiting.entry(name.clone()).or_default() += 1;
+        }
+        pending.stage = Stage::Waiting {
+            until: now + pause,
+            view: view.state.applied.0,
+        };
+        let Some(service) = view.state.declaration.service(&name) else {
+            return self.give_up(id, 404, "the service is no longer declared", None, outputs);
+        };
+        if pause.is_zero() {
+            return self.route(now, view, id, outputs);
+        }
+        self.wait(now, view, service, id, pause, outputs);
+    }
+
+    fn withdraw(&mut self, id: RequestId) -> bool {
+        let Some(pending) = self.pending.get(&id) else {
+            return false;
+        };
+        self.budgets
+            .get_mut(&pending.request.service)
+            .is_some_and(RetryBudget::withdraw)
+    }
+
+    /// The final answer for a request that has none from an upstream.
+    fn give_up(
+        &mut self,
+        id: RequestId,
+        status: u16,
+        reason: &str,
+        after: Option<Duration>,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let Some(pending) = self.remove(id) else {
+            return;
+        };
+        let out = matches!(pending.stage, Stage::Out(ref attempt)
+            if self.tries.remove(&attempt.id.number).is_some());
+        let may_have_run = pending.may_have_run || (out && self.keeps_unknown);
+        let run_state = if may_have_run {
+            RunState::Unknown
+        } else {
+            RunState::NotRun
+        };
+        // An unknown outcome must not invite a repetition of what may not be
+        // repeated.
+        let after = after.filter(|_| run_state == RunState::NotRun || pending.repeatable);
+        outputs.push(RouterOutput::Answer {
+            request: id,
+            answer: Answer::failure(status, run_state, reason, after),
+        });
+    }
+
+    pub(crate) fn on_node_lost(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        node: NodeId,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let lost: Vec<(RequestId, u64)> = self
+            .pending
+            .iter()
+            .filter_map(|(id, pending)| match &pending.stage {
+                Stage::Out(attempt) if attempt.gate == node => Some((*id, attempt.id.number)),
+                _ => None,
+            })
+            .collect();
+        for (id, number) in lost {
+            self.tries.remove(&number);
+            self.on_lost(now, view, id, "the connection to the gate was lost", outputs);
+        }
+    }
+
+    /// Ends what is past its deadline, re-routes what waited long enough or
+    /// can use a new view, and gives up on owners that were replaced.
+    pub(crate) fn tick(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let ids: Vec<RequestId> = self.pending.keys().copied().collect();
+        for id in ids {
+            self.tick_request(now, view, id, outputs);
+        }
+    }
+
+    fn tick_request(
+        &mut self,
+        now: Time,
+        view: &RoutingView,
+        id: RequestId,
+        outputs: &mut Vec<RouterOutput>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        if now >= pending.deadline {
+            if let Stage::Out(attempt) = &pending.stage {
+                outputs.push(attempt.cancellation());
+            }
+            let reason = "the deadline passed";
+            return self.give_up(id, 504, reason, Some(RETRY_AFTER_MOVE), outputs);
+        }
+        match &mut pending.stage {
+            Stage::Waiting { until, view: seen } => {
+                if now >= *until || view.state.applied.0 > *seen {
+                    self.route(now, view, id, outputs);
+                }
+            }
+            Stage::Out(attempt) => {
+                let hash = pending.request.hash();
+                let table = view.state.services.get(&pending.request.service);
+                let owned = hash.and_then(|hash| table?.find(hash));
+                let replaced = owned.is_some_and(|(_, slice)| {
+                    slice.ownership.owner().is_some() && slice.ownership.fence() != attempt.fence
+                });
+                if attempt.fence.is_none() || !replaced {
+                    attempt.superseded = None;
+                    return;
+                }
+                let since = *attempt.superseded.get_or_insert(now);
+                if now.since(since) >= SUPERSEDED_GRACE {
+                    let attempt = attempt.clone();
+                    self.tries.remove(&attempt.id.number);
+                    outputs.push(attempt.cancellation());
+                    self.on_lost(now, view, id, "the owner was replaced", outputs);
+                }
+            }
+        }
+    }
+
+    fn remove(&mut self, id: RequestId) -> Option<Pending> {
+        let pending = self.pending.remove(&id)?;
+        if matches!(pending.stage, Stage::Waiting { .. }) {
+            let name = pending.request.service.clone();
+            self.uncount_waiting(&name);
+        }
+        Some(pending)
+    }
+
+    fn uncount_waiting(&mut self, service: &ServiceName) {
+        if let Some(waiting) = self.waiting.get_mut(service) {
+            *waiting = waiting.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/load.rs
@@ -0,0 +1,90 @@
+//! Load per slice, counted where requests leave for their owners.
+
+use beamtray_ownership::ControlState;
+use beamtray_types::{KeyHash, ServiceName};
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::BTreeMap;
+
+/// Requests for one slice since the last report.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct SliceCount {
+    /// The service.
+    pub service: ServiceName,
+    /// Lowest hash of the slice.
+    pub first: u64,
+    /// Requests.
+    pub count: u64,
+    /// The hash with the majority of the requests, when one has it.
+    pub hot_hash: Option<u64>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counter {
+    count: u64,
+    candidate: u64,
+    votes: u64,
+}
+
+/// Counts requests per slice.
+///
+/// A hash with the majority of a slice's requests is found with one counter
+/// by the vote of Boyer and Moore; a hash with less than the majority is no
+/// reason to split a slice off.
+#[derive(Clone, Debug, Default)]
+pub struct LoadCounter {
+    counters: BTreeMap<ServiceName, BTreeMap<u64, Counter>>,
+}
+
+impl LoadCounter {
+    /// Counts one request.
+    pub fn record(&mut self, state: &ControlState, service: &ServiceName, hash: KeyHash) {
+        let Some((range, _)) = state.services.get(service).and_then(|table| table.find(hash))
+        else {
+            return;
+        };
+        if !self.counters.contains_key(service) {
+            self.counters.insert(service.clone(), BTreeMap::new());
+        }
+        if let Some(slices) = self.counters.get_mut(service) {
+            slices.entry(range.first).or_default().record(hash);
+        }
+    }
+
+    /// Takes the counts since the last call.
+    pub fn take(&mut self) -> Vec<SliceCount> {
+        let counters = std::mem::take(&mut self.counters);
+        let mut counts = Vec::new();
+        for (service, slices) in counters {
+            for (first, counter) in slices {
+                counts.push(SliceCount {
+                    service: service.clone(),
+                    first,
+                    count: counter.count,
+                    hot_hash: counter.majority(),
+                });
+            }
+        }
+        counts
+    }
+}
+
+impl Counter {
+    fn record(&mut self, hash: KeyHash) {
+        self.count += 1;
+        if self.candidate == hash.0 {
+            self.votes += 1;
+        } else if self.votes == 0 {
+            self.candidate = hash.0;
+            self.votes = 1;
+        } else {
+            self.votes -= 1;
+        }
+    }
+
+    /// A hash with the majority always ends as candidate; votes well above
+    /// chance tell that the candidate has one.
+    fn majority(&self) -> Option<u64> {
+        let likely = self.votes * 4 > self.count && self.count >= 8;
+        likely.then_some(self.candidate)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,15 @@
+//! What operators write: a node's settings file and the declaration of
+//! services, both TOML, checked before anything acts on them.
+//!
+//! Every error names the file, the field and what is allowed.
+
+mod declaration;
+mod error;
+mod node;
+
+pub use declaration::{
+    Declaration, Division, RequestRule, ServerDeclaration, ServiceDeclaration, MAX_SERVERS,
+    MAX_SLICES_PER_SERVER,
+};
+pub use error::SettingsError;
+pub use node::{NodeSettings, PeerSettings, TimingSettings};
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,18 @@
+//! Identifiers, fences and key ranges that every other crate speaks in.
+//!
+//! Nothing here decides anything: a type belongs in this crate when two crates
+//! must agree on its meaning.
+
+mod error;
+mod fence;
+mod identity;
+mod key;
+mod time;
+
+pub use error::StepError;
+pub use fence::{Fence, Generation, LogIndex, Term};
+pub use identity::{
+    GroupId, Incarnation, Member, NodeId, OperationId, Revision, ServerName, ServiceName, Zone,
+};
+pub use key::{KeyHash, SliceRange};
+pub use time::Time;
