--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -64,7 +64,7 @@
         /// The write.
         operation: OperationId,
     },
-    /// Nothing is known of the write: it did not take effect.
+    /// The group has applied no such write.
     NoSuchOperation,
     /// The state of the group.
     Status(StatusReport),
--- /dev/null
+++ b/crates/node/src/edge/callers.rs
@@ -0,0 +1,80 @@
+//! The edge for callers.
+
+use crate::event::EdgeEvent;
+use beamtray_http::{HttpRequest, HttpResponse, HttpServer, ServerConfig, Target};
+use beamtray_routing::CallerRequest;
+use beamtray_types::{ServiceName, StepError};
+use stakker::sync::Channel;
+
+/// Header with the time that a caller still waits, in milliseconds.
+pub(crate) const DEADLINE_HEADER: &str = "beamtray-deadline-ms";
+/// Header with the caller's own name for the request.
+pub(crate) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Headers that concern one connection only (RFC 9110, 7.6.1) or that
+/// beamtray writes itself.
+const OWN_HEADERS: [&str; 12] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    DEADLINE_HEADER,
+    IDEMPOTENCY_HEADER,
+];
+
+/// Starts taking callers' requests.
+pub(crate) fn serve_callers(
+    config: ServerConfig,
+    events: Channel<EdgeEvent>,
+) -> Result<HttpServer, StepError> {
+    HttpServer::start(config, move |request, responder| {
+        match caller_request(request) {
+            Some(request) => {
+                events.send(EdgeEvent::Caller(request, responder));
+            }
+            None => {
+                let text = "not-run: the path is /SERVICE/KEY/...\n";
+                responder.respond(HttpResponse::text(404, text));
+            }
+        }
+    })
+}
+
+fn caller_request(request: HttpRequest) -> Option<CallerRequest> {
+    let target = Target::parse(&request.path)?;
+    let deadline = request.header(DEADLINE_HEADER);
+    let deadline_micros = deadline
+        .and_then(|millis| millis.trim().parse::<u64>().ok())
+        .map(|millis| millis.saturating_mul(1_000));
+    let idempotency_key = request.header(IDEMPOTENCY_HEADER).map(str::to_owned);
+    let whole = if request.query.is_empty() {
+        request.path
+    } else {
+        format!("{}?{}", request.path, request.query)
+    };
+    Some(CallerRequest {
+        service: ServiceName(target.service),
+        key: target.key,
+        method: request.method,
+        path: target.rest,
+        target: whole,
+        headers: end_to_end(request.headers),
+        body: request.body,
+        deadline_micros,
+        idempotency_key,
+    })
+}
+
+/// The headers that are passed on.
+pub(crate) fn end_to_end(headers: Vec<(String, String)>) -> Vec<(String, String)> {
+    headers
+        .into_iter()
+        .filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()))
+        .filter(|(name, _)| !name.starts_with("beamtray-"))
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/edge/mod.rs
@@ -0,0 +1,13 @@
+//! Edge threads: they carry bytes and typed messages, and decide nothing.
+
+mod callers;
+mod operators;
+mod platform;
+mod responders;
+mod upstreams;
+
+pub(crate) use callers::serve_callers;
+pub(crate) use operators::{operator_response, serve_operators};
+pub(crate) use platform::PlatformEdge;
+pub(crate) use responders::ResponderPool;
+pub(crate) use upstreams::UpstreamEdge;
--- /dev/null
+++ b/crates/node/src/edge/upstreams.rs
@@ -0,0 +1,129 @@
+//! The edge towards servers and back ends.
+
+use crate::edge::callers::{end_to_end, DEADLINE_HEADER, IDEMPOTENCY_HEADER};
+use crate::event::EdgeEvent;
+use beamtray_control::Input;
+use beamtray_http::{CallError, ClientConfig, HttpCall, HttpClient, HttpReply};
+use beamtray_routing::{CallId, Forward, NotRunReason, UpstreamAnswer, UpstreamOutcome};
+use crossbeam_channel::{unbounded, Sender};
+use stakker::sync::Channel;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+/// Header with the fence under which a request is sent to an owner.
+const FENCE_HEADER: &str = "beamtray-fence";
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const IDLE_CONNECTIONS: usize = 64;
+/// Longest answer of an upstream, in bytes.
+const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// An exchange is given this much less than the caller's deadline, so that its
+/// result is known before the caller is answered.
+const MARGIN: Duration = Duration::from_millis(2);
+
+struct Job {
+    call: CallId,
+    address: SocketAddr,
+    forward: Forward,
+    timeout: Duration,
+}
+
+/// Calls upstreams from a bounded number of threads.
+pub(crate) struct UpstreamEdge {
+    jobs: Sender<Job>,
+}
+
+impl UpstreamEdge {
+    /// Starts `workers` threads that report to `events`.
+    pub(crate) fn start(workers: usize, events: &Channel<EdgeEvent>) -> Self {
+        let client = HttpClient::new(ClientConfig {
+            idle_connections: IDLE_CONNECTIONS,
+            max_body_bytes: MAX_ANSWER_BYTES,
+            connect_timeout: CONNECT_TIMEOUT,
+        });
+        let (jobs, queue) = unbounded::<Job>();
+        for _ in 0..workers {
+            let (queue, client, events) = (queue.clone(), client.clone(), events.clone());
+            thread::spawn(move || {
+                for job in queue {
+                    let call = job.call;
+                    let outcome = run(&client, &job);
+                    events.send(EdgeEvent::Input(Input::CallResult { call, outcome }));
+                }
+            });
+        }
+        Self { jobs }
+    }
+
+    /// Starts a call. One that may not be repeated gets a new connection.
+    pub(crate) fn call(
+        &self,
+        call: CallId,
+        address: SocketAddr,
+        forward: Forward,
+        timeout: Duration,
+    ) {
+        let job = Job {
+            call,
+            address,
+            forward,
+            timeout,
+        };
+        let _ = self.jobs.send(job);
+    }
+}
+
+fn run(client: &HttpClient, job: &Job) -> UpstreamOutcome {
+    let request = &job.forward.request;
+    let timeout = job.timeout.saturating_sub(MARGIN).max(MARGIN);
+    let mut headers: Vec<(&str, String)> = request
+        .headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.clone()))
+        .collect();
+    headers.push((DEADLINE_HEADER, timeout.as_millis().to_string()));
+    if let Some(fence) = job.forward.fence {
+        headers.push((FENCE_HEADER, fence.to_string()));
+    }
+    if let Some(name) = &request.idempotency_key {
+        headers.push((IDEMPOTENCY_HEADER, name.clone()));
+    }
+    let url = format!("http://{}{}", job.address, request.target);
+    let call = HttpCall {
+        method: &request.method,
+        url: &url,
+        headers: &headers,
+        body: &request.body,
+        timeout,
+        fresh_connection: !job.forward.repeatable,
+    };
+    match client.call(&call) {
+        Ok(reply) => read_reply(reply),
+        Err(CallError::NotConnected(_)) => not_run(NotRunReason::NotConnected, None),
+        Err(CallError::Lost(cause)) => UpstreamOutcome::Lost { cause },
+    }
+}
+
+/// 421 and 503 are the upstream's own word that the request did not run.
+fn read_reply(reply: HttpReply) -> UpstreamOutcome {
+    match reply.status {
+        421 => not_run(NotRunReason::NotOwner, None),
+        503 => {
+            let seconds = reply.header("retry-after");
+            let seconds = seconds.and_then(|seconds| seconds.parse::<u64>().ok());
+            not_run(NotRunReason::Shed, seconds.map(|seconds| seconds * 1_000_000))
+        }
+        status => UpstreamOutcome::Answered(UpstreamAnswer {
+            status,
+            headers: end_to_end(reply.headers),
+            body: reply.body,
+        }),
+    }
+}
+
+fn not_run(reason: NotRunReason, retry_after_micros: Option<u64>) -> UpstreamOutcome {
+    UpstreamOutcome::NotRun {
+        reason,
+        retry_after_micros,
+    }
+}
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,45 @@
+//! Logs: one line of key=value pairs an event, on standard error.
+
+use beamtray_control::{Event, Level as EventLevel};
+use slog::{o, Drain, Level, Logger, Record};
+use slog_logfmt::Logfmt;
+use std::io::stderr;
+
+/// Builds a logger that writes events of `level` and above.
+pub fn logger(level: Level) -> Logger {
+    let drain = Logfmt::new(stderr()).build().fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(4_096)
+        .overflow_strategy(slog_async::OverflowStrategy::Drop)
+        .build()
+        .fuse();
+    Logger::root(drain.filter_level(level).fuse(), o!())
+}
+
+/// A logger that writes nothing.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+/// The details of an event as slog wants them.
+struct Fields<'a>(&'a Event);
+
+impl slog::KV for Fields<'_> {
+    fn serialize(&self, _: &Record, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        for (key, value) in &self.0.fields {
+            serializer.emit_str(key, value)?;
+        }
+        Ok(())
+    }
+}
+
+/// Writes one event.
+pub(crate) fn write(logger: &Logger, event: &Event) {
+    let fields = Fields(event);
+    match event.level {
+        EventLevel::Debug => slog::debug!(logger, "{}", event.name; fields),
+        EventLevel::Info => slog::info!(logger, "{}", event.name; fields),
+        EventLevel::Warning => slog::warn!(logger, "{}", event.name; fields),
+    }
+}
+
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,16 @@
+//! `beamtray`: see `beamtray --help` and docs/OPERATING.md.
+
+use beamtray_node::command::{run, Arguments, Outcome};
+use gumdrop::Options;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match run(arguments) {
+        Ok(outcome) => outcome.into(),
+        Err(error) => {
+            eprintln!("{error:#}");
+            Outcome::Failed.into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer.rs
@@ -0,0 +1,275 @@
+//! Connections between nodes: borsh frames over TCP, in the loop.
+//!
+//! A node dials whom it sends to and only reads from whom it accepted. A link
+//! reports what it never sent, so that the core can tell `not run` from
+//! `unknown`, and that it broke, so that nothing is waited for in vain.
+
+use beamtray_control::{Envelope, PeerMessage};
+use beamtray_types::NodeId;
+use beamtray_wire::{encode, FrameBuffer};
+use stakker::{fail, fwd_to, stop, Fwd, CX};
+use stakker_mio::mio::net::{TcpListener, TcpStream};
+use stakker_mio::mio::Interest;
+use stakker_mio::{MioPoll, MioSource, ReadStatus, Ready, TcpStreamBuf};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+const POLL_PRIORITY: u32 = 5;
+const READ_CHUNK_BYTES: usize = 64 * 1024;
+/// A peer that lets this much pile up unread is cut off.
+const MAX_UNSENT_BYTES: usize = 32 * 1024 * 1024;
+/// Connections accepted at once.
+const MAX_ACCEPTED: usize = 4_096;
+
+/// What became of a link.
+#[derive(Debug)]
+pub(crate) enum LinkEvent {
+    /// The connection could not be made; these messages were never sent.
+    NotConnected(Vec<PeerMessage>),
+    /// The connection broke; messages on it may be lost.
+    Broken,
+}
+
+/// A connection on which this node sends.
+pub(crate) struct PeerLink {
+    node: NodeId,
+    stream: TcpStreamBuf,
+    connected: bool,
+    waiting: Vec<PeerMessage>,
+    ended: bool,
+    events: Fwd<(NodeId, LinkEvent)>,
+}
+
+impl PeerLink {
+    /// Dials a peer.
+    pub(crate) fn init(
+        cx: CX![],
+        node: NodeId,
+        address: SocketAddr,
+        events: Fwd<(NodeId, LinkEvent)>,
+    ) -> Option<Self> {
+        let mut link = Self {
+            node,
+            stream: TcpStreamBuf::new(),
+            connected: false,
+            waiting: Vec::new(),
+            ended: false,
+            events,
+        };
+        let ready = fwd_to!([cx], ready() as (Ready));
+        let source = TcpStream::connect(address).and_then(|stream| {
+            let poll = cx.anymap_get::<MioPoll>();
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            poll.add(stream, interest, POLL_PRIORITY, ready)
+        });
+        match source {
+            Ok(source) => {
+                link.stream.pause_writes(true);
+                link.stream.init(source);
+                link.stream.set_nodelay(true);
+            }
+            Err(_) => link.end(cx),
+        }
+        Some(link)
+    }
+
+    /// Sends a message, at once or when the connection is made.
+    pub(crate) fn send(&mut self, cx: CX![], frame: Vec<u8>, message: PeerMessage) {
+        if self.ended {
+            let unsent = LinkEvent::NotConnected(vec![message]);
+            return self.events.fwd((self.node, unsent));
+        }
+        self.stream.out.extend_from_slice(&frame);
+        if !self.connected {
+            self.waiting.push(message);
+        }
+        if self.stream.out.len() > MAX_UNSENT_BYTES || self.stream.flush().is_err() {
+            self.end(cx);
+        }
+    }
+
+    fn ready(&mut self, cx: CX![], ready: Ready) {
+        if self.ended {
+            return;
+        }
+        if ready.is_error() || ready.is_read_closed() {
+            return self.end(cx);
+        }
+        if ready.is_writable() {
+            self.stream.pause_writes(false);
+            if self.stream.flush().is_err() {
+                return self.end(cx);
+            }
+            self.connected = true;
+            self.waiting.clear();
+        }
+        // The peer never writes here: readable means that it closed.
+        if ready.is_readable() && self.connected {
+            match self.stream.read(READ_CHUNK_BYTES) {
+                ReadStatus::NewData | ReadStatus::WouldBlock => {}
+                ReadStatus::EndOfStream | ReadStatus::Error(_) => self.end(cx),
+            }
+        }
+    }
+
+    fn end(&mut self, cx: CX![]) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        self.stream.deinit();
+        let event = if self.connected {
+            LinkEvent::Broken
+        } else {
+            LinkEvent::NotConnected(std::mem::take(&mut self.waiting))
+        };
+        self.events.fwd((self.node, event));
+        stop!(cx);
+    }
+}
+
+/// Encodes a message for a link.
+pub(crate) fn frame(envelope: &Envelope) -> Option<Vec<u8>> {
+    encode(envelope).ok()
+}
+
+/// A connection from which this node reads.
+pub(crate) struct PeerReader {
+    stream: TcpStreamBuf,
+    frames: FrameBuffer,
+    messages: Fwd<(usize, Envelope)>,
+    refusals: Fwd<(SocketAddr, String)>,
+    address: SocketAddr,
+}
+
+impl PeerReader {
+    /// Starts reading an accepted connection.
+    pub(crate) fn init(
+        cx: CX![],
+        stream: TcpStream,
+        address: SocketAddr,
+        messages: Fwd<(usize, Envelope)>,
+        refusals: Fwd<(SocketAddr, String)>,
+    ) -> Option<Self> {
+        let ready = fwd_to!([cx], ready() as (Ready));
+        let poll = cx.anymap_get::<MioPoll>();
+        let source = match poll.add(stream, Interest::READABLE, POLL_PRIORITY, ready) {
+            Ok(source) => source,
+            Err(error) => {
+                fail!(cx, "accept from {}: {}", address, error);
+                return None;
+            }
+        };
+        let mut buffer = TcpStreamBuf::new();
+        buffer.init(source);
+        Some(Self {
+            stream: buffer,
+            frames: FrameBuffer::default(),
+            messages,
+            refusals,
+            address,
+        })
+    }
+
+    fn ready(&mut self, cx: CX![], _: Ready) {
+        loop {
+            match self.stream.read(READ_CHUNK_BYTES) {
+                ReadStatus::NewData => {}
+                ReadStatus::WouldBlock => return,
+                ReadStatus::EndOfStream | ReadStatus::Error(_) => {
+                    stop!(cx);
+                    return;
+                }
+            }
+            let new = &self.stream.inp[self.stream.rd..self.stream.wr];
+            let received = new.len();
+            self.frames.extend(new);
+            self.stream.rd = self.stream.wr;
+            if !self.take_frames(received) {
+                stop!(cx);
+                return;
+            }
+        }
+    }
+
+    /// Passes whole frames on; false when the stream cannot be read further.
+    fn take_frames(&mut self, received: usize) -> bool {
+        let mut received = received;
+        loop {
+            match self.frames.next_message::<Envelope>() {
+                Ok(Some(envelope)) => {
+                    self.messages.fwd((received, envelope));
+                    received = 0;
+                }
+                Ok(None) => return true,
+                Err(error) => {
+                    self.refusals.fwd((self.address, error.to_string()));
+                    return false;
+                }
+            }
+        }
+    }
+}
+
+/// Accepts connections of peers.
+pub(crate) struct PeerListener {
+    listener: MioSource<TcpListener>,
+    readers: stakker::ActorOwnSlab<PeerReader>,
+    messages: Fwd<(usize, Envelope)>,
+    refusals: Fwd<(SocketAddr, String)>,
+}
+
+impl PeerListener {
+    /// Starts accepting.
+    pub(crate) fn init(
+        cx: CX![],
+        listener: std::net::TcpListener,
+        messages: Fwd<(usize, Envelope)>,
+        refusals: Fwd<(SocketAddr, String)>,
+    ) -> Option<Self> {
+        let ready = fwd_to!([cx], ready() as (Ready));
+        let listener = listener
+            .set_nonblocking(true)
+            .map(|()| TcpListener::from_std(listener))
+            .and_then(|listener| {
+                let poll = cx.anymap_get::<MioPoll>();
+                poll.add(listener, Interest::READABLE, POLL_PRIORITY, ready)
+            });
+        match listener {
+            Ok(listener) => Some(Self {
+                listener,
+                readers: stakker::ActorOwnSlab::new(),
+                messages,
+                refusals,
+            }),
+            Err(error) => {
+                fail!(cx, "listen for peers: {}", error);
+                None
+            }
+        }
+    }
+
+    fn ready(&mut self, cx: CX![], _: Ready) {
+        loop {
+            match self.listener.accept() {
+                Ok((stream, address)) if self.readers.len() < MAX_ACCEPTED => {
+                    let (messages, refusals) = (self.messages.clone(), self.refusals.clone());
+                    stakker::actor_in_slab!(
+                        self.readers,
+                        cx,
+                        PeerReader::init(stream, address, messages, refusals),
+                        stakker::ret_nop!()
+                    );
+                }
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    let address = SocketAddr::from(([0, 0, 0, 0], 0));
+                    self.refusals.fwd((address, format!("accept: {error}")));
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/crates/routing/src/ingress.rs
+++ b/crates/routing/src/ingress.rs
@@ -139,7 +139,9 @@
             .entry(service.name.clone())
             .or_insert_with(|| RetryBudget::new(service.retry_share))
             .deposit();
-        let repeatable = service.is_repeatable(&request.method, &request.path);
+        let keyed = service.division == Division::Keyed;
+        let path = request.rule_path(keyed);
+        let repeatable = service.is_repeatable(&request.method, &path);
         let pending = Pending {
             request,
             repeatable,
@@ -201,6 +203,7 @@
             server: server.clone(),
             fence,
             remaining_micros: pending.deadline.since(now).as_micros() as u64,
+            repeatable: pending.repeatable,
             request: pending.request.clone(),
         };
         pending.stage = Stage::Out(Try {
@@ -219,6 +222,8 @@
     }
 
     /// The upstream for a request, and the fence of its ownership.
+    ///
+    /// A hash is taken of a keyed service's keys alone.
     fn target(
         &mut self,
         now: Time,
@@ -299,6 +304,7 @@
                     request: id,
                     answer: Answer {
                         status: answer.status,
+                        headers: answer.headers,
                         body: answer.body,
                         run_state: RunState::Complete,
                         retry_after: None,
--- a/crates/routing/src/message.rs
+++ b/crates/routing/src/message.rs
@@ -33,8 +33,12 @@
     pub key: Option<String>,
     /// HTTP method.
     pub method: String,
-    /// Path below service and key, with a leading slash, query included.
+    /// Path below service and key, without query.
     pub path: String,
+    /// The whole target as the caller wrote it, with query.
+    pub target: String,
+    /// Headers that concern the upstream.
+    pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Vec<u8>,
     /// How long the caller still waits, in microseconds, when it said so.
@@ -44,6 +48,15 @@
 }
 
 impl CallerRequest {
+    /// The path that a service's rules look at: below the key of a keyed
+    /// service, below the service's name of a pool.
+    pub fn rule_path(&self, keyed: bool) -> String {
+        match &self.key {
+            Some(key) if !keyed => format!("/{key}{}", self.path),
+            _ => self.path.clone(),
+        }
+    }
+
     /// Point of the key in the hash space.
     pub fn hash(&self) -> Option<KeyHash> {
         self.key.as_deref().map(KeyHash::of)
@@ -61,6 +74,8 @@
     pub fence: Option<Fence>,
     /// Time left before the caller's deadline, in microseconds.
     pub remaining_micros: u64,
+    /// Whether the request may run twice.
+    pub repeatable: bool,
     /// The request.
     pub request: CallerRequest,
 }
@@ -70,6 +85,8 @@
 pub struct UpstreamAnswer {
     /// HTTP status.
     pub status: u16,
+    /// Headers that concern the caller.
+    pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -137,6 +154,8 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
+    /// Headers of the upstream's answer.
+    pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Vec<u8>,
     /// Whether the request ran.
@@ -155,6 +174,7 @@
     ) -> Self {
         Self {
             status,
+            headers: Vec::new(),
             body: format!("{}: {reason}\n", run_state.as_str()).into_bytes(),
             run_state,
             retry_after,
--- /dev/null
+++ b/crates/standin/src/key_value.rs
@@ -0,0 +1,165 @@
+//! A small key-value service: compare-and-swap, leases, watches, a rate limit
+//! and outages.
+
+use beamtray_platform::{KeyValueRequest, KeyValueResult};
+use beamtray_types::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Switches that make the service fail.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KeyValueFaults {
+    /// Nothing is answered and nothing takes effect.
+    pub down: bool,
+    /// Calls take effect and their replies are lost.
+    pub loses_replies: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Stored {
+    version: u64,
+    value: Vec<u8>,
+    lease: Option<u64>,
+}
+
+/// The service's state.
+#[derive(Clone, Debug)]
+pub struct KeyValueStore {
+    keys: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, Time>,
+    next_lease: u64,
+    /// What fails now.
+    pub faults: KeyValueFaults,
+    per_second: u32,
+    window: Time,
+    in_window: u32,
+}
+
+impl KeyValueStore {
+    /// An empty service that takes `per_second` calls a second.
+    pub fn new(per_second: u32) -> Self {
+        Self {
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            faults: KeyValueFaults::default(),
+            per_second,
+            window: Time::ZERO,
+            in_window: 0,
+        }
+    }
+
+    /// Serves one call; none when the caller gets no answer.
+    pub fn handle(&mut self, now: Time, request: &KeyValueRequest) -> Option<KeyValueResult> {
+        if self.faults.down {
+            return None;
+        }
+        if let Some(retry_after) = self.over_rate(now) {
+            return Some(KeyValueResult::RateLimited { retry_after });
+        }
+        self.expire(now);
+        let result = match request {
+            KeyValueRequest::Get { key } => self.get(key),
+            KeyValueRequest::Put {
+                key,
+                expected,
+                value,
+            } => self.put(key, *expected, value.clone(), None),
+        };
+        (!self.faults.loses_replies).then_some(result)
+    }
+
+    /// The present version of a key, 0 when absent; what a watch waits on.
+    pub fn version(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |stored| stored.version)
+    }
+
+    /// A key's value, past rate limit and faults.
+    pub fn peek(&self, key: &str) -> Option<&[u8]> {
+        self.keys.get(key).map(|stored| stored.value.as_slice())
+    }
+
+    /// Grants a lease: keys written under it vanish when it lapses.
+    pub fn grant_lease(&mut self, now: Time, life: Duration) -> u64 {
+        let lease = self.next_lease;
+        self.next_lease += 1;
+        self.leases.insert(lease, now + life);
+        lease
+    }
+
+    /// Prolongs a lease; false when it lapsed already.
+    pub fn keep_lease(&mut self, now: Time, lease: u64, life: Duration) -> bool {
+        self.expire(now);
+        let Some(until) = self.leases.get_mut(&lease) else {
+            return false;
+        };
+        *until = now + life;
+        true
+    }
+
+    /// Writes a key under a lease.
+    pub fn put_leased(
+        &mut self,
+        now: Time,
+        key: &str,
+        expected: u64,
+        value: Vec<u8>,
+        lease: u64,
+    ) -> Option<KeyValueResult> {
+        self.expire(now);
+        if !self.leases.contains_key(&lease) {
+            return None;
+        }
+        Some(self.put(key, expected, value, Some(lease)))
+    }
+
+    fn get(&self, key: &str) -> KeyValueResult {
+        match self.keys.get(key) {
+            None => KeyValueResult::Absent,
+            Some(stored) => KeyValueResult::Value {
+                version: stored.version,
+                value: stored.value.clone(),
+            },
+        }
+    }
+
+    fn put(
+        &mut self,
+        key: &str,
+        expected: u64,
+        value: Vec<u8>,
+        lease: Option<u64>,
+    ) -> KeyValueResult {
+        let present = self.version(key);
+        if present != expected {
+            return KeyValueResult::Conflict { version: present };
+        }
+        let version = present + 1;
+        let stored = Stored {
+            version,
+            value,
+            lease,
+        };
+        self.keys.insert(key.to_owned(), stored);
+        KeyValueResult::Stored { version }
+    }
+
+    fn over_rate(&mut self, now: Time) -> Option<Duration> {
+        let second = Duration::from_secs(1);
+        if now.since(self.window) >= second {
+            self.window = now;
+            self.in_window = 0;
+        }
+        self.in_window += 1;
+        (self.in_window > self.per_second).then(|| second.saturating_sub(now.since(self.window)))
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.leases.retain(|_, until| now < *until);
+        let leases = &self.leases;
+        self.keys.retain(|_, stored| {
+            let lease = stored.lease;
+            lease.is_none_or(|lease| leases.contains_key(&lease))
+        });
+    }
+}
