--- a/crates/actor/src/lib.rs
+++ b/crates/actor/src/lib.rs
@@ -6,7 +6,7 @@
 
 use beamtray_control::{ControlConfig, Input, NodeCore, Output};
 use beamtray_types::Time;
-use stakker::{Fwd, CX};
+use stakker::{CX, Fwd};
 use std::time::{Duration, Instant};
 
 /// Time between ticks that the owner of a [`NodeActor`] should keep.
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,9 +1,9 @@
 //! Elections: pre-vote, vote, and the withholding that protects a lease.
 
+use crate::log::Payload;
 use crate::message::Body;
 use crate::progress::Progress;
 use crate::raft::{Raft, Role};
-use crate::log::Payload;
 use beamtray_types::{LogIndex, Member, Term, Time};
 
 impl Raft {
@@ -48,13 +48,7 @@
         self.send_with_term(from, reply_term, Body::PreVoteReply { granted });
     }
 
-    pub(crate) fn on_pre_vote_reply(
-        &mut self,
-        now: Time,
-        from: Member,
-        term: Term,
-        granted: bool,
-    ) {
+    pub(crate) fn on_pre_vote_reply(&mut self, now: Time, from: Member, term: Term, granted: bool) {
         if self.role != Role::PreCandidate || !granted || term != self.term.next() {
             return;
         }
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -1,6 +1,6 @@
 //! A member's state, its public operations and its timers.
 
-use crate::config::{RaftConfig, ELECTION_SPREAD};
+use crate::config::{ELECTION_SPREAD, RaftConfig};
 use crate::log::{Entry, Log, Payload, Snapshot};
 use crate::membership::Membership;
 use crate::message::{Body, Message};
--- a/crates/control/src/checkpoint.rs
+++ b/crates/control/src/checkpoint.rs
@@ -5,7 +5,7 @@
 //! The interval bounds the exposure while the service answers.
 
 use crate::core::{LeaderPurpose, NodeCore, Purpose};
-use crate::founding::{checkpoint_key, Checkpoint};
+use crate::founding::{Checkpoint, checkpoint_key};
 use beamtray_platform::{KeyValueRequest, KeyValueResult};
 use beamtray_types::{LogIndex, Time};
 use std::time::Duration;
--- a/crates/control/src/configure.rs
+++ b/crates/control/src/configure.rs
@@ -132,7 +132,11 @@
                 expired.push(*operation);
             } else if confirmation.write_due.is_some_and(|due| now >= due) {
                 confirmation.write_due = None;
-                writes.push((*operation, confirmation.base, confirmation.declaration.clone()));
+                writes.push((
+                    *operation,
+                    confirmation.base,
+                    confirmation.declaration.clone(),
+                ));
             }
         }
         let read = now >= configuring.read_due;
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -197,8 +197,7 @@
     pub(crate) fn has_lease(&self) -> bool {
         let guard = self.config.guards.leader_lease;
         self.raft.as_ref().is_some_and(|raft| {
-            raft.has_lease(self.now)
-                || (!guard && raft.lease_until().is_some())
+            raft.has_lease(self.now) || (!guard && raft.lease_until().is_some())
         })
     }
 
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -58,7 +58,9 @@
     }
 
     fn report_to(&mut self, node: NodeId) {
-        let is_leader = self.known_leader().is_some_and(|leader| leader.node == node);
+        let is_leader = self
+            .known_leader()
+            .is_some_and(|leader| leader.node == node);
         let load = if is_leader {
             self.router.take_load()
         } else {
@@ -146,7 +148,10 @@
         let Some(entries) = leadership.take_unpushed(applied) else {
             return;
         };
-        let nodes: Vec<NodeId> = leadership.known_nodes().filter(|node| *node != me).collect();
+        let nodes: Vec<NodeId> = leadership
+            .known_nodes()
+            .filter(|node| *node != me)
+            .collect();
         for node in nodes {
             self.send_feed(node, None, FeedBody::Entries(entries.clone()));
         }
--- a/crates/control/src/founding.rs
+++ b/crates/control/src/founding.rs
@@ -13,7 +13,7 @@
 use crate::group::FOUNDING_INDEX;
 use crate::peers::spread_over_zones;
 use beamtray_ownership::ControlState;
-use beamtray_platform::{machine_name, KeyValueRequest, KeyValueResult, Machine, MachineState};
+use beamtray_platform::{KeyValueRequest, KeyValueResult, Machine, MachineState, machine_name};
 use beamtray_types::{Generation, GroupId, LogIndex, Member, Time, Zone};
 use borsh::{BorshDeserialize, BorshSerialize};
 use rand::RngExt;
@@ -219,7 +219,10 @@
     }
 
     fn consider_refounding(&mut self, version: u64, record: &FoundingRecord) {
-        let all_lost = record.voters.iter().all(|voters| self.lost_majority(voters));
+        let all_lost = record
+            .voters
+            .iter()
+            .all(|voters| self.lost_majority(voters));
         if !all_lost && self.config.guards.refounding_wait {
             self.founding.lost_since = None;
             return;
@@ -246,7 +249,10 @@
     }
 
     fn lost_majority(&self, voters: &BTreeSet<Member>) -> bool {
-        let lost = voters.iter().filter(|member| self.is_lost(**member)).count();
+        let lost = voters
+            .iter()
+            .filter(|member| self.is_lost(**member))
+            .count();
         voters.len() - lost < voters.len() / 2 + 1
     }
 
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -64,7 +64,8 @@
                 self.raft = None;
                 self.leadership = None;
             }
-            let event = Event::new(Level::Info, "generation_adopted").with("generation", generation);
+            let event =
+                Event::new(Level::Info, "generation_adopted").with("generation", generation);
             self.log(event);
         }
         self.generation = generation;
@@ -195,7 +196,12 @@
         let current = self.leadership.as_ref().map(|leadership| leadership.term);
         if leads && current != Some(term) && raft.has_lease(self.now) {
             let elected_at = raft.elected_at();
-            self.leadership = Some(Leadership::new(&self.config, self.raft_generation, term, elected_at));
+            self.leadership = Some(Leadership::new(
+                &self.config,
+                self.raft_generation,
+                term,
+                elected_at,
+            ));
             self.calls
                 .retain(|_, (_, purpose)| !matches!(purpose, crate::core::Purpose::Leader(_)));
             self.on_leader_state_changed();
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -10,9 +10,7 @@
 use crate::message::{FeedEntry, Hello};
 use crate::placing::Loads;
 use crate::voters::VoterChange;
-use beamtray_ownership::{
-    Command, CommandBatch, GrantReply, Granter, GranterConfig, NodeRecord,
-};
+use beamtray_ownership::{Command, CommandBatch, GrantReply, Granter, GranterConfig, NodeRecord};
 use beamtray_platform::{Machine, MachineState};
 use beamtray_routing::SliceCount;
 use beamtray_types::{Generation, LogIndex, Member, NodeId, ServerName, Term, Time, Zone};
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -32,10 +32,10 @@
 pub use config::{ControlConfig, Guards, PeerInfo};
 pub use configure::StoredConfiguration;
 pub use event::{Event, Level};
-pub use founding::{checkpoint_key, configuration_key, founding_key, Checkpoint, FoundingRecord};
+pub use founding::{Checkpoint, FoundingRecord, checkpoint_key, configuration_key, founding_key};
 pub use io::{Input, KeyValueCall, OperatorCall, Output};
 pub use message::{Envelope, Feed, FeedBody, FeedEntry, Hello, PeerMessage};
 pub use operator::{
-    AssignmentRow, NodeRow, OperatorAnswer, OperatorRequest, ServiceRow, StatusReport,
+    AssignmentRow, NodeRow, OperatorAnswer, OperatorRequest, ServiceRow, StatusReport, VoterRow,
 };
 pub use plan::{PlanReport, ServicePlan};
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -100,13 +100,22 @@
     /// Last index in the checkpoint.
     pub checkpointed: u64,
     /// Voting nodes.
-    pub voters: Vec<u32>,
+    pub voters: Vec<VoterRow>,
     /// Live nodes.
     pub nodes: Vec<NodeRow>,
     /// Services.
     pub services: Vec<ServiceRow>,
 }
 
+/// One voter in a status report.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize, Serialize, Deserialize)]
+pub struct VoterRow {
+    /// The node.
+    pub node: u32,
+    /// Whether the run that votes is live; one that is not will be replaced.
+    pub live: bool,
+}
+
 /// One node in a status report.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize, Serialize, Deserialize)]
 pub struct NodeRow {
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -5,7 +5,7 @@
 use crate::io::{OperatorCall, Output};
 use crate::message::PeerMessage;
 use crate::operator::{
-    AssignmentRow, NodeRow, OperatorAnswer, OperatorRequest, ServiceRow, StatusReport,
+    AssignmentRow, NodeRow, OperatorAnswer, OperatorRequest, ServiceRow, StatusReport, VoterRow,
 };
 use crate::placing::slice_loads;
 use crate::plan::plan_report;
@@ -53,12 +53,7 @@
         self.send(leader.node, message);
     }
 
-    pub(crate) fn on_remote_operator(
-        &mut self,
-        from: Member,
-        call: u64,
-        request: OperatorRequest,
-    ) {
+    pub(crate) fn on_remote_operator(&mut self, from: Member, call: u64, request: OperatorRequest) {
         let reply = OperatorReply::Remote(from, call);
         if self.is_leader() {
             return self.serve_operator(reply, request);
@@ -137,7 +132,15 @@
             revision: self.state.revision.0,
             applied: self.state.applied.0,
             checkpointed: leadership.checkpointing.saved.0,
-            voters: raft.membership().voters.iter().map(|m| m.node.0).collect(),
+            voters: raft
+                .membership()
+                .voters
+                .iter()
+                .map(|member| VoterRow {
+                    node: member.node.0,
+                    live: leadership.is_node_live(self.now, *member),
+                })
+                .collect(),
             nodes: nodes
                 .map(|(node, record)| NodeRow {
                     node: node.0,
@@ -153,18 +156,25 @@
             return Vec::new();
         };
         let row = |service: &beamtray_settings::ServiceDeclaration| {
-            let servers: Vec<ServerName> =
-                service.servers.iter().map(|s| s.name.clone()).collect();
+            let servers: Vec<ServerName> = service.servers.iter().map(|s| s.name.clone()).collect();
             let answering = |name: &&ServerName| leadership.granter.is_answering(self.now, name);
             let table = self.state.services.get(&service.name);
             let free = |_: &ServerName, _| false;
             let slices = table.map(|table| {
-                slice_loads(&service.name, table, Some(&leadership.loads), free, &servers)
+                slice_loads(
+                    &service.name,
+                    table,
+                    Some(&leadership.loads),
+                    free,
+                    &servers,
+                )
             });
             let balance = imbalance(&slices.unwrap_or_default(), &servers);
             let unowned = table.map_or(0, |table| {
                 let slices = table.iter();
-                slices.filter(|(_, slice)| slice.ownership.owner().is_none()).count()
+                slices
+                    .filter(|(_, slice)| slice.ownership.owner().is_none())
+                    .count()
             });
             ServiceRow {
                 service: service.name.to_string(),
--- a/crates/control/src/placing.rs
+++ b/crates/control/src/placing.rs
@@ -3,7 +3,7 @@
 use crate::core::NodeCore;
 use crate::event::{Event, Level};
 use beamtray_ownership::{Command, Granter, Ownership, SliceTable};
-use beamtray_placement::{plan, Change, PlacementInput, Policy, SliceLoad};
+use beamtray_placement::{Change, PlacementInput, Policy, SliceLoad, plan};
 use beamtray_routing::SliceCount;
 use beamtray_settings::{Division, ServiceDeclaration};
 use beamtray_types::{ServerName, ServiceName, SliceRange, Time};
@@ -136,8 +136,7 @@
 
     /// Takes back every slice of a service that is no longer declared.
     fn undeclared_changes(&self, name: &ServiceName) -> Vec<Command> {
-        let (Some(leadership), Some(table)) =
-            (&self.leadership, self.state.services.get(name))
+        let (Some(leadership), Some(table)) = (&self.leadership, self.state.services.get(name))
         else {
             return Vec::new();
         };
@@ -174,11 +173,7 @@
         commands
     }
 
-    fn keyed_changes(
-        &mut self,
-        service: &ServiceDeclaration,
-        allow_balance: bool,
-    ) -> Vec<Command> {
+    fn keyed_changes(&mut self, service: &ServiceDeclaration, allow_balance: bool) -> Vec<Command> {
         let mut commands = self.revoke_from_lost(service);
         let Some(leadership) = &self.leadership else {
             return commands;
@@ -209,7 +204,7 @@
         };
         let changes = plan(&input);
         for change in changes {
-            commands.extend(self.to_command(service, change));
+            commands.extend(self.command_for(service, change));
         }
         commands
     }
@@ -298,7 +293,7 @@
         commands
     }
 
-    fn to_command(&mut self, service: &ServiceDeclaration, change: Change) -> Option<Command> {
+    fn command_for(&mut self, service: &ServiceDeclaration, change: Change) -> Option<Command> {
         let table = self.state.services.get(&service.name)?;
         let service = service.name.clone();
         match change {
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -1,8 +1,8 @@
 //! Plans: what a declaration would change, before anyone confirms it.
 
-use crate::placing::{slice_loads, Loads, PLANNING_POLICY};
+use crate::placing::{Loads, PLANNING_POLICY, slice_loads};
 use beamtray_ownership::{Command, CommandBatch, ControlState, Ownership, SliceTable};
-use beamtray_placement::{imbalance, plan, Change, PlacementInput};
+use beamtray_placement::{Change, PlacementInput, imbalance, plan};
 use beamtray_settings::{Declaration, Division, ServiceDeclaration};
 use beamtray_types::{Fence, OperationId, ServerName};
 use borsh::{BorshDeserialize, BorshSerialize};
--- a/crates/control/src/voters.rs
+++ b/crates/control/src/voters.rs
@@ -7,10 +7,10 @@
 
 use crate::core::{LeaderPurpose, NodeCore, Purpose};
 use crate::event::{Event, Level};
-use crate::founding::{founding_key, FoundingRecord};
+use crate::founding::{FoundingRecord, founding_key};
 use crate::peers::spread_over_zones;
 use beamtray_consensus::Membership;
-use beamtray_platform::{machine_name, KeyValueRequest, KeyValueResult};
+use beamtray_platform::{KeyValueRequest, KeyValueResult, machine_name};
 use beamtray_types::{Member, Time, Zone};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -81,8 +81,7 @@
                 return self.stopping.is_some();
             }
             let node = leadership.nodes.get(&member.node);
-            let replaced =
-                node.is_some_and(|node| node.member.incarnation > member.incarnation);
+            let replaced = node.is_some_and(|node| node.member.incarnation > member.incarnation);
             let leaving = node.is_some_and(|node| node.leaving);
             let answered = raft.last_answer(*member).unwrap_or(leadership.started);
             let silent = self.now.since(answered.max(leadership.started)) > VOTER_PATIENCE;
@@ -153,7 +152,9 @@
             next.insert(*member);
             return Some(next);
         }
-        let removable = failing.into_iter().find(|member| *member != self.config.me)?;
+        let removable = failing
+            .into_iter()
+            .find(|member| *member != self.config.me)?;
         let leaving = self.leadership.as_ref()?.nodes.get(&removable.node);
         let leaving = leaving.is_some_and(|node| node.leaving && node.member == removable);
         // A lost voter stays until another has taken its place: the group's
@@ -170,7 +171,11 @@
     /// Brings the founding record in line: with the wanted voters beside the
     /// present ones, or with the present ones alone.
     fn record_voters(&mut self) {
-        let Some(present) = self.raft.as_ref().map(|raft| raft.membership().voters.clone()) else {
+        let Some(present) = self
+            .raft
+            .as_ref()
+            .map(|raft| raft.membership().voters.clone())
+        else {
             return;
         };
         let generation = self.raft_generation;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -160,7 +160,10 @@
     }
 }
 
-fn read_request(request: &mut Request, max_body: usize) -> Result<HttpRequest, (u16, &'static str)> {
+fn read_request(
+    request: &mut Request,
+    max_body: usize,
+) -> Result<HttpRequest, (u16, &'static str)> {
     let headers: Vec<(String, String)> = request
         .headers()
         .iter()
--- a/crates/node/src/command/mod.rs
+++ b/crates/node/src/command/mod.rs
@@ -131,9 +131,16 @@
     help: bool,
     #[options(short = "f", help = "declaration file", meta = "FILE", required)]
     file: String,
-    #[options(help = "a node's operator address", no_short, default = "127.0.0.1:7003")]
+    #[options(
+        help = "a node's operator address",
+        no_short,
+        default = "127.0.0.1:7003"
+    )]
     operators: SocketAddr,
-    #[options(help = "where to write the plan (default plan.json)", default = "plan.json")]
+    #[options(
+        help = "where to write the plan (default plan.json)",
+        default = "plan.json"
+    )]
     out: String,
     #[options(help = "print JSON")]
     json: bool,
@@ -146,9 +153,16 @@
     help: bool,
     #[options(free, help = "plan file", required)]
     plan: String,
-    #[options(help = "a node's operator address", no_short, default = "127.0.0.1:7003")]
+    #[options(
+        help = "a node's operator address",
+        no_short,
+        default = "127.0.0.1:7003"
+    )]
     operators: SocketAddr,
-    #[options(help = "number of the write, to repeat one whose answer was lost", no_short)]
+    #[options(
+        help = "number of the write, to repeat one whose answer was lost",
+        no_short
+    )]
     operation: Option<u64>,
     #[options(help = "print JSON")]
     json: bool,
@@ -159,7 +173,11 @@
 pub struct StatusArguments {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "a node's operator address", no_short, default = "127.0.0.1:7003")]
+    #[options(
+        help = "a node's operator address",
+        no_short,
+        default = "127.0.0.1:7003"
+    )]
     operators: SocketAddr,
     #[options(help = "tell how this write ended", no_short)]
     operation: Option<u64>,
@@ -176,7 +194,11 @@
     service: String,
     #[options(help = "only the slice of this key")]
     key: Option<String>,
-    #[options(help = "a node's operator address", no_short, default = "127.0.0.1:7003")]
+    #[options(
+        help = "a node's operator address",
+        no_short,
+        default = "127.0.0.1:7003"
+    )]
     operators: SocketAddr,
     #[options(help = "print JSON")]
     json: bool,
--- a/crates/node/src/command/node.rs
+++ b/crates/node/src/command/node.rs
@@ -6,7 +6,7 @@
 use crate::process::BoundNode;
 use beamtray_settings::{Declaration, NodeSettings, SettingsError};
 use beamtray_types::{NodeId, Zone};
-use eyre::{bail, Result, WrapErr};
+use eyre::{Result, WrapErr, bail};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::Level;
@@ -78,7 +78,11 @@
         signals.forever().next();
     }
     demo.stop()?;
-    Ok(if passed { Outcome::Done } else { Outcome::Failed })
+    Ok(if passed {
+        Outcome::Done
+    } else {
+        Outcome::Failed
+    })
 }
 
 fn level(name: Option<&str>, default: Level) -> Result<Level> {
--- a/crates/node/src/command/operate.rs
+++ b/crates/node/src/command/operate.rs
@@ -25,7 +25,10 @@
         println!("{text}");
     } else {
         print_plan(report);
-        println!("written to {}; `beamtray confirm {}` puts it in force", arguments.out, arguments.out);
+        println!(
+            "written to {}; `beamtray confirm {}` puts it in force",
+            arguments.out, arguments.out
+        );
     }
     Ok(Outcome::Done)
 }
@@ -109,7 +112,9 @@
         report.applied,
         report.checkpointed
     );
-    println!("voters {:?}", report.voters);
+    for voter in &report.voters {
+        println!("voter {} live {}", voter.node, voter.live);
+    }
     for node in &report.nodes {
         println!("node {} zone {}", node.node, node.zone);
     }
@@ -164,9 +169,10 @@
             let text = format!("unknown: ask again with `beamtray status --operation {operation}`");
             (Outcome::Unknown, text)
         }
-        OperatorAnswer::NoSuchOperation => {
-            (Outcome::Unknown, "the group has applied no such write".to_owned())
-        }
+        OperatorAnswer::NoSuchOperation => (
+            Outcome::Unknown,
+            "the group has applied no such write".to_owned(),
+        ),
         OperatorAnswer::Unavailable { reason } => (Outcome::Unavailable, reason.clone()),
         OperatorAnswer::Invalid { reason } => (Outcome::Invalid, reason.clone()),
         _ => (Outcome::Done, String::new()),
--- a/crates/node/src/demo.rs
+++ b/crates/node/src/demo.rs
@@ -7,9 +7,9 @@
 use beamtray_settings::{
     Declaration, Division, NodeSettings, PeerSettings, ServiceDeclaration, TimingSettings,
 };
-use beamtray_standin::{service, BackendConfig};
+use beamtray_standin::{BackendConfig, service};
 use beamtray_types::{GroupId, NodeId, OperationId, Revision, Zone};
-use eyre::{bail, Result, WrapErr};
+use eyre::{Result, WrapErr, bail};
 use slog::Logger;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -46,7 +46,7 @@
             for server in &mut declared.servers {
                 let standin = match declared.division {
                     Division::Keyed => {
-                        service::serve_keyed_server(loopback(), server.slots, SERVICE_TIME)?
+                        service::serve_keyed_server(loopback(), server.slots, SERVICE_TIME, |_| {})?
                     }
                     Division::Pool => {
                         let config = BackendConfig {
@@ -105,7 +105,11 @@
             step("transfer", reply.status == 200, describe(&reply));
         }
         let mut drained = self.declaration.clone();
-        let first = drained.services.iter_mut().flat_map(|s| &mut s.servers).next();
+        let first = drained
+            .services
+            .iter_mut()
+            .flat_map(|s| &mut s.servers)
+            .next();
         if let Some(server) = first {
             server.drain = true;
         }
@@ -126,7 +130,10 @@
         }
         let callers = self.callers();
         if let Some(keyed) = self.first_service(Division::Keyed) {
-            println!("try: curl -i http://{callers}/{}/account-1/balance", keyed.name);
+            println!(
+                "try: curl -i http://{callers}/{}/account-1/balance",
+                keyed.name
+            );
         }
         println!("     beamtray status --operators {}", self.operators());
         println!("Ctrl-C stops");
--- a/crates/node/src/edge/platform.rs
+++ b/crates/node/src/edge/platform.rs
@@ -5,7 +5,7 @@
 use beamtray_http::{ClientConfig, HttpCall, HttpClient, HttpReply};
 use beamtray_ownership::{GrantReply, PendingGrant};
 use beamtray_platform::{KeyValueRequest, KeyValueResult, Machine, VERSION_HEADER};
-use crossbeam_channel::{unbounded, Sender};
+use crossbeam_channel::{Sender, unbounded};
 use stakker::sync::Channel;
 use std::net::SocketAddr;
 use std::thread;
@@ -113,9 +113,11 @@
 
     fn key_value(&self, request: &KeyValueRequest) -> KeyValueResult {
         let (method, url, body): (_, _, &[u8]) = match request {
-            KeyValueRequest::Get { key } => {
-                ("GET", format!("http://{}/v1/keys/{key}", self.key_value), &[])
-            }
+            KeyValueRequest::Get { key } => (
+                "GET",
+                format!("http://{}/v1/keys/{key}", self.key_value),
+                &[],
+            ),
             KeyValueRequest::Put {
                 key,
                 expected,
--- a/crates/node/src/edge/responders.rs
+++ b/crates/node/src/edge/responders.rs
@@ -1,7 +1,7 @@
 //! Threads that write answers, so that a slow reader never holds the loop.
 
 use beamtray_http::{HttpResponse, Responder};
-use crossbeam_channel::{unbounded, Sender};
+use crossbeam_channel::{Sender, unbounded};
 use std::thread::{self, JoinHandle};
 
 /// Writes answers in the background.
--- a/crates/node/src/edge/upstreams.rs
+++ b/crates/node/src/edge/upstreams.rs
@@ -1,11 +1,11 @@
 //! The edge towards servers and back ends.
 
-use crate::edge::callers::{end_to_end, DEADLINE_HEADER, IDEMPOTENCY_HEADER};
+use crate::edge::callers::{DEADLINE_HEADER, IDEMPOTENCY_HEADER, end_to_end};
 use crate::event::EdgeEvent;
 use beamtray_control::Input;
 use beamtray_http::{CallError, ClientConfig, HttpCall, HttpClient, HttpReply};
 use beamtray_routing::{CallId, Forward, NotRunReason, UpstreamAnswer, UpstreamOutcome};
-use crossbeam_channel::{unbounded, Sender};
+use crossbeam_channel::{Sender, unbounded};
 use stakker::sync::Channel;
 use std::net::SocketAddr;
 use std::thread;
@@ -111,7 +111,10 @@
         503 => {
             let seconds = reply.header("retry-after");
             let seconds = seconds.and_then(|seconds| seconds.parse::<u64>().ok());
-            not_run(NotRunReason::Shed, seconds.map(|seconds| seconds * 1_000_000))
+            not_run(
+                NotRunReason::Shed,
+                seconds.map(|seconds| seconds * 1_000_000),
+            )
         }
         status => UpstreamOutcome::Answered(UpstreamAnswer {
             status,
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,13 +1,19 @@
 //! Logs: one line of key=value pairs an event, on standard error.
 
 use beamtray_control::{Event, Level as EventLevel};
-use slog::{o, Drain, Level, Logger, Record};
+use slog::{Drain, Level, Logger, Record, o};
 use slog_logfmt::Logfmt;
-use std::io::stderr;
+use std::io::{Write, stderr};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Builds a logger that writes events of `level` and above.
 pub fn logger(level: Level) -> Logger {
-    let drain = Logfmt::new(stderr()).build().fuse();
+    let drain = Logfmt::new(stderr())
+        .set_prefix(write_time)
+        .print_level(true)
+        .print_msg(true)
+        .build()
+        .fuse();
     let drain = slog_async::Async::new(drain)
         .chan_size(4_096)
         .overflow_strategy(slog_async::OverflowStrategy::Drop)
@@ -16,6 +22,14 @@
     Logger::root(drain.filter_level(level).fuse(), o!())
 }
 
+/// Starts a line with the wall clock, in milliseconds since 1970.
+fn write_time(line: &mut dyn Write, _: &Record) -> slog::Result {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |elapsed| elapsed.as_millis());
+    write!(line, "time={millis} ")?;
+    Ok(())
+}
+
 /// A logger that writes nothing.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
@@ -42,4 +56,3 @@
         EventLevel::Warning => slog::warn!(logger, "{}", event.name; fields),
     }
 }
-
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,6 @@
 //! `beamtray`: see `beamtray --help` and docs/OPERATING.md.
 
-use beamtray_node::command::{run, Arguments, Outcome};
+use beamtray_node::command::{Arguments, Outcome, run};
 use gumdrop::Options;
 use std::process::ExitCode;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,12 +2,12 @@
 
 use beamtray_control::NodeCore;
 use beamtray_routing::RunState;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use std::time::Duration;
 
@@ -76,7 +76,10 @@
             grants_sent,
             pending: gauge("requests_pending", "Callers' requests without an answer"),
             queued: gauge("tries_queued", "Tries that wait in this node's gates"),
-            running: gauge("tries_running", "Calls that this node's gates have under way"),
+            running: gauge(
+                "tries_running",
+                "Calls that this node's gates have under way",
+            ),
             leader: gauge("leader", "1 when this node leads its group"),
             voter: gauge("voter", "1 when this node votes"),
             admits: gauge("admits", "1 when this node admits requests"),
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -6,10 +6,10 @@
 
 use beamtray_control::{Envelope, PeerMessage};
 use beamtray_types::NodeId;
-use beamtray_wire::{encode, FrameBuffer};
-use stakker::{fail, fwd_to, stop, Fwd, CX};
-use stakker_mio::mio::net::{TcpListener, TcpStream};
+use beamtray_wire::{FrameBuffer, encode};
+use stakker::{CX, Fwd, fail, fwd_to, stop};
 use stakker_mio::mio::Interest;
+use stakker_mio::mio::net::{TcpListener, TcpStream};
 use stakker_mio::{MioPoll, MioSource, ReadStatus, Ready, TcpStreamBuf};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,8 +1,6 @@
 //! A node from settings to exit.
 
-use crate::edge::{
-    serve_callers, serve_operators, PlatformEdge, ResponderPool, UpstreamEdge,
-};
+use crate::edge::{PlatformEdge, ResponderPool, UpstreamEdge, serve_callers, serve_operators};
 use crate::event::EdgeEvent;
 use crate::peer::PeerListener;
 use crate::shell::{Shell, ShellParts};
@@ -11,12 +9,12 @@
 use beamtray_placement::Policy;
 use beamtray_settings::NodeSettings;
 use beamtray_types::{Incarnation, Member, NodeId, StepError};
-use eyre::{eyre, Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use slog::Logger;
-use stakker::{actor, actor_new, call, fwd_to, ret_nop, ret_shutdown, Stakker};
 use stakker::sync::{Channel, ChannelGuard};
-use stakker_mio::mio::{Events, Poll};
+use stakker::{Stakker, actor, actor_new, call, fwd_to, ret_nop, ret_shutdown};
 use stakker_mio::MioPoll;
+use stakker_mio::mio::{Events, Poll};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc;
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -1,11 +1,11 @@
 //! The actor around the core's: it carries out what the core asks for and
 //! brings it what happened.
 
-use crate::edge::{operator_response, PlatformEdge, ResponderPool, UpstreamEdge};
+use crate::edge::{PlatformEdge, ResponderPool, UpstreamEdge, operator_response};
 use crate::event::{EdgeEvent, Probe};
 use crate::logging;
 use crate::metrics::Metrics;
-use crate::peer::{frame, LinkEvent, PeerLink};
+use crate::peer::{LinkEvent, PeerLink, frame};
 use beamtray_actor::{NodeActor, ProcessClock, TICK};
 use beamtray_control::{
     ControlConfig, Envelope, Event, Input, Level, NodeCore, OperatorCall, Output, PeerMessage,
@@ -14,7 +14,7 @@
 use beamtray_routing::{Answer, RequestId};
 use beamtray_types::NodeId;
 use slog::Logger;
-use stakker::{actor, after, call, fwd_to, ret_nop, stop, ActorOwn, CX};
+use stakker::{ActorOwn, CX, actor, after, call, fwd_to, ret_nop, stop};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/node/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! Tests with real processes on loopback.
+
+mod failures;
+mod load;
+mod support;
+mod thin_path;
--- /dev/null
+++ b/crates/node/tests/processes/support.rs
@@ -0,0 +1,387 @@
+//! Real processes on loopback for tests: stand-ins, nodes and callers.
+
+use beamtray_control::{OperatorAnswer, OperatorRequest, StatusReport};
+use beamtray_http::{CallError, ClientConfig, HttpCall, HttpClient, HttpReply};
+use beamtray_node::client::{ask, get};
+use beamtray_settings::{Declaration, Division, ServerDeclaration, ServiceDeclaration};
+use beamtray_types::{OperationId, Revision};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// A process that ends with the test.
+pub struct Process {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    fn start(program: PathBuf, arguments: &[String]) -> Self {
+        let mut child = Command::new(&program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|error| panic!("start {}: {error}", program.display()));
+        let output = child.stdout.take().expect("standard output is piped");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let collected = Arc::clone(&lines);
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                collected.lock().expect("not poisoned").push(line);
+            }
+        });
+        Self { child, lines }
+    }
+
+    /// Lines printed so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().expect("not poisoned").clone()
+    }
+
+    fn first_line(&self) -> String {
+        eventually("a first line", || self.lines().first().cloned())
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let process = Pid::from_raw(self.child.id() as i32);
+        kill(process, signal).expect("the process exists");
+    }
+
+    /// Waits for the end; the exit code, none after a signal.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().expect("a child can be waited for").code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Also ends a stopped process.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until `check` gives a value.
+pub fn eventually<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        if let Some(value) = check() {
+            return value;
+        }
+        assert!(Instant::now() < deadline, "{what}: not in time");
+        thread::sleep(PAUSE);
+    }
+}
+
+fn node_program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_beamtray"))
+}
+
+/// The stand-in's binary lies beside the node's; `cargo test --workspace`
+/// builds both.
+fn standin_program() -> PathBuf {
+    let program = node_program().with_file_name("beamtray-standin");
+    assert!(
+        program.exists(),
+        "build {} first: cargo build --workspace",
+        program.display()
+    );
+    program
+}
+
+fn standin(kind: &str, extra: &[&str]) -> (Process, SocketAddr) {
+    let mut arguments = vec![kind.to_owned()];
+    arguments.extend(extra.iter().map(|text| (*text).to_owned()));
+    let process = Process::start(standin_program(), &arguments);
+    let line = process.first_line();
+    let address = line.strip_prefix("listening ").expect("the address");
+    (process, address.parse().expect("an address"))
+}
+
+/// One node's process.
+pub struct Node {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    arguments: Vec<String>,
+}
+
+/// One keyed server's process.
+pub struct Server {
+    pub name: String,
+    pub process: Process,
+    pub address: SocketAddr,
+}
+
+/// Processes that make up a deployment of one keyed service.
+pub struct Cluster {
+    pub nodes: Vec<Node>,
+    pub servers: Vec<Server>,
+    pub key_value: SocketAddr,
+    _key_value: Process,
+    _machines: Process,
+    pub declaration: Declaration,
+    _settings: tempdir::Directory,
+}
+
+mod tempdir {
+    use std::path::{Path, PathBuf};
+
+    /// A directory that ends with the test.
+    pub struct Directory(PathBuf);
+
+    impl Directory {
+        pub fn new(name: &str) -> Self {
+            let path = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+            std::fs::create_dir_all(&path).expect("the temporary folder can be written");
+            Self(path)
+        }
+
+        pub fn path(&self) -> &Path {
+            &self.0
+        }
+    }
+
+    impl Drop for Directory {
+        fn drop(&mut self) {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+pub const SERVICE: &str = "accounts";
+
+impl Cluster {
+    /// Starts everything and puts the declaration in force.
+    pub fn start(name: &str, servers: usize) -> Self {
+        let (key_value_process, key_value) = standin("kv", &["--per-second", "200"]);
+        let (machines_process, machines) = standin("machines", &["--lag-millis", "500"]);
+        let servers: Vec<Server> = (1..=servers)
+            .map(|number| {
+                let extra = ["--slots", "8", "--service-micros", "1000"];
+                let (process, address) = standin("server", &extra);
+                let name = format!("server-{number}");
+                Server {
+                    name,
+                    process,
+                    address,
+                }
+            })
+            .collect();
+        let settings = tempdir::Directory::new(name);
+        let nodes = start_nodes(&settings, key_value, machines);
+        let cluster = Self {
+            declaration: declaration(&servers),
+            nodes,
+            servers,
+            key_value,
+            _key_value: key_value_process,
+            _machines: machines_process,
+            _settings: settings,
+        };
+        cluster.wait_for_group();
+        assert_eq!(cluster.confirm(0, 1, &cluster.declaration), Some(1));
+        cluster.wait_for_owners();
+        cluster
+    }
+
+    pub fn wait_for_group(&self) {
+        eventually("a group of three", || {
+            let report = self.status()?;
+            (report.nodes.len() == 3).then_some(())
+        });
+    }
+
+    pub fn wait_for_owners(&self) {
+        eventually("owners of all slices", || {
+            let report = self.status()?;
+            let owned = report.services.iter().all(|service| service.unowned == 0);
+            let ready = self
+                .nodes
+                .iter()
+                .all(|node| get(node.operators, "/readyz").is_ok_and(|page| page.status == 200));
+            (owned && ready && !report.services.is_empty()).then_some(())
+        });
+    }
+
+    /// The status as any node that answers gives it.
+    pub fn status(&self) -> Option<StatusReport> {
+        self.nodes
+            .iter()
+            .find_map(|node| match ask(node.operators, &OperatorRequest::Status) {
+                Ok(OperatorAnswer::Status(report)) => Some(report),
+                _ => None,
+            })
+    }
+
+    /// Position of the leading node.
+    pub fn leader(&self) -> usize {
+        eventually("a leader", || Some(self.status()?.leader as usize - 1))
+    }
+
+    /// Confirms a declaration; the revision that it has then.
+    pub fn confirm(&self, base: u64, operation: u64, declaration: &Declaration) -> Option<u64> {
+        let request = OperatorRequest::Confirm {
+            operation: OperationId(operation),
+            base: Revision(base),
+            declaration: declaration.clone(),
+        };
+        match ask(self.nodes[0].operators, &request) {
+            Ok(OperatorAnswer::InForce { revision }) => Some(revision.0),
+            _ => None,
+        }
+    }
+
+    /// Position of the server that owns a key.
+    pub fn owner(&self, key: &str) -> usize {
+        eventually("an owner", || {
+            let request = OperatorRequest::Assignments {
+                service: SERVICE.into(),
+                key: Some(key.to_owned()),
+            };
+            let answer = self
+                .nodes
+                .iter()
+                .find_map(|node| ask(node.operators, &request).ok())?;
+            let OperatorAnswer::Assignments(rows) = answer else {
+                return None;
+            };
+            let server = rows.first()?.server.clone()?;
+            self.servers.iter().position(|other| other.name == server)
+        })
+    }
+
+    /// Switches of the key-value stand-in.
+    pub fn set_key_value(&self, switches: &str) {
+        let url = format!("http://{}/control?{switches}", self.key_value);
+        call("POST", &url, None, Duration::from_secs(5)).expect("the stand-in answers");
+    }
+
+    /// Every effect that any server told of, as `key name`.
+    pub fn effects(&self) -> Vec<String> {
+        let servers = self.servers.iter();
+        let lines = servers.flat_map(|server| server.process.lines());
+        lines
+            .filter_map(|line| line.strip_prefix("effect ").map(str::to_owned))
+            .collect()
+    }
+
+    /// Starts a node again after its end, with the same settings.
+    pub fn restart_node(&mut self, position: usize) {
+        let arguments = self.nodes[position].arguments.clone();
+        self.nodes[position] = start_node(arguments);
+    }
+}
+
+fn start_nodes(
+    settings: &tempdir::Directory,
+    key_value: SocketAddr,
+    machines: SocketAddr,
+) -> Vec<Node> {
+    // Peers must know each other's port before any of them runs.
+    let listeners: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    let addresses: Vec<SocketAddr> = listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("an address"))
+        .collect();
+    drop(listeners);
+    let peers: String = (1..=3)
+        .zip(&addresses)
+        .map(|(node, address)| {
+            format!("\n[[peer]]\nnode = {node}\nzone = \"zone-{node}\"\naddress = \"{address}\"\n")
+        })
+        .collect();
+    (1..=3)
+        .zip(&addresses)
+        .map(|(node, address)| {
+            let text = format!(
+                "node = {node}\nzone = \"zone-{node}\"\ncallers = \"127.0.0.1:0\"\n\
+                 peers = \"{address}\"\noperators = \"127.0.0.1:0\"\n\
+                 key_value = \"{key_value}\"\nmachines = \"{machines}\"\n{peers}"
+            );
+            let file = settings.path().join(format!("node-{node}.toml"));
+            let mut handle = std::fs::File::create(&file).expect("the file can be written");
+            handle
+                .write_all(text.as_bytes())
+                .expect("the file can be written");
+            let arguments = vec![
+                "node".to_owned(),
+                "--settings".to_owned(),
+                file.display().to_string(),
+            ];
+            start_node(arguments)
+        })
+        .collect()
+}
+
+fn start_node(arguments: Vec<String>) -> Node {
+    let process = Process::start(node_program(), &arguments);
+    let line = process.first_line();
+    let words: Vec<&str> = line.split(' ').collect();
+    let address = |position: usize| words[position].parse().expect("an address");
+    Node {
+        callers: address(1),
+        operators: address(5),
+        process,
+        arguments,
+    }
+}
+
+fn declaration(servers: &[Server]) -> Declaration {
+    let text = format!(
+        "[[service]]\nname = \"{SERVICE}\"\nslices_per_server = 8\ndeadline_millis = 8000\n\
+         [[service.server]]\nname = \"placeholder\"\naddress = \"127.0.0.1:1\"\nzone = \"z\"\n"
+    );
+    let mut declaration = Declaration::parse("test", &text).expect("a valid declaration");
+    let service: &mut ServiceDeclaration = &mut declaration.services[0];
+    assert_eq!(service.division, Division::Keyed);
+    let template = service.servers.remove(0);
+    for (position, server) in servers.iter().enumerate() {
+        service.servers.push(ServerDeclaration {
+            name: server.name.as_str().into(),
+            address: server.address,
+            zone: format!("zone-{}", position % 3 + 1).as_str().into(),
+            slots: 8,
+            ..template.clone()
+        });
+    }
+    declaration
+}
+
+/// One call; a name makes it one that may not be repeated.
+pub fn call(
+    method: &str,
+    url: &str,
+    name: Option<&str>,
+    timeout: Duration,
+) -> Result<HttpReply, CallError> {
+    let client = HttpClient::new(ClientConfig {
+        idle_connections: 0,
+        max_body_bytes: 1024 * 1024,
+        connect_timeout: Duration::from_secs(2),
+    });
+    let headers: Vec<(&str, String)> = name
+        .map(|name| ("idempotency-key", name.to_owned()))
+        .into_iter()
+        .collect();
+    client.call(&HttpCall {
+        method,
+        url,
+        headers: &headers,
+        body: &[],
+        timeout,
+        fresh_connection: true,
+    })
+}
--- a/crates/ownership/src/grant_table.rs
+++ b/crates/ownership/src/grant_table.rs
@@ -112,7 +112,9 @@
         let valid_until = self.valid_until;
         let old = std::mem::take(&mut self.slices);
         if self.is_valid(now, valid_until) {
-            let retired = old.into_values().map(|slice| Retired { slice, valid_until });
+            let retired = old
+                .into_values()
+                .map(|slice| Retired { slice, valid_until });
             self.retired.extend(retired);
         } else {
             // Nothing under an expired set may be committed any more.
--- a/crates/ownership/src/granter.rs
+++ b/crates/ownership/src/granter.rs
@@ -1,7 +1,9 @@
 //! The leader's side: renewals, new sets, and what may be given away.
 
 use crate::grant::{GrantReply, GrantRequest, GrantSet, GrantedSlice};
-use beamtray_types::{Fence, Generation, GroupId, Incarnation, LogIndex, ServerName, SliceRange, Term, Time};
+use beamtray_types::{
+    Fence, Generation, GroupId, Incarnation, LogIndex, ServerName, SliceRange, Term, Time,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -106,7 +108,12 @@
 
 impl Granter {
     /// Starts granting after an election at `elected_at`.
-    pub fn new(config: GranterConfig, generation: Generation, term: Term, elected_at: Time) -> Self {
+    pub fn new(
+        config: GranterConfig,
+        generation: Generation,
+        term: Term,
+        elected_at: Time,
+    ) -> Self {
         let wait = if config.guards.waits_for_former {
             config.grant_bound
         } else {
@@ -192,7 +199,9 @@
             link.meet_run(now, reply.incarnation, holding, guards);
         }
         link.last_reply = Some(now);
-        let newer = link.reading.is_none_or(|(reading, _)| reading < reply.reading);
+        let newer = link
+            .reading
+            .is_none_or(|(reading, _)| reading < reply.reading);
         if newer {
             link.reading = Some((reply.reading, now));
         }
@@ -320,10 +329,13 @@
         term: Term,
     ) -> GrantRequest {
         let may_grant = self.incarnation.is_some() && now >= self.quiet_until;
-        let valid_until = self.reading.filter(|_| may_grant).map(|(reading, received)| {
-            self.lapses = self.lapses.max(received + config.grant_bound);
-            reading + config.grant
-        });
+        let valid_until = self
+            .reading
+            .filter(|_| may_grant)
+            .map(|(reading, received)| {
+                self.lapses = self.lapses.max(received + config.grant_bound);
+                reading + config.grant
+            });
         let set = if self.acknowledged == self.sequence {
             GrantSet::Unchanged
         } else {
--- a/crates/ownership/src/slices.rs
+++ b/crates/ownership/src/slices.rs
@@ -165,7 +165,11 @@
             last: upper.last,
             ownership: Ownership::Owned {
                 server: owner.clone(),
-                fence: lower.ownership.fence().max(upper.ownership.fence()).unwrap_or_default(),
+                fence: lower
+                    .ownership
+                    .fence()
+                    .max(upper.ownership.fence())
+                    .unwrap_or_default(),
             },
         };
         self.slices.remove(&next);
--- a/crates/ownership/src/state.rs
+++ b/crates/ownership/src/state.rs
@@ -178,12 +178,7 @@
 
     /// Revisions only rise: an older declaration that arrives late changes
     /// nothing.
-    fn configure(
-        &mut self,
-        operation: OperationId,
-        revision: Revision,
-        declaration: &Declaration,
-    ) {
+    fn configure(&mut self, operation: OperationId, revision: Revision, declaration: &Declaration) {
         if self.operation(operation).is_some() {
             return;
         }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,4 +12,4 @@
 pub use balance::plan;
 pub use baseline::{modulo_targets, ring_targets};
 pub use input::{Change, PlacementInput, Policy, SliceLoad};
-pub use measure::{imbalance, Imbalance};
+pub use measure::{Imbalance, imbalance};
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -205,12 +205,7 @@
     }
 
     /// Answers what expired in the queues and sends what can be sent.
-    pub(crate) fn tick(
-        &mut self,
-        now: Time,
-        view: &RoutingView,
-        outputs: &mut Vec<RouterOutput>,
-    ) {
+    pub(crate) fn tick(&mut self, now: Time, view: &RoutingView, outputs: &mut Vec<RouterOutput>) {
         let mut waiting: Vec<ServerName> = Vec::new();
         for (name, upstream) in &mut self.upstreams {
             if upstream.queue.is_empty() {
--- a/crates/routing/src/ingress.rs
+++ b/crates/routing/src/ingress.rs
@@ -130,7 +130,11 @@
             return outputs.push(refuse(404, "no such service", None));
         };
         if service.division == Division::Keyed && request.key.is_none() {
-            return outputs.push(refuse(400, "the service is keyed and the path has no key", None));
+            return outputs.push(refuse(
+                400,
+                "the service is keyed and the path has no key",
+                None,
+            ));
         }
         let longest = Duration::from_millis(service.deadline_millis);
         let asked = request.deadline_micros.map(Duration::from_micros);
@@ -147,7 +151,10 @@
             repeatable,
             deadline,
             may_have_run: false,
-            stage: Stage::Waiting { until: now, view: 0 },
+            stage: Stage::Waiting {
+                until: now,
+                view: 0,
+            },
         };
         *self.waiting.entry(service.name.clone()).or_default() += 1;
         self.pending.insert(id, pending);
@@ -294,7 +301,8 @@
         if let (Stage::Out(current), Some(pool)) =
             (&pending.stage, self.pools.get_mut(&pending.request.service))
         {
-            let failed = !matches!(outcome, UpstreamOutcome::Answered(ref answer) if answer.status < 500);
+            let failed =
+                !matches!(outcome, UpstreamOutcome::Answered(ref answer) if answer.status < 500);
             pool.finished(now, &current.server, failed);
         }
         match outcome {
@@ -464,18 +472,19 @@
             .collect();
         for (id, number) in lost {
             self.tries.remove(&number);
-            self.on_lost(now, view, id, "the connection to the gate was lost", outputs);
+            self.on_lost(
+                now,
+                view,
+                id,
+                "the connection to the gate was lost",
+                outputs,
+            );
         }
     }
 
     /// Ends what is past its deadline, re-routes what waited long enough or
     /// can use a new view, and gives up on owners that were replaced.
-    pub(crate) fn tick(
-        &mut self,
-        now: Time,
-        view: &RoutingView,
-        outputs: &mut Vec<RouterOutput>,
-    ) {
+    pub(crate) fn tick(&mut self, now: Time, view: &RoutingView, outputs: &mut Vec<RouterOutput>) {
         let ids: Vec<RequestId> = self.pending.keys().copied().collect();
         for id in ids {
             self.tick_request(now, view, id, outputs);
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -38,7 +38,10 @@
 impl LoadCounter {
     /// Counts one request.
     pub fn record(&mut self, state: &ControlState, service: &ServiceName, hash: KeyHash) {
-        let Some((range, _)) = state.services.get(service).and_then(|table| table.find(hash))
+        let Some((range, _)) = state
+            .services
+            .get(service)
+            .and_then(|table| table.find(hash))
         else {
             return;
         };
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -59,7 +59,11 @@
         let first = usable.get(rng.random_range(0..usable.len().max(1)))?;
         let second = usable.get(rng.random_range(0..usable.len().max(1)))?;
         let cost = |name: &ServerName| self.backends[name].cost(now);
-        let chosen = if cost(second) < cost(first) { second } else { first };
+        let chosen = if cost(second) < cost(first) {
+            second
+        } else {
+            first
+        };
         Some((*chosen).clone())
     }
 
--- a/crates/settings/src/declaration.rs
+++ b/crates/settings/src/declaration.rs
@@ -1,7 +1,7 @@
 //! The declaration: which services exist, who serves them, and how.
 
-use crate::error::{line_of, parse, read};
 use crate::SettingsError;
+use crate::error::{line_of, parse, read};
 use beamtray_types::{ServerName, ServiceName, Zone};
 use borsh::{BorshDeserialize, BorshSerialize};
 use serde::{Deserialize, Serialize};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,8 +8,8 @@
 mod node;
 
 pub use declaration::{
-    Declaration, Division, RequestRule, ServerDeclaration, ServiceDeclaration, MAX_SERVERS,
-    MAX_SLICES_PER_SERVER,
+    Declaration, Division, MAX_SERVERS, MAX_SLICES_PER_SERVER, RequestRule, ServerDeclaration,
+    ServiceDeclaration,
 };
 pub use error::SettingsError;
 pub use node::{NodeSettings, PeerSettings, TimingSettings};
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,7 +1,7 @@
 //! A node's settings file.
 
-use crate::error::{line_of, parse, read};
 use crate::SettingsError;
+use crate::error::{line_of, parse, read};
 use beamtray_types::{GroupId, NodeId, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -151,7 +151,11 @@
             return Err(("drift_per_mille", self.drift_per_mille, "0 to 200".into()));
         }
         if !(10..=10_000).contains(&self.heartbeat_millis) {
-            return Err(("heartbeat_millis", self.heartbeat_millis, "10 to 10000".into()));
+            return Err((
+                "heartbeat_millis",
+                self.heartbeat_millis,
+                "10 to 10000".into(),
+            ));
         }
         if self.leader_lease_millis < 2 * self.heartbeat_millis {
             let allowed = "at least twice heartbeat_millis".into();
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -53,7 +53,11 @@
         }
         self.running += 1;
         let cold = now.since(self.started) < self.config.cold_for;
-        let factor = if cold { self.config.cold_factor.max(1) } else { 1 };
+        let factor = if cold {
+            self.config.cold_factor.max(1)
+        } else {
+            1
+        };
         Some(self.config.service_time * factor)
     }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,7 +1,7 @@
 //! `beamtray-standin`: one stand-in as a process.
 
-use beamtray_standin::{service, BackendConfig};
-use eyre::{bail, Result};
+use beamtray_standin::{BackendConfig, Effect, service};
+use eyre::{Result, bail};
 use gumdrop::Options;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,14 +18,26 @@
     slots: u32,
     #[options(help = "time a request takes, in microseconds", default = "0")]
     service_micros: u64,
-    #[options(help = "calls a second that the key-value service takes", default = "50")]
+    #[options(
+        help = "calls a second that the key-value service takes",
+        default = "50"
+    )]
     per_second: u32,
     #[options(help = "lag of the machine list, in milliseconds", default = "2000")]
     lag_millis: u64,
-    #[options(help = "time after its start in which a back end is slow, in milliseconds", default = "0")]
+    #[options(
+        help = "time after its start in which a back end is slow, in milliseconds",
+        default = "0"
+    )]
     cold_millis: u64,
 }
 
+/// Tells of an effect on standard output, so that it outlives the process.
+fn print_effect(effect: &Effect) {
+    let name = effect.idempotency_key.as_deref().unwrap_or("-");
+    println!("effect {} {name}", effect.key);
+}
+
 fn main() -> Result<()> {
     let arguments = Arguments::parse_args_default_or_exit();
     let address = arguments
@@ -37,7 +49,9 @@
         Some("machines") => {
             service::serve_machines(address, Duration::from_millis(arguments.lag_millis))?
         }
-        Some("server") => service::serve_keyed_server(address, arguments.slots, service_time)?,
+        Some("server") => {
+            service::serve_keyed_server(address, arguments.slots, service_time, print_effect)?
+        }
         Some("backend") => {
             let config = BackendConfig {
                 slots: arguments.slots,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -5,7 +5,7 @@
 
 use crate::backend::{Backend, BackendConfig};
 use crate::key_value::KeyValueStore;
-use crate::keyed_server::{KeyedServer, ServerRefusal};
+use crate::keyed_server::{Effect, KeyedServer, ServerRefusal};
 use crate::machines::MachineList;
 use beamtray_http::{HttpRequest, HttpResponse, HttpServer, Responder, ServerConfig, Target};
 use beamtray_ownership::GrantRequest;
@@ -60,7 +60,9 @@
 
     /// Waits as long as the stand-in is frozen or slow.
     fn delay(&self, clock: &Clock) {
-        thread::sleep(Duration::from_millis(self.slow_millis.load(Ordering::SeqCst)));
+        thread::sleep(Duration::from_millis(
+            self.slow_millis.load(Ordering::SeqCst),
+        ));
         let until = Time(self.frozen_until.load(Ordering::SeqCst));
         thread::sleep(until.since(clock.now()));
     }
@@ -138,9 +140,14 @@
         let now = clock.now();
         let lease = number(&request, "lease");
         let result = match (&call, lease) {
-            (KeyValueRequest::Put { key, expected, value }, Some(lease)) => {
-                store.put_leased(now, key, *expected, value.clone(), lease)?
-            }
+            (
+                KeyValueRequest::Put {
+                    key,
+                    expected,
+                    value,
+                },
+                Some(lease),
+            ) => store.put_leased(now, key, *expected, value.clone(), lease)?,
             _ => match store.handle(now, &call) {
                 Some(result) => result,
                 None => return Some(HttpResponse::text(503, "outage\n")),
@@ -225,6 +232,7 @@
     address: SocketAddr,
     slots: u32,
     service_time: Duration,
+    on_effect: fn(&Effect),
 ) -> Result<HttpServer, StepError> {
     let clock = Clock::start();
     let server = Arc::new(Mutex::new(KeyedServer::new(new_incarnation(), slots)));
@@ -249,7 +257,8 @@
             _ => {}
         }
         switches.delay(&clock);
-        Some(serve_keyed_request(&server, &clock, service_time, &request))
+        let response = serve_keyed_request(&server, &clock, service_time, &request, on_effect);
+        Some(response)
     })
 }
 
@@ -258,6 +267,7 @@
     clock: &Clock,
     service_time: Duration,
     request: &HttpRequest,
+    on_effect: fn(&Effect),
 ) -> HttpResponse {
     let target = Target::parse(&request.path);
     let Some(key) = target.and_then(|target| target.key) else {
@@ -279,6 +289,10 @@
     // The clock is read, the grant checked and the effect made under one lock.
     let mut server = lock(server);
     match server.commit(clock.now(), admitted, writes, name) {
+        Ok(count) if writes => {
+            server.effects.last().map(on_effect);
+            HttpResponse::text(200, format!("{key} {count}\n"))
+        }
         Ok(count) => HttpResponse::text(200, format!("{key} {count}\n")),
         Err(refusal) => refusal_response(refusal),
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -88,7 +88,8 @@
         let Some(body) = pending.get(VERSION_BYTES..length) else {
             return Ok(None);
         };
-        let message = T::try_from_slice(body).map_err(|error| FrameError::Body(error.to_string()))?;
+        let message =
+            T::try_from_slice(body).map_err(|error| FrameError::Body(error.to_string()))?;
         self.consumed += LENGTH_BYTES + length;
         Ok(Some(message))
     }
