--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -26,6 +26,7 @@
     ReadFounding,
     WriteFounding,
     ReadCheckpointToFound,
+    ReadConfigurationToFound,
     Leader(LeaderPurpose),
 }
 
@@ -178,11 +179,15 @@
 
     /// Whether this node admits callers' requests.
     pub fn admits(&self) -> bool {
+        self.is_fresh() && self.stopping.is_none()
+    }
+
+    /// Whether a leader vouched for the state within the configuration lease.
+    fn is_fresh(&self) -> bool {
         let lease = self.config.timing.configuration_lease();
         let fresh = self.contact.is_some_and(|at| self.now.since(at) < lease);
         let known = self.generation > Generation(0) && self.state.revision.0 > 0;
-        let fresh = fresh || !self.config.guards.configuration_lease;
-        known && fresh && self.stopping.is_none()
+        known && (fresh || !self.config.guards.configuration_lease)
     }
 
     /// The node's requests and tries in flight, for metrics.
@@ -284,7 +289,7 @@
     ) -> Vec<RouterOutput> {
         let view = RoutingView {
             me: self.config.me,
-            admits: self.admits(),
+            fresh: self.is_fresh(),
             state: &self.state,
             gates: &self.gates,
         };
@@ -392,8 +397,10 @@
             return;
         }
         let waited = self.now.since(since);
-        let listed = self.state.nodes.contains_key(&self.config.me.node) || self.is_voter();
-        let left = !listed || waited >= LEAVE_PATIENCE;
+        let listed = self.state.nodes.contains_key(&self.config.me.node);
+        // A voter that ends before it is replaced is a voter lost, so it uses
+        // all the time it has.
+        let left = !self.is_voter() && (!listed || waited >= LEAVE_PATIENCE);
         let overdue = waited >= Duration::from_millis(self.config.stop_millis);
         if (left && self.router.is_idle()) || overdue {
             self.stopped = true;
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -70,6 +70,7 @@
             zone: self.config.zone.clone(),
             generation: self.generation,
             applied: self.state.applied,
+            abandoned: self.founding.abandoned,
             sent_at: self.now,
             leaving: self.stopping.is_some(),
             load,
@@ -83,6 +84,9 @@
             zone: hello.zone.clone(),
             at: self.now,
             leaving: hello.leaving,
+            generation: hello.generation,
+            applied: hello.applied,
+            abandoned: hello.abandoned,
         });
         if hello.generation > self.generation.max(self.raft_generation) {
             self.founding.read_soon(self.now);
--- a/crates/control/src/founding.rs
+++ b/crates/control/src/founding.rs
@@ -1,20 +1,27 @@
-//! Founding a control group, and founding it again when a majority of its
-//! voters is lost for good.
+//! Founding a control group, and founding it again when its voters can no
+//! longer form a majority.
 //!
 //! The founding record in the key-value service is the one truth about which
-//! generation lives and whose votes count. It changes only by compare-and-swap.
-//! A change of voters is written there before it takes effect, so whoever
-//! finds a majority of every recorded set of voters gone knows that no
-//! majority can exist that it has not heard of.
+//! generation lives and whose votes count. It changes only by compare-and-swap,
+//! and a change of voters is written there before it takes effect.
+//!
+//! A generation is over once, of every recorded set of voters, so many are
+//! lost for certain or have abandoned it that the rest is no majority. Lost for
+//! certain is a run whose machine is gone or whose node started again. A run
+//! abandons a generation when it has had no leader for long and hears that the
+//! others have none: it then takes no part in that log any more, so nothing
+//! can be agreed on or leased without it. The new generation starts from the
+//! latest state among the nodes in reach and the checkpoint.
 
+use crate::configure::StoredConfiguration;
 use crate::core::{NodeCore, Purpose};
 use crate::event::{Event, Level};
 use crate::feed::CONTACT_PATIENCE;
 use crate::group::FOUNDING_INDEX;
 use crate::peers::spread_over_zones;
-use beamtray_ownership::ControlState;
+use beamtray_ownership::{Command, CommandBatch, ControlState};
 use beamtray_platform::{KeyValueRequest, KeyValueResult, Machine, MachineState, machine_name};
-use beamtray_types::{Generation, GroupId, LogIndex, Member, Time, Zone};
+use beamtray_types::{Fence, Generation, GroupId, LogIndex, Member, Revision, Time, Zone};
 use borsh::{BorshDeserialize, BorshSerialize};
 use rand::RngExt;
 use std::collections::BTreeSet;
@@ -26,6 +33,13 @@
 const READ_JITTER_MILLIS: u64 = 500;
 /// A node counts as live for founding when it reported within this time.
 const LIVE_PATIENCE: Duration = Duration::from_secs(3);
+/// How long a voter is without a leader before it abandons its generation.
+/// Several elections fit into it.
+const ABANDON_PATIENCE: Duration = Duration::from_millis(3_500);
+/// A gap between ticks that shows a pause of this process.
+const PAUSE_NOTICED: Duration = Duration::from_millis(400);
+/// Whoever looks for a leader reports to everyone several times in this.
+const SEARCHING_PATIENCE: Duration = Duration::from_millis(1_200);
 /// How long a first founding waits for more nodes to report.
 const GATHER_TIME: Duration = Duration::from_millis(800);
 
@@ -78,9 +92,17 @@
     told: bool,
     /// The record as last read, with its version.
     record: Option<(u64, FoundingRecord)>,
-    /// Since when every recorded set of voters has lost its majority.
+    /// Since when every recorded set of voters is known to be no majority.
     lost_since: Option<Time>,
+    /// Since when this run has been looking for a leader without a break.
+    alone_since: Option<Time>,
+    last_tick: Time,
+    /// Highest generation in whose log this run takes no part any more.
+    pub(crate) abandoned: Generation,
     gone: BTreeSet<String>,
+    /// State that a new generation is to start from, while its configuration
+    /// is being read.
+    state: Option<ControlState>,
     machines_due: Time,
 }
 
@@ -92,7 +114,11 @@
             told: false,
             record: None,
             lost_since: None,
+            alone_since: None,
+            last_tick: now,
+            abandoned: Generation(0),
             gone: BTreeSet::new(),
+            state: None,
             machines_due: now,
         }
     }
@@ -102,6 +128,23 @@
         self.told = true;
     }
 
+    /// Starts the count of time without a leader anew.
+    pub(crate) fn restart_search(&mut self) {
+        self.alone_since = None;
+    }
+
+    /// Counts the time without a leader. A gap between ticks is a pause of
+    /// this process, in which it could not have heard of one.
+    fn note_search(&mut self, now: Time, searching: bool) {
+        let paused = now.since(self.last_tick) > PAUSE_NOTICED;
+        self.last_tick = now;
+        if !searching {
+            self.alone_since = None;
+        } else if paused || self.alone_since.is_none() {
+            self.alone_since = Some(now);
+        }
+    }
+
     pub(crate) fn note_machines(&mut self, list: &[Machine]) {
         self.gone = list
             .iter()
@@ -116,6 +159,7 @@
         let quiet = self
             .contact
             .is_none_or(|at| self.now.since(at) > CONTACT_PATIENCE);
+        self.founding.note_search(self.now, quiet);
         if (!quiet && !self.founding.told) || self.stopping.is_some() {
             self.founding.lost_since = None;
             return;
@@ -219,11 +263,10 @@
     }
 
     fn consider_refounding(&mut self, version: u64, record: &FoundingRecord) {
-        let all_lost = record
-            .voters
-            .iter()
-            .all(|voters| self.lost_majority(voters));
-        if !all_lost && self.config.guards.refounding_wait {
+        self.consider_abandoning(record);
+        let over = |member: &Member| self.is_out(*member, record.generation);
+        let all_over = record.voters.iter().all(|voters| is_blocked(voters, &over));
+        if !all_over && self.config.guards.refounding_wait {
             self.founding.lost_since = None;
             return;
         }
@@ -236,24 +279,79 @@
             self.founding.read_due = self.now + READ_INTERVAL / 2;
             return;
         }
-        let candidates = self.founders_in_reach();
-        let lowest = candidates.iter().map(|(member, _)| member.node).min();
-        if lowest != Some(self.config.me.node) {
+        if !self.has_latest_state(record.generation) {
             return;
         }
         self.founding.record = Some((version, record.clone()));
-        if !self.is_calling(&Purpose::ReadCheckpointToFound) {
+        let reading = self.is_calling(&Purpose::ReadCheckpointToFound)
+            || self.is_calling(&Purpose::ReadConfigurationToFound);
+        if !reading {
             let key = checkpoint_key(self.config.group);
             self.call_key_value(Purpose::ReadCheckpointToFound, KeyValueRequest::Get { key });
         }
     }
 
-    fn lost_majority(&self, voters: &BTreeSet<Member>) -> bool {
-        let lost = voters
-            .iter()
-            .filter(|member| self.is_lost(**member))
-            .count();
-        voters.len() - lost < voters.len() / 2 + 1
+    /// Gives up on a generation that stands still: this run has had no leader
+    /// for long, and so many others are lost or look for one too that no
+    /// recorded set of voters can have a majority elsewhere.
+    fn consider_abandoning(&mut self, record: &FoundingRecord) {
+        let generation = record.generation;
+        let votes = self.raft_generation == generation && self.raft.is_some();
+        let alone = self
+            .founding
+            .alone_since
+            .is_some_and(|since| self.now.since(since) > ABANDON_PATIENCE);
+        if !votes || !alone {
+            return;
+        }
+        let out = |member: &Member| self.is_out(*member, generation) || self.is_searching(*member);
+        if record.voters.iter().all(|voters| is_blocked(voters, &out)) {
+            self.founding.abandoned = generation;
+            self.raft = None;
+            self.leadership = None;
+            let event =
+                Event::new(Level::Warning, "generation_abandoned").with("generation", generation);
+            self.log(event);
+        }
+    }
+
+    /// Whether a run reported itself just now, as only those do that have no
+    /// leader, or is this one.
+    fn is_searching(&self, member: Member) -> bool {
+        let heard = self.peers.get(member.node);
+        member == self.config.me
+            || heard.is_some_and(|peer| {
+                peer.member == member && self.now.since(peer.at) < SEARCHING_PATIENCE
+            })
+    }
+
+    /// Whether a run takes no part in a generation's log any more.
+    fn is_out(&self, member: Member, generation: Generation) -> bool {
+        if member == self.config.me {
+            return self.founding.abandoned >= generation;
+        }
+        let abandoned = self
+            .peers
+            .get(member.node)
+            .is_some_and(|peer| peer.member == member && peer.abandoned >= generation);
+        abandoned || self.is_lost(member)
+    }
+
+    /// Whether no node in reach has later state of `generation`; among equals
+    /// the lowest node founds.
+    fn has_latest_state(&self, generation: Generation) -> bool {
+        let rank = |known: Generation, applied, node| {
+            let applied = if known == generation {
+                applied
+            } else {
+                LogIndex(0)
+            };
+            (applied, std::cmp::Reverse(node))
+        };
+        let mine = rank(self.generation, self.state.applied, self.config.me.node);
+        let live = self.peers.live(self.now, LIVE_PATIENCE);
+        live.iter()
+            .all(|peer| rank(peer.generation, peer.applied, peer.member.node) <= mine)
     }
 
     /// Whether a run is over for certain: its machine is gone, or a later run
@@ -272,7 +370,7 @@
     }
 
     pub(crate) fn on_checkpoint_to_found(&mut self, result: KeyValueResult) {
-        let Some((version, record)) = self.founding.record.clone() else {
+        let Some((_, record)) = &self.founding.record else {
             return;
         };
         let state = match result {
@@ -290,7 +388,43 @@
             }
             _ => return,
         };
+        let newer = self.generation == record.generation && self.state.applied > state.applied;
+        self.founding.state = Some(if newer { self.state.clone() } else { state });
+        let key = configuration_key(self.config.group);
+        let purpose = Purpose::ReadConfigurationToFound;
+        self.call_key_value(purpose, KeyValueRequest::Get { key });
+    }
+
+    /// A configuration may have been accepted after the checkpoint. The new
+    /// generation starts from it, so that no node ever goes back to an older.
+    pub(crate) fn on_configuration_to_found(&mut self, result: KeyValueResult) {
+        let (Some((version, record)), Some(mut state)) =
+            (self.founding.record.clone(), self.founding.state.take())
+        else {
+            return;
+        };
+        match result {
+            KeyValueResult::Absent => {}
+            KeyValueResult::Value { version, value } => {
+                let Ok(stored) = borsh::from_slice::<StoredConfiguration>(&value) else {
+                    return;
+                };
+                let commands = vec![Command::Configure {
+                    operation: stored.operation,
+                    revision: Revision(version),
+                    declaration: stored.declaration,
+                }];
+                state.apply(Fence::default(), &CommandBatch { commands });
+            }
+            _ => return,
+        }
         self.founding.lost_since = None;
         self.write_founding(version, record.generation.next(), state);
     }
 }
+
+/// Whether the voters that are not `out` are less than a majority.
+fn is_blocked(voters: &BTreeSet<Member>, out: &dyn Fn(&Member) -> bool) -> bool {
+    let left = voters.iter().filter(|member| !out(member)).count();
+    left < voters.len() / 2 + 1
+}
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -53,6 +53,7 @@
         self.raft = Some(Raft::new(config, self.config.me, snapshot, self.now));
         self.raft_generation = generation;
         self.leadership = None;
+        self.founding.restart_search();
     }
 
     /// Replaces the state by that of a generation, or a later one of the same.
--- a/crates/control/src/key_value.rs
+++ b/crates/control/src/key_value.rs
@@ -13,6 +13,7 @@
             Purpose::ReadFounding => self.on_founding_read(result),
             Purpose::WriteFounding => self.on_founding_written(),
             Purpose::ReadCheckpointToFound => self.on_checkpoint_to_found(result),
+            Purpose::ReadConfigurationToFound => self.on_configuration_to_found(result),
             Purpose::Leader(purpose) => self.on_leader_key_value(purpose, result),
         }
     }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -74,6 +74,8 @@
     pub generation: Generation,
     /// Last index of the state that it has.
     pub applied: LogIndex,
+    /// Highest generation in whose log it will take no part any more.
+    pub abandoned: Generation,
     /// Its clock; returned in the leader's answer.
     pub sent_at: Time,
     /// Whether it is stopping.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -1,6 +1,6 @@
 //! What a node has heard of others directly.
 
-use beamtray_types::{Member, NodeId, Time, Zone};
+use beamtray_types::{Generation, LogIndex, Member, NodeId, Time, Zone};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -11,6 +11,9 @@
     pub(crate) zone: Zone,
     pub(crate) at: Time,
     pub(crate) leaving: bool,
+    pub(crate) generation: Generation,
+    pub(crate) applied: LogIndex,
+    pub(crate) abandoned: Generation,
 }
 
 /// The latest report of each node.
--- a/crates/control/src/placing.rs
+++ b/crates/control/src/placing.rs
@@ -227,7 +227,8 @@
         (available, silent)
     }
 
-    /// Takes back the slices of servers whose grants lapsed in silence.
+    /// Takes back the slices of servers that are silent and whose grants lapsed,
+    /// or that are leaving.
     fn revoke_from_lost(&mut self, service: &ServiceDeclaration) -> Vec<Command> {
         let now = self.now;
         let patience = Duration::from_millis(service.reassign_after_millis);
@@ -236,7 +237,13 @@
         else {
             return Vec::new();
         };
+        let settled = now.since(leadership.started) >= MEETING_TIME;
         let lost = |server: &ServerName| {
+            // Nobody is served by a server that leaves and has no grant.
+            let leaves = self.config.guards.drains && self.state.is_leaving(server);
+            if settled && leaves && !leadership.granter.is_granted(now, server) {
+                return true;
+            }
             let unknown = service.servers.iter().all(|known| known.name != *server);
             let lapsed = leadership.granter.lapsed_since(now, server);
             unknown || lapsed.is_some_and(|since| now.since(since) >= patience)
--- a/crates/control/src/voters.rs
+++ b/crates/control/src/voters.rs
@@ -19,6 +19,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Silence after which a voter counts as lost.
 const VOTER_PATIENCE: Duration = Duration::from_secs(4);
+/// A member that answered within this time is in touch.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(600);
 /// A learner this close to the leader's log may get a vote.
 const CAUGHT_UP_ENTRIES: u64 = 16;
 
@@ -146,11 +148,12 @@
         let mut next = membership.voters.clone();
         let ready = membership.learners.iter().find(|member| {
             let matched = raft.matched(**member).map_or(0, |index| index.0);
-            matched + CAUGHT_UP_ENTRIES >= raft.commit().0
+            let near = matched > 0 && matched + CAUGHT_UP_ENTRIES >= raft.commit().0;
+            near && self.answers(**member)
         });
         if let Some(member) = ready.filter(|_| healthy < self.config.voters) {
             next.insert(*member);
-            return Some(next);
+            return Some(next).filter(|next| self.has_answering_majority(next));
         }
         let removable = failing
             .into_iter()
@@ -165,7 +168,23 @@
             return None;
         }
         next.remove(&removable);
-        Some(next)
+        Some(next).filter(|next| self.has_answering_majority(next))
+    }
+
+    /// Whether a member answered the log's leader just now.
+    fn answers(&self, member: Member) -> bool {
+        let answered = self.raft.as_ref().and_then(|raft| raft.last_answer(member));
+        member == self.config.me || answered.is_some_and(|at| self.now.since(at) < ANSWER_PATIENCE)
+    }
+
+    /// Whether a change would leave a majority that answers. One that does not
+    /// could never be committed, and the group would stand still.
+    fn has_answering_majority(&self, voters: &BTreeSet<Member>) -> bool {
+        let answering = voters
+            .iter()
+            .filter(|member| self.answers(**member))
+            .count();
+        answering > voters.len() / 2
     }
 
     /// Brings the founding record in line: with the wanted voters beside the
--- a/crates/ownership/src/granter.rs
+++ b/crates/ownership/src/granter.rs
@@ -87,6 +87,8 @@
     due: Time,
     /// When every grant sent so far has lapsed.
     lapses: Time,
+    /// When the latest grant of this leader lapses.
+    granted_until: Option<Time>,
     /// Before this a run that did not hold a grant must get none: another run
     /// of the same server may hold one.
     quiet_until: Time,
@@ -248,6 +250,12 @@
         (now >= lapsed).then_some(lapsed)
     }
 
+    /// Whether the server may act under an unexpired grant of this leader.
+    pub fn is_granted(&self, now: Time, server: &ServerName) -> bool {
+        let link = self.links.get(server);
+        link.is_some_and(|link| link.granted_until.is_some_and(|until| now < until))
+    }
+
     /// Whether the server answered within the last two renewals.
     pub fn is_answering(&self, now: Time, server: &ServerName) -> bool {
         self.links.get(server).is_some_and(|link| {
@@ -269,6 +277,7 @@
             sent_at: None,
             due: now,
             lapses: former_lapses,
+            granted_until: None,
             quiet_until: former_lapses,
             // Whatever earlier leaders granted is in force until the server
             // takes a set of this leader, or until it lapsed.
@@ -333,7 +342,9 @@
             .reading
             .filter(|_| may_grant)
             .map(|(reading, received)| {
-                self.lapses = self.lapses.max(received + config.grant_bound);
+                let lapses = received + config.grant_bound;
+                self.lapses = self.lapses.max(lapses);
+                self.granted_until = self.granted_until.max(Some(lapses));
                 reading + config.grant
             });
         let set = if self.acknowledged == self.sequence {
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -161,6 +161,10 @@
         server: &ServerName,
         outputs: &mut Vec<RouterOutput>,
     ) {
+        if !view.fresh {
+            // The server may have been drained since; what waits, waits on.
+            return;
+        }
         let is_gate = view.gates.get(server) == Some(view.me.node);
         let declared = view.state.declaration.server(server);
         // A back end that leaves gets nothing that waited either: its requests
--- a/crates/routing/src/ingress.rs
+++ b/crates/routing/src/ingress.rs
@@ -122,7 +122,7 @@
             let output = refuse(503, "this node is stopping", Some(RETRY_AFTER_STOP));
             return outputs.push(output);
         }
-        if !view.admits {
+        if !view.fresh {
             let reason = "this node is out of touch with its control group";
             return outputs.push(refuse(503, reason, Some(RETRY_AFTER_MOVE)));
         }
@@ -190,6 +190,10 @@
         let Some(service) = view.state.declaration.service(&pending.request.service) else {
             return self.give_up(id, 404, "the service is no longer declared", None, outputs);
         };
+        if !view.fresh {
+            // Old state may name a server that is drained or replaced.
+            return self.wait(now, view, service, id, REROUTE_PAUSE, outputs);
+        }
         let Some((server, fence)) = self.target(now, view, service, id) else {
             return self.wait(now, view, service, id, REROUTE_PAUSE, outputs);
         };
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -21,8 +21,8 @@
     pub state: &'a ControlState,
     /// The gates for that state.
     pub gates: &'a GateMap,
-    /// Whether the state is fresh enough to admit requests.
-    pub admits: bool,
+    /// Whether the state is fresh enough to act on.
+    pub fresh: bool,
 }
 
 /// Settings of a [`Router`].
--- a/crates/sim/src/check/mod.rs
+++ b/crates/sim/src/check/mod.rs
@@ -15,6 +15,8 @@
 mod sole_owner;
 mod survival;
 
+pub use survival::exposed;
+
 use crate::record::History;
 use serde::{Deserialize, Serialize};
 
--- a/crates/sim/src/check/sole_owner.rs
+++ b/crates/sim/src/check/sole_owner.rs
@@ -33,6 +33,7 @@
                 server,
                 until,
                 slices,
+                ..
             } => {
                 for slice in slices {
                     let previous = last_owner.insert(slice.range.first, *server);
--- a/crates/sim/src/record.rs
+++ b/crates/sim/src/record.rs
@@ -58,6 +58,8 @@
     Holds {
         /// The server's run.
         server: ServerRun,
+        /// Generation of the leader that granted.
+        generation: u64,
         /// The world's time at which the grant lapses.
         until: u64,
         /// The slices.
--- a/crates/sim/src/world/servers.rs
+++ b/crates/sim/src/world/servers.rs
@@ -224,6 +224,7 @@
             let server = self.servers[index].id(index);
             self.record(Record::Holds {
                 server,
+                generation: request.version.generation.0,
                 until,
                 slices,
             });
