Send nothing to an owner that the gate knows to be replaced

Change: a gate refuses a try whose slice is revoked or went on since; a new generation takes slices back from servers that leave before it begins.

--- a/crates/control/src/founding.rs
+++ b/crates/control/src/founding.rs
@@ -225,6 +225,7 @@
         let founders: BTreeSet<Member> =
             spread_over_zones(&candidates, count).into_iter().collect();
         state.applied = FOUNDING_INDEX;
+        state.revoke_from_leaving();
         let record = FoundingRecord {
             generation,
             voters: vec![founders.clone()],
--- a/crates/ownership/src/slices.rs
+++ b/crates/ownership/src/slices.rs
@@ -2,7 +2,7 @@
 
 use beamtray_types::{Fence, KeyHash, ServerName, SliceRange};
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Who may act for a slice.
 #[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -129,6 +129,21 @@
         self.slices.get_mut(&first)
     }
 
+    /// Begins to take back every slice that one of `servers` owns.
+    pub(crate) fn revoke_from(&mut self, servers: &BTreeSet<ServerName>) {
+        for slice in self.slices.values_mut() {
+            if let Ownership::Owned { server, fence } = &slice.ownership
+                && servers.contains(server)
+            {
+                slice.ownership = Ownership::Revoking {
+                    from: server.clone(),
+                    fence: *fence,
+                    to: None,
+                };
+            }
+        }
+    }
+
     /// Divides the slice at `first` so that its second part begins at `at`.
     pub(crate) fn split(&mut self, first: u64, at: u64) {
         let Some(slice) = self.slices.get_mut(&first) else {
--- a/crates/ownership/src/state.rs
+++ b/crates/ownership/src/state.rs
@@ -92,6 +92,20 @@
         grants
     }
 
+    /// Takes every slice back from servers that are to be emptied. For a
+    /// generation's first state: no grant is in force then, so nobody is cut
+    /// off, and no request needs to be sent to such a server any more.
+    pub fn revoke_from_leaving(&mut self) {
+        let leaving: BTreeSet<ServerName> = self
+            .grants()
+            .into_keys()
+            .filter(|server| self.is_leaving(server))
+            .collect();
+        for table in self.services.values_mut() {
+            table.revoke_from(&leaving);
+        }
+    }
+
     /// Applies the commands of one log entry under its fence.
     pub fn apply(&mut self, fence: Fence, batch: &CommandBatch) {
         self.applied = fence.index;
--- a/crates/routing/src/gate.rs
+++ b/crates/routing/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::load::LoadCounter;
 use crate::message::{AttemptId, CallId, Forward, NotRunReason, UpstreamOutcome};
 use crate::router::{RouterOutput, RoutingView};
+use beamtray_ownership::Ownership;
 use beamtray_settings::Division;
 use beamtray_types::{Incarnation, Member, NodeId, ServerName, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -188,6 +189,7 @@
             let reason = match declared {
                 None => Some(NotRunReason::NotGate),
                 Some(_) if now >= queued.expires => Some(NotRunReason::Expired),
+                Some(_) if is_outdated(view, &queued.forward) => Some(NotRunReason::NotOwner),
                 Some(_) => None,
             };
             if let Some(reason) = reason {
@@ -299,6 +301,22 @@
     }
 }
 
+/// Whether the slice of a try went to another owner, or is on its way, since
+/// its ingress looked. A gate whose view is the older one sends.
+fn is_outdated(view: &RoutingView, forward: &Forward) -> bool {
+    let (Some(hash), Some(fence)) = (forward.request.hash(), forward.fence) else {
+        return false;
+    };
+    let table = view.state.services.get(&forward.request.service);
+    let Some((_, slice)) = table.and_then(|table| table.find(hash)) else {
+        return false;
+    };
+    let newer = slice.ownership.fence().is_some_and(|known| known > fence);
+    let revoked = matches!(&slice.ownership, Ownership::Revoking { fence: known, .. }
+        if *known == fence);
+    newer || revoked
+}
+
 impl Upstream {
     fn sample(&mut self, service_time: Duration) {
         let seconds = service_time.as_secs_f64();
