--- a/crates/sim/src/explore.rs
+++ b/crates/sim/src/explore.rs
@@ -2,6 +2,7 @@
 
 use crate::check::{Point, check_all};
 use crate::fault::Fault;
+use crate::guard::Guard;
 use crate::record::History;
 use crate::scenario::Scenario;
 use crate::world::World;
@@ -22,6 +23,8 @@
     pub declaration: Option<Declaration>,
     /// Kinds of faults; empty takes none.
     pub faults: Vec<String>,
+    /// A protection to do without, to see who notices.
+    pub without: Option<Guard>,
     /// Threads; each runs whole worlds.
     pub threads: usize,
 }
@@ -58,7 +61,11 @@
                 .iter()
                 .any(|kind| kind == ALL_FAULTS || kind == fault.kind())
         };
-        Scenario::random(seed, self.declaration.clone(), &selected)
+        let mut scenario = Scenario::random(seed, self.declaration.clone(), &selected);
+        if let Some(guard) = self.without {
+            guard.remove_from(&mut scenario.guards);
+        }
+        scenario
     }
 
     /// Runs all seeds.
--- a/crates/sim/src/fault.rs
+++ b/crates/sim/src/fault.rs
@@ -55,6 +55,14 @@
         /// Starts again after this; never when absent.
         restart_millis: Option<u64>,
     },
+    /// A server's machine is cut off and replaced by another under the same
+    /// name and address; the old run may act until its grant lapses.
+    ReplaceServer {
+        /// The server.
+        server: usize,
+        /// The new run starts after this.
+        millis: u64,
+    },
     /// A server's process is frozen.
     PauseServer {
         /// The server.
@@ -161,6 +169,7 @@
             Fault::KillLeaderAndOwner { .. } => "kill-leader-and-owner",
             Fault::PauseLeader { .. } => "pause-leader",
             Fault::KillServer { .. } => "kill-server",
+            Fault::ReplaceServer { .. } => "replace-server",
             Fault::PauseServer { .. } => "pause-server",
             Fault::PauseOwner { .. } => "pause-owner",
             Fault::StopServer { .. } => "stop-server",
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod explore;
 pub mod fault;
+pub mod guard;
 pub mod record;
 pub mod replay;
 pub mod scenario;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -3,8 +3,9 @@
 use beamtray_settings::Declaration;
 use beamtray_sim::check::Point;
 use beamtray_sim::explore::{ALL_FAULTS, Exploration, Summary, violations};
+use beamtray_sim::guard::Guard;
 use beamtray_sim::world::World;
-use eyre::Result;
+use eyre::{Result, eyre};
 use gumdrop::Options;
 use std::process::ExitCode;
 
@@ -42,6 +43,8 @@
         default = "all"
     )]
     faults: String,
+    #[options(help = "do without this protection", no_short, meta = "GUARD")]
+    without: Option<String>,
     #[options(help = "threads", no_short, default = "8")]
     threads: usize,
     #[options(help = "print every event of the first seed", no_short)]
@@ -69,6 +72,10 @@
             "none" => Vec::new(),
             list => list.split(',').map(str::to_owned).collect(),
         },
+        without: match arguments.without.as_deref() {
+            None => None,
+            Some(name) => Some(Guard::named(name).ok_or_else(|| eyre!("no guard {name}"))?),
+        },
         threads: arguments.threads.max(1),
     };
     if arguments.verbose {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -270,7 +270,7 @@
     let long = rng.random_range(1_000..8_000);
     let restart = rng.random_range(300..3_000);
     let restart_millis = rng.random_bool(0.7).then_some(restart);
-    match rng.random_range(0..22) {
+    match rng.random_range(0..23) {
         0 => Fault::KillNode {
             node,
             restart_millis,
@@ -311,7 +311,14 @@
             both_ways: rng.random_bool(0.5),
             millis: short,
         },
-        13 => Fault::CutZone { zone, millis: long },
+        13 => Fault::CutZone {
+            zone,
+            millis: if rng.random_bool(0.3) {
+                rng.random_range(13_000..16_000)
+            } else {
+                long
+            },
+        },
         14 => Fault::CutServer {
             server,
             millis: short,
@@ -339,6 +346,10 @@
                 }
             }
         }
+        21 => Fault::ReplaceServer {
+            server,
+            millis: rng.random_range(50..1_000),
+        },
         _ => Fault::HotKey { key, millis: long },
     }
 }
--- a/crates/sim/src/world/faults.rs
+++ b/crates/sim/src/world/faults.rs
@@ -21,6 +21,7 @@
         Fault::PauseNode { millis, .. }
         | Fault::PauseLeader { millis, .. }
         | Fault::PauseServer { millis, .. }
+        | Fault::ReplaceServer { millis, .. }
         | Fault::PauseOwner { millis, .. }
         | Fault::CutZones { millis, .. }
         | Fault::CutZone { millis, .. }
@@ -87,6 +88,7 @@
                 server,
                 restart_millis,
             } => self.kill_server(server, restart_millis),
+            Fault::ReplaceServer { server, millis } => self.replace_server(server, millis),
             Fault::PauseServer { server, millis } => self.freeze_server(server, millis),
             Fault::PauseOwner { key, millis } => {
                 if let Some(server) = self.owner_of(&key) {
--- a/crates/sim/src/world/servers.rs
+++ b/crates/sim/src/world/servers.rs
@@ -513,9 +513,22 @@
             return;
         }
         let server = self.servers[index].id(index);
+        self.record(Record::ServerEnded { server });
+        self.disconnect_server(index);
+    }
+
+    /// Cuts a run off and starts another in its place. The old one is not
+    /// ended: for the record it holds its grants until they lapse.
+    pub(crate) fn replace_server(&mut self, index: usize, millis: u64) {
+        if self.servers[index].state == ProcessState::Running {
+            self.disconnect_server(index);
+            self.after(millis * 1_000, Happening::RestartServer { server: index });
+        }
+    }
+
+    fn disconnect_server(&mut self, index: usize) {
         self.servers[index].state = ProcessState::Dead;
         self.servers[index].held.clear();
-        self.record(Record::ServerEnded { server });
         let cut: Vec<u64> = self
             .exchanges
             .iter()
