Send changes of a declaration as steps; plan when something changed; scale run

Change: plans wait for news or 100 ms; steps instead of whole declarations; looking for a leader asks 8 nodes and the recorded voters, and reads of the record are spread by the size of the fleet.

--- a/crates/control/src/configure.rs
+++ b/crates/control/src/configure.rs
@@ -13,7 +13,7 @@
 use crate::plan::describe_changes;
 use beamtray_ownership::{Command, ConfigureOutcome};
 use beamtray_platform::{KeyValueRequest, KeyValueResult};
-use beamtray_settings::Declaration;
+use beamtray_settings::{Declaration, DeclarationChange};
 use beamtray_types::{Member, OperationId, Revision, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::BTreeMap;
@@ -184,11 +184,20 @@
         if revision <= known {
             return;
         }
+        // Steps lead away from the revision in force; with another one on its
+        // way the whole declaration goes.
+        let under_way = leadership.configuring.proposed > self.state.revision;
+        let changes = if under_way {
+            vec![DeclarationChange::Replace(stored.declaration)]
+        } else {
+            self.state.declaration.changes_to(&stored.declaration)
+        };
         leadership.configuring.proposed = revision;
         self.propose(vec![Command::Configure {
             operation: stored.operation,
             revision,
-            declaration: stored.declaration,
+            base: self.state.revision,
+            changes,
         }]);
     }
 
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -13,12 +13,16 @@
 use beamtray_consensus::Raft;
 use beamtray_ownership::ControlState;
 use beamtray_types::{Generation, LogIndex, Member, NodeId, Time};
+use rand::RngExt;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Between reports to a leader.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Between reports to everyone, while no leader answers.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(300);
+/// Nodes asked at once while no leader answers.
+const SEARCH_FANOUT: usize = 8;
 /// Without an answer for this long a node looks for a leader.
 pub(crate) const CONTACT_PATIENCE: Duration = Duration::from_millis(1_200);
 
@@ -51,12 +55,28 @@
             return self.report_to(leader.node);
         }
         self.hello_due = self.now + SEARCH_INTERVAL;
-        let peers: Vec<NodeId> = self.config.peers.iter().map(|peer| peer.node).collect();
-        for node in peers {
+        for node in self.search_targets() {
             self.report_to(node);
         }
     }
 
+    /// Whom to ask for a leader: the recorded voters and some others. In a
+    /// large fleet asking everyone would drown whoever leads.
+    fn search_targets(&mut self) -> BTreeSet<NodeId> {
+        let mut targets = self.founding.recorded_voters();
+        targets.remove(&self.config.me.node);
+        let peers = &self.config.peers;
+        if peers.len() <= SEARCH_FANOUT {
+            targets.extend(peers.iter().map(|peer| peer.node));
+            return targets;
+        }
+        for _ in 0..SEARCH_FANOUT {
+            let position = self.rng.random_range(0..peers.len());
+            targets.insert(peers[position].node);
+        }
+        targets
+    }
+
     fn report_to(&mut self, node: NodeId) {
         let is_leader = self
             .known_leader()
--- a/crates/control/src/founding.rs
+++ b/crates/control/src/founding.rs
@@ -21,7 +21,8 @@
 use crate::peers::spread_over_zones;
 use beamtray_ownership::{Command, CommandBatch, ControlState};
 use beamtray_platform::{KeyValueRequest, KeyValueResult, Machine, MachineState, machine_name};
-use beamtray_types::{Fence, Generation, GroupId, LogIndex, Member, Revision, Time, Zone};
+use beamtray_settings::DeclarationChange;
+use beamtray_types::{Fence, Generation, GroupId, LogIndex, Member, NodeId, Revision, Time, Zone};
 use borsh::{BorshDeserialize, BorshSerialize};
 use rand::RngExt;
 use std::collections::BTreeSet;
@@ -31,6 +32,9 @@
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 /// Random addition to it, so that nodes do not read in step.
 const READ_JITTER_MILLIS: u64 = 500;
+/// The same per node of the fleet, which keeps all of them together under the
+/// service's rate.
+const READ_JITTER_PER_NODE_MILLIS: u64 = 25;
 /// A node counts as live for founding when it reported within this time.
 const LIVE_PATIENCE: Duration = Duration::from_secs(3);
 /// How long a voter is without a leader before it abandons its generation.
@@ -123,6 +127,12 @@
         }
     }
 
+    /// Nodes of the voters in the record as last read.
+    pub(crate) fn recorded_voters(&self) -> BTreeSet<NodeId> {
+        let record = self.record.iter().flat_map(|(_, record)| &record.voters);
+        record.flatten().map(|member| member.node).collect()
+    }
+
     pub(crate) fn read_soon(&mut self, now: Time) {
         self.read_due = self.read_due.min(now);
         self.told = true;
@@ -170,7 +180,8 @@
         }
         if self.now >= self.founding.read_due && !self.is_calling(&Purpose::ReadFounding) {
             self.founding.told = false;
-            let jitter = self.rng.random_range(0..READ_JITTER_MILLIS);
+            let crowd = self.config.peers.len() as u64 * READ_JITTER_PER_NODE_MILLIS;
+            let jitter = self.rng.random_range(0..READ_JITTER_MILLIS.max(crowd));
             self.founding.read_due = self.now + READ_INTERVAL + Duration::from_millis(jitter);
             let key = founding_key(self.config.group);
             self.call_key_value(Purpose::ReadFounding, KeyValueRequest::Get { key });
@@ -413,7 +424,8 @@
                 let commands = vec![Command::Configure {
                     operation: stored.operation,
                     revision: Revision(version),
-                    declaration: stored.declaration,
+                    base: state.revision,
+                    changes: vec![DeclarationChange::Replace(stored.declaration)],
                 }];
                 state.apply(Fence::default(), &CommandBatch { commands });
             }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -23,6 +23,8 @@
 const REMEMBERED_ENTRIES: usize = 1_024;
 /// Between readings of the machine list.
 const MACHINES_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Between looks at what might be changed.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Between plans for balance.
 const BALANCE_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -50,6 +52,8 @@
     pushed: Option<LogIndex>,
     /// Plans wait until what was proposed last is applied.
     planned_until: LogIndex,
+    /// Next look at what might be changed when nothing calls for one.
+    pub(crate) plan_due: Time,
     balance_due: Time,
     machines_due: Time,
     leaving: BTreeSet<ServerName>,
@@ -82,6 +86,7 @@
             recent: VecDeque::new(),
             pushed: None,
             planned_until: LogIndex(0),
+            plan_due: elected_at,
             balance_due: elected_at + BALANCE_INTERVAL,
             machines_due: elected_at,
             leaving: BTreeSet::new(),
@@ -194,9 +199,10 @@
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        if self.state.applied < leadership.planned_until {
+        if self.state.applied < leadership.planned_until || now < leadership.plan_due {
             return;
         }
+        leadership.plan_due = now + PLAN_INTERVAL;
         let balance = now >= leadership.balance_due;
         if balance {
             leadership.balance_due = now + BALANCE_INTERVAL;
@@ -270,6 +276,9 @@
             return;
         }
         self.push_feed();
+        if let Some(leadership) = &mut self.leadership {
+            leadership.plan_due = self.now;
+        }
         self.adapt_grants();
         if self.has_lease() {
             self.send_grants();
@@ -311,11 +320,15 @@
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        match reply {
+        let news = match reply {
             Some(reply) => leadership.granter.handle(now, server, &reply, has_lease),
-            None => leadership.granter.failed(server),
-        }
-        if has_lease {
+            None => {
+                leadership.granter.failed(server);
+                false
+            }
+        };
+        if has_lease && news {
+            leadership.plan_due = now;
             self.plan_changes();
             self.send_grants();
         }
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -3,7 +3,7 @@
 use crate::placing::{Loads, PLANNING_POLICY, slice_loads};
 use beamtray_ownership::{Command, CommandBatch, ControlState, Ownership, SliceTable};
 use beamtray_placement::{Change, PlacementInput, imbalance, plan};
-use beamtray_settings::{Declaration, Division, ServiceDeclaration};
+use beamtray_settings::{Declaration, DeclarationChange, Division, ServiceDeclaration};
 use beamtray_types::{Fence, OperationId, ServerName};
 use borsh::{BorshDeserialize, BorshSerialize};
 use serde::{Deserialize, Serialize};
@@ -56,7 +56,8 @@
     let configure = Command::Configure {
         operation: OperationId(0),
         revision: beamtray_types::Revision(state.revision.0 + 1),
-        declaration: declaration.clone(),
+        base: state.revision,
+        changes: vec![DeclarationChange::Replace(declaration.clone())],
     };
     let commands = vec![configure];
     next.apply(Fence::default(), &CommandBatch { commands });
--- a/crates/ownership/src/command.rs
+++ b/crates/ownership/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands of the replicated log.
 
 use crate::state::NodeRecord;
-use beamtray_settings::Declaration;
+use beamtray_settings::DeclarationChange;
 use beamtray_types::{Fence, NodeId, OperationId, Revision, ServerName, ServiceName};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,8 +16,10 @@
         operation: OperationId,
         /// Revision that the declaration has.
         revision: Revision,
-        /// The declaration.
-        declaration: Declaration,
+        /// Revision that the steps lead away from.
+        base: Revision,
+        /// The steps.
+        changes: Vec<DeclarationChange>,
     },
     /// Gives a slice to a server. Proposed only after the owner that
     /// `expected` names has released it or can no longer act.
--- a/crates/ownership/src/granter.rs
+++ b/crates/ownership/src/granter.rs
@@ -179,20 +179,31 @@
             .collect()
     }
 
-    /// Takes a server's reply. A reading counts only when the leader's lease
+    /// Takes a server's reply; whether it may allow what was not possible
+    /// before: slices were released, or the server was silent. A reading counts only when the leader's lease
     /// is valid as it arrives: this bounds what a leader that is paused and
     /// replaced can still send, to grants that lapse before its successor
     /// stops waiting.
-    pub fn handle(&mut self, now: Time, server: &ServerName, reply: &GrantReply, has_lease: bool) {
+    pub fn handle(
+        &mut self,
+        now: Time,
+        server: &ServerName,
+        reply: &GrantReply,
+        has_lease: bool,
+    ) -> bool {
         let guards = self.config.guards;
         let ours = (self.generation, self.term);
         let Some(link) = self.links.get_mut(server) else {
-            return;
+            return false;
         };
         link.sent_at = None;
         if !has_lease {
-            return;
+            return false;
         }
+        let was_silent = link
+            .last_reply
+            .is_none_or(|heard| now.since(heard) >= self.config.renewal * 2);
+        let waiting = link.removed.len();
         if link.incarnation != Some(reply.incarnation) {
             // A state from before this generation may have missed the latest
             // assignments, so only grants of this generation are continued.
@@ -210,6 +221,7 @@
         if (reply.version.generation, reply.version.term) == ours {
             link.acknowledge(reply, guards.waits_for_release);
         }
+        was_silent || link.removed.len() < waiting
     }
 
     /// Notes that a message got no answer.
--- a/crates/ownership/src/state.rs
+++ b/crates/ownership/src/state.rs
@@ -3,7 +3,7 @@
 use crate::command::{Command, CommandBatch};
 use crate::grant::GrantedSlice;
 use crate::slices::{Ownership, SliceTable};
-use beamtray_settings::{Declaration, Division};
+use beamtray_settings::{Declaration, DeclarationChange, Division};
 use beamtray_types::{
     Fence, Incarnation, LogIndex, NodeId, OperationId, Revision, ServerName, ServiceName, Zone,
 };
@@ -119,8 +119,9 @@
             Command::Configure {
                 operation,
                 revision,
-                declaration,
-            } => self.configure(*operation, *revision, declaration),
+                base,
+                changes,
+            } => self.configure(*operation, *revision, *base, changes),
             Command::Assign {
                 service,
                 first,
@@ -192,15 +193,26 @@
 
     /// Revisions only rise: an older declaration that arrives late changes
     /// nothing.
-    fn configure(&mut self, operation: OperationId, revision: Revision, declaration: &Declaration) {
+    fn configure(
+        &mut self,
+        operation: OperationId,
+        revision: Revision,
+        base: Revision,
+        changes: &[DeclarationChange],
+    ) {
         if self.operation(operation).is_some() {
             return;
         }
+        let whole = matches!(changes, [DeclarationChange::Replace(_)]);
+        if revision > self.revision && base != self.revision && !whole {
+            // Steps from another revision; the leader proposes them anew.
+            return;
+        }
         let outcome = if revision <= self.revision {
             ConfigureOutcome::Superseded(self.revision)
         } else {
             self.revision = revision;
-            self.declaration = declaration.clone();
+            self.declaration = self.declaration.with(changes);
             self.found_services();
             ConfigureOutcome::InForce(revision)
         };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,10 +3,12 @@
 //!
 //! Every error names the file, the field and what is allowed.
 
+mod change;
 mod declaration;
 mod error;
 mod node;
 
+pub use change::DeclarationChange;
 pub use declaration::{
     Declaration, Division, MAX_SERVERS, MAX_SLICES_PER_SERVER, RequestRule, ServerDeclaration,
     ServiceDeclaration,
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod guard;
 pub mod record;
 pub mod replay;
+pub mod scale;
 pub mod scenario;
 pub mod world;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -4,6 +4,7 @@
 use beamtray_sim::check::Point;
 use beamtray_sim::explore::{ALL_FAULTS, Exploration, Summary, violations};
 use beamtray_sim::guard::Guard;
+use beamtray_sim::scale::{ScaleReport, ScaleRun};
 use beamtray_sim::world::World;
 use eyre::{Result, eyre};
 use gumdrop::Options;
@@ -21,6 +22,32 @@
 enum Command {
     #[options(help = "run histories from many seeds and check them")]
     Explore(ExploreArguments),
+    #[options(help = "measure what control costs many nodes")]
+    Scale(ScaleArguments),
+}
+
+#[derive(Debug, Options)]
+struct ScaleArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "numbers of nodes, with commas",
+        no_short,
+        default = "23,69,230"
+    )]
+    nodes: String,
+    #[options(help = "keys in use", no_short, default = "440000000")]
+    keys: u64,
+    #[options(
+        help = "requests per second sent through the world",
+        no_short,
+        default = "2000"
+    )]
+    rate: u32,
+    #[options(help = "seed", no_short, default = "1")]
+    seed: u64,
+    #[options(help = "print JSON")]
+    json: bool,
 }
 
 #[derive(Debug, Options)]
@@ -55,6 +82,7 @@
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
         Some(Command::Explore(arguments)) => explore(arguments),
+        Some(Command::Scale(arguments)) => scale(&arguments),
         None => {
             eprintln!("name a command; --help lists them");
             Ok(ExitCode::from(2))
@@ -62,6 +90,51 @@
     }
 }
 
+fn scale(arguments: &ScaleArguments) -> Result<ExitCode> {
+    for nodes in arguments.nodes.split(',') {
+        let run = ScaleRun {
+            nodes: nodes.parse()?,
+            keys: arguments.keys,
+            rate: arguments.rate,
+            seed: arguments.seed,
+        };
+        let report = run.run();
+        if arguments.json {
+            println!("{}", serde_json::to_string(&report)?);
+        } else {
+            print_scale(&report);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_scale(report: &ScaleReport) {
+    println!(
+        "nodes {} slices {} state {} B, resident per node {} KB",
+        report.nodes,
+        report.slices,
+        report.state_bytes,
+        report.resident_bytes_per_node / 1_024
+    );
+    for role in &report.roles {
+        println!(
+            "  {:<17} x{:<4} {:>9.1} messages/s {:>11.0} B/s (grants {:.0}, views {:.0}, log {:.0}) {:>6.2}% of a core",
+            role.role,
+            role.nodes,
+            role.messages,
+            role.bytes,
+            role.grant_bytes,
+            role.view_bytes,
+            role.log_bytes,
+            role.processor_percent
+        );
+    }
+    println!(
+        "  a change of configuration: {} B in all, in force everywhere after {:?} ms; keys of a lost server granted again after {:?} ms",
+        report.change_bytes, report.change_millis, report.recovery_millis
+    );
+}
+
 fn explore(arguments: ExploreArguments) -> Result<ExitCode> {
     let declaration = arguments.deployment.as_deref().map(Declaration::load);
     let exploration = Exploration {
--- a/crates/sim/src/world/callers.rs
+++ b/crates/sim/src/world/callers.rs
@@ -35,6 +35,7 @@
     keyed: Vec<ServiceName>,
     pools: Vec<ServiceName>,
     pub(crate) hot_key: Option<String>,
+    pub(crate) probing: bool,
 }
 
 /// What a caller asks for.
@@ -65,6 +66,7 @@
             keyed: of(Division::Keyed),
             pools: of(Division::Pool),
             hot_key: None,
+            probing: true,
         }
     }
 }
@@ -149,6 +151,9 @@
 
     /// Asks every node which configuration is in force.
     pub(crate) fn send_probes(&mut self) {
+        if !self.callers.probing {
+            return;
+        }
         if self.now + 2_000_000 < self.history.end {
             self.after(PROBE_MICROS, Happening::Probe);
         }
--- a/crates/sim/src/world/nodes.rs
+++ b/crates/sim/src/world/nodes.rs
@@ -157,12 +157,16 @@
         let Some(actor) = &self.nodes[index].actor else {
             return Vec::new();
         };
+        let started = self.meter.on.then(std::time::Instant::now);
         let stakker = &mut self.stakker;
         // Moves the clock before the call is queued, so that the actor sees
         // this moment.
         stakker.run(now, false);
         call!([actor, stakker], input(input));
         stakker.run(now, false);
+        if let Some(started) = started {
+            self.meter.step(index, started.elapsed());
+        }
         let outputs = std::mem::take(&mut *self.sink.borrow_mut());
         outputs.into_iter().map(|(_, _, output)| output).collect()
     }
@@ -211,7 +215,11 @@
             }
             return;
         }
+        let sender = from;
         let from = self.nodes[from].member;
+        if !copies.is_empty() {
+            self.meter.peer(sender, to, from, &message);
+        }
         for delay in copies {
             let message = message.clone();
             self.after(delay, Happening::Peer { from, to, message });
--- a/crates/sim/src/world/servers.rs
+++ b/crates/sim/src/world/servers.rs
@@ -141,6 +141,7 @@
 
     pub(crate) fn send_grant(&mut self, node: usize, grant: PendingGrant) {
         let run = self.nodes[node].run;
+        self.meter.grant(node, &grant.request);
         let found = self.servers.iter().position(|s| s.address == grant.address);
         let Some(server) = found else { return };
         let name = grant.server.clone();
@@ -246,6 +247,7 @@
         let in_time = |delay: &u64| self.now + delay < sent + GRANT_TIMEOUT_MICROS;
         match delay.filter(in_time).filter(|_| reachable) {
             Some(delay) => {
+                self.meter.grant_reply(node, &reply);
                 let server = self.servers[index].name.clone();
                 let reply = Some(reply);
                 let input = Input::Grant { server, reply };
