Place nothing before the servers answered; leave alone what chance explains

Cause: at 230 nodes the leader sent 2.1 MB/s. Found: the first server to answer was given every slice, and the moves that followed went to every node. Ruled out: noise of the load (leaving it alone changed nothing here, and stays for its own sake), the list of nodes (now sent by difference).

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -230,10 +230,12 @@
         }
     }
 
-    /// The live nodes, when they differ from those listed.
-    fn node_changes(&self) -> Option<Command> {
+    /// The nodes that differ from those listed.
+    fn node_changes(&self) -> Vec<Command> {
         let now = self.now;
-        let leadership = self.leadership.as_ref()?;
+        let Some(leadership) = &self.leadership else {
+            return Vec::new();
+        };
         let live = leadership
             .nodes
             .iter()
@@ -255,7 +257,20 @@
                 }
             }
         }
-        (nodes != self.state.nodes).then_some(Command::SetNodes { nodes })
+        let listed = &self.state.nodes;
+        let gone = listed.keys().filter(|node| !nodes.contains_key(node));
+        let gone = gone.map(|node| Command::SetNode {
+            node: *node,
+            record: None,
+        });
+        let new = nodes
+            .iter()
+            .filter(|(node, record)| listed.get(node) != Some(record));
+        let new = new.map(|(node, record)| Command::SetNode {
+            node: *node,
+            record: Some(record.clone()),
+        });
+        gone.chain(new).collect()
     }
 
     fn leaving_changes(&self) -> Option<Command> {
--- a/crates/control/src/placing.rs
+++ b/crates/control/src/placing.rs
@@ -16,8 +16,8 @@
 const LOAD_WEIGHT: f64 = 0.4;
 /// Rates below this are forgotten.
 const LEAST_RATE: f64 = 0.01;
-/// After an election nothing is placed on the strength of silence before
-/// servers had this long to answer.
+/// Servers that are asked for the first time have this long to answer before
+/// anything is placed on the strength of their silence.
 const MEETING_TIME: Duration = Duration::from_millis(400);
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -181,8 +181,12 @@
         let now = self.now;
         let granter = &leadership.granter;
         let (available, keeping) = self.usable_servers(service, granter);
-        let settled = now.since(leadership.started) >= MEETING_TIME;
-        if available.is_empty() || !settled {
+        // Were the first server to answer alone in being available, it would
+        // be given everything.
+        let awaited = keeping
+            .iter()
+            .any(|name| granter.is_awaited(now, name, MEETING_TIME));
+        if available.is_empty() || awaited {
             return commands;
         }
         let Some(table) = self.state.services.get(&service.name) else {
--- a/crates/ownership/src/command.rs
+++ b/crates/ownership/src/command.rs
@@ -4,7 +4,7 @@
 use beamtray_settings::DeclarationChange;
 use beamtray_types::{Fence, NodeId, OperationId, Revision, ServerName, ServiceName};
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// One change of the control state. A command whose expectation no longer
 /// holds when it is applied changes nothing.
@@ -74,10 +74,12 @@
         /// The service.
         service: ServiceName,
     },
-    /// Replaces the list of live nodes.
-    SetNodes {
-        /// The nodes.
-        nodes: BTreeMap<NodeId, NodeRecord>,
+    /// Lists a node as live, or no longer.
+    SetNode {
+        /// The node.
+        node: NodeId,
+        /// Its run; none when it is not live.
+        record: Option<NodeRecord>,
     },
     /// Replaces the list of servers on machines that are leaving.
     SetLeaving {
--- a/crates/ownership/src/granter.rs
+++ b/crates/ownership/src/granter.rs
@@ -262,6 +262,14 @@
         (now >= lapsed).then_some(lapsed)
     }
 
+    /// Whether the server was first asked within `patience` and has not
+    /// answered yet.
+    pub fn is_awaited(&self, now: Time, server: &ServerName, patience: Duration) -> bool {
+        self.links
+            .get(server)
+            .is_some_and(|link| link.last_reply.is_none() && now.since(link.created) < patience)
+    }
+
     /// Whether the server may act under an unexpired grant of this leader.
     pub fn is_granted(&self, now: Time, server: &ServerName) -> bool {
         let link = self.links.get(server);
--- a/crates/ownership/src/state.rs
+++ b/crates/ownership/src/state.rs
@@ -168,7 +168,12 @@
                 }
             }
             Command::DropService { service } => self.drop_service(service),
-            Command::SetNodes { nodes } => self.nodes = nodes.clone(),
+            Command::SetNode { node, record } => {
+                match record {
+                    Some(record) => self.nodes.insert(*node, record.clone()),
+                    None => self.nodes.remove(node),
+                };
+            }
             Command::SetLeaving { servers } => self.leaving = servers.clone(),
         }
     }
--- a/crates/placement/src/balance.rs
+++ b/crates/placement/src/balance.rs
@@ -15,6 +15,8 @@
 const LOAD_PART: f64 = 0.9;
 /// Excess over the mean below which a server is left alone.
 const TOLERATED_EXCESS: f64 = 0.08;
+/// Seconds of requests that a rate is averaged over, about.
+const RATE_MEMORY_SECONDS: f64 = 4.0;
 /// Moves for balance that may be under way, per four servers.
 const SERVERS_PER_MOVE: usize = 4;
 /// Moves for emptying a server that may be under way, per server.
@@ -62,6 +64,8 @@
     weights: Vec<f64>,
     totals: BTreeMap<&'a ServerName, f64>,
     moves_under_way: usize,
+    /// Excess over the mean that is left alone.
+    tolerated: f64,
     changes: Vec<Change>,
 }
 
@@ -88,6 +92,7 @@
             input,
             weights,
             totals,
+            tolerated: tolerated_excess(rate, servers),
             moves_under_way: input.slices.iter().filter(|slice| slice.moving).count(),
             changes: Vec::new(),
         }
@@ -157,7 +162,7 @@
                 return;
             };
             let least = self.totals[lightest];
-            if most < 1.0 + TOLERATED_EXCESS {
+            if most < 1.0 + self.tolerated {
                 return;
             }
             let candidate = self.best_move(heaviest, most, least, &moved);
@@ -272,6 +277,19 @@
     }
 }
 
+/// The excess that is left alone: what chance alone would show on the busiest
+/// of so many servers costs moves and gains nothing. `rate` is that of the
+/// whole service, per second.
+fn tolerated_excess(rate: f64, servers: f64) -> f64 {
+    let counted = rate / servers * RATE_MEMORY_SECONDS;
+    if counted <= 0.0 {
+        return TOLERATED_EXCESS;
+    }
+    // The largest of n normal draws lies about this many deviations out.
+    let deviations = 1.0 + (2.0 * servers.max(1.0).ln()).sqrt();
+    TOLERATED_EXCESS.max(LOAD_PART * deviations / counted.sqrt())
+}
+
 /// Where to divide a slice: around its hot hash, so that the hash ends up in a
 /// slice of its own, or else in the middle.
 fn split_point(slice: &SliceLoad) -> Option<u64> {
