Measure imbalance, churn and unavailable time against ring and modulo

Cause: nothing argued for the placement. Found and mended on the way: an owner with requests in flight was asked for its slices again only at the next renewal, so planned moves took 421 ms; tries refused for their owner came back every 20 ms.

--- a/crates/ownership/src/granter.rs
+++ b/crates/ownership/src/granter.rs
@@ -71,6 +71,8 @@
 
 /// Number of a link's first set; 0 stands for none acknowledged.
 const FIRST_SEQUENCE: u64 = 1;
+/// Between questions whether requests in flight on revoked slices have ended.
+const RELEASE_POLL: Duration = Duration::from_millis(10);
 /// How long a lapsed removal is remembered. Long past the longest grant.
 const REMOVED_MEMORY: Duration = Duration::from_secs(60);
 
@@ -220,6 +222,10 @@
         }
         if (reply.version.generation, reply.version.term) == ours {
             link.acknowledge(reply, guards.waits_for_release);
+            if link.is_releasing() {
+                // Requests are in flight on slices that someone waits for.
+                link.due = link.due.min(now + RELEASE_POLL);
+            }
         }
         was_silent || link.removed.len() < waiting
     }
@@ -406,6 +412,14 @@
         self.due = now.min(self.due);
     }
 
+    /// Whether the server took a set without some slices and still has
+    /// requests in flight on them.
+    fn is_releasing(&self) -> bool {
+        self.removed
+            .iter()
+            .any(|removed| !removed.released && self.acknowledged >= removed.sequence)
+    }
+
     fn acknowledge(&mut self, reply: &GrantReply, waits_for_release: bool) {
         let sequence = reply.version.index.0;
         self.acknowledged = self.acknowledged.max(sequence);
--- a/crates/routing/src/ingress.rs
+++ b/crates/routing/src/ingress.rs
@@ -20,6 +20,8 @@
 /// Pause before a try that was refused for its owner or gate is made again,
 /// unless a new view comes first.
 const REROUTE_PAUSE: Duration = Duration::from_millis(20);
+/// The pause doubles at most this often.
+const MAX_REROUTE_DOUBLINGS: u32 = 3;
 /// Pause before an upstream that could not be reached is tried again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a try may stay out after its slice went to another owner. A
@@ -62,6 +64,8 @@
     deadline: Time,
     /// Whether a try before the present stage may have run.
     may_have_run: bool,
+    /// Refusals in a row for owner or gate.
+    rerouted: u32,
     stage: Stage,
 }
 
@@ -151,6 +155,7 @@
             repeatable,
             deadline,
             may_have_run: false,
+            rerouted: 0,
             stage: Stage::Waiting {
                 until: now,
                 view: 0,
@@ -345,7 +350,8 @@
     ) {
         match reason {
             NotRunReason::NotOwner | NotRunReason::NotGate => {
-                self.retry(now, view, id, REROUTE_PAUSE, outputs);
+                let pause = self.reroute_pause(id);
+                self.retry(now, view, id, pause, outputs);
             }
             NotRunReason::NotConnected => self.retry(now, view, id, RECONNECT_PAUSE, outputs),
             NotRunReason::Shed => {
@@ -367,6 +373,17 @@
         }
     }
 
+    /// Doubles with each refusal: a new view ends the pause at once, and
+    /// without one another try is unlikely to fare better.
+    fn reroute_pause(&mut self, id: RequestId) -> Duration {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return REROUTE_PAUSE;
+        };
+        let doublings = pending.rerouted.min(MAX_REROUTE_DOUBLINGS);
+        pending.rerouted += 1;
+        REROUTE_PAUSE * 2u32.pow(doublings)
+    }
+
     fn on_lost(
         &mut self,
         now: Time,
--- a/crates/sim/src/fault.rs
+++ b/crates/sim/src/fault.rs
@@ -149,6 +149,17 @@
         /// For how long.
         millis: u64,
     },
+    /// Some keys together rise to a share of the requests.
+    HotKeys {
+        /// How many; the last ones in use.
+        count: u32,
+        /// Their share in the end, in percent.
+        share_percent: u8,
+        /// How long the rise takes.
+        rise_millis: u64,
+        /// For how long in all.
+        millis: u64,
+    },
     /// One key takes most of the requests.
     HotKey {
         /// The key.
@@ -183,6 +194,7 @@
             Fault::OperatorRace => "operator-race",
             Fault::MachineLeaves { .. } => "machine-leaves",
             Fault::MachineListLies { .. } => "machine-list-lies",
+            Fault::HotKeys { .. } => "hot-keys",
             Fault::HotKey { .. } => "hot-key",
         }
     }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod explore;
 pub mod fault;
 pub mod guard;
+pub mod measure;
+pub mod plot;
 pub mod record;
 pub mod replay;
 pub mod scale;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -1,14 +1,19 @@
 //! `beamtray-sim`: see `beamtray-sim --help` and docs/PROOFS.md.
 
+use beamtray_placement::Policy;
 use beamtray_settings::Declaration;
 use beamtray_sim::check::Point;
 use beamtray_sim::explore::{ALL_FAULTS, Exploration, Summary, violations};
 use beamtray_sim::guard::Guard;
+use beamtray_sim::measure::{Kind, Measures, measure, policy_name};
+use beamtray_sim::plot::plot;
 use beamtray_sim::scale::{ScaleReport, ScaleRun};
 use beamtray_sim::world::World;
 use eyre::{Result, eyre};
 use gumdrop::Options;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::thread;
 
 #[derive(Debug, Options)]
 struct Arguments {
@@ -24,6 +29,24 @@
     Explore(ExploreArguments),
     #[options(help = "measure what control costs many nodes")]
     Scale(ScaleArguments),
+    #[options(help = "measure imbalance, churn and unavailable time")]
+    Measure(MeasureArguments),
+}
+
+#[derive(Debug, Options)]
+struct MeasureArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "declaration file", no_short, meta = "FILE", required)]
+    deployment: String,
+    #[options(help = "scenario (default: all)", no_short)]
+    scenario: Option<String>,
+    #[options(help = "beamtray, ring or modulo (default: all)", no_short)]
+    policy: Option<String>,
+    #[options(help = "seed", no_short, default = "1")]
+    seed: u64,
+    #[options(help = "folder for JSON and plots", no_short, meta = "DIR")]
+    out: Option<PathBuf>,
 }
 
 #[derive(Debug, Options)]
@@ -83,6 +106,7 @@
     match arguments.command {
         Some(Command::Explore(arguments)) => explore(arguments),
         Some(Command::Scale(arguments)) => scale(&arguments),
+        Some(Command::Measure(arguments)) => measure_all(&arguments),
         None => {
             eprintln!("name a command; --help lists them");
             Ok(ExitCode::from(2))
@@ -90,6 +114,79 @@
     }
 }
 
+fn measure_all(arguments: &MeasureArguments) -> Result<ExitCode> {
+    let declaration = Declaration::load(&arguments.deployment)?;
+    let name = Path::new(&arguments.deployment)
+        .file_stem()
+        .map_or(String::new(), |stem| stem.to_string_lossy().into_owned());
+    let kinds = match arguments.scenario.as_deref() {
+        None => Kind::ALL.to_vec(),
+        Some(name) => vec![Kind::named(name).ok_or_else(|| eyre!("no scenario {name}"))?],
+    };
+    let policies: Vec<Policy> = [Policy::Balanced, Policy::Ring, Policy::Modulo]
+        .into_iter()
+        .filter(|policy| {
+            let wanted = arguments.policy.as_deref();
+            wanted.is_none_or(|wanted| wanted == policy_name(*policy))
+        })
+        .collect();
+    let jobs: Vec<(Kind, Policy)> = kinds
+        .iter()
+        .flat_map(|kind| policies.iter().map(move |policy| (*kind, *policy)))
+        .collect();
+    let results: Vec<Measures> = thread::scope(|scope| {
+        let declaration = &declaration;
+        let seed = arguments.seed;
+        let running: Vec<_> = jobs
+            .iter()
+            .map(|(kind, policy)| scope.spawn(move || measure(declaration, *kind, *policy, seed)))
+            .collect();
+        running
+            .into_iter()
+            .filter_map(|job| job.join().ok())
+            .collect()
+    });
+    println!(
+        "{name}, seed {}: load and keys are max/mean; churn in shares of all keys; times in ms",
+        arguments.seed
+    );
+    println!(
+        "scenario         policy     load  p99   keys  churn  gap-longest gap-p99 planned  not-run unknown retries  p50   p99"
+    );
+    for result in &results {
+        print_measures(result);
+    }
+    if let Some(folder) = &arguments.out {
+        std::fs::create_dir_all(folder)?;
+        let file = folder.join(format!("{name}.json"));
+        std::fs::write(file, serde_json::to_string_pretty(&results)?)?;
+        for result in &results {
+            plot(result, folder, &name)?;
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_measures(result: &Measures) {
+    println!(
+        "{:<16} {:<9} {:>5.2} {:>5.2} {:>5.2} {:>6.3} {:>12.0} {:>7.0} {:>7.1} {:>8} {:>7} {:>7} {:>5.1} {:>6.1}",
+        result.scenario,
+        result.policy,
+        result.load_imbalance,
+        result.load_imbalance_p99,
+        result.key_imbalance,
+        result.churn,
+        result.unavailable_longest_millis,
+        result.unavailable_p99_millis,
+        result.planned_gap_millis,
+        result.not_run,
+        result.unknown,
+        result.retries,
+        result.latency_p50_millis,
+        result.latency_p99_millis,
+    );
+}
+
 fn scale(arguments: &ScaleArguments) -> Result<ExitCode> {
     for nodes in arguments.nodes.split(',') {
         let run = ScaleRun {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -79,6 +79,8 @@
     pub near_micros: u64,
     /// Delay between zones, in microseconds one way.
     pub far_micros: u64,
+    /// Share of grants that the network holds up for up to 3 s.
+    pub held_up_share: f64,
     /// Mean time that a request runs at a server, in microseconds.
     pub service_micros: u64,
     /// What operators declare first.
@@ -104,6 +106,7 @@
 /// Faults begin after this, in milliseconds.
 pub const FAULTS_FROM_MILLIS: u64 = 6_000;
 const FAULTS_SPAN_MILLIS: u64 = 12_000;
+const HELD_UP_SHARE: f64 = 0.005;
 
 const SMALL_DEPLOYMENT: &str = r#"
 [[service]]
@@ -176,6 +179,7 @@
             zones: 3,
             near_micros: 200,
             far_micros: 1_000,
+            held_up_share: 0.0,
             service_micros: 3_000,
             declaration: declaration.unwrap_or_else(small),
             faults: Vec::new(),
@@ -199,6 +203,7 @@
         selected: &dyn Fn(&Fault) -> bool,
     ) -> Self {
         let mut scenario = Self::calm(seed, declaration);
+        scenario.held_up_share = HELD_UP_SHARE;
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5ca1_ab1e);
         let count = rng.random_range(3..=7);
         let shape = Shape {
--- a/crates/sim/src/world/callers.rs
+++ b/crates/sim/src/world/callers.rs
@@ -34,10 +34,39 @@
     cumulative: Vec<f64>,
     keyed: Vec<ServiceName>,
     pools: Vec<ServiceName>,
-    pub(crate) hot_key: Option<String>,
+    pub(crate) hot: Option<HotKeys>,
     pub(crate) probing: bool,
 }
 
+/// Keys that take a share of the requests together.
+#[derive(Clone, Debug)]
+pub(crate) struct HotKeys {
+    pub(crate) keys: Vec<String>,
+    pub(crate) share: f64,
+    pub(crate) from: u64,
+    pub(crate) rise: u64,
+}
+
+impl HotKeys {
+    /// One key that takes most of the requests from now on.
+    pub(crate) fn at_once(key: String) -> Self {
+        Self {
+            keys: vec![key],
+            share: HOT_SHARE,
+            from: 0,
+            rise: 0,
+        }
+    }
+
+    fn share_at(&self, now: u64) -> f64 {
+        let elapsed = now.saturating_sub(self.from);
+        if elapsed >= self.rise {
+            return self.share;
+        }
+        self.share * elapsed as f64 / self.rise as f64
+    }
+}
+
 /// What a caller asks for.
 struct Wanted {
     name: String,
@@ -65,7 +94,7 @@
             cumulative: zipf(scenario.load),
             keyed: of(Division::Keyed),
             pools: of(Division::Pool),
-            hot_key: None,
+            hot: None,
             probing: true,
         }
     }
@@ -89,10 +118,10 @@
 
 impl World {
     fn random_key(&mut self) -> String {
-        if let Some(key) = self.callers.hot_key.clone()
-            && self.rng.random_bool(HOT_SHARE)
+        if let Some(hot) = &self.callers.hot
+            && self.rng.random_bool(hot.share_at(self.now))
         {
-            return key;
+            return hot.keys[self.rng.random_range(0..hot.keys.len())].clone();
         }
         let draw: f64 = self.rng.random_range(0.0..1.0);
         let position = self
--- a/crates/sim/src/world/faults.rs
+++ b/crates/sim/src/world/faults.rs
@@ -1,5 +1,6 @@
 //! Making things fail.
 
+use super::callers::HotKeys;
 use super::nodes::{ProcessState, node_id};
 use super::{Happening, World};
 use crate::fault::{Fault, ScheduledFault};
@@ -31,6 +32,7 @@
         | Fault::KeyValueLosesReplies { millis }
         | Fault::BadNetwork { millis, .. }
         | Fault::MachineListLies { millis, .. }
+        | Fault::HotKeys { millis, .. }
         | Fault::HotKey { millis, .. } => *millis,
         // Drain, stop, start, fill: each confirmed by an operator.
         Fault::StopServer { .. } => 12_000,
@@ -156,8 +158,25 @@
                 self.set_machine(server, MachineState::Leaving);
                 self.after(millis * 1_000, machine(server, MachineState::Live));
             }
+            Fault::HotKeys {
+                count,
+                share_percent,
+                rise_millis,
+                millis,
+            } => {
+                let last = self.scenario.load.keys;
+                self.callers.hot = Some(HotKeys {
+                    keys: (last.saturating_sub(count)..last)
+                        .map(|key| format!("key-{key}"))
+                        .collect(),
+                    share: f64::from(share_percent) / 100.0,
+                    from: self.now,
+                    rise: rise_millis * 1_000,
+                });
+                self.after(millis * 1_000, Happening::HotKeyEnds);
+            }
             Fault::HotKey { key, millis } => {
-                self.callers.hot_key = Some(key);
+                self.callers.hot = Some(HotKeys::at_once(key));
                 self.after(millis * 1_000, Happening::HotKeyEnds);
             }
         }
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -362,7 +362,7 @@
             Happening::FillServer { server } => self.fill_server(server),
             Happening::MachineState { server, state } => self.set_machine(server, state),
             Happening::KeyValueMends => self.mend_key_value(),
-            Happening::HotKeyEnds => self.callers.hot_key = None,
+            Happening::HotKeyEnds => self.callers.hot = None,
             Happening::Last => self.send_last_requests(),
         }
     }
--- a/crates/sim/src/world/servers.rs
+++ b/crates/sim/src/world/servers.rs
@@ -164,7 +164,7 @@
             }
             Some(delay) => {
                 // Now and then a message is held up for long.
-                let held_up = if self.rng.random_bool(0.005) {
+                let held_up = if self.rng.random_bool(self.scenario.held_up_share) {
                     self.rng.random_range(0..3_000_000)
                 } else {
                     0
