--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,14 +1,23 @@
-//! The one place where the HTTP libraries are used: `tiny_http` to serve,
-//! `ureq` to call.
+//! The one place where the HTTP libraries are used: `hyper` to serve callers,
+//! `tiny_http` to serve operators and in stand-ins, `ureq` to call.
 //!
-//! Both block, so they run on edge threads that only carry bytes and typed
-//! messages; every decision is made elsewhere. Ambiguous framing and oversized
-//! bodies are refused here, before anyone sees them.
+//! They run on edge threads that only carry bytes and typed messages; every
+//! decision is made elsewhere. Ambiguous framing and oversized requests are
+//! refused here, before anyone sees them.
 
+mod caller_server;
 mod client;
+mod framing;
+mod message;
+mod responder;
 mod server;
 mod target;
+mod worker_server;
 
+pub use caller_server::{CallerServer, CallerServerConfig};
 pub use client::{CallError, ClientConfig, HttpCall, HttpClient, HttpReply};
-pub use server::{HttpRequest, HttpResponse, HttpServer, Responder, ServerConfig};
+pub use message::{HttpRequest, HttpResponse};
+pub use responder::Responder;
+pub use server::{HttpServer, ServerConfig};
 pub use target::Target;
+pub use worker_server::WorkerServer;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,11 +1,14 @@
-//! Serving with `tiny_http`.
+//! Serving our own processes, operators and stand-ins with `tiny_http`.
 
+use crate::framing::check_framing;
+use crate::message::{HttpRequest, HttpResponse};
+use crate::responder::Responder;
 use beamtray_types::StepError;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
-use tiny_http::{Header, Method, Request, Response, Server};
+use tiny_http::{Method, Request, Server};
 
 /// How a server reads requests.
 #[derive(Clone, Copy, Debug)]
@@ -18,88 +21,6 @@
     pub max_body_bytes: usize,
 }
 
-/// A request with its whole body.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HttpRequest {
-    /// Method.
-    pub method: String,
-    /// Path without query.
-    pub path: String,
-    /// Query without the question mark; empty when there is none.
-    pub query: String,
-    /// Headers, names in lower case.
-    pub headers: Vec<(String, String)>,
-    /// Body.
-    pub body: Vec<u8>,
-}
-
-impl HttpRequest {
-    /// The first header called `name` (lower case).
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(known, _)| known == name)
-            .map(|(_, value)| value.as_str())
-    }
-
-    /// The value of a query parameter.
-    pub fn query_value(&self, name: &str) -> Option<&str> {
-        self.query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .find(|(known, _)| *known == name)
-            .map(|(_, value)| value)
-    }
-}
-
-/// A response with its whole body.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HttpResponse {
-    /// Status.
-    pub status: u16,
-    /// Headers besides the length.
-    pub headers: Vec<(String, String)>,
-    /// Body.
-    pub body: Vec<u8>,
-}
-
-impl HttpResponse {
-    /// A response with a text body.
-    pub fn text(status: u16, body: impl Into<String>) -> Self {
-        Self {
-            status,
-            headers: Vec::new(),
-            body: body.into().into_bytes(),
-        }
-    }
-
-    /// Adds a header.
-    pub fn with_header(mut self, name: &str, value: impl ToString) -> Self {
-        self.headers.push((name.to_owned(), value.to_string()));
-        self
-    }
-}
-
-/// Answers one request, from any thread. Writing may block on a slow caller.
-pub struct Responder {
-    request: Request,
-}
-
-impl Responder {
-    /// Writes the response. A caller that is gone is noticed only here.
-    pub fn respond(self, response: HttpResponse) -> bool {
-        let headers = response
-            .headers
-            .iter()
-            .filter_map(|(name, value)| Header::from_bytes(name.as_bytes(), value.as_bytes()).ok())
-            .collect();
-        let length = response.body.len();
-        let body = std::io::Cursor::new(response.body);
-        let response = Response::new(response.status.into(), headers, body, Some(length), None);
-        self.request.respond(response).is_ok()
-    }
-}
-
 /// A server that runs until it is dropped.
 pub struct HttpServer {
     server: Arc<Server>,
@@ -150,7 +71,7 @@
 /// Reads one request whole, or refuses it.
 fn accept(mut request: Request, max_body: usize, handler: &dyn Fn(HttpRequest, Responder)) {
     let read = read_request(&mut request, max_body);
-    let responder = Responder { request };
+    let responder = Responder::for_tiny(request);
     match read {
         Ok(read) => handler(read, responder),
         Err((status, reason)) => {
@@ -205,24 +126,3 @@
         body,
     })
 }
-
-/// Refuses what two readers could understand differently (RFC 9112, 6.3).
-fn check_framing(headers: &[(String, String)], max_body: usize) -> Result<(), (u16, &'static str)> {
-    let all = |wanted: &str| {
-        let wanted = wanted.to_owned();
-        headers.iter().filter(move |(name, _)| *name == wanted)
-    };
-    let lengths = all("content-length").count();
-    let encodings = all("transfer-encoding").count();
-    if lengths > 1 || (lengths > 0 && encodings > 0) || encodings > 1 {
-        return Err((400, "ambiguous length of the body"));
-    }
-    let Some((_, value)) = all("content-length").next() else {
-        return Ok(());
-    };
-    match value.trim().parse::<usize>() {
-        Ok(length) if length > max_body => Err((413, "the body is too long")),
-        Ok(_) => Ok(()),
-        Err(_) => Err((400, "the declared length is not a number")),
-    }
-}
--- a/crates/node/src/demo.rs
+++ b/crates/node/src/demo.rs
@@ -3,7 +3,7 @@
 use crate::client::{ask, get, http_client};
 use crate::process::{BoundNode, RunningNode};
 use beamtray_control::{OperatorAnswer, OperatorRequest, StatusReport};
-use beamtray_http::{HttpCall, HttpReply, HttpServer};
+use beamtray_http::{HttpCall, HttpReply, WorkerServer};
 use beamtray_settings::{
     Declaration, Division, NodeSettings, PeerSettings, ServiceDeclaration, TimingSettings,
 };
@@ -29,7 +29,7 @@
 pub struct Demo {
     declaration: Declaration,
     nodes: Vec<RunningNode>,
-    _standins: Vec<HttpServer>,
+    _standins: Vec<WorkerServer>,
 }
 
 impl Demo {
@@ -292,7 +292,7 @@
         machines: Some(machines),
         voters: NODES as usize,
         upstream_workers: 32,
-        caller_workers: 16,
+        caller_connections: 256,
         max_body_bytes: 1024 * 1024,
         stop_millis: 5_000,
         timing: TimingSettings::default(),
--- a/crates/node/src/edge/callers.rs
+++ b/crates/node/src/edge/callers.rs
@@ -1,7 +1,7 @@
 //! The edge for callers.
 
 use crate::event::EdgeEvent;
-use beamtray_http::{HttpRequest, HttpResponse, HttpServer, ServerConfig, Target};
+use beamtray_http::{CallerServer, CallerServerConfig, HttpRequest, HttpResponse, Target};
 use beamtray_routing::CallerRequest;
 use beamtray_types::{ServiceName, StepError};
 use stakker::sync::Channel;
@@ -29,10 +29,10 @@
 
 /// Starts taking callers' requests.
 pub(crate) fn serve_callers(
-    config: ServerConfig,
+    config: CallerServerConfig,
     events: Channel<EdgeEvent>,
-) -> Result<HttpServer, StepError> {
-    HttpServer::start(config, move |request, responder| {
+) -> Result<CallerServer, StepError> {
+    CallerServer::start(config, move |request, responder| {
         match caller_request(request) {
             Some(request) => {
                 events.send(EdgeEvent::Caller(request, responder));
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -5,7 +5,7 @@
 use crate::peer::PeerListener;
 use crate::shell::{Shell, ShellParts};
 use beamtray_control::{ControlConfig, Envelope, Guards, Input, PeerInfo};
-use beamtray_http::{HttpServer, ServerConfig};
+use beamtray_http::{CallerServer, CallerServerConfig, HttpServer, ServerConfig};
 use beamtray_placement::Policy;
 use beamtray_settings::NodeSettings;
 use beamtray_types::{Incarnation, Member, NodeId, StepError};
@@ -24,6 +24,9 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 const POLL_EVENTS: usize = 1_024;
 const WAKER_PRIORITY: u32 = 10;
+/// Longest time for a caller's head, idle time on a kept connection included.
+const CALLER_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+const CALLER_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 const OPERATOR_WORKERS: usize = 4;
 const RESPONDER_WORKERS: usize = 8;
 const MAX_OPERATOR_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -219,17 +222,21 @@
         "operators" => addresses.operators.to_string());
     // Nobody waits for the addresses of a node that is given up on.
     let _ = ready.send((addresses, events));
-    run_loop(stakker, &poll)
+    let ended = run_loop(stakker, &poll);
+    callers.stop();
+    ended
 }
 
 fn start_edges(
     settings: &NodeSettings,
     events: &Channel<EdgeEvent>,
-) -> Result<(HttpServer, HttpServer)> {
-    let callers = ServerConfig {
+) -> Result<(CallerServer, HttpServer)> {
+    let callers = CallerServerConfig {
         address: settings.callers,
-        workers: settings.caller_workers,
+        max_connections: settings.caller_connections,
         max_body_bytes: settings.max_body_bytes,
+        head_timeout: CALLER_HEAD_TIMEOUT,
+        body_timeout: CALLER_BODY_TIMEOUT,
     };
     let operators = ServerConfig {
         address: settings.operators,
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -86,9 +86,24 @@
 
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
+        self.notice_gone_callers();
         self.input(Input::Tick);
     }
 
+    /// Callers whose connection closed need no answer any more.
+    fn notice_gone_callers(&mut self) {
+        let gone: Vec<RequestId> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| caller.responder.is_gone())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.callers.remove(&id);
+            self.input(Input::CallerGone { id });
+        }
+    }
+
     fn input(&mut self, input: Input) {
         call!([self.node], input(input));
     }
@@ -188,8 +203,11 @@
     }
 
     fn respond(&self, responder: Responder, response: HttpResponse) {
-        if let Some(responders) = &self.responders {
-            responders.respond(responder, response);
+        match &self.responders {
+            Some(responders) if responder.may_block() => responders.respond(responder, response),
+            _ => {
+                responder.respond(response);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/node/tests/processes/planned_stop.rs
@@ -0,0 +1,74 @@
+//! Planned stops and conflicting confirmations with real processes.
+
+use crate::load::{Load, check};
+use crate::support::{Cluster, SERVICE, call};
+use beamtray_control::{OperatorAnswer, OperatorRequest};
+use beamtray_node::client::ask;
+use beamtray_types::{OperationId, Revision};
+use nix::sys::signal::Signal;
+use std::time::Duration;
+
+#[test]
+fn sigterm_cuts_nothing_off_and_exits_0() {
+    let mut cluster = Cluster::start("planned-stop", 3);
+    let leader = cluster.leader();
+    let load = Load::start("stop", &[cluster.nodes[leader].callers]);
+    std::thread::sleep(Duration::from_millis(500));
+    cluster.nodes[leader].process.signal(Signal::SIGTERM);
+    assert_eq!(cluster.nodes[leader].process.wait(), Some(0));
+    let transfers = load.finish();
+    check(&transfers, &cluster.effects());
+    let unknown: Vec<_> = transfers
+        .iter()
+        .filter(|t| t.outcome == "unknown")
+        .collect();
+    assert!(unknown.is_empty(), "cut off: {unknown:?}");
+    assert!(transfers.iter().any(|t| t.outcome == "complete"));
+
+    let other = (leader + 1) % 3;
+    let url = format!(
+        "http://{}/{SERVICE}/key-1/balance",
+        cluster.nodes[other].callers
+    );
+    let reply = call("GET", &url, None, Duration::from_secs(10)).expect("others serve on");
+    assert_eq!(reply.status, 200);
+}
+
+#[test]
+fn of_two_conflicting_confirmations_one_wins() {
+    let cluster = Cluster::start("conflict", 2);
+    let mut one = cluster.declaration.clone();
+    one.services[0].queue = 100;
+    let mut other = cluster.declaration.clone();
+    other.services[0].queue = 200;
+    let confirm = |node: usize, operation: u64, declaration| OperatorRequest::Confirm {
+        operation: OperationId(operation + node as u64),
+        base: Revision(1),
+        declaration,
+    };
+    let answers: Vec<OperatorAnswer> = std::thread::scope(|scope| {
+        let requests = [(0, confirm(0, 100, one)), (1, confirm(1, 200, other))];
+        let running: Vec<_> = requests
+            .into_iter()
+            .map(|(node, request)| {
+                let operators = cluster.nodes[node].operators;
+                scope.spawn(move || ask(operators, &request).expect("an answer"))
+            })
+            .collect();
+        running
+            .into_iter()
+            .map(|job| job.join().expect("it ends"))
+            .collect()
+    });
+    let won = answers.iter().filter(|answer| {
+        **answer
+            == OperatorAnswer::InForce {
+                revision: Revision(2),
+            }
+    });
+    assert_eq!(won.count(), 1, "{answers:?}");
+    let told = answers.iter().any(
+        |answer| matches!(answer, OperatorAnswer::Conflict { changed, .. } if !changed.is_empty()),
+    );
+    assert!(told, "{answers:?}");
+}
--- a/crates/node/tests/processes/support.rs
+++ b/crates/node/tests/processes/support.rs
@@ -57,6 +57,17 @@
         kill(process, signal).expect("the process exists");
     }
 
+    /// Resident memory, in KiB.
+    pub fn resident_kib(&self) -> u64 {
+        let file = format!("/proc/{}/statm", self.child.id());
+        let text = std::fs::read_to_string(file).expect("the process runs");
+        let pages = text
+            .split(' ')
+            .nth(1)
+            .and_then(|pages| pages.parse::<u64>().ok());
+        pages.expect("a number of pages") * 4
+    }
+
     /// Waits for the end; the exit code, none after a signal.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.wait().expect("a child can be waited for").code()
@@ -112,6 +123,7 @@
 pub struct Node {
     pub process: Process,
     pub callers: SocketAddr,
+    pub peers: SocketAddr,
     pub operators: SocketAddr,
     arguments: Vec<String>,
 }
@@ -333,6 +345,7 @@
     let address = |position: usize| words[position].parse().expect("an address");
     Node {
         callers: address(1),
+        peers: address(3),
         operators: address(5),
         process,
         arguments,
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -36,9 +36,9 @@
     /// Threads that carry calls to servers. Default 32.
     #[serde(default = "default_workers")]
     pub upstream_workers: usize,
-    /// Threads that read callers' requests. Default 16.
-    #[serde(default = "default_readers")]
-    pub caller_workers: usize,
+    /// Connections of callers served at once. Default 2048.
+    #[serde(default = "default_connections")]
+    pub caller_connections: usize,
     /// Longest body of a caller's request, in bytes. Default 1 MiB.
     #[serde(default = "default_body")]
     pub max_body_bytes: usize,
@@ -186,8 +186,8 @@
     32
 }
 
-fn default_readers() -> usize {
-    16
+fn default_connections() -> usize {
+    2_048
 }
 
 fn default_body() -> usize {
@@ -244,7 +244,7 @@
             return Err(("voters", self.voters.to_string(), "1, 3 or 5".into()));
         }
         within("upstream_workers", self.upstream_workers, 1..=1_024)?;
-        within("caller_workers", self.caller_workers, 1..=1_024)?;
+        within("caller_connections", self.caller_connections, 1..=65_536)?;
         within("max_body_bytes", self.max_body_bytes, 1..=16 * 1024 * 1024)?;
         within("stop_millis", self.stop_millis as usize, 100..=600_000)?;
         let mut seen = BTreeSet::new();
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -7,7 +7,9 @@
 use crate::key_value::KeyValueStore;
 use crate::keyed_server::{Effect, KeyedServer, ServerRefusal};
 use crate::machines::MachineList;
-use beamtray_http::{HttpRequest, HttpResponse, HttpServer, Responder, ServerConfig, Target};
+use beamtray_http::{
+    CallerServerConfig, HttpRequest, HttpResponse, Responder, Target, WorkerServer,
+};
 use beamtray_ownership::GrantRequest;
 use beamtray_platform::{KeyValueRequest, KeyValueResult, MachineState, VERSION_HEADER};
 use beamtray_types::{Fence, Incarnation, StepError, Time};
@@ -20,6 +22,8 @@
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 const WATCH_STEP: Duration = Duration::from_millis(20);
 const WORKERS: usize = 16;
+const MAX_CONNECTIONS: usize = 4_096;
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A monotonic clock for the models.
 #[derive(Clone, Copy, Debug)]
@@ -84,13 +88,15 @@
     address: SocketAddr,
     workers: usize,
     handler: impl Fn(HttpRequest) -> Option<HttpResponse> + Send + Sync + 'static,
-) -> Result<HttpServer, StepError> {
-    let config = ServerConfig {
+) -> Result<WorkerServer, StepError> {
+    let config = CallerServerConfig {
         address,
-        workers,
+        max_connections: MAX_CONNECTIONS,
         max_body_bytes: MAX_BODY_BYTES,
+        head_timeout: HEAD_TIMEOUT,
+        body_timeout: HEAD_TIMEOUT,
     };
-    HttpServer::start(config, move |request, responder: Responder| {
+    WorkerServer::start(config, workers, move |request, responder: Responder| {
         // Dropping the responder without an answer stands for a lost reply.
         let response = handler(request).unwrap_or_else(|| HttpResponse::text(500, "lost\n"));
         responder.respond(response);
@@ -105,7 +111,7 @@
 ///
 /// # Errors
 /// [`StepError`] when the address cannot be listened on.
-pub fn serve_key_value(address: SocketAddr, per_second: u32) -> Result<HttpServer, StepError> {
+pub fn serve_key_value(address: SocketAddr, per_second: u32) -> Result<WorkerServer, StepError> {
     let clock = Clock::start();
     let store = Mutex::new(KeyValueStore::new(per_second));
     let switches = Switches::default();
@@ -203,7 +209,7 @@
 ///
 /// # Errors
 /// [`StepError`] when the address cannot be listened on.
-pub fn serve_machines(address: SocketAddr, lag: Duration) -> Result<HttpServer, StepError> {
+pub fn serve_machines(address: SocketAddr, lag: Duration) -> Result<WorkerServer, StepError> {
     let clock = Clock::start();
     let machines = Mutex::new(MachineList::new(lag));
     start(address, 4, move |request| {
@@ -233,7 +239,7 @@
     slots: u32,
     service_time: Duration,
     on_effect: fn(&Effect),
-) -> Result<HttpServer, StepError> {
+) -> Result<WorkerServer, StepError> {
     let clock = Clock::start();
     let server = Arc::new(Mutex::new(KeyedServer::new(new_incarnation(), slots)));
     let switches = Switches::default();
@@ -329,7 +335,10 @@
 ///
 /// # Errors
 /// [`StepError`] when the address cannot be listened on.
-pub fn serve_backend(address: SocketAddr, config: BackendConfig) -> Result<HttpServer, StepError> {
+pub fn serve_backend(
+    address: SocketAddr,
+    config: BackendConfig,
+) -> Result<WorkerServer, StepError> {
     let clock = Clock::start();
     let backend = Mutex::new(Backend::new(config, clock.now()));
     let switches = Switches::default();
