--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -7,9 +7,11 @@
 use beamtray_sim::guard::Guard;
 use beamtray_sim::measure::{Kind, Measures, measure, policy_name};
 use beamtray_sim::plot::plot;
+use beamtray_sim::replay::{Trace, record};
 use beamtray_sim::scale::{ScaleReport, ScaleRun};
+use beamtray_sim::scenario::Scenario;
 use beamtray_sim::world::World;
-use eyre::{Result, eyre};
+use eyre::{Result, WrapErr, eyre};
 use gumdrop::Options;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -27,12 +29,27 @@
 enum Command {
     #[options(help = "run histories from many seeds and check them")]
     Explore(ExploreArguments),
+    #[options(help = "replay traces against their stated outcomes")]
+    Replay(ReplayArguments),
     #[options(help = "measure what control costs many nodes")]
     Scale(ScaleArguments),
     #[options(help = "measure imbalance, churn and unavailable time")]
     Measure(MeasureArguments),
 }
 
+#[derive(Debug, Options)]
+struct ReplayArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "trace files")]
+    traces: Vec<String>,
+    #[options(
+        help = "write the trace of this seed, all faults, to the file instead",
+        no_short
+    )]
+    record: Option<u64>,
+}
+
 #[derive(Debug, Options)]
 struct MeasureArguments {
     #[options(help = "print this help")]
@@ -105,6 +122,7 @@
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
         Some(Command::Explore(arguments)) => explore(arguments),
+        Some(Command::Replay(arguments)) => replay(&arguments),
         Some(Command::Scale(arguments)) => scale(&arguments),
         Some(Command::Measure(arguments)) => measure_all(&arguments),
         None => {
@@ -114,6 +132,34 @@
     }
 }
 
+fn replay(arguments: &ReplayArguments) -> Result<ExitCode> {
+    if let Some(seed) = arguments.record {
+        let file = arguments
+            .traces
+            .first()
+            .ok_or_else(|| eyre!("name the file to write"))?;
+        let trace = record(&Scenario::random(seed, None, &|_| true));
+        std::fs::write(file, trace.to_text()?)?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let mut clean = true;
+    for file in &arguments.traces {
+        let text = std::fs::read_to_string(file)?;
+        let trace = Trace::parse(&text).wrap_err_with(|| file.clone())?;
+        let differences = trace.replay();
+        clean &= differences.is_empty();
+        println!("{file}: {} differences", differences.len());
+        for difference in differences {
+            println!("  {difference}");
+        }
+    }
+    Ok(if clean {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
 fn measure_all(arguments: &MeasureArguments) -> Result<ExitCode> {
     let declaration = Declaration::load(&arguments.deployment)?;
     let name = Path::new(&arguments.deployment)
