Split a dominant slice before moving its neighbours; unit tests of the cores

Cause: a test of placement showed that a server with one hot slice first gave its cold slices away. Change: a slice of 0.6 of the mean server's load or more is split before anything moves.

--- /dev/null
+++ b/crates/ownership/tests/grants.rs
@@ -0,0 +1,218 @@
+//! The grant protocol between a granter and a server's table.
+
+use beamtray_ownership::{
+    GrantSet, GrantTable, GrantedSlice, Granter, GranterConfig, GranterGuards, Refusal,
+};
+use beamtray_types::{
+    Fence, Generation, GroupId, Incarnation, KeyHash, LogIndex, ServerName, SliceRange, Term, Time,
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const GRANT: Duration = Duration::from_millis(1_500);
+const BOUND: Duration = Duration::from_millis(1_530);
+
+fn config() -> GranterConfig {
+    GranterConfig {
+        group: GroupId(0),
+        renewal: Duration::from_millis(400),
+        grant: GRANT,
+        grant_bound: BOUND,
+        guards: GranterGuards::default(),
+    }
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn name() -> ServerName {
+    ServerName::from("server")
+}
+
+fn fence(index: u64) -> Fence {
+    Fence::new(Generation(1), Term(1), LogIndex(index))
+}
+
+fn whole() -> GrantedSlice {
+    GrantedSlice {
+        range: SliceRange::ALL,
+        fence: fence(5),
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+/// Carries messages between the two at once; the server's clock is the same.
+fn exchange(granter: &mut Granter, table: &mut GrantTable, now: Time) {
+    for _ in 0..3 {
+        for pending in granter.poll(now, true) {
+            let reply = table.handle(now, &pending.request);
+            granter.handle(now, &name(), &reply, true);
+        }
+    }
+}
+
+/// A granter whose wait for leaders before it is over, and a server with the
+/// whole hash space granted at 10 s.
+fn granted() -> (Granter, GrantTable) {
+    let mut granter = Granter::new(config(), Generation(1), Term(1), at(0));
+    let mut table = GrantTable::new(Incarnation(7));
+    granter.set_servers(at(10_000), [(name(), address(), vec![whole()])]);
+    exchange(&mut granter, &mut table, at(10_000));
+    exchange(&mut granter, &mut table, at(10_400));
+    (granter, table)
+}
+
+#[test]
+fn a_grant_lapses_on_the_servers_clock() {
+    let (_, table) = granted();
+    let key = KeyHash::of("key");
+    assert!(table.is_owner(at(10_500), key));
+    // The grant at 10.4 s uses the reading of the answer before it.
+    assert!(table.is_owner(at(11_499), key));
+    assert!(!table.is_owner(at(11_501), key));
+}
+
+#[test]
+fn a_delayed_grant_is_already_lapsed() {
+    let (mut granter, mut table) = granted();
+    let late = granter.poll(at(10_900), true).remove(0);
+    let reply = table.handle(at(20_000), &late.request);
+    assert!(reply.accepted);
+    assert!(!table.is_owner(at(20_000), KeyHash::of("key")));
+}
+
+#[test]
+fn a_grant_for_another_run_is_refused() {
+    let (mut granter, _) = granted();
+    let renewal = granter.poll(at(10_900), true).remove(0);
+    let mut restarted = GrantTable::new(Incarnation(8));
+    let reply = restarted.handle(at(10_900), &renewal.request);
+    assert!(!reply.accepted);
+    assert_eq!(reply.incarnation, Incarnation(8));
+}
+
+#[test]
+fn a_new_run_waits_for_the_grants_of_the_one_before() {
+    let (mut granter, _) = granted();
+    let mut restarted = GrantTable::new(Incarnation(8));
+    exchange(&mut granter, &mut restarted, at(10_900));
+    assert!(!restarted.is_owner(at(10_950), KeyHash::of("key")));
+    exchange(&mut granter, &mut restarted, at(12_100));
+    exchange(&mut granter, &mut restarted, at(12_600));
+    assert!(restarted.is_owner(at(12_600), KeyHash::of("key")));
+}
+
+#[test]
+fn a_fence_below_the_one_seen_is_refused() {
+    let (mut granter, mut table) = granted();
+    let old = granter.poll(at(10_900), true).remove(0);
+    let mut next = Granter::new(config(), Generation(1), Term(2), at(10_900));
+    next.set_servers(at(10_900), [(name(), address(), Vec::new())]);
+    exchange(&mut next, &mut table, at(10_910));
+    assert!(!table.handle(at(10_920), &old.request).accepted);
+    let ticket = table.admit(at(10_920), KeyHash::of("key"), fence(5));
+    assert_eq!(ticket, Err(Refusal::NotOwner));
+}
+
+#[test]
+fn requests_must_carry_the_fence_of_the_grant() {
+    let (_, mut table) = granted();
+    let wrong = table.admit(at(10_500), KeyHash::of("key"), fence(4));
+    assert_eq!(wrong, Err(Refusal::Fence));
+    assert!(
+        table
+            .admit(at(10_500), KeyHash::of("key"), fence(5))
+            .is_ok()
+    );
+}
+
+#[test]
+fn an_effect_needs_the_grant_at_its_own_instant() {
+    let (_, mut table) = granted();
+    let ticket = table
+        .admit(at(10_500), KeyHash::of("key"), fence(5))
+        .expect("granted");
+    assert!(table.may_commit(at(10_600), ticket));
+    assert!(!table.may_commit(at(12_500), ticket));
+}
+
+#[test]
+fn a_revoked_slice_is_free_once_requests_in_flight_have_ended() {
+    let (mut granter, mut table) = granted();
+    let ticket = table
+        .admit(at(10_500), KeyHash::of("key"), fence(5))
+        .expect("granted");
+    granter.set_servers(at(10_510), [(name(), address(), Vec::new())]);
+    exchange(&mut granter, &mut table, at(10_510));
+    assert!(!granter.is_free(at(10_520), &name(), SliceRange::ALL));
+    assert!(
+        table.may_commit(at(10_520), ticket),
+        "what was admitted may end"
+    );
+    table.finish(at(10_530), ticket);
+    exchange(&mut granter, &mut table, at(10_530));
+    assert!(granter.is_free(at(10_540), &name(), SliceRange::ALL));
+}
+
+#[test]
+fn a_silent_owners_slices_are_free_only_after_its_grants_lapsed() {
+    let (mut granter, _) = granted();
+    granter.set_servers(at(10_500), [(name(), address(), Vec::new())]);
+    assert!(!granter.is_free(at(11_500), &name(), SliceRange::ALL));
+    assert!(granter.is_free(at(10_000) + BOUND, &name(), SliceRange::ALL));
+}
+
+#[test]
+fn a_new_leader_waits_for_grants_that_it_does_not_know() {
+    let mut next = Granter::new(config(), Generation(1), Term(2), at(20_000));
+    next.set_servers(at(20_000), [(name(), address(), Vec::new())]);
+    assert!(!next.is_free(at(21_500), &name(), SliceRange::ALL));
+    assert!(next.is_free(at(20_000) + BOUND, &name(), SliceRange::ALL));
+}
+
+#[test]
+fn a_new_leader_continues_grants_that_are_held() {
+    let (_, mut table) = granted();
+    let mut next = Granter::new(config(), Generation(1), Term(2), at(10_900));
+    next.set_servers(at(10_900), [(name(), address(), vec![whole()])]);
+    exchange(&mut next, &mut table, at(10_910));
+    assert!(table.is_owner(at(12_300), KeyHash::of("key")));
+}
+
+#[test]
+fn a_new_generation_continues_nothing() {
+    let (_, mut table) = granted();
+    let mut next = Granter::new(config(), Generation(2), Term(1), at(10_900));
+    next.set_servers(at(10_900), [(name(), address(), vec![whole()])]);
+    let probe = next.poll(at(10_910), true).remove(0);
+    next.handle(
+        at(10_910),
+        &name(),
+        &table.handle(at(10_910), &probe.request),
+        true,
+    );
+    let second = next.poll(at(11_400), true).remove(0);
+    assert_eq!(second.request.incarnation, None, "still a probe");
+}
+
+#[test]
+fn without_a_lease_nothing_is_sent_and_no_reading_counts() {
+    let (mut granter, mut table) = granted();
+    assert!(granter.poll(at(10_900), false).is_empty());
+    let renewal = granter.poll(at(10_900), true).remove(0);
+    let reply = table.handle(at(10_900), &renewal.request);
+    granter.handle(at(10_900), &name(), &reply, false);
+    let next = granter.poll(at(11_400), true).remove(0);
+    assert_eq!(next.request.valid_until, Some(at(10_400) + GRANT));
+}
+
+#[test]
+fn an_unchanged_set_is_not_sent_again() {
+    let (mut granter, _) = granted();
+    let renewal = granter.poll(at(10_900), true).remove(0);
+    assert_eq!(renewal.request.set, GrantSet::Unchanged);
+}
--- a/crates/placement/src/balance.rs
+++ b/crates/placement/src/balance.rs
@@ -24,6 +24,8 @@
 /// A slice may be split until a service has this many times its founding
 /// number of slices.
 const MAX_SLICE_GROWTH: usize = 3;
+/// A slice of this weight is split before anything else is moved.
+const DOMINANT_WEIGHT: f64 = 0.6;
 /// Neighbours this light together, in shares of a founding slice, are merged.
 const MERGE_WEIGHT: f64 = 0.5;
 
@@ -165,6 +167,9 @@
             if most < 1.0 + self.tolerated {
                 return;
             }
+            if self.split_dominant(heaviest) {
+                return;
+            }
             let candidate = self.best_move(heaviest, most, least, &moved);
             let Some((position, gain)) = candidate else {
                 return self.split_heaviest(heaviest, most - least);
@@ -215,7 +220,17 @@
             })
     }
 
-    /// Splits the heaviest slice of a server that no single move relieves.
+    /// Splits a slice that alone is most of what a server should carry: its
+    /// parts can be spread, while moving the others away from it would only
+    /// change owners.
+    fn split_dominant(&mut self, server: &ServerName) -> bool {
+        let before = self.changes.len();
+        self.split_heaviest(server, 2.0 * DOMINANT_WEIGHT);
+        self.changes.len() > before
+    }
+
+    /// Splits the heaviest slice of a server, if it weighs more than half the
+    /// excess that no single move relieves.
     fn split_heaviest(&mut self, server: &ServerName, excess: f64) {
         let founding = self.input.slices_per_server as usize * self.input.available.len();
         if self.input.slices.len() >= founding.max(1) * MAX_SLICE_GROWTH {
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,65 @@
+//! Frames survive any division of the stream, and what is no frame is refused.
+
+use beamtray_wire::{FrameBuffer, FrameError, MAX_FRAME_BYTES, VERSION, encode};
+use quickcheck::{Gen, QuickCheck};
+
+const SEED: u64 = 20_261_202;
+
+fn frame(length: u32, version: u16, body: &[u8]) -> Vec<u8> {
+    let mut bytes = length.to_le_bytes().to_vec();
+    bytes.extend(version.to_le_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+fn refusal(bytes: &[u8]) -> FrameError {
+    let mut buffer = FrameBuffer::default();
+    buffer.extend(bytes);
+    buffer.next_message::<u64>().expect_err("refused")
+}
+
+#[test]
+fn messages_come_out_as_they_went_in() {
+    fn round_trips(messages: Vec<(u64, String)>, chunk: u8) -> bool {
+        let bytes: Vec<u8> = messages
+            .iter()
+            .flat_map(|message| encode(message).expect("short enough"))
+            .collect();
+        let mut buffer = FrameBuffer::default();
+        let mut out = Vec::new();
+        for part in bytes.chunks(usize::from(chunk).max(1)) {
+            buffer.extend(part);
+            while let Some(message) = buffer.next_message::<(u64, String)>().expect("valid") {
+                out.push(message);
+            }
+        }
+        out == messages
+    }
+    let generator = Gen::from_size_and_seed(50, SEED);
+    QuickCheck::new()
+        .rng(generator)
+        .quickcheck(round_trips as fn(Vec<(u64, String)>, u8) -> bool);
+}
+
+#[test]
+fn a_frame_that_is_too_long_is_refused_before_its_body_comes() {
+    let length = MAX_FRAME_BYTES as u32 + 1;
+    assert_eq!(
+        refusal(&length.to_le_bytes()),
+        FrameError::Length(length as usize)
+    );
+}
+
+#[test]
+fn another_version_is_refused() {
+    let bytes = frame(10, VERSION + 1, &[0; 8]);
+    assert_eq!(refusal(&bytes), FrameError::Version(VERSION + 1));
+}
+
+#[test]
+fn a_garbled_body_is_refused() {
+    assert!(matches!(
+        refusal(&frame(5, VERSION, &[1, 2, 3])),
+        FrameError::Body(_)
+    ));
+}
