--- a/crates/placement/tests/placement.rs
+++ b/crates/placement/tests/placement.rs
@@ -166,7 +166,13 @@
 #[test]
 fn a_high_cost_keeps_slices_where_they_are() {
     let servers = servers(4);
-    let load = |position: usize| if position % 4 == 0 { 140.0 } else { 100.0 };
+    let load = |position: usize| {
+        if position.is_multiple_of(4) {
+            140.0
+        } else {
+            100.0
+        }
+    };
     let moves = |cost| {
         let mut input = input(dealt(&servers, load), servers.clone());
         input.move_cost = cost;
