--- a/crates/routing/src/ingress.rs
+++ b/crates/routing/src/ingress.rs
@@ -8,6 +8,7 @@
 use crate::message::{
     Answer, AttemptId, CallerRequest, Forward, NotRunReason, RequestId, RunState, UpstreamOutcome,
 };
+use crate::pending::{Pending, Stage, Try};
 use crate::pool::Pool;
 use crate::router::{RouterConfig, RouterOutput, RoutingView};
 use beamtray_settings::{Division, ServiceDeclaration};
@@ -33,42 +34,6 @@
 /// When to come back to a node that is stopping: at once, elsewhere.
 const RETRY_AFTER_STOP: Duration = Duration::from_millis(100);
 
-#[derive(Clone, Debug)]
-struct Try {
-    id: AttemptId,
-    gate: NodeId,
-    server: ServerName,
-    fence: Option<Fence>,
-    superseded: Option<Time>,
-}
-
-impl Try {
-    fn cancellation(&self) -> RouterOutput {
-        RouterOutput::Cancel {
-            to: self.gate,
-            attempt: self.id,
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-enum Stage {
-    Waiting { until: Time, view: u64 },
-    Out(Try),
-}
-
-#[derive(Clone, Debug)]
-struct Pending {
-    request: CallerRequest,
-    repeatable: bool,
-    deadline: Time,
-    /// Whether a try before the present stage may have run.
-    may_have_run: bool,
-    /// Refusals in a row for owner or gate.
-    rerouted: u32,
-    stage: Stage,
-}
-
 /// Requests of callers that have no final answer yet.
 #[derive(Debug)]
 pub(crate) struct Ingress {
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -2,6 +2,7 @@
 //! virtual clock and one thread.
 
 mod callers;
+mod exchanges;
 mod faults;
 mod meter;
 mod network;
@@ -15,7 +16,7 @@
 use beamtray_control::{Input, Output, PeerMessage};
 use beamtray_ownership::GrantRequest;
 use beamtray_platform::KeyValueRequest;
-use beamtray_routing::{Forward, UpstreamOutcome};
+use beamtray_routing::UpstreamOutcome;
 use beamtray_standin::{KeyValueStore, MachineList};
 use beamtray_types::Member;
 use rand::SeedableRng;
@@ -32,9 +33,10 @@
 use callers::Callers;
 use network::Network;
 
+use exchanges::Exchange;
 use nodes::SimNode;
 use operators::Operators;
-use servers::{Exchange, SimServer};
+use servers::SimServer;
 
 /// Calls a second that the key-value service takes.
 const KEY_VALUE_RATE: u32 = 40;
@@ -374,15 +376,4 @@
         self.exchanges.insert(id, exchange);
         id
     }
-
-    pub(crate) fn start_call(
-        &mut self,
-        node: usize,
-        call: beamtray_routing::CallId,
-        address: std::net::SocketAddr,
-        forward: Forward,
-        timeout: Duration,
-    ) {
-        self.begin_exchange(node, call, address, forward, timeout);
-    }
 }
--- a/crates/sim/src/world/nodes.rs
+++ b/crates/sim/src/world/nodes.rs
@@ -186,7 +186,7 @@
                 address,
                 forward,
                 timeout,
-            } => self.start_call(index, call, address, forward, timeout),
+            } => self.begin_exchange(index, call, address, forward, timeout),
             Output::Grant(grant) => self.send_grant(index, grant),
             Output::KeyValue { call, request } => self.send_key_value(index, call, request),
             Output::ReadMachines => self.read_machines(index),
--- a/crates/sim/src/world/servers.rs
+++ b/crates/sim/src/world/servers.rs
@@ -5,9 +5,9 @@
 use crate::record::{Record, ServerRun};
 use beamtray_control::Input;
 use beamtray_ownership::{GrantReply, GrantRequest, PendingGrant};
-use beamtray_routing::{CallId, Forward, NotRunReason, UpstreamAnswer, UpstreamOutcome};
+use beamtray_routing::UpstreamOutcome;
 use beamtray_settings::Division;
-use beamtray_standin::{Admitted, Backend, BackendConfig, KeyedServer, ServerRefusal};
+use beamtray_standin::{Backend, BackendConfig, KeyedServer};
 use beamtray_types::{Incarnation, ServerName, Time};
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -15,7 +15,6 @@
 
 const MAX_DEVIATION_PPM: i64 = 9_000;
 const GRANT_TIMEOUT_MICROS: u64 = 700_000;
-const CONNECT_TIMEOUT_MICROS: u64 = 1_000_000;
 const RESET_MICROS: u64 = 1_000;
 /// Position that stands for the back ends of the probing pool.
 pub(crate) const PROBE_SERVER: usize = usize::MAX;
@@ -27,7 +26,7 @@
 }
 
 /// Something that reached a frozen server.
-enum Held {
+pub(crate) enum Held {
     Call(u64),
     Commit(u64),
     Grant(usize, u64, GrantRequest, u64),
@@ -46,19 +45,7 @@
     started: u64,
     deviation_ppm: i64,
     pub(crate) cut_until: u64,
-    held: Vec<Held>,
-}
-
-/// A call of a gate to an upstream.
-pub(crate) struct Exchange {
-    pub(crate) node: usize,
-    run: u64,
-    call: CallId,
-    server: usize,
-    forward: Forward,
-    admitted: Option<Admitted>,
-    /// The gate no longer waits.
-    over: bool,
+    pub(crate) held: Vec<Held>,
 }
 
 impl SimServer {
@@ -265,250 +252,6 @@
         self.at(at, Happening::ToNode { node, run, input });
     }
 
-    pub(crate) fn begin_exchange(
-        &mut self,
-        node: usize,
-        call: CallId,
-        address: SocketAddr,
-        forward: Forward,
-        timeout: Duration,
-    ) {
-        let run = self.nodes[node].run;
-        let found = self.servers.iter().position(|s| s.address == address);
-        let server = found.unwrap_or(PROBE_SERVER);
-        let exchange = self.new_exchange(Exchange {
-            node,
-            run,
-            call,
-            server,
-            forward,
-            admitted: None,
-            over: false,
-        });
-        let timeout = timeout.as_micros() as u64;
-        let lost = Happening::CallEnds {
-            exchange,
-            outcome: UpstreamOutcome::Lost {
-                cause: "timed out".to_owned(),
-            },
-        };
-        self.after(timeout, lost);
-        if server == PROBE_SERVER {
-            return self.after(1_000, Happening::CallArrives { exchange });
-        }
-        let (from, to) = (self.nodes[node].zone, self.servers[server].zone);
-        let delay = self.network.delay(&mut self.rng, self.now, from, to);
-        let reachable = self.now >= self.servers[server].cut_until;
-        match delay.filter(|_| reachable) {
-            Some(delay) => self.after(delay, Happening::CallArrives { exchange }),
-            None => {
-                let outcome = not_run(NotRunReason::NotConnected);
-                let happening = Happening::CallEnds { exchange, outcome };
-                self.after(CONNECT_TIMEOUT_MICROS.min(timeout), happening);
-            }
-        }
-    }
-
-    pub(crate) fn on_call_arrives(&mut self, id: u64) {
-        let Some(exchange) = self.exchanges.get(&id) else {
-            return;
-        };
-        let index = exchange.server;
-        if index == PROBE_SERVER {
-            return self.serve_probe(id);
-        }
-        match self.servers[index].state {
-            ProcessState::Dead => {
-                let outcome = not_run(NotRunReason::NotConnected);
-                return self.reply(id, index, outcome);
-            }
-            ProcessState::Frozen | ProcessState::Freezing(_) => {
-                self.servers[index].held.push(Held::Call(id));
-                return;
-            }
-            ProcessState::Running => {}
-        }
-        if self.servers[index].stopping {
-            let outcome = not_run(NotRunReason::NotConnected);
-            return self.reply(id, index, outcome);
-        }
-        let name = request_name(&exchange.forward);
-        let server = self.servers[index].id(index);
-        self.record(Record::Arrived { server, name });
-        self.admit(id, index);
-    }
-
-    fn admit(&mut self, id: u64, index: usize) {
-        let mean = self.scenario.service_micros as f64;
-        let draw: f64 = self.rng.random_range(0.000_1..1.0);
-        let service = (-draw.ln() * mean) as u64;
-        let Some(exchange) = self.exchanges.get_mut(&id) else {
-            return;
-        };
-        let server = &mut self.servers[index];
-        let now = server.clock(self.now);
-        let begun = match &mut server.model {
-            Model::Keyed(model) => {
-                let key = exchange.forward.request.key.clone().unwrap_or_default();
-                let fence = exchange.forward.fence.unwrap_or_default();
-                match model.begin(now, &key, fence) {
-                    Ok(admitted) => {
-                        exchange.admitted = Some(admitted);
-                        Ok(())
-                    }
-                    Err(refusal) => Err(refusal),
-                }
-            }
-            Model::Pool(model) => model.begin(now).map(|_| ()).ok_or(ServerRefusal::Shed),
-        };
-        let server_run = server.run;
-        match begun {
-            Ok(()) => self.after(
-                service,
-                Happening::CallCommits {
-                    exchange: id,
-                    server_run,
-                },
-            ),
-            Err(refusal) => self.reply(id, index, not_run(refusal_reason(refusal))),
-        }
-    }
-
-    pub(crate) fn on_call_commits(&mut self, id: u64, server_run: u64) {
-        let Some(exchange) = self.exchanges.get(&id) else {
-            return;
-        };
-        let index = exchange.server;
-        let server = &mut self.servers[index];
-        if server.run != server_run || server.state == ProcessState::Dead {
-            return;
-        }
-        if matches!(
-            server.state,
-            ProcessState::Frozen | ProcessState::Freezing(_)
-        ) {
-            server.held.push(Held::Commit(id));
-            return;
-        }
-        self.commit(id, index);
-    }
-
-    fn commit(&mut self, id: u64, index: usize) {
-        let checks = self.scenario.guards.server_checks_at_effect;
-        let Some(exchange) = self.exchanges.get_mut(&id) else {
-            return;
-        };
-        let name = request_name(&exchange.forward);
-        let request = &exchange.forward.request;
-        let key = request.key.clone().unwrap_or_default();
-        let fence = exchange.forward.fence;
-        let writes = request.method != "GET";
-        let server = &mut self.servers[index];
-        let now = server.clock(self.now);
-        let committed = match &mut server.model {
-            Model::Keyed(model) => {
-                let Some(admitted) = exchange.admitted.take() else {
-                    return;
-                };
-                let result = model.commit(now, admitted, writes, Some(name.clone()));
-                result.is_ok() || !checks
-            }
-            Model::Pool(model) => {
-                model.finish();
-                true
-            }
-        };
-        if !committed {
-            return self.reply(id, index, not_run(NotRunReason::NotOwner));
-        }
-        let server = self.servers[index].id(index);
-        self.record(Record::Effect {
-            server,
-            name: name.clone(),
-            key: key.clone(),
-            fence,
-        });
-        self.reply(id, index, answered(&key, &name));
-    }
-
-    fn serve_probe(&mut self, id: u64) {
-        let Some(exchange) = self.exchanges.get(&id) else {
-            return;
-        };
-        let name = request_name(&exchange.forward);
-        let marker = exchange.forward.server.to_string();
-        let server = ServerRun {
-            server: PROBE_SERVER,
-            run: 0,
-        };
-        self.record(Record::Effect {
-            server,
-            name: name.clone(),
-            key: marker.clone(),
-            fence: None,
-        });
-        let outcome = answered(&marker, &name);
-        self.after(
-            1_000,
-            Happening::CallEnds {
-                exchange: id,
-                outcome,
-            },
-        );
-    }
-
-    /// Sends an upstream's reply back to the gate.
-    fn reply(&mut self, id: u64, index: usize, outcome: UpstreamOutcome) {
-        let Some(exchange) = self.exchanges.get(&id) else {
-            return;
-        };
-        let (from, to) = (self.servers[index].zone, self.nodes[exchange.node].zone);
-        let reachable = self.now >= self.servers[index].cut_until;
-        let delay = self.network.delay(&mut self.rng, self.now, from, to);
-        if let Some(delay) = delay.filter(|_| reachable) {
-            let happening = Happening::CallEnds {
-                exchange: id,
-                outcome,
-            };
-            self.after(delay, happening);
-        }
-    }
-
-    /// The gate learns how a call ended; what comes later finds the connection
-    /// closed.
-    pub(crate) fn end_exchange(&mut self, id: u64, outcome: UpstreamOutcome) {
-        let closes = self.scenario.guards.closes_timed_out;
-        let Some(exchange) = self.exchanges.get_mut(&id) else {
-            return;
-        };
-        if exchange.over {
-            if !closes {
-                self.deliver_late(id, outcome);
-            }
-            return;
-        }
-        exchange.over = true;
-        let (node, run, call) = (exchange.node, exchange.run, exchange.call);
-        let input = Input::CallResult { call, outcome };
-        self.after(0, Happening::ToNode { node, run, input });
-    }
-
-    /// With the guard off, a late answer on a kept connection is read as that
-    /// of the next exchange of the same gate and server.
-    fn deliver_late(&mut self, id: u64, outcome: UpstreamOutcome) {
-        let Some(late) = self.exchanges.get(&id) else {
-            return;
-        };
-        let (node, server) = (late.node, late.server);
-        let next = self
-            .exchanges
-            .iter()
-            .find(|(_, other)| !other.over && other.node == node && other.server == server);
-        let Some((next, _)) = next else { return };
-        let next = *next;
-        self.end_exchange(next, outcome);
-    }
-
     /// Ends a server's process.
     pub(crate) fn end_server(&mut self, index: usize) {
         if self.servers[index].state == ProcessState::Dead {
@@ -629,29 +372,3 @@
         cold_factor: 1,
     }
 }
-
-fn request_name(forward: &Forward) -> String {
-    forward.request.idempotency_key.clone().unwrap_or_default()
-}
-
-fn answered(key: &str, name: &str) -> UpstreamOutcome {
-    UpstreamOutcome::Answered(UpstreamAnswer {
-        status: 200,
-        headers: Vec::new(),
-        body: format!("{key} {name}").into_bytes(),
-    })
-}
-
-fn refusal_reason(refusal: ServerRefusal) -> NotRunReason {
-    match refusal {
-        ServerRefusal::NotOwner => NotRunReason::NotOwner,
-        ServerRefusal::Shed => NotRunReason::Shed,
-    }
-}
-
-fn not_run(reason: NotRunReason) -> UpstreamOutcome {
-    UpstreamOutcome::NotRun {
-        reason,
-        retry_after_micros: None,
-    }
-}
--- a/crates/sim/tests/guards.rs
+++ b/crates/sim/tests/guards.rs
@@ -16,6 +16,16 @@
     ScheduledFault { at_millis, fault }
 }
 
+/// Two zones lose each other, both ways.
+fn cut(from: usize, to: usize, millis: u64) -> Fault {
+    Fault::CutZones {
+        from,
+        to,
+        both_ways: true,
+        millis,
+    }
+}
+
 fn broken_points(scenario: Scenario) -> BTreeSet<Point> {
     let findings = check_all(&World::new(scenario).run());
     let broken = findings
@@ -114,15 +124,9 @@
 fn leader_lease() {
     let scenario = directed(|seed| {
         let from = (seed % 3) as usize;
-        let cut = |to| Fault::CutZones {
-            from,
-            to,
-            both_ways: true,
-            millis: 6_000,
-        };
         vec![
-            at(7_000, cut((from + 1) % 3)),
-            at(7_000, cut((from + 2) % 3)),
+            at(7_000, cut(from, (from + 1) % 3, 6_000)),
+            at(7_000, cut(from, (from + 2) % 3, 6_000)),
         ]
     });
     assert_noticed(Guard::LeaderLease, Point::SoleOwner, 40, scenario);
@@ -155,28 +159,7 @@
 /// majority lives.
 #[test]
 fn refounding_proof() {
-    let scenario = directed(|_| {
-        vec![
-            at(
-                7_000,
-                Fault::CutZones {
-                    from: 2,
-                    to: 0,
-                    both_ways: true,
-                    millis: 9_000,
-                },
-            ),
-            at(
-                7_000,
-                Fault::CutZones {
-                    from: 2,
-                    to: 1,
-                    both_ways: true,
-                    millis: 9_000,
-                },
-            ),
-        ]
-    });
+    let scenario = directed(|_| vec![at(7_000, cut(2, 0, 9_000)), at(7_000, cut(2, 1, 9_000))]);
     assert_noticed(Guard::RefoundingProof, Point::SoleOwner, 10, scenario);
 }
 
@@ -186,15 +169,9 @@
 fn committed_acceptance() {
     let scenario = directed(|seed| {
         let zone = (seed % 3) as usize;
-        let cut = |to| Fault::CutZones {
-            from: zone,
-            to,
-            both_ways: true,
-            millis: 18_000,
-        };
         vec![
-            at(6_990, cut((zone + 1) % 3)),
-            at(6_990, cut((zone + 2) % 3)),
+            at(6_990, cut(zone, (zone + 1) % 3, 18_000)),
+            at(6_990, cut(zone, (zone + 2) % 3, 18_000)),
             at(7_000, Fault::OperatorRace),
             at(7_040, Fault::KeyValueDown { millis: 17_000 }),
         ]
@@ -227,24 +204,8 @@
                     restart_millis: None,
                 },
             ),
-            at(
-                20_000,
-                Fault::CutZones {
-                    from: 2,
-                    to: 0,
-                    both_ways: true,
-                    millis: 9_000,
-                },
-            ),
-            at(
-                20_000,
-                Fault::CutZones {
-                    from: 2,
-                    to: 1,
-                    both_ways: true,
-                    millis: 9_000,
-                },
-            ),
+            at(20_000, cut(2, 0, 9_000)),
+            at(20_000, cut(2, 1, 9_000)),
         ]
     });
     assert_noticed(Guard::VoterRecord, Point::SoleOwner, 10, scenario);
