Test back ends whose answers are not whole

Cause: docs/PROOFS listed it as not shown. Change: a process test with short, oversized, garbled and silent answers.

--- /dev/null
+++ b/crates/node/tests/processes/bad_upstream.rs
@@ -0,0 +1,68 @@
+//! Back ends whose answers are cut short, too long or no HTTP: the caller is
+//! told that the outcome is unknown, never a part of an answer.
+
+use crate::support::{Cluster, call};
+use beamtray_settings::Division;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// More than a node takes of an answer.
+const TOO_LONG: usize = 17 * 1024 * 1024;
+
+/// A back end that gives every caller the same bytes and closes.
+fn back_end(answer: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            give(stream, &answer);
+        }
+    });
+    address
+}
+
+fn give(mut stream: TcpStream, answer: &[u8]) {
+    let mut request = [0; 4_096];
+    // What is asked does not matter, and the node may stop reading.
+    let _ = stream.read(&mut request);
+    let _ = stream.write_all(answer);
+}
+
+#[test]
+fn answers_that_are_not_whole_are_unknown() {
+    let cluster = Cluster::start("bad-upstream", 2);
+    let mut long = format!("HTTP/1.1 200 OK\r\ncontent-length: {TOO_LONG}\r\n\r\n").into_bytes();
+    long.resize(long.len() + TOO_LONG, b'a');
+    let answers = [
+        (
+            "short",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nabc".to_vec(),
+        ),
+        ("long", long),
+        ("garbled", b"this is no HTTP\r\n\r\n".to_vec()),
+        ("silent", Vec::new()),
+    ];
+    let mut declaration = cluster.declaration.clone();
+    for (name, answer) in answers.clone() {
+        let mut service = cluster.declaration.services[0].clone();
+        service.name = name.into();
+        service.division = Division::Pool;
+        service.servers.truncate(1);
+        service.servers[0].name = format!("{name}-1").as_str().into();
+        service.servers[0].address = back_end(answer);
+        declaration.services.push(service);
+    }
+    assert_eq!(cluster.confirm(1, 2, &declaration), Some(2));
+    cluster.wait_for_owners();
+    for (name, _) in answers {
+        let callers = cluster.nodes[0].callers;
+        let url = format!("http://{callers}/{name}/transfers");
+        let reply = call("POST", &url, Some("t"), TIMEOUT).expect("an answer");
+        assert_eq!(reply.status, 502, "{name}");
+        assert_eq!(reply.header("beamtray-outcome"), Some("unknown"), "{name}");
+        assert!(reply.header("retry-after").is_none(), "{name}");
+    }
+}
--- a/crates/node/tests/processes/main.rs
+++ b/crates/node/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Tests with real processes on loopback.
 
 mod bad_input;
+mod bad_upstream;
 mod failures;
 mod load;
 mod planned_stop;
