Check that a write called without effect has none; guard for reading back

Cause: the reading back of writes whose reply was lost could be switched off unnoticed. Change: the checker of configurations objects to a write in force that an operator was told had no effect; a guard switches the reading back off.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -59,6 +59,8 @@
     pub refounding_wait: bool,
     /// A configuration is called accepted only once the group has committed it.
     pub accepts_committed: bool,
+    /// A write whose reply is lost is written again and read back.
+    pub reads_back: bool,
     /// A change of voters is in the founding record before it takes effect.
     pub records_voters: bool,
     /// Servers that leave receive nothing new.
@@ -76,6 +78,7 @@
             configuration_lease: true,
             refounding_wait: true,
             accepts_committed: true,
+            reads_back: true,
             records_voters: true,
             drains: true,
         }
--- a/crates/control/src/configure.rs
+++ b/crates/control/src/configure.rs
@@ -207,6 +207,7 @@
         result: KeyValueResult,
     ) {
         let now = self.now;
+        let reads_back = self.config.guards.reads_back;
         let Some(confirmation) = self.confirmation(operation) else {
             return;
         };
@@ -230,7 +231,12 @@
             KeyValueResult::RateLimited { retry_after } => {
                 confirmation.write_due = Some(now + retry_after);
             }
-            _ => confirmation.write_due = Some(now + RETRY_INTERVAL),
+            _ if reads_back => confirmation.write_due = Some(now + RETRY_INTERVAL),
+            _ => {
+                let declaration = confirmation.declaration.clone();
+                let answer = self.conflict_answer(&declaration);
+                self.finish_confirmation(operation, answer);
+            }
         }
     }
 
--- a/crates/sim/src/check/configuration.rs
+++ b/crates/sim/src/check/configuration.rs
@@ -4,10 +4,11 @@
 //! Each confirmed declaration sends the probing pool to a back end of its own,
 //! so the back end that a probe reaches shows what was in force where the
 //! probe was sent. A node that refuses probes serves nothing, which is allowed.
+//! A write that an operator was told had no effect must never be seen in force.
 
 use super::requests::gather;
 use crate::record::{History, OperatorView, Record};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An accepted configuration is in force everywhere within this.
 const IN_FORCE_MICROS: u64 = 12_000_000;
@@ -21,6 +22,7 @@
 pub(super) fn check(history: &History) -> (u64, Vec<String>) {
     let mut violations = Vec::new();
     let accepted = accepted(history, &mut violations);
+    violations.extend(denied_in_force(history));
     let by_node = seen(history, &accepted);
     for (node, probes) in &by_node {
         for probe in probes {
@@ -53,6 +55,30 @@
     (accepted.len().saturating_sub(1) as u64, violations)
 }
 
+/// Writes that were called without effect and are in force all the same.
+fn denied_in_force(history: &History) -> Vec<String> {
+    let denied: BTreeSet<String> = history
+        .records
+        .iter()
+        .filter_map(|timed| match &timed.record {
+            Record::Confirmed {
+                operation,
+                view: OperatorView::Conflict | OperatorView::Unavailable,
+            } => Some(format!("probe-{operation}")),
+            _ => None,
+        })
+        .collect();
+    let seen = history
+        .records
+        .iter()
+        .filter_map(|timed| match &timed.record {
+            Record::Effect { key, .. } if denied.contains(key) => Some((timed.at, key)),
+            _ => None,
+        });
+    seen.map(|(at, key)| format!("at {at}: {key} is in force and was called without effect"))
+        .collect()
+}
+
 /// Accepted writes with the moment of acceptance and the revision.
 fn accepted(history: &History, violations: &mut Vec<String>) -> BTreeMap<u64, (u64, u64)> {
     let mut bases: BTreeMap<u64, u64> = BTreeMap::new();
--- a/crates/sim/src/guard.rs
+++ b/crates/sim/src/guard.rs
@@ -27,6 +27,8 @@
     RefoundingProof,
     /// A configuration is accepted only when it is committed.
     CommittedAcceptance,
+    /// A write whose reply is lost is written again and read back.
+    ReadBack,
     /// A change of voters is recorded before it takes effect.
     VoterRecord,
     /// Servers that leave receive nothing new.
@@ -43,7 +45,7 @@
 
 impl Guard {
     /// All of them.
-    pub const ALL: [Guard; 17] = [
+    pub const ALL: [Guard; 18] = [
         Guard::LapseWait,
         Guard::FormerLeaderWait,
         Guard::ReleaseWait,
@@ -55,6 +57,7 @@
         Guard::ConfigurationLease,
         Guard::RefoundingProof,
         Guard::CommittedAcceptance,
+        Guard::ReadBack,
         Guard::VoterRecord,
         Guard::Drain,
         Guard::GrantExpiry,
@@ -77,6 +80,7 @@
             Guard::ConfigurationLease => "configuration-lease",
             Guard::RefoundingProof => "refounding-proof",
             Guard::CommittedAcceptance => "committed-acceptance",
+            Guard::ReadBack => "read-back",
             Guard::VoterRecord => "voter-record",
             Guard::Drain => "drain",
             Guard::GrantExpiry => "grant-expiry",
@@ -106,6 +110,7 @@
             Guard::ConfigurationLease => control.configuration_lease = false,
             Guard::RefoundingProof => control.refounding_wait = false,
             Guard::CommittedAcceptance => control.accepts_committed = false,
+            Guard::ReadBack => control.reads_back = false,
             Guard::VoterRecord => control.records_voters = false,
             Guard::Drain => control.drains = false,
             Guard::GrantExpiry => guards.server_checks_expiry = false,
--- a/crates/sim/tests/checkers.rs
+++ b/crates/sim/tests/checkers.rs
@@ -217,6 +217,21 @@
     assert_objects(Point::Configuration, records);
 }
 
+#[test]
+fn a_denied_configuration_that_is_in_force() {
+    let mut records = confirmed(1, 0, Vec::new());
+    let sent = Record::ConfirmSent {
+        operation: 2,
+        base: 1,
+        drained: Vec::new(),
+    };
+    let view = OperatorView::Conflict;
+    records.push((2 * SECOND, sent));
+    records.push((3 * SECOND, Record::Confirmed { operation: 2, view }));
+    records.extend(probe(4 * SECOND, "p", 2));
+    assert_objects(Point::Configuration, records);
+}
+
 #[test]
 fn a_key_that_is_never_served_again() {
     let records = vec![
--- a/crates/sim/tests/guards.rs
+++ b/crates/sim/tests/guards.rs
@@ -211,6 +211,12 @@
     assert_noticed(Guard::VoterRecord, Point::SoleOwner, 10, scenario);
 }
 
+#[test]
+fn read_back() {
+    let scenario = random(&["key-value-loses-replies", "operator-race"]);
+    assert_noticed(Guard::ReadBack, Point::Configuration, 40, scenario);
+}
+
 #[test]
 fn drain() {
     let scenario = random(&["stop-server", "operator-race"]);
