--- a/crates/http/src/caller_server.rs
+++ b/crates/http/src/caller_server.rs
@@ -3,8 +3,8 @@
 //! One thread of its own carries all connections; nothing is decided there.
 //! Bounds: connections, the size of a request's head and body, and the time
 //! that a caller takes to send either. `tiny_http` has none of them, keeps a
-//! thread a connection, and now and then leaves an accepted connection waiting
-//! until another one ends; it stays where only our own processes call.
+//! thread a connection, and under load a request sometimes took over 5 s; it
+//! stays where only our own processes call.
 
 use crate::framing::check_framing;
 use crate::message::{HttpRequest, HttpResponse};
--- a/crates/routing/src/ingress.rs
+++ b/crates/routing/src/ingress.rs
@@ -5,9 +5,7 @@
 //! that holds for every try.
 
 use crate::budget::RetryBudget;
-use crate::message::{
-    Answer, AttemptId, CallerRequest, Forward, NotRunReason, RequestId, RunState, UpstreamOutcome,
-};
+use crate::message::{Answer, AttemptId, CallerRequest, Forward, RequestId, RunState};
 use crate::pending::{Pending, Stage, Try};
 use crate::pool::Pool;
 use crate::router::{RouterConfig, RouterOutput, RoutingView};
@@ -20,11 +18,7 @@
 
 /// Pause before a try that was refused for its owner or gate is made again,
 /// unless a new view comes first.
-const REROUTE_PAUSE: Duration = Duration::from_millis(20);
-/// The pause doubles at most this often.
-const MAX_REROUTE_DOUBLINGS: u32 = 3;
-/// Pause before an upstream that could not be reached is tried again.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+pub(crate) const REROUTE_PAUSE: Duration = Duration::from_millis(20);
 /// How long a try may stay out after its slice went to another owner. A
 /// planned move waits for what is in flight, so its answer is on the way; an
 /// owner that was lost will not answer.
@@ -37,15 +31,15 @@
 /// Requests of callers that have no final answer yet.
 #[derive(Debug)]
 pub(crate) struct Ingress {
-    pending: BTreeMap<RequestId, Pending>,
-    tries: BTreeMap<u64, RequestId>,
+    pub(crate) pending: BTreeMap<RequestId, Pending>,
+    pub(crate) tries: BTreeMap<u64, RequestId>,
     next_try: u64,
-    waiting: BTreeMap<ServiceName, usize>,
-    budgets: BTreeMap<ServiceName, RetryBudget>,
-    pools: BTreeMap<ServiceName, Pool>,
+    pub(crate) waiting: BTreeMap<ServiceName, usize>,
+    pub(crate) budgets: BTreeMap<ServiceName, RetryBudget>,
+    pub(crate) pools: BTreeMap<ServiceName, Pool>,
     rng: ChaCha8Rng,
     stopping: bool,
-    keeps_unknown: bool,
+    pub(crate) keeps_unknown: bool,
 }
 
 impl Ingress {
@@ -147,7 +141,7 @@
     }
 
     /// Sends a waiting request to its upstream's gate, or lets it wait on.
-    fn route(
+    pub(crate) fn route(
         &mut self,
         now: Time,
         view: &RoutingView,
@@ -231,7 +225,7 @@
 
     /// Lets a request wait for a new view or a pause, or refuses it when too
     /// many wait.
-    fn wait(
+    pub(crate) fn wait(
         &mut self,
         now: Time,
         view: &RoutingView,
@@ -253,194 +247,6 @@
         }
     }
 
-    pub(crate) fn on_result(
-        &mut self,
-        now: Time,
-        view: &RoutingView,
-        attempt: AttemptId,
-        outcome: UpstreamOutcome,
-        outputs: &mut Vec<RouterOutput>,
-    ) {
-        if attempt.ingress != view.me {
-            return;
-        }
-        // A try that was given up on is not in the table: its late answer is
-        // nobody's.
-        let Some(id) = self.tries.remove(&attempt.number) else {
-            return;
-        };
-        let Some(pending) = self.pending.get(&id) else {
-            return;
-        };
-        if let (Stage::Out(current), Some(pool)) =
-            (&pending.stage, self.pools.get_mut(&pending.request.service))
-        {
-            let failed =
-                !matches!(outcome, UpstreamOutcome::Answered(ref answer) if answer.status < 500);
-            pool.finished(now, &current.server, failed);
-        }
-        match outcome {
-            UpstreamOutcome::Answered(answer) => {
-                self.remove(id);
-                outputs.push(RouterOutput::Answer {
-                    request: id,
-                    answer: Answer {
-                        status: answer.status,
-                        headers: answer.headers,
-                        body: answer.body,
-                        run_state: RunState::Complete,
-                        retry_after: None,
-                    },
-                });
-            }
-            UpstreamOutcome::NotRun {
-                reason,
-                retry_after_micros,
-            } => {
-                let after = retry_after_micros.map(Duration::from_micros);
-                self.on_not_run(now, view, id, reason, after, outputs);
-            }
-            UpstreamOutcome::Lost { cause } => self.on_lost(now, view, id, &cause, outputs),
-        }
-    }
-
-    fn on_not_run(
-        &mut self,
-        now: Time,
-        view: &RoutingView,
-        id: RequestId,
-        reason: NotRunReason,
-        after: Option<Duration>,
-        outputs: &mut Vec<RouterOutput>,
-    ) {
-        match reason {
-            NotRunReason::NotOwner | NotRunReason::NotGate => {
-                let pause = self.reroute_pause(id);
-                self.retry(now, view, id, pause, outputs);
-            }
-            NotRunReason::NotConnected => self.retry(now, view, id, RECONNECT_PAUSE, outputs),
-            NotRunReason::Shed => {
-                let pause = after.unwrap_or(RECONNECT_PAUSE);
-                if self.withdraw(id) {
-                    return self.retry(now, view, id, pause, outputs);
-                }
-                let reason = "the upstream is over its limit";
-                self.give_up(id, 503, reason, Some(pause), outputs);
-            }
-            NotRunReason::QueueFull => {
-                let after = after.or(Some(RECONNECT_PAUSE));
-                self.give_up(id, 503, "the queue is full", after, outputs);
-            }
-            NotRunReason::Expired => {
-                let reason = "the deadline passed before the request was sent";
-                self.give_up(id, 504, reason, Some(RECONNECT_PAUSE), outputs);
-            }
-        }
-    }
-
-    /// Doubles with each refusal: a new view ends the pause at once, and
-    /// without one another try is unlikely to fare better.
-    fn reroute_pause(&mut self, id: RequestId) -> Duration {
-        let Some(pending) = self.pending.get_mut(&id) else {
-            return REROUTE_PAUSE;
-        };
-        let doublings = pending.rerouted.min(MAX_REROUTE_DOUBLINGS);
-        pending.rerouted += 1;
-        REROUTE_PAUSE * 2u32.pow(doublings)
-    }
-
-    fn on_lost(
-        &mut self,
-        now: Time,
-        view: &RoutingView,
-        id: RequestId,
-        cause: &str,
-        outputs: &mut Vec<RouterOutput>,
-    ) {
-        let keeps_unknown = self.keeps_unknown;
-        let Some(pending) = self.pending.get_mut(&id) else {
-            return;
-        };
-        pending.may_have_run |= keeps_unknown;
-        let repeatable = pending.repeatable || !keeps_unknown;
-        if repeatable && self.withdraw(id) {
-            return self.retry(now, view, id, Duration::ZERO, outputs);
-        }
-        let reason = format!("no whole answer: {cause}");
-        self.give_up(id, 502, &reason, None, outputs);
-    }
-
-    /// Puts a request back among those that wait, when time is left.
-    fn retry(
-        &mut self,
-        now: Time,
-        view: &RoutingView,
-        id: RequestId,
-        pause: Duration,
-        outputs: &mut Vec<RouterOutput>,
-    ) {
-        let Some(pending) = self.pending.get_mut(&id) else {
-            return;
-        };
-        let name = pending.request.service.clone();
-        if now + pause >= pending.deadline {
-            let reason = "the deadline comes before the next try";
-            return self.give_up(id, 504, reason, Some(pause), outputs);
-        }
-        if matches!(pending.stage, Stage::Out(_)) {
-            *self.waiting.entry(name.clone()).or_default() += 1;
-        }
-        pending.stage = Stage::Waiting {
-            until: now + pause,
-            view: view.state.applied.0,
-        };
-        let Some(service) = view.state.declaration.service(&name) else {
-            return self.give_up(id, 404, "the service is no longer declared", None, outputs);
-        };
-        if pause.is_zero() {
-            return self.route(now, view, id, outputs);
-        }
-        self.wait(now, view, service, id, pause, outputs);
-    }
-
-    fn withdraw(&mut self, id: RequestId) -> bool {
-        let Some(pending) = self.pending.get(&id) else {
-            return false;
-        };
-        self.budgets
-            .get_mut(&pending.request.service)
-            .is_some_and(RetryBudget::withdraw)
-    }
-
-    /// The final answer for a request that has none from an upstream.
-    fn give_up(
-        &mut self,
-        id: RequestId,
-        status: u16,
-        reason: &str,
-        after: Option<Duration>,
-        outputs: &mut Vec<RouterOutput>,
-    ) {
-        let Some(pending) = self.remove(id) else {
-            return;
-        };
-        let out = matches!(pending.stage, Stage::Out(ref attempt)
-            if self.tries.remove(&attempt.id.number).is_some());
-        let may_have_run = pending.may_have_run || (out && self.keeps_unknown);
-        let run_state = if may_have_run {
-            RunState::Unknown
-        } else {
-            RunState::NotRun
-        };
-        // An unknown outcome must not invite a repetition of what may not be
-        // repeated.
-        let after = after.filter(|_| run_state == RunState::NotRun || pending.repeatable);
-        outputs.push(RouterOutput::Answer {
-            request: id,
-            answer: Answer::failure(status, run_state, reason, after),
-        });
-    }
-
     pub(crate) fn on_node_lost(
         &mut self,
         now: Time,
@@ -522,7 +328,7 @@
         }
     }
 
-    fn remove(&mut self, id: RequestId) -> Option<Pending> {
+    pub(crate) fn remove(&mut self, id: RequestId) -> Option<Pending> {
         let pending = self.pending.remove(&id)?;
         if matches!(pending.stage, Stage::Waiting { .. }) {
             let name = pending.request.service.clone();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod ingress;
 mod load;
 mod message;
+mod outcome;
 mod pending;
 mod pool;
 mod router;
