--- a/crates/router/src/shell/peers.rs
+++ b/crates/router/src/shell/peers.rs
@@ -3,7 +3,7 @@
 use crate::core::{Input, Snapshot, ViewRequest};
 use crate::shell::connections::prepare;
 use crate::shell::handle::Shared;
-use beamtray_dispatch::{KeyLoad, LoadReport};
+use beamtray_dispatch::LoadReport;
 use beamtray_wire::{FrameBuffer, FrameError, encode};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -45,7 +45,7 @@
     }
     for keys in report.keys.chunks(KEYS_A_DATAGRAM) {
         let part = LoadReport {
-            keys: keys.iter().copied().collect::<Vec<KeyLoad>>(),
+            keys: keys.to_vec(),
             ..report.clone()
         };
         send_datagram(shared, &part, addresses);
