--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::{BudgetConfig, RetryBudget};
 use crate::occupancy::Occupancy;
-use crate::report::{KeyLoad, LoadReport, UpstreamHash, UpstreamLoad};
+use crate::report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash, UpstreamHash};
 use crate::request::{
     Admission, AttemptOutcome, Conclusion, Decision, Forward, RefusalReason, RequestHead, Ticket,
     UnknownCause, Untouched,
@@ -29,10 +29,9 @@
     pub budget: BudgetConfig,
     /// Most requests that wait here.
     pub queue_limit: usize,
-    /// Requests beyond its slots that an upstream without keys is sent.
-    pub spare_requests: u32,
-    /// Requests beyond its slots that a holder of keys is sent.
-    pub spare_keyed_requests: u32,
+    /// Most requests beyond its slots that an upstream is sent: it may answer
+    /// nothing to what it can't queue.
+    pub most_queued: u32,
     /// What another zone costs, as time.
     pub zone_cost: Duration,
     /// How long a leaving holder of keys still gets requests.
@@ -40,11 +39,23 @@
 }
 
 /// Part of a route's target latency that a request may wait here.
-const WAIT_SHARE: u32 = 4;
+const WAIT_SHARE: u32 = 5;
+/// Part of the time left that a request which has come back may wait here.
+const RETURNED_WAIT_SHARE: u32 = 3;
+/// Part of the time left that likely work may take.
+const TARGET_SHARE: f64 = 0.85;
+/// Part of a route's target latency that its work takes while nothing is
+/// learned.
+const UNKNOWN_WORK_SHARE: f64 = 0.33;
+/// How much slower an upstream is that has just started.
+const WARMING_SLOWNESS: f64 = 2.0;
+/// A client that waits less than this part of the longest wait seen on its
+/// route has been here before.
+const RETURNED_SHARE: f64 = 0.93;
 /// Time kept back from a deadline for the answer's way.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// Pause before a holder that denied a key is asked again.
-const MISDIRECTED_PAUSE: Duration = Duration::from_millis(40);
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(25);
 /// Pause before an upstream that said it is full is asked again.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
 /// First pause after a failure; doubles with each further one.
@@ -80,6 +91,8 @@
     tried: Vec<UpstreamId>,
     attempt: Option<Attempt>,
     unknown: Option<UnknownCause>,
+    /// Whether its client seems to have been refused before.
+    returned: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -104,6 +117,8 @@
     requests: HashMap<Ticket, Request>,
     waiting: Vec<Ticket>,
     shares: HashMap<String, Shares>,
+    /// Longest time that clients of each route begin with.
+    patience: HashMap<String, Duration>,
     version: u64,
     budgets: HashMap<ServiceName, RetryBudget>,
     health: HashMap<UpstreamId, Health>,
@@ -112,7 +127,7 @@
     speeds: SpeedTable,
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
     nodes: usize,
-    sequence: u64,
+    sequence: u32,
     random: u64,
 }
 
@@ -129,6 +144,7 @@
             requests: HashMap::new(),
             waiting: Vec::new(),
             shares: HashMap::new(),
+            patience: HashMap::new(),
             version: 0,
             budgets: HashMap::new(),
             health: HashMap::new(),
@@ -213,9 +229,15 @@
             let count = loads.entry(key).or_default();
             *count = count.saturating_add(1);
         }
-        let time = head.patience.unwrap_or(route.timeout).min(route.timeout);
+        let patience = head.patience.unwrap_or(route.timeout);
+        let returned = self.has_returned(&route, patience);
+        let time = patience.min(route.timeout);
         let deadline = now + time.saturating_sub(ANSWER_MARGIN);
-        let wait = (route.target_latency / WAIT_SHARE).min(time / 3);
+        let wait = if returned {
+            time / RETURNED_WAIT_SHARE
+        } else {
+            (route.target_latency / WAIT_SHARE).min(time / 3)
+        };
         self.requests.insert(
             ticket,
             Request {
@@ -229,6 +251,7 @@
                 tried: Vec::new(),
                 attempt: None,
                 unknown: None,
+                returned,
                 route,
             },
         );
@@ -236,6 +259,14 @@
         Ok(())
     }
 
+    /// Whether a client seems to have been here before: it has less time left
+    /// than clients of that route begin with.
+    fn has_returned(&mut self, route: &Route, patience: Duration) -> bool {
+        let longest = self.patience.entry(route.name.clone()).or_default();
+        *longest = (*longest).max(patience);
+        patience.as_secs_f64() < longest.as_secs_f64() * RETURNED_SHARE
+    }
+
     /// The service that gets the next request of a route: each in proportion
     /// to its weight, spread evenly.
     fn choose_backend(&mut self, route: &Route) -> ServiceName {
@@ -373,9 +404,10 @@
         if self.is_paused(now, holder) {
             return Err(RefusalReason::Busy);
         }
-        let occupied = self.occupancy.total(UpstreamHash::of(holder));
-        let room = registration.record.slots + self.config.spare_keyed_requests;
-        if occupied >= room {
+        let hash = UpstreamHash::of(holder);
+        let time = self.expected(now, request, registration, hash);
+        let occupied = self.occupancy.total(hash);
+        if occupied >= self.room(now, request, registration, time) {
             return Err(RefusalReason::Busy);
         }
         Ok(registration)
@@ -387,10 +419,6 @@
         directory: &'a Directory,
         request: &Request,
     ) -> Result<&'a Registration, RefusalReason> {
-        let mean = self
-            .speeds
-            .route_mean(&request.route.name)
-            .unwrap_or(request.route.target_latency.as_secs_f64() / 3.0);
         let mut best: Option<(f64, &Registration)> = None;
         let mut any = false;
         let start = self.draw();
@@ -402,13 +430,10 @@
             }
             let hash = UpstreamHash::of(&record.id);
             let occupied = self.occupancy.total(hash);
-            if occupied >= record.slots + self.config.spare_requests {
+            let time = self.expected(now, request, registration, hash);
+            if occupied >= self.room(now, request, registration, time) {
                 continue;
             }
-            let mut time = mean * self.speeds.slowness(hash);
-            if now < registration.warm_at {
-                time *= 2.0;
-            }
             let rounds = f64::from(occupied + 1) / f64::from(record.slots.max(1));
             let mut cost = time * rounds.max(1.0);
             if record.zone != self.config.zone {
@@ -427,6 +452,49 @@
         }
     }
 
+    /// Seconds of work that a request is likely to be at an upstream.
+    fn expected(
+        &self,
+        now: Time,
+        request: &Request,
+        registration: &Registration,
+        hash: UpstreamHash,
+    ) -> f64 {
+        let mean = self
+            .speeds
+            .route_mean(&request.route.name)
+            .unwrap_or(request.route.target_latency.as_secs_f64() * UNKNOWN_WORK_SHARE);
+        let warming = if now < registration.warm_at {
+            WARMING_SLOWNESS
+        } else {
+            1.0
+        };
+        mean * self.speeds.slowness(hash) * warming
+    }
+
+    /// Requests that an upstream may have before this one is sent there: as
+    /// many as let it still be answered in time. One that has come back is to
+    /// be answered at all.
+    fn room(
+        &self,
+        now: Time,
+        request: &Request,
+        registration: &Registration,
+        expected: f64,
+    ) -> u32 {
+        let slots = registration.record.slots.max(1);
+        let target = request.arrived + request.route.target_latency;
+        let end = if request.returned {
+            target.max(request.deadline)
+        } else {
+            target
+        };
+        let left = end.min(request.deadline).since(now).as_secs_f64() * TARGET_SHARE;
+        let rounds = ((left - expected) / expected.max(1e-3)).max(0.0);
+        let queued = (rounds * f64::from(slots)) as u32;
+        slots + queued.min(self.config.most_queued)
+    }
+
     fn is_paused(&self, now: Time, id: &UpstreamId) -> bool {
         self.health
             .get(id)
@@ -504,6 +572,7 @@
                     let seconds = now.since(attempt.sent).as_secs_f64();
                     self.speeds
                         .learn(attempt.hash, &request.route.name, seconds);
+                    self.speeds.learn_service(&request.service, seconds);
                 }
             }
             AttemptOutcome::Untouched(Untouched::Full) => {
@@ -586,11 +655,10 @@
     /// Takes another node's report.
     pub fn report(&mut self, now: Time, report: &LoadReport) {
         self.occupancy.report(now, report);
-        for load in &report.upstreams {
-            if load.samples > 0 {
-                let count = f64::from(load.samples);
-                self.speeds.add(load.upstream, count, f64::from(load.sum));
-            }
+        for answers in &report.answers {
+            let count = f64::from(answers.samples);
+            self.speeds
+                .add(answers.upstream, count, f64::from(answers.sum));
         }
     }
 
@@ -599,30 +667,40 @@
         self.occupancy.expire(now);
     }
 
-    /// This node's report of requests under way and answers.
-    pub fn upstream_report(&mut self) -> LoadReport {
-        let mut loads: BTreeMap<UpstreamHash, UpstreamLoad> = BTreeMap::new();
-        let empty = |upstream| UpstreamLoad {
-            upstream,
-            in_flight: 0,
-            samples: 0,
-            sum: 0.0,
-        };
-        for (upstream, count) in self.occupancy.own_all() {
-            let load = loads.entry(upstream).or_insert(empty(upstream));
-            load.in_flight = count;
-        }
-        for (upstream, untold) in self.speeds.take_untold() {
-            let load = loads.entry(upstream).or_insert(empty(upstream));
-            load.samples = untold.count.min(u32::from(u16::MAX)) as u16;
-            load.sum = untold.sum as f32;
+    /// This node's requests under way, for other nodes. `answers` tells them
+    /// also of the answers since the last such report.
+    pub fn load_report(&mut self, answers: Vec<Answers>) -> LoadReport {
+        self.sequence += 1;
+        let own = self.occupancy.own_all();
+        LoadReport {
+            node: NodeHash::of(&self.config.node),
+            run: self.config.run as u32,
+            sequence: self.sequence,
+            in_flight: own
+                .map(|(upstream, requests)| InFlight {
+                    upstream,
+                    requests: requests.min(u16::from(u8::MAX)) as u8,
+                })
+                .collect(),
+            answers,
         }
-        self.new_report(true, loads.into_values().collect())
     }
 
-    /// This node's report of requests by key, and the same as a list.
-    pub fn key_report(&mut self) -> LoadReport {
-        let mut report = self.new_report(false, Vec::new());
+    /// Answers that other nodes were not told of.
+    pub fn take_answers(&mut self) -> Vec<Answers> {
+        let untold = self.speeds.take_untold().into_iter();
+        untold
+            .map(|(upstream, untold)| Answers {
+                upstream,
+                samples: untold.count.min(u32::from(u8::MAX)) as u8,
+                sum: untold.sum as f32,
+            })
+            .collect()
+    }
+
+    /// This node's requests by key since the last such report.
+    pub fn key_report(&mut self) -> KeyReport {
+        let mut report = KeyReport::default();
         for (service, loads) in self.key_loads.drain() {
             let index = report.services.len() as u8;
             report.services.push(service);
@@ -637,19 +715,6 @@
         report
     }
 
-    fn new_report(&mut self, is_whole: bool, upstreams: Vec<UpstreamLoad>) -> LoadReport {
-        self.sequence += 1;
-        LoadReport {
-            node: self.config.node.clone(),
-            run: self.config.run,
-            sequence: self.sequence,
-            is_whole,
-            upstreams,
-            services: Vec::new(),
-            keys: Vec::new(),
-        }
-    }
-
     /// Learned speeds.
     pub fn speeds(&self) -> &SpeedTable {
         &self.speeds
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,7 +15,7 @@
 pub use budget::{BudgetConfig, RetryBudget};
 pub use dispatcher::{DispatchConfig, Dispatcher};
 pub use occupancy::Occupancy;
-pub use report::{KeyLoad, LoadReport, UpstreamHash, UpstreamLoad};
+pub use report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash, UpstreamHash};
 pub use request::{
     Admission, AttemptOutcome, Conclusion, Decision, Forward, RefusalReason, RequestHead, Ticket,
     UnknownCause, Untouched,
--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -1,6 +1,6 @@
 //! How many requests are under way at each upstream, over all nodes.
 
-use crate::report::{LoadReport, UpstreamHash};
+use crate::report::{LoadReport, NodeHash, UpstreamHash};
 use beamtray_types::Time;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -10,17 +10,17 @@
 
 #[derive(Clone, Debug)]
 struct Peer {
-    run: u64,
-    sequence: u64,
+    run: u32,
+    sequence: u32,
     heard: Time,
-    in_flight: HashMap<UpstreamHash, u16>,
+    in_flight: HashMap<UpstreamHash, u8>,
 }
 
 /// Requests under way at each upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Occupancy {
     own: HashMap<UpstreamHash, u16>,
-    peers: HashMap<String, Peer>,
+    peers: HashMap<NodeHash, Peer>,
     /// Sum over the peers.
     others: HashMap<UpstreamHash, u32>,
 }
@@ -59,10 +59,7 @@
 
     /// Takes another node's report.
     pub fn report(&mut self, now: Time, report: &LoadReport) {
-        if !report.is_whole {
-            return;
-        }
-        let peer = self.peers.entry(report.node.clone()).or_insert(Peer {
+        let peer = self.peers.entry(report.node).or_insert(Peer {
             run: report.run,
             sequence: 0,
             heard: now,
@@ -76,10 +73,9 @@
         peer.sequence = report.sequence;
         peer.heard = now;
         peer.in_flight = report
-            .upstreams
+            .in_flight
             .iter()
-            .filter(|load| load.in_flight > 0)
-            .map(|load| (load.upstream, load.in_flight))
+            .map(|load| (load.upstream, load.requests))
             .collect();
         self.sum();
     }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -1,7 +1,8 @@
 //! What nodes tell one another of the load that they put on upstreams.
 //!
-//! A report is small enough for a datagram, and may be lost: counts are whole
-//! in each report, samples and key loads lost are not missed.
+//! A report is small, since it is sent often: a few dozen bytes in a datagram.
+//! It may be lost: requests under way are whole in each report, samples and
+//! key loads that are lost are not missed.
 
 use beamtray_catalog::UpstreamId;
 use beamtray_sharding::ShardKey;
@@ -13,24 +14,44 @@
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
 )]
-pub struct UpstreamHash(pub u64);
+pub struct UpstreamHash(pub u32);
 
 impl UpstreamHash {
     /// The short name of an upstream.
     pub fn of(id: &UpstreamId) -> Self {
-        Self(xxh3_64(id.0.as_bytes()))
+        Self(xxh3_64(id.0.as_bytes()) as u32)
     }
 }
 
-/// What one node puts on one upstream.
+/// Short name of a node in reports.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
+)]
+pub struct NodeHash(pub u32);
+
+impl NodeHash {
+    /// The short name of a node.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
+/// Requests of one node under way at one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct InFlight {
+    /// The upstream.
+    pub upstream: UpstreamHash,
+    /// How many.
+    pub requests: u8,
+}
+
+/// Answers of one upstream since the last report.
 #[derive(Clone, Copy, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
-pub struct UpstreamLoad {
+pub struct Answers {
     /// The upstream.
     pub upstream: UpstreamHash,
-    /// Requests of that node under way there.
-    pub in_flight: u16,
-    /// Answers since the last report.
-    pub samples: u16,
+    /// How many.
+    pub samples: u8,
     /// Their times relative to their routes' means, summed.
     pub sum: f32,
 }
@@ -46,19 +67,24 @@
     pub requests: u16,
 }
 
-/// One node's report.
-#[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+/// One node's report of requests under way.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct LoadReport {
-    /// The node's name.
-    pub node: String,
+    /// The node.
+    pub node: NodeHash,
     /// Its run.
-    pub run: u64,
+    pub run: u32,
     /// Counts the node's reports.
-    pub sequence: u64,
-    /// Whether `upstreams` tells all requests under way.
-    pub is_whole: bool,
-    /// Upstreams with requests under way, or answers to tell of.
-    pub upstreams: Vec<UpstreamLoad>,
+    pub sequence: u32,
+    /// All requests of the node under way.
+    pub in_flight: Vec<InFlight>,
+    /// Answers since the last report.
+    pub answers: Vec<Answers>,
+}
+
+/// One node's report of requests by key, for the granter.
+#[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct KeyReport {
     /// Services that `keys` refers to.
     pub services: Vec<ServiceName>,
     /// Requests by key.
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -5,6 +5,7 @@
 //! that happens to get long requests does not count as slow.
 
 use crate::report::UpstreamHash;
+use beamtray_types::ServiceName;
 use std::collections::HashMap;
 
 /// Samples that an unknown upstream is taken to have had at speed 1.
@@ -36,6 +37,7 @@
     routes: HashMap<String, f64>,
     upstreams: HashMap<UpstreamHash, Samples>,
     untold: HashMap<UpstreamHash, Untold>,
+    services: HashMap<ServiceName, f64>,
 }
 
 impl SpeedTable {
@@ -80,6 +82,21 @@
         self.routes.get(route).copied()
     }
 
+    /// Takes the time of an answer for the mean of its service.
+    pub fn learn_service(&mut self, service: &ServiceName, seconds: f64) {
+        match self.services.get_mut(service) {
+            Some(mean) => *mean += (seconds - *mean) * ROUTE_WEIGHT,
+            None => {
+                self.services.insert(service.clone(), seconds);
+            }
+        }
+    }
+
+    /// Mean time of a service's answers, in seconds, if any came.
+    pub fn service_mean(&self, service: &ServiceName) -> Option<f64> {
+        self.services.get(service).copied()
+    }
+
     /// Samples taken here since the last call.
     pub(crate) fn take_untold(&mut self) -> Vec<(UpstreamHash, Untold)> {
         self.untold.drain().collect()
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -6,7 +6,7 @@
 use crate::core::registration::Registrar;
 use crate::core::views::{ViewName, Views};
 use beamtray_catalog::{UpstreamId, UpstreamState};
-use beamtray_dispatch::{LoadReport, SpeedTable, UpstreamHash};
+use beamtray_dispatch::{KeyReport, SpeedTable, UpstreamHash};
 use beamtray_metastore::{
     Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, Revision, StoreCall,
     StoreOutcome, Transaction, Write,
@@ -23,9 +23,9 @@
 /// Time of a request where nothing is learned yet, in seconds.
 const UNKNOWN_WORK: f64 = 0.1;
 /// Between two looks at the balance.
-const REBALANCE: Duration = Duration::from_millis(300);
+const REBALANCE: Duration = Duration::from_millis(150);
 /// Share of the counted load that is left after one look.
-const LOAD_KEPT: f64 = 0.86;
+const LOAD_KEPT: f64 = 0.917;
 /// Pause after a record that was not written.
 const REWRITE: Duration = Duration::from_millis(80);
 /// Pause after a failed reading at a takeover.
@@ -96,6 +96,8 @@
     election: Election,
     term: Option<Term>,
     addresses: BTreeMap<UpstreamId, SocketAddr>,
+    /// Assignments in the store that this node's views don't show yet.
+    written: Vec<Item>,
 }
 
 impl Control {
@@ -114,6 +116,7 @@
             registrar: Registrar::new(config.record.clone(), config.node_lease),
             election,
             term: None,
+            written: Vec::new(),
             addresses: BTreeMap::new(),
             config,
         }
@@ -126,7 +129,7 @@
 
     /// Calls to the store that are due.
     pub fn poll_store(&mut self, now: Time, views: &Views) -> Vec<(StoreTask, StoreCall)> {
-        let mirror = views.replica(ViewName::Own).mirror();
+        let mirror = views.replica(ViewName::Members).mirror();
         let view = mirror
             .at()
             .map(|_| (mirror.get(OwnKeys::GRANTER), mirror.get(OwnKeys::EPOCH)));
@@ -209,7 +212,7 @@
             StoreTask::Registration => self.registrar.handle(now, &outcome),
             StoreTask::TakeOver => self.taken_over(now, outcome),
             StoreTask::Record(service) => self.recorded(now, service, outcome),
-            StoreTask::View(_) | StoreTask::Farewell => {}
+            StoreTask::View(..) | StoreTask::Farewell => {}
         }
     }
 
@@ -235,6 +238,12 @@
             .filter_map(|item| adopt(now, timing, epoch, item))
             .collect();
         term.grants = Some(grants);
+        self.written.extend(read);
+    }
+
+    /// Assignments that this node wrote or read for itself.
+    pub fn take_written(&mut self) -> Vec<Item> {
+        std::mem::take(&mut self.written)
     }
 
     fn recorded(&mut self, now: Time, service: &ServiceName, outcome: StoreOutcome) {
@@ -255,7 +264,12 @@
         match outcome {
             StoreOutcome::Committed { revision } => {
                 grants.revision = revision;
-                grants.granter.written(writing.record.sequence);
+                grants.granter.written(now, writing.record.sequence);
+                self.written.push(Item {
+                    key: OwnKeys::assignment(service),
+                    value: encode(&writing.record),
+                    revision,
+                });
             }
             StoreOutcome::Conflict { items } => {
                 grants.write_at = now + REWRITE;
@@ -302,7 +316,7 @@
         let mut tasks = Vec::new();
         for (service, grants) in all.iter_mut() {
             let granter = &mut grants.granter;
-            granter.set_candidates(candidates(service, views, speeds));
+            granter.set_candidates(now, candidates(service, views, speeds));
             note_replaced(granter, views, &self.addresses);
             if rebalance {
                 granter.rebalance(now, &self.config.balance);
@@ -375,7 +389,7 @@
     }
 
     /// Takes a report of requests by key.
-    pub fn report(&mut self, report: &LoadReport) {
+    pub fn report(&mut self, report: &KeyReport) {
         let Some(all) = self.term.as_mut().and_then(|term| term.grants.as_mut()) else {
             return;
         };
@@ -455,15 +469,20 @@
         ],
         writes: vec![Write {
             key,
-            // Writing borsh to memory can't fail.
-            value: borsh::to_vec(record).unwrap_or_default(),
+            value: encode(record),
             lease: None,
         }],
         removals: Vec::new(),
     })
 }
 
+fn encode(record: &AssignmentRecord) -> Vec<u8> {
+    // Writing borsh to memory can't fail.
+    borsh::to_vec(record).unwrap_or_default()
+}
+
 fn candidates(service: &ServiceName, views: &Views, speeds: &SpeedTable) -> Vec<Candidate> {
+    let work = speeds.service_mean(service).unwrap_or(UNKNOWN_WORK);
     let of_service = views
         .directory
         .iter()
@@ -478,7 +497,7 @@
                     UpstreamState::Ready => Standing::Ready,
                     UpstreamState::Draining => Standing::Draining,
                 },
-                capacity: f64::from(record.slots) / (UNKNOWN_WORK * slowness),
+                capacity: f64::from(record.slots) / (work * slowness),
             }
         })
         .collect()
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -8,8 +8,8 @@
 mod views;
 
 pub use control::{Control, ControlConfig, OrderTask};
-pub use node::{CoreConfig, Input, NodeCore, Output, StoreTask, Timing};
+pub use node::{CoreConfig, Datagram, Input, NodeCore, Output, StoreTask, Timing};
 pub use records::{NodeRecord, OwnKeys};
 pub use registration::Registrar;
-pub use replica::{Replica, ReplicaHealth};
-pub use views::{Snapshot, ViewNotice, ViewRequest, Views};
+pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
+pub use views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest, Views, WantedView};
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -1,16 +1,17 @@
 //! One node's core: inputs and the time go in, outputs come out.
 
 use crate::core::control::{Control, ControlConfig, OrderTask};
-use crate::core::views::{Snapshot, ViewName, ViewNotice, ViewRequest, Views};
+use crate::core::views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest, Views};
 use beamtray_catalog::{ClientLimits, DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{
     Admission, AttemptOutcome, Conclusion, Decision, DispatchConfig, Dispatcher, Forward,
-    LoadReport, RequestHead, Ticket,
+    KeyReport, LoadReport, RequestHead, Ticket,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply};
 use beamtray_types::{ServiceName, Time};
+use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,15 +33,24 @@
     pub timing: Timing,
 }
 
+/// How often word of new assignments is repeated at once: datagrams get lost.
+const HEADS_REPEATED: u32 = 2;
+
 /// Pauses between periodic works.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
     /// Between looks at what is due.
     pub tick: Duration,
-    /// Between reports of requests under way, when they changed.
+    /// Between reports of requests under way to nodes of the same zone.
     pub report: Duration,
-    /// Between the same, when they did not.
+    /// Between the same to nodes of other zones.
+    pub far_report: Duration,
+    /// Between the same when nothing is under way.
     pub idle_report: Duration,
+    /// Between words of the newest changes seen.
+    pub heads: Duration,
+    /// Between two fetches of assignments from other nodes.
+    pub fetch: Duration,
     /// Between reports of requests by key.
     pub key_report: Duration,
     /// Between questions to other nodes while the store is in trouble.
@@ -52,8 +62,11 @@
         Self {
             tick: Duration::from_millis(10),
             report: Duration::from_millis(10),
+            far_report: Duration::from_millis(40),
             idle_report: Duration::from_millis(400),
-            key_report: Duration::from_millis(250),
+            heads: Duration::from_millis(250),
+            fetch: Duration::from_millis(15),
+            key_report: Duration::from_millis(120),
             ask_peers: Duration::from_millis(250),
         }
     }
@@ -62,8 +75,8 @@
 /// What a call to the store is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreTask {
-    /// Keeps a view up.
-    View(ViewName),
+    /// Keeps a view up; the number is the call's generation.
+    View(ViewName, u32),
     /// The election.
     Election,
     /// The node's entry.
@@ -76,6 +89,17 @@
     Farewell,
 }
 
+/// What one node tells another without waiting for an answer.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Datagram {
+    /// Requests under way.
+    Load(LoadReport),
+    /// Requests by key, for the granter.
+    Keys(KeyReport),
+    /// Newest changes that it has seen.
+    Heads(ViewHeads),
+}
+
 /// What happened.
 pub enum Input {
     /// Time passed.
@@ -122,8 +146,8 @@
         /// The upstream that is gone.
         upstream: UpstreamId,
     },
-    /// Another node's report.
-    Report(LoadReport),
+    /// Another node's word.
+    Datagram(SocketAddr, Datagram),
     /// Another node's copies.
     Snapshots(Vec<Snapshot>),
     /// The process is to end.
@@ -143,7 +167,7 @@
     /// Order something of an upstream; `epoch` is the term.
     Order(OrderTask, u64),
     /// Tell other nodes.
-    Report(LoadReport, Vec<SocketAddr>),
+    Send(Datagram, Vec<SocketAddr>),
     /// Ask another node for its copies.
     Ask(SocketAddr, ViewRequest),
     /// Bounds on clients changed.
@@ -162,11 +186,15 @@
     dispatcher: Dispatcher,
     stopping: bool,
     report_at: Time,
-    idle_report_at: Time,
+    far_report_at: Time,
+    reported_empty: bool,
+    heads_at: Time,
+    heads_left: u32,
     key_report_at: Time,
+    fetch_at: Time,
     ask_at: Time,
     asked: usize,
-    reported_empty: bool,
+    path_failed: bool,
     configured: u64,
     was_granter: Option<u64>,
     outputs: Vec<Output>,
@@ -181,11 +209,15 @@
             dispatcher: Dispatcher::new(config.dispatch.clone()),
             stopping: false,
             report_at: Time::ZERO,
-            idle_report_at: Time::ZERO,
+            far_report_at: Time::ZERO,
+            reported_empty: true,
+            heads_at: Time::ZERO,
+            heads_left: 0,
             key_report_at: Time::ZERO,
+            fetch_at: Time::ZERO,
             ask_at: Time::ZERO,
             asked: 0,
-            reported_empty: true,
+            path_failed: false,
             configured: 0,
             was_granter: None,
             outputs: Vec::new(),
@@ -226,10 +258,7 @@
                 self.control.proved_gone(&upstream);
                 self.viewed(now);
             }
-            Input::Report(report) => {
-                self.dispatcher.report(now, &report);
-                self.control.report(&report);
-            }
+            Input::Datagram(from, datagram) => self.datagram(now, from, &datagram),
             Input::Snapshots(snapshots) => {
                 self.views.adopt(now, snapshots);
                 self.viewed(now);
@@ -240,17 +269,53 @@
         std::mem::take(&mut self.outputs)
     }
 
+    fn datagram(&mut self, now: Time, from: SocketAddr, datagram: &Datagram) {
+        match datagram {
+            Datagram::Load(report) => self.dispatcher.report(now, report),
+            Datagram::Keys(report) => self.control.report(report),
+            Datagram::Heads(heads) => {
+                let newer = self.views.heads(now, from, heads);
+                if newer && now >= self.fetch_at {
+                    self.fetch_at = now + self.config.timing.fetch;
+                    let request = self.views.request(&[ViewName::Assignments]);
+                    self.outputs.push(Output::Ask(from, request));
+                }
+            }
+        }
+    }
+
     fn store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
+        self.follow_path(now, &outcome);
         match task {
-            StoreTask::View(view) => {
-                self.views.handle(now, *view, outcome);
+            StoreTask::View(view, generation) => {
+                self.views.handle(now, *view, *generation, outcome);
                 self.viewed(now);
             }
             task => self.control.handle_store(now, task, outcome),
         }
+        let written = self.control.take_written();
+        if !written.is_empty() {
+            for item in written {
+                self.views.wrote(now, item);
+            }
+            self.viewed(now);
+            self.heads_at = now;
+            self.heads_left = HEADS_REPEATED;
+            self.tell_heads(now);
+        }
         self.poll_control(now);
     }
 
+    /// After calls that got no answer, one that does shows that the path is
+    /// back. Watches that were waiting on the dead path would never hear.
+    fn follow_path(&mut self, now: Time, outcome: &StoreOutcome) {
+        if matches!(outcome, StoreOutcome::Unknown) {
+            self.path_failed = true;
+        } else if std::mem::take(&mut self.path_failed) {
+            self.views.restart_all(now);
+        }
+    }
+
     /// Passes changed views on to where they are used.
     fn viewed(&mut self, now: Time) {
         let notices = self.views.take_notices();
@@ -285,8 +350,9 @@
     fn poll_control(&mut self, now: Time) {
         for view in ViewName::ALL {
             if let Some(call) = self.views.poll(now, view) {
-                self.outputs
-                    .push(Output::Store(StoreTask::View(view), call));
+                let generation = self.views.replica(view).generation();
+                let task = StoreTask::View(view, generation);
+                self.outputs.push(Output::Store(task, call));
             }
         }
         for (task, call) in self.control.poll_store(now, &self.views) {
@@ -303,6 +369,9 @@
             .control
             .epoch()
             .filter(|_| self.control.is_granter(now));
+        if granter.is_some() {
+            self.views.granter_is_here(now);
+        }
         if granter != self.was_granter {
             self.was_granter = granter;
             self.outputs.push(Output::Granter(granter));
@@ -315,31 +384,59 @@
         self.dispatcher.expire(now);
         self.poll_control(now);
         self.report(now);
+        self.tell_heads(now);
         self.report_keys(now);
         self.ask_peers(now);
     }
 
+    /// Tells other nodes what is under way: those of the same zone often,
+    /// others less so, for bytes between zones are dear.
     fn report(&mut self, now: Time) {
+        let timing = self.config.timing;
         let idle = self.dispatcher.occupancy().own_all().next().is_none();
         let quiet = idle && self.reported_empty;
-        let due = if quiet {
-            self.idle_report_at
-        } else {
-            self.report_at
-        };
-        if now < due {
-            return;
+        if now >= self.far_report_at {
+            self.reported_empty = idle;
+            let pause = if quiet {
+                timing.idle_report
+            } else {
+                timing.far_report
+            };
+            self.far_report_at = now + pause;
+            let answers = self.dispatcher.take_answers();
+            let report = self.dispatcher.load_report(answers);
+            self.send(Datagram::Load(report), |_| true);
+            self.report_at = now + timing.report;
+        } else if now >= self.report_at && !quiet {
+            self.report_at = now + timing.report;
+            let report = self.dispatcher.load_report(Vec::new());
+            self.send(Datagram::Load(report), |is_near| is_near);
         }
-        self.report_at = now + self.config.timing.report;
-        self.idle_report_at = now + self.config.timing.idle_report;
-        self.reported_empty = idle;
-        let peers = self.peers();
+    }
+
+    fn send(&mut self, datagram: Datagram, choose: impl Fn(bool) -> bool) {
+        let peers = self.peers(choose);
         if !peers.is_empty() {
-            let report = self.dispatcher.upstream_report();
-            self.outputs.push(Output::Report(report, peers));
+            self.outputs.push(Output::Send(datagram, peers));
         }
     }
 
+    fn tell_heads(&mut self, now: Time) {
+        if now < self.heads_at {
+            return;
+        }
+        let timing = self.config.timing;
+        let pause = if self.heads_left > 0 {
+            timing.fetch
+        } else {
+            timing.heads
+        };
+        self.heads_left = self.heads_left.saturating_sub(1);
+        self.heads_at = now + pause;
+        let heads = self.views.own_heads();
+        self.send(Datagram::Heads(heads), |_| true);
+    }
+
     fn report_keys(&mut self, now: Time) {
         if now < self.key_report_at {
             return;
@@ -353,18 +450,19 @@
             self.control.report(&report);
         } else if let Some(granter) = &self.views.granter {
             let peers = vec![granter.peers];
-            self.outputs.push(Output::Report(report, peers));
+            self.outputs
+                .push(Output::Send(Datagram::Keys(report), peers));
         }
     }
 
-    /// Addresses of the other nodes.
-    fn peers(&self) -> Vec<SocketAddr> {
-        let own = self.config.control.record.peers;
-        self.views
-            .nodes
-            .values()
+    /// Addresses of the other nodes that are chosen by whether they are in
+    /// this node's zone.
+    fn peers(&self, choose: impl Fn(bool) -> bool) -> Vec<SocketAddr> {
+        let own = &self.config.control.record;
+        let others = self.views.nodes.values();
+        others
+            .filter(|node| node.peers != own.peers && choose(node.zone == own.zone))
             .map(|node| node.peers)
-            .filter(|address| *address != own)
             .collect()
     }
 
@@ -374,7 +472,7 @@
             return;
         }
         self.ask_at = now + self.config.timing.ask_peers;
-        let mut peers = self.peers();
+        let mut peers = self.peers(|_| true);
         if peers.is_empty() {
             let own = self.config.control.record.peers;
             peers.extend(self.config.seeds.iter().filter(|seed| **seed != own));
@@ -384,7 +482,8 @@
         }
         let peer = peers[self.asked % peers.len()];
         self.asked += 1;
-        self.outputs.push(Output::Ask(peer, self.views.request()));
+        self.outputs
+            .push(Output::Ask(peer, self.views.request(&ViewName::ALL)));
     }
 
     fn dispatch(&mut self, now: Time) {
--- a/crates/router/src/core/records.rs
+++ b/crates/router/src/core/records.rs
@@ -8,15 +8,16 @@
 pub struct OwnKeys;
 
 impl OwnKeys {
-    /// Prefix of all of them.
-    pub const PREFIX: &'static str = "beamtray/";
+    /// Prefix of what tells of nodes; every node watches it.
+    pub const MEMBERS: &'static str = "beamtray/members/";
     /// The granter, under its lease.
-    pub const GRANTER: &'static str = "beamtray/granter";
+    pub const GRANTER: &'static str = "beamtray/members/granter";
     /// Highest epoch of a granter.
-    pub const EPOCH: &'static str = "beamtray/epoch";
+    pub const EPOCH: &'static str = "beamtray/members/epoch";
     /// Prefix of the nodes, each under its lease.
-    pub const NODES: &'static str = "beamtray/nodes/";
-    /// Prefix of the assignments, one record for each divided service.
+    pub const NODES: &'static str = "beamtray/members/nodes/";
+    /// Prefix of the assignments, one record for each divided service. Nodes
+    /// hear of them from the granter, and read them only where they don't.
     pub const ASSIGNMENTS: &'static str = "beamtray/assignments/";
 
     /// Key of a node.
--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -1,6 +1,8 @@
 //! Follows one prefix of the metadata store: reads it whole, then watches.
 
-use beamtray_metastore::{Item, Mirror, MirrorChange, Revision, StoreCall, StoreOutcome};
+use beamtray_metastore::{
+    Item, Mirror, MirrorChange, Revision, StoreCall, StoreEvent, StoreOutcome,
+};
 use beamtray_types::Time;
 use std::time::Duration;
 
@@ -27,12 +29,25 @@
     Watching,
 }
 
+/// Pauses of a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaTiming {
+    /// Longest wait of a watch.
+    pub wait: Duration,
+    /// Pause after changes, so that several come with one call.
+    pub gather: Duration,
+}
+
 /// Follows one prefix.
 #[derive(Clone, Debug)]
 pub struct Replica {
     prefix: String,
-    wait: Duration,
+    timing: ReplicaTiming,
     mirror: Mirror,
+    /// Newest change that was seen.
+    latest: Revision,
+    /// Counts the calls that were given up on.
+    generation: u32,
     phase: Phase,
     pending: bool,
     retry_at: Time,
@@ -42,12 +57,14 @@
 }
 
 impl Replica {
-    /// A replica that knows nothing; its watches wait up to `wait`.
-    pub fn new(prefix: &str, wait: Duration) -> Self {
+    /// A replica that knows nothing.
+    pub fn new(prefix: &str, timing: ReplicaTiming) -> Self {
         Self {
             prefix: prefix.to_owned(),
-            wait,
+            timing,
             mirror: Mirror::default(),
+            latest: Revision(0),
+            generation: 0,
             phase: Phase::Reading {
                 at: None,
                 items: Vec::new(),
@@ -84,7 +101,7 @@
             (Phase::Watching, Some(after)) => StoreCall::Watch {
                 prefix: self.prefix.clone(),
                 after,
-                wait: self.wait,
+                wait: self.timing.wait,
             },
             (Phase::Watching, None) => StoreCall::Range {
                 prefix: self.prefix.clone(),
@@ -97,20 +114,56 @@
         })
     }
 
-    /// Takes the outcome of the call that is under way.
+    /// Number of the call that is under way or comes next.
+    pub fn generation(&self) -> u32 {
+        self.generation
+    }
+
+    /// Newest change that was seen.
+    pub fn latest(&self) -> Revision {
+        self.latest
+    }
+
+    /// Whether a change of that revision has passed this replica by.
+    pub fn lacks(&self, revision: Revision) -> bool {
+        revision > self.latest && self.mirror.at().is_none_or(|at| revision > at)
+    }
+
+    /// Gives up on the call under way: it may wait on a path that is dead.
+    pub fn restart(&mut self, now: Time) {
+        self.generation += 1;
+        self.pending = false;
+        self.retry_at = now;
+        if matches!(self.phase, Phase::Reading { .. }) {
+            self.read_again();
+        }
+    }
+
+    /// Takes the outcome of the call of that generation.
     pub fn handle(
         &mut self,
         now: Time,
+        generation: u32,
         outcome: StoreOutcome,
     ) -> (ReplicaHealth, Vec<MirrorChange>) {
+        if generation != self.generation {
+            return (ReplicaHealth::Sound, Vec::new());
+        }
         self.pending = false;
         match outcome {
             StoreOutcome::Page { items, more, at } => {
                 self.sound(now);
+                self.note_items(&items);
                 (ReplicaHealth::Sound, self.page(items, more, at))
             }
             StoreOutcome::Events { events, at } => {
                 self.sound(now);
+                if !events.is_empty() {
+                    self.retry_at = now + self.timing.gather;
+                }
+                for event in &events {
+                    self.note(event_revision(event));
+                }
                 (ReplicaHealth::Sound, self.mirror.apply(at, events))
             }
             StoreOutcome::Compacted => {
@@ -157,11 +210,36 @@
         self.mirror.replace(from, items)
     }
 
+    fn note(&mut self, revision: Revision) {
+        self.latest = self.latest.max(revision);
+    }
+
+    fn note_items(&mut self, items: &[Item]) {
+        for item in items {
+            self.note(item.revision);
+        }
+    }
+
+    /// Takes a change that this node made itself.
+    pub fn made(&mut self, item: Item) -> Vec<MirrorChange> {
+        self.note(item.revision);
+        let at = item.revision;
+        self.mirror.apply(at, vec![StoreEvent::Put(item)])
+    }
+
     /// Takes another node's copy.
     pub fn adopt(&mut self, at: Revision, items: Vec<Item>) -> Vec<MirrorChange> {
         if self.mirror.at().is_some_and(|known| at <= known) {
             return Vec::new();
         }
+        self.note_items(&items);
         self.mirror.replace(at, items)
     }
 }
+
+fn event_revision(event: &StoreEvent) -> Revision {
+    match event {
+        StoreEvent::Put(item) => item.revision,
+        StoreEvent::Removed { revision, .. } => *revision,
+    }
+}
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -4,7 +4,7 @@
 //! does not answer. Neither a configuration nor a copy ever goes back.
 
 use crate::core::records::{NodeRecord, OwnKeys};
-use crate::core::replica::{Replica, ReplicaHealth};
+use crate::core::replica::{Replica, ReplicaHealth, ReplicaTiming};
 use beamtray_catalog::{Configuration, Directory, DirectoryChange, DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
 use beamtray_metastore::{GranterRecord, Item, MirrorChange, Revision, StoreCall, StoreOutcome};
@@ -12,9 +12,21 @@
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Pause after changes of a view in which few change together.
+const GATHER_FEW: Duration = Duration::from_millis(30);
+/// Pause after changes of a view in which many change together.
+const GATHER_MANY: Duration = Duration::from_millis(200);
+/// How long another node may know of a change before the watch that should
+/// have told of it counts as dead.
+const DEAF_AFTER: Duration = Duration::from_millis(300);
+/// After this long without word from the granter assignments are read from the
+/// store.
+const GRANTER_SILENCE: Duration = Duration::from_millis(1_000);
+
 /// Which replica a call or a snapshot belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum ViewName {
@@ -22,20 +34,43 @@
     Operator,
     /// Registrations of upstreams.
     Upstreams,
-    /// The router's own records.
-    Own,
+    /// Nodes and the granter.
+    Members,
+    /// Assignments of divided services.
+    Assignments,
 }
 
 impl ViewName {
     /// All views.
-    pub const ALL: [ViewName; 3] = [ViewName::Operator, ViewName::Upstreams, ViewName::Own];
+    pub const ALL: [ViewName; 4] = [
+        ViewName::Operator,
+        ViewName::Upstreams,
+        ViewName::Members,
+        ViewName::Assignments,
+    ];
+}
+
+/// A view that a node wants to have from another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct WantedView {
+    /// The view.
+    pub view: ViewName,
+    /// Revision of the copy that it has.
+    pub at: Option<Revision>,
 }
 
 /// Asks another node for what is newer than the asker's copies.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct ViewRequest {
-    /// Revisions of the asker's copies, in the order of [`ViewName::ALL`].
-    pub at: [Option<Revision>; 3],
+    /// What is wanted.
+    pub wanted: Vec<WantedView>,
+}
+
+/// Newest changes that a node has seen, in the order of [`ViewName::ALL`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct ViewHeads {
+    /// The revisions.
+    pub latest: [Revision; ViewName::ALL.len()],
 }
 
 /// A whole copy of one view.
@@ -84,6 +119,11 @@
         /// Its term.
         epoch: u64,
     },
+    /// A watch was given up on, since others know more.
+    Restarted {
+        /// Prefix of the view.
+        prefix: String,
+    },
     /// A view is not kept up by the store any more, or is again.
     Followed {
         /// Prefix of the view.
@@ -96,7 +136,9 @@
 /// What a node knows.
 pub struct Views {
     dialect: Rc<dyn Dialect>,
-    replicas: [Replica; 3],
+    replicas: [Replica; ViewName::ALL.len()],
+    behind_since: [Option<Time>; ViewName::ALL.len()],
+    granter_heard: Option<Time>,
     /// The upstreams.
     pub directory: Directory,
     /// The configuration in force.
@@ -114,12 +156,16 @@
     /// A node that knows nothing; watches wait up to `wait`.
     pub fn new(dialect: Rc<dyn Dialect>, policy: DirectoryPolicy, wait: Duration) -> Self {
         let keys = *dialect.keys();
+        let timing = |gather| ReplicaTiming { wait, gather };
         Self {
             replicas: [
-                Replica::new(keys.operator_prefix, wait),
-                Replica::new(keys.upstream_prefix, wait),
-                Replica::new(OwnKeys::PREFIX, wait),
+                Replica::new(keys.operator_prefix, timing(GATHER_FEW)),
+                Replica::new(keys.upstream_prefix, timing(GATHER_MANY)),
+                Replica::new(OwnKeys::MEMBERS, timing(GATHER_FEW)),
+                Replica::new(OwnKeys::ASSIGNMENTS, timing(GATHER_FEW)),
             ],
+            behind_since: [None; ViewName::ALL.len()],
+            granter_heard: None,
             dialect,
             directory: Directory::new(policy),
             configuration: None,
@@ -141,7 +187,8 @@
 
     /// Whether the store fails to keep some view up.
     pub fn is_troubled(&self) -> bool {
-        self.replicas.iter().any(Replica::is_troubled)
+        let watched = [ViewName::Operator, ViewName::Upstreams, ViewName::Members];
+        watched.iter().any(|view| self.replica(*view).is_troubled())
     }
 
     /// Whether enough is known to serve.
@@ -151,13 +198,87 @@
 
     /// The call that is due for a view.
     pub fn poll(&mut self, now: Time, view: ViewName) -> Option<StoreCall> {
+        if view == ViewName::Assignments && self.hears_granter(now) {
+            return None;
+        }
         self.replica_mut(view).poll(now)
     }
 
-    /// Takes the outcome of a view's call.
-    pub fn handle(&mut self, now: Time, view: ViewName, outcome: StoreOutcome) {
+    /// Whether the granter tells of assignments. A node that has just started
+    /// gives it time to.
+    fn hears_granter(&self, now: Time) -> bool {
+        let heard = self.granter_heard.unwrap_or(Time::ZERO);
+        now.since(heard) < GRANTER_SILENCE
+    }
+
+    /// Takes word of what another node has seen; whether it knows of newer
+    /// assignments.
+    pub fn heads(&mut self, now: Time, from: SocketAddr, heads: &ViewHeads) -> bool {
+        if self
+            .granter
+            .as_ref()
+            .is_some_and(|granter| granter.peers == from)
+        {
+            self.granter_heard = Some(now);
+        }
+        for (view, theirs) in ViewName::ALL.into_iter().zip(heads.latest) {
+            if view == ViewName::Assignments {
+                return self.replica(view).lacks(theirs);
+            }
+            let lacks = self.replica(view).lacks(theirs);
+            let since = &mut self.behind_since[view as usize];
+            match (lacks, *since) {
+                (true, Some(since)) if now.since(since) >= DEAF_AFTER => {
+                    self.behind_since[view as usize] = None;
+                    self.restart(now, view);
+                }
+                (true, None) => *since = Some(now),
+                (true, Some(_)) => {}
+                // Another node's word may be older than this copy.
+                (false, _) => {}
+            }
+        }
+        false
+    }
+
+    fn restart(&mut self, now: Time, view: ViewName) {
+        let prefix = self.replica(view).prefix().to_owned();
+        self.notices.push(ViewNotice::Restarted { prefix });
+        self.replica_mut(view).restart(now);
+    }
+
+    /// Gives up on all watches: the path to the store was dead for a while.
+    pub fn restart_all(&mut self, now: Time) {
+        for view in ViewName::ALL {
+            self.restart(now, view);
+        }
+    }
+
+    /// Notes that this node is the granter itself.
+    pub fn granter_is_here(&mut self, now: Time) {
+        self.granter_heard = Some(now);
+    }
+
+    /// What this node has seen, for other nodes.
+    pub fn own_heads(&self) -> ViewHeads {
+        ViewHeads {
+            latest: ViewName::ALL.map(|view| self.replica(view).latest()),
+        }
+    }
+
+    /// Takes an assignment that this node wrote.
+    pub fn wrote(&mut self, now: Time, item: Item) {
+        let changes = self.replica_mut(ViewName::Assignments).made(item);
+        self.apply(now, ViewName::Assignments, changes);
+    }
+
+    /// Takes the outcome of a view's call of that generation.
+    pub fn handle(&mut self, now: Time, view: ViewName, generation: u32, outcome: StoreOutcome) {
         let was_troubled = self.replica(view).is_troubled();
-        let (health, changes) = self.replica_mut(view).handle(now, outcome);
+        let (health, changes) = self.replica_mut(view).handle(now, generation, outcome);
+        if health == ReplicaHealth::Sound {
+            self.behind_since[view as usize] = None;
+        }
         let sound = health == ReplicaHealth::Sound;
         if !sound {
             self.directory.store_troubled(now);
@@ -190,26 +311,27 @@
         }
     }
 
-    /// Revisions of the copies.
-    pub fn request(&self) -> ViewRequest {
+    /// Asks for those views.
+    pub fn request(&self, views: &[ViewName]) -> ViewRequest {
+        let wanted = views.iter().map(|view| WantedView {
+            view: *view,
+            at: self.replica(*view).mirror().at(),
+        });
         ViewRequest {
-            at: ViewName::ALL.map(|view| self.replica(view).mirror().at()),
+            wanted: wanted.collect(),
         }
     }
 
     /// The copies that are newer than the asker's.
     pub fn answer(&self, request: &ViewRequest) -> Vec<Snapshot> {
-        ViewName::ALL
-            .into_iter()
-            .zip(request.at)
-            .filter_map(|(view, theirs)| {
-                let mirror = self.replica(view).mirror();
-                let at = mirror
-                    .at()
-                    .filter(|at| theirs.is_none_or(|theirs| theirs < *at))?;
+        let wanted = request.wanted.iter();
+        wanted
+            .filter_map(|wanted| {
+                let mirror = self.replica(wanted.view).mirror();
+                let newer = |at: &Revision| wanted.at.is_none_or(|theirs| theirs < *at);
                 Some(Snapshot {
-                    view,
-                    at,
+                    view: wanted.view,
+                    at: mirror.at().filter(newer)?,
                     items: mirror.items().cloned().collect(),
                 })
             })
@@ -231,7 +353,7 @@
             match view {
                 ViewName::Operator => self.apply_operator(change),
                 ViewName::Upstreams => self.apply_upstream(now, change),
-                ViewName::Own => self.apply_own(change),
+                ViewName::Members | ViewName::Assignments => self.apply_own(change),
             }
         }
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -28,6 +28,7 @@
 const CLOCK_DRIFT_PERCENT: u32 = 2;
 const TRANSIT: Duration = Duration::from_millis(300);
 const SILENCE: Duration = Duration::from_millis(1_500);
+const NOTICE: Duration = Duration::from_millis(12);
 const WATCH_WAIT: Duration = Duration::from_secs(8);
 
 /// Why settings were refused.
@@ -207,7 +208,7 @@
             zone: self.zone.clone(),
             peers: self.listen.peers,
         };
-        let heartbeat = Duration::from_millis(self.bounds.heartbeat_ms.max(500));
+        let heartbeat = self.heartbeat();
         CoreConfig {
             dispatch: self.dispatch_config(run),
             control: self.control_config(record),
@@ -233,14 +234,18 @@
                 window: Duration::from_secs_f64(self.bounds.retry_window_s),
             },
             queue_limit: 2_000,
-            spare_requests: 1,
-            spare_keyed_requests: 4,
-            zone_cost: Duration::from_millis(8),
+            most_queued: 6,
+            zone_cost: Duration::from_millis(80),
             leaver_grace: drain * 2 / 3,
         }
     }
 
+    fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.bounds.heartbeat_ms.max(500))
+    }
+
     fn control_config(&self, record: NodeRecord) -> ControlConfig {
+        let heartbeat = self.heartbeat();
         let hold = match self.bounds.longest_hold_ms {
             0 => LONGEST_HOLD,
             longest => Duration::from_millis(longest).min(LONGEST_HOLD),
@@ -264,6 +269,8 @@
                 hold_bound: hold * (100 + CLOCK_DRIFT_PERCENT) / 100,
                 transit: TRANSIT,
                 silence: SILENCE,
+                settle: heartbeat,
+                notice: NOTICE,
             },
             balance: BalanceLimits {
                 moves: 8,
@@ -271,7 +278,7 @@
                 difference: 0.2,
                 least_requests: 2.0,
                 rest: Duration::from_millis(700),
-                window: 2.0,
+                window: 1.8,
             },
         }
     }
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -112,7 +112,7 @@
         Output::Conclude(ticket, conclusion) => shared.step(ticket, Step::Conclude(conclusion)),
         Output::Store(task, call) => calls::call_store(shared, task, call),
         Output::Order(task, epoch) => calls::order(shared, task, epoch),
-        Output::Report(report, addresses) => peers::send_report(shared, &report, &addresses),
+        Output::Send(datagram, addresses) => peers::send(shared, &datagram, &addresses),
         Output::Ask(address, request) => peers::ask(shared, address, request),
         Output::Limits(limits) => shared.limits.set(limits),
         Output::Notice(notice) => log::notice(&shared.log, &notice),
--- a/crates/router/src/shell/log.rs
+++ b/crates/router/src/shell/log.rs
@@ -124,6 +124,9 @@
         ViewNotice::Granter { node, epoch } => {
             info!(log, "granter_seen"; "node" => node.as_deref().unwrap_or("-"), "epoch" => epoch);
         }
+        ViewNotice::Restarted { prefix } => {
+            info!(log, "watch_restarted"; "prefix" => prefix);
+        }
         ViewNotice::Followed {
             prefix,
             sound: true,
--- a/crates/router/src/shell/peers.rs
+++ b/crates/router/src/shell/peers.rs
@@ -1,9 +1,9 @@
 //! Talk between nodes: reports in datagrams, copies of views over TCP.
 
-use crate::core::{Input, Snapshot, ViewRequest};
+use crate::core::{Datagram, Input, Snapshot, ViewRequest};
 use crate::shell::connections::prepare;
 use crate::shell::handle::Shared;
-use beamtray_dispatch::LoadReport;
+use beamtray_dispatch::KeyReport;
 use beamtray_wire::{FrameBuffer, FrameError, encode};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,40 +38,40 @@
     Ended,
 }
 
-/// Sends a report; what does not fit a packet goes in several.
-pub(crate) fn send_report(shared: &Shared, report: &LoadReport, addresses: &[SocketAddr]) {
-    if report.keys.len() <= KEYS_A_DATAGRAM {
-        return send_datagram(shared, report, addresses);
-    }
+/// Sends word to other nodes; what does not fit a packet goes in several.
+pub(crate) fn send(shared: &Shared, datagram: &Datagram, addresses: &[SocketAddr]) {
+    let Datagram::Keys(report) = datagram else {
+        return send_one(shared, datagram, addresses);
+    };
     for keys in report.keys.chunks(KEYS_A_DATAGRAM) {
-        let part = LoadReport {
+        let part = KeyReport {
+            services: report.services.clone(),
             keys: keys.to_vec(),
-            ..report.clone()
         };
-        send_datagram(shared, &part, addresses);
+        send_one(shared, &Datagram::Keys(part), addresses);
     }
 }
 
-fn send_datagram(shared: &Shared, report: &LoadReport, addresses: &[SocketAddr]) {
-    let Ok(bytes) = borsh::to_vec(report) else {
+fn send_one(shared: &Shared, datagram: &Datagram, addresses: &[SocketAddr]) {
+    let Ok(bytes) = borsh::to_vec(datagram) else {
         return;
     };
     for address in addresses {
-        // A report that is lost is not missed.
+        // What is lost is not missed.
         let _ = shared.datagrams.try_send_to(&bytes, *address);
     }
 }
 
-/// Takes reports of other nodes.
-pub(crate) async fn receive_reports(shared: Rc<Shared>) {
+/// Takes word of other nodes.
+pub(crate) async fn receive(shared: Rc<Shared>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
-        let Ok((length, _)) = shared.datagrams.recv_from(&mut buffer).await else {
+        let Ok((length, from)) = shared.datagrams.recv_from(&mut buffer).await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if let Ok(report) = borsh::from_slice::<LoadReport>(&buffer[..length]) {
-            shared.input(Input::Report(report));
+        if let Ok(datagram) = borsh::from_slice::<Datagram>(&buffer[..length]) {
+            shared.input(Input::Datagram(from, datagram));
         }
     }
 }
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
-use tokio::task::LocalSet;
+use tokio::task::{JoinHandle, LocalSet};
 
 /// Between ticks of the core.
 const TICK: Duration = Duration::from_millis(10);
@@ -132,12 +132,11 @@
     tokio::task::spawn_local(turns(shared.clone(), turn, stakker));
     tokio::task::spawn_local(readiness::serve(shared.clone(), listeners.readiness));
     tokio::task::spawn_local(peers::serve(shared.clone(), listeners.peers));
-    tokio::task::spawn_local(peers::receive_reports(shared.clone()));
+    tokio::task::spawn_local(peers::receive(shared.clone()));
     tokio::task::spawn_local(prune(shared.clone()));
     let accepting = tokio::task::spawn_local(clients::accept(shared.clone(), listeners.clients));
     wait_for_stop(&shared, &mut terminate, &mut interrupt, &mut hangup).await;
-    stop(&shared, settings.grace()).await;
-    accepting.abort();
+    stop(&shared, settings.grace(), &accepting).await;
     info!(shared.log, "stopped");
     Ok(())
 }
@@ -208,12 +207,17 @@
 }
 
 /// Takes what is still led here, lets what is under way end, then closes.
-async fn stop(shared: &Rc<Shared>, grace: Duration) {
+///
+/// Invariant: once connections are being closed none is accepted. A connection
+/// accepted later would not hear of the stop, and be cut with its request.
+async fn stop(shared: &Rc<Shared>, grace: Duration, accepting: &JoinHandle<()>) {
     let begin = Instant::now();
     shared.stopping.set(true);
     shared.input(Input::Stop);
     info!(shared.log, "stopping"; "requests" => shared.clients.borrow().len());
     tokio::time::sleep(LINGER.min(grace / 2)).await;
+    accepting.abort();
+    tokio::task::yield_now().await;
     shared.stop.notify_waiters();
     let end = begin + grace.saturating_sub(STOP_MARGIN);
     while Instant::now() < end {
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -22,6 +22,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Longest wait for upstreams to appear, as a multiple of the quiet asked for.
+const LONGEST_SETTLE: u32 = 4;
 /// Slices made for each upstream at the first start.
 const SLICES_PER_UPSTREAM: u32 = 8;
 /// Weight of a share of the keys next to counted requests, so that idle slices
@@ -44,6 +46,12 @@
     /// How long a holder may leave grants unanswered before its slices are
     /// taken back.
     pub silence: Duration,
+    /// How long no upstream must have appeared before keys are divided for the
+    /// first time.
+    pub settle: Duration,
+    /// How long nodes may take to hear that a slice is leaving; the release
+    /// waits for that.
+    pub notice: Duration,
 }
 
 /// What the directory says of an upstream.
@@ -88,6 +96,9 @@
     /// Sequence of the newest record that is durable.
     durable: u64,
     dirty: bool,
+    /// When an upstream was first seen, and when the last one appeared.
+    first_seen: Option<Time>,
+    last_seen: Time,
     /// Load by key.
     pub load: LoadMap,
 }
@@ -112,6 +123,8 @@
             next_sequence: 1,
             durable: 0,
             dirty: false,
+            first_seen: None,
+            last_seen: now,
             load: LoadMap::default(),
         };
         if let Some(record) = record {
@@ -157,11 +170,16 @@
     }
 
     /// States which upstreams there are.
-    pub fn set_candidates(&mut self, candidates: impl IntoIterator<Item = Candidate>) {
-        self.candidates = candidates
+    pub fn set_candidates(&mut self, now: Time, candidates: impl IntoIterator<Item = Candidate>) {
+        let next: BTreeMap<UpstreamId, Candidate> = candidates
             .into_iter()
             .map(|candidate| (candidate.id.clone(), candidate))
             .collect();
+        if next.keys().any(|id| !self.candidates.contains_key(id)) {
+            self.first_seen.get_or_insert(now);
+            self.last_seen = now;
+        }
+        self.candidates = next;
     }
 
     /// Notes that an upstream has ended, so that it holds nothing.
@@ -187,7 +205,7 @@
     /// Divides the keys at the very first start.
     fn found(&mut self, now: Time) {
         let ready = self.ready().count() as u32;
-        if !self.slices.is_empty() || ready == 0 {
+        if !self.slices.is_empty() || ready == 0 || !self.has_settled(now) {
             return;
         }
         for range in KeyRange::divide_all(ready * SLICES_PER_UPSTREAM) {
@@ -197,6 +215,16 @@
         }
     }
 
+    /// Whether upstreams had time to appear: the first one is not to get all
+    /// keys.
+    fn has_settled(&self, now: Time) -> bool {
+        let Some(first) = self.first_seen else {
+            return false;
+        };
+        now.since(self.last_seen) >= self.timing.settle
+            || now.since(first) >= self.timing.settle * LONGEST_SETTLE
+    }
+
     fn ready(&self) -> impl Iterator<Item = &Candidate> {
         self.candidates
             .values()
@@ -585,7 +613,14 @@
     }
 
     /// Notes that the record of that sequence is durable.
-    pub fn written(&mut self, sequence: u64) {
+    pub fn written(&mut self, now: Time, sequence: u64) {
+        let notice = self.timing.notice;
+        for slice in self.slices.values_mut() {
+            let told = slice.told_in > self.durable && slice.told_in <= sequence;
+            if told && matches!(slice.phase, Phase::Leaving { .. }) {
+                slice.due = slice.due.max(now + notice);
+            }
+        }
         self.durable = self.durable.max(sequence);
     }
 
