Give a hot key to the fastest upstream; log key and assignment of a request

Ruled out: several adjacent hot keys. Requests that had come back were held for a third of their time and then refused, which costs more than the refusal.

Change: a key that takes half of its holder's capacity moves to the upstream with the most capacity, and the ordinary steps clear that one; a returned request is refused after a fifth of the target latency like any other.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,8 +4,8 @@
 use crate::occupancy::Occupancy;
 use crate::report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash, UpstreamHash};
 use crate::request::{
-    Admission, AttemptOutcome, Conclusion, Decision, Forward, RefusalReason, RequestHead, Ticket,
-    UnknownCause, Untouched,
+    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Forward, RefusalReason,
+    RequestHead, Ticket, UnknownCause, Untouched,
 };
 use crate::speed::SpeedTable;
 use beamtray_catalog::{Configuration, Directory, Registration, Route, RouteTable, UpstreamId};
@@ -40,8 +40,6 @@
 
 /// Part of a route's target latency that a request may wait here.
 const WAIT_SHARE: u32 = 5;
-/// Part of the time left that a request which has come back may wait here.
-const RETURNED_WAIT_SHARE: u32 = 3;
 /// Part of the time left that likely work may take.
 const TARGET_SHARE: f64 = 0.85;
 /// Part of a route's target latency that its work takes while nothing is
@@ -233,11 +231,7 @@
         let returned = self.has_returned(&route, patience);
         let time = patience.min(route.timeout);
         let deadline = now + time.saturating_sub(ANSWER_MARGIN);
-        let wait = if returned {
-            time / RETURNED_WAIT_SHARE
-        } else {
-            (route.target_latency / WAIT_SHARE).min(time / 3)
-        };
+        let wait = (route.target_latency / WAIT_SHARE).min(time / 3);
         self.requests.insert(
             ticket,
             Request {
@@ -501,6 +495,16 @@
             .is_some_and(|health| now < health.paused_until)
     }
 
+    /// The assignment that a keyed request is sent by.
+    fn assignment(&self, request: &Request) -> Option<AssignmentNumber> {
+        request.key?;
+        let record = self.assignments.get(&request.service)?;
+        Some(AssignmentNumber {
+            epoch: record.epoch.0,
+            sequence: record.sequence,
+        })
+    }
+
     fn forward(
         &mut self,
         now: Time,
@@ -526,6 +530,8 @@
             upstream: record.id.clone(),
             address: record.address,
             service: request.service.clone(),
+            key: request.key,
+            assignment: self.assignment(request),
             attempt: request.arrivals,
             deadline: request.deadline,
             route: request.route.clone(),
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -108,6 +108,15 @@
     Unknown(UnknownCause),
 }
 
+/// Which assignment a decision was made by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AssignmentNumber {
+    /// Term of the granter that wrote it.
+    pub epoch: u64,
+    /// Its number in that term.
+    pub sequence: u64,
+}
+
 /// An attempt to be made.
 #[derive(Clone, Debug)]
 pub struct Forward {
@@ -117,6 +126,10 @@
     pub address: SocketAddr,
     /// Its service.
     pub service: ServiceName,
+    /// Its key, where the service is divided.
+    pub key: Option<ShardKey>,
+    /// Term and number of the assignment that named the upstream.
+    pub assignment: Option<AssignmentNumber>,
     /// Number of the attempt, from 1.
     pub attempt: u32,
     /// When the request must have its final answer.
--- a/crates/router/src/shell/log.rs
+++ b/crates/router/src/shell/log.rs
@@ -179,11 +179,27 @@
     }
 }
 
+/// The key and the assignment that a request was sent by.
+struct KeyFields<'a>(&'a Forward);
+
+impl slog::KV for KeyFields<'_> {
+    fn serialize(&self, _: &Record, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        if let Some(key) = self.0.key {
+            serializer.emit_u16("key", key.0)?;
+        }
+        if let Some(assignment) = self.0.assignment {
+            serializer.emit_u64("epoch", assignment.epoch)?;
+            serializer.emit_u64("sequence", assignment.sequence)?;
+        }
+        Ok(())
+    }
+}
+
 /// A request is sent to an upstream.
 pub(crate) fn sent(log: &Logger, id: &str, forward: &Forward) {
     info!(log, "sent"; "request" => id, "route" => &forward.route.name, "service" => %forward.service,
         "upstream" => %forward.upstream, "attempt" => forward.attempt, "occupied" => forward.occupied,
-        "waited_ms" => forward.waited.as_millis() as u64);
+        "waited_ms" => forward.waited.as_millis() as u64, KeyFields(forward));
 }
 
 /// An attempt ended.
--- a/crates/sharding/src/balance.rs
+++ b/crates/sharding/src/balance.rs
@@ -53,6 +53,11 @@
     pub to: UpstreamId,
 }
 
+/// Share of its holder's capacity from which a single key counts as hot.
+const HOT_SHARE: f64 = 0.5;
+/// How much more the taker of a hot key must be able to do.
+const HOT_GAIN: f64 = 1.15;
+
 struct Balance<'a> {
     load: &'a LoadMap,
     limits: &'a BalanceLimits,
@@ -87,7 +92,7 @@
         loads,
         holdings: holdings.to_vec(),
     };
-    let mut steps = Vec::new();
+    let mut steps = balance.hot_steps();
     while steps.len() < limits.moves {
         let Some(step) = balance.next_step() else {
             break;
@@ -97,7 +102,80 @@
     steps
 }
 
+/// A key that is a large part of what its holder can do.
+struct HotKey {
+    index: usize,
+    key: ShardKey,
+    load: f64,
+}
+
 impl Balance<'_> {
+    /// Moves for keys that no split can relieve: each goes to the upstream
+    /// that can do most, one such key to an upstream. What else that upstream
+    /// holds is moved by the ordinary steps.
+    fn hot_steps(&mut self) -> Vec<MoveStep> {
+        let mut hot = self.hot_keys();
+        hot.sort_by(|one, other| other.load.total_cmp(&one.load));
+        let mut taken: Vec<UpstreamId> = Vec::new();
+        let mut moves = Vec::new();
+        for hot in hot {
+            let holding = &self.holdings[hot.index];
+            let holder = holding.holder.clone();
+            let free = self.capacities.iter().filter(|(id, _)| !taken.contains(id));
+            let Some((best, most)) = free.max_by(|one, other| one.1.total_cmp(other.1)) else {
+                break;
+            };
+            let gain = *most
+                / self
+                    .capacities
+                    .get(&holder)
+                    .copied()
+                    .unwrap_or(f64::MIN_POSITIVE);
+            let best = best.clone();
+            if gain < HOT_GAIN || !holding.movable {
+                taken.push(holder);
+                continue;
+            }
+            taken.push(best.clone());
+            moves.push((hot, best));
+        }
+        moves
+            .into_iter()
+            .take(self.limits.moves)
+            .map(|(hot, to)| self.move_key(&hot, to))
+            .collect()
+    }
+
+    fn hot_keys(&self) -> Vec<HotKey> {
+        let holdings = self.holdings.iter().enumerate();
+        holdings
+            .filter_map(|(index, holding)| {
+                let capacity = self.capacities.get(&holding.holder)?;
+                let (key, load) = self
+                    .load
+                    .keys(holding.range)
+                    .max_by(|one, other| one.1.total_cmp(&other.1))?;
+                let hot = load / self.limits.window >= capacity * HOT_SHARE;
+                hot.then_some(HotKey { index, key, load })
+            })
+            .collect()
+    }
+
+    fn move_key(&mut self, hot: &HotKey, to: UpstreamId) -> MoveStep {
+        let range = KeyRange {
+            first: hot.key,
+            last: hot.key,
+        };
+        let holder = self.holdings[hot.index].holder.clone();
+        for (id, change) in [(&holder, -hot.load), (&to, hot.load)] {
+            if let Some(load) = self.loads.get_mut(id) {
+                *load += change;
+            }
+        }
+        self.split_off(hot.index, range, &to);
+        MoveStep { range, to }
+    }
+
     fn utilization(&self, id: &UpstreamId) -> f64 {
         self.loads[id] / self.limits.window / self.capacities[id]
     }
@@ -145,7 +223,7 @@
             })
             .filter(|(_, _, load)| *load >= self.limits.least_requests)
             .max_by(|one, other| one.2.total_cmp(&other.2))?;
-        self.take(index, range, load, taker);
+        self.split_off(index, range, taker);
         *self.loads.get_mut(giver)? -= load;
         *self.loads.get_mut(taker)? += load;
         Some(MoveStep {
@@ -154,10 +232,10 @@
         })
     }
 
-    /// Replaces a holding by what is left of it and the part that moves.
-    fn take(&mut self, index: usize, moved: KeyRange, load: f64, taker: &UpstreamId) {
-        debug_assert!(load >= 0.0);
-        let holding = self.holdings.swap_remove(index);
+    /// Replaces a holding by the part that moves, and appends what is left of
+    /// it. Other holdings keep their places.
+    fn split_off(&mut self, index: usize, moved: KeyRange, taker: &UpstreamId) {
+        let holding = self.holdings[index].clone();
         let mut rest = |range: KeyRange| {
             self.holdings.push(Holding {
                 range,
@@ -178,11 +256,11 @@
                 last: holding.range.last,
             });
         }
-        self.holdings.push(Holding {
+        self.holdings[index] = Holding {
             range: moved,
             holder: taker.clone(),
             movable: false,
-        });
+        };
     }
 }
 
