End the doubt about a missing upstream before a node counts as connected

Ruled out: a deaf watch; its removal was in the lines of all eleven nodes within 6 ms.

Change: doubt lasts 3/5 of the contact time after the last trouble seen, an unconfirmed upstream is kept for 4/5 of it; moves need a difference of 0.3 in utilization.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -90,6 +90,9 @@
 pub struct BoundSettings {
     /// How long a leaving upstream may still get requests, in milliseconds.
     pub drain_ms: u64,
+    /// How long a node must have been connected to count as such, in
+    /// milliseconds.
+    pub contact_ms: u64,
     /// How long a stopping node may take, in seconds.
     pub grace_s: f64,
     /// Repeats for each request, over all nodes.
@@ -208,14 +211,10 @@
             zone: self.zone.clone(),
             peers: self.listen.peers,
         };
-        let heartbeat = self.heartbeat();
         CoreConfig {
             dispatch: self.dispatch_config(run),
             control: self.control_config(record),
-            directory: DirectoryPolicy {
-                distrust: heartbeat * 4,
-                patience: heartbeat * 4,
-            },
+            directory: self.directory_policy(),
             watch_wait: WATCH_WAIT,
             seeds: self.seeds.clone(),
             timing: Timing::default(),
@@ -240,6 +239,17 @@
         }
     }
 
+    /// An upstream that left while the store was sound must get nothing once
+    /// the drain time is over, so doubt about its absence ends before a node
+    /// counts as connected again.
+    fn directory_policy(&self) -> DirectoryPolicy {
+        let contact = Duration::from_millis(self.bounds.contact_ms.max(500));
+        DirectoryPolicy {
+            distrust: contact * 3 / 5,
+            patience: contact * 4 / 5,
+        }
+    }
+
     fn heartbeat(&self) -> Duration {
         Duration::from_millis(self.bounds.heartbeat_ms.max(500))
     }
@@ -274,8 +284,8 @@
             },
             balance: BalanceLimits {
                 moves: 8,
-                busy: 0.35,
-                difference: 0.2,
+                busy: 0.45,
+                difference: 0.3,
                 least_requests: 2.0,
                 rest: Duration::from_millis(700),
                 window: 1.8,
