Read assignments at the start and keep learned speeds in the store

Ruled out: holds that had run out (no grant was refused, the keys stayed where they were).

Change: a node reads the granter's records when it starts; the granter writes the learned speeds every 4 s, which a new process takes as 12 samples each.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,7 +7,7 @@
     Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Forward, RefusalReason,
     RequestHead, Ticket, UnknownCause, Untouched,
 };
-use crate::speed::SpeedTable;
+use crate::speed::{SpeedRecord, SpeedTable};
 use beamtray_catalog::{Configuration, Directory, Registration, Route, RouteTable, UpstreamId};
 use beamtray_catalog::{UpstreamState, WeightedBackend};
 use beamtray_sharding::{AssignmentRecord, ShardKey, SliceState};
@@ -721,6 +721,11 @@
         report
     }
 
+    /// Takes speeds that an earlier process learned.
+    pub fn adopt_speeds(&mut self, record: &SpeedRecord) {
+        self.speeds.adopt(record);
+    }
+
     /// Learned speeds.
     pub fn speeds(&self) -> &SpeedTable {
         &self.speeds
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,4 +20,4 @@
     Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Forward, RefusalReason,
     RequestHead, Ticket, UnknownCause, Untouched,
 };
-pub use speed::SpeedTable;
+pub use speed::{MeanWork, SpeedRecord, SpeedTable, UpstreamSpeed};
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -6,10 +6,13 @@
 
 use crate::report::UpstreamHash;
 use beamtray_types::ServiceName;
+use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::HashMap;
 
 /// Samples that an unknown upstream is taken to have had at speed 1.
 const PRIOR_SAMPLES: f64 = 3.0;
+/// Samples that what an earlier process learned is worth.
+const ADOPTED_SAMPLES: f64 = 12.0;
 /// Older samples fade beyond this number.
 const MOST_SAMPLES: f64 = 40.0;
 /// Weight of a new sample in a route's mean.
@@ -31,6 +34,35 @@
     pub sum: f64,
 }
 
+/// What was learned of one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct UpstreamSpeed {
+    /// The upstream.
+    pub upstream: UpstreamHash,
+    /// Its time relative to the mean.
+    pub slowness: f32,
+}
+
+/// What was learned of one route or service.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct MeanWork {
+    /// The name.
+    pub name: String,
+    /// Mean time of its answers, in seconds.
+    pub seconds: f32,
+}
+
+/// Learned speeds as they outlive the processes that learned them.
+#[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct SpeedRecord {
+    /// Upstreams.
+    pub upstreams: Vec<UpstreamSpeed>,
+    /// Routes.
+    pub routes: Vec<MeanWork>,
+    /// Services.
+    pub services: Vec<MeanWork>,
+}
+
 /// Learned speeds.
 #[derive(Clone, Debug, Default)]
 pub struct SpeedTable {
@@ -97,6 +129,51 @@
         self.services.get(service).copied()
     }
 
+    /// What is known, to be kept.
+    pub fn record(&self) -> SpeedRecord {
+        let means = |means: &mut dyn Iterator<Item = (String, f64)>| {
+            let rows = means.map(|(name, seconds)| MeanWork {
+                name,
+                seconds: seconds as f32,
+            });
+            rows.collect()
+        };
+        let upstreams = self.upstreams.keys().map(|upstream| UpstreamSpeed {
+            upstream: *upstream,
+            slowness: self.slowness(*upstream) as f32,
+        });
+        SpeedRecord {
+            upstreams: upstreams.collect(),
+            routes: means(&mut self.routes.iter().map(|(name, mean)| (name.clone(), *mean))),
+            services: means(
+                &mut self
+                    .services
+                    .iter()
+                    .map(|(name, mean)| (name.0.clone(), *mean)),
+            ),
+        }
+    }
+
+    /// Takes what an earlier process kept, for whatever is not known here.
+    pub fn adopt(&mut self, record: &SpeedRecord) {
+        for row in &record.upstreams {
+            let known = Samples {
+                count: ADOPTED_SAMPLES,
+                sum: ADOPTED_SAMPLES * f64::from(row.slowness),
+            };
+            self.upstreams.entry(row.upstream).or_insert(known);
+        }
+        for row in &record.routes {
+            let mean = f64::from(row.seconds);
+            self.routes.entry(row.name.clone()).or_insert(mean);
+        }
+        for row in &record.services {
+            let service = ServiceName::from(row.name.as_str());
+            let mean = f64::from(row.seconds);
+            self.services.entry(service).or_insert(mean);
+        }
+    }
+
     /// Samples taken here since the last call.
     pub(crate) fn take_untold(&mut self) -> Vec<(UpstreamHash, Untold)> {
         self.untold.drain().collect()
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -26,6 +26,8 @@
 const REBALANCE: Duration = Duration::from_millis(150);
 /// Share of the counted load that is left after one look.
 const LOAD_KEPT: f64 = 0.917;
+/// Between two writes of learned speeds.
+const KEEP_SPEEDS: Duration = Duration::from_secs(4);
 /// Pause after a record that was not written.
 const REWRITE: Duration = Duration::from_millis(80);
 /// Pause after a failed reading at a takeover.
@@ -98,6 +100,7 @@
     addresses: BTreeMap<UpstreamId, SocketAddr>,
     /// Assignments in the store that this node's views don't show yet.
     written: Vec<Item>,
+    speeds_at: Time,
 }
 
 impl Control {
@@ -117,6 +120,7 @@
             election,
             term: None,
             written: Vec::new(),
+            speeds_at: Time::ZERO,
             addresses: BTreeMap::new(),
             config,
         }
@@ -128,7 +132,12 @@
     }
 
     /// Calls to the store that are due.
-    pub fn poll_store(&mut self, now: Time, views: &Views) -> Vec<(StoreTask, StoreCall)> {
+    pub fn poll_store(
+        &mut self,
+        now: Time,
+        views: &Views,
+        speeds: &SpeedTable,
+    ) -> Vec<(StoreTask, StoreCall)> {
         let mirror = views.replica(ViewName::Members).mirror();
         let view = mirror
             .at()
@@ -145,6 +154,7 @@
         }
         self.follow_authority(now);
         calls.extend(self.poll_term(now));
+        calls.extend(self.poll_speeds(now, speeds));
         calls
     }
 
@@ -205,6 +215,32 @@
         calls
     }
 
+    /// Keeps what was learned of speeds for the processes after this one.
+    fn poll_speeds(&mut self, now: Time, speeds: &SpeedTable) -> Option<(StoreTask, StoreCall)> {
+        let authority = self.election.authority(now)?;
+        if now < self.speeds_at {
+            return None;
+        }
+        let record = speeds.record();
+        self.speeds_at = now + KEEP_SPEEDS;
+        if record.services.is_empty() {
+            return None;
+        }
+        let call = StoreCall::Commit(Transaction {
+            conditions: vec![Condition {
+                key: OwnKeys::GRANTER.to_owned(),
+                revision: authority.revision,
+            }],
+            writes: vec![Write {
+                key: OwnKeys::SPEEDS.to_owned(),
+                value: borsh::to_vec(&record).unwrap_or_default(),
+                lease: None,
+            }],
+            removals: Vec::new(),
+        });
+        Some((StoreTask::Speeds, call))
+    }
+
     /// Takes the outcome of a call.
     pub fn handle_store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
         match task {
@@ -212,7 +248,7 @@
             StoreTask::Registration => self.registrar.handle(now, &outcome),
             StoreTask::TakeOver => self.taken_over(now, outcome),
             StoreTask::Record(service) => self.recorded(now, service, outcome),
-            StoreTask::View(..) | StoreTask::Farewell => {}
+            StoreTask::View(..) | StoreTask::Speeds | StoreTask::Farewell => {}
         }
     }
 
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -83,6 +83,8 @@
     Registration,
     /// Reads the assignments at the start of a term.
     TakeOver,
+    /// Writes what was learned of speeds.
+    Speeds,
     /// Writes the assignment of a service.
     Record(ServiceName),
     /// Gives up leases at a planned stop.
@@ -277,7 +279,7 @@
                 let newer = self.views.heads(now, from, heads);
                 if newer && now >= self.fetch_at {
                     self.fetch_at = now + self.config.timing.fetch;
-                    let request = self.views.request(&[ViewName::Assignments]);
+                    let request = self.views.request(&[ViewName::State]);
                     self.outputs.push(Output::Ask(from, request));
                 }
             }
@@ -318,6 +320,9 @@
 
     /// Passes changed views on to where they are used.
     fn viewed(&mut self, now: Time) {
+        if let Some(speeds) = self.views.speeds.take() {
+            self.dispatcher.adopt_speeds(&speeds);
+        }
         let notices = self.views.take_notices();
         if notices.is_empty() {
             return;
@@ -355,10 +360,10 @@
                 self.outputs.push(Output::Store(task, call));
             }
         }
-        for (task, call) in self.control.poll_store(now, &self.views) {
+        let speeds = self.dispatcher.speeds();
+        for (task, call) in self.control.poll_store(now, &self.views, speeds) {
             self.outputs.push(Output::Store(task, call));
         }
-        let speeds = self.dispatcher.speeds();
         let orders = self.control.poll_orders(now, &self.views, speeds);
         if !orders.is_empty() {
             let epoch = self.control.epoch().unwrap_or_default();
--- a/crates/router/src/core/records.rs
+++ b/crates/router/src/core/records.rs
@@ -16,9 +16,13 @@
     pub const EPOCH: &'static str = "beamtray/members/epoch";
     /// Prefix of the nodes, each under its lease.
     pub const NODES: &'static str = "beamtray/members/nodes/";
-    /// Prefix of the assignments, one record for each divided service. Nodes
-    /// hear of them from the granter, and read them only where they don't.
-    pub const ASSIGNMENTS: &'static str = "beamtray/assignments/";
+    /// Prefix of what the granter writes. Nodes read it when they start, then
+    /// hear of it from the granter, and read it again only where they don't.
+    pub const STATE: &'static str = "beamtray/state/";
+    /// Prefix of the assignments, one record for each divided service.
+    pub const ASSIGNMENTS: &'static str = "beamtray/state/assignments/";
+    /// What was learned of the upstreams' speeds.
+    pub const SPEEDS: &'static str = "beamtray/state/speeds";
 
     /// Key of a node.
     pub fn node(name: &str) -> String {
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -7,6 +7,7 @@
 use crate::core::replica::{Replica, ReplicaHealth, ReplicaTiming};
 use beamtray_catalog::{Configuration, Directory, DirectoryChange, DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
+use beamtray_dispatch::SpeedRecord;
 use beamtray_metastore::{GranterRecord, Item, MirrorChange, Revision, StoreCall, StoreOutcome};
 use beamtray_sharding::AssignmentRecord;
 use beamtray_types::{ServiceName, Time};
@@ -36,8 +37,8 @@
     Upstreams,
     /// Nodes and the granter.
     Members,
-    /// Assignments of divided services.
-    Assignments,
+    /// What the granter writes.
+    State,
 }
 
 impl ViewName {
@@ -46,7 +47,7 @@
         ViewName::Operator,
         ViewName::Upstreams,
         ViewName::Members,
-        ViewName::Assignments,
+        ViewName::State,
     ];
 }
 
@@ -145,6 +146,8 @@
     pub configuration: Option<Rc<Configuration>>,
     /// Newest assignment of each service.
     pub assignments: BTreeMap<ServiceName, Rc<AssignmentRecord>>,
+    /// Speeds that an earlier process learned, until they are taken.
+    pub speeds: Option<SpeedRecord>,
     /// Nodes that are registered.
     pub nodes: BTreeMap<String, NodeRecord>,
     /// The granter.
@@ -162,7 +165,7 @@
                 Replica::new(keys.operator_prefix, timing(GATHER_FEW)),
                 Replica::new(keys.upstream_prefix, timing(GATHER_MANY)),
                 Replica::new(OwnKeys::MEMBERS, timing(GATHER_FEW)),
-                Replica::new(OwnKeys::ASSIGNMENTS, timing(GATHER_FEW)),
+                Replica::new(OwnKeys::STATE, timing(GATHER_FEW)),
             ],
             behind_since: [None; ViewName::ALL.len()],
             granter_heard: None,
@@ -170,6 +173,7 @@
             directory: Directory::new(policy),
             configuration: None,
             assignments: BTreeMap::new(),
+            speeds: None,
             nodes: BTreeMap::new(),
             granter: None,
             notices: Vec::new(),
@@ -198,7 +202,8 @@
 
     /// The call that is due for a view.
     pub fn poll(&mut self, now: Time, view: ViewName) -> Option<StoreCall> {
-        if view == ViewName::Assignments && self.hears_granter(now) {
+        let known = self.replica(view).mirror().at().is_some();
+        if view == ViewName::State && known && self.hears_granter(now) {
             return None;
         }
         self.replica_mut(view).poll(now)
@@ -222,7 +227,7 @@
             self.granter_heard = Some(now);
         }
         for (view, theirs) in ViewName::ALL.into_iter().zip(heads.latest) {
-            if view == ViewName::Assignments {
+            if view == ViewName::State {
                 return self.replica(view).lacks(theirs);
             }
             let lacks = self.replica(view).lacks(theirs);
@@ -268,8 +273,8 @@
 
     /// Takes an assignment that this node wrote.
     pub fn wrote(&mut self, now: Time, item: Item) {
-        let changes = self.replica_mut(ViewName::Assignments).made(item);
-        self.apply(now, ViewName::Assignments, changes);
+        let changes = self.replica_mut(ViewName::State).made(item);
+        self.apply(now, ViewName::State, changes);
     }
 
     /// Takes the outcome of a view's call of that generation.
@@ -353,7 +358,7 @@
             match view {
                 ViewName::Operator => self.apply_operator(change),
                 ViewName::Upstreams => self.apply_upstream(now, change),
-                ViewName::Members | ViewName::Assignments => self.apply_own(change),
+                ViewName::Members | ViewName::State => self.apply_own(change),
             }
         }
     }
@@ -438,6 +443,8 @@
             if let Ok(record) = NodeRecord::try_from_slice(&item.value) {
                 self.nodes.insert(name.to_owned(), record);
             }
+        } else if item.key == OwnKeys::SPEEDS {
+            self.speeds = SpeedRecord::try_from_slice(&item.value).ok();
         } else if item.key == OwnKeys::GRANTER
             && let Ok(record) = GranterRecord::try_from_slice(&item.value)
         {
