--- /dev/null
+++ b/crates/emulator/src/store.rs
@@ -0,0 +1,332 @@
+//! The metadata store.
+
+use beamtray_metastore::{
+    Condition, Item, LeaseId, Revision, StoreCall, StoreEvent, StoreOutcome, Transaction,
+};
+use beamtray_types::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Keys in one page of a range.
+const PAGE: usize = 500;
+
+#[derive(Clone, Debug)]
+struct Stored {
+    value: Vec<u8>,
+    revision: Revision,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    at: Time,
+    key: String,
+    event: StoreEvent,
+}
+
+/// A watch that has nothing to tell yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchWait {
+    /// The prefix.
+    pub prefix: String,
+    /// Changes after this revision.
+    pub after: Revision,
+    /// When it ends without one.
+    pub until: Time,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreReply {
+    /// It is answered now.
+    Done(StoreOutcome),
+    /// It waits; ask again with [`StoreEmulator::watch`].
+    Waits(WatchWait),
+}
+
+/// The metadata store.
+#[derive(Clone, Debug)]
+pub struct StoreEmulator {
+    items: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, Lease>,
+    revision: Revision,
+    history: Vec<Change>,
+    /// Changes up to this revision are forgotten.
+    forgotten: Revision,
+    history_span: Duration,
+    next_lease: u64,
+    /// Whether leases run out; an outage may stop them.
+    pub leases_run: bool,
+}
+
+impl StoreEmulator {
+    /// An empty store that remembers changes for `history_span`.
+    pub fn new(history_span: Duration) -> Self {
+        Self {
+            items: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            revision: Revision(0),
+            history: Vec::new(),
+            forgotten: Revision(0),
+            history_span,
+            next_lease: 1,
+            leases_run: true,
+        }
+    }
+
+    /// Lets time pass: leases end, old history goes.
+    pub fn advance(&mut self, now: Time) {
+        if self.leases_run {
+            let ended: Vec<u64> = self
+                .leases
+                .iter()
+                .filter(|(_, lease)| lease.ends <= now)
+                .map(|(id, _)| *id)
+                .collect();
+            for id in ended {
+                self.end_lease(now, LeaseId(id));
+            }
+        }
+        let span = self.history_span;
+        let old = self
+            .history
+            .iter()
+            .take_while(|change| now.since(change.at) > span)
+            .count();
+        self.forget(old);
+    }
+
+    fn forget(&mut self, changes: usize) {
+        for change in self.history.drain(..changes) {
+            self.forgotten = self.forgotten.max(event_revision(&change.event));
+        }
+    }
+
+    /// Drops the whole history.
+    pub fn compact(&mut self) {
+        let all = self.history.len();
+        self.forget(all);
+        self.forgotten = self.revision;
+    }
+
+    /// Lets every lease begin anew, as after an outage in which they waited.
+    pub fn renew_all(&mut self, now: Time) {
+        for lease in self.leases.values_mut() {
+            lease.ends = now + lease.ttl;
+        }
+    }
+
+    fn end_lease(&mut self, now: Time, lease: LeaseId) -> bool {
+        if self.leases.remove(&lease.0).is_none() {
+            return false;
+        }
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, stored)| stored.lease == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision.0 += 1;
+        }
+        for key in keys {
+            self.remove(now, &key);
+        }
+        true
+    }
+
+    fn remove(&mut self, now: Time, key: &str) {
+        if self.items.remove(key).is_none() {
+            return;
+        }
+        let event = StoreEvent::Removed {
+            key: key.to_owned(),
+            revision: self.revision,
+        };
+        self.log(now, key, event);
+    }
+
+    fn log(&mut self, now: Time, key: &str, event: StoreEvent) {
+        self.history.push(Change {
+            at: now,
+            key: key.to_owned(),
+            event,
+        });
+    }
+
+    /// Writes a key as operators and upstreams do, without a condition.
+    pub fn put(&mut self, now: Time, key: &str, value: Vec<u8>) -> Revision {
+        self.revision.0 += 1;
+        self.write(now, key, value, None);
+        self.revision
+    }
+
+    /// Removes a key as operators and upstreams do.
+    pub fn delete(&mut self, now: Time, key: &str) {
+        self.revision.0 += 1;
+        self.remove(now, key);
+    }
+
+    fn write(&mut self, now: Time, key: &str, value: Vec<u8>, lease: Option<LeaseId>) {
+        let stored = Stored {
+            value,
+            revision: self.revision,
+            lease,
+        };
+        let event = StoreEvent::Put(item(key, &stored));
+        self.items.insert(key.to_owned(), stored);
+        self.log(now, key, event);
+    }
+
+    /// The key as it stands.
+    pub fn get(&self, key: &str) -> Option<Item> {
+        self.items.get(key).map(|stored| item(key, stored))
+    }
+
+    /// Carries a call out.
+    pub fn call(&mut self, now: Time, call: &StoreCall) -> StoreReply {
+        self.advance(now);
+        StoreReply::Done(match call {
+            StoreCall::Get { key } => match self.get(key) {
+                Some(item) => StoreOutcome::Found(item),
+                None => StoreOutcome::Absent,
+            },
+            StoreCall::Range { prefix, after } => self.range(prefix, after.as_deref()),
+            StoreCall::Watch {
+                prefix,
+                after,
+                wait,
+            } => {
+                let wait = WatchWait {
+                    prefix: prefix.clone(),
+                    after: *after,
+                    until: now + *wait,
+                };
+                return match self.watch(now, &wait) {
+                    Some(outcome) => StoreReply::Done(outcome),
+                    None => StoreReply::Waits(wait),
+                };
+            }
+            StoreCall::Commit(transaction) => self.commit(now, transaction),
+            StoreCall::GrantLease { ttl } => self.grant(now, *ttl),
+            StoreCall::KeepLease { lease } => match self.leases.get_mut(&lease.0) {
+                Some(held) => {
+                    held.ends = now + held.ttl;
+                    StoreOutcome::Leased {
+                        lease: None,
+                        ttl: held.ttl,
+                    }
+                }
+                None => StoreOutcome::Absent,
+            },
+            StoreCall::RevokeLease { lease } => {
+                if self.end_lease(now, *lease) {
+                    StoreOutcome::Revoked
+                } else {
+                    StoreOutcome::Absent
+                }
+            }
+        })
+    }
+
+    fn range(&self, prefix: &str, after: Option<&str>) -> StoreOutcome {
+        let below = self
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
+        let mut items: Vec<Item> = below.map(|(key, stored)| item(key, stored)).collect();
+        let more = items.len() > PAGE;
+        items.truncate(PAGE);
+        StoreOutcome::Page {
+            items,
+            more,
+            at: self.revision,
+        }
+    }
+
+    /// The outcome of a waiting watch, once there is one.
+    pub fn watch(&self, now: Time, wait: &WatchWait) -> Option<StoreOutcome> {
+        if wait.after < self.forgotten {
+            return Some(StoreOutcome::Compacted);
+        }
+        let events: Vec<StoreEvent> = self
+            .history
+            .iter()
+            .filter(|change| event_revision(&change.event) > wait.after)
+            .filter(|change| change.key.starts_with(&wait.prefix))
+            .map(|change| change.event.clone())
+            .collect();
+        if events.is_empty() && now < wait.until {
+            return None;
+        }
+        Some(StoreOutcome::Events {
+            events,
+            at: self.revision,
+        })
+    }
+
+    fn commit(&mut self, now: Time, transaction: &Transaction) -> StoreOutcome {
+        let missing = transaction
+            .writes
+            .iter()
+            .filter_map(|write| write.lease)
+            .any(|lease| !self.leases.contains_key(&lease.0));
+        if missing {
+            return StoreOutcome::Absent;
+        }
+        if !transaction.conditions.iter().all(|one| self.holds(one)) {
+            let keys = transaction.conditions.iter();
+            return StoreOutcome::Conflict {
+                items: keys.filter_map(|one| self.get(&one.key)).collect(),
+            };
+        }
+        self.revision.0 += 1;
+        for write in &transaction.writes {
+            self.write(now, &write.key, write.value.clone(), write.lease);
+        }
+        for key in &transaction.removals {
+            self.remove(now, key);
+        }
+        StoreOutcome::Committed {
+            revision: self.revision,
+        }
+    }
+
+    fn holds(&self, condition: &Condition) -> bool {
+        let stored = self.items.get(&condition.key);
+        stored.map_or(Revision(0), |stored| stored.revision) == condition.revision
+    }
+
+    fn grant(&mut self, now: Time, ttl: Duration) -> StoreOutcome {
+        let lease = LeaseId(self.next_lease);
+        self.next_lease += 1;
+        let ends = now + ttl;
+        self.leases.insert(lease.0, Lease { ttl, ends });
+        StoreOutcome::Leased {
+            lease: Some(lease),
+            ttl,
+        }
+    }
+}
+
+fn item(key: &str, stored: &Stored) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: stored.value.clone(),
+        revision: stored.revision,
+    }
+}
+
+fn event_revision(event: &StoreEvent) -> Revision {
+    match event {
+        StoreEvent::Put(item) => item.revision,
+        StoreEvent::Removed { revision, .. } => *revision,
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/upstream.rs
@@ -0,0 +1,307 @@
+//! An upstream that may hold keys.
+
+use beamtray_catalog::{UpstreamId, UpstreamRecord, UpstreamState};
+use beamtray_sharding::{
+    FencingToken, GrantOrder, GrantReply, Handover, KeyRange, OrderKind, ShardKey,
+};
+use beamtray_types::{ServiceName, Time, Zone};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What an upstream does with a request that it can't queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FullPolicy {
+    /// It says so.
+    Shed,
+    /// It never answers.
+    Hang,
+}
+
+/// Fixed values of an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamConfig {
+    /// Its incarnation.
+    pub id: UpstreamId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Zone,
+    /// Requests that it works on at once.
+    pub slots: usize,
+    /// Requests that wait for a slot.
+    pub queue: usize,
+    /// Whether it runs only requests whose key it holds.
+    pub divided: bool,
+    /// What it does with more.
+    pub full: FullPolicy,
+    /// Its time for a request, in percent of the request's work.
+    pub slowness_percent: u32,
+}
+
+/// Tells one run of a request from the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunId(pub u64);
+
+/// A request as it arrives.
+#[derive(Clone, Debug)]
+pub struct WorkRequest {
+    /// Its id.
+    pub id: String,
+    /// Its key, if it has one.
+    pub key: Option<ShardKey>,
+    /// Incarnation that is meant.
+    pub target: UpstreamId,
+    /// Its work at an upstream of ordinary speed.
+    pub work: Duration,
+}
+
+/// A request at work.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Tells it from others.
+    pub id: RunId,
+    /// The request.
+    pub request: WorkRequest,
+    /// When it ends.
+    pub ends: Time,
+}
+
+/// What becomes of a request that arrives.
+#[derive(Clone, Debug)]
+pub enum Arrival {
+    /// It begins to run.
+    Runs(Run),
+    /// It waits for a slot.
+    Queued,
+    /// The upstream is full and says so; it has not run.
+    Full,
+    /// Another incarnation is meant, or the key is not held; it has not run.
+    Misdirected,
+    /// It never gets an answer.
+    Hangs,
+}
+
+/// A grant in force, for checkers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantTaken {
+    /// The keys.
+    pub range: KeyRange,
+    /// The token.
+    pub token: FencingToken,
+    /// When it was first taken.
+    pub since: Time,
+    /// When it runs out.
+    pub ends: Time,
+}
+
+/// An upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamEmulator {
+    /// Its fixed values.
+    pub config: UpstreamConfig,
+    /// What it says of itself.
+    pub state: UpstreamState,
+    grants: Vec<GrantTaken>,
+    floors: Vec<u64>,
+    running: Vec<Run>,
+    queue: VecDeque<WorkRequest>,
+    next_run: u64,
+    /// Releases that wait for work to end.
+    releases: Vec<(KeyRange, u64)>,
+}
+
+impl UpstreamEmulator {
+    /// An upstream that holds nothing.
+    pub fn new(config: UpstreamConfig) -> Self {
+        Self {
+            config,
+            state: UpstreamState::Ready,
+            grants: Vec::new(),
+            floors: vec![0; KeyRange::ALL.len() as usize],
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            next_run: 0,
+            releases: Vec::new(),
+        }
+    }
+
+    /// Its registration.
+    pub fn record(&self) -> UpstreamRecord {
+        UpstreamRecord {
+            id: self.config.id.clone(),
+            service: self.config.service.clone(),
+            address: self.config.address,
+            zone: self.config.zone.clone(),
+            slots: self.config.slots as u32,
+            state: self.state,
+            warm_up_left: Duration::ZERO,
+        }
+    }
+
+    /// The grant under which it may run a request for a key.
+    pub fn grant(&self, now: Time, key: ShardKey) -> Option<&GrantTaken> {
+        self.grants
+            .iter()
+            .find(|grant| grant.range.contains(key) && now < grant.ends)
+    }
+
+    /// Takes an order. A release that must wait for work is answered by
+    /// [`UpstreamEmulator::released`].
+    pub fn order(&mut self, now: Time, order: &GrantOrder) -> Option<GrantReply> {
+        if order.holder != self.config.id {
+            return Some(GrantReply::Replaced);
+        }
+        match &order.kind {
+            OrderKind::Grant { hold, .. } => Some(self.take(now, order, *hold)),
+            OrderKind::Release => self.release(now, order),
+        }
+    }
+
+    fn floor(&mut self, range: KeyRange) -> &mut [u64] {
+        &mut self.floors[usize::from(range.first.0)..=usize::from(range.last.0)]
+    }
+
+    fn take(&mut self, now: Time, order: &GrantOrder, hold: Duration) -> GrantReply {
+        let token = order.token.0;
+        if self.floor(order.range).iter().any(|floor| *floor > token) {
+            return GrantReply::Outdated;
+        }
+        self.floor(order.range).fill(token);
+        let since = self
+            .grant(now, order.range.first)
+            .map_or(now, |grant| grant.since);
+        self.cut(order.range);
+        self.grants.push(GrantTaken {
+            range: order.range,
+            token: order.token,
+            since,
+            ends: now + hold,
+        });
+        GrantReply::Granted
+    }
+
+    /// Removes a range from all grants.
+    fn cut(&mut self, range: KeyRange) {
+        let mut rest = Vec::new();
+        for grant in self.grants.drain(..) {
+            let overlaps = grant.range.first <= range.last && range.first <= grant.range.last;
+            if !overlaps {
+                rest.push(grant);
+                continue;
+            }
+            if grant.range.first < range.first {
+                let last = ShardKey(range.first.0 - 1);
+                let range = KeyRange { last, ..grant.range };
+                rest.push(GrantTaken { range, ..grant });
+            }
+            if grant.range.last > range.last {
+                let first = ShardKey(range.last.0 + 1);
+                let range = KeyRange { first, ..grant.range };
+                rest.push(GrantTaken { range, ..grant });
+            }
+        }
+        self.grants = rest;
+    }
+
+    fn release(&mut self, now: Time, order: &GrantOrder) -> Option<GrantReply> {
+        let token = order.token.0;
+        for floor in self.floor(order.range) {
+            *floor = (*floor).max(token);
+        }
+        self.cut(order.range);
+        if self.is_at_work(order.range) {
+            self.releases.push((order.range, order.call.0));
+            return None;
+        }
+        let _ = now;
+        Some(GrantReply::Released(Some(Handover(order.range.to_string()))))
+    }
+
+    fn is_at_work(&self, range: KeyRange) -> bool {
+        let mut keys = self.running.iter().filter_map(|run| run.request.key);
+        keys.any(|key| range.contains(key))
+    }
+
+    /// Calls whose release has been waiting and is complete now.
+    pub fn released(&mut self) -> Vec<u64> {
+        let releases = std::mem::take(&mut self.releases);
+        let (waiting, done): (Vec<_>, Vec<_>) = releases
+            .into_iter()
+            .partition(|(range, _)| self.is_at_work(*range));
+        self.releases = waiting;
+        done.into_iter().map(|(_, call)| call).collect()
+    }
+
+    /// Takes a request.
+    pub fn arrive(&mut self, now: Time, request: WorkRequest) -> Arrival {
+        if request.target != self.config.id || !self.may_run(now, &request) {
+            return Arrival::Misdirected;
+        }
+        if self.running.len() < self.config.slots {
+            return Arrival::Runs(self.begin(now, request));
+        }
+        if self.queue.len() < self.config.queue {
+            self.queue.push_back(request);
+            return Arrival::Queued;
+        }
+        match self.config.full {
+            FullPolicy::Shed => Arrival::Full,
+            FullPolicy::Hang => Arrival::Hangs,
+        }
+    }
+
+    fn may_run(&self, now: Time, request: &WorkRequest) -> bool {
+        if !self.config.divided {
+            return true;
+        }
+        request
+            .key
+            .is_some_and(|key| self.grant(now, key).is_some())
+    }
+
+    fn begin(&mut self, now: Time, request: WorkRequest) -> Run {
+        let id = RunId(self.next_run);
+        self.next_run += 1;
+        let work = request.work * self.config.slowness_percent / 100;
+        let run = Run {
+            id,
+            request,
+            ends: now + work,
+        };
+        self.running.push(run.clone());
+        run
+    }
+
+    /// Ends a run and begins those that waited; queued requests whose key is
+    /// gone come back as misdirected.
+    pub fn end(&mut self, now: Time, run: RunId) -> (Option<WorkRequest>, Vec<Run>, Vec<WorkRequest>) {
+        let index = self.running.iter().position(|other| other.id == run);
+        let ended = index.map(|index| self.running.swap_remove(index).request);
+        let mut begun = Vec::new();
+        let mut refused = Vec::new();
+        while self.running.len() < self.config.slots {
+            let Some(request) = self.queue.pop_front() else {
+                break;
+            };
+            if self.may_run(now, &request) {
+                begun.push(self.begin(now, request));
+            } else {
+                refused.push(request);
+            }
+        }
+        (ended, begun, refused)
+    }
+
+    /// Drops a request whose caller left.
+    pub fn drop_request(&mut self, id: &str) {
+        self.queue.retain(|request| request.id != id);
+    }
+
+    /// Requests at work and waiting.
+    pub fn load(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+}
--- /dev/null
+++ b/crates/routersim/src/check.rs
@@ -0,0 +1,175 @@
+//! Checkers. Each sees events at clients, upstreams and the store, and objects
+//! to a history in which its promise is broken.
+
+use beamtray_catalog::UpstreamId;
+use beamtray_sharding::ShardKey;
+use beamtray_types::Time;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::Duration;
+
+/// What must always hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Promise {
+    /// Two upstreams never both begin requests on a key while both hold it.
+    SoleOwner,
+    /// What may not be repeated runs once at most.
+    AtMostOnce,
+    /// What was refused has not run and never will.
+    RefusedNotRun,
+    /// An upstream that leaves gets nothing from connected nodes once the
+    /// drain time is over.
+    Drain,
+    /// Connected nodes act by the newest configuration in time.
+    Configuration,
+    /// After the troubles most requests are served again.
+    Recovery,
+}
+
+/// One broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// Which.
+    pub promise: Promise,
+    /// When.
+    pub at: Time,
+    /// What happened.
+    pub text: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let millis = self.at.as_millis();
+        write!(formatter, "{:?} at {millis} ms: {}", self.promise, self.text)
+    }
+}
+
+/// Another upstream that holds a key, as seen when a request begins.
+#[derive(Clone, Debug)]
+pub struct OtherHolder {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Since when it has held the key.
+    pub since: Time,
+}
+
+/// How long a leaving upstream may get requests.
+pub const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+/// How long a configuration may take to be in force.
+pub const CONFIGURE_TIME: Duration = Duration::from_millis(2_000);
+/// Least part of the requests served after the troubles, in percent.
+pub const LEAST_SERVED_PERCENT: usize = 90;
+
+/// All checkers.
+#[derive(Clone, Debug, Default)]
+pub struct Checkers {
+    violations: Vec<Violation>,
+    /// Last request begun, by upstream and key.
+    begun: BTreeMap<(UpstreamId, ShardKey), Time>,
+    once: BTreeSet<String>,
+    refused: BTreeSet<String>,
+    left: BTreeMap<UpstreamId, Time>,
+    late_served: usize,
+    late_asked: usize,
+}
+
+impl Checkers {
+    fn object(&mut self, promise: Promise, at: Time, text: String) {
+        self.violations.push(Violation { promise, at, text });
+    }
+
+    /// A request with a key begins to run at an upstream that has held the key
+    /// since `since`, while others hold it too.
+    pub fn keyed_begins(
+        &mut self,
+        at: Time,
+        upstream: &UpstreamId,
+        key: ShardKey,
+        since: Time,
+        others: &[OtherHolder],
+    ) {
+        for other in others {
+            let both_since = since.max(other.since);
+            let begun = self.begun.get(&(other.upstream.clone(), key));
+            if begun.is_some_and(|begun| *begun >= both_since) {
+                let text = format!("{upstream} and {} on key {key}", other.upstream);
+                self.object(Promise::SoleOwner, at, text);
+            }
+        }
+        self.begun.insert((upstream.clone(), key), at);
+    }
+
+    /// A request that may not be repeated begins to run.
+    pub fn unrepeatable_begins(&mut self, at: Time, id: &str) {
+        if !self.once.insert(id.to_owned()) {
+            self.object(Promise::AtMostOnce, at, format!("{id} runs again"));
+        }
+        if self.refused.contains(id) {
+            self.object(Promise::RefusedNotRun, at, format!("{id} runs after a refusal"));
+        }
+    }
+
+    /// A client is told that its request, which may not be repeated, was
+    /// refused.
+    pub fn refused(&mut self, at: Time, id: &str) {
+        self.refused.insert(id.to_owned());
+        if self.once.contains(id) {
+            self.object(Promise::RefusedNotRun, at, format!("{id} has run"));
+        }
+    }
+
+    /// The sound store acknowledged that an upstream leaves or is gone.
+    pub fn leaves(&mut self, at: Time, upstream: &UpstreamId) {
+        self.left.entry(upstream.clone()).or_insert(at);
+    }
+
+    /// An upstream that was thought to leave is back.
+    pub fn is_back(&mut self, upstream: &UpstreamId) {
+        self.left.remove(upstream);
+    }
+
+    /// A request of a connected node reaches an upstream.
+    pub fn arrives(&mut self, at: Time, upstream: &UpstreamId) {
+        let Some(left) = self.left.get(upstream).copied() else {
+            return;
+        };
+        if at.since(left) > DRAIN_TIME {
+            let late = at.since(left).as_millis();
+            let text = format!("{upstream} gets a request {late} ms after it left");
+            self.object(Promise::Drain, at, text);
+        }
+    }
+
+    /// A connected node acted by an older configuration than the one that was
+    /// acknowledged that long ago.
+    pub fn acted_by(&mut self, at: Time, node: usize, version: u64, newest: u64, age: Duration) {
+        if version < newest && age > CONFIGURE_TIME {
+            let text = format!(
+                "node {node} acts by {version}, {newest} is {} ms old",
+                age.as_millis()
+            );
+            self.object(Promise::Configuration, at, text);
+        }
+    }
+
+    /// A request that was sent after the troubles got its final answer.
+    pub fn late_answer(&mut self, served: bool) {
+        self.late_asked += 1;
+        self.late_served += usize::from(served);
+    }
+
+    /// Ends the history.
+    pub fn finish(mut self, at: Time) -> Vec<Violation> {
+        let (served, asked) = (self.late_served, self.late_asked);
+        if served * 100 < asked * LEAST_SERVED_PERCENT {
+            let text = format!("{served} of {asked} served at the end");
+            self.object(Promise::Recovery, at, text);
+        }
+        self.violations
+    }
+
+    /// What was objected to so far.
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
+    }
+}
--- /dev/null
+++ b/crates/routersim/src/dialect.rs
@@ -0,0 +1,123 @@
+//! Values of the emulated store: numbers of entries in a shared list, so that
+//! the world needs no format of its own.
+
+use beamtray_catalog::{Configuration, UpstreamRecord};
+use beamtray_dialect::{
+    CallMethod, Dialect, DialectError, HeaderNames, HttpAnswer, HttpCall, StoreKeys,
+};
+use beamtray_metastore::{StoreCall, StoreOutcome};
+use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+const HEADERS: HeaderNames = HeaderNames {
+    request_id: "request-id",
+    deadline_ms: "deadline-ms",
+    target_upstream: "target",
+    answering_upstream: "answering",
+    not_executed: "not-executed",
+    signature: "signature",
+    shard_key: "key",
+    handover: "handover",
+};
+
+const KEYS: StoreKeys = StoreKeys {
+    operator_prefix: "operator/",
+    configuration: "operator/configuration",
+    upstream_prefix: "upstreams/",
+};
+
+/// Values that the world put into the store.
+#[derive(Debug, Default)]
+struct Values {
+    configurations: Vec<Configuration>,
+    upstreams: Vec<UpstreamRecord>,
+}
+
+/// The dialect of the simulated world.
+#[derive(Clone, Debug, Default)]
+pub struct SimDialect {
+    values: Rc<RefCell<Values>>,
+}
+
+impl SimDialect {
+    /// The value that stands for a configuration.
+    pub fn encode_configuration(&self, configuration: Configuration) -> Vec<u8> {
+        let mut values = self.values.borrow_mut();
+        values.configurations.push(configuration);
+        number(values.configurations.len() - 1)
+    }
+
+    /// The value that stands for a registration.
+    pub fn encode_upstream(&self, record: UpstreamRecord) -> Vec<u8> {
+        let mut values = self.values.borrow_mut();
+        values.upstreams.push(record);
+        number(values.upstreams.len() - 1)
+    }
+}
+
+fn number(index: usize) -> Vec<u8> {
+    (index as u64).to_le_bytes().to_vec()
+}
+
+fn index(value: &[u8]) -> Result<usize, DialectError> {
+    let bytes: [u8; 8] = value.try_into().map_err(|_| DialectError {
+        subject: "value".to_owned(),
+        cause: format!("{} bytes", value.len()),
+    })?;
+    Ok(u64::from_le_bytes(bytes) as usize)
+}
+
+fn missing() -> DialectError {
+    DialectError {
+        subject: "value".to_owned(),
+        cause: "not in the list".to_owned(),
+    }
+}
+
+fn unused() -> HttpCall {
+    HttpCall {
+        method: CallMethod::Get,
+        target: String::new(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    }
+}
+
+impl Dialect for SimDialect {
+    fn headers(&self) -> &HeaderNames {
+        &HEADERS
+    }
+
+    fn keys(&self) -> &StoreKeys {
+        &KEYS
+    }
+
+    fn encode_store(&self, _: &StoreCall) -> HttpCall {
+        unused()
+    }
+
+    fn decode_store(&self, _: &StoreCall, _: &HttpAnswer) -> StoreOutcome {
+        StoreOutcome::Unknown
+    }
+
+    fn decode_configuration(&self, value: &[u8]) -> Result<Configuration, DialectError> {
+        let values = self.values.borrow();
+        let configuration = values.configurations.get(index(value)?);
+        configuration.cloned().ok_or_else(missing)
+    }
+
+    fn decode_upstream(&self, _: &str, value: &[u8]) -> Result<UpstreamRecord, DialectError> {
+        let values = self.values.borrow();
+        let record = values.upstreams.get(index(value)?);
+        record.cloned().ok_or_else(missing)
+    }
+
+    fn encode_order(&self, _: &GrantOrder) -> HttpCall {
+        unused()
+    }
+
+    fn decode_order(&self, _: &OrderKind, _: &HttpAnswer) -> GrantReply {
+        GrantReply::Unanswered
+    }
+}
--- /dev/null
+++ b/crates/routersim/src/fault.rs
@@ -0,0 +1,167 @@
+//! Faults as data.
+
+use crate::world::WorldConfig;
+use beamtray_types::Time;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// What goes wrong, or is planned.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    /// A node is killed and started again after the time.
+    NodeKill {
+        /// The node; the granter for none.
+        node: Option<usize>,
+    },
+    /// All nodes are killed at once.
+    KillAll,
+    /// A node stands still.
+    NodeFreeze {
+        /// The node; the granter for none.
+        node: Option<usize>,
+    },
+    /// A node loses the store, silently.
+    StoreCut {
+        /// The node; the granter for none.
+        node: Option<usize>,
+    },
+    /// A node loses all other nodes.
+    PeerCut {
+        /// The node.
+        node: usize,
+    },
+    /// A node is told to stop, and started again after the time.
+    Stop {
+        /// The node.
+        node: usize,
+    },
+    /// The store is silent.
+    StoreDown {
+        /// Whether leases run out meanwhile.
+        lapse: bool,
+    },
+    /// Answers to writes are lost; the writes are done, some of them late.
+    StoreLost {
+        /// Part of the writes, in percent.
+        percent: u32,
+        /// Whether they are done 1 to 6 s later.
+        late: bool,
+    },
+    /// Watches hear nothing for a second, then the history is gone.
+    Compact,
+    /// An upstream ends at once and comes back as another.
+    UpstreamCrash {
+        /// Its number.
+        upstream: usize,
+        /// Whether its address falls silent instead of refusing.
+        dark: bool,
+    },
+    /// An upstream says that it leaves, serves on for a while and ends.
+    UpstreamDrain {
+        /// Its number.
+        upstream: usize,
+        /// Whether it takes its registration back instead of saying so.
+        abrupt: bool,
+    },
+    /// An upstream can't reach the store, so its registration vanishes.
+    UpstreamCut {
+        /// Its number.
+        upstream: usize,
+    },
+    /// Orders to upstreams get no answer, and are taken 2 to 12 s later.
+    OrdersLate {
+        /// Part of the orders, in percent.
+        percent: u32,
+    },
+    /// Upstreams lose answers of requests that ran.
+    AnswersLost {
+        /// Part of the answers, in percent.
+        percent: u32,
+    },
+    /// One key gets much of the traffic.
+    HotKey,
+    /// A new configuration.
+    Configure,
+}
+
+/// One fault.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// When it begins.
+    pub at: Time,
+    /// How long it lasts, where that fits.
+    pub lasts: Duration,
+    /// What it is.
+    pub trouble: Trouble,
+}
+
+/// Faults of one history.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FaultPlan {
+    /// In any order.
+    pub faults: Vec<Fault>,
+}
+
+impl FaultPlan {
+    /// Draws the faults of a seed.
+    pub fn draw(seed: u64, config: &WorldConfig) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0xFA17);
+        let count = random.random_range(2..9);
+        let begin = config.lead.as_millis() as u64;
+        let end = begin + config.troubled.as_millis() as u64;
+        let mut faults: Vec<Fault> = (0..count)
+            .map(|_| Fault {
+                at: Time(random.random_range(begin..end) * 1_000),
+                lasts: Duration::from_millis(random.random_range(500..6_000)),
+                trouble: draw_trouble(&mut random, config),
+            })
+            .collect();
+        faults.sort_by_key(|fault| fault.at);
+        Self { faults }
+    }
+}
+
+fn draw_trouble(random: &mut ChaCha8Rng, config: &WorldConfig) -> Trouble {
+    let node = random.random_range(0..config.nodes);
+    let chosen = random.random_bool(0.5).then_some(node);
+    let upstream = random.random_range(0..config.upstreams());
+    match random.random_range(0..18) {
+        0 | 1 => Trouble::NodeKill { node: chosen },
+        2 => Trouble::KillAll,
+        3 | 4 => Trouble::NodeFreeze { node: chosen },
+        5 | 6 => Trouble::StoreCut { node: chosen },
+        7 => Trouble::PeerCut { node },
+        8 => Trouble::Stop { node },
+        9 => Trouble::StoreDown {
+            lapse: random.random(),
+        },
+        10 => Trouble::StoreLost {
+            percent: random.random_range(10..60),
+            late: random.random(),
+        },
+        11 => Trouble::Compact,
+        12 => Trouble::UpstreamCrash {
+            upstream,
+            dark: random.random(),
+        },
+        13 => Trouble::UpstreamDrain {
+            upstream,
+            abrupt: random.random(),
+        },
+        14 => Trouble::UpstreamCut { upstream },
+        15 => Trouble::OrdersLate {
+            percent: random.random_range(10..60),
+        },
+        16 => Trouble::AnswersLost {
+            percent: random.random_range(2..40),
+        },
+        _ => {
+            if random.random() {
+                Trouble::HotKey
+            } else {
+                Trouble::Configure
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routersim/src/lib.rs
@@ -0,0 +1,21 @@
+//! Model checking of the router by simulation: real cores of several nodes,
+//! an emulated store and emulated upstreams on one virtual clock, faults drawn
+//! from a seed, and checkers that see only what clients, upstreams and the
+//! store see.
+
+mod check;
+mod dialect;
+mod fault;
+mod world;
+
+pub use check::{Checkers, Promise, Violation};
+pub use dialect::SimDialect;
+pub use fault::{Fault, FaultPlan, Trouble};
+pub use world::{Outcome, World, WorldConfig};
+
+/// Runs the history of a seed.
+pub fn explore(seed: u64) -> Outcome {
+    let config = WorldConfig::drawn(seed);
+    let plan = FaultPlan::draw(seed, &config);
+    World::new(config, plan).run()
+}
--- /dev/null
+++ b/crates/routersim/src/world.rs
@@ -0,0 +1,297 @@
+//! The simulated world.
+
+mod clients;
+mod faults;
+mod network;
+mod nodes;
+mod stores;
+mod upstreams;
+
+use crate::check::{Checkers, Violation};
+use crate::dialect::SimDialect;
+use crate::fault::{Fault, FaultPlan};
+use beamtray_catalog::{
+    ClientLimits, Configuration, ConfigurationVersion, Route, ServiceConfig, WeightedBackend,
+};
+use beamtray_dispatch::Ticket;
+use beamtray_emulator::{StoreEmulator, UpstreamEmulator};
+use beamtray_sharding::ShardKey;
+use beamtray_types::{ServiceName, Time};
+use network::{Event, Scheduled};
+use nodes::NodeSlot;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+use stores::StoreState;
+
+/// Between ticks of a node.
+pub(crate) const TICK: Duration = Duration::from_millis(10);
+/// Between looks at waiting watches and registrations.
+pub(crate) const HOUSEKEEPING: Duration = Duration::from_millis(20);
+/// How long a node must have been undisturbed to count as connected.
+pub(crate) const CONTACT: Duration = Duration::from_millis(3_000);
+/// Between an upstream's writes of its registration.
+pub(crate) const HEARTBEAT: Duration = Duration::from_millis(1_300);
+
+/// The divided service.
+pub(crate) const KEYED: &str = "keyed";
+/// The other service.
+pub(crate) const POOL: &str = "pool";
+/// Path of reads by key.
+pub(crate) const READ: &str = "/read/";
+/// Path of orders, which may not be repeated.
+pub(crate) const ORDER: &str = "/order/";
+/// The only host.
+pub(crate) const HOST: &str = "host";
+
+/// Size and length of a history.
+#[derive(Clone, Debug)]
+pub struct WorldConfig {
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// Nodes.
+    pub nodes: usize,
+    /// Upstreams of the divided service.
+    pub keyed: usize,
+    /// Upstreams of the other service.
+    pub pool: usize,
+    /// Time before the first request.
+    pub lead: Duration,
+    /// Time in which faults begin.
+    pub troubled: Duration,
+    /// Time after that.
+    pub calm: Duration,
+    /// Requests a second.
+    pub rate: u64,
+}
+
+impl WorldConfig {
+    /// The world of a seed.
+    pub fn drawn(seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        Self {
+            seed,
+            nodes: random.random_range(2..6),
+            keyed: random.random_range(3..7),
+            pool: random.random_range(2..5),
+            lead: Duration::from_secs(6),
+            troubled: Duration::from_secs(12),
+            calm: Duration::from_secs(18),
+            rate: random.random_range(20..50),
+        }
+    }
+
+    /// Upstreams of both services.
+    pub fn upstreams(&self) -> usize {
+        self.keyed + self.pool
+    }
+
+    fn end(&self) -> Time {
+        Time::ZERO + self.lead + self.troubled + self.calm
+    }
+
+    /// From when on requests tell whether everything has recovered.
+    fn late(&self) -> Time {
+        self.end() - Duration::from_secs(4)
+    }
+}
+
+/// How a history ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Promises that were broken.
+    pub violations: Vec<Violation>,
+    /// Requests that clients sent.
+    pub asked: usize,
+    /// Requests that were answered by an upstream.
+    pub served: usize,
+    /// Slices that moved, as the upstreams saw it.
+    pub releases: usize,
+    /// Faults of the history.
+    pub plan: FaultPlan,
+}
+
+/// A request as the world follows it.
+#[derive(Clone, Debug)]
+pub(crate) struct Asked {
+    pub id: String,
+    pub node: usize,
+    pub key: Option<ShardKey>,
+    pub repeatable: bool,
+    pub is_late: bool,
+    pub work: Duration,
+}
+
+/// The simulated world.
+pub struct World {
+    pub(crate) config: WorldConfig,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) now: Time,
+    events: BinaryHeap<Reverse<Scheduled>>,
+    scheduled: u64,
+    pub(crate) dialect: SimDialect,
+    pub(crate) store: StoreEmulator,
+    pub(crate) store_state: StoreState,
+    pub(crate) nodes: Vec<NodeSlot>,
+    pub(crate) upstreams: Vec<Option<UpstreamEmulator>>,
+    pub(crate) upstream_state: Vec<upstreams::UpstreamState>,
+    pub(crate) faults: Vec<Fault>,
+    pub(crate) orders_late_percent: u32,
+    pub(crate) answers_lost_percent: u32,
+    pub(crate) hot_key: Option<ShardKey>,
+    /// Last attempt that ended, by request.
+    pub(crate) ended_attempts: BTreeMap<(usize, u64, Ticket), u32>,
+    pub(crate) asked: BTreeMap<(usize, u64, Ticket), Asked>,
+    pub(crate) configurations: Vec<(Time, u64)>,
+    pub(crate) checkers: Checkers,
+    pub(crate) asked_count: usize,
+    pub(crate) served_count: usize,
+    pub(crate) release_count: usize,
+    next_request: u64,
+}
+
+impl World {
+    /// A world in which nothing has started.
+    pub fn new(config: WorldConfig, plan: FaultPlan) -> Self {
+        let random = ChaCha8Rng::seed_from_u64(config.seed ^ 0x0057_0F1D);
+        let mut world = Self {
+            random,
+            now: Time::ZERO,
+            events: BinaryHeap::new(),
+            scheduled: 0,
+            dialect: SimDialect::default(),
+            store: StoreEmulator::new(Duration::from_secs(20)),
+            store_state: StoreState::default(),
+            nodes: Vec::new(),
+            upstreams: Vec::new(),
+            upstream_state: Vec::new(),
+            faults: plan.faults,
+            orders_late_percent: 0,
+            answers_lost_percent: 0,
+            hot_key: None,
+            ended_attempts: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            configurations: Vec::new(),
+            checkers: Checkers::default(),
+            asked_count: 0,
+            served_count: 0,
+            release_count: 0,
+            next_request: 0,
+            config,
+        };
+        world.begin();
+        world
+    }
+
+    fn begin(&mut self) {
+        self.configure();
+        for index in 0..self.config.upstreams() {
+            self.upstreams.push(None);
+            self.upstream_state.push(upstreams::UpstreamState::default());
+            let delay = Duration::from_millis(self.random.random_range(0..2_000));
+            self.schedule(delay, Event::UpstreamStart { index });
+        }
+        for node in 0..self.config.nodes {
+            self.nodes.push(NodeSlot::default());
+            let delay = Duration::from_millis(self.random.random_range(0..300));
+            self.schedule(delay, Event::NodeStart { node });
+        }
+        for (index, fault) in self.faults.clone().iter().enumerate() {
+            self.schedule(fault.at.since(Time::ZERO), Event::Fault { index });
+        }
+        self.schedule(HOUSEKEEPING, Event::Housekeeping);
+        self.schedule(self.config.lead, Event::Client);
+    }
+
+    /// Puts the next configuration into the store.
+    pub(crate) fn configure(&mut self) {
+        let version = self.configurations.last().map_or(1, |(_, last)| last + 3);
+        let value = self.dialect.encode_configuration(configuration(version));
+        self.store.put(self.now, "operator/configuration", value);
+        self.configurations.push((self.now, version));
+    }
+
+    pub(crate) fn schedule(&mut self, delay: Duration, event: Event) {
+        self.scheduled += 1;
+        self.events.push(Reverse(Scheduled {
+            at: self.now + delay,
+            number: self.scheduled,
+            event,
+        }));
+    }
+
+    pub(crate) fn chance(&mut self, percent: u32) -> bool {
+        self.random.random_range(0..100) < percent
+    }
+
+    pub(crate) fn millis(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_micros(self.random.random_range(from * 1_000..to * 1_000))
+    }
+
+    pub(crate) fn request_number(&mut self) -> u64 {
+        self.next_request += 1;
+        self.next_request
+    }
+
+    /// Whether requests count for the recovery.
+    pub(crate) fn is_late(&self) -> bool {
+        self.now >= self.config.late() && self.now < self.config.end() - Duration::from_secs(2)
+    }
+
+    /// Runs the history to its end.
+    pub fn run(mut self) -> Outcome {
+        let end = self.config.end();
+        while let Some(Reverse(next)) = self.events.pop() {
+            if next.at > end {
+                break;
+            }
+            self.now = next.at;
+            self.take(next.event);
+        }
+        Outcome {
+            violations: self.checkers.finish(self.now),
+            asked: self.asked_count,
+            served: self.served_count,
+            releases: self.release_count,
+            plan: FaultPlan {
+                faults: self.faults,
+            },
+        }
+    }
+}
+
+/// A configuration whose versions differ in nothing else.
+fn configuration(version: u64) -> Configuration {
+    let route = |name: &str, prefix: &str, service: &str, repeatable, priority| Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: prefix.to_owned(),
+        repeatable,
+        timeout: Duration::from_millis(1_000),
+        target_latency: Duration::from_millis(400),
+        priority,
+        max_attempts: 2,
+        backends: vec![WeightedBackend {
+            service: service.into(),
+            weight: 1,
+        }],
+    };
+    let service = |name: &str, divided| ServiceConfig {
+        name: ServiceName::from(name),
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        divided,
+        warm_up: Duration::from_secs(2),
+    };
+    Configuration {
+        version: ConfigurationVersion(version),
+        routes: vec![
+            route("read", READ, KEYED, true, 1),
+            route("order", ORDER, POOL, false, 0),
+        ],
+        services: vec![service(KEYED, true), service(POOL, false)],
+        limits: ClientLimits::default(),
+    }
+}
--- /dev/null
+++ b/crates/routersim/src/world/clients.rs
@@ -0,0 +1,94 @@
+//! Clients: what they ask, and the answers that they get.
+
+use super::network::{Event, Run};
+use super::{Asked, HOST, ORDER, READ, World};
+use beamtray_dispatch::{RequestHead, Ticket};
+use beamtray_router::core::Input;
+use beamtray_sharding::ShardKey;
+use rand::RngExt;
+use std::time::Duration;
+
+/// Part of the requests that have a key, in percent.
+const READS: u32 = 65;
+/// Part of the reads that are of the hot key while there is one, in percent.
+const HOT: u32 = 40;
+/// How long a client waits.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+impl World {
+    pub(super) fn client(&mut self) {
+        let gap = 1_000_000 / self.config.rate;
+        let delay = Duration::from_micros(self.random.random_range(0..2 * gap));
+        self.schedule(delay, Event::Client);
+        let node = self.random.random_range(0..self.nodes.len());
+        let is_read = self.chance(READS);
+        let key = is_read.then(|| self.draw_key());
+        let number = self.request_number();
+        let work = self.millis(20, 120);
+        self.asked_count += 1;
+        let is_late = self.is_late();
+        let slot = &mut self.nodes[node];
+        if slot.core.is_none() {
+            return;
+        }
+        let run = slot.run;
+        slot.next_ticket += 1;
+        let ticket = Ticket(slot.next_ticket);
+        let id = format!("request-{number}");
+        let prefix = if is_read { READ } else { ORDER };
+        let head = RequestHead {
+            id: id.clone(),
+            host: HOST.to_owned(),
+            path: format!("{prefix}{number}"),
+            patience: Some(PATIENCE),
+            key,
+        };
+        let asked = Asked {
+            id,
+            node,
+            key,
+            repeatable: is_read,
+            is_late,
+            work,
+        };
+        self.asked.insert((node, run, ticket), asked);
+        self.input(node, run, Input::Request { ticket, head });
+    }
+
+    fn draw_key(&mut self) -> ShardKey {
+        let hot = self.hot_key;
+        match hot {
+            Some(key) if self.chance(HOT) => key,
+            _ => ShardKey(self.random.random()),
+        }
+    }
+
+    /// A request got a final answer that is not an upstream's.
+    pub(super) fn concluded(&mut self, node: usize, run: Run, ticket: Ticket, refused: bool) {
+        let Some(asked) = self.asked.remove(&(node, run, ticket)) else {
+            return;
+        };
+        if refused && !asked.repeatable {
+            self.checkers.refused(self.now, &asked.id);
+        }
+        if asked.is_late {
+            self.checkers.late_answer(false);
+        }
+    }
+
+    /// A request got an upstream's answer.
+    pub(super) fn answered(&mut self, node: usize, run: Run, ticket: Ticket) {
+        let Some(asked) = self.asked.remove(&(node, run, ticket)) else {
+            return;
+        };
+        self.served_count += 1;
+        if asked.is_late {
+            self.checkers.late_answer(true);
+        }
+    }
+
+    /// The connections of a node's clients end with its process.
+    pub(super) fn forget_clients_of(&mut self, node: usize) {
+        self.asked.retain(|_, asked| asked.node != node);
+    }
+}
--- /dev/null
+++ b/crates/routersim/src/world/faults.rs
@@ -0,0 +1,147 @@
+//! Faults begin and end.
+
+use super::World;
+use super::network::Event;
+use crate::fault::Trouble;
+use beamtray_sharding::ShardKey;
+use rand::RngExt;
+use std::time::Duration;
+
+/// How long watches hear nothing before the history goes.
+const DEAF: Duration = Duration::from_secs(1);
+
+impl World {
+    pub(super) fn fault(&mut self, index: usize) {
+        let fault = self.faults[index].clone();
+        let lasts = fault.lasts;
+        let mut node = None;
+        match &fault.trouble {
+            Trouble::NodeKill { node: chosen } => {
+                let node = chosen.or_else(|| self.granter());
+                if let Some(node) = node.filter(|node| self.nodes[*node].core.is_some()) {
+                    self.kill_node(node);
+                    self.schedule(lasts, Event::NodeStart { node });
+                }
+            }
+            Trouble::KillAll => self.kill_all(lasts),
+            Trouble::NodeFreeze { node: chosen } => {
+                if let Some(node) = chosen.or_else(|| self.granter()) {
+                    self.freeze(node, lasts);
+                }
+            }
+            Trouble::StoreCut { node: chosen } => {
+                node = chosen.or_else(|| self.granter());
+                if let Some(node) = node {
+                    self.nodes[node].store_cut = true;
+                    self.nodes[node].disturbed = self.now;
+                    self.silence_watches(|waiting| waiting == node);
+                }
+            }
+            Trouble::PeerCut { node } => {
+                self.nodes[*node].peer_cut = true;
+                self.nodes[*node].disturbed = self.now;
+            }
+            Trouble::Stop { node } => {
+                if self.nodes[*node].core.is_some() {
+                    let run = self.nodes[*node].run;
+                    self.nodes[*node].disturbed = self.now;
+                    self.input(*node, run, beamtray_router::core::Input::Stop);
+                }
+            }
+            Trouble::StoreDown { lapse } => {
+                self.store_state.down = true;
+                self.store.leases_run = *lapse;
+                self.silence_watches(|_| true);
+            }
+            Trouble::StoreLost { percent, late } => {
+                self.store_state.lost_percent = *percent;
+                self.store_state.late = *late;
+            }
+            Trouble::Compact => {
+                self.store_state.deaf_until = self.now + DEAF;
+                self.store_state.disturbed = Some(self.now + DEAF);
+            }
+            Trouble::UpstreamCrash { upstream, dark } => self.crash(*upstream, *dark, lasts),
+            Trouble::UpstreamDrain { upstream, abrupt } => self.drain(*upstream, *abrupt),
+            Trouble::UpstreamCut { upstream } => {
+                self.upstream_state[*upstream].cut_since = Some(self.now);
+            }
+            Trouble::OrdersLate { percent } => self.orders_late_percent = *percent,
+            Trouble::AnswersLost { percent } => self.answers_lost_percent = *percent,
+            Trouble::HotKey => self.hot_key = Some(ShardKey(self.random.random())),
+            Trouble::Configure => {
+                if !self.store_state.down {
+                    self.configure();
+                }
+            }
+        }
+        let trouble = fault.trouble;
+        let lasts = match trouble {
+            Trouble::Compact => DEAF,
+            // A node that was told to stop ends within its grace.
+            Trouble::Stop { .. } => Duration::from_secs(4),
+            _ => lasts,
+        };
+        self.schedule(lasts, Event::FaultEnds { trouble, node });
+    }
+
+    fn kill_all(&mut self, lasts: Duration) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].core.is_none() {
+                continue;
+            }
+            self.kill_node(node);
+            let spread = self.millis(0, 500);
+            self.schedule(lasts / 4 + spread, Event::NodeStart { node });
+        }
+    }
+
+    pub(super) fn fault_ends(&mut self, trouble: &Trouble, node: Option<usize>) {
+        match trouble {
+            Trouble::StoreCut { .. } => {
+                if let Some(node) = node {
+                    self.nodes[node].store_cut = false;
+                    self.nodes[node].disturbed = self.now;
+                }
+            }
+            Trouble::PeerCut { node } => {
+                self.nodes[*node].peer_cut = false;
+                self.nodes[*node].disturbed = self.now;
+            }
+            Trouble::Stop { node } => {
+                if self.nodes[*node].core.is_some() {
+                    self.kill_node(*node);
+                    self.schedule(Duration::from_millis(300), Event::NodeStart { node: *node });
+                }
+            }
+            Trouble::StoreDown { lapse } => {
+                self.store_state.down = false;
+                self.store_state.disturbed = Some(self.now);
+                if *lapse {
+                    self.lapse_registrations();
+                } else {
+                    self.store.renew_all(self.now);
+                    self.store.leases_run = true;
+                }
+            }
+            Trouble::StoreLost { .. } => {
+                self.store_state.lost_percent = 0;
+                self.store_state.disturbed = Some(self.now);
+            }
+            Trouble::Compact => {
+                self.store.compact();
+                self.store_state.disturbed = Some(self.now);
+            }
+            Trouble::UpstreamCut { upstream } => self.upstream_state[*upstream].cut_since = None,
+            Trouble::OrdersLate { .. } => self.orders_late_percent = 0,
+            Trouble::AnswersLost { .. } => self.answers_lost_percent = 0,
+            Trouble::HotKey => self.hot_key = None,
+            Trouble::NodeKill { .. }
+            | Trouble::KillAll
+            | Trouble::NodeFreeze { .. }
+            | Trouble::UpstreamCrash { .. }
+            | Trouble::UpstreamDrain { .. }
+            | Trouble::Configure => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/routersim/src/world/network.rs
@@ -0,0 +1,246 @@
+//! Events and their order.
+
+use super::World;
+use crate::fault::Trouble;
+use beamtray_dispatch::{AttemptOutcome, Forward, Ticket};
+use beamtray_emulator::RunId;
+use beamtray_metastore::{StoreCall, StoreOutcome};
+use beamtray_router::core::{Datagram, Input, OrderTask, StoreTask, ViewRequest};
+use beamtray_sharding::{CallId, GrantOrder, GrantReply};
+use beamtray_types::{ServiceName, Time};
+use std::cmp::Ordering;
+
+/// One run of a node's process.
+pub(crate) type Run = u64;
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    NodeStart {
+        node: usize,
+    },
+    NodeTick {
+        node: usize,
+        run: Run,
+    },
+    Thaw {
+        node: usize,
+        run: Run,
+    },
+    StoreArrives {
+        node: usize,
+        run: Run,
+        task: StoreTask,
+        call: StoreCall,
+    },
+    StoreAnswers {
+        node: usize,
+        run: Run,
+        task: StoreTask,
+        outcome: StoreOutcome,
+    },
+    LateWrite {
+        call: StoreCall,
+    },
+    OrderArrives {
+        node: usize,
+        run: Run,
+        task: OrderTask,
+        epoch: u64,
+    },
+    OrderAnswers {
+        node: usize,
+        run: Run,
+        service: ServiceName,
+        order: GrantOrder,
+        epoch: u64,
+        reply: GrantReply,
+    },
+    LateOrder {
+        index: usize,
+        order: GrantOrder,
+    },
+    ReleaseTimeout {
+        index: usize,
+        call: CallId,
+    },
+    ForwardArrives {
+        node: usize,
+        run: Run,
+        ticket: Ticket,
+        forward: Forward,
+    },
+    AttemptEnds {
+        node: usize,
+        run: Run,
+        ticket: Ticket,
+        attempt: u32,
+        outcome: AttemptOutcome,
+    },
+    RunEnds {
+        index: usize,
+        incarnation: u64,
+        run: RunId,
+    },
+    DatagramArrives {
+        from: usize,
+        to: usize,
+        datagram: Datagram,
+    },
+    AskArrives {
+        from: usize,
+        run: Run,
+        to: usize,
+        request: ViewRequest,
+    },
+    Deliver {
+        node: usize,
+        run: Run,
+        input: Box<DeferredInput>,
+    },
+    UpstreamStart {
+        index: usize,
+    },
+    UpstreamEnd {
+        index: usize,
+        incarnation: u64,
+        back: bool,
+    },
+    Client,
+    Housekeeping,
+    Fault {
+        index: usize,
+    },
+    FaultEnds {
+        trouble: Trouble,
+        node: Option<usize>,
+    },
+}
+
+/// Inputs that other nodes cause.
+#[derive(Clone, Debug)]
+pub(crate) enum DeferredInput {
+    Snapshots(Vec<beamtray_router::core::Snapshot>),
+}
+
+impl From<DeferredInput> for Input {
+    fn from(input: DeferredInput) -> Self {
+        match input {
+            DeferredInput::Snapshots(snapshots) => Input::Snapshots(snapshots),
+        }
+    }
+}
+
+/// An event with its time; earlier ones first, then as they were scheduled.
+#[derive(Clone, Debug)]
+pub(crate) struct Scheduled {
+    pub at: Time,
+    pub number: u64,
+    pub event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+impl World {
+    pub(super) fn take(&mut self, event: Event) {
+        match event {
+            Event::NodeStart { node } => self.start_node(node),
+            Event::NodeTick { node, run } => self.tick_node(node, run),
+            Event::Thaw { node, run } => self.thaw(node, run),
+            Event::StoreArrives {
+                node,
+                run,
+                task,
+                call,
+            } => self.store_arrives(node, run, task, call),
+            Event::StoreAnswers {
+                node,
+                run,
+                task,
+                outcome,
+            } => self.input(node, run, Input::Store { task, outcome }),
+            Event::LateWrite { call } => self.late_write(&call),
+            Event::OrderArrives {
+                node,
+                run,
+                task,
+                epoch,
+            } => self.order_arrives(node, run, task, epoch),
+            Event::OrderAnswers {
+                node,
+                run,
+                service,
+                order,
+                epoch,
+                reply,
+            } => self.input(
+                node,
+                run,
+                Input::Order {
+                    service,
+                    order,
+                    epoch,
+                    reply,
+                },
+            ),
+            Event::LateOrder { index, order } => self.late_order(index, &order),
+            Event::ReleaseTimeout { index, call } => self.release_timeout(index, call),
+            Event::ForwardArrives {
+                node,
+                run,
+                ticket,
+                forward,
+            } => self.forward_arrives(node, run, ticket, &forward),
+            Event::AttemptEnds {
+                node,
+                run,
+                ticket,
+                attempt,
+                outcome,
+            } => self.attempt_ends(node, run, ticket, attempt, outcome),
+            Event::RunEnds {
+                index,
+                incarnation,
+                run,
+            } => self.run_ends(index, incarnation, run),
+            Event::DatagramArrives { from, to, datagram } => {
+                self.datagram_arrives(from, to, datagram);
+            }
+            Event::AskArrives {
+                from,
+                run,
+                to,
+                request,
+            } => self.ask_arrives(from, run, to, &request),
+            Event::Deliver { node, run, input } => self.input(node, run, (*input).into()),
+            Event::UpstreamStart { index } => self.start_upstream(index),
+            Event::UpstreamEnd {
+                index,
+                incarnation,
+                back,
+            } => self.end_upstream(index, incarnation, back),
+            Event::Client => self.client(),
+            Event::Housekeeping => self.housekeeping(),
+            Event::Fault { index } => self.fault(index),
+            Event::FaultEnds { trouble, node } => self.fault_ends(&trouble, node),
+        }
+    }
+}
--- /dev/null
+++ b/crates/routersim/src/world/upstreams.rs
@@ -0,0 +1,533 @@
+//! Upstreams: registrations, orders and requests.
+
+use super::network::{Event, Run};
+use super::{HEARTBEAT, KEYED, POOL, World};
+use crate::check::OtherHolder;
+use beamtray_catalog::{UpstreamId, UpstreamState as Announced};
+use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
+use beamtray_emulator::{
+    Arrival, FullPolicy, Run as WorkRun, RunId, UpstreamConfig, UpstreamEmulator, WorkRequest,
+};
+use beamtray_router::core::OrderTask;
+use beamtray_sharding::{CallId, GrantOrder, GrantReply, Handover, OrderKind, ShardKey};
+use beamtray_types::{ServiceName, Time};
+use rand::RngExt;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+const PORT: u16 = 8000;
+/// How long a node waits for the answer to a grant.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long it waits for the answer to a release.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// How long it waits for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Heartbeats without a write after which a registration vanishes.
+const MISSED: u32 = 3;
+
+/// An attempt that an upstream has taken.
+#[derive(Clone, Debug)]
+pub(crate) struct Taken {
+    node: usize,
+    run: Run,
+    ticket: Ticket,
+    attempt: u32,
+    repeatable: bool,
+}
+
+/// A release that waits for work to end.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingRelease {
+    node: usize,
+    run: Run,
+    service: ServiceName,
+    order: GrantOrder,
+    epoch: u64,
+}
+
+/// What the world knows of an upstream's place.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct UpstreamState {
+    pub incarnation: u64,
+    /// Whether the address answers nothing at all.
+    pub dark: bool,
+    /// Since when the store is out of reach.
+    pub cut_since: Option<Time>,
+    /// Whether it took its registration back for good.
+    pub withdrawn: bool,
+    next_heartbeat: Time,
+    taken: BTreeMap<String, Taken>,
+    releases: BTreeMap<u64, PendingRelease>,
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 1, 0, index as u8 + 1), PORT))
+}
+
+fn index_of(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(address) = address else {
+        return None;
+    };
+    usize::from(address.ip().octets()[3]).checked_sub(1)
+}
+
+fn key_of(id: &UpstreamId) -> String {
+    format!("upstreams/{id}")
+}
+
+impl World {
+    pub(super) fn start_upstream(&mut self, index: usize) {
+        let state = &mut self.upstream_state[index];
+        let incarnation = state.incarnation + 1;
+        *state = UpstreamState {
+            incarnation,
+            ..UpstreamState::default()
+        };
+        let divided = index < self.config.keyed;
+        let slowness_percent = [70, 100, 160][self.random.random_range(0..3)];
+        self.upstreams[index] = Some(UpstreamEmulator::new(UpstreamConfig {
+            id: UpstreamId(format!("u{index}-{incarnation}")),
+            service: ServiceName::from(if divided { KEYED } else { POOL }),
+            address: address(index),
+            zone: ["a", "b", "c"][index % 3].into(),
+            slots: 2,
+            queue: 8,
+            divided,
+            full: if index.is_multiple_of(2) {
+                FullPolicy::Hang
+            } else {
+                FullPolicy::Shed
+            },
+            slowness_percent,
+        }));
+    }
+
+    /// Writes registrations that are due, removes those that were missed.
+    pub(super) fn heartbeats(&mut self) {
+        for index in 0..self.upstreams.len() {
+            self.heartbeat(index);
+        }
+    }
+
+    fn heartbeat(&mut self, index: usize) {
+        let now = self.now;
+        let Some(upstream) = &self.upstreams[index] else {
+            return;
+        };
+        let key = key_of(&upstream.config.id);
+        let record = upstream.record();
+        let state = &mut self.upstream_state[index];
+        if let Some(since) = state.cut_since {
+            let missed = now.since(since) >= HEARTBEAT * MISSED;
+            if missed && !self.store_state.down && self.store.get(&key).is_some() {
+                self.store.delete(now, &key);
+            }
+            return;
+        }
+        if state.withdrawn || now < state.next_heartbeat || self.store_state.down {
+            return;
+        }
+        state.next_heartbeat = now + HEARTBEAT;
+        if self.store.get(&key).is_none() {
+            let value = self.dialect.encode_upstream(record);
+            self.store.put(now, &key, value);
+        }
+    }
+
+    /// Registrations vanish in an outage in which leases run out.
+    pub(super) fn lapse_registrations(&mut self) {
+        for index in 0..self.upstreams.len() {
+            if self.random.random_bool(0.2) {
+                continue;
+            }
+            let id = self.upstreams[index].as_ref().map(|u| u.config.id.clone());
+            if let Some(id) = id {
+                self.store.delete(self.now, &key_of(&id));
+                self.upstream_state[index].next_heartbeat = self.now + HEARTBEAT;
+            }
+        }
+    }
+
+    /// An upstream begins to leave.
+    pub(super) fn drain(&mut self, index: usize, abrupt: bool) {
+        let now = self.now;
+        let Some(upstream) = &mut self.upstreams[index] else {
+            return;
+        };
+        if self.store_state.down || self.upstream_state[index].withdrawn {
+            return;
+        }
+        upstream.state = Announced::Draining;
+        let (id, record) = (upstream.config.id.clone(), upstream.record());
+        self.upstream_state[index].withdrawn = true;
+        if abrupt {
+            self.store.delete(now, &key_of(&id));
+        } else {
+            let value = self.dialect.encode_upstream(record);
+            self.store.put(now, &key_of(&id), value);
+        }
+        if self.is_store_stable() {
+            self.checkers.leaves(now, &id);
+        }
+        let incarnation = self.upstream_state[index].incarnation;
+        let delay = self.millis(2_200, 5_000);
+        self.schedule(
+            delay,
+            Event::UpstreamEnd {
+                index,
+                incarnation,
+                back: true,
+            },
+        );
+    }
+
+    pub(super) fn end_upstream(&mut self, index: usize, incarnation: u64, back: bool) {
+        if self.upstream_state[index].incarnation != incarnation {
+            return;
+        }
+        let Some(upstream) = self.upstreams[index].take() else {
+            return;
+        };
+        let planned = self.upstream_state[index].withdrawn;
+        if planned && !self.store_state.down {
+            self.store.delete(self.now, &key_of(&upstream.config.id));
+        }
+        if planned && back {
+            self.schedule(Duration::from_secs(2), Event::UpstreamStart { index });
+        }
+        self.break_off(index);
+    }
+
+    /// Connections of an upstream end.
+    fn break_off(&mut self, index: usize) {
+        let dark = self.upstream_state[index].dark;
+        let taken = std::mem::take(&mut self.upstream_state[index].taken);
+        if dark {
+            return;
+        }
+        for taken in taken.into_values() {
+            let outcome = AttemptOutcome::Unknown(UnknownCause::BrokenOff);
+            self.end_attempt(Duration::from_millis(1), &taken, outcome);
+        }
+    }
+
+    /// An upstream ends without a word and comes back as another.
+    pub(super) fn crash(&mut self, index: usize, dark: bool, lasts: Duration) {
+        let Some(upstream) = self.upstreams[index].take() else {
+            return;
+        };
+        let id = upstream.config.id;
+        self.upstream_state[index].dark = dark;
+        self.break_off(index);
+        self.upstream_state[index].withdrawn = true;
+        self.schedule(lasts.max(Duration::from_secs(2)), Event::UpstreamStart { index });
+        // The store removes what is not written again.
+        let key = key_of(&id);
+        if !self.store_state.down {
+            self.store.delete(self.now, &key);
+        }
+    }
+
+    pub(super) fn order_arrives(&mut self, node: usize, run: Run, task: OrderTask, epoch: u64) {
+        let index = task.address.and_then(index_of);
+        let service = task.service.clone();
+        let order = task.order;
+        let timeout = match order.kind {
+            OrderKind::Grant { .. } => GRANT_TIMEOUT,
+            OrderKind::Release => RELEASE_TIMEOUT,
+        };
+        let pending = PendingRelease {
+            node,
+            run,
+            service,
+            order,
+            epoch,
+        };
+        let Some(index) = index.filter(|index| self.upstreams[*index].is_some()) else {
+            return self.order_answered(timeout, pending, GrantReply::Unanswered);
+        };
+        let percent = self.orders_late_percent;
+        if percent > 0 && self.chance(percent) {
+            let delay = self.millis(2_000, 12_000);
+            let order = pending.order.clone();
+            self.schedule(delay, Event::LateOrder { index, order });
+            return self.order_answered(timeout, pending, GrantReply::Unanswered);
+        }
+        let now = self.now;
+        let Some(upstream) = &mut self.upstreams[index] else {
+            return;
+        };
+        match upstream.order(now, &pending.order) {
+            Some(reply) => self.order_answered(Duration::from_millis(2), pending, reply),
+            None => {
+                let call = pending.order.call;
+                self.upstream_state[index].releases.insert(call.0, pending);
+                self.schedule(timeout, Event::ReleaseTimeout { index, call });
+            }
+        }
+    }
+
+    fn order_answered(&mut self, after: Duration, pending: PendingRelease, reply: GrantReply) {
+        if matches!(reply, GrantReply::Released(_)) {
+            self.release_count += 1;
+        }
+        self.schedule(
+            after,
+            Event::OrderAnswers {
+                node: pending.node,
+                run: pending.run,
+                service: pending.service,
+                order: pending.order,
+                epoch: pending.epoch,
+                reply,
+            },
+        );
+    }
+
+    pub(super) fn late_order(&mut self, index: usize, order: &GrantOrder) {
+        let now = self.now;
+        if let Some(upstream) = &mut self.upstreams[index] {
+            upstream.order(now, order);
+        }
+    }
+
+    pub(super) fn release_timeout(&mut self, index: usize, call: CallId) {
+        let pending = self.upstream_state[index].releases.remove(&call.0);
+        if let Some(pending) = pending {
+            self.order_answered(Duration::ZERO, pending, GrantReply::Unanswered);
+        }
+    }
+
+    pub(super) fn forward(&mut self, node: usize, run: Run, ticket: Ticket, forward: Forward) {
+        if self.is_connected(node) && self.is_store_stable() {
+            self.check_configuration(node);
+        }
+        let attempt = forward.attempt;
+        let left = forward.deadline.since(self.now);
+        let outcome = AttemptOutcome::Unknown(UnknownCause::TimedOut);
+        self.schedule(
+            left,
+            Event::AttemptEnds {
+                node,
+                run,
+                ticket,
+                attempt,
+                outcome,
+            },
+        );
+        let delay = self.millis(1, 3);
+        self.schedule(
+            delay,
+            Event::ForwardArrives {
+                node,
+                run,
+                ticket,
+                forward,
+            },
+        );
+    }
+
+    fn check_configuration(&mut self, node: usize) {
+        let Some((at, newest)) = self.configurations.last().copied() else {
+            return;
+        };
+        let core = self.nodes[node].core.as_ref();
+        let version = core
+            .and_then(|core| core.inspect().0.configuration.clone())
+            .map_or(0, |configuration| configuration.version.0);
+        let age = self.now.since(at);
+        self.checkers.acted_by(self.now, node, version, newest, age);
+    }
+
+    pub(super) fn forward_arrives(
+        &mut self,
+        node: usize,
+        run: Run,
+        ticket: Ticket,
+        forward: &Forward,
+    ) {
+        let Some(asked) = self.asked.get(&(node, run, ticket)).cloned() else {
+            return;
+        };
+        let Some(index) = index_of(forward.address) else {
+            return;
+        };
+        let taken = Taken {
+            node,
+            run,
+            ticket,
+            attempt: forward.attempt,
+            repeatable: asked.repeatable,
+        };
+        if self.upstreams[index].is_none() {
+            let (after, proof) = if self.upstream_state[index].dark {
+                (CONNECT_TIMEOUT, Untouched::Unconnected)
+            } else {
+                (Duration::from_millis(1), Untouched::ConnectionRefused)
+            };
+            return self.end_attempt(after, &taken, AttemptOutcome::Untouched(proof));
+        }
+        if self.is_connected(node) {
+            self.checkers.arrives(self.now, &forward.upstream);
+        }
+        let request = WorkRequest {
+            id: asked.id.clone(),
+            key: asked.key,
+            target: forward.upstream.clone(),
+            work: asked.work,
+        };
+        let now = self.now;
+        let arrival = match &mut self.upstreams[index] {
+            Some(upstream) => upstream.arrive(now, request),
+            None => return,
+        };
+        self.arrived(index, asked.id, taken, arrival);
+    }
+
+    fn arrived(&mut self, index: usize, id: String, taken: Taken, arrival: Arrival) {
+        let soon = Duration::from_millis(1);
+        match arrival {
+            Arrival::Runs(run) => {
+                self.upstream_state[index].taken.insert(id, taken);
+                self.begins(index, &run);
+            }
+            Arrival::Queued => {
+                self.upstream_state[index].taken.insert(id, taken);
+            }
+            Arrival::Full => {
+                let outcome = AttemptOutcome::Untouched(Untouched::Full);
+                self.end_attempt(soon, &taken, outcome);
+            }
+            Arrival::Misdirected => {
+                let outcome = AttemptOutcome::Untouched(Untouched::Misdirected);
+                self.end_attempt(soon, &taken, outcome);
+            }
+            Arrival::Hangs => {}
+        }
+    }
+
+    /// A request begins to run.
+    fn begins(&mut self, index: usize, run: &WorkRun) {
+        let incarnation = self.upstream_state[index].incarnation;
+        self.schedule(
+            run.ends.since(self.now),
+            Event::RunEnds {
+                index,
+                incarnation,
+                run: run.id,
+            },
+        );
+        if let Some(key) = run.request.key {
+            self.check_owner(index, key);
+        }
+        let taken = self.upstream_state[index].taken.get(&run.request.id);
+        if taken.is_some_and(|taken| !taken.repeatable) {
+            self.checkers.unrepeatable_begins(self.now, &run.request.id);
+        }
+    }
+
+    fn check_owner(&mut self, index: usize, key: ShardKey) {
+        let now = self.now;
+        let Some(upstream) = &self.upstreams[index] else {
+            return;
+        };
+        let Some(grant) = upstream.grant(now, key) else {
+            return;
+        };
+        let others: Vec<OtherHolder> = self
+            .upstreams
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != index)
+            .filter_map(|(_, other)| {
+                let other = other.as_ref()?;
+                Some(OtherHolder {
+                    upstream: other.config.id.clone(),
+                    since: other.grant(now, key)?.since,
+                })
+            })
+            .collect();
+        let (id, since) = (upstream.config.id.clone(), grant.since);
+        self.checkers.keyed_begins(now, &id, key, since, &others);
+    }
+
+    pub(super) fn run_ends(&mut self, index: usize, incarnation: u64, run: RunId) {
+        if self.upstream_state[index].incarnation != incarnation {
+            return;
+        }
+        let now = self.now;
+        let Some(upstream) = &mut self.upstreams[index] else {
+            return;
+        };
+        let (ended, begun, refused) = upstream.end(now, run);
+        let released = upstream.released();
+        if let Some(taken) = ended.and_then(|request| self.untake(index, &request.id)) {
+            let percent = self.answers_lost_percent;
+            let lost = percent > 0 && self.chance(percent);
+            let outcome = if lost {
+                AttemptOutcome::Unknown(UnknownCause::BrokenOff)
+            } else {
+                AttemptOutcome::Answered { success: true }
+            };
+            self.end_attempt(Duration::from_millis(1), &taken, outcome);
+        }
+        for request in refused {
+            if let Some(taken) = self.untake(index, &request.id) {
+                let outcome = AttemptOutcome::Untouched(Untouched::Misdirected);
+                self.end_attempt(Duration::from_millis(1), &taken, outcome);
+            }
+        }
+        for run in begun {
+            self.begins(index, &run);
+        }
+        for call in released {
+            if let Some(pending) = self.upstream_state[index].releases.remove(&call) {
+                let handover = Handover(pending.order.range.to_string());
+                let reply = GrantReply::Released(Some(handover));
+                self.order_answered(Duration::from_millis(1), pending, reply);
+            }
+        }
+    }
+
+    fn untake(&mut self, index: usize, id: &str) -> Option<Taken> {
+        self.upstream_state[index].taken.remove(id)
+    }
+
+    fn end_attempt(&mut self, after: Duration, taken: &Taken, outcome: AttemptOutcome) {
+        self.schedule(
+            after,
+            Event::AttemptEnds {
+                node: taken.node,
+                run: taken.run,
+                ticket: taken.ticket,
+                attempt: taken.attempt,
+                outcome,
+            },
+        );
+    }
+
+    /// The first end of an attempt that its node sees counts.
+    pub(super) fn attempt_ends(
+        &mut self,
+        node: usize,
+        run: Run,
+        ticket: Ticket,
+        attempt: u32,
+        outcome: AttemptOutcome,
+    ) {
+        let number = self.ended_attempts.entry((node, run, ticket)).or_default();
+        if *number >= attempt {
+            return;
+        }
+        *number = attempt;
+        self.input(
+            node,
+            run,
+            beamtray_router::core::Input::Ended { ticket, outcome },
+        );
+        if matches!(outcome, AttemptOutcome::Answered { .. }) {
+            self.answered(node, run, ticket);
+        }
+    }
+}
