Give no keys back to a silent upstream; write records compactly

Change: who is known dead gets nothing; who lost keys for silence gets none for 4 s after it last left an order unanswered; holders stand in a list of the record and ranges end where the next begins; records are 20 ms apart at least.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -28,6 +28,8 @@
 const LOAD_KEPT: f64 = 0.917;
 /// Between two writes of learned speeds.
 const KEEP_SPEEDS: Duration = Duration::from_secs(4);
+/// Pause between two records, so that changes close together go in one.
+const GATHER: Duration = Duration::from_millis(20);
 /// Pause after a record that was not written.
 const REWRITE: Duration = Duration::from_millis(80);
 /// Pause after a failed reading at a takeover.
@@ -300,6 +302,7 @@
         match outcome {
             StoreOutcome::Committed { revision } => {
                 grants.revision = revision;
+                grants.write_at = now + GATHER;
                 grants.granter.written(now, writing.record.sequence);
                 self.written.push(Item {
                     key: OwnKeys::assignment(service),
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -29,6 +29,8 @@
 /// Weight of a share of the keys next to counted requests, so that idle slices
 /// are spread too.
 const IDLE_WEIGHT: f64 = 4.0;
+/// How long an upstream that lost keys for its silence gets none.
+const AVOID: Duration = Duration::from_secs(4);
 /// Pause after an order that was refused or not answered.
 const RETRY: Duration = Duration::from_millis(200);
 
@@ -115,6 +117,8 @@
     slices: BTreeMap<ShardKey, Slice>,
     candidates: BTreeMap<UpstreamId, Candidate>,
     dead: Vec<UpstreamId>,
+    /// Upstreams that lost keys for their silence, until when they get none.
+    avoided: BTreeMap<UpstreamId, Time>,
     calls: BTreeMap<CallId, Call>,
     next_call: u64,
     /// Sequence of the next record.
@@ -144,6 +148,7 @@
             slices: BTreeMap::new(),
             candidates: BTreeMap::new(),
             dead: Vec::new(),
+            avoided: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 0,
             next_sequence: 1,
@@ -258,7 +263,22 @@
     fn ready(&self) -> impl Iterator<Item = &Candidate> {
         self.candidates
             .values()
-            .filter(|candidate| candidate.standing == Standing::Ready)
+            .filter(|one| one.standing == Standing::Ready && !self.dead.contains(&one.id))
+    }
+
+    /// Upstreams that may get keys: those that are ready and answer, or all
+    /// that are ready when none answers.
+    fn takers(&self, now: Time) -> Vec<&Candidate> {
+        let answers = |one: &&Candidate| {
+            let until = self.avoided.get(&one.id);
+            until.is_none_or(|until| now >= *until)
+        };
+        let answering: Vec<&Candidate> = self.ready().filter(answers).collect();
+        if answering.is_empty() {
+            self.ready().collect()
+        } else {
+            answering
+        }
     }
 
     /// Starts to take slices back from holders that are to lose them.
@@ -283,10 +303,20 @@
             .map(|slice| slice.range.first)
             .collect();
         for first in leaving {
+            self.avoid_silent(now, first);
             self.take_back(now, first, None);
         }
     }
 
+    /// A holder that loses keys for its silence gets no others for a while.
+    fn avoid_silent(&mut self, now: Time, first: ShardKey) {
+        let slice = self.slices.get(&first);
+        let silent = slice.filter(|slice| slice.silent_since.is_some());
+        if let Some(holder) = silent.and_then(Slice::holder) {
+            self.avoided.insert(holder.clone(), now + AVOID);
+        }
+    }
+
     fn take_back(&mut self, now: Time, first: ShardKey, next: Option<UpstreamId>) {
         let release = self.next_token();
         let told_in = self.next_sequence;
@@ -344,7 +374,7 @@
         let mut loads = self.loads();
         for first in free {
             let weight = self.weight(self.slices[&first].range);
-            let Some(id) = least_loaded(&loads, self.ready()) else {
+            let Some(id) = least_loaded(&loads, self.takers(now).into_iter()) else {
                 return;
             };
             *loads.entry(id.clone()).or_default() += weight;
@@ -526,6 +556,10 @@
             }
             GrantReply::Granted | GrantReply::Rejected | GrantReply::Unanswered => {
                 slice.due = now + RETRY;
+                // It is as silent as when it lost the keys.
+                if let Some(until) = self.avoided.get_mut(&holder) {
+                    *until = now + AVOID;
+                }
             }
         }
     }
@@ -564,7 +598,8 @@
             return 0;
         }
         let seats: Vec<Seat> = self
-            .ready()
+            .takers(now)
+            .into_iter()
             .map(|candidate| Seat {
                 id: candidate.id.clone(),
                 capacity: candidate.capacity,
--- a/crates/sharding/src/record.rs
+++ b/crates/sharding/src/record.rs
@@ -5,6 +5,7 @@
 use beamtray_metastore::Epoch;
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::fmt;
+use std::io;
 
 /// Bits of a token that count within one epoch.
 const COUNTER_BITS: u32 = 24;
@@ -30,7 +31,7 @@
 }
 
 /// Who may work on the keys of a slice.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SliceState {
     /// Nobody.
     Free,
@@ -53,7 +54,7 @@
 }
 
 /// One contiguous range of keys and who may work on it.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SliceRecord {
     /// The keys.
     pub range: KeyRange,
@@ -62,7 +63,7 @@
 }
 
 /// All slices of one service, in the order of their keys, without gaps.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AssignmentRecord {
     /// Term of the granter that wrote it.
     pub epoch: Epoch,
@@ -82,3 +83,110 @@
         slice.range.contains(key).then_some(slice)
     }
 }
+
+/// How a slice is written: its last key is the one before the next slice, and
+/// its holder stands in a list.
+#[derive(BorshSerialize, BorshDeserialize)]
+struct WrittenSlice {
+    first: ShardKey,
+    state: WrittenState,
+}
+
+#[derive(BorshSerialize, BorshDeserialize)]
+enum WrittenState {
+    Free,
+    Held { holder: u16, token: FencingToken },
+    Leaving { holder: u16, token: FencingToken },
+}
+
+#[derive(BorshSerialize, BorshDeserialize)]
+struct WrittenRecord {
+    epoch: Epoch,
+    sequence: u64,
+    holders: Vec<UpstreamId>,
+    slices: Vec<WrittenSlice>,
+}
+
+/// The number of a holder in the list, which it joins if it is new.
+fn number(holders: &mut Vec<UpstreamId>, holder: &UpstreamId) -> u16 {
+    let known = holders.iter().position(|other| other == holder);
+    let index = known.unwrap_or_else(|| {
+        holders.push(holder.clone());
+        holders.len() - 1
+    });
+    index as u16
+}
+
+impl BorshSerialize for AssignmentRecord {
+    fn serialize<W: io::Write>(&self, writer: &mut W) -> io::Result<()> {
+        let mut holders = Vec::new();
+        let slices = self.slices.iter().map(|slice| WrittenSlice {
+            first: slice.range.first,
+            state: match &slice.state {
+                SliceState::Free => WrittenState::Free,
+                SliceState::Held { holder, token } => WrittenState::Held {
+                    holder: number(&mut holders, holder),
+                    token: *token,
+                },
+                SliceState::Leaving { holder, token } => WrittenState::Leaving {
+                    holder: number(&mut holders, holder),
+                    token: *token,
+                },
+            },
+        });
+        let slices = slices.collect();
+        let written = WrittenRecord {
+            epoch: self.epoch,
+            sequence: self.sequence,
+            holders,
+            slices,
+        };
+        written.serialize(writer)
+    }
+}
+
+impl BorshDeserialize for AssignmentRecord {
+    fn deserialize_reader<R: io::Read>(reader: &mut R) -> io::Result<Self> {
+        let written = WrittenRecord::deserialize_reader(reader)?;
+        let holder = |number: u16| {
+            let holder = written.holders.get(usize::from(number));
+            let missing = || io::Error::new(io::ErrorKind::InvalidData, "holder is not listed");
+            holder.cloned().ok_or_else(missing)
+        };
+        let mut slices = Vec::with_capacity(written.slices.len());
+        for (index, slice) in written.slices.iter().enumerate() {
+            let next = written.slices.get(index + 1).map(|next| next.first.0);
+            let last = match next {
+                Some(next) if next > slice.first.0 => next - 1,
+                Some(_) => {
+                    let cause = "slices are not in order";
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, cause));
+                }
+                None => u16::MAX,
+            };
+            let state = match slice.state {
+                WrittenState::Free => SliceState::Free,
+                WrittenState::Held { holder: of, token } => SliceState::Held {
+                    holder: holder(of)?,
+                    token,
+                },
+                WrittenState::Leaving { holder: of, token } => SliceState::Leaving {
+                    holder: holder(of)?,
+                    token,
+                },
+            };
+            slices.push(SliceRecord {
+                range: KeyRange {
+                    first: slice.first,
+                    last: ShardKey(last),
+                },
+                state,
+            });
+        }
+        Ok(Self {
+            epoch: written.epoch,
+            sequence: written.sequence,
+            slices,
+        })
+    }
+}
