Explain a request from the lines of its nodes; metrics; bounded lines

Cause: a line per decision existed, but nothing put them in order across nodes, no counter or histogram existed, and a load could multiply the lines.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,8 +4,8 @@
 use crate::occupancy::Occupancy;
 use crate::report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash, UpstreamHash};
 use crate::request::{
-    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Forward, RefusalReason,
-    RequestHead, Ticket, UnknownCause, Untouched,
+    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Ending, Forward,
+    RefusalReason, RequestHead, Ticket, UnknownCause, Untouched,
 };
 use crate::speed::{SpeedRecord, SpeedTable};
 use beamtray_catalog::{Configuration, Directory, Registration, Route, RouteTable, UpstreamId};
@@ -310,7 +310,7 @@
                     self.requests.insert(ticket, request);
                     decisions.push(Decision::Forward(ticket, forward));
                 }
-                Some(Err(conclusion)) => decisions.push(Decision::Conclude(ticket, conclusion)),
+                Some(Err(ending)) => decisions.push(Decision::Conclude(ticket, ending)),
                 None => {
                     self.requests.insert(ticket, request);
                     self.waiting.push(ticket);
@@ -325,9 +325,9 @@
         now: Time,
         directory: &Directory,
         request: &mut Request,
-    ) -> Option<Result<Forward, Conclusion>> {
+    ) -> Option<Result<Forward, Ending>> {
         if now >= request.deadline {
-            return Some(Err(self.conclude(request, RefusalReason::TimeUp)));
+            return Some(Err(self.conclude(now, request, RefusalReason::TimeUp)));
         }
         let wanted = if now < request.not_before {
             Err(RefusalReason::Busy)
@@ -336,18 +336,30 @@
         };
         match wanted {
             Ok(registration) => Some(Ok(self.forward(now, request, registration))),
-            Err(reason) if now >= request.wait_until => Some(Err(self.conclude(request, reason))),
+            Err(reason) if now >= request.wait_until => {
+                Some(Err(self.conclude(now, request, reason)))
+            }
             Err(_) => None,
         }
     }
 
-    fn conclude(&mut self, request: &Request, reason: RefusalReason) -> Conclusion {
-        match request.unknown {
+    fn conclude(&mut self, now: Time, request: &Request, reason: RefusalReason) -> Ending {
+        let conclusion = match request.unknown {
             Some(cause) => Conclusion::Unknown(cause),
             None => Conclusion::Refused {
                 reason,
                 retry_after: self.retry_after(),
             },
+        };
+        Ending {
+            conclusion,
+            route: request.route.name.clone(),
+            service: request.service.clone(),
+            key: request.key,
+            assignment: self.assignment(request),
+            arrivals: request.arrivals,
+            age: now.since(request.arrived),
+            left: request.deadline.since(now),
         }
     }
 
@@ -545,12 +557,7 @@
 
     /// Takes the end of an attempt. A request that is to be tried again waits
     /// for the next poll; the conclusion of one that is not comes back.
-    pub fn ended(
-        &mut self,
-        now: Time,
-        ticket: Ticket,
-        outcome: AttemptOutcome,
-    ) -> Option<Conclusion> {
+    pub fn ended(&mut self, now: Time, ticket: Ticket, outcome: AttemptOutcome) -> Option<Ending> {
         let mut request = self.requests.remove(&ticket)?;
         let attempt = request.attempt.take()?;
         self.occupancy.end(attempt.hash);
@@ -564,7 +571,7 @@
             }
         }
         if !self.may_repeat(now, &request, outcome) {
-            return Some(self.conclude(&request, RefusalReason::Refused));
+            return Some(self.conclude(now, &request, RefusalReason::Refused));
         }
         self.requests.insert(ticket, request);
         self.waiting.push(ticket);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,7 +17,7 @@
 pub use occupancy::Occupancy;
 pub use report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash, UpstreamHash};
 pub use request::{
-    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Forward, RefusalReason,
-    RequestHead, Ticket, UnknownCause, Untouched,
+    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Ending, Forward,
+    RefusalReason, RequestHead, Ticket, UnknownCause, Untouched,
 };
 pub use speed::{MeanWork, SpeedRecord, SpeedTable, UpstreamSpeed};
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -142,11 +142,32 @@
     pub waited: Duration,
 }
 
+/// How a request ends that no upstream answered, and what that was decided by.
+#[derive(Clone, Debug)]
+pub struct Ending {
+    /// The final answer.
+    pub conclusion: Conclusion,
+    /// The route's name.
+    pub route: String,
+    /// The service.
+    pub service: ServiceName,
+    /// The key, where the service is divided.
+    pub key: Option<ShardKey>,
+    /// The assignment that was in force for the key.
+    pub assignment: Option<AssignmentNumber>,
+    /// How often it arrived at an upstream.
+    pub arrivals: u32,
+    /// Time since it came.
+    pub age: Duration,
+    /// Time that was left to it.
+    pub left: Duration,
+}
+
 /// What is to happen with a request.
 #[derive(Clone, Debug)]
 pub enum Decision {
     /// Send it.
     Forward(Ticket, Forward),
     /// Give it its final answer.
-    Conclude(Ticket, Conclusion),
+    Conclude(Ticket, Ending),
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -138,7 +138,7 @@
 
 fn concluded(decisions: Vec<Decision>) -> Option<Conclusion> {
     decisions.into_iter().find_map(|decision| match decision {
-        Decision::Conclude(_, conclusion) => Some(conclusion),
+        Decision::Conclude(_, ending) => Some(ending.conclusion),
         Decision::Forward(..) => None,
     })
 }
@@ -252,11 +252,12 @@
         .expect("admitted");
     forwarded(dispatcher.poll(at(1), &directory)).expect("sent");
     let full = AttemptOutcome::Untouched(Untouched::Full);
-    assert_eq!(dispatcher.ended(at(10), Ticket(1), full), None);
+    assert!(dispatcher.ended(at(10), Ticket(1), full).is_none());
     let again = forwarded(dispatcher.poll(at(60), &directory)).expect("sent again");
     assert_eq!(again.attempt, 2);
     let broken = AttemptOutcome::Unknown(UnknownCause::BrokenOff);
     let end = dispatcher.ended(at(70), Ticket(1), broken);
+    let end = end.map(|ending| ending.conclusion);
     assert_eq!(end, Some(Conclusion::Unknown(UnknownCause::BrokenOff)));
 }
 
@@ -268,10 +269,11 @@
         .expect("admitted");
     forwarded(dispatcher.poll(at(1), &directory)).expect("sent");
     let broken = AttemptOutcome::Unknown(UnknownCause::BrokenOff);
-    assert_eq!(dispatcher.ended(at(10), Ticket(1), broken), None);
+    assert!(dispatcher.ended(at(10), Ticket(1), broken).is_none());
     forwarded(dispatcher.poll(at(11), &directory)).expect("sent again");
     let full = AttemptOutcome::Untouched(Untouched::Full);
     let end = dispatcher.ended(at(20), Ticket(1), full);
+    let end = end.map(|ending| ending.conclusion);
     assert_eq!(end, Some(Conclusion::Unknown(UnknownCause::BrokenOff)));
 }
 
@@ -407,7 +409,7 @@
     let first = forwarded(dispatcher.poll(at(0), &directory)).expect("sent");
     assert_eq!(first.upstream.0, "near");
     let unconnected = AttemptOutcome::Untouched(Untouched::Unconnected);
-    assert_eq!(dispatcher.ended(at(10), Ticket(1), unconnected), None);
+    assert!(dispatcher.ended(at(10), Ticket(1), unconnected).is_none());
     let second = forwarded(dispatcher.poll(at(10), &directory)).expect("sent again");
     assert_eq!(second.upstream.0, "far");
     // It never arrived, so this is still the first arrival.
--- /dev/null
+++ b/crates/explain/tests/stories.rs
@@ -0,0 +1,77 @@
+//! Stories from lines of several nodes.
+
+use beamtray_explain::{Line, key_story, request_story};
+
+const LINES: &str = r#"
+ -1.0 node-1 time=1000 level=INFO msg=start node=node-1
+  0.0 node-1 time=1010 level=INFO msg=configuration_in_force routes=3 version=7
+  0.0 node-1 time=1020 level=INFO msg=assignment sequence=4 epoch=2 service=keyed
+  0.1 node-1 time=1100 level=INFO msg=sent key=40 epoch=2 sequence=4 upstream=u1 service=keyed request=abc
+  0.2 node-2 time=1150 level=INFO msg=order reply="Released(Some(Handover(\"x y\")))" range=32..63 holder=u1 service=keyed kind=Release
+  0.2 node-2 time=1160 level=INFO msg=order reply=Released range=64..99 holder=u9 service=keyed kind=Release
+  0.3 node-1 time=1200 level=INFO msg=attempt_ended outcome=misdirected upstream=u1 request=abc
+  0.3 node-1 time=1210 level=INFO msg=sent key=41 upstream=u1 service=keyed request=other
+  0.4 node-1 time=1300 level=INFO msg=concluded outcome=refused reason=KeyUnheld key=40 service=keyed request=abc
+not a line
+"#;
+
+fn lines() -> Vec<Line> {
+    let lines = LINES.lines().rev();
+    lines.filter_map(|text| Line::parse("-", text)).collect()
+}
+
+#[test]
+fn quoted_values_are_read_whole() {
+    let lines = lines();
+    let released = lines.iter().find(|line| line.time_ms == 1150);
+    let reply = released.and_then(|line| line.get("reply"));
+    assert_eq!(reply, Some("Released(Some(Handover(\"x y\")))"));
+}
+
+#[test]
+fn a_line_without_a_collector_gets_its_node_from_the_source() {
+    let line = Line::parse("file.log", "time=5 level=INFO msg=stopped").expect("a line");
+    assert_eq!(
+        (line.node.as_str(), line.event.as_str()),
+        ("file.log", "stopped")
+    );
+}
+
+#[test]
+fn a_request_is_told_in_order_with_what_bore_on_it() {
+    let story = request_story(&lines(), "abc");
+    let events: Vec<(u64, &str)> = story
+        .iter()
+        .map(|entry| (entry.line.time_ms, entry.line.event.as_str()))
+        .collect();
+    let expected = [
+        (1100, "sent"),
+        (1150, "order"),
+        (1200, "attempt_ended"),
+        (1300, "concluded"),
+    ];
+    assert_eq!(events, expected);
+    let beliefs: Vec<&str> = story[0]
+        .beliefs
+        .iter()
+        .map(|belief| belief.event.as_str())
+        .collect();
+    assert_eq!(beliefs, ["assignment", "configuration_in_force", "start"]);
+    assert!(
+        story[0]
+            .to_string()
+            .contains("believed for 80 ms: assignment")
+    );
+}
+
+#[test]
+fn a_key_is_told_by_its_orders_and_changes_of_its_upstream() {
+    let story = key_story(&lines(), Some("keyed"), 40);
+    let times: Vec<u64> = story.iter().map(|entry| entry.line.time_ms).collect();
+    assert_eq!(times, [1100, 1150, 1300]);
+}
+
+#[test]
+fn an_unknown_request_has_no_story() {
+    assert!(request_story(&lines(), "nobody").is_empty());
+}
--- /dev/null
+++ b/crates/node/src/command/explain.rs
@@ -0,0 +1,53 @@
+//! `explain`: the story of a request or a key from log lines.
+
+use super::{ExplainArguments, Outcome};
+use beamtray_explain::{Entry, Line, key_story, request_story};
+use eyre::{Result, WrapErr};
+use std::fs::File;
+use std::io::{BufRead, BufReader, stdin};
+
+pub(super) fn run(arguments: &ExplainArguments) -> Result<Outcome> {
+    let (request, key) = (&arguments.request, arguments.key);
+    if request.is_some() == key.is_some() {
+        eprintln!("name one of --request and --key");
+        return Ok(Outcome::Invalid);
+    }
+    let lines = read(&arguments.files)?;
+    let story = match (request, key) {
+        (Some(request), _) => request_story(&lines, request),
+        (None, Some(key)) => key_story(&lines, arguments.service.as_deref(), key),
+        (None, None) => Vec::new(),
+    };
+    Ok(print(&story, lines.len()))
+}
+
+fn print(story: &[Entry], lines: usize) -> Outcome {
+    if story.is_empty() {
+        eprintln!("none of {lines} lines tells of it");
+        return Outcome::Failed;
+    }
+    for entry in story {
+        print!("{entry}");
+    }
+    Outcome::Done
+}
+
+fn read(files: &[String]) -> Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    if files.is_empty() {
+        collect("-", stdin().lock(), &mut lines)?;
+    }
+    for file in files {
+        let open = File::open(file).wrap_err_with(|| format!("read {file}"))?;
+        collect(file, BufReader::new(open), &mut lines)?;
+    }
+    Ok(lines)
+}
+
+fn collect(source: &str, reader: impl BufRead, lines: &mut Vec<Line>) -> Result<()> {
+    for text in reader.lines() {
+        let text = text.wrap_err_with(|| format!("read {source}"))?;
+        lines.extend(Line::parse(source, &text));
+    }
+    Ok(())
+}
--- a/crates/node/src/command/mod.rs
+++ b/crates/node/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod check;
+mod explain;
 mod node;
 mod operate;
 mod route;
@@ -85,6 +86,9 @@
     /// Prints the owners of a service's slices.
     #[options(help = "print the owners of a service's slices")]
     Assignments(AssignmentsArguments),
+    /// Tells the story of a request or a key from log lines.
+    #[options(help = "tell the story of a request or a key from log lines")]
+    Explain(ExplainArguments),
     /// Checks a settings file or a declaration offline.
     #[options(help = "check a settings file or a declaration, offline")]
     Check(CheckArguments),
@@ -219,6 +223,21 @@
     json: bool,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Options)]
+pub struct ExplainArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "id of the request", no_short, meta = "ID")]
+    request: Option<String>,
+    #[options(help = "the key", no_short, meta = "N")]
+    key: Option<u64>,
+    #[options(help = "only this service's key", no_short)]
+    service: Option<String>,
+    #[options(free, help = "log files of the nodes (default: standard input)")]
+    files: Vec<String>,
+}
+
 /// Arguments of `check`.
 #[derive(Debug, Options)]
 pub struct CheckArguments {
@@ -245,6 +264,7 @@
         Some(Command::Confirm(arguments)) => operate::confirm(&arguments),
         Some(Command::Status(arguments)) => operate::status(&arguments),
         Some(Command::Assignments(arguments)) => operate::assignments(arguments),
+        Some(Command::Explain(arguments)) => explain::run(&arguments),
         Some(Command::Check(arguments)) => Ok(check::check(&arguments)),
         None => {
             eprintln!("name a command; --help lists them");
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -5,8 +5,8 @@
 use beamtray_catalog::{ClientLimits, DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{
-    Admission, AttemptOutcome, Conclusion, Decision, DispatchConfig, Dispatcher, Forward,
-    KeyReport, LoadReport, RequestHead, Ticket,
+    Admission, AttemptOutcome, Decision, DispatchConfig, Dispatcher, Ending, Forward, KeyReport,
+    LoadReport, RequestHead, Ticket,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply};
@@ -163,7 +163,7 @@
     /// Make an attempt.
     Forward(Ticket, Forward),
     /// Give the final answer.
-    Conclude(Ticket, Conclusion),
+    Conclude(Ticket, Ending),
     /// Call the store.
     Store(StoreTask, StoreCall),
     /// Order something of an upstream; `epoch` is the term.
@@ -237,8 +237,8 @@
                 }
             }
             Input::Ended { ticket, outcome } => {
-                if let Some(conclusion) = self.dispatcher.ended(now, ticket, outcome) {
-                    self.outputs.push(Output::Conclude(ticket, conclusion));
+                if let Some(ending) = self.dispatcher.ended(now, ticket, outcome) {
+                    self.outputs.push(Output::Conclude(ticket, ending));
                 }
             }
             Input::Cancelled { ticket } => {
@@ -501,7 +501,7 @@
         for decision in self.dispatcher.poll(now, &self.views.directory) {
             self.outputs.push(match decision {
                 Decision::Forward(ticket, forward) => Output::Forward(ticket, forward),
-                Decision::Conclude(ticket, conclusion) => Output::Conclude(ticket, conclusion),
+                Decision::Conclude(ticket, ending) => Output::Conclude(ticket, ending),
             });
         }
     }
--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -86,6 +86,11 @@
         &self.prefix
     }
 
+    /// Time since a call was last answered.
+    pub fn age(&self, now: Time) -> Duration {
+        now.since(self.last_answer.unwrap_or(Time::ZERO))
+    }
+
     /// Whether the last call failed.
     pub fn is_troubled(&self) -> bool {
         self.failures > 0 || self.last_answer.is_none()
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -73,6 +73,9 @@
     pub readiness: SocketAddr,
     /// For other nodes, over TCP and UDP.
     pub peers: SocketAddr,
+    /// For whoever collects metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The metadata store.
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -4,7 +4,6 @@
 use crate::shell::answer::strip_connection_headers;
 use crate::shell::connections::{Answer, CallFailure};
 use crate::shell::handle::{AnswerBody, Shared, Step};
-use crate::shell::log;
 use beamtray_catalog::UpstreamId;
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
 use bytes::Bytes;
@@ -54,8 +53,9 @@
     forward: Forward,
     request: Rc<ClientRequest>,
 ) {
-    log::sent(&shared.log, &request.id, &forward);
     let sent = shared.now();
+    let left = forward.deadline.since(sent);
+    shared.observer.sent(&request.id, &forward, left);
     let deadline = shared.instant_of(forward.deadline);
     let exchange = exchange(&shared, &forward, &request);
     let result = match timeout_at(deadline, exchange).await {
@@ -63,13 +63,17 @@
         Err(_) => Result::failed(AttemptOutcome::Unknown(UnknownCause::TimedOut)),
     };
     let took = shared.now().since(sent);
-    log::ended(&shared.log, &request.id, &forward, result.outcome, took);
+    shared
+        .observer
+        .ended(&request.id, &forward, result.outcome, took);
     if result.replaced {
         shared.input(Input::Replaced {
             upstream: forward.upstream.clone(),
         });
     }
     if let Some(response) = result.response {
+        let age = forward.waited + took;
+        shared.observer.answered(&forward.route.name, age);
         shared.step(ticket, Step::Answer(Box::new(response)));
     }
     shared.input(Input::Ended {
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -3,7 +3,6 @@
 use crate::core::{Input, OrderTask, StoreTask};
 use crate::shell::connections::{Answer, CallFailure};
 use crate::shell::handle::Shared;
-use crate::shell::log;
 use beamtray_dialect::{CallMethod, HttpAnswer, HttpCall};
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantReply, OrderKind};
@@ -42,7 +41,7 @@
                 StoreOutcome::Unknown
             }
         };
-        log::store(&shared.log, &task, &outcome);
+        shared.observer.store(&task, &outcome);
         shared.input(Input::Store { task, outcome });
     });
 }
@@ -55,7 +54,7 @@
             Some(address) => give(&shared, address, &task).await,
             None => GrantReply::Unanswered,
         };
-        log::order(&shared.log, &task, &reply);
+        shared.observer.order(&task, &reply);
         shared.input(Input::Order {
             service: task.service,
             order: task.order,
--- a/crates/router/src/shell/clients.rs
+++ b/crates/router/src/shell/clients.rs
@@ -5,7 +5,6 @@
 use crate::shell::attempt::{ClientRequest, attempt};
 use crate::shell::connections::prepare;
 use crate::shell::handle::{AnswerBody, Shared, Step};
-use crate::shell::log;
 use beamtray_dispatch::{RequestHead, Ticket};
 use beamtray_sharding::ShardKey;
 use http_body_util::{BodyExt, Limited};
@@ -152,7 +151,8 @@
         if self.concluded {
             return;
         }
-        log::cancelled(&self.shared.log, &self.id);
+        let under_way = self.attempt.is_some();
+        self.shared.observer.cancelled(&self.id, under_way);
         // Work that may not be repeated runs to its end: the client may look
         // for its effect. The core forgets the request when that ends.
         if self.attempt.is_some() && !self.repeatable {
@@ -201,12 +201,12 @@
                 continue;
             }
             Step::Deny(admission) => {
-                log::denied(&shared.log, &request.id, admission);
+                shared.observer.denied(&request.id, admission);
                 denial(admission)
             }
-            Step::Conclude(end) => {
-                log::concluded(&shared.log, &request.id, end);
-                conclusion(end)
+            Step::Conclude(ending) => {
+                shared.observer.concluded(&request.id, &ending);
+                conclusion(ending.conclusion)
             }
             Step::Answer(response) => *response,
         };
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -3,14 +3,14 @@
 use crate::core::{Input, NodeCore, Output};
 use crate::shell::actor::RouterActor;
 use crate::shell::connections::Connections;
+use crate::shell::observer::Observer;
 use beamtray_catalog::ClientLimits;
 use beamtray_dialect::Dialect;
-use beamtray_dispatch::{Admission, Conclusion, Forward, Ticket};
+use beamtray_dispatch::{Admission, Ending, Forward, Ticket};
 use beamtray_types::Time;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
-use slog::Logger;
 use stakker::{ActorOwn, call};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -31,7 +31,7 @@
     /// Make an attempt.
     Forward(Forward),
     /// Give the final answer.
-    Conclude(Conclusion),
+    Conclude(Box<Ending>),
     /// An upstream's answer.
     Answer(Box<Response<AnswerBody>>),
 }
@@ -51,7 +51,7 @@
     pub stop: Notify,
     pub store: SocketAddr,
     pub datagrams: UdpSocket,
-    pub log: Logger,
+    pub observer: Observer,
 }
 
 impl Shared {
@@ -105,17 +105,19 @@
 
 /// Does what the core asks for.
 pub(crate) fn carry_out(shared: &Rc<Shared>, output: Output) {
-    use crate::shell::{calls, log, peers};
+    use crate::shell::{calls, peers};
     match output {
         Output::Deny(ticket, admission) => shared.step(ticket, Step::Deny(admission)),
         Output::Forward(ticket, forward) => shared.step(ticket, Step::Forward(forward)),
-        Output::Conclude(ticket, conclusion) => shared.step(ticket, Step::Conclude(conclusion)),
+        Output::Conclude(ticket, ending) => {
+            shared.step(ticket, Step::Conclude(Box::new(ending)));
+        }
         Output::Store(task, call) => calls::call_store(shared, task, call),
         Output::Order(task, epoch) => calls::order(shared, task, epoch),
         Output::Send(datagram, addresses) => peers::send(shared, &datagram, &addresses),
         Output::Ask(address, request) => peers::ask(shared, address, request),
         Output::Limits(limits) => shared.limits.set(limits),
-        Output::Notice(notice) => log::notice(&shared.log, &notice),
-        Output::Granter(epoch) => log::granter(&shared.log, epoch),
+        Output::Notice(notice) => shared.observer.notice(&notice),
+        Output::Granter(epoch) => shared.observer.granter(epoch),
     }
 }
--- /dev/null
+++ b/crates/router/src/shell/metrics.rs
@@ -0,0 +1,274 @@
+//! Counters and histograms, as Prometheus text.
+
+use crate::core::{NodeCore, ViewName};
+use crate::shell::log::dropped_lines;
+use beamtray_catalog::UpstreamId;
+use beamtray_types::Time;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+/// How a request ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct RequestLabels {
+    pub route: String,
+    pub outcome: String,
+}
+
+/// What a call to the store was for, and how it ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct StoreLabels {
+    pub task: String,
+    pub outcome: String,
+}
+
+/// What was ordered, and the reply.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct OrderLabels {
+    pub kind: OrderName,
+    pub reply: String,
+}
+
+/// Kinds of orders.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub(crate) enum OrderName {
+    Grant,
+    Release,
+}
+
+/// How an attempt at an upstream ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct AttemptLabels {
+    pub service: String,
+    pub outcome: String,
+}
+
+/// A route.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct RouteLabel {
+    pub route: String,
+}
+
+/// An upstream.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct UpstreamLabel {
+    pub upstream: String,
+}
+
+/// A view.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ViewLabel {
+    pub view: String,
+}
+
+type Latencies<Label> = Family<Label, Histogram, fn() -> Histogram>;
+
+fn latency() -> Histogram {
+    Histogram::new(LATENCY_BOUNDS)
+}
+
+/// The process's figures.
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub requests: Family<RequestLabels, Counter>,
+    pub attempts: Family<AttemptLabels, Counter>,
+    pub store_calls: Family<StoreLabels, Counter>,
+    pub orders: Family<OrderLabels, Counter>,
+    pub route_latency: Latencies<RouteLabel>,
+    upstream_latency: Latencies<UpstreamLabel>,
+    /// Upstreams that have a histogram.
+    timed: RefCell<BTreeSet<String>>,
+    lines_dropped: Gauge,
+    lines_left_out: Counter,
+    waiting: Gauge,
+    under_way: Gauge,
+    slots_in_use: Family<UpstreamLabel, Gauge>,
+    slices: Gauge,
+    slices_held: Gauge,
+    is_granter: Gauge,
+    configuration: Gauge,
+    upstreams: Gauge,
+    nodes: Gauge,
+    view_age: Family<ViewLabel, Gauge>,
+}
+
+impl Metrics {
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("beamtray"),
+            requests: Family::default(),
+            attempts: Family::default(),
+            store_calls: Family::default(),
+            orders: Family::default(),
+            route_latency: Family::new_with_constructor(latency),
+            upstream_latency: Family::new_with_constructor(latency),
+            timed: RefCell::new(BTreeSet::new()),
+            lines_dropped: Gauge::default(),
+            lines_left_out: Counter::default(),
+            waiting: Gauge::default(),
+            under_way: Gauge::default(),
+            slots_in_use: Family::default(),
+            slices: Gauge::default(),
+            slices_held: Gauge::default(),
+            is_granter: Gauge::default(),
+            configuration: Gauge::default(),
+            upstreams: Gauge::default(),
+            nodes: Gauge::default(),
+            view_age: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by route and outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Attempts by service and outcome",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
+        registry.register("orders", "Orders to upstreams", self.orders.clone());
+        registry.register(
+            "request_seconds",
+            "Time from a whole request to its answer",
+            self.route_latency.clone(),
+        );
+        registry.register(
+            "upstream_seconds",
+            "Time of answers of upstreams",
+            self.upstream_latency.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Lines that standard output did not take",
+            self.lines_dropped.clone(),
+        );
+        registry.register(
+            "log_lines_left_out",
+            "Lines beyond the rate of their kind",
+            self.lines_left_out.clone(),
+        );
+        registry.register("waiting", "Requests that wait here", self.waiting.clone());
+        registry.register(
+            "under_way",
+            "Requests not answered yet",
+            self.under_way.clone(),
+        );
+        registry.register(
+            "upstream_requests",
+            "Requests of all nodes under way at an upstream, as known here",
+            self.slots_in_use.clone(),
+        );
+        registry.register("slices", "Slices, at the granter", self.slices.clone());
+        registry.register(
+            "slices_held",
+            "Slices under a grant, at the granter",
+            self.slices_held.clone(),
+        );
+        registry.register("is_granter", "1 at the granter", self.is_granter.clone());
+        registry.register(
+            "configuration_version",
+            "Version in force",
+            self.configuration.clone(),
+        );
+        registry.register("upstreams", "Upstreams known", self.upstreams.clone());
+        registry.register("nodes", "Nodes known", self.nodes.clone());
+        registry.register(
+            "view_age_milliseconds",
+            "Time since the store last answered for a view",
+            self.view_age.clone(),
+        );
+    }
+
+    /// Counts a line that was left out.
+    pub fn left_out(&self) {
+        self.lines_left_out.inc();
+    }
+
+    /// Counts an attempt and the time of its answer.
+    pub fn answered(&self, upstream: &str, took: Duration) {
+        let label = UpstreamLabel {
+            upstream: upstream.to_owned(),
+        };
+        let histogram = self.upstream_latency.get_or_create(&label);
+        histogram.observe(took.as_secs_f64());
+        self.timed.borrow_mut().insert(label.upstream);
+    }
+
+    /// Takes the gauges from the core.
+    pub fn observe(&self, now: Time, core: &NodeCore) {
+        let (views, control, dispatcher) = core.inspect();
+        let (waiting, under_way) = dispatcher.counts();
+        self.waiting.set(waiting as i64);
+        self.under_way.set(under_way as i64);
+        self.slots_in_use.clear();
+        self.forget_gone(core);
+        for registration in views.directory.iter() {
+            let id = &registration.record.id;
+            let label = UpstreamLabel {
+                upstream: id.0.clone(),
+            };
+            let hash = beamtray_dispatch::UpstreamHash::of(id);
+            let total = dispatcher.occupancy().total(hash);
+            self.slots_in_use.get_or_create(&label).set(total.into());
+        }
+        let (slices, held) = control.slice_counts(now);
+        self.slices.set(slices as i64);
+        self.slices_held.set(held as i64);
+        self.is_granter.set(control.is_granter(now).into());
+        let version = views.configuration.as_ref().map_or(0, |one| one.version.0);
+        self.configuration.set(version as i64);
+        self.upstreams.set(views.directory.iter().count() as i64);
+        self.nodes.set(views.nodes.len() as i64);
+        for view in ViewName::ALL {
+            let age = views.replica(view).age(now).as_millis() as i64;
+            let label = ViewLabel {
+                view: format!("{view:?}"),
+            };
+            self.view_age.get_or_create(&label).set(age);
+        }
+        self.lines_dropped.set(dropped_lines() as i64);
+    }
+
+    /// Upstreams that are gone need not be told of for ever.
+    fn forget_gone(&self, core: &NodeCore) {
+        let directory = &core.inspect().0.directory;
+        let known = |id: &String| directory.get(&UpstreamId(id.clone())).is_some();
+        self.timed.borrow_mut().retain(|id| {
+            let keep = known(id);
+            if !keep {
+                let upstream = id.clone();
+                self.upstream_latency.remove(&UpstreamLabel { upstream });
+            }
+            keep
+        });
+    }
+
+    /// All figures as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -8,9 +8,13 @@
 mod connections;
 mod handle;
 mod log;
+mod metrics;
+mod observer;
 mod peers;
 mod process;
+mod rate;
 mod readiness;
+mod small_server;
 
-pub use log::{LogLevel, build_logger};
+pub use log::{LogLevel, build_logger, dropped_lines};
 pub use process::{ProcessError, run};
--- /dev/null
+++ b/crates/router/src/shell/observer.rs
@@ -0,0 +1,342 @@
+//! Tells what the process did and believed: a line and a count for each.
+
+use crate::core::{OrderTask, StoreTask, ViewNotice};
+use crate::shell::metrics::{
+    AttemptLabels, Metrics, OrderLabels, OrderName, RequestLabels, RouteLabel, StoreLabels,
+};
+use crate::shell::rate::{LineKind, LineRate};
+use beamtray_catalog::DirectoryChange;
+use beamtray_dispatch::{
+    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Ending, Forward, UnknownCause,
+    Untouched,
+};
+use beamtray_metastore::StoreOutcome;
+use beamtray_sharding::{GrantReply, OrderKind, ShardKey};
+use slog::{Logger, Record, debug, info, warn};
+use std::time::Duration;
+
+/// Writes lines and counts.
+pub(crate) struct Observer {
+    pub log: Logger,
+    pub metrics: Metrics,
+    rate: LineRate,
+}
+
+/// The key and the assignment that a decision was made by.
+struct KeyFields {
+    key: Option<ShardKey>,
+    assignment: Option<AssignmentNumber>,
+}
+
+impl slog::KV for KeyFields {
+    fn serialize(&self, _: &Record, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        if let Some(key) = self.key {
+            serializer.emit_u16("key", key.0)?;
+        }
+        if let Some(assignment) = self.assignment {
+            serializer.emit_u64("epoch", assignment.epoch)?;
+            serializer.emit_u64("sequence", assignment.sequence)?;
+        }
+        Ok(())
+    }
+}
+
+/// How many lines of the same kind were left out before this one.
+struct LeftOut(u64);
+
+impl slog::KV for LeftOut {
+    fn serialize(&self, _: &Record, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        if self.0 > 0 {
+            serializer.emit_u64("left_out", self.0)?;
+        }
+        Ok(())
+    }
+}
+
+impl Observer {
+    pub fn new(log: Logger) -> Self {
+        Self {
+            log,
+            metrics: Metrics::new(),
+            rate: LineRate::default(),
+        }
+    }
+
+    /// Whether a line of that kind may be written.
+    fn admit(&self, kind: LineKind) -> Option<LeftOut> {
+        let left_out = self.rate.admit(kind);
+        if left_out.is_none() {
+            self.metrics.left_out();
+        }
+        left_out.map(LeftOut)
+    }
+
+    /// A belief changed.
+    pub fn notice(&self, notice: &ViewNotice) {
+        let log = &self.log;
+        match notice {
+            ViewNotice::Configured { version, routes } => {
+                info!(log, "configuration_in_force"; "version" => version, "routes" => routes);
+            }
+            ViewNotice::Unreadable { key, cause } => {
+                warn!(log, "value_unreadable"; "key" => key, "cause" => cause);
+            }
+            ViewNotice::Directory(change) => self.directory(change),
+            ViewNotice::Assigned {
+                service,
+                epoch,
+                sequence,
+            } => {
+                info!(log, "assignment"; "service" => %service, "epoch" => epoch, "sequence" => sequence);
+            }
+            ViewNotice::Granter { node, epoch } => {
+                let node = node.as_deref().unwrap_or("-");
+                info!(log, "granter_seen"; "node" => node, "epoch" => epoch);
+            }
+            ViewNotice::Restarted { prefix } => {
+                info!(log, "watch_restarted"; "prefix" => prefix);
+            }
+            ViewNotice::Followed {
+                prefix,
+                sound: true,
+            } => {
+                info!(log, "store_regained"; "prefix" => prefix);
+            }
+            ViewNotice::Followed {
+                prefix,
+                sound: false,
+            } => {
+                warn!(log, "store_lost"; "prefix" => prefix);
+            }
+        }
+    }
+
+    fn directory(&self, change: &DirectoryChange) {
+        let log = &self.log;
+        match change {
+            DirectoryChange::Registered(id, state) => {
+                info!(log, "upstream_registered"; "upstream" => %id, "state" => ?state);
+            }
+            DirectoryChange::Removed(id) => {
+                info!(log, "upstream_removed"; "upstream" => %id);
+            }
+            DirectoryChange::Unconfirmed(id) => {
+                info!(log, "upstream_unconfirmed"; "upstream" => %id);
+            }
+        }
+    }
+
+    /// This node became the granter, or ceased to be.
+    pub fn granter(&self, epoch: Option<u64>) {
+        match epoch {
+            Some(epoch) => info!(self.log, "granter_here"; "epoch" => epoch),
+            None => info!(self.log, "granter_ended"),
+        }
+    }
+
+    /// A call to the store ended.
+    pub fn store(&self, task: &StoreTask, outcome: &StoreOutcome) {
+        let name = store_outcome(outcome);
+        let labels = StoreLabels {
+            task: store_task(task).to_owned(),
+            outcome: name.to_owned(),
+        };
+        self.metrics.store_calls.get_or_create(&labels).inc();
+        let failed = matches!(
+            outcome,
+            StoreOutcome::Refused
+                | StoreOutcome::Unknown
+                | StoreOutcome::Conflict { .. }
+                | StoreOutcome::Compacted
+        );
+        if !failed {
+            return;
+        }
+        if let Some(left_out) = self.admit(LineKind::Dependency) {
+            info!(self.log, "store_call"; "task" => ?task, "outcome" => name, left_out);
+        }
+    }
+
+    /// An order ended.
+    pub fn order(&self, task: &OrderTask, reply: &GrantReply) {
+        let order = &task.order;
+        let kind = match order.kind {
+            OrderKind::Grant { .. } => OrderName::Grant,
+            OrderKind::Release => OrderName::Release,
+        };
+        let labels = OrderLabels {
+            kind,
+            reply: grant_reply(reply).to_owned(),
+        };
+        self.metrics.orders.get_or_create(&labels).inc();
+        let log = &self.log;
+        if matches!(reply, GrantReply::Granted) {
+            debug!(log, "order"; "kind" => ?kind, "service" => %task.service,
+                "holder" => %order.holder, "range" => %order.range, "token" => %order.token,
+                "reply" => ?reply);
+            return;
+        }
+        if let Some(left_out) = self.admit(LineKind::Dependency) {
+            info!(log, "order"; "kind" => ?kind, "service" => %task.service,
+                "holder" => %order.holder, "range" => %order.range, "token" => %order.token,
+                "reply" => ?reply, left_out);
+        }
+    }
+
+    /// A request is sent to an upstream.
+    pub fn sent(&self, id: &str, forward: &Forward, left: Duration) {
+        let Some(left_out) = self.admit(LineKind::Step) else {
+            return;
+        };
+        let fields = KeyFields {
+            key: forward.key,
+            assignment: forward.assignment,
+        };
+        info!(self.log, "sent"; "request" => id, "route" => &forward.route.name,
+            "service" => %forward.service, "upstream" => %forward.upstream,
+            "attempt" => forward.attempt, "occupied" => forward.occupied,
+            "waited_ms" => forward.waited.as_millis() as u64,
+            "left_ms" => left.as_millis() as u64, fields, left_out);
+    }
+
+    /// An attempt ended.
+    pub fn ended(&self, id: &str, forward: &Forward, outcome: AttemptOutcome, took: Duration) {
+        let name = attempt_outcome(outcome);
+        let labels = AttemptLabels {
+            service: forward.service.0.clone(),
+            outcome: name.to_owned(),
+        };
+        self.metrics.attempts.get_or_create(&labels).inc();
+        let kind = match outcome {
+            AttemptOutcome::Answered { .. } => {
+                self.metrics.answered(&forward.upstream.0, took);
+                LineKind::Step
+            }
+            _ => LineKind::Failure,
+        };
+        if let Some(left_out) = self.admit(kind) {
+            info!(self.log, "attempt_ended"; "request" => id, "upstream" => %forward.upstream,
+                "attempt" => forward.attempt, "outcome" => name,
+                "took_ms" => took.as_millis() as u64, left_out);
+        }
+    }
+
+    /// A request got an upstream's answer.
+    pub fn answered(&self, route: &str, took: Duration) {
+        self.finished(route, "answered", took);
+    }
+
+    fn finished(&self, route: &str, outcome: &str, took: Duration) {
+        let labels = RequestLabels {
+            route: route.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.metrics.requests.get_or_create(&labels).inc();
+        let label = RouteLabel {
+            route: route.to_owned(),
+        };
+        let histogram = self.metrics.route_latency.get_or_create(&label);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// A request is not admitted.
+    pub fn denied(&self, id: &str, admission: Admission) {
+        let labels = RequestLabels {
+            route: String::new(),
+            outcome: format!("denied {admission:?}"),
+        };
+        self.metrics.requests.get_or_create(&labels).inc();
+        if let Some(left_out) = self.admit(LineKind::Failure) {
+            info!(self.log, "denied"; "request" => id, "reason" => ?admission, left_out);
+        }
+    }
+
+    /// A request got its final answer without one of an upstream.
+    pub fn concluded(&self, id: &str, ending: &Ending) {
+        let (outcome, reason, retry_after) = match ending.conclusion {
+            Conclusion::Refused {
+                reason,
+                retry_after,
+            } => ("refused", format!("{reason:?}"), retry_after),
+            Conclusion::Unknown(cause) => ("unknown", format!("{cause:?}"), Duration::ZERO),
+        };
+        self.finished(&ending.route, &format!("{outcome} {reason}"), ending.age);
+        let Some(left_out) = self.admit(LineKind::Failure) else {
+            return;
+        };
+        let fields = KeyFields {
+            key: ending.key,
+            assignment: ending.assignment,
+        };
+        info!(self.log, "concluded"; "request" => id, "route" => &ending.route,
+            "service" => %ending.service, "outcome" => outcome, "reason" => reason,
+            "arrivals" => ending.arrivals, "age_ms" => ending.age.as_millis() as u64,
+            "left_ms" => ending.left.as_millis() as u64,
+            "retry_after_ms" => retry_after.as_millis() as u64, fields, left_out);
+    }
+
+    /// A client left before its answer.
+    pub fn cancelled(&self, id: &str, under_way: bool) {
+        let labels = RequestLabels {
+            route: String::new(),
+            outcome: "client left".to_owned(),
+        };
+        self.metrics.requests.get_or_create(&labels).inc();
+        if let Some(left_out) = self.admit(LineKind::Failure) {
+            info!(self.log, "client_left"; "request" => id, "under_way" => under_way, left_out);
+        }
+    }
+}
+
+fn store_task(task: &StoreTask) -> &'static str {
+    match task {
+        StoreTask::View(..) => "view",
+        StoreTask::Election => "election",
+        StoreTask::Registration => "registration",
+        StoreTask::TakeOver => "take_over",
+        StoreTask::Speeds => "speeds",
+        StoreTask::Record(_) => "record",
+        StoreTask::Farewell => "farewell",
+    }
+}
+
+fn store_outcome(outcome: &StoreOutcome) -> &'static str {
+    match outcome {
+        StoreOutcome::Refused => "refused",
+        StoreOutcome::Unknown => "unanswered",
+        StoreOutcome::Conflict { .. } => "conflict",
+        StoreOutcome::Compacted => "history_lost",
+        StoreOutcome::Absent => "absent",
+        _ => "done",
+    }
+}
+
+fn grant_reply(reply: &GrantReply) -> &'static str {
+    match reply {
+        GrantReply::Granted => "granted",
+        GrantReply::Outdated => "outdated",
+        GrantReply::Released(_) => "released",
+        GrantReply::Replaced => "replaced",
+        GrantReply::Rejected => "rejected",
+        GrantReply::Unanswered => "unanswered",
+    }
+}
+
+fn attempt_outcome(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Answered { success: true } => "answered",
+        AttemptOutcome::Answered { success: false } => "answered_failure",
+        AttemptOutcome::Untouched(proof) => match proof {
+            Untouched::Unconnected => "unconnected",
+            Untouched::ConnectionRefused => "connection_refused",
+            Untouched::Unsent => "unsent",
+            Untouched::Full => "full",
+            Untouched::Misdirected => "misdirected",
+        },
+        AttemptOutcome::Unknown(cause) => match cause {
+            UnknownCause::BrokenOff => "broken_off",
+            UnknownCause::WrongAnswer => "wrong_answer",
+            UnknownCause::TimedOut => "timed_out",
+        },
+    }
+}
--- a/crates/router/src/shell/peers.rs
+++ b/crates/router/src/shell/peers.rs
@@ -84,10 +84,10 @@
         match answer {
             Ok(Ok(snapshots)) => shared.input(Input::Snapshots(snapshots)),
             Ok(Err(error)) => {
-                slog::debug!(shared.log, "peer_ask"; "peer" => %address, "error" => %error);
+                slog::debug!(shared.observer.log, "peer_ask"; "peer" => %address, "error" => %error);
             }
             Err(_) => {
-                slog::debug!(shared.log, "peer_ask"; "peer" => %address, "error" => "timeout");
+                slog::debug!(shared.observer.log, "peer_ask"; "peer" => %address, "error" => "timeout");
             }
         }
     });
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -5,6 +5,7 @@
 use crate::shell::actor::{RouterActor, Turn};
 use crate::shell::connections::Connections;
 use crate::shell::handle::{Shared, carry_out};
+use crate::shell::observer::Observer;
 use crate::shell::{clients, peers, readiness};
 use beamtray_catalog::ClientLimits;
 use beamtray_dialect::Dialect;
@@ -71,6 +72,7 @@
     readiness: TcpListener,
     peers: TcpListener,
     datagrams: UdpSocket,
+    metrics: Option<TcpListener>,
 }
 
 async fn bind(settings: &NodeSettings) -> Result<Listeners, ProcessError> {
@@ -83,7 +85,12 @@
             cause,
         })
     };
+    let metrics = match listen.metrics {
+        Some(address) => Some(tcp("metrics", address).await?),
+        None => None,
+    };
     Ok(Listeners {
+        metrics,
         clients: tcp("clients", listen.clients).await?,
         readiness: tcp("readiness", listen.readiness).await?,
         peers: tcp("peers", listen.peers).await?,
@@ -125,7 +132,7 @@
         stop: Notify::new(),
         store: settings.store.address,
         datagrams: listeners.datagrams,
-        log,
+        observer: Observer::new(log),
     });
     let turn = Rc::new(Turn::default());
     let stakker = start_actor(&shared, core, &turn);
@@ -133,11 +140,14 @@
     tokio::task::spawn_local(readiness::serve(shared.clone(), listeners.readiness));
     tokio::task::spawn_local(peers::serve(shared.clone(), listeners.peers));
     tokio::task::spawn_local(peers::receive(shared.clone()));
+    if let Some(listener) = listeners.metrics {
+        tokio::task::spawn_local(readiness::serve_metrics(shared.clone(), listener));
+    }
     tokio::task::spawn_local(prune(shared.clone()));
     let accepting = tokio::task::spawn_local(clients::accept(shared.clone(), listeners.clients));
     wait_for_stop(&shared, &mut terminate, &mut interrupt, &mut hangup).await;
     stop(&shared, settings.grace(), &accepting).await;
-    info!(shared.log, "stopped");
+    info!(shared.observer.log, "stopped");
     Ok(())
 }
 
@@ -201,7 +211,7 @@
         tokio::select! {
             _ = terminate.recv() => return,
             _ = interrupt.recv() => return,
-            _ = hangup.recv() => info!(shared.log, "reload"),
+            _ = hangup.recv() => info!(shared.observer.log, "reload"),
         }
     }
 }
@@ -214,7 +224,7 @@
     let begin = Instant::now();
     shared.stopping.set(true);
     shared.input(Input::Stop);
-    info!(shared.log, "stopping"; "requests" => shared.clients.borrow().len());
+    info!(shared.observer.log, "stopping"; "requests" => shared.clients.borrow().len());
     tokio::time::sleep(LINGER.min(grace / 2)).await;
     accepting.abort();
     tokio::task::yield_now().await;
--- a/crates/router/src/shell/readiness.rs
+++ b/crates/router/src/shell/readiness.rs
@@ -1,46 +1,50 @@
-//! Answers whoever asks whether the node is ready for clients.
+//! Tells whoever asks whether the node is ready for clients, and its figures.
 
 use crate::shell::answer::own;
 use crate::shell::handle::{AnswerBody, Shared};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
+use crate::shell::small_server;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
 
-/// How long a connection may rest.
-const REST: Duration = Duration::from_secs(10);
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const TEXT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
 
 /// Serves the readiness address.
 pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let shared = shared.clone();
-        let service = service_fn(move |_: Request<Incoming>| answer(shared.clone()));
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(REST)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::task::spawn_local(async move {
-            // Whoever asked and left needs no answer.
-            let _ = connection.await;
-        });
-    }
+    small_server::serve(listener, move || readiness(shared.clone())).await;
 }
 
-async fn answer(shared: Rc<Shared>) -> Result<Response<AnswerBody>, Infallible> {
+async fn readiness(shared: Rc<Shared>) -> Response<AnswerBody> {
     let ready = shared.ready.get() && !shared.stopping.get();
-    Ok(own(if ready {
+    own(if ready {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
-    }))
+    })
+}
+
+/// Serves the metrics address.
+pub(crate) async fn serve_metrics(shared: Rc<Shared>, listener: TcpListener) {
+    small_server::serve(listener, move || figures(shared.clone())).await;
+}
+
+async fn figures(shared: Rc<Shared>) -> Response<AnswerBody> {
+    let (sender, receiver) = oneshot::channel();
+    let observed = shared.clone();
+    shared.inspect(move |core| {
+        observed.observer.metrics.observe(observed.now(), core);
+        // Whoever asked may have left.
+        let _ = sender.send(());
+    });
+    if receiver.await.is_err() {
+        return own(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let text = shared.observer.metrics.text();
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    response.headers_mut().insert(CONTENT_TYPE, TEXT);
+    response
 }
--- /dev/null
+++ b/crates/router/src/shell/small_server.rs
@@ -0,0 +1,43 @@
+//! A server of one answer, for the platform and for whoever collects figures.
+
+use crate::shell::handle::AnswerBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::future::Future;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// How long a connection may rest.
+const REST: Duration = Duration::from_secs(10);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Gives the same answer to every request, whatever it asks for.
+pub(crate) async fn serve<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn() -> A + Clone + 'static,
+    A: Future<Output = Response<AnswerBody>> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answer = answer.clone();
+        let service = service_fn(move |_: Request<Incoming>| {
+            let response = answer();
+            async move { Ok::<_, Infallible>(response.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(REST)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::task::spawn_local(async move {
+            // Whoever asked and left needs no answer.
+            let _ = connection.await;
+        });
+    }
+}
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -217,8 +217,8 @@
                 self.concluded(node, run, ticket, refused);
             }
             Output::Forward(ticket, forward) => self.forward(node, run, ticket, forward),
-            Output::Conclude(ticket, conclusion) => {
-                let refused = matches!(conclusion, Conclusion::Refused { .. });
+            Output::Conclude(ticket, ending) => {
+                let refused = matches!(ending.conclusion, Conclusion::Refused { .. });
                 self.concluded(node, run, ticket, refused);
             }
             Output::Store(task, call) => {
