Tell nodes as long as they are heard; wait for a newer assignment after a denial

Ruled out: lost datagrams (five nodes missed the same two records, the others none).

Change: a node is told as long as it is heard; a denied request waits for a newer assignment and its node asks the granter for one.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -55,8 +55,9 @@
 const RETURNED_SHARE: f64 = 0.93;
 /// Time kept back from a deadline for the answer's way.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
-/// Pause before a holder that denied a key is asked again.
-const MISDIRECTED_PAUSE: Duration = Duration::from_millis(25);
+/// Pause before a holder that denied a key is asked again under the same
+/// assignment.
+const DENIED_PAUSE: Duration = Duration::from_millis(120);
 /// Pause before an upstream that said it is full is asked again.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
 /// First pause after a failure; doubles with each further one.
@@ -94,6 +95,17 @@
     unknown: Option<UnknownCause>,
     /// Whether its client seems to have been refused before.
     returned: bool,
+    /// The holder that denied the key, and the assignment that named it.
+    denied: Option<Denial>,
+}
+
+/// A holder said that it does not hold a key.
+#[derive(Clone, Debug)]
+struct Denial {
+    holder: UpstreamId,
+    assignment: Option<AssignmentNumber>,
+    /// After this it is asked again all the same: it may have got the key.
+    until: Time,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -249,6 +261,7 @@
                 attempt: None,
                 unknown: None,
                 returned,
+                denied: None,
                 route,
             },
         );
@@ -410,6 +423,9 @@
         if left {
             return Err(RefusalReason::KeyUnheld);
         }
+        if self.is_denied(now, request, holder) {
+            return Err(RefusalReason::KeyUnheld);
+        }
         if self.is_paused(now, holder) {
             return Err(RefusalReason::Busy);
         }
@@ -422,6 +438,15 @@
         Ok(registration)
     }
 
+    /// Whether the holder denied the key under the assignment in force.
+    fn is_denied(&self, now: Time, request: &Request, holder: &UpstreamId) -> bool {
+        request.denied.as_ref().is_some_and(|denial| {
+            denial.holder == *holder
+                && denial.assignment == self.assignment(request)
+                && now < denial.until
+        })
+    }
+
     fn choose_any<'a>(
         &mut self,
         now: Time,
@@ -612,7 +637,14 @@
                 request.arrivals -= 1;
             }
             Untouched::Full => request.not_before = now + FULL_PAUSE,
-            Untouched::Misdirected => request.not_before = now + MISDIRECTED_PAUSE,
+            Untouched::Misdirected if request.key.is_some() => {
+                request.denied = Some(Denial {
+                    holder: attempt.upstream.clone(),
+                    assignment: self.assignment(request),
+                    until: now + DENIED_PAUSE,
+                });
+            }
+            Untouched::Misdirected => {}
         }
         if request.key.is_none() {
             request.tried.push(attempt.upstream.clone());
@@ -660,8 +692,10 @@
             .filter_map(|ticket| self.requests.get(ticket))
             .map(|request| {
                 let due = request.wait_until.min(request.deadline);
-                if request.not_before > request.arrived {
-                    due.min(request.not_before)
+                let again = request.denied.as_ref().map(|denial| denial.until);
+                let resumes = again.unwrap_or_default().max(request.not_before);
+                if resumes > request.arrived {
+                    due.min(resumes)
                 } else {
                     due
                 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -415,3 +415,33 @@
     // It never arrived, so this is still the first arrival.
     assert_eq!(second.attempt, 1);
 }
+
+/// Found by an incident: with an old assignment a request went to the same
+/// former holder twice and was then refused.
+#[test]
+fn after_a_denial_a_request_waits_for_a_newer_assignment() {
+    let (mut dispatcher, mut directory) = (dispatcher(), directory());
+    directory.register(at(0), record("heir", "keyed", "here", 8_009));
+    assign(&mut dispatcher, held());
+    dispatcher
+        .admit(at(0), Ticket(1), &head("/keyed/1", Some(5)))
+        .expect("admitted");
+    forwarded(dispatcher.poll(at(0), &directory)).expect("sent");
+    let denied = AttemptOutcome::Untouched(Untouched::Misdirected);
+    assert!(dispatcher.ended(at(5), Ticket(1), denied).is_none());
+    assert!(forwarded(dispatcher.poll(at(60), &directory)).is_none());
+    let newer = AssignmentRecord {
+        epoch: Epoch(1),
+        sequence: 2,
+        slices: vec![SliceRecord {
+            range: KeyRange::ALL,
+            state: SliceState::Held {
+                holder: UpstreamId("heir".to_owned()),
+                token: FencingToken(2),
+            },
+        }],
+    };
+    dispatcher.assign("keyed".into(), Rc::new(newer));
+    let forward = forwarded(dispatcher.poll(at(61), &directory)).expect("sent again");
+    assert_eq!(forward.upstream.0, "heir");
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,4 +1,4 @@
-//! `beamtray`: see `beamtray --help` and docs/OPERATING.md.
+//! `beamtray`: see `beamtray --help` and docs/OPERATIONS.md.
 
 use beamtray_node::command::{Arguments, Outcome, run};
 use gumdrop::Options;
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -6,12 +6,13 @@
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{
     Admission, AttemptOutcome, Decision, DispatchConfig, Dispatcher, Ending, Forward, KeyReport,
-    LoadReport, RequestHead, Ticket,
+    LoadReport, RequestHead, Ticket, Untouched,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply};
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +34,8 @@
     pub timing: Timing,
 }
 
+/// How long a node without an entry counts as there since it was heard.
+const HEARD_FOR: Duration = Duration::from_secs(3);
 /// How often word of new assignments is repeated at once: datagrams get lost.
 const HEADS_REPEATED: u32 = 2;
 
@@ -198,6 +201,8 @@
     asked: usize,
     path_failed: bool,
     configured: u64,
+    /// When each node was last heard.
+    heard: BTreeMap<SocketAddr, Time>,
     was_granter: Option<u64>,
     outputs: Vec<Output>,
 }
@@ -221,6 +226,7 @@
             asked: 0,
             path_failed: false,
             configured: 0,
+            heard: BTreeMap::new(),
             was_granter: None,
             outputs: Vec::new(),
             config,
@@ -237,6 +243,9 @@
                 }
             }
             Input::Ended { ticket, outcome } => {
+                if outcome == AttemptOutcome::Untouched(Untouched::Misdirected) {
+                    self.fetch_from_granter(now);
+                }
                 if let Some(ending) = self.dispatcher.ended(now, ticket, outcome) {
                     self.outputs.push(Output::Conclude(ticket, ending));
                 }
@@ -272,6 +281,7 @@
     }
 
     fn datagram(&mut self, now: Time, from: SocketAddr, datagram: &Datagram) {
+        self.heard.insert(from, now);
         match datagram {
             Datagram::Load(report) => self.dispatcher.report(now, report),
             Datagram::Keys(report) => self.control.report(report),
@@ -286,6 +296,20 @@
         }
     }
 
+    /// A holder that denies a key tells that the assignment here is old.
+    fn fetch_from_granter(&mut self, now: Time) {
+        let own = self.config.control.record.peers;
+        let granter = self.views.granter.as_ref().map(|granter| granter.peers);
+        let Some(granter) = granter.filter(|granter| *granter != own) else {
+            return;
+        };
+        if now >= self.fetch_at {
+            self.fetch_at = now + self.config.timing.fetch;
+            let request = self.views.request(&[ViewName::State]);
+            self.outputs.push(Output::Ask(granter, request));
+        }
+    }
+
     fn store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
         self.follow_path(now, task, &outcome);
         match task {
@@ -393,6 +417,7 @@
         self.views.expire(now);
         self.viewed(now);
         self.dispatcher.expire(now);
+        self.forget_silent(now);
         self.poll_control(now);
         self.report(now);
         self.tell_heads(now);
@@ -467,14 +492,29 @@
     }
 
     /// Addresses of the other nodes that are chosen by whether they are in
-    /// this node's zone.
+    /// this node's zone. A node that lost the store loses its entry with it,
+    /// but is there as long as it is heard.
     fn peers(&self, choose: impl Fn(bool) -> bool) -> Vec<SocketAddr> {
         let own = &self.config.control.record;
-        let others = self.views.nodes.values();
-        others
+        let registered = self.views.nodes.values();
+        let mut peers: Vec<SocketAddr> = registered
             .filter(|node| node.peers != own.peers && choose(node.zone == own.zone))
             .map(|node| node.peers)
-            .collect()
+            .collect();
+        let is_registered = |address: &SocketAddr| {
+            let mut nodes = self.views.nodes.values();
+            nodes.any(|node| node.peers == *address)
+        };
+        if choose(false) {
+            let heard = self.heard.keys().filter(|one| !is_registered(one));
+            peers.extend(heard.filter(|address| **address != own.peers));
+        }
+        peers
+    }
+
+    /// Forgets nodes that fell silent.
+    fn forget_silent(&mut self, now: Time) {
+        self.heard.retain(|_, heard| now.since(*heard) < HEARD_FOR);
     }
 
     /// While the store does not answer, other nodes may know more.
