Take no registration as proof that another upstream is gone

From the lines: at 18.48 s an entry of i-ccf43ffcac appeared at the address of i-f59cb43c74, which had registered 1 s before; the newer entry counted as proof that the other was gone, and its keys were granted elsewhere. It was a late write of the incarnation that had crashed at 13 s. Ruled out: a late grant (the token was the newest).

Change: two upstreams may claim an address; only an answer from there tells, to a request or to an order, and who was found gone is not taken back by a late write. Holders of a contested address are asked at once. A reply concerns the holder that was asked. Resting connections to an upstream are closed after a broken exchange.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -4,8 +4,8 @@
 //! the upstream left. One that vanishes right after an outage of the store, or
 //! together with many others, proves nothing: leases ran out while upstreams
 //! could not renew them. Such an upstream is kept as *unconfirmed* until it
-//! registers again, is replaced at its address, is found dead, or has had
-//! enough time to register again.
+//! registers again, another one answers at its address, or it has had enough
+//! time to register again.
 //!
 //! The doubt must be short. A node that was cut off alone sees the same, and
 //! must not send to upstreams that left meanwhile once it counts as connected.
@@ -20,6 +20,9 @@
 /// something is wrong with the store.
 const MANY_PERCENT: usize = 40;
 
+/// How long late writes of an upstream that was found gone are expected.
+const REMEMBER_GONE: Duration = Duration::from_secs(120);
+
 /// Timing of a directory.
 #[derive(Clone, Copy, Debug)]
 pub struct DirectoryPolicy {
@@ -59,6 +62,8 @@
     policy: DirectoryPolicy,
     upstreams: BTreeMap<UpstreamId, Registration>,
     store_trouble: Option<Time>,
+    /// Upstreams that were found gone, and when.
+    gone: BTreeMap<UpstreamId, Time>,
 }
 
 impl Directory {
@@ -68,6 +73,7 @@
             policy,
             upstreams: BTreeMap::new(),
             store_trouble: None,
+            gone: BTreeMap::new(),
         }
     }
 
@@ -76,18 +82,20 @@
         self.store_trouble = Some(now);
     }
 
-    /// Takes a registration. An upstream at the same address under another id
-    /// is gone: one address serves one process at a time.
+    /// Takes a registration. One of an upstream that was found gone is a late
+    /// write of that upstream and changes nothing.
+    ///
+    /// Two upstreams may claim one address for a while, the one that ended and
+    /// the one that has the address now, and either may be the newer entry: a
+    /// dead upstream's write can come late. Only the address itself tells.
     pub fn register(&mut self, now: Time, record: UpstreamRecord) -> Vec<DirectoryChange> {
-        let mut changes = Vec::new();
-        if !self.upstreams.contains_key(&record.id) {
-            changes.extend(self.replace_at(&record));
+        if self.gone.contains_key(&record.id) {
+            return Vec::new();
         }
         let warm_at = now + record.warm_up_left;
         let known = self.upstreams.get(&record.id);
-        if known.is_none_or(|known| known.record.state != record.state) {
-            changes.push(DirectoryChange::Registered(record.id.clone(), record.state));
-        }
+        let changed = known.is_none_or(|known| known.record.state != record.state);
+        let change = DirectoryChange::Registered(record.id.clone(), record.state);
         self.upstreams.insert(
             record.id.clone(),
             Registration {
@@ -96,21 +104,7 @@
                 record: Rc::new(record),
             },
         );
-        changes
-    }
-
-    /// Removes whoever had the address of a newcomer before it.
-    fn replace_at(&mut self, newcomer: &UpstreamRecord) -> Vec<DirectoryChange> {
-        let replaced: Vec<UpstreamId> = self
-            .upstreams
-            .values()
-            .filter(|other| other.record.address == newcomer.address)
-            .map(|other| other.record.id.clone())
-            .collect();
-        replaced
-            .into_iter()
-            .filter_map(|id| self.proved_gone(&id))
-            .collect()
+        changed.then_some(change).into_iter().collect()
     }
 
     /// Takes the absence of registrations that vanished together.
@@ -135,7 +129,7 @@
         let registration = self.upstreams.get_mut(id)?;
         let draining = registration.record.state == UpstreamState::Draining;
         if draining || !doubtful {
-            return self.proved_gone(id);
+            return self.remove(id);
         }
         if registration.unconfirmed_since.is_some() {
             return None;
@@ -144,14 +138,21 @@
         Some(DirectoryChange::Unconfirmed(id.clone()))
     }
 
-    /// Removes an upstream that was found dead or replaced.
-    pub fn proved_gone(&mut self, id: &UpstreamId) -> Option<DirectoryChange> {
+    /// Removes an upstream at whose address another one answers.
+    pub fn proved_gone(&mut self, now: Time, id: &UpstreamId) -> Option<DirectoryChange> {
+        self.gone.insert(id.clone(), now);
+        self.remove(id)
+    }
+
+    fn remove(&mut self, id: &UpstreamId) -> Option<DirectoryChange> {
         self.upstreams.remove(id)?;
         Some(DirectoryChange::Removed(id.clone()))
     }
 
     /// Removes unconfirmed upstreams that had enough time.
     pub fn expire(&mut self, now: Time) -> Vec<DirectoryChange> {
+        self.gone
+            .retain(|_, since| now.since(*since) < REMEMBER_GONE);
         let patience = self.policy.patience;
         let expired: Vec<UpstreamId> = self
             .upstreams
@@ -165,7 +166,7 @@
             .collect();
         expired
             .into_iter()
-            .filter_map(|id| self.proved_gone(&id))
+            .filter_map(|id| self.remove(&id))
             .collect()
     }
 
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -356,7 +356,7 @@
         for (service, grants) in all.iter_mut() {
             let granter = &mut grants.granter;
             granter.set_candidates(now, candidates(service, views, speeds));
-            note_replaced(granter, views, &self.addresses);
+            probe_claimed(now, granter, views);
             if rebalance {
                 granter.rebalance(now, &self.config.balance);
                 granter.load.decay(LOAD_KEPT);
@@ -542,21 +542,16 @@
         .collect()
 }
 
-/// Upstreams whose address another one registered are gone.
-fn note_replaced(
-    granter: &mut Granter,
-    views: &Views,
-    addresses: &BTreeMap<UpstreamId, SocketAddr>,
-) {
-    let mut owners: BTreeMap<SocketAddr, &UpstreamId> = BTreeMap::new();
+/// Asks holders whose address another upstream claims too: whoever has the
+/// address tells.
+fn probe_claimed(now: Time, granter: &mut Granter, views: &Views) {
+    let mut claims: BTreeMap<SocketAddr, Vec<&UpstreamId>> = BTreeMap::new();
     for registration in views.directory.iter() {
         let record = &registration.record;
-        owners.insert(record.address, &record.id);
+        claims.entry(record.address).or_default().push(&record.id);
     }
-    for (id, address) in addresses {
-        let owner = owners.get(address);
-        if owner.is_some_and(|owner| *owner != id) {
-            granter.proved_dead(id);
-        }
+    let contested = claims.values().filter(|ids| ids.len() > 1);
+    for id in contested.flatten() {
+        granter.probe(now, id);
     }
 }
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -260,12 +260,16 @@
                 epoch,
                 reply,
             } => {
+                if reply == GrantReply::Replaced {
+                    self.views.proved_gone(now, &order.holder);
+                    self.viewed(now);
+                }
                 self.control
                     .handle_order(now, &service, &order, epoch, reply);
                 self.poll_control(now);
             }
             Input::Replaced { upstream } => {
-                self.views.proved_gone(&upstream);
+                self.views.proved_gone(now, &upstream);
                 self.control.proved_gone(&upstream);
                 self.viewed(now);
             }
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -299,8 +299,8 @@
     }
 
     /// Drops an upstream that was found gone.
-    pub fn proved_gone(&mut self, id: &UpstreamId) {
-        let change = self.directory.proved_gone(id);
+    pub fn proved_gone(&mut self, now: Time, id: &UpstreamId) {
+        let change = self.directory.proved_gone(now, id);
         self.note_directory(change);
     }
 
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -89,10 +89,14 @@
     match shared.connections.call(forward.address, outgoing).await {
         Ok(answer) => judge(shared, forward, request, answer),
         Err(failure) => Result::failed(match failure {
+            CallFailure::BrokenOff => {
+                // Others to the same upstream may have ended with it.
+                shared.connections.forget(forward.address);
+                AttemptOutcome::Unknown(UnknownCause::BrokenOff)
+            }
             CallFailure::Unconnected => AttemptOutcome::Untouched(Untouched::Unconnected),
             CallFailure::Refused => AttemptOutcome::Untouched(Untouched::ConnectionRefused),
             CallFailure::Unsent => AttemptOutcome::Untouched(Untouched::Unsent),
-            CallFailure::BrokenOff => AttemptOutcome::Unknown(UnknownCause::BrokenOff),
         }),
     }
 }
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -2,6 +2,7 @@
 
 use super::World;
 use crate::fault::Trouble;
+use beamtray_catalog::UpstreamRecord;
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket};
 use beamtray_emulator::RunId;
 use beamtray_metastore::{StoreCall, StoreOutcome};
@@ -101,6 +102,12 @@
     UpstreamStart {
         index: usize,
     },
+    LateRegistration {
+        record: UpstreamRecord,
+    },
+    StaleRegistrationEnds {
+        key: String,
+    },
     UpstreamEnd {
         index: usize,
         incarnation: u64,
@@ -232,6 +239,8 @@
             } => self.ask_arrives(from, run, to, &request),
             Event::Deliver { node, run, input } => self.input(node, run, (*input).into()),
             Event::UpstreamStart { index } => self.start_upstream(index),
+            Event::LateRegistration { record } => self.late_registration(record),
+            Event::StaleRegistrationEnds { key } => self.store.delete(self.now, &key),
             Event::UpstreamEnd {
                 index,
                 incarnation,
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -31,6 +31,8 @@
 const IDLE_WEIGHT: f64 = 4.0;
 /// How long an upstream that lost keys for its silence gets none.
 const AVOID: Duration = Duration::from_secs(4);
+/// Between two questions to a holder whose address is contested.
+const PROBE: Duration = Duration::from_millis(400);
 /// Pause after an order that was refused or not answered.
 const RETRY: Duration = Duration::from_millis(200);
 
@@ -102,9 +104,10 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Call {
     first: ShardKey,
+    holder: UpstreamId,
     is_grant: bool,
 }
 
@@ -117,6 +120,8 @@
     slices: BTreeMap<ShardKey, Slice>,
     candidates: BTreeMap<UpstreamId, Candidate>,
     dead: Vec<UpstreamId>,
+    /// When holders whose address is contested were last asked.
+    probed: BTreeMap<UpstreamId, Time>,
     /// Upstreams that lost keys for their silence, until when they get none.
     avoided: BTreeMap<UpstreamId, Time>,
     calls: BTreeMap<CallId, Call>,
@@ -148,6 +153,7 @@
             slices: BTreeMap::new(),
             candidates: BTreeMap::new(),
             dead: Vec::new(),
+            probed: BTreeMap::new(),
             avoided: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 0,
@@ -224,6 +230,22 @@
         }
     }
 
+    /// Lets one grant of a holder be due soon, to see whether it still has its
+    /// address.
+    pub fn probe(&mut self, now: Time, id: &UpstreamId) {
+        let due = self.probed.get(id).is_none_or(|at| now.since(*at) >= PROBE);
+        if !due {
+            return;
+        }
+        let held = self.slices.values_mut().find(|slice| {
+            slice.holder() == Some(id) && slice.call.is_none() && slice.told_in <= self.durable
+        });
+        if let Some(slice) = held {
+            slice.due = slice.due.min(now);
+            self.probed.insert(id.clone(), now);
+        }
+    }
+
     /// Orders that are due. To be called only with authority to grant.
     pub fn poll(&mut self, now: Time) -> Vec<GrantOrder> {
         self.found(now);
@@ -447,7 +469,12 @@
         self.next_call += 1;
         slice.call = Some(call);
         let is_grant = matches!(kind, OrderKind::Grant { .. });
-        self.calls.insert(call, Call { first, is_grant });
+        let sent = Call {
+            first,
+            holder: holder.clone(),
+            is_grant,
+        };
+        self.calls.insert(call, sent);
         Some(GrantOrder {
             call,
             holder,
@@ -458,16 +485,29 @@
     }
 
     /// Takes the answer to an order.
+    ///
+    /// Invariant: an answer concerns the holder that the order went to. The
+    /// slice may be another's by then, when the first one was found dead while
+    /// the order was on its way.
     pub fn handle(&mut self, now: Time, call: CallId, reply: GrantReply) {
-        let Some(Call { first, is_grant }) = self.calls.remove(&call) else {
+        let Some(sent) = self.calls.remove(&call) else {
             return;
         };
+        if reply == GrantReply::Replaced {
+            self.proved_dead(&sent.holder);
+        }
+        let Call {
+            first,
+            holder,
+            is_grant,
+        } = sent;
         let Some(slice) = self.slices.get_mut(&first) else {
             return;
         };
-        if slice.call == Some(call) {
-            slice.call = None;
+        if slice.call != Some(call) || slice.current() != Some(&holder) {
+            return;
         }
+        slice.call = None;
         if is_grant {
             self.granted(now, first, &reply);
         } else {
@@ -497,13 +537,8 @@
                 slice.due = now + RETRY;
                 slice.silent_since.get_or_insert(now);
             }
-            GrantReply::Replaced => {
-                if let Some(holder) = slice.holder().cloned() {
-                    self.proved_dead(&holder);
-                }
-            }
             GrantReply::Outdated => self.raise_token(now, first),
-            GrantReply::Rejected | GrantReply::Released(_) => {
+            GrantReply::Rejected | GrantReply::Replaced | GrantReply::Released(_) => {
                 slice.due = now + RETRY;
                 slice.silent_since.get_or_insert(now);
             }
@@ -541,10 +576,7 @@
         let (holder, next) = (holder.clone(), next.clone());
         match reply {
             GrantReply::Released(handover) => self.freed(now, first, handover, next),
-            GrantReply::Replaced => {
-                self.proved_dead(&holder);
-                self.freed(now, first, None, next);
-            }
+            GrantReply::Replaced => self.freed(now, first, None, next),
             GrantReply::Outdated => {
                 let fresh = self.next_token();
                 if let Some(slice) = self.slices.get_mut(&first)
--- a/crates/sharding/src/slice.rs
+++ b/crates/sharding/src/slice.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// Who holds it, is to hold it, or is to give it back.
+    pub fn current(&self) -> Option<&UpstreamId> {
+        match &self.phase {
+            Phase::Held { holder, .. } | Phase::Leaving { holder, .. } => Some(holder),
+            Phase::Free { .. } => None,
+        }
+    }
+
     /// Who holds it, or is to hold it.
     pub fn holder(&self) -> Option<&UpstreamId> {
         match &self.phase {
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -289,3 +289,27 @@
     assert_eq!(read, record);
     assert!(borsh::from_slice::<AssignmentRecord>(&bytes[..bytes.len() - 1]).is_err());
 }
+
+/// Found by seed 10 of the simulator: the answer to an order for a dead holder
+/// made the next holder count as dead, until nobody was left to hold anything.
+#[test]
+fn an_answer_concerns_the_holder_that_was_asked() {
+    let mut granter = granted();
+    let orders = granter.poll(at(4_100));
+    let asked = orders
+        .iter()
+        .find(|order| order.holder == id("a"))
+        .expect("a is renewed");
+    granter.proved_dead(&id("a"));
+    granter.poll(at(4_200));
+    write_record(&mut granter, at(4_210)).expect("new holders are told");
+    granter.handle(at(4_300), asked.call, GrantReply::Replaced);
+    granter.set_candidates(at(4_400), [ready("b", 20.0), ready("c", 20.0)]);
+    granter.poll(at(4_400));
+    let record = granter.record();
+    let moved = record.is_some_and(|record| {
+        let leaves = |slice: &SliceRecord| !matches!(slice.state, SliceState::Held { .. });
+        record.slices.iter().any(leaves)
+    });
+    assert!(!moved, "b lost its keys");
+}
