--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,16 +1,20 @@
 //! The decisions.
 
+mod choice;
+mod outcome;
+mod reports;
+
 use crate::budget::{BudgetConfig, RetryBudget};
 use crate::occupancy::Occupancy;
-use crate::report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash, UpstreamHash};
+use crate::report::UpstreamHash;
 use crate::request::{
-    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Ending, Forward,
-    RefusalReason, RequestHead, Ticket, UnknownCause, Untouched,
+    Admission, AssignmentNumber, Conclusion, Decision, Ending, Forward, RefusalReason, RequestHead,
+    Ticket, UnknownCause,
 };
-use crate::speed::{SpeedRecord, SpeedTable};
-use beamtray_catalog::{Configuration, Directory, Registration, Route, RouteTable, UpstreamId};
+use crate::speed::SpeedTable;
+use beamtray_catalog::{Configuration, Directory, Route, RouteTable, UpstreamId};
 use beamtray_catalog::{UpstreamState, WeightedBackend};
-use beamtray_sharding::{AssignmentRecord, ShardKey, SliceState};
+use beamtray_sharding::{AssignmentRecord, ShardKey};
 use beamtray_types::{ServiceName, Time, Zone};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -43,27 +47,11 @@
 
 /// Part of a route's target latency that a request may wait here.
 const WAIT_SHARE: u32 = 5;
-/// Part of the time left that likely work may take.
-const TARGET_SHARE: f64 = 0.85;
-/// Part of a route's target latency that its work takes while nothing is
-/// learned.
-const UNKNOWN_WORK_SHARE: f64 = 0.33;
-/// How much slower an upstream is that has just started.
-const WARMING_SLOWNESS: f64 = 2.0;
 /// A client that waits less than this part of the longest wait seen on its
 /// route has been here before.
 const RETURNED_SHARE: f64 = 0.93;
 /// Time kept back from a deadline for the answer's way.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
-/// Pause before a holder that denied a key is asked again under the same
-/// assignment.
-const DENIED_PAUSE: Duration = Duration::from_millis(120);
-/// Pause before an upstream that said it is full is asked again.
-const FULL_PAUSE: Duration = Duration::from_millis(30);
-/// First pause after a failure; doubles with each further one.
-const FAILURE_PAUSE: Duration = Duration::from_millis(150);
-/// Longest pause after failures.
-const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 /// Least time to come back in.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(120);
 /// Spread of the time to come back in.
@@ -389,302 +377,6 @@
         self.random
     }
 
-    fn choose<'a>(
-        &mut self,
-        now: Time,
-        directory: &'a Directory,
-        request: &Request,
-    ) -> Result<&'a Registration, RefusalReason> {
-        match request.key {
-            Some(key) => self.choose_holder(now, directory, request, key),
-            None => self.choose_any(now, directory, request),
-        }
-    }
-
-    fn choose_holder<'a>(
-        &self,
-        now: Time,
-        directory: &'a Directory,
-        request: &Request,
-        key: ShardKey,
-    ) -> Result<&'a Registration, RefusalReason> {
-        let slice = self
-            .assignments
-            .get(&request.service)
-            .and_then(|record| record.slice(key));
-        let Some(SliceState::Held { holder, .. }) = slice.map(|slice| &slice.state) else {
-            return Err(RefusalReason::KeyUnheld);
-        };
-        let registration = directory.get(holder).ok_or(RefusalReason::KeyUnheld)?;
-        let left = self
-            .draining_since
-            .get(holder)
-            .is_some_and(|since| now.since(*since) >= self.config.leaver_grace);
-        if left {
-            return Err(RefusalReason::KeyUnheld);
-        }
-        if self.is_denied(now, request, holder) {
-            return Err(RefusalReason::KeyUnheld);
-        }
-        if self.is_paused(now, holder) {
-            return Err(RefusalReason::Busy);
-        }
-        let hash = UpstreamHash::of(holder);
-        let time = self.expected(now, request, registration, hash);
-        let occupied = self.occupancy.total(hash);
-        if occupied >= self.room(now, request, registration, time) {
-            return Err(RefusalReason::Busy);
-        }
-        Ok(registration)
-    }
-
-    /// Whether the holder denied the key under the assignment in force.
-    fn is_denied(&self, now: Time, request: &Request, holder: &UpstreamId) -> bool {
-        request.denied.as_ref().is_some_and(|denial| {
-            denial.holder == *holder
-                && denial.assignment == self.assignment(request)
-                && now < denial.until
-        })
-    }
-
-    fn choose_any<'a>(
-        &mut self,
-        now: Time,
-        directory: &'a Directory,
-        request: &Request,
-    ) -> Result<&'a Registration, RefusalReason> {
-        let mut best: Option<(f64, &Registration)> = None;
-        let mut any = false;
-        let start = self.draw();
-        for (index, registration) in directory.ready(&request.service).enumerate() {
-            any = true;
-            let record = &registration.record;
-            if self.is_paused(now, &record.id) || request.tried.contains(&record.id) {
-                continue;
-            }
-            let hash = UpstreamHash::of(&record.id);
-            let occupied = self.occupancy.total(hash);
-            let time = self.expected(now, request, registration, hash);
-            if occupied >= self.room(now, request, registration, time) {
-                continue;
-            }
-            let rounds = f64::from(occupied + 1) / f64::from(record.slots.max(1));
-            let mut cost = time * rounds.max(1.0);
-            if record.zone != self.config.zone {
-                cost += self.config.zone_cost.as_secs_f64();
-            }
-            // Equal ones are told apart by chance, so that nodes differ.
-            cost *= 1.0 + 0.02 * (((start >> (index % 32)) & 7) as f64 / 7.0);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, registration));
-            }
-        }
-        match best {
-            Some((_, registration)) => Ok(registration),
-            None if any => Err(RefusalReason::Busy),
-            None => Err(RefusalReason::NoUpstream),
-        }
-    }
-
-    /// Seconds of work that a request is likely to be at an upstream.
-    fn expected(
-        &self,
-        now: Time,
-        request: &Request,
-        registration: &Registration,
-        hash: UpstreamHash,
-    ) -> f64 {
-        let mean = self
-            .speeds
-            .route_mean(&request.route.name)
-            .unwrap_or(request.route.target_latency.as_secs_f64() * UNKNOWN_WORK_SHARE);
-        let warming = if now < registration.warm_at {
-            WARMING_SLOWNESS
-        } else {
-            1.0
-        };
-        mean * self.speeds.slowness(hash) * warming
-    }
-
-    /// Requests that an upstream may have before this one is sent there: as
-    /// many as let it still be answered in time. One that has come back is to
-    /// be answered at all.
-    fn room(
-        &self,
-        now: Time,
-        request: &Request,
-        registration: &Registration,
-        expected: f64,
-    ) -> u32 {
-        let slots = registration.record.slots.max(1);
-        let target = request.arrived + request.route.target_latency;
-        let end = if request.returned {
-            target.max(request.deadline)
-        } else {
-            target
-        };
-        let left = end.min(request.deadline).since(now).as_secs_f64() * TARGET_SHARE;
-        let rounds = ((left - expected) / expected.max(1e-3)).max(0.0);
-        let queued = (rounds * f64::from(slots)) as u32;
-        slots + queued.min(self.config.most_queued)
-    }
-
-    fn is_paused(&self, now: Time, id: &UpstreamId) -> bool {
-        self.health
-            .get(id)
-            .is_some_and(|health| now < health.paused_until)
-    }
-
-    /// The assignment that a keyed request is sent by.
-    fn assignment(&self, request: &Request) -> Option<AssignmentNumber> {
-        request.key?;
-        let record = self.assignments.get(&request.service)?;
-        Some(AssignmentNumber {
-            epoch: record.epoch.0,
-            sequence: record.sequence,
-        })
-    }
-
-    fn forward(
-        &mut self,
-        now: Time,
-        request: &mut Request,
-        registration: &Registration,
-    ) -> Forward {
-        let record = &registration.record;
-        let hash = UpstreamHash::of(&record.id);
-        let occupied = self.occupancy.total(hash);
-        self.occupancy.begin(hash);
-        if request.arrivals > 0 {
-            let budget = self.budgets.entry(request.service.clone()).or_default();
-            budget.repeat(&self.config.budget, now);
-        }
-        request.arrivals += 1;
-        request.attempt = Some(Attempt {
-            upstream: record.id.clone(),
-            hash,
-            sent: now,
-            unqueued: occupied < record.slots && now >= registration.warm_at,
-        });
-        Forward {
-            upstream: record.id.clone(),
-            address: record.address,
-            service: request.service.clone(),
-            key: request.key,
-            assignment: self.assignment(request),
-            attempt: request.arrivals,
-            deadline: request.deadline,
-            route: request.route.clone(),
-            occupied,
-            waited: now.since(request.arrived),
-        }
-    }
-
-    /// Takes the end of an attempt. A request that is to be tried again waits
-    /// for the next poll; the conclusion of one that is not comes back.
-    pub fn ended(&mut self, now: Time, ticket: Ticket, outcome: AttemptOutcome) -> Option<Ending> {
-        let mut request = self.requests.remove(&ticket)?;
-        let attempt = request.attempt.take()?;
-        self.occupancy.end(attempt.hash);
-        self.judge(now, &request, &attempt, outcome);
-        match outcome {
-            AttemptOutcome::Answered { .. } => return None,
-            AttemptOutcome::Untouched(proof) => self.untouched(now, &mut request, &attempt, proof),
-            AttemptOutcome::Unknown(cause) => {
-                request.unknown = Some(cause);
-                request.tried.push(attempt.upstream.clone());
-            }
-        }
-        if !self.may_repeat(now, &request, outcome) {
-            return Some(self.conclude(now, &request, RefusalReason::Refused));
-        }
-        self.requests.insert(ticket, request);
-        self.waiting.push(ticket);
-        None
-    }
-
-    /// Learns from an attempt how its upstream does.
-    fn judge(&mut self, now: Time, request: &Request, attempt: &Attempt, outcome: AttemptOutcome) {
-        let health = self.health.entry(attempt.upstream.clone()).or_default();
-        match outcome {
-            AttemptOutcome::Answered { success } => {
-                health.failures = 0;
-                if success && attempt.unqueued {
-                    let seconds = now.since(attempt.sent).as_secs_f64();
-                    self.speeds
-                        .learn(attempt.hash, &request.route.name, seconds);
-                    self.speeds.learn_service(&request.service, seconds);
-                }
-            }
-            AttemptOutcome::Untouched(Untouched::Full) => {
-                health.paused_until = now + FULL_PAUSE;
-            }
-            AttemptOutcome::Untouched(Untouched::Misdirected | Untouched::Unsent) => {}
-            AttemptOutcome::Unknown(UnknownCause::WrongAnswer | UnknownCause::BrokenOff) => {}
-            AttemptOutcome::Untouched(Untouched::Unconnected | Untouched::ConnectionRefused)
-            | AttemptOutcome::Unknown(UnknownCause::TimedOut) => {
-                let pause = FAILURE_PAUSE * 2u32.saturating_pow(health.failures.min(6));
-                health.failures += 1;
-                health.paused_until = now + pause.min(LONGEST_PAUSE);
-            }
-        }
-    }
-
-    fn untouched(&self, now: Time, request: &mut Request, attempt: &Attempt, proof: Untouched) {
-        match proof {
-            Untouched::Unconnected | Untouched::ConnectionRefused | Untouched::Unsent => {
-                // It never arrived, so it costs no budget.
-                request.arrivals -= 1;
-            }
-            Untouched::Full => request.not_before = now + FULL_PAUSE,
-            Untouched::Misdirected if request.key.is_some() => {
-                request.denied = Some(Denial {
-                    holder: attempt.upstream.clone(),
-                    assignment: self.assignment(request),
-                    until: now + DENIED_PAUSE,
-                });
-            }
-            Untouched::Misdirected => {}
-        }
-        if request.key.is_none() {
-            request.tried.push(attempt.upstream.clone());
-        }
-        let half = request.route.target_latency / 2;
-        request.wait_until = request.wait_until.max(now + half).min(request.deadline);
-    }
-
-    fn may_repeat(&mut self, now: Time, request: &Request, outcome: AttemptOutcome) -> bool {
-        let proved = matches!(outcome, AttemptOutcome::Untouched(_)) && request.unknown.is_none();
-        let must_prove = self.config.proves_before_repeat && !request.route.repeatable;
-        if !proved && must_prove {
-            return false;
-        }
-        if request.arrivals >= request.route.max_attempts || now >= request.deadline {
-            return false;
-        }
-        if request.arrivals == 0 {
-            return true;
-        }
-        let nodes = self.nodes.max(self.occupancy.peer_count() + 1);
-        let budget = self.budgets.entry(request.service.clone()).or_default();
-        budget.allows(&self.config.budget, now, nodes)
-    }
-
-    /// Forgets a request whose client left; whether an attempt is under way.
-    pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        let Some(request) = self.requests.remove(&ticket) else {
-            return false;
-        };
-        self.waiting.retain(|waiting| *waiting != ticket);
-        match request.attempt {
-            Some(attempt) => {
-                self.occupancy.end(attempt.hash);
-                true
-            }
-            None => false,
-        }
-    }
-
     /// When the next decision is due if nothing else happens.
     pub fn next_due(&self) -> Option<Time> {
         self.waiting
@@ -702,87 +394,4 @@
             })
             .min()
     }
-
-    /// Takes another node's report.
-    pub fn report(&mut self, now: Time, report: &LoadReport) {
-        self.occupancy.report(now, report);
-        for answers in &report.answers {
-            let count = f64::from(answers.samples);
-            self.speeds
-                .add(answers.upstream, count, f64::from(answers.sum));
-        }
-    }
-
-    /// Forgets peers that fell silent.
-    pub fn expire(&mut self, now: Time) {
-        self.occupancy.expire(now);
-    }
-
-    /// This node's requests under way, for other nodes. `answers` tells them
-    /// also of the answers since the last such report.
-    pub fn load_report(&mut self, answers: Vec<Answers>) -> LoadReport {
-        self.sequence += 1;
-        let own = self.occupancy.own_all();
-        LoadReport {
-            node: NodeHash::of(&self.config.node),
-            run: self.config.run as u32,
-            sequence: self.sequence,
-            in_flight: own
-                .map(|(upstream, requests)| InFlight {
-                    upstream,
-                    requests: requests.min(u16::from(u8::MAX)) as u8,
-                })
-                .collect(),
-            answers,
-        }
-    }
-
-    /// Answers that other nodes were not told of.
-    pub fn take_answers(&mut self) -> Vec<Answers> {
-        let untold = self.speeds.take_untold().into_iter();
-        untold
-            .map(|(upstream, untold)| Answers {
-                upstream,
-                samples: untold.count.min(u32::from(u8::MAX)) as u8,
-                sum: untold.sum as f32,
-            })
-            .collect()
-    }
-
-    /// This node's requests by key since the last such report.
-    pub fn key_report(&mut self) -> KeyReport {
-        let mut report = KeyReport::default();
-        for (service, loads) in self.key_loads.drain() {
-            let index = report.services.len() as u8;
-            report.services.push(service);
-            report
-                .keys
-                .extend(loads.into_iter().map(|(key, requests)| KeyLoad {
-                    service: index,
-                    key,
-                    requests,
-                }));
-        }
-        report
-    }
-
-    /// Takes speeds that an earlier process learned.
-    pub fn adopt_speeds(&mut self, record: &SpeedRecord) {
-        self.speeds.adopt(record);
-    }
-
-    /// Learned speeds.
-    pub fn speeds(&self) -> &SpeedTable {
-        &self.speeds
-    }
-
-    /// Requests under way over all nodes.
-    pub fn occupancy(&self) -> &Occupancy {
-        &self.occupancy
-    }
-
-    /// Requests that wait here, and all that are not answered yet.
-    pub fn counts(&self) -> (usize, usize) {
-        (self.waiting.len(), self.requests.len())
-    }
 }
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -0,0 +1,179 @@
+//! Attempts: how they begin, and what becomes of a request when one ends.
+
+use super::{Attempt, Denial, Dispatcher, Request};
+use crate::report::UpstreamHash;
+use crate::request::{
+    AttemptOutcome, Ending, Forward, RefusalReason, Ticket, UnknownCause, Untouched,
+};
+use beamtray_catalog::Registration;
+use beamtray_types::Time;
+use std::time::Duration;
+
+/// Pause before a holder that denied a key is asked again under the same
+/// assignment.
+const DENIED_PAUSE: Duration = Duration::from_millis(120);
+/// Pause before an upstream that said it is full is asked again.
+const FULL_PAUSE: Duration = Duration::from_millis(30);
+/// First pause after a failure; doubles with each further one.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after failures.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+
+impl Dispatcher {
+    pub(super) fn forward(
+        &mut self,
+        now: Time,
+        request: &mut Request,
+        registration: &Registration,
+    ) -> Forward {
+        let record = &registration.record;
+        let hash = UpstreamHash::of(&record.id);
+        let occupied = self.occupancy.total(hash);
+        self.occupancy.begin(hash);
+        if request.arrivals > 0 {
+            let budget = self.budgets.entry(request.service.clone()).or_default();
+            budget.repeat(&self.config.budget, now);
+        }
+        request.arrivals += 1;
+        request.attempt = Some(Attempt {
+            upstream: record.id.clone(),
+            hash,
+            sent: now,
+            unqueued: occupied < record.slots && now >= registration.warm_at,
+        });
+        Forward {
+            upstream: record.id.clone(),
+            address: record.address,
+            service: request.service.clone(),
+            key: request.key,
+            assignment: self.assignment(request),
+            attempt: request.arrivals,
+            deadline: request.deadline,
+            route: request.route.clone(),
+            occupied,
+            waited: now.since(request.arrived),
+        }
+    }
+
+    /// Takes the end of an attempt. A request that is to be tried again waits
+    /// for the next poll; the conclusion of one that is not comes back.
+    pub fn ended(&mut self, now: Time, ticket: Ticket, outcome: AttemptOutcome) -> Option<Ending> {
+        let mut request = self.requests.remove(&ticket)?;
+        let attempt = request.attempt.take()?;
+        self.occupancy.end(attempt.hash);
+        self.judge(now, &request, &attempt, outcome);
+        match outcome {
+            AttemptOutcome::Answered { .. } => return None,
+            AttemptOutcome::Untouched(proof) => self.untouched(now, &mut request, &attempt, proof),
+            AttemptOutcome::Unknown(cause) => {
+                request.unknown = Some(cause);
+                request.tried.push(attempt.upstream.clone());
+            }
+        }
+        if !self.may_repeat(now, &request, outcome) {
+            return Some(self.conclude(now, &request, RefusalReason::Refused));
+        }
+        self.requests.insert(ticket, request);
+        self.waiting.push(ticket);
+        None
+    }
+
+    /// Learns from an attempt how its upstream does.
+    pub(super) fn judge(
+        &mut self,
+        now: Time,
+        request: &Request,
+        attempt: &Attempt,
+        outcome: AttemptOutcome,
+    ) {
+        let health = self.health.entry(attempt.upstream.clone()).or_default();
+        match outcome {
+            AttemptOutcome::Answered { success } => {
+                health.failures = 0;
+                if success && attempt.unqueued {
+                    let seconds = now.since(attempt.sent).as_secs_f64();
+                    self.speeds
+                        .learn(attempt.hash, &request.route.name, seconds);
+                    self.speeds.learn_service(&request.service, seconds);
+                }
+            }
+            AttemptOutcome::Untouched(Untouched::Full) => {
+                health.paused_until = now + FULL_PAUSE;
+            }
+            AttemptOutcome::Untouched(Untouched::Misdirected | Untouched::Unsent) => {}
+            AttemptOutcome::Unknown(UnknownCause::WrongAnswer | UnknownCause::BrokenOff) => {}
+            AttemptOutcome::Untouched(Untouched::Unconnected | Untouched::ConnectionRefused)
+            | AttemptOutcome::Unknown(UnknownCause::TimedOut) => {
+                let pause = FAILURE_PAUSE * 2u32.saturating_pow(health.failures.min(6));
+                health.failures += 1;
+                health.paused_until = now + pause.min(LONGEST_PAUSE);
+            }
+        }
+    }
+
+    pub(super) fn untouched(
+        &self,
+        now: Time,
+        request: &mut Request,
+        attempt: &Attempt,
+        proof: Untouched,
+    ) {
+        match proof {
+            Untouched::Unconnected | Untouched::ConnectionRefused | Untouched::Unsent => {
+                // It never arrived, so it costs no budget.
+                request.arrivals -= 1;
+            }
+            Untouched::Full => request.not_before = now + FULL_PAUSE,
+            Untouched::Misdirected if request.key.is_some() => {
+                request.denied = Some(Denial {
+                    holder: attempt.upstream.clone(),
+                    assignment: self.assignment(request),
+                    until: now + DENIED_PAUSE,
+                });
+            }
+            Untouched::Misdirected => {}
+        }
+        if request.key.is_none() {
+            request.tried.push(attempt.upstream.clone());
+        }
+        let half = request.route.target_latency / 2;
+        request.wait_until = request.wait_until.max(now + half).min(request.deadline);
+    }
+
+    pub(super) fn may_repeat(
+        &mut self,
+        now: Time,
+        request: &Request,
+        outcome: AttemptOutcome,
+    ) -> bool {
+        let proved = matches!(outcome, AttemptOutcome::Untouched(_)) && request.unknown.is_none();
+        let must_prove = self.config.proves_before_repeat && !request.route.repeatable;
+        if !proved && must_prove {
+            return false;
+        }
+        if request.arrivals >= request.route.max_attempts || now >= request.deadline {
+            return false;
+        }
+        if request.arrivals == 0 {
+            return true;
+        }
+        let nodes = self.nodes.max(self.occupancy.peer_count() + 1);
+        let budget = self.budgets.entry(request.service.clone()).or_default();
+        budget.allows(&self.config.budget, now, nodes)
+    }
+
+    /// Forgets a request whose client left; whether an attempt is under way.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let Some(request) = self.requests.remove(&ticket) else {
+            return false;
+        };
+        self.waiting.retain(|waiting| *waiting != ticket);
+        match request.attempt {
+            Some(attempt) => {
+                self.occupancy.end(attempt.hash);
+                true
+            }
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/reports.rs
@@ -0,0 +1,92 @@
+//! What the dispatcher tells, and takes from, other nodes and processes.
+
+use super::Dispatcher;
+use crate::occupancy::Occupancy;
+use crate::report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash};
+use crate::speed::{SpeedRecord, SpeedTable};
+use beamtray_types::Time;
+
+impl Dispatcher {
+    /// Takes another node's report.
+    pub fn report(&mut self, now: Time, report: &LoadReport) {
+        self.occupancy.report(now, report);
+        for answers in &report.answers {
+            let count = f64::from(answers.samples);
+            self.speeds
+                .add(answers.upstream, count, f64::from(answers.sum));
+        }
+    }
+
+    /// Forgets peers that fell silent.
+    pub fn expire(&mut self, now: Time) {
+        self.occupancy.expire(now);
+    }
+
+    /// This node's requests under way, for other nodes. `answers` tells them
+    /// also of the answers since the last such report.
+    pub fn load_report(&mut self, answers: Vec<Answers>) -> LoadReport {
+        self.sequence += 1;
+        let own = self.occupancy.own_all();
+        LoadReport {
+            node: NodeHash::of(&self.config.node),
+            run: self.config.run as u32,
+            sequence: self.sequence,
+            in_flight: own
+                .map(|(upstream, requests)| InFlight {
+                    upstream,
+                    requests: requests.min(u16::from(u8::MAX)) as u8,
+                })
+                .collect(),
+            answers,
+        }
+    }
+
+    /// Answers that other nodes were not told of.
+    pub fn take_answers(&mut self) -> Vec<Answers> {
+        let untold = self.speeds.take_untold().into_iter();
+        untold
+            .map(|(upstream, untold)| Answers {
+                upstream,
+                samples: untold.count.min(u32::from(u8::MAX)) as u8,
+                sum: untold.sum as f32,
+            })
+            .collect()
+    }
+
+    /// This node's requests by key since the last such report.
+    pub fn key_report(&mut self) -> KeyReport {
+        let mut report = KeyReport::default();
+        for (service, loads) in self.key_loads.drain() {
+            let index = report.services.len() as u8;
+            report.services.push(service);
+            report
+                .keys
+                .extend(loads.into_iter().map(|(key, requests)| KeyLoad {
+                    service: index,
+                    key,
+                    requests,
+                }));
+        }
+        report
+    }
+
+    /// Takes speeds that an earlier process learned.
+    pub fn adopt_speeds(&mut self, record: &SpeedRecord) {
+        self.speeds.adopt(record);
+    }
+
+    /// Learned speeds.
+    pub fn speeds(&self) -> &SpeedTable {
+        &self.speeds
+    }
+
+    /// Requests under way over all nodes.
+    pub fn occupancy(&self) -> &Occupancy {
+        &self.occupancy
+    }
+
+    /// Requests that wait here, and all that are not answered yet.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.waiting.len(), self.requests.len())
+    }
+}
--- a/crates/node/src/command/check.rs
+++ b/crates/node/src/command/check.rs
@@ -1,10 +1,14 @@
 //! `check`: settings and declarations without a running service.
 
 use super::{CheckArguments, Outcome};
-use beamtray_settings::{Declaration, NodeSettings, SettingsError};
+use beamtray_router::settings::NodeSettings as RouterSettings;
+use beamtray_settings::{Declaration, NodeSettings};
+use eyre::{Result, WrapErr};
 
 /// A file with this table is a declaration, any other is a settings file.
 const DECLARATION_MARK: &str = "[[service";
+/// A file with this table is the settings of `route`.
+const ROUTER_MARK: &str = "[store]";
 
 pub(super) fn check(arguments: &CheckArguments) -> Outcome {
     match check_file(&arguments.file) {
@@ -13,18 +17,25 @@
             Outcome::Done
         }
         Err(error) => {
-            eprintln!("{error}");
+            eprintln!("{error:#}");
             Outcome::Invalid
         }
     }
 }
 
-fn check_file(file: &str) -> Result<String, SettingsError> {
-    let is_declaration = std::fs::read_to_string(file).is_ok_and(|text| {
-        text.lines()
-            .any(|line| line.trim().starts_with(DECLARATION_MARK))
-    });
-    if is_declaration {
+fn has_line(text: &str, mark: &str) -> bool {
+    text.lines().any(|line| line.trim().starts_with(mark))
+}
+
+/// Settings of `route` name a store in a table of its own.
+fn is_router(text: &str) -> bool {
+    has_line(text, ROUTER_MARK)
+}
+
+fn check_file(file: &str) -> Result<String> {
+    // A file that can't be read is told of by whoever loads it.
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    if has_line(&text, DECLARATION_MARK) {
         let declaration = Declaration::load(file)?;
         let servers: usize = declaration.services.iter().map(|s| s.servers.len()).sum();
         let services = declaration.services.len();
@@ -32,6 +43,14 @@
             "valid declaration, {services} services, {servers} servers"
         ));
     }
+    if is_router(&text) {
+        let settings = RouterSettings::parse(file, &text).wrap_err("router settings")?;
+        let store = settings.store.address;
+        return Ok(format!(
+            "valid settings of router {}, store {store}",
+            settings.node
+        ));
+    }
     let settings = NodeSettings::load(file)?;
     let peers = settings.peer_nodes.len();
     Ok(format!(
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -1,27 +1,27 @@
 //! This node's part in control: its entry, the election, and the grants while
 //! it is the granter.
 
-use crate::core::node::StoreTask;
+use crate::core::grants::{
+    Grants, Writing, adopt, candidates, encode, probe_claimed, read_assignments, write_record,
+};
+use crate::core::message::{OrderTask, StoreTask};
 use crate::core::records::{NodeRecord, OwnKeys};
 use crate::core::registration::Registrar;
 use crate::core::views::{ViewName, Views};
-use beamtray_catalog::{UpstreamId, UpstreamState};
-use beamtray_dispatch::{KeyReport, SpeedTable, UpstreamHash};
+use beamtray_catalog::UpstreamId;
+use beamtray_dispatch::{KeyReport, SpeedTable};
 use beamtray_metastore::{
     Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, Revision, StoreCall,
     StoreOutcome, Transaction, Write,
 };
 use beamtray_sharding::{
-    AssignmentRecord, BalanceLimits, Candidate, GrantOrder, GrantReply, Granter, GranterTiming,
-    Standing,
+    AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, Granter, GranterTiming,
 };
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time of a request where nothing is learned yet, in seconds.
-const UNKNOWN_WORK: f64 = 0.1;
 /// Between two looks at the balance.
 const REBALANCE: Duration = Duration::from_millis(150);
 /// Share of the counted load that is left after one look.
@@ -52,34 +52,6 @@
     pub balance: BalanceLimits,
 }
 
-/// An order to be sent to an upstream.
-#[derive(Clone, Debug)]
-pub struct OrderTask {
-    /// The service.
-    pub service: ServiceName,
-    /// Where the upstream listens; none when that is not known.
-    pub address: Option<SocketAddr>,
-    /// The order.
-    pub order: GrantOrder,
-    /// Until when it may be sent.
-    pub until: Time,
-}
-
-/// A record that is being written.
-#[derive(Clone, Debug)]
-struct Writing {
-    record: AssignmentRecord,
-}
-
-/// Grants of one service.
-struct Grants {
-    granter: Granter,
-    /// Revision of the record in the store.
-    revision: Revision,
-    writing: Option<Writing>,
-    write_at: Time,
-}
-
 /// One term of this node as the granter.
 struct Term {
     authority: Authority,
@@ -461,97 +433,3 @@
         })
     }
 }
-
-fn read_assignments(after: Option<String>) -> StoreCall {
-    StoreCall::Range {
-        prefix: OwnKeys::ASSIGNMENTS.to_owned(),
-        after,
-    }
-}
-
-fn adopt(
-    now: Time,
-    timing: GranterTiming,
-    epoch: beamtray_metastore::Epoch,
-    item: &Item,
-) -> Option<(ServiceName, Grants)> {
-    let service = item.key.strip_prefix(OwnKeys::ASSIGNMENTS)?;
-    let record: AssignmentRecord = borsh::from_slice(&item.value).ok()?;
-    let mut granter = Granter::new(now, timing, epoch, Some(&record));
-    granter.not_written();
-    let grants = Grants {
-        granter,
-        revision: item.revision,
-        writing: None,
-        write_at: now,
-    };
-    Some((service.into(), grants))
-}
-
-fn write_record(
-    service: &ServiceName,
-    record: &AssignmentRecord,
-    revision: Revision,
-    granter: Revision,
-) -> StoreCall {
-    let key = OwnKeys::assignment(service);
-    StoreCall::Commit(Transaction {
-        conditions: vec![
-            Condition {
-                key: OwnKeys::GRANTER.to_owned(),
-                revision: granter,
-            },
-            Condition {
-                key: key.clone(),
-                revision,
-            },
-        ],
-        writes: vec![Write {
-            key,
-            value: encode(record),
-            lease: None,
-        }],
-        removals: Vec::new(),
-    })
-}
-
-fn encode(record: &AssignmentRecord) -> Vec<u8> {
-    // Writing borsh to memory can't fail.
-    borsh::to_vec(record).unwrap_or_default()
-}
-
-fn candidates(service: &ServiceName, views: &Views, speeds: &SpeedTable) -> Vec<Candidate> {
-    let work = speeds.service_mean(service).unwrap_or(UNKNOWN_WORK);
-    let of_service = views
-        .directory
-        .iter()
-        .filter(|registration| registration.record.service == *service);
-    of_service
-        .map(|registration| {
-            let record = &registration.record;
-            let slowness = speeds.slowness(UpstreamHash::of(&record.id));
-            Candidate {
-                id: record.id.clone(),
-                standing: match record.state {
-                    UpstreamState::Ready => Standing::Ready,
-                    UpstreamState::Draining => Standing::Draining,
-                },
-                capacity: f64::from(record.slots) / (work * slowness),
-            }
-        })
-        .collect()
-}
-
-/// Asks holders whose address another upstream claims too: whoever has the
-/// address tells.
-fn probe_claimed(now: Time, granter: &mut Granter, views: &Views) {
-    let mut claims: BTreeMap<SocketAddr, Vec<&UpstreamId>> = BTreeMap::new();
-    for registration in views.directory.iter() {
-        let record = &registration.record;
-        claims.entry(record.address).or_default().push(&record.id);
-    }
-    let contested = claims.values().filter(|ids| ids.len() > 1);
-    for id in contested.flatten() {
-        granter.probe(now, id);
-    }
-}
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -1,14 +1,17 @@
 //! One node's decisions.
 
 mod control;
+mod grants;
+mod message;
 mod node;
 mod records;
 mod registration;
 mod replica;
 mod views;
 
-pub use control::{Control, ControlConfig, OrderTask};
-pub use node::{CoreConfig, Datagram, Input, NodeCore, Output, StoreTask, Timing};
+pub use control::{Control, ControlConfig};
+pub use message::{Datagram, Input, OrderTask, Output, StoreTask, Timing};
+pub use node::{CoreConfig, NodeCore};
 pub use records::{NodeRecord, OwnKeys};
 pub use registration::Registrar;
 pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -1,17 +1,14 @@
 //! One node's core: inputs and the time go in, outputs come out.
 
-use crate::core::control::{Control, ControlConfig, OrderTask};
-use crate::core::views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest, Views};
-use beamtray_catalog::{ClientLimits, DirectoryPolicy, UpstreamId};
+use crate::core::control::{Control, ControlConfig};
+use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
+use crate::core::views::{Snapshot, ViewName, ViewRequest, Views};
+use beamtray_catalog::DirectoryPolicy;
 use beamtray_dialect::Dialect;
-use beamtray_dispatch::{
-    Admission, AttemptOutcome, Decision, DispatchConfig, Dispatcher, Ending, Forward, KeyReport,
-    LoadReport, RequestHead, Ticket, Untouched,
-};
-use beamtray_metastore::{StoreCall, StoreOutcome};
-use beamtray_sharding::{GrantOrder, GrantReply};
-use beamtray_types::{ServiceName, Time};
-use borsh::{BorshDeserialize, BorshSerialize};
+use beamtray_dispatch::{AttemptOutcome, Decision, DispatchConfig, Dispatcher, Untouched};
+use beamtray_metastore::StoreOutcome;
+use beamtray_sharding::GrantReply;
+use beamtray_types::Time;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,150 +36,6 @@
 /// How often word of new assignments is repeated at once: datagrams get lost.
 const HEADS_REPEATED: u32 = 2;
 
-/// Pauses between periodic works.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// Between looks at what is due.
-    pub tick: Duration,
-    /// Between reports of requests under way to nodes of the same zone.
-    pub report: Duration,
-    /// Between the same to nodes of other zones.
-    pub far_report: Duration,
-    /// Between the same when nothing is under way.
-    pub idle_report: Duration,
-    /// Between words of the newest changes seen.
-    pub heads: Duration,
-    /// Between two fetches of assignments from other nodes.
-    pub fetch: Duration,
-    /// Between reports of requests by key.
-    pub key_report: Duration,
-    /// Between questions to other nodes while the store is in trouble.
-    pub ask_peers: Duration,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Self {
-            tick: Duration::from_millis(10),
-            report: Duration::from_millis(10),
-            far_report: Duration::from_millis(40),
-            idle_report: Duration::from_millis(400),
-            heads: Duration::from_millis(250),
-            fetch: Duration::from_millis(15),
-            key_report: Duration::from_millis(120),
-            ask_peers: Duration::from_millis(250),
-        }
-    }
-}
-
-/// What a call to the store is for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StoreTask {
-    /// Keeps a view up; the number is the call's generation.
-    View(ViewName, u32),
-    /// The election.
-    Election,
-    /// The node's entry.
-    Registration,
-    /// Reads the assignments at the start of a term.
-    TakeOver,
-    /// Writes what was learned of speeds.
-    Speeds,
-    /// Writes the assignment of a service.
-    Record(ServiceName),
-    /// Gives up leases at a planned stop.
-    Farewell,
-}
-
-/// What one node tells another without waiting for an answer.
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
-pub enum Datagram {
-    /// Requests under way.
-    Load(LoadReport),
-    /// Requests by key, for the granter.
-    Keys(KeyReport),
-    /// Newest changes that it has seen.
-    Heads(ViewHeads),
-}
-
-/// What happened.
-pub enum Input {
-    /// Time passed.
-    Tick,
-    /// A client's request is whole.
-    Request {
-        /// Tells it from others.
-        ticket: Ticket,
-        /// What it says.
-        head: RequestHead,
-    },
-    /// An attempt ended.
-    Ended {
-        /// The request.
-        ticket: Ticket,
-        /// How.
-        outcome: AttemptOutcome,
-    },
-    /// The client left.
-    Cancelled {
-        /// The request.
-        ticket: Ticket,
-    },
-    /// The store answered, or did not.
-    Store {
-        /// What the call was for.
-        task: StoreTask,
-        /// How it ended.
-        outcome: StoreOutcome,
-    },
-    /// An upstream answered an order, or did not.
-    Order {
-        /// The service.
-        service: ServiceName,
-        /// The order.
-        order: GrantOrder,
-        /// Term in which it was given.
-        epoch: u64,
-        /// The answer.
-        reply: GrantReply,
-    },
-    /// Another incarnation answers at an upstream's address.
-    Replaced {
-        /// The upstream that is gone.
-        upstream: UpstreamId,
-    },
-    /// Another node's word.
-    Datagram(SocketAddr, Datagram),
-    /// Another node's copies.
-    Snapshots(Vec<Snapshot>),
-    /// The process is to end.
-    Stop,
-}
-
-/// What is to be done.
-pub enum Output {
-    /// A request that can't be admitted.
-    Deny(Ticket, Admission),
-    /// Make an attempt.
-    Forward(Ticket, Forward),
-    /// Give the final answer.
-    Conclude(Ticket, Ending),
-    /// Call the store.
-    Store(StoreTask, StoreCall),
-    /// Order something of an upstream; `epoch` is the term.
-    Order(OrderTask, u64),
-    /// Tell other nodes.
-    Send(Datagram, Vec<SocketAddr>),
-    /// Ask another node for its copies.
-    Ask(SocketAddr, ViewRequest),
-    /// Bounds on clients changed.
-    Limits(ClientLimits),
-    /// A belief changed.
-    Notice(ViewNotice),
-    /// This node became the granter, or ceased to be.
-    Granter(Option<u64>),
-}
-
 /// One node's core.
 pub struct NodeCore {
     config: CoreConfig,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -51,10 +51,12 @@
         cause: String,
     },
     /// A value is outside what is allowed.
-    #[error("{file}: {field} = {value}: allowed is {allowed}")]
+    #[error("{file}:{line}: {field} = {value}: allowed is {allowed}")]
     Range {
         /// Path as given.
         file: String,
+        /// Line of the field, from 1; 0 when unknown.
+        line: usize,
         /// Name of the field.
         field: &'static str,
         /// The value refused.
@@ -121,6 +123,41 @@
     pub descriptors: u64,
 }
 
+/// One value that is looked at.
+struct Check {
+    field: &'static str,
+    value: String,
+    passed: bool,
+    allowed: &'static str,
+}
+
+impl Check {
+    fn new(field: &'static str, value: impl ToString, passed: bool, allowed: &'static str) -> Self {
+        Self {
+            field,
+            value: value.to_string(),
+            passed,
+            allowed,
+        }
+    }
+
+    fn error(self, file: &str, text: &str) -> NodeSettingsError {
+        let name = self.field.rsplit('.').next().unwrap_or(self.field);
+        let names_it = |line: &str| {
+            let assigned = line.trim_start().split_once('=');
+            assigned.is_some_and(|(field, _)| field.trim() == name)
+        };
+        let line = text.lines().position(names_it);
+        NodeSettingsError::Range {
+            file: file.to_owned(),
+            line: line.map_or(0, |index| index + 1),
+            field: self.field,
+            value: self.value,
+            allowed: self.allowed,
+        }
+    }
+}
+
 /// Settings of one node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct NodeSettings {
@@ -167,38 +204,62 @@
             file: file.to_owned(),
             cause: error.to_string().trim_end().to_owned(),
         })?;
-        settings.check(file)?;
+        settings.check(file, text)?;
         Ok(settings)
     }
 
-    fn check(&self, file: &str) -> Result<(), NodeSettingsError> {
-        let refuse = |field, value: String, allowed| {
-            Err(NodeSettingsError::Range {
-                file: file.to_owned(),
-                field,
-                value,
-                allowed,
-            })
-        };
-        if self.version != SETTINGS_VERSION {
-            return refuse("version", self.version.to_string(), "1");
-        }
-        if self.node.is_empty() {
-            return refuse("node", String::new(), "a name");
-        }
-        let ratio = self.bounds.retry_ratio;
-        if !(0.0..=10.0).contains(&ratio) {
-            return refuse("bounds.retry_ratio", ratio.to_string(), "0 to 10");
-        }
-        let window = self.bounds.retry_window_s;
-        if !(1.0..=600.0).contains(&window) {
-            return refuse("bounds.retry_window_s", window.to_string(), "1 to 600");
-        }
-        if self.limits.descriptors < 64 {
-            let value = self.limits.descriptors.to_string();
-            return refuse("limits.descriptors", value, "64 or more");
+    fn check(&self, file: &str, text: &str) -> Result<(), NodeSettingsError> {
+        let bounds = &self.bounds;
+        let checks = [
+            Check::new(
+                "version",
+                self.version,
+                self.version == SETTINGS_VERSION,
+                "1",
+            ),
+            Check::new("node", &self.node, !self.node.is_empty(), "a name"),
+            Check::new("zone", &self.zone, !self.zone.is_empty(), "a name"),
+            Check::new(
+                "bounds.retry_ratio",
+                bounds.retry_ratio,
+                (0.0..=10.0).contains(&bounds.retry_ratio),
+                "0 to 10",
+            ),
+            Check::new(
+                "bounds.retry_allowance",
+                bounds.retry_allowance,
+                (0.0..=1e6).contains(&bounds.retry_allowance),
+                "0 to 1000000",
+            ),
+            Check::new(
+                "bounds.retry_window_s",
+                bounds.retry_window_s,
+                (1.0..=600.0).contains(&bounds.retry_window_s),
+                "1 to 600",
+            ),
+            Check::new(
+                "bounds.grace_s",
+                bounds.grace_s,
+                (0.0..=3_600.0).contains(&bounds.grace_s),
+                "0 to 3600",
+            ),
+            Check::new(
+                "bounds.contact_ms",
+                bounds.contact_ms,
+                (500..=600_000).contains(&bounds.contact_ms),
+                "500 to 600000",
+            ),
+            Check::new(
+                "limits.descriptors",
+                self.limits.descriptors,
+                self.limits.descriptors >= 64,
+                "64 or more",
+            ),
+        ];
+        match checks.into_iter().find(|check| !check.passed) {
+            Some(failed) => Err(failed.error(file, text)),
+            None => Ok(()),
         }
-        Ok(())
     }
 
     /// How long a stopping node may take.
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -1,6 +1,6 @@
 //! What every task of the process shares.
 
-use crate::core::{Input, NodeCore, Output};
+use crate::core::{Input, NodeCore};
 use crate::shell::actor::RouterActor;
 use crate::shell::connections::Connections;
 use crate::shell::observer::Observer;
@@ -102,22 +102,3 @@
         }
     }
 }
-
-/// Does what the core asks for.
-pub(crate) fn carry_out(shared: &Rc<Shared>, output: Output) {
-    use crate::shell::{calls, peers};
-    match output {
-        Output::Deny(ticket, admission) => shared.step(ticket, Step::Deny(admission)),
-        Output::Forward(ticket, forward) => shared.step(ticket, Step::Forward(forward)),
-        Output::Conclude(ticket, ending) => {
-            shared.step(ticket, Step::Conclude(Box::new(ending)));
-        }
-        Output::Store(task, call) => calls::call_store(shared, task, call),
-        Output::Order(task, epoch) => calls::order(shared, task, epoch),
-        Output::Send(datagram, addresses) => peers::send(shared, &datagram, &addresses),
-        Output::Ask(address, request) => peers::ask(shared, address, request),
-        Output::Limits(limits) => shared.limits.set(limits),
-        Output::Notice(notice) => shared.observer.notice(&notice),
-        Output::Granter(epoch) => shared.observer.granter(epoch),
-    }
-}
--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -10,6 +10,7 @@
 mod log;
 mod metrics;
 mod observer;
+mod outputs;
 mod peers;
 mod process;
 mod rate;
--- /dev/null
+++ b/crates/router/src/shell/outputs.rs
@@ -0,0 +1,24 @@
+//! Does what the core asks for.
+
+use crate::core::Output;
+use crate::shell::handle::{Shared, Step};
+use crate::shell::{calls, peers};
+use std::rc::Rc;
+
+/// Does what the core asks for.
+pub(crate) fn carry_out(shared: &Rc<Shared>, output: Output) {
+    match output {
+        Output::Deny(ticket, admission) => shared.step(ticket, Step::Deny(admission)),
+        Output::Forward(ticket, forward) => shared.step(ticket, Step::Forward(forward)),
+        Output::Conclude(ticket, ending) => {
+            shared.step(ticket, Step::Conclude(Box::new(ending)));
+        }
+        Output::Store(task, call) => calls::call_store(shared, task, call),
+        Output::Order(task, epoch) => calls::order(shared, task, epoch),
+        Output::Send(datagram, addresses) => peers::send(shared, &datagram, &addresses),
+        Output::Ask(address, request) => peers::ask(shared, address, request),
+        Output::Limits(limits) => shared.limits.set(limits),
+        Output::Notice(notice) => shared.observer.notice(&notice),
+        Output::Granter(epoch) => shared.observer.granter(epoch),
+    }
+}
--- /dev/null
+++ b/crates/router/tests/settings.rs
@@ -0,0 +1,97 @@
+//! Settings of a node: read, checked, refused with file, line and field.
+
+use beamtray_router::settings::{NodeSettings, NodeSettingsError};
+use std::time::Duration;
+
+const VALID: &str = r#"
+version = 1
+node = "n1"
+zone = "z1"
+ip = "10.0.0.1"
+seeds = ["10.0.0.2:7000"]
+unknown_to_this_version = 5
+[listen]
+clients = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peers = "10.0.0.1:7000"
+[store]
+address = "10.0.0.9:90"
+least_ttl_ms = 1000
+[bounds]
+drain_ms = 2000
+contact_ms = 3000
+grace_s = 6.0
+retry_ratio = 0.2
+retry_allowance = 56
+retry_window_s = 10
+longest_hold_ms = 10000
+heartbeat_ms = 1300
+[limits]
+memory_mb = 260
+descriptors = 4100
+"#;
+
+#[test]
+fn valid_settings_make_a_configuration_of_the_core() {
+    let settings = NodeSettings::parse("file", VALID).expect("valid");
+    assert_eq!(settings.listen.metrics, None);
+    let core = settings.core_config(7);
+    let grants = core.control.grants;
+    assert!(grants.hold <= Duration::from_secs(10));
+    // A hold survives the loss of a granter and the election of the next.
+    let left = grants.hold - grants.renewal;
+    assert!(left > core.control.granter_lease.ttl + Duration::from_secs(2));
+    // A leaver is let alone before the drain time is over.
+    assert!(core.dispatch.leaver_grace < Duration::from_millis(2_000));
+    // Doubt about a missing registration ends before a node that was cut off
+    // counts as connected.
+    let noticed = Duration::from_millis(900);
+    let doubt = noticed + core.directory.distrust + core.directory.patience;
+    assert!(doubt <= Duration::from_millis(3_000));
+}
+
+#[test]
+fn short_holds_are_respected() {
+    let text = VALID.replace("longest_hold_ms = 10000", "longest_hold_ms = 3000");
+    let settings = NodeSettings::parse("file", &text).expect("valid");
+    let grants = settings.core_config(7).control.grants;
+    assert_eq!(grants.hold, Duration::from_secs(3));
+    assert!(grants.renewal < grants.hold / 3);
+}
+
+#[test]
+fn a_value_out_of_range_is_refused_with_its_line() {
+    let text = VALID.replace("retry_ratio = 0.2", "retry_ratio = 11.0");
+    let error = NodeSettings::parse("node.toml", &text).expect_err("refused");
+    assert_eq!(
+        error.to_string(),
+        "node.toml:19: bounds.retry_ratio = 11: allowed is 0 to 10"
+    );
+}
+
+#[test]
+fn another_version_is_refused() {
+    let text = VALID.replace("version = 1", "version = 2");
+    let error = NodeSettings::parse("file", &text).expect_err("refused");
+    assert!(matches!(
+        error,
+        NodeSettingsError::Range {
+            field: "version",
+            line: 2,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn a_missing_field_is_named() {
+    let text = VALID.replace("contact_ms = 3000\n", "");
+    let error = NodeSettings::parse("file", &text).expect_err("refused");
+    assert!(error.to_string().contains("contact_ms"), "{error}");
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let error = NodeSettings::load("/no/such/file").expect_err("refused");
+    assert!(error.to_string().starts_with("/no/such/file: cannot read"));
+}
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -4,6 +4,8 @@
 mod faults;
 mod network;
 mod nodes;
+mod orders;
+mod registrations;
 mod stores;
 mod upstreams;
 
--- /dev/null
+++ b/crates/routersim/src/world/registrations.rs
@@ -0,0 +1,66 @@
+//! Registrations of upstreams in the store.
+
+use super::network::Event;
+use super::upstreams::{MISSED, key_of};
+use super::{HEARTBEAT, World};
+use beamtray_catalog::UpstreamRecord;
+use rand::RngExt;
+
+impl World {
+    /// Writes registrations that are due, removes those that were missed.
+    pub(super) fn heartbeats(&mut self) {
+        for index in 0..self.upstreams.len() {
+            self.heartbeat(index);
+        }
+    }
+
+    fn heartbeat(&mut self, index: usize) {
+        let now = self.now;
+        let Some(upstream) = &self.upstreams[index] else {
+            return;
+        };
+        let key = key_of(&upstream.config.id);
+        let record = upstream.record();
+        let state = &mut self.upstream_state[index];
+        if let Some(since) = state.cut_since {
+            let missed = now.since(since) >= HEARTBEAT * MISSED;
+            if missed && !self.store_state.down && self.store.get(&key).is_some() {
+                self.store.delete(now, &key);
+            }
+            return;
+        }
+        if state.withdrawn || now < state.next_heartbeat || self.store_state.down {
+            return;
+        }
+        state.next_heartbeat = now + HEARTBEAT;
+        if self.store.get(&key).is_none() {
+            let value = self.dialect.encode_upstream(record);
+            self.store.put(now, &key, value);
+        }
+    }
+
+    /// Registrations vanish in an outage in which leases run out.
+    pub(super) fn lapse_registrations(&mut self) {
+        for index in 0..self.upstreams.len() {
+            if self.random.random_bool(0.2) {
+                continue;
+            }
+            let id = self.upstreams[index].as_ref().map(|u| u.config.id.clone());
+            if let Some(id) = id {
+                self.store.delete(self.now, &key_of(&id));
+                self.upstream_state[index].next_heartbeat = self.now + HEARTBEAT;
+            }
+        }
+    }
+
+    pub(super) fn late_registration(&mut self, record: UpstreamRecord) {
+        if self.store_state.down {
+            return;
+        }
+        let key = key_of(&record.id);
+        let value = self.dialect.encode_upstream(record);
+        self.store.put(self.now, &key, value);
+        let vanishes = HEARTBEAT * MISSED;
+        self.schedule(vanishes, Event::StaleRegistrationEnds { key });
+    }
+}
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -1,15 +1,15 @@
 //! Upstreams: registrations, orders and requests.
 
 use super::network::{Event, Run};
-use super::{HEARTBEAT, KEYED, POOL, World};
-use crate::check::{OVERLAP, OtherHolder};
-use beamtray_catalog::{UpstreamId, UpstreamRecord, UpstreamState as Announced};
+use super::{KEYED, POOL, World};
+use crate::check::OtherHolder;
+use beamtray_catalog::{UpstreamId, UpstreamState as Announced};
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
 use beamtray_emulator::{
     Arrival, FullPolicy, Run as WorkRun, RunId, UpstreamConfig, UpstreamEmulator, WorkRequest,
 };
-use beamtray_router::core::{Input, OrderTask};
-use beamtray_sharding::{CallId, GrantOrder, GrantReply, Handover, OrderKind, ShardKey};
+use beamtray_router::core::Input;
+use beamtray_sharding::{GrantOrder, GrantReply, Handover, ShardKey};
 use beamtray_types::{ServiceName, Time};
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -17,20 +17,13 @@
 use std::time::Duration;
 
 const PORT: u16 = 8000;
-/// How long a node waits for the answer to a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(800);
-/// How long it waits for the answer to a release.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// How long it waits for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Part of the unanswered orders that are taken late, in percent; the others
-/// are taken at once.
-const LATE: u32 = 50;
 /// Part of the crashes after which an old write of the dead upstream comes
 /// late, in percent.
 const LATE_REGISTRATION: u32 = 50;
 /// Heartbeats without a write after which a registration vanishes.
-const MISSED: u32 = 3;
+pub(super) const MISSED: u32 = 3;
 
 /// An attempt that an upstream has taken.
 #[derive(Clone, Debug)]
@@ -45,11 +38,11 @@
 /// A release that waits for work to end.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingRelease {
-    node: usize,
-    run: Run,
-    service: ServiceName,
-    order: GrantOrder,
-    epoch: u64,
+    pub node: usize,
+    pub run: Run,
+    pub service: ServiceName,
+    pub order: GrantOrder,
+    pub epoch: u64,
 }
 
 /// What the world knows of an upstream's place.
@@ -62,23 +55,23 @@
     pub cut_since: Option<Time>,
     /// Whether it took its registration back for good.
     pub withdrawn: bool,
-    next_heartbeat: Time,
+    pub next_heartbeat: Time,
     taken: BTreeMap<String, Taken>,
-    releases: BTreeMap<u64, PendingRelease>,
+    pub releases: BTreeMap<u64, PendingRelease>,
 }
 
 fn address(index: usize) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::new(10, 1, 0, index as u8 + 1), PORT))
 }
 
-fn index_of(address: SocketAddr) -> Option<usize> {
+pub(super) fn index_of(address: SocketAddr) -> Option<usize> {
     let SocketAddr::V4(address) = address else {
         return None;
     };
     usize::from(address.ip().octets()[3]).checked_sub(1)
 }
 
-fn key_of(id: &UpstreamId) -> String {
+pub(super) fn key_of(id: &UpstreamId) -> String {
     format!("upstreams/{id}")
 }
 
@@ -109,52 +102,6 @@
         }));
     }
 
-    /// Writes registrations that are due, removes those that were missed.
-    pub(super) fn heartbeats(&mut self) {
-        for index in 0..self.upstreams.len() {
-            self.heartbeat(index);
-        }
-    }
-
-    fn heartbeat(&mut self, index: usize) {
-        let now = self.now;
-        let Some(upstream) = &self.upstreams[index] else {
-            return;
-        };
-        let key = key_of(&upstream.config.id);
-        let record = upstream.record();
-        let state = &mut self.upstream_state[index];
-        if let Some(since) = state.cut_since {
-            let missed = now.since(since) >= HEARTBEAT * MISSED;
-            if missed && !self.store_state.down && self.store.get(&key).is_some() {
-                self.store.delete(now, &key);
-            }
-            return;
-        }
-        if state.withdrawn || now < state.next_heartbeat || self.store_state.down {
-            return;
-        }
-        state.next_heartbeat = now + HEARTBEAT;
-        if self.store.get(&key).is_none() {
-            let value = self.dialect.encode_upstream(record);
-            self.store.put(now, &key, value);
-        }
-    }
-
-    /// Registrations vanish in an outage in which leases run out.
-    pub(super) fn lapse_registrations(&mut self) {
-        for index in 0..self.upstreams.len() {
-            if self.random.random_bool(0.2) {
-                continue;
-            }
-            let id = self.upstreams[index].as_ref().map(|u| u.config.id.clone());
-            if let Some(id) = id {
-                self.store.delete(self.now, &key_of(&id));
-                self.upstream_state[index].next_heartbeat = self.now + HEARTBEAT;
-            }
-        }
-    }
-
     /// An upstream begins to leave.
     pub(super) fn drain(&mut self, index: usize, abrupt: bool) {
         let now = self.now;
@@ -242,118 +189,6 @@
         }
     }
 
-    pub(super) fn late_registration(&mut self, record: UpstreamRecord) {
-        if self.store_state.down {
-            return;
-        }
-        let key = key_of(&record.id);
-        let value = self.dialect.encode_upstream(record);
-        self.store.put(self.now, &key, value);
-        let vanishes = HEARTBEAT * MISSED;
-        self.schedule(vanishes, Event::StaleRegistrationEnds { key });
-    }
-
-    pub(super) fn order_arrives(&mut self, node: usize, run: Run, task: OrderTask, epoch: u64) {
-        let index = task.address.and_then(index_of);
-        let service = task.service.clone();
-        let order = task.order;
-        let timeout = match order.kind {
-            OrderKind::Grant { .. } => GRANT_TIMEOUT,
-            OrderKind::Release => RELEASE_TIMEOUT,
-        };
-        let pending = PendingRelease {
-            node,
-            run,
-            service,
-            order,
-            epoch,
-        };
-        let Some(index) = index.filter(|index| self.upstreams[*index].is_some()) else {
-            return self.order_answered(timeout, pending, GrantReply::Unanswered);
-        };
-        let percent = self.orders_late_percent;
-        let unanswered = percent > 0 && self.chance(percent);
-        if unanswered && self.chance(LATE) {
-            let delay = self.millis(2_000, 12_000);
-            let order = pending.order.clone();
-            self.schedule(delay, Event::LateOrder { index, order });
-            return self.order_answered(timeout, pending, GrantReply::Unanswered);
-        }
-        let now = self.now;
-        let Some(upstream) = &mut self.upstreams[index] else {
-            return;
-        };
-        let reply = upstream.order(now, &pending.order);
-        if reply == Some(GrantReply::Granted) {
-            self.check_taken(index, &pending.order);
-        }
-        if unanswered {
-            return self.order_answered(timeout, pending, GrantReply::Unanswered);
-        }
-        match reply {
-            Some(reply) => self.order_answered(Duration::from_millis(2), pending, reply),
-            None => {
-                let call = pending.order.call;
-                self.upstream_state[index].releases.insert(call.0, pending);
-                self.schedule(timeout, Event::ReleaseTimeout { index, call });
-            }
-        }
-    }
-
-    /// No other upstream may hold what was just taken.
-    fn check_taken(&mut self, index: usize, order: &GrantOrder) {
-        let now = self.now;
-        let holders = self
-            .upstreams
-            .iter()
-            .enumerate()
-            .filter(|(other, _)| *other != index);
-        let others: Vec<UpstreamId> = holders
-            .filter_map(|(_, other)| other.as_ref())
-            .filter(|other| {
-                other.grants(now).any(|grant| {
-                    let lasts = grant.ends.since(now) > OVERLAP;
-                    lasts && !grant.is_late && grant.range.overlaps(order.range)
-                })
-            })
-            .map(|other| other.config.id.clone())
-            .collect();
-        for other in others {
-            self.checkers.taken_twice(now, &order.holder, &other);
-        }
-    }
-
-    fn order_answered(&mut self, after: Duration, pending: PendingRelease, reply: GrantReply) {
-        if matches!(reply, GrantReply::Released(_)) {
-            self.release_count += 1;
-        }
-        self.schedule(
-            after,
-            Event::OrderAnswers {
-                node: pending.node,
-                run: pending.run,
-                service: pending.service,
-                order: pending.order,
-                epoch: pending.epoch,
-                reply,
-            },
-        );
-    }
-
-    pub(super) fn late_order(&mut self, index: usize, order: &GrantOrder) {
-        let now = self.now;
-        if let Some(upstream) = &mut self.upstreams[index] {
-            upstream.late_order(now, order);
-        }
-    }
-
-    pub(super) fn release_timeout(&mut self, index: usize, call: CallId) {
-        let pending = self.upstream_state[index].releases.remove(&call.0);
-        if let Some(pending) = pending {
-            self.order_answered(Duration::ZERO, pending, GrantReply::Unanswered);
-        }
-    }
-
     pub(super) fn forward(&mut self, node: usize, run: Run, ticket: Ticket, forward: Forward) {
         if self.is_connected(node) && self.is_store_stable() {
             self.check_configuration(node);
--- /dev/null
+++ b/crates/sharding/src/granter/holders.rs
@@ -0,0 +1,214 @@
+//! Who is to hold which slice: the first division, slices that are taken back,
+//! slices that are free.
+
+use super::{AVOID, Candidate, Granter, Standing, new_slice};
+use crate::range::{KeyRange, ShardKey};
+use crate::slice::{Phase, Slice};
+use beamtray_catalog::UpstreamId;
+use beamtray_types::Time;
+use std::collections::BTreeMap;
+
+/// Longest wait for upstreams to appear, as a multiple of the quiet asked for.
+const LONGEST_SETTLE: u32 = 4;
+/// Slices made for each upstream at the first start.
+const SLICES_PER_UPSTREAM: u32 = 8;
+/// Weight of a share of the keys next to counted requests, so that idle slices
+/// are spread too.
+const IDLE_WEIGHT: f64 = 4.0;
+
+impl Granter {
+    /// Divides the keys at the very first start.
+    pub(super) fn found(&mut self, now: Time) {
+        let ready = self.ready().count() as u32;
+        if !self.slices.is_empty() || ready == 0 || !self.has_settled(now) {
+            return;
+        }
+        for range in KeyRange::divide_all(ready * SLICES_PER_UPSTREAM) {
+            let phase = Phase::Free { handover: None };
+            self.slices
+                .insert(range.first, new_slice(now, range, phase, now));
+        }
+    }
+
+    /// Whether upstreams had time to appear: the first one is not to get all
+    /// keys.
+    pub(super) fn has_settled(&self, now: Time) -> bool {
+        let Some(first) = self.first_seen else {
+            return false;
+        };
+        now.since(self.last_seen) >= self.timing.settle
+            || now.since(first) >= self.timing.settle * LONGEST_SETTLE
+    }
+
+    pub(super) fn ready(&self) -> impl Iterator<Item = &Candidate> {
+        self.candidates
+            .values()
+            .filter(|one| one.standing == Standing::Ready && !self.dead.contains(&one.id))
+    }
+
+    /// Upstreams that may get keys: those that are ready and answer, or all
+    /// that are ready when none answers.
+    pub(super) fn takers(&self, now: Time) -> Vec<&Candidate> {
+        let answers = |one: &&Candidate| {
+            let until = self.avoided.get(&one.id);
+            until.is_none_or(|until| now >= *until)
+        };
+        let answering: Vec<&Candidate> = self.ready().filter(answers).collect();
+        if answering.is_empty() {
+            self.ready().collect()
+        } else {
+            answering
+        }
+    }
+
+    /// Starts to take slices back from holders that are to lose them.
+    pub(super) fn take_from_leavers(&mut self, now: Time) {
+        let silence = self.timing.silence;
+        let leaving: Vec<ShardKey> = self
+            .slices
+            .values()
+            .filter(|slice| {
+                let Some(holder) = slice.holder() else {
+                    return false;
+                };
+                let ready = self
+                    .candidates
+                    .get(holder)
+                    .is_some_and(|candidate| candidate.standing == Standing::Ready);
+                let silent = slice
+                    .silent_since
+                    .is_some_and(|since| now.since(since) >= silence);
+                !ready || silent || self.dead.contains(holder)
+            })
+            .map(|slice| slice.range.first)
+            .collect();
+        for first in leaving {
+            self.avoid_silent(now, first);
+            self.take_back(now, first, None);
+        }
+    }
+
+    /// A holder that loses keys for its silence gets no others for a while.
+    pub(super) fn avoid_silent(&mut self, now: Time, first: ShardKey) {
+        let slice = self.slices.get(&first);
+        let silent = slice.filter(|slice| slice.silent_since.is_some());
+        if let Some(holder) = silent.and_then(Slice::holder) {
+            self.avoided.insert(holder.clone(), now + AVOID);
+        }
+    }
+
+    pub(super) fn take_back(&mut self, now: Time, first: ShardKey, next: Option<UpstreamId>) {
+        let release = self.next_token();
+        let told_in = self.next_sequence;
+        let Some(slice) = self.slices.get_mut(&first) else {
+            return;
+        };
+        let Phase::Held { holder, token, .. } = &slice.phase else {
+            return;
+        };
+        slice.phase = Phase::Leaving {
+            holder: holder.clone(),
+            token: *token,
+            release,
+            next,
+        };
+        slice.told_in = told_in;
+        slice.due = now;
+        slice.settled_at = now;
+        self.dirty = true;
+    }
+
+    /// Frees slices that nobody can hold any more.
+    pub(super) fn free_lapsed(&mut self, now: Time) {
+        let durable = self.durable;
+        let waits = self.timing.guards.waits_for_lapse;
+        for slice in self.slices.values_mut() {
+            let Phase::Leaving { holder, .. } = &slice.phase else {
+                continue;
+            };
+            let grant_under_way = slice
+                .call
+                .and_then(|call| self.calls.get(&call))
+                .is_some_and(|call| call.is_grant);
+            let lapsed = now >= slice.lapses || !waits;
+            let lapsed = lapsed && !grant_under_way && slice.told_in <= durable;
+            if lapsed || self.dead.contains(holder) {
+                slice.phase = Phase::Free { handover: None };
+                slice.call = None;
+                slice.lapses = now;
+            }
+        }
+    }
+
+    /// Chooses holders for free slices, the least loaded upstream first.
+    pub(super) fn assign_free(&mut self, now: Time) {
+        let free: Vec<ShardKey> = self
+            .slices
+            .values()
+            .filter(|slice| matches!(slice.phase, Phase::Free { .. }))
+            .map(|slice| slice.range.first)
+            .collect();
+        if free.is_empty() {
+            return;
+        }
+        let mut loads = self.loads();
+        for first in free {
+            let weight = self.weight(self.slices[&first].range);
+            let Some(id) = least_loaded(&loads, self.takers(now).into_iter()) else {
+                return;
+            };
+            *loads.entry(id.clone()).or_default() += weight;
+            self.give(now, first, id);
+        }
+    }
+
+    pub(super) fn give(&mut self, now: Time, first: ShardKey, holder: UpstreamId) {
+        let token = self.next_token();
+        let told_in = self.next_sequence;
+        let Some(slice) = self.slices.get_mut(&first) else {
+            return;
+        };
+        let Phase::Free { handover } = &slice.phase else {
+            return;
+        };
+        slice.phase = Phase::Held {
+            holder,
+            token,
+            handover: handover.clone(),
+        };
+        slice.told_in = told_in;
+        slice.due = now;
+        slice.silent_since = None;
+        slice.settled_at = now;
+        self.dirty = true;
+    }
+
+    pub(super) fn weight(&self, range: KeyRange) -> f64 {
+        let share = f64::from(range.len()) / f64::from(KeyRange::ALL.len());
+        self.load.of(range) + IDLE_WEIGHT * share
+    }
+
+    /// Weight of what each upstream holds.
+    pub(super) fn loads(&self) -> BTreeMap<UpstreamId, f64> {
+        let mut loads = BTreeMap::new();
+        for slice in self.slices.values() {
+            if let Some(holder) = slice.holder() {
+                *loads.entry(holder.clone()).or_default() += self.weight(slice.range);
+            }
+        }
+        loads
+    }
+}
+
+fn least_loaded<'a>(
+    loads: &BTreeMap<UpstreamId, f64>,
+    candidates: impl Iterator<Item = &'a Candidate>,
+) -> Option<UpstreamId> {
+    let relative = |candidate: &Candidate| {
+        let load = loads.get(&candidate.id).copied().unwrap_or_default();
+        load / candidate.capacity.max(f64::MIN_POSITIVE)
+    };
+    candidates
+        .min_by(|one, other| relative(one).total_cmp(&relative(other)))
+        .map(|candidate| candidate.id.clone())
+}
--- /dev/null
+++ b/crates/sharding/src/granter/replies.rs
@@ -0,0 +1,148 @@
+//! What a reply to an order changes.
+
+use super::{AVOID, Call, Granter, Standing};
+use crate::order::{CallId, GrantReply, Handover};
+use crate::range::ShardKey;
+use crate::slice::Phase;
+use beamtray_catalog::UpstreamId;
+use beamtray_types::Time;
+use std::time::Duration;
+
+/// Pause after an order that was refused or not answered.
+const RETRY: Duration = Duration::from_millis(200);
+
+impl Granter {
+    /// Takes the answer to an order.
+    ///
+    /// Invariant: an answer concerns the holder that the order went to. The
+    /// slice may be another's by then, when the first one was found dead while
+    /// the order was on its way.
+    pub fn handle(&mut self, now: Time, call: CallId, reply: GrantReply) {
+        let Some(sent) = self.calls.remove(&call) else {
+            return;
+        };
+        if reply == GrantReply::Replaced {
+            self.proved_dead(&sent.holder);
+        }
+        let Call {
+            first,
+            holder,
+            is_grant,
+        } = sent;
+        let Some(slice) = self.slices.get_mut(&first) else {
+            return;
+        };
+        if slice.call != Some(call) || slice.current() != Some(&holder) {
+            return;
+        }
+        slice.call = None;
+        if is_grant {
+            self.granted(now, first, &reply);
+        } else {
+            self.released(now, first, reply);
+        }
+    }
+
+    pub(super) fn granted(&mut self, now: Time, first: ShardKey, reply: &GrantReply) {
+        let timing = self.timing;
+        let Some(slice) = self.slices.get_mut(&first) else {
+            return;
+        };
+        match reply {
+            GrantReply::Granted => {
+                slice.lapses = slice.lapses.max(now + timing.hold_bound);
+                slice.due = now + timing.renewal;
+                slice.silent_since = None;
+                if let Phase::Held { handover, .. } = &mut slice.phase {
+                    *handover = None;
+                }
+            }
+            GrantReply::Unanswered => {
+                if timing.guards.counts_unanswered {
+                    let lapses = now + timing.hold_bound + timing.transit;
+                    slice.lapses = slice.lapses.max(lapses);
+                }
+                slice.due = now + RETRY;
+                slice.silent_since.get_or_insert(now);
+            }
+            GrantReply::Outdated => self.raise_token(now, first),
+            GrantReply::Rejected | GrantReply::Replaced | GrantReply::Released(_) => {
+                slice.due = now + RETRY;
+                slice.silent_since.get_or_insert(now);
+            }
+        }
+        if let Some(slice) = self.slices.get_mut(&first)
+            && matches!(slice.phase, Phase::Leaving { .. })
+        {
+            // A grant that was under way when the slice began to leave.
+            slice.due = now;
+        }
+    }
+
+    /// The holder has seen a higher token: the same holder gets a new one.
+    pub(super) fn raise_token(&mut self, now: Time, first: ShardKey) {
+        let fresh = self.next_token();
+        let told_in = self.next_sequence;
+        let Some(slice) = self.slices.get_mut(&first) else {
+            return;
+        };
+        if let Phase::Held { token, .. } = &mut slice.phase {
+            *token = fresh;
+            slice.told_in = told_in;
+            slice.due = now;
+            self.dirty = true;
+        }
+    }
+
+    pub(super) fn released(&mut self, now: Time, first: ShardKey, reply: GrantReply) {
+        let Some(slice) = self.slices.get_mut(&first) else {
+            return;
+        };
+        let Phase::Leaving { holder, next, .. } = &slice.phase else {
+            return;
+        };
+        let (holder, next) = (holder.clone(), next.clone());
+        match reply {
+            GrantReply::Released(handover) => self.freed(now, first, handover, next),
+            GrantReply::Replaced => self.freed(now, first, None, next),
+            GrantReply::Outdated => {
+                let fresh = self.next_token();
+                if let Some(slice) = self.slices.get_mut(&first)
+                    && let Phase::Leaving { release, .. } = &mut slice.phase
+                {
+                    *release = fresh;
+                    slice.due = now;
+                }
+            }
+            GrantReply::Granted | GrantReply::Rejected | GrantReply::Unanswered => {
+                slice.due = now + RETRY;
+                // It is as silent as when it lost the keys.
+                if let Some(until) = self.avoided.get_mut(&holder) {
+                    *until = now + AVOID;
+                }
+            }
+        }
+    }
+
+    pub(super) fn freed(
+        &mut self,
+        now: Time,
+        first: ShardKey,
+        handover: Option<Handover>,
+        next: Option<UpstreamId>,
+    ) {
+        let Some(slice) = self.slices.get_mut(&first) else {
+            return;
+        };
+        slice.phase = Phase::Free { handover };
+        slice.lapses = now;
+        let ready = |id: &UpstreamId| {
+            self.candidates
+                .get(id)
+                .is_some_and(|candidate| candidate.standing == Standing::Ready)
+        };
+        if let Some(next) = next.filter(ready) {
+            self.give(now, first, next);
+        }
+    }
+}
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -1,5 +1,7 @@
 //! `beamtray-sim`: see `beamtray-sim --help` and docs/PROOFS.md.
 
+mod router;
+
 use beamtray_placement::Policy;
 use beamtray_settings::Declaration;
 use beamtray_sim::check::Point;
@@ -29,6 +31,8 @@
 enum Command {
     #[options(help = "run histories from many seeds and check them")]
     Explore(ExploreArguments),
+    #[options(help = "run histories of the store-backed router and check them")]
+    ExploreRouter(ExploreRouterArguments),
     #[options(help = "replay traces against their stated outcomes")]
     Replay(ReplayArguments),
     #[options(help = "measure what control costs many nodes")]
@@ -90,6 +94,20 @@
     json: bool,
 }
 
+#[derive(Debug, Options)]
+struct ExploreRouterArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "first seed", no_short, default = "0")]
+    first_seed: u64,
+    #[options(help = "number of seeds", no_short, default = "100")]
+    seeds: u64,
+    #[options(help = "threads", no_short, default = "8")]
+    threads: u64,
+    #[options(help = "do without this protection", no_short, meta = "GUARD")]
+    without: Option<String>,
+}
+
 #[derive(Debug, Options)]
 struct ExploreArguments {
     #[options(help = "print this help")]
@@ -122,6 +140,7 @@
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
         Some(Command::Explore(arguments)) => explore(arguments),
+        Some(Command::ExploreRouter(arguments)) => router::explore(&arguments),
         Some(Command::Replay(arguments)) => replay(&arguments),
         Some(Command::Scale(arguments)) => scale(&arguments),
         Some(Command::Measure(arguments)) => measure_all(&arguments),
--- /dev/null
+++ b/crates/sim/src/router.rs
@@ -0,0 +1,84 @@
+//! `explore-router`: histories of the store-backed router.
+
+use crate::ExploreRouterArguments;
+use beamtray_routersim::{FaultPlan, Guard, Outcome, WorldConfig, play};
+use eyre::{Result, eyre};
+use std::process::ExitCode;
+use std::thread;
+
+/// What came of all seeds.
+#[derive(Default)]
+struct Total {
+    asked: usize,
+    served: usize,
+    releases: usize,
+    faults: usize,
+    violations: usize,
+}
+
+impl Total {
+    fn add(&mut self, seed: u64, outcome: &Outcome) {
+        self.asked += outcome.asked;
+        self.served += outcome.served;
+        self.releases += outcome.releases;
+        self.faults += outcome.plan.faults.len();
+        self.violations += outcome.violations.len();
+        for violation in &outcome.violations {
+            println!("seed {seed}: {violation}");
+        }
+    }
+
+    fn join(mut self, other: Total) -> Self {
+        self.asked += other.asked;
+        self.served += other.served;
+        self.releases += other.releases;
+        self.faults += other.faults;
+        self.violations += other.violations;
+        self
+    }
+}
+
+pub(crate) fn explore(arguments: &ExploreRouterArguments) -> Result<ExitCode> {
+    let off = arguments.without.as_deref().map(guard).transpose()?;
+    let threads = arguments.threads.max(1);
+    let first = arguments.first_seed;
+    let end = first + arguments.seeds;
+    let workers: Vec<_> = (0..threads)
+        .map(|worker| {
+            let seeds = (first + worker..end).step_by(threads as usize);
+            thread::spawn(move || run(seeds, off))
+        })
+        .collect();
+    let mut total = Total::default();
+    for worker in workers {
+        let part = worker.join().map_err(|_| eyre!("a history panicked"))?;
+        total = total.join(part);
+    }
+    println!(
+        "seeds {} faults {} requests {} answered {} releases {} violations {}",
+        arguments.seeds, total.faults, total.asked, total.served, total.releases, total.violations
+    );
+    Ok(if total.violations == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn run(seeds: impl Iterator<Item = u64>, off: Option<Guard>) -> Total {
+    let mut total = Total::default();
+    for seed in seeds {
+        let plan = FaultPlan::draw(seed, &WorldConfig::drawn(seed));
+        total.add(seed, &play(seed, plan, off));
+    }
+    total
+}
+
+fn guard(name: &str) -> Result<Guard> {
+    let named = |guard: &Guard| format!("{guard:?}").eq_ignore_ascii_case(name);
+    let known: Vec<String> = Guard::ALL.iter().map(|one| format!("{one:?}")).collect();
+    Guard::ALL
+        .into_iter()
+        .find(named)
+        .ok_or_else(|| eyre!("no guard {name}; there are {}", known.join(", ")))
+}
