Bound slices and datagrams where there are many upstreams or nodes

Change: at most 400 slices at the first start, or one an upstream; renewals of slices spread over a fifth of their time; datagrams of each sort bounded to 300 a second and node. At the sizes of both sites the pauses are as before.

Tried and taken back before it was committed: at most two grants on their way to one upstream; a dark holder's slices were then found silent one after the other (a_silent_holder_keeps_its_slices_until_its_grants_ran_out failed).

--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -31,6 +31,8 @@
     pub timing: Timing,
 }
 
+/// Most datagrams a second of one sort: with many nodes each hears less often.
+const DATAGRAMS_A_SECOND: u32 = 300;
 /// How long a node without an entry counts as there since it was heard.
 const HEARD_FOR: Duration = Duration::from_secs(3);
 /// How often word of new assignments is repeated at once: datagrams get lost.
@@ -295,13 +297,14 @@
             } else {
                 timing.far_report
             };
-            self.far_report_at = now + pause;
+            self.far_report_at = now + pause.max(bounded(self.peers(|_| true).len()));
             let answers = self.dispatcher.take_answers();
             let report = self.dispatcher.load_report(answers);
             self.send(Datagram::Load(report), |_| true);
             self.report_at = now + timing.report;
         } else if now >= self.report_at && !quiet {
-            self.report_at = now + timing.report;
+            let near = self.peers(|is_near| is_near).len();
+            self.report_at = now + timing.report.max(bounded(near));
             let report = self.dispatcher.load_report(Vec::new());
             self.send(Datagram::Load(report), |is_near| is_near);
         }
@@ -325,7 +328,7 @@
             timing.heads
         };
         self.heads_left = self.heads_left.saturating_sub(1);
-        self.heads_at = now + pause;
+        self.heads_at = now + pause.max(bounded(self.peers(|_| true).len()));
         let heads = self.views.own_heads();
         self.send(Datagram::Heads(heads), |_| true);
     }
@@ -432,3 +435,8 @@
         (&self.views, &self.control, &self.dispatcher)
     }
 }
+
+/// Least pause between datagrams to so many nodes.
+fn bounded(nodes: usize) -> Duration {
+    Duration::from_secs(1) * nodes as u32 / DATAGRAMS_A_SECOND
+}
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -10,8 +10,11 @@
 
 /// Longest wait for upstreams to appear, as a multiple of the quiet asked for.
 const LONGEST_SETTLE: u32 = 4;
-/// Slices made for each upstream at the first start.
+/// Most slices made for each upstream at the first start.
 const SLICES_PER_UPSTREAM: u32 = 8;
+/// Most slices made altogether, if there are no more upstreams than that: each
+/// costs a grant every renewal.
+const MOST_SLICES: u32 = 400;
 /// Weight of a share of the keys next to counted requests, so that idle slices
 /// are spread too.
 const IDLE_WEIGHT: f64 = 4.0;
@@ -23,7 +26,8 @@
         if !self.slices.is_empty() || ready == 0 || !self.has_settled(now) {
             return;
         }
-        for range in KeyRange::divide_all(ready * SLICES_PER_UPSTREAM) {
+        let each = (MOST_SLICES / ready).clamp(1, SLICES_PER_UPSTREAM);
+        for range in KeyRange::divide_all(ready * each) {
             let phase = Phase::Free { handover: None };
             self.slices
                 .insert(range.first, new_slice(now, range, phase, now));
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -10,6 +10,10 @@
 
 /// Pause after an order that was refused or not answered.
 const RETRY: Duration = Duration::from_millis(200);
+/// Mixes the first keys of slices.
+const SPREAD_FACTOR: u16 = 40_503;
+/// Steps over which renewals are spread.
+const SPREAD_STEPS: u32 = 64;
 
 impl Granter {
     /// Takes the answer to an order.
@@ -51,7 +55,7 @@
         match reply {
             GrantReply::Granted => {
                 slice.lapses = slice.lapses.max(now + timing.hold_bound);
-                slice.due = now + timing.renewal;
+                slice.due = now + spread(timing.renewal, first);
                 slice.silent_since = None;
                 if let Phase::Held { handover, .. } = &mut slice.phase {
                     *handover = None;
@@ -146,3 +150,10 @@
         }
     }
 }
+
+/// A little less than the time between renewals, differing from slice to
+/// slice, so that not all are due at once.
+fn spread(renewal: Duration, first: ShardKey) -> Duration {
+    let part = u32::from(first.0.wrapping_mul(SPREAD_FACTOR) >> 8) % SPREAD_STEPS;
+    renewal - renewal * part / (SPREAD_STEPS * 5)
+}
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -313,3 +313,20 @@
     });
     assert!(!moved, "b lost its keys");
 }
+
+#[test]
+fn many_upstreams_get_fewer_slices_each() {
+    let mut granter = Granter::new(at(0), TIMING, Epoch(1), None);
+    let names: Vec<String> = (0..200).map(|number| format!("u{number}")).collect();
+    granter.set_candidates(at(0), names.iter().map(|name| ready(name, 20.0)));
+    granter.poll(at(1_500));
+    assert_eq!(granter.slice_count(), 400);
+}
+
+#[test]
+fn renewals_are_not_all_due_at_once() {
+    let mut granter = granted();
+    let early = granter.poll(at(3_800)).len();
+    let late = granter.poll(at(4_100)).len();
+    assert!(early > 0 && late > 0, "{early} early, {late} late");
+}
