Send only newer records of the granter to a node

Each fetch of a new assignment carried the speeds of 999 upstreams with it.

Change: of the granter's records a node gets those that are newer than its copy. Nothing is ever removed from them.

--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -232,13 +232,17 @@
         self.mirror.apply(at, vec![StoreEvent::Put(item)])
     }
 
-    /// Takes another node's copy.
-    pub fn adopt(&mut self, at: Revision, items: Vec<Item>) -> Vec<MirrorChange> {
+    /// Takes another node's copy, or what it has beyond this one.
+    pub fn adopt(&mut self, at: Revision, items: Vec<Item>, whole: bool) -> Vec<MirrorChange> {
         if self.mirror.at().is_some_and(|known| at <= known) {
             return Vec::new();
         }
         self.note_items(&items);
-        self.mirror.replace(at, items)
+        if whole {
+            return self.mirror.replace(at, items);
+        }
+        let events = items.into_iter().map(StoreEvent::Put).collect();
+        self.mirror.apply(at, events)
     }
 }
 
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -74,7 +74,7 @@
     pub latest: [Revision; ViewName::ALL.len()],
 }
 
-/// A whole copy of one view.
+/// A copy of one view.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Snapshot {
     /// The view.
@@ -83,6 +83,8 @@
     pub at: Revision,
     /// Its items.
     pub items: Vec<Item>,
+    /// Whether these are all items, or those that the asker lacks.
+    pub is_whole: bool,
 }
 
 /// A belief that changed.
@@ -308,7 +310,7 @@
     pub fn adopt(&mut self, now: Time, snapshots: Vec<Snapshot>) {
         for snapshot in snapshots {
             let replica = self.replica_mut(snapshot.view);
-            let changes = replica.adopt(snapshot.at, snapshot.items);
+            let changes = replica.adopt(snapshot.at, snapshot.items, snapshot.is_whole);
             self.apply(now, snapshot.view, changes);
         }
     }
@@ -331,10 +333,18 @@
             .filter_map(|wanted| {
                 let mirror = self.replica(wanted.view).mirror();
                 let newer = |at: &Revision| wanted.at.is_none_or(|theirs| theirs < *at);
+                let at = mirror.at().filter(newer)?;
+                // Nothing is ever removed from this view.
+                let lacks = wanted.at.filter(|_| wanted.view == ViewName::State);
+                let items = mirror.items();
                 Some(Snapshot {
                     view: wanted.view,
-                    at: mirror.at().filter(newer)?,
-                    items: mirror.items().cloned().collect(),
+                    at,
+                    items: items
+                        .filter(|item| lacks.is_none_or(|theirs| item.revision > theirs))
+                        .cloned()
+                        .collect(),
+                    is_whole: lacks.is_none(),
                 })
             })
             .collect()
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -135,3 +135,26 @@
     assert!(ahead.answer(&behind.request(&ViewName::ALL)).is_empty());
     assert!(behind.answer(&ahead.request(&ViewName::ALL)).is_empty());
 }
+
+#[test]
+fn of_the_granters_records_only_newer_ones_are_sent() {
+    let record = |name: &str, revision| Item {
+        key: format!("{}{name}", OwnKeys::STATE),
+        value: Vec::new(),
+        revision: Revision(revision),
+    };
+    let mut granter = watching();
+    granter.wrote(at(100), record("one", 11));
+    let mut other = watching();
+    other.adopt(at(110), granter.answer(&other.request(&[ViewName::State])));
+    granter.wrote(at(200), record("two", 12));
+    let snapshots = granter.answer(&other.request(&[ViewName::State]));
+    let keys: Vec<&str> = snapshots[0]
+        .items
+        .iter()
+        .map(|item| item.key.as_str())
+        .collect();
+    assert_eq!(keys, [record("two", 12).key]);
+    other.adopt(at(210), snapshots);
+    assert_eq!(other.replica(ViewName::State).mirror().items().count(), 2);
+}
