--- a/crates/router/tests/node.rs
+++ b/crates/router/tests/node.rs
@@ -1,18 +1,11 @@
 //! One node's core by itself.
 
-use beamtray_catalog::DirectoryPolicy;
-use beamtray_dispatch::{BudgetConfig, DispatchConfig};
-use beamtray_metastore::{LeaseTiming, Revision};
-use beamtray_router::core::{
-    ControlConfig, CoreConfig, Datagram, Input, NodeCore, NodeRecord, Output, Timing, ViewHeads,
-    ViewName,
-};
-use beamtray_routersim::SimDialect;
-use beamtray_sharding::{BalanceLimits, GranterGuards, GranterTiming};
+use beamtray_metastore::Revision;
+use beamtray_router::core::{Datagram, Input, NodeCore, Output, ViewHeads, ViewName};
+use beamtray_routersim::{SimDialect, usual_settings};
 use beamtray_types::Time;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 fn at(millis: u64) -> Time {
     Time(millis * 1_000)
@@ -23,63 +16,7 @@
 }
 
 fn core() -> NodeCore {
-    let lease = LeaseTiming {
-        ttl: Duration::from_secs(2),
-        renewal: Duration::from_millis(500),
-    };
-    let config = CoreConfig {
-        dispatch: DispatchConfig {
-            node: "node".to_owned(),
-            run: 3,
-            zone: "zone".into(),
-            budget: BudgetConfig {
-                ratio: 0.2,
-                allowance: 10.0,
-                window: Duration::from_secs(10),
-            },
-            queue_limit: 10,
-            most_queued: 6,
-            zone_cost: Duration::ZERO,
-            leaver_grace: Duration::from_secs(1),
-            proves_before_repeat: true,
-        },
-        control: ControlConfig {
-            record: NodeRecord {
-                name: "node".to_owned(),
-                run: 3,
-                zone: "zone".to_owned(),
-                peers: address(1),
-            },
-            node_lease: lease,
-            granter_lease: lease,
-            patience: Duration::from_millis(20),
-            grants: GranterTiming {
-                hold: Duration::from_secs(8),
-                renewal: Duration::from_secs(2),
-                hold_bound: Duration::from_millis(8_160),
-                transit: Duration::from_millis(300),
-                silence: Duration::from_millis(1_500),
-                settle: Duration::from_secs(1),
-                notice: Duration::from_millis(12),
-                guards: GranterGuards::default(),
-            },
-            balance: BalanceLimits {
-                moves: 8,
-                busy: 0.45,
-                difference: 0.3,
-                least_requests: 2.0,
-                rest: Duration::from_millis(700),
-                window: 1.8,
-            },
-        },
-        directory: DirectoryPolicy {
-            distrust: Duration::from_millis(500),
-            patience: Duration::from_millis(1_600),
-        },
-        watch_wait: Duration::from_secs(8),
-        seeds: Vec::new(),
-        timing: Timing::default(),
-    };
+    let config = usual_settings(0).core_config(3);
     NodeCore::new(config, Rc::new(SimDialect::default()))
 }
 
--- a/crates/routersim/src/lib.rs
+++ b/crates/routersim/src/lib.rs
@@ -13,7 +13,7 @@
 pub use dialect::SimDialect;
 pub use fault::{Fault, FaultPlan, Trouble};
 pub use guard::Guard;
-pub use world::{Outcome, World, WorldConfig};
+pub use world::{Outcome, World, WorldConfig, usual_settings};
 
 /// Runs the history of a seed.
 pub fn explore(seed: u64) -> Outcome {
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -18,6 +18,7 @@
 };
 use beamtray_dispatch::Ticket;
 use beamtray_emulator::{StoreEmulator, UpstreamEmulator};
+use beamtray_router::settings::NodeSettings;
 use beamtray_sharding::ShardKey;
 use beamtray_types::{ServiceName, Time};
 use network::{Event, Scheduled};
@@ -104,6 +105,11 @@
     }
 }
 
+/// Settings of one of the world's nodes.
+pub fn usual_settings(node: usize) -> NodeSettings {
+    nodes::settings(node)
+}
+
 /// How a history ended.
 #[derive(Clone, Debug)]
 pub struct Outcome {
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -1,15 +1,15 @@
 //! Nodes: their cores, and what becomes of their outputs.
 
 use super::network::{DeferredInput, Event, Run};
-use super::{CONTACT, TICK, World};
+use super::{CONTACT, HEARTBEAT, TICK, World};
+use crate::check::DRAIN_TIME;
 use crate::guard::Guard;
-use beamtray_catalog::DirectoryPolicy;
-use beamtray_dispatch::{Admission, BudgetConfig, Conclusion, DispatchConfig};
-use beamtray_metastore::LeaseTiming;
-use beamtray_router::core::{
-    ControlConfig, CoreConfig, Datagram, Input, NodeCore, NodeRecord, Output, Timing, ViewRequest,
+use beamtray_dispatch::{Admission, Conclusion};
+use beamtray_router::core::{CoreConfig, Datagram, Input, NodeCore, Output, ViewRequest};
+use beamtray_router::settings::{
+    BoundSettings, ListenSettings, NodeSettings, ProcessLimits, SETTINGS_VERSION, StoreSettings,
 };
-use beamtray_sharding::{BalanceLimits, GranterGuards, GranterTiming};
+use beamtray_sharding::GranterGuards;
 use beamtray_types::Time;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -49,78 +49,56 @@
     usize::from(last).checked_sub(1)
 }
 
-/// The product's own timing, as its settings make it of a usual environment.
-pub(crate) fn core_config(node: usize, run: Run, off: Option<Guard>) -> CoreConfig {
-    let name = format!("node-{node}");
-    let zone = ZONES[node % ZONES.len()];
-    let hold = Duration::from_secs(8);
-    CoreConfig {
-        dispatch: DispatchConfig {
-            node: name.clone(),
-            run,
-            zone: zone.into(),
-            budget: BudgetConfig {
-                ratio: 0.2,
-                allowance: 50.0,
-                window: Duration::from_secs(10),
-            },
-            queue_limit: 2_000,
-            most_queued: 6,
-            zone_cost: Duration::from_millis(80),
-            leaver_grace: Duration::from_millis(1_333),
-            proves_before_repeat: off != Some(Guard::ProofBeforeRepeat),
+/// Settings of a usual environment: the world runs the product's own timing.
+pub(crate) fn settings(node: usize) -> NodeSettings {
+    let own = address(node);
+    NodeSettings {
+        version: SETTINGS_VERSION,
+        node: format!("node-{node}"),
+        zone: ZONES[node % ZONES.len()].to_owned(),
+        ip: own.ip(),
+        listen: ListenSettings {
+            clients: own,
+            readiness: own,
+            peers: own,
+            metrics: None,
         },
-        control: ControlConfig {
-            record: NodeRecord {
-                name,
-                run,
-                zone: zone.to_owned(),
-                peers: address(node),
-            },
-            node_lease: LeaseTiming {
-                ttl: Duration::from_secs(6),
-                renewal: Duration::from_millis(2_200),
-            },
-            granter_lease: LeaseTiming {
-                ttl: Duration::from_secs(2),
-                renewal: Duration::from_millis(500),
-            },
-            patience: Duration::from_millis(20 + 30 * node as u64),
-            grants: GranterTiming {
-                hold,
-                renewal: Duration::from_secs(2),
-                hold_bound: hold * 102 / 100,
-                transit: Duration::from_millis(300),
-                silence: Duration::from_millis(1_500),
-                settle: Duration::from_millis(1_300),
-                notice: Duration::from_millis(12),
-                guards: GranterGuards {
-                    records_first: off != Some(Guard::RecordFirst),
-                    waits_for_lapse: off != Some(Guard::LapseWait),
-                    respects_predecessor: off != Some(Guard::PredecessorWait),
-                    counts_unanswered: off != Some(Guard::UnansweredCounts),
-                },
-            },
-            balance: BalanceLimits {
-                moves: 8,
-                busy: 0.45,
-                difference: 0.3,
-                least_requests: 2.0,
-                rest: Duration::from_millis(700),
-                window: 1.8,
-            },
+        seeds: (0..3).map(address).collect(),
+        store: StoreSettings {
+            address: own,
+            least_ttl_ms: 1_000,
         },
-        directory: DirectoryPolicy {
-            distrust: CONTACT / 6,
-            patience: match off {
-                Some(Guard::ShortDoubt) => CONTACT * 3,
-                _ => CONTACT * 53 / 100,
-            },
+        bounds: BoundSettings {
+            drain_ms: DRAIN_TIME.as_millis() as u64,
+            contact_ms: CONTACT.as_millis() as u64,
+            grace_s: 6.0,
+            retry_ratio: 0.2,
+            retry_allowance: 50.0,
+            retry_window_s: 10.0,
+            longest_hold_ms: 10_000,
+            heartbeat_ms: HEARTBEAT.as_millis() as u64,
         },
-        watch_wait: Duration::from_secs(8),
-        seeds: (0..3).map(address).collect(),
-        timing: Timing::default(),
+        limits: ProcessLimits {
+            memory_mb: 260,
+            descriptors: 4_100,
+        },
+    }
+}
+
+/// The core's configuration, with a protection switched off or none.
+pub(crate) fn core_config(node: usize, run: Run, off: Option<Guard>) -> CoreConfig {
+    let mut config = settings(node).core_config(run);
+    config.dispatch.proves_before_repeat = off != Some(Guard::ProofBeforeRepeat);
+    config.control.grants.guards = GranterGuards {
+        records_first: off != Some(Guard::RecordFirst),
+        waits_for_lapse: off != Some(Guard::LapseWait),
+        respects_predecessor: off != Some(Guard::PredecessorWait),
+        counts_unanswered: off != Some(Guard::UnansweredCounts),
+    };
+    if off == Some(Guard::ShortDoubt) {
+        config.directory.patience = CONTACT * 3;
     }
+    config
 }
 
 impl World {
