Test that a full log pipe holds nothing up and is counted

Change: a process test starts beamtray route with a pipe that nobody reads, asks until lines are lost, and asks on.

Sources of the program unchanged.

--- /dev/null
+++ b/crates/node/tests/route.rs
@@ -0,0 +1,105 @@
+//! A process of `beamtray route` whose log nobody reads.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(60);
+/// A node that waits for its log answers nobody.
+const ANSWER_PATIENCE: Duration = Duration::from_secs(10);
+const DROPPED: &str = "beamtray_log_lines_dropped ";
+
+/// Ends with the test.
+struct Router(Child);
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn free_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
+    let listeners: [TcpListener; COUNT] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    std::array::from_fn(|index| listeners[index].local_addr().expect("an address"))
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        match TcpStream::connect(address) {
+            Ok(stream) => return stream,
+            Err(error) => assert!(Instant::now() < deadline, "connect: {error}"),
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Sends one request on a kept connection; the status of its answer.
+fn ask(stream: &mut BufReader<TcpStream>) -> String {
+    let request = b"GET /x/ HTTP/1.1\r\nHost: h\r\n\r\n";
+    stream.get_mut().write_all(request).expect("it is read");
+    let mut status = String::new();
+    stream.read_line(&mut status).expect("an answer");
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        stream.read_line(&mut line).expect("a whole head");
+    }
+    status
+}
+
+fn dropped_lines(metrics: SocketAddr) -> u64 {
+    let mut stream = connect(metrics);
+    let request = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).expect("it is read");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("figures");
+    let line = text.lines().find_map(|line| line.strip_prefix(DROPPED));
+    let dropped = line.and_then(|number| number.trim().parse().ok());
+    dropped.expect("the figure is there")
+}
+
+#[test]
+fn requests_go_on_while_nobody_reads_the_log_and_lost_lines_are_counted() {
+    let [clients, readiness, peers, metrics, store] = free_addresses();
+    let file = std::env::temp_dir().join(format!("beamtray-route-{}.toml", std::process::id()));
+    let settings = format!(
+        "version = 1\nnode = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\n\
+         [listen]\nclients = \"{clients}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\n\
+         metrics = \"{metrics}\"\n[store]\naddress = \"{store}\"\n\
+         [bounds]\ndrain_ms = 2000\ncontact_ms = 3000\ngrace_s = 6.0\nretry_ratio = 0.2\n\
+         retry_allowance = 56\nretry_window_s = 10\n[limits]\nmemory_mb = 260\ndescriptors = 1000\n"
+    );
+    std::fs::write(&file, settings).expect("the file can be written");
+    let child = Command::new(env!("CARGO_BIN_EXE_beamtray"))
+        .args(["route", "--settings"])
+        .arg(&file)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    // The pipe is held and never read.
+    let _router = Router(child);
+    let stream = connect(clients);
+    stream
+        .set_read_timeout(Some(ANSWER_PATIENCE))
+        .expect("a timeout can be set");
+    let mut client = BufReader::new(stream);
+    let deadline = Instant::now() + PATIENCE;
+    while dropped_lines(metrics) == 0 {
+        assert!(Instant::now() < deadline, "no line was lost");
+        for _ in 0..500 {
+            let status = ask(&mut client);
+            assert!(status.starts_with("HTTP/1.1 503"), "{status}");
+        }
+    }
+    for _ in 0..500 {
+        let status = ask(&mut client);
+        assert!(status.starts_with("HTTP/1.1 503"), "{status}");
+    }
+    // A leftover file in the folder for such files does no harm.
+    let _ = std::fs::remove_file(&file);
+}
