--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -77,9 +77,10 @@
         }
     }
 
-    /// Notes that the store failed to answer, or said that it lost history.
-    pub fn store_troubled(&mut self, now: Time) {
-        self.store_trouble = Some(now);
+    /// Notes that the store failed to answer at that time, or said that it lost
+    /// history.
+    pub fn store_troubled(&mut self, at: Time) {
+        self.store_trouble = self.store_trouble.max(Some(at));
     }
 
     /// Takes a registration. One of an upstream that was found gone is a late
--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -1,6 +1,6 @@
 //! How many requests are under way at each upstream, over all nodes.
 
-use crate::report::{LoadReport, NodeHash, UpstreamHash};
+use crate::report::{InFlight, LoadReport, NodeHash, UpstreamHash};
 use beamtray_types::Time;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -13,7 +13,7 @@
     run: u32,
     sequence: u32,
     heard: Time,
-    in_flight: HashMap<UpstreamHash, u8>,
+    in_flight: Vec<InFlight>,
 }
 
 /// Requests under way at each upstream.
@@ -63,7 +63,7 @@
             run: report.run,
             sequence: 0,
             heard: now,
-            in_flight: HashMap::new(),
+            in_flight: Vec::new(),
         });
         let older = peer.run == report.run && report.sequence <= peer.sequence;
         if older {
@@ -72,34 +72,40 @@
         peer.run = report.run;
         peer.sequence = report.sequence;
         peer.heard = now;
-        peer.in_flight = report
-            .in_flight
-            .iter()
-            .map(|load| (load.upstream, load.requests))
-            .collect();
-        self.sum();
+        let before = std::mem::replace(&mut peer.in_flight, report.in_flight.clone());
+        subtract(&mut self.others, &before);
+        for load in &report.in_flight {
+            *self.others.entry(load.upstream).or_default() += u32::from(load.requests);
+        }
     }
 
     /// Forgets nodes that fell silent.
     pub fn expire(&mut self, now: Time) {
-        let before = self.peers.len();
-        self.peers.retain(|_, peer| now.since(peer.heard) < FORGET);
-        if self.peers.len() != before {
-            self.sum();
-        }
+        let others = &mut self.others;
+        self.peers.retain(|_, peer| {
+            let keep = now.since(peer.heard) < FORGET;
+            if !keep {
+                subtract(others, &peer.in_flight);
+            }
+            keep
+        });
     }
 
     /// How many other nodes reported of late.
     pub fn peer_count(&self) -> usize {
         self.peers.len()
     }
+}
 
-    fn sum(&mut self) {
-        self.others.clear();
-        for peer in self.peers.values() {
-            for (upstream, count) in &peer.in_flight {
-                *self.others.entry(*upstream).or_default() += u32::from(*count);
-            }
+/// Takes a peer's requests out of the sum.
+fn subtract(others: &mut HashMap<UpstreamHash, u32>, in_flight: &[InFlight]) {
+    for load in in_flight {
+        let Some(sum) = others.get_mut(&load.upstream) else {
+            continue;
+        };
+        *sum = sum.saturating_sub(u32::from(load.requests));
+        if *sum == 0 {
+            others.remove(&load.upstream);
         }
     }
 }
--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -95,6 +95,8 @@
     attempted: Option<Epoch>,
     place: Option<Place>,
     vacant_since: Option<Time>,
+    /// Added to the patience.
+    handicap: Duration,
     retry_at: Time,
     stopped: bool,
 }
@@ -110,11 +112,17 @@
             attempted: None,
             place: None,
             vacant_since: None,
+            handicap: Duration::ZERO,
             retry_at: Time::ZERO,
             stopped: false,
         }
     }
 
+    /// Lets other nodes try to take a vacant place that much earlier.
+    pub fn set_handicap(&mut self, handicap: Duration) {
+        self.handicap = handicap;
+    }
+
     /// The right to grant at `now`, if this node has it.
     pub fn authority(&self, now: Time) -> Option<Authority> {
         let place = self.place?;
@@ -144,7 +152,7 @@
             return Some(self.send(now, ElectionStep::Lease, call));
         }
         let vacant_since = self.vacant_since?;
-        if now.since(vacant_since) < self.config.patience {
+        if now.since(vacant_since) < self.config.patience + self.handicap {
             return None;
         }
         let Some(lease) = self.keeper.lease(now) else {
--- a/crates/metastore/src/lease.rs
+++ b/crates/metastore/src/lease.rs
@@ -92,6 +92,16 @@
         }
     }
 
+    /// Renews that often from the next renewal on, which comes no later than
+    /// that after the last one.
+    pub fn set_renewal(&mut self, renewal: Duration) {
+        if renewal < self.timing.renewal {
+            let shorter_by = self.timing.renewal - renewal;
+            self.due = self.due - shorter_by;
+        }
+        self.timing.renewal = renewal;
+    }
+
     /// Gives the lease up; the call that ends it at the store.
     pub fn resign(&mut self) -> Option<StoreCall> {
         let held = self.held.take()?;
--- a/crates/metastore/src/lib.rs
+++ b/crates/metastore/src/lib.rs
@@ -15,4 +15,4 @@
 };
 pub use election::{Authority, Election, ElectionConfig, ElectionStep, Epoch, GranterRecord};
 pub use lease::{LeaseKeeper, LeaseTiming};
-pub use mirror::{Mirror, MirrorChange};
+pub use mirror::{Mirror, MirrorChange, MirrorDelta, Removal};
--- a/crates/metastore/src/mirror.rs
+++ b/crates/metastore/src/mirror.rs
@@ -4,6 +4,7 @@
 //! by the store itself or by another node.
 
 use crate::call::{Item, Revision, StoreEvent};
+use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::BTreeMap;
 
 /// One difference between two states of a copy.
@@ -15,11 +16,35 @@
     Absent(String),
 }
 
+/// Most removals that a copy remembers.
+const MOST_REMOVALS: usize = 1_024;
+
+/// What a copy has beyond an older one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MirrorDelta {
+    /// Keys that were written since.
+    pub present: Vec<Item>,
+    /// Keys that were removed since, and when.
+    pub absent: Vec<Removal>,
+}
+
+/// The removal of a key.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Removal {
+    /// The key.
+    pub key: String,
+    /// Revision of the removal, or a later one.
+    pub revision: Revision,
+}
+
 /// A node's copy of the keys below one prefix.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     at: Option<Revision>,
     items: BTreeMap<String, Item>,
+    /// Keys that were removed after `removals_from`.
+    removals: BTreeMap<String, Revision>,
+    removals_from: Revision,
 }
 
 impl Mirror {
@@ -45,6 +70,9 @@
         if self.at.is_some_and(|known| at < known) {
             return Vec::new();
         }
+        if self.at.is_none() {
+            self.removals_from = at;
+        }
         self.at = Some(at);
         let mut changes = Vec::new();
         let mut next: BTreeMap<String, Item> = BTreeMap::new();
@@ -59,8 +87,10 @@
         for key in self.items.keys() {
             if !next.contains_key(key) {
                 changes.push(MirrorChange::Absent(key.clone()));
+                self.removals.insert(key.clone(), at);
             }
         }
+        self.bound_removals();
         for (key, item) in &next {
             if self
                 .items
@@ -79,6 +109,9 @@
         if self.at.is_some_and(|known| at < known) {
             return Vec::new();
         }
+        if self.at.is_none() {
+            self.removals_from = at;
+        }
         self.at = Some(at);
         events
             .into_iter()
@@ -102,8 +135,44 @@
                     return None;
                 }
                 self.items.remove(&key);
+                self.removals.insert(key.clone(), revision);
+                self.bound_removals();
                 Some(MirrorChange::Absent(key))
             }
         }
     }
+
+    /// What this copy has beyond one that is whole up to `since`; `None` when
+    /// it does not remember all removals since then.
+    pub fn delta(&self, since: Revision) -> Option<MirrorDelta> {
+        if since < self.removals_from {
+            return None;
+        }
+        let newer = self.items.values().filter(|item| item.revision > since);
+        let removed = self
+            .removals
+            .iter()
+            .filter(|(key, revision)| **revision > since && !self.items.contains_key(*key));
+        Some(MirrorDelta {
+            present: newer.cloned().collect(),
+            absent: removed
+                .map(|(key, revision)| Removal {
+                    key: key.clone(),
+                    revision: *revision,
+                })
+                .collect(),
+        })
+    }
+
+    /// Forgets the older half of the removals when there are too many.
+    fn bound_removals(&mut self) {
+        if self.removals.len() <= MOST_REMOVALS {
+            return;
+        }
+        let mut revisions: Vec<Revision> = self.removals.values().copied().collect();
+        revisions.sort_unstable();
+        self.removals_from = revisions[revisions.len() / 2];
+        let from = self.removals_from;
+        self.removals.retain(|_, revision| *revision > from);
+    }
 }
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -35,6 +35,11 @@
 /// Pause after a failed reading at a takeover.
 const REREAD: Duration = Duration::from_millis(100);
 
+/// Between renewals of a relay's entry.
+const RELAY_RENEWAL: Duration = Duration::from_millis(400);
+/// How much longer than a relay another node leaves the granter's place vacant.
+const HANDICAP: Duration = Duration::from_millis(300);
+
 /// Fixed values of a node's control.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
@@ -100,6 +105,24 @@
         }
     }
 
+    /// States whether this node is a relay. Others rely on its word, so it looks
+    /// after its path to the store more often; and it is a better granter.
+    pub fn set_relay(&mut self, is_relay: bool) {
+        let renewal = if is_relay {
+            RELAY_RENEWAL
+        } else {
+            self.config.node_lease.renewal
+        };
+        self.registrar.set_renewal(renewal);
+        self.election
+            .set_handicap(if is_relay { Duration::ZERO } else { HANDICAP });
+    }
+
+    /// When the last call was sent that shows a sound path to the store.
+    pub fn store_sound_at(&self) -> Option<Time> {
+        self.registrar.sound_at()
+    }
+
     /// Whether this node has the right to grant.
     pub fn is_granter(&self, now: Time) -> bool {
         self.election.authority(now).is_some()
@@ -120,11 +143,9 @@
         if let Some(call) = self.election.poll(now, view) {
             calls.push((StoreTask::Election, call));
         }
-        if mirror.at().is_some() {
-            let entry = mirror.get(&OwnKeys::node(&self.config.record.name));
-            if let Some(call) = self.registrar.poll(now, entry) {
-                calls.push((StoreTask::Registration, call));
-            }
+        let entry = mirror.get(&OwnKeys::node(&self.config.record.name));
+        if let Some(call) = self.registrar.poll(now, entry) {
+            calls.push((StoreTask::Registration, call));
         }
         self.follow_authority(now);
         calls.extend(self.poll_term(now));
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -25,7 +25,12 @@
     pub idle_report: Duration,
     /// Between words of the newest changes seen.
     pub heads: Duration,
-    /// Between two fetches of assignments from other nodes.
+    /// Between the same to nodes of other zones that are no relays.
+    pub far_heads: Duration,
+    /// Before word of a change is repeated.
+    pub repeat: Duration,
+    /// How long an answer of another node is waited for before the next one is
+    /// asked.
     pub fetch: Duration,
     /// Between reports of requests by key.
     pub key_report: Duration,
@@ -41,7 +46,9 @@
             far_report: Duration::from_millis(40),
             idle_report: Duration::from_millis(400),
             heads: Duration::from_millis(250),
-            fetch: Duration::from_millis(15),
+            far_heads: Duration::from_millis(400),
+            repeat: Duration::from_millis(15),
+            fetch: Duration::from_millis(120),
             key_report: Duration::from_millis(120),
             ask_peers: Duration::from_millis(250),
         }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod node;
 mod records;
 mod registration;
+mod relays;
 mod replica;
 mod views;
 
@@ -14,5 +15,8 @@
 pub use node::{CoreConfig, NodeCore};
 pub use records::{NodeRecord, OwnKeys};
 pub use registration::Registrar;
+pub use relays::{RelaysHeard, TRUST, choose_relays};
 pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
-pub use views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest, Views, WantedView};
+pub use views::{
+    Snapshot, StoreContact, ViewHeads, ViewName, ViewNotice, ViewRequest, Views, WantedView,
+};
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -1,7 +1,10 @@
 //! One node's core: inputs and the time go in, outputs come out.
 
+mod talk;
+
 use crate::core::control::{Control, ControlConfig};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
+use crate::core::relays::choose_relays;
 use crate::core::views::{Snapshot, ViewName, ViewRequest, Views};
 use beamtray_catalog::DirectoryPolicy;
 use beamtray_dialect::Dialect;
@@ -9,10 +12,11 @@
 use beamtray_metastore::StoreOutcome;
 use beamtray_sharding::GrantReply;
 use beamtray_types::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use talk::HeadsSchedule;
 
 /// Fixed values of a core.
 #[derive(Clone, Debug)]
@@ -25,18 +29,17 @@
     pub directory: DirectoryPolicy,
     /// Longest wait of a watch.
     pub watch_wait: Duration,
+    /// How long the nodes are not read after the start. Where all start
+    /// together, each then sees all and few of them become relays.
+    pub start_delay: Duration,
     /// Where other nodes may be heard before any is known.
     pub seeds: Vec<SocketAddr>,
     /// Pauses.
     pub timing: Timing,
 }
 
-/// Most datagrams a second of one sort: with many nodes each hears less often.
-const DATAGRAMS_A_SECOND: u32 = 300;
-/// How long a node without an entry counts as there since it was heard.
-const HEARD_FOR: Duration = Duration::from_secs(3);
-/// How often word of new assignments is repeated at once: datagrams get lost.
-const HEADS_REPEATED: u32 = 2;
+/// Trouble with the store longer ago than this is not told to others.
+const TROUBLE_TOLD: Duration = Duration::from_secs(2);
 
 /// One node's core.
 pub struct NodeCore {
@@ -45,11 +48,15 @@
     control: Control,
     dispatcher: Dispatcher,
     stopping: bool,
+    started_at: Option<Time>,
     report_at: Time,
     far_report_at: Time,
     reported_empty: bool,
-    heads_at: Time,
-    heads_left: u32,
+    heads: HeadsSchedule,
+    /// Relays among the nodes, this one included if it is one.
+    relays: BTreeSet<SocketAddr>,
+    /// When a call to the store last got no answer.
+    trouble_at: Option<Time>,
     key_report_at: Time,
     fetch_at: Time,
     ask_at: Time,
@@ -70,11 +77,13 @@
             control: Control::new(config.control.clone()),
             dispatcher: Dispatcher::new(config.dispatch.clone()),
             stopping: false,
+            started_at: None,
             report_at: Time::ZERO,
             far_report_at: Time::ZERO,
             reported_empty: true,
-            heads_at: Time::ZERO,
-            heads_left: 0,
+            heads: HeadsSchedule::default(),
+            relays: BTreeSet::new(),
+            trouble_at: None,
             key_report_at: Time::ZERO,
             fetch_at: Time::ZERO,
             ask_at: Time::ZERO,
@@ -130,11 +139,13 @@
             }
             Input::Datagram(from, datagram) => self.datagram(now, from, &datagram),
             Input::Snapshots(snapshots) => {
+                self.fetch_at = now;
                 self.views.adopt(now, snapshots);
                 self.viewed(now);
             }
             Input::Stop => self.stop(),
         }
+        self.tell_changes(now);
         self.dispatch(now);
         std::mem::take(&mut self.outputs)
     }
@@ -145,12 +156,8 @@
             Datagram::Load(report) => self.dispatcher.report(now, report),
             Datagram::Keys(report) => self.control.report(report),
             Datagram::Heads(heads) => {
-                let newer = self.views.heads(now, from, heads);
-                if newer && now >= self.fetch_at {
-                    self.fetch_at = now + self.config.timing.fetch;
-                    let request = self.views.request(&[ViewName::State]);
-                    self.outputs.push(Output::Ask(from, request));
-                }
+                let lacking = self.views.heads(now, from, heads);
+                self.fetch(now, from, &lacking);
             }
         }
     }
@@ -162,11 +169,17 @@
         let Some(granter) = granter.filter(|granter| *granter != own) else {
             return;
         };
-        if now >= self.fetch_at {
-            self.fetch_at = now + self.config.timing.fetch;
-            let request = self.views.request(&[ViewName::State]);
-            self.outputs.push(Output::Ask(granter, request));
+        self.fetch(now, granter, &[ViewName::State]);
+    }
+
+    /// Asks another node for its copies, unless a question is under way.
+    fn fetch(&mut self, now: Time, from: SocketAddr, views: &[ViewName]) {
+        if views.is_empty() || now < self.fetch_at {
+            return;
         }
+        self.fetch_at = now + self.config.timing.fetch;
+        let request = self.views.request(views);
+        self.outputs.push(Output::Ask(from, request));
     }
 
     fn store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
@@ -184,9 +197,6 @@
                 self.views.wrote(now, item);
             }
             self.viewed(now);
-            self.heads_at = now;
-            self.heads_left = HEADS_REPEATED;
-            self.tell_heads(now);
         }
         self.poll_control(now);
     }
@@ -200,6 +210,7 @@
         if matches!(outcome, StoreOutcome::Unknown) {
             self.path_failed = true;
             if !matches!(task, StoreTask::View(..)) {
+                self.trouble_at = Some(now);
                 self.views.directory.store_troubled(now);
             }
         } else if std::mem::take(&mut self.path_failed) {
@@ -212,6 +223,9 @@
         if let Some(speeds) = self.views.speeds.take() {
             self.dispatcher.adopt_speeds(&speeds);
         }
+        if self.views.take_nodes_changed() {
+            self.choose_relays();
+        }
         let notices = self.views.take_notices();
         if notices.is_empty() {
             return;
@@ -227,10 +241,23 @@
             self.dispatcher.assign(service.clone(), record.clone());
         }
         self.dispatcher.follow(now, &self.views.directory);
-        self.dispatcher.set_nodes(self.node_count());
         self.outputs.extend(notices.into_iter().map(Output::Notice));
     }
 
+    /// Follows changes among the nodes.
+    fn choose_relays(&mut self) {
+        let own = &self.config.control.record;
+        let mut nodes = self.views.nodes.clone();
+        nodes.insert(own.name.clone(), own.clone());
+        self.relays = choose_relays(&nodes);
+        self.control.set_relay(self.is_relay());
+        self.dispatcher.set_nodes(self.node_count());
+    }
+
+    fn is_relay(&self) -> bool {
+        self.relays.contains(&self.config.control.record.peers)
+    }
+
     /// Nodes that share what is bounded over all of them. Before any is known
     /// there may be many.
     fn node_count(&self) -> usize {
@@ -242,6 +269,7 @@
     }
 
     fn poll_control(&mut self, now: Time) {
+        self.views.follow(now, self.is_relay());
         for view in ViewName::ALL {
             if let Some(call) = self.views.poll(now, view) {
                 let generation = self.views.replica(view).generation();
@@ -273,6 +301,10 @@
     }
 
     fn tick(&mut self, now: Time) {
+        if self.started_at.is_none() {
+            self.started_at = Some(now);
+            self.views.wait_for_members(now + self.config.start_delay);
+        }
         self.views.expire(now);
         self.viewed(now);
         self.dispatcher.expire(now);
@@ -284,119 +316,6 @@
         self.ask_peers(now);
     }
 
-    /// Tells other nodes what is under way: those of the same zone often,
-    /// others less so, for bytes between zones are dear.
-    fn report(&mut self, now: Time) {
-        let timing = self.config.timing;
-        let idle = self.dispatcher.occupancy().own_all().next().is_none();
-        let quiet = idle && self.reported_empty;
-        if now >= self.far_report_at {
-            self.reported_empty = idle;
-            let pause = if quiet {
-                timing.idle_report
-            } else {
-                timing.far_report
-            };
-            self.far_report_at = now + pause.max(bounded(self.peers(|_| true).len()));
-            let answers = self.dispatcher.take_answers();
-            let report = self.dispatcher.load_report(answers);
-            self.send(Datagram::Load(report), |_| true);
-            self.report_at = now + timing.report;
-        } else if now >= self.report_at && !quiet {
-            let near = self.peers(|is_near| is_near).len();
-            self.report_at = now + timing.report.max(bounded(near));
-            let report = self.dispatcher.load_report(Vec::new());
-            self.send(Datagram::Load(report), |is_near| is_near);
-        }
-    }
-
-    fn send(&mut self, datagram: Datagram, choose: impl Fn(bool) -> bool) {
-        let peers = self.peers(choose);
-        if !peers.is_empty() {
-            self.outputs.push(Output::Send(datagram, peers));
-        }
-    }
-
-    fn tell_heads(&mut self, now: Time) {
-        if now < self.heads_at {
-            return;
-        }
-        let timing = self.config.timing;
-        let pause = if self.heads_left > 0 {
-            timing.fetch
-        } else {
-            timing.heads
-        };
-        self.heads_left = self.heads_left.saturating_sub(1);
-        self.heads_at = now + pause.max(bounded(self.peers(|_| true).len()));
-        let heads = self.views.own_heads();
-        self.send(Datagram::Heads(heads), |_| true);
-    }
-
-    fn report_keys(&mut self, now: Time) {
-        if now < self.key_report_at {
-            return;
-        }
-        self.key_report_at = now + self.config.timing.key_report;
-        let report = self.dispatcher.key_report();
-        if report.keys.is_empty() {
-            return;
-        }
-        if self.control.is_granter(now) {
-            self.control.report(&report);
-        } else if let Some(granter) = &self.views.granter {
-            let peers = vec![granter.peers];
-            self.outputs
-                .push(Output::Send(Datagram::Keys(report), peers));
-        }
-    }
-
-    /// Addresses of the other nodes that are chosen by whether they are in
-    /// this node's zone. A node that lost the store loses its entry with it,
-    /// but is there as long as it is heard.
-    fn peers(&self, choose: impl Fn(bool) -> bool) -> Vec<SocketAddr> {
-        let own = &self.config.control.record;
-        let registered = self.views.nodes.values();
-        let mut peers: Vec<SocketAddr> = registered
-            .filter(|node| node.peers != own.peers && choose(node.zone == own.zone))
-            .map(|node| node.peers)
-            .collect();
-        let is_registered = |address: &SocketAddr| {
-            let mut nodes = self.views.nodes.values();
-            nodes.any(|node| node.peers == *address)
-        };
-        if choose(false) {
-            let heard = self.heard.keys().filter(|one| !is_registered(one));
-            peers.extend(heard.filter(|address| **address != own.peers));
-        }
-        peers
-    }
-
-    /// Forgets nodes that fell silent.
-    fn forget_silent(&mut self, now: Time) {
-        self.heard.retain(|_, heard| now.since(*heard) < HEARD_FOR);
-    }
-
-    /// While the store does not answer, other nodes may know more.
-    fn ask_peers(&mut self, now: Time) {
-        if now < self.ask_at || !self.views.is_troubled() {
-            return;
-        }
-        self.ask_at = now + self.config.timing.ask_peers;
-        let mut peers = self.peers(|_| true);
-        if peers.is_empty() {
-            let own = self.config.control.record.peers;
-            peers.extend(self.config.seeds.iter().filter(|seed| **seed != own));
-        }
-        if peers.is_empty() {
-            return;
-        }
-        let peer = peers[self.asked % peers.len()];
-        self.asked += 1;
-        self.outputs
-            .push(Output::Ask(peer, self.views.request(&ViewName::ALL)));
-    }
-
     fn dispatch(&mut self, now: Time) {
         for decision in self.dispatcher.poll(now, &self.views.directory) {
             self.outputs.push(match decision {
@@ -435,8 +354,3 @@
         (&self.views, &self.control, &self.dispatcher)
     }
 }
-
-/// Least pause between datagrams to so many nodes.
-fn bounded(nodes: usize) -> Duration {
-    Duration::from_secs(1) * nodes as u32 / DATAGRAMS_A_SECOND
-}
--- /dev/null
+++ b/crates/router/src/core/node/talk.rs
@@ -0,0 +1,214 @@
+//! What a node tells other nodes, and what it asks of them.
+
+use super::{NodeCore, TROUBLE_TOLD};
+use crate::core::message::{Datagram, Output};
+use crate::core::views::{StoreContact, ViewName};
+use beamtray_metastore::Revision;
+use beamtray_types::Time;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Most datagrams a second of one sort: with many nodes each hears less often.
+const DATAGRAMS_A_SECOND: u32 = 300;
+/// How long a node without an entry counts as there since it was heard.
+const HEARD_FOR: Duration = Duration::from_secs(3);
+/// How often word of a change is repeated at once: datagrams get lost.
+const HEADS_REPEATED: u32 = 2;
+
+/// When the newest changes are told next.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct HeadsSchedule {
+    /// To nodes of the same zone and the relays.
+    near_at: Time,
+    /// To all nodes.
+    far_at: Time,
+    /// Repetitions of the last change that are left.
+    left: u32,
+    /// What was told last.
+    told: [Revision; ViewName::ALL.len()],
+}
+
+/// Whom a datagram is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Audience {
+    All,
+    /// Nodes of the same zone.
+    Near,
+    /// Nodes of the same zone, and the relays of the others.
+    NearAndRelays,
+}
+
+impl NodeCore {
+    /// Tells other nodes what is under way: those of the same zone often,
+    /// others less so, for bytes between zones are dear.
+    pub(super) fn report(&mut self, now: Time) {
+        let timing = self.config.timing;
+        let idle = self.dispatcher.occupancy().own_all().next().is_none();
+        let quiet = idle && self.reported_empty;
+        if now >= self.far_report_at {
+            self.reported_empty = idle;
+            let pause = if quiet {
+                timing.idle_report
+            } else {
+                timing.far_report
+            };
+            self.far_report_at = now + pause.max(bounded(self.peers(Audience::All).len()));
+            let answers = self.dispatcher.take_answers();
+            let report = self.dispatcher.load_report(answers);
+            self.send(Datagram::Load(report), Audience::All);
+            self.report_at = now + timing.report;
+        } else if now >= self.report_at && !quiet {
+            let near = self.peers(Audience::Near).len();
+            self.report_at = now + timing.report.max(bounded(near));
+            let report = self.dispatcher.load_report(Vec::new());
+            self.send(Datagram::Load(report), Audience::Near);
+        }
+    }
+
+    fn send(&mut self, datagram: Datagram, audience: Audience) {
+        let peers = self.peers(audience);
+        if !peers.is_empty() {
+            self.outputs.push(Output::Send(datagram, peers));
+        }
+    }
+
+    /// Tells of a change at once, if others rely on this node for it.
+    pub(super) fn tell_changes(&mut self, now: Time) {
+        let latest = self.views.own_heads(None).latest;
+        if latest != self.heads.told && self.is_told_by() {
+            self.heads.told = latest;
+            self.heads.left = HEADS_REPEATED;
+            self.heads.near_at = now;
+            self.tell_heads(now);
+        }
+    }
+
+    /// Whether other nodes rely on the word of this one.
+    fn is_told_by(&self) -> bool {
+        self.is_relay() || self.was_granter.is_some()
+    }
+
+    pub(super) fn tell_heads(&mut self, now: Time) {
+        if !self.is_told_by() || now < self.heads.near_at {
+            return;
+        }
+        let timing = self.config.timing;
+        let all = self.peers(Audience::All).len();
+        if all == 0 {
+            return;
+        }
+        let audience = if now >= self.heads.far_at {
+            self.heads.far_at = now + timing.far_heads.max(bounded(all));
+            Audience::All
+        } else {
+            Audience::NearAndRelays
+        };
+        let pause = if self.heads.left > 0 {
+            timing.repeat
+        } else {
+            timing.heads
+        };
+        self.heads.left = self.heads.left.saturating_sub(1);
+        let near = self.peers(Audience::NearAndRelays).len();
+        self.heads.near_at = now + pause.max(bounded(near));
+        let heads = self.views.own_heads(self.contact(now));
+        self.send(Datagram::Heads(heads), audience);
+    }
+
+    /// How this node stands with the store, if others may rely on it.
+    fn contact(&self, now: Time) -> Option<StoreContact> {
+        let sound_at = self.control.store_sound_at().filter(|_| self.is_relay())?;
+        let trouble = self.trouble_at.map(|at| now.since(at));
+        let trouble = trouble.filter(|age| *age < TROUBLE_TOLD);
+        Some(StoreContact::new(now.since(sound_at), trouble))
+    }
+
+    pub(super) fn report_keys(&mut self, now: Time) {
+        if now < self.key_report_at {
+            return;
+        }
+        self.key_report_at = now + self.config.timing.key_report;
+        let report = self.dispatcher.key_report();
+        if report.keys.is_empty() {
+            return;
+        }
+        if self.control.is_granter(now) {
+            self.control.report(&report);
+        } else if let Some(granter) = &self.views.granter {
+            let peers = vec![granter.peers];
+            self.outputs
+                .push(Output::Send(Datagram::Keys(report), peers));
+        }
+    }
+
+    /// Addresses of other nodes. A node that lost the store loses its entry
+    /// with it, but is there as long as it is heard.
+    fn peers(&self, audience: Audience) -> Vec<SocketAddr> {
+        let own = &self.config.control.record;
+        let registered = self.views.nodes.values();
+        let mut peers: Vec<SocketAddr> = registered
+            .filter(|node| match audience {
+                Audience::All => true,
+                Audience::Near => node.zone == own.zone,
+                Audience::NearAndRelays => {
+                    node.zone == own.zone || self.relays.contains(&node.peers)
+                }
+            })
+            .map(|node| node.peers)
+            .filter(|address| *address != own.peers)
+            .collect();
+        if audience == Audience::All {
+            let is_registered = |address: &SocketAddr| {
+                let mut nodes = self.views.nodes.values();
+                nodes.any(|node| node.peers == *address)
+            };
+            let heard = self.heard.keys().filter(|one| !is_registered(one));
+            peers.extend(heard.filter(|address| **address != own.peers));
+        }
+        peers
+    }
+
+    /// Forgets nodes that fell silent.
+    pub(super) fn forget_silent(&mut self, now: Time) {
+        self.heard.retain(|_, heard| now.since(*heard) < HEARD_FOR);
+    }
+
+    /// While the store does not answer, other nodes may know more.
+    pub(super) fn ask_peers(&mut self, now: Time) {
+        if now < self.ask_at || !self.views.is_troubled(now) {
+            return;
+        }
+        self.ask_at = now + self.config.timing.ask_peers;
+        let mut peers = self.knowing_peers();
+        if peers.is_empty() {
+            let own = self.config.control.record.peers;
+            peers.extend(self.config.seeds.iter().filter(|seed| **seed != own));
+        }
+        if peers.is_empty() {
+            return;
+        }
+        let peer = peers[self.asked % peers.len()];
+        self.asked += 1;
+        self.outputs
+            .push(Output::Ask(peer, self.views.request(&ViewName::ALL)));
+    }
+
+    /// Whom to ask for copies: the relays, those of the same zone first, or
+    /// anybody where this node is a relay itself.
+    fn knowing_peers(&self) -> Vec<SocketAddr> {
+        if self.is_relay() {
+            return self.peers(Audience::All);
+        }
+        let own = &self.config.control.record;
+        let relays = self.views.nodes.values();
+        let relays = relays.filter(|node| self.relays.contains(&node.peers));
+        let (near, far): (Vec<_>, Vec<_>) = relays.partition(|node| node.zone == own.zone);
+        let relays = near.into_iter().chain(far).map(|node| node.peers);
+        relays.filter(|address| *address != own.peers).collect()
+    }
+}
+
+/// Least pause between datagrams to so many nodes.
+fn bounded(nodes: usize) -> Duration {
+    Duration::from_secs(1) * nodes as u32 / DATAGRAMS_A_SECOND
+}
--- a/crates/router/src/core/records.rs
+++ b/crates/router/src/core/records.rs
@@ -46,4 +46,6 @@
     pub zone: String,
     /// Where it hears other nodes.
     pub peers: SocketAddr,
+    /// Thousandths of a processor core that it may use.
+    pub capacity: u32,
 }
--- a/crates/router/src/core/registration.rs
+++ b/crates/router/src/core/registration.rs
@@ -7,8 +7,10 @@
 use beamtray_types::Time;
 use std::time::Duration;
 
-/// Pause before a write is repeated.
+/// Pause before a write that failed is repeated.
 const REWRITE: Duration = Duration::from_millis(500);
+/// How long after a write its effect may stay unseen.
+const UNSEEN: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -23,6 +25,7 @@
     keeper: LeaseKeeper,
     pending: Option<(Step, Time)>,
     write_at: Time,
+    sound_at: Option<Time>,
     stopped: bool,
 }
 
@@ -34,6 +37,7 @@
             keeper: LeaseKeeper::new(timing),
             pending: None,
             write_at: Time::ZERO,
+            sound_at: None,
             stopped: false,
         }
     }
@@ -71,11 +75,35 @@
 
     /// Takes the outcome of the call that is under way.
     pub fn handle(&mut self, now: Time, outcome: &StoreOutcome) {
-        if let Some((Step::Lease, sent)) = self.pending.take() {
-            self.keeper.handle(now, sent, outcome);
+        match self.pending.take() {
+            Some((Step::Lease, sent)) => self.lease_answered(now, sent, outcome),
+            Some((Step::Write, _)) if matches!(outcome, StoreOutcome::Committed { .. }) => {
+                self.write_at = now + UNSEEN;
+            }
+            Some((Step::Write, _)) | None => {}
         }
     }
 
+    fn lease_answered(&mut self, now: Time, sent: Time, outcome: &StoreOutcome) {
+        self.keeper.handle(now, sent, outcome);
+        match outcome {
+            StoreOutcome::Leased { .. } => self.sound_at = Some(sent),
+            // What was written under it went with it.
+            StoreOutcome::Absent => self.write_at = now,
+            _ => {}
+        }
+    }
+
+    /// When the last renewal was sent that was answered.
+    pub fn sound_at(&self) -> Option<Time> {
+        self.sound_at
+    }
+
+    /// Renews the lease that often from now on.
+    pub fn set_renewal(&mut self, renewal: Duration) {
+        self.keeper.set_renewal(renewal);
+    }
+
     /// Ends the entry; the call that tells the store.
     pub fn resign(&mut self) -> Option<StoreCall> {
         self.stopped = true;
--- /dev/null
+++ b/crates/router/src/core/relays.rs
@@ -0,0 +1,85 @@
+//! Which nodes follow the metadata store, and when the others may rely on them.
+//!
+//! A store that every node watches is asked by all of them at each change. So
+//! a few nodes of each zone, the relays, follow it and tell the others of
+//! changes, who fetch them from the relay.
+//!
+//! Invariant: a node relies on a relay only as long as an answer of the store
+//! to that relay was asked for less than [`TRUST`] ago. A relay that lost the
+//! store, and one that fell silent, end within that time, and the node follows
+//! the store by itself. Without it, a node whose relays are all cut off would
+//! go on with an old configuration although its own path to the store is sound.
+
+use crate::core::records::NodeRecord;
+use beamtray_types::Time;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How old a relay's last answer of the store may be.
+pub const TRUST: Duration = Duration::from_millis(1_000);
+/// Nodes of a zone for each of its relays.
+const NODES_A_RELAY: usize = 4;
+/// Most relays of a zone: two that fail together leave one.
+const MOST_RELAYS: usize = 3;
+
+/// Addresses of the relays among those nodes: in each zone the ones that can
+/// do most, in an order that every node computes alike.
+pub fn choose_relays(nodes: &BTreeMap<String, NodeRecord>) -> BTreeSet<SocketAddr> {
+    let mut zones: BTreeMap<&str, Vec<&NodeRecord>> = BTreeMap::new();
+    for node in nodes.values() {
+        zones.entry(&node.zone).or_default().push(node);
+    }
+    zones
+        .into_values()
+        .flat_map(|mut nodes| {
+            nodes.sort_by_key(|node| (Reverse(node.capacity), xxh3_64(node.name.as_bytes())));
+            let relays = nodes.len().div_ceil(NODES_A_RELAY).min(MOST_RELAYS);
+            nodes.into_iter().take(relays).map(|node| node.peers)
+        })
+        .collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Time,
+    store_age: Duration,
+}
+
+/// The relays that this node hears.
+#[derive(Clone, Debug, Default)]
+pub struct RelaysHeard {
+    heard: BTreeMap<SocketAddr, Heard>,
+}
+
+impl RelaysHeard {
+    /// Takes the word of a relay whose last answer of the store was asked for
+    /// `store_age` ago.
+    pub fn hear(&mut self, now: Time, relay: SocketAddr, store_age: Duration) {
+        self.heard.insert(relay, Heard { at: now, store_age });
+    }
+
+    /// Forgets relays that can't be relied on any more.
+    pub fn expire(&mut self, now: Time) {
+        self.heard.retain(|_, heard| is_trusted(now, heard));
+    }
+
+    /// Whether some relay can be relied on.
+    pub fn any(&self, now: Time) -> bool {
+        self.heard.values().any(|heard| is_trusted(now, heard))
+    }
+
+    /// The relays that can be relied on.
+    pub fn trusted(&self, now: Time) -> impl Iterator<Item = SocketAddr> + '_ {
+        let trusted = self.heard.iter();
+        trusted
+            .filter(move |(_, heard)| is_trusted(now, heard))
+            .map(|(relay, _)| *relay)
+    }
+}
+
+fn is_trusted(now: Time, heard: &Heard) -> bool {
+    now.since(heard.at) + heard.store_age < TRUST
+}
--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -1,5 +1,6 @@
 //! Follows one prefix of the metadata store: reads it whole, then watches.
 
+use crate::core::views::Snapshot;
 use beamtray_metastore::{
     Item, Mirror, MirrorChange, Revision, StoreCall, StoreEvent, StoreOutcome,
 };
@@ -232,16 +233,33 @@
         self.mirror.apply(at, vec![StoreEvent::Put(item)])
     }
 
-    /// Takes another node's copy, or what it has beyond this one.
-    pub fn adopt(&mut self, at: Revision, items: Vec<Item>, whole: bool) -> Vec<MirrorChange> {
+    /// Takes another node's copy, or what it has beyond this one. The store is
+    /// then watched from there on.
+    pub fn adopt(&mut self, snapshot: Snapshot) -> Vec<MirrorChange> {
+        let Snapshot {
+            at,
+            items,
+            removals,
+            is_whole,
+            ..
+        } = snapshot;
         if self.mirror.at().is_some_and(|known| at <= known) {
             return Vec::new();
         }
+        self.phase = Phase::Watching;
         self.note_items(&items);
-        if whole {
+        if is_whole {
             return self.mirror.replace(at, items);
         }
-        let events = items.into_iter().map(StoreEvent::Put).collect();
+        let removed = removals.into_iter().map(|removal| StoreEvent::Removed {
+            key: removal.key,
+            revision: removal.revision,
+        });
+        let written = items.into_iter().map(StoreEvent::Put);
+        let events: Vec<StoreEvent> = removed.chain(written).collect();
+        for event in &events {
+            self.note(event_revision(event));
+        }
         self.mirror.apply(at, events)
     }
 }
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -1,19 +1,25 @@
 //! What a node knows: configuration, upstreams, assignments, other nodes.
 //!
-//! Views come from the store's watches, and from other nodes while the store
-//! does not answer. Neither a configuration nor a copy ever goes back.
+//! Views come from the store's watches at the relays, and from the relays at
+//! the other nodes. A node that can't rely on a relay follows the store itself.
+//! Neither a configuration nor a copy ever goes back.
+
+mod apply;
+mod exchange;
+
+pub use exchange::{Snapshot, StoreContact, ViewHeads, ViewRequest, WantedView};
 
 use crate::core::records::{NodeRecord, OwnKeys};
+use crate::core::relays::RelaysHeard;
 use crate::core::replica::{Replica, ReplicaHealth, ReplicaTiming};
 use beamtray_catalog::{Configuration, Directory, DirectoryChange, DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::SpeedRecord;
-use beamtray_metastore::{GranterRecord, Item, MirrorChange, Revision, StoreCall, StoreOutcome};
+use beamtray_metastore::{GranterRecord, Item, Revision, StoreCall, StoreOutcome};
 use beamtray_sharding::AssignmentRecord;
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +34,9 @@
 /// store.
 const GRANTER_SILENCE: Duration = Duration::from_millis(1_000);
 
+/// How long a node that has just started waits for the word of a relay.
+const RELAY_PATIENCE: Duration = Duration::from_millis(600);
+
 /// Which replica a call or a snapshot belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum ViewName {
@@ -51,42 +60,6 @@
     ];
 }
 
-/// A view that a node wants to have from another one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct WantedView {
-    /// The view.
-    pub view: ViewName,
-    /// Revision of the copy that it has.
-    pub at: Option<Revision>,
-}
-
-/// Asks another node for what is newer than the asker's copies.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct ViewRequest {
-    /// What is wanted.
-    pub wanted: Vec<WantedView>,
-}
-
-/// Newest changes that a node has seen, in the order of [`ViewName::ALL`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct ViewHeads {
-    /// The revisions.
-    pub latest: [Revision; ViewName::ALL.len()],
-}
-
-/// A copy of one view.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct Snapshot {
-    /// The view.
-    pub view: ViewName,
-    /// Its revision.
-    pub at: Revision,
-    /// Its items.
-    pub items: Vec<Item>,
-    /// Whether these are all items, or those that the asker lacks.
-    pub is_whole: bool,
-}
-
 /// A belief that changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ViewNotice {
@@ -136,12 +109,29 @@
     },
 }
 
+/// A change that another node knows of.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    since: Time,
+    revision: Revision,
+    /// When the watch is given up on.
+    restart_at: Time,
+}
+
 /// What a node knows.
 pub struct Views {
     dialect: Rc<dyn Dialect>,
     replicas: [Replica; ViewName::ALL.len()],
-    behind_since: [Option<Time>; ViewName::ALL.len()],
+    behind: [Option<Behind>; ViewName::ALL.len()],
     granter_heard: Option<Time>,
+    /// Whether this node follows the store itself.
+    follows: bool,
+    /// Before this the nodes are not read: many start together.
+    members_from: Time,
+    /// Since when the nodes are known.
+    members_since: Option<Time>,
+    /// The relays that this node hears.
+    pub relays: RelaysHeard,
     /// The upstreams.
     pub directory: Directory,
     /// The configuration in force.
@@ -152,6 +142,7 @@
     pub speeds: Option<SpeedRecord>,
     /// Nodes that are registered.
     pub nodes: BTreeMap<String, NodeRecord>,
+    nodes_changed: bool,
     /// The granter.
     pub granter: Option<GranterRecord>,
     notices: Vec<ViewNotice>,
@@ -169,14 +160,19 @@
                 Replica::new(OwnKeys::MEMBERS, timing(GATHER_FEW)),
                 Replica::new(OwnKeys::STATE, timing(GATHER_FEW)),
             ],
-            behind_since: [None; ViewName::ALL.len()],
+            behind: [None; ViewName::ALL.len()],
             granter_heard: None,
+            follows: true,
+            members_from: Time::ZERO,
+            members_since: None,
+            relays: RelaysHeard::default(),
             dialect,
             directory: Directory::new(policy),
             configuration: None,
             assignments: BTreeMap::new(),
             speeds: None,
             nodes: BTreeMap::new(),
+            nodes_changed: true,
             granter: None,
             notices: Vec::new(),
         }
@@ -191,9 +187,38 @@
         &self.replicas[view as usize]
     }
 
-    /// Whether the store fails to keep some view up.
-    pub fn is_troubled(&self) -> bool {
+    /// Lets the nodes be read at `time` at the earliest.
+    pub fn wait_for_members(&mut self, time: Time) {
+        self.members_from = time;
+    }
+
+    /// Decides whether this node follows the store itself: as a relay, or
+    /// since it can't rely on one. A node that has just started gives the
+    /// relays time to tell it.
+    pub fn follow(&mut self, now: Time, is_relay: bool) {
+        self.relays.expire(now);
+        let known = self.replica(ViewName::Members).mirror().at().is_some();
+        let since = match self.members_since {
+            Some(since) => since,
+            None if known => *self.members_since.insert(now),
+            None => now,
+        };
+        let relies = self.relays.any(now) || now.since(since) < RELAY_PATIENCE;
+        self.follows = is_relay || !relies;
+    }
+
+    /// Whether this node follows the store itself.
+    pub fn follows(&self) -> bool {
+        self.follows
+    }
+
+    /// Whether neither the store nor a relay keeps some view up.
+    pub fn is_troubled(&self, now: Time) -> bool {
         let watched = [ViewName::Operator, ViewName::Upstreams, ViewName::Members];
+        let unknown = |view: &ViewName| self.replica(*view).mirror().at().is_none();
+        if !self.follows && self.relays.any(now) {
+            return watched.iter().any(unknown);
+        }
         watched.iter().any(|view| self.replica(*view).is_troubled())
     }
 
@@ -205,12 +230,56 @@
     /// The call that is due for a view.
     pub fn poll(&mut self, now: Time, view: ViewName) -> Option<StoreCall> {
         let known = self.replica(view).mirror().at().is_some();
-        if view == ViewName::State && known && self.hears_granter(now) {
+        let is_due = match view {
+            ViewName::Members if !known => now >= self.members_from,
+            _ if self.members_since.is_none() => false,
+            ViewName::State if known => self.follows && !self.hears_granter(now),
+            _ => self.follows,
+        };
+        if !is_due && !self.is_deaf(now, view) {
             return None;
         }
         self.replica_mut(view).poll(now)
     }
 
+    /// Whether another node has known of a change for so long that the way by
+    /// which this node should have heard of it counts as dead.
+    fn is_deaf(&self, now: Time, view: ViewName) -> bool {
+        let behind = self.behind[view as usize];
+        view != ViewName::State
+            && behind.is_some_and(|behind| now.since(behind.since) >= DEAF_AFTER)
+    }
+
+    /// Compares a copy with what another node has seen.
+    fn compare(&mut self, now: Time, view: ViewName, theirs: Revision) {
+        self.caught_up(view);
+        if !self.replica(view).lacks(theirs) {
+            // Another node's word may be older than this copy.
+            return;
+        }
+        let Some(behind) = &mut self.behind[view as usize] else {
+            self.behind[view as usize] = Some(Behind {
+                since: now,
+                revision: theirs,
+                restart_at: now + DEAF_AFTER,
+            });
+            return;
+        };
+        behind.revision = behind.revision.max(theirs);
+        if view != ViewName::State && now >= behind.restart_at {
+            behind.restart_at = now + DEAF_AFTER;
+            self.restart(now, view);
+        }
+    }
+
+    /// Notes whether a copy has what another node was ahead by.
+    fn caught_up(&mut self, view: ViewName) {
+        let behind = self.behind[view as usize];
+        if behind.is_some_and(|behind| !self.replica(view).lacks(behind.revision)) {
+            self.behind[view as usize] = None;
+        }
+    }
+
     /// Whether the granter tells of assignments. A node that has just started
     /// gives it time to.
     fn hears_granter(&self, now: Time) -> bool {
@@ -218,36 +287,6 @@
         now.since(heard) < GRANTER_SILENCE
     }
 
-    /// Takes word of what another node has seen; whether it knows of newer
-    /// assignments.
-    pub fn heads(&mut self, now: Time, from: SocketAddr, heads: &ViewHeads) -> bool {
-        if self
-            .granter
-            .as_ref()
-            .is_some_and(|granter| granter.peers == from)
-        {
-            self.granter_heard = Some(now);
-        }
-        for (view, theirs) in ViewName::ALL.into_iter().zip(heads.latest) {
-            if view == ViewName::State {
-                return self.replica(view).lacks(theirs);
-            }
-            let lacks = self.replica(view).lacks(theirs);
-            let since = &mut self.behind_since[view as usize];
-            match (lacks, *since) {
-                (true, Some(since)) if now.since(since) >= DEAF_AFTER => {
-                    self.behind_since[view as usize] = None;
-                    self.restart(now, view);
-                }
-                (true, None) => *since = Some(now),
-                (true, Some(_)) => {}
-                // Another node's word may be older than this copy.
-                (false, _) => {}
-            }
-        }
-        false
-    }
-
     fn restart(&mut self, now: Time, view: ViewName) {
         let prefix = self.replica(view).prefix().to_owned();
         self.notices.push(ViewNotice::Restarted { prefix });
@@ -267,9 +306,10 @@
     }
 
     /// What this node has seen, for other nodes.
-    pub fn own_heads(&self) -> ViewHeads {
+    pub fn own_heads(&self, contact: Option<StoreContact>) -> ViewHeads {
         ViewHeads {
             latest: ViewName::ALL.map(|view| self.replica(view).latest()),
+            contact,
         }
     }
 
@@ -283,9 +323,7 @@
     pub fn handle(&mut self, now: Time, view: ViewName, generation: u32, outcome: StoreOutcome) {
         let was_troubled = self.replica(view).is_troubled();
         let (health, changes) = self.replica_mut(view).handle(now, generation, outcome);
-        if health == ReplicaHealth::Sound {
-            self.behind_since[view as usize] = None;
-        }
+        self.caught_up(view);
         let sound = health == ReplicaHealth::Sound;
         if was_troubled != self.replica(view).is_troubled() {
             let prefix = self.replica(view).prefix().to_owned();
@@ -306,186 +344,13 @@
         self.note_directory(change);
     }
 
-    /// Takes another node's copies.
-    pub fn adopt(&mut self, now: Time, snapshots: Vec<Snapshot>) {
-        for snapshot in snapshots {
-            let replica = self.replica_mut(snapshot.view);
-            let changes = replica.adopt(snapshot.at, snapshot.items, snapshot.is_whole);
-            self.apply(now, snapshot.view, changes);
-        }
-    }
-
-    /// Asks for those views.
-    pub fn request(&self, views: &[ViewName]) -> ViewRequest {
-        let wanted = views.iter().map(|view| WantedView {
-            view: *view,
-            at: self.replica(*view).mirror().at(),
-        });
-        ViewRequest {
-            wanted: wanted.collect(),
-        }
-    }
-
-    /// The copies that are newer than the asker's.
-    pub fn answer(&self, request: &ViewRequest) -> Vec<Snapshot> {
-        let wanted = request.wanted.iter();
-        wanted
-            .filter_map(|wanted| {
-                let mirror = self.replica(wanted.view).mirror();
-                let newer = |at: &Revision| wanted.at.is_none_or(|theirs| theirs < *at);
-                let at = mirror.at().filter(newer)?;
-                // Nothing is ever removed from this view.
-                let lacks = wanted.at.filter(|_| wanted.view == ViewName::State);
-                let items = mirror.items();
-                Some(Snapshot {
-                    view: wanted.view,
-                    at,
-                    items: items
-                        .filter(|item| lacks.is_none_or(|theirs| item.revision > theirs))
-                        .cloned()
-                        .collect(),
-                    is_whole: lacks.is_none(),
-                })
-            })
-            .collect()
+    /// Whether the registered nodes changed since the last call.
+    pub fn take_nodes_changed(&mut self) -> bool {
+        std::mem::take(&mut self.nodes_changed)
     }
 
     /// Beliefs that changed since the last call.
     pub fn take_notices(&mut self) -> Vec<ViewNotice> {
         std::mem::take(&mut self.notices)
     }
-
-    fn apply(&mut self, now: Time, view: ViewName, mut changes: Vec<MirrorChange>) {
-        // The newest registration at an address counts, so in their order.
-        changes.sort_by_key(|change| match change {
-            MirrorChange::Absent(_) => Revision(0),
-            MirrorChange::Present(item) => item.revision,
-        });
-        if view == ViewName::Upstreams {
-            self.vanish(now, &changes);
-        }
-        for change in changes {
-            match view {
-                ViewName::Operator => self.apply_operator(change),
-                ViewName::Upstreams => self.apply_upstream(now, change),
-                ViewName::Members | ViewName::State => self.apply_own(change),
-            }
-        }
-    }
-
-    fn apply_operator(&mut self, change: MirrorChange) {
-        let MirrorChange::Present(item) = change else {
-            return;
-        };
-        if item.key != self.dialect.keys().configuration {
-            return;
-        }
-        let decoded = self.dialect.decode_configuration(&item.value);
-        let configuration = match decoded {
-            Ok(configuration) => configuration,
-            Err(error) => return self.unreadable(item.key, error.to_string()),
-        };
-        if let Err(error) = configuration.check() {
-            return self.unreadable(item.key, error.to_string());
-        }
-        let in_force = self.configuration.as_ref();
-        if in_force.is_some_and(|known| known.version >= configuration.version) {
-            return;
-        }
-        self.notices.push(ViewNotice::Configured {
-            version: configuration.version.0,
-            routes: configuration.routes.len(),
-        });
-        self.configuration = Some(Rc::new(configuration));
-    }
-
-    fn unreadable(&mut self, key: String, cause: String) {
-        self.notices.push(ViewNotice::Unreadable { key, cause });
-    }
-
-    fn apply_upstream(&mut self, now: Time, change: MirrorChange) {
-        match change {
-            MirrorChange::Present(item) => {
-                match self.dialect.decode_upstream(&item.key, &item.value) {
-                    Ok(record) => {
-                        let changes = self.directory.register(now, record);
-                        self.note_directory(changes);
-                    }
-                    Err(error) => self.unreadable(item.key, error.to_string()),
-                }
-            }
-            // Taken together before.
-            MirrorChange::Absent(_) => {}
-        }
-    }
-
-    fn vanish(&mut self, now: Time, changes: &[MirrorChange]) {
-        let prefix = self.dialect.keys().upstream_prefix;
-        let absent = changes.iter().filter_map(|change| match change {
-            MirrorChange::Absent(key) => key.strip_prefix(prefix),
-            MirrorChange::Present(_) => None,
-        });
-        let ids: Vec<UpstreamId> = absent.map(|id| UpstreamId(id.to_owned())).collect();
-        if !ids.is_empty() {
-            let changes = self.directory.vanish(now, &ids);
-            self.note_directory(changes);
-        }
-    }
-
-    fn note_directory(&mut self, changes: impl IntoIterator<Item = DirectoryChange>) {
-        self.notices
-            .extend(changes.into_iter().map(ViewNotice::Directory));
-    }
-
-    fn apply_own(&mut self, change: MirrorChange) {
-        match change {
-            MirrorChange::Present(item) => self.apply_record(item),
-            MirrorChange::Absent(key) => {
-                if key == OwnKeys::GRANTER {
-                    let epoch = self.granter.take().map_or(0, |granter| granter.epoch.0);
-                    self.notices.push(ViewNotice::Granter { node: None, epoch });
-                } else if let Some(name) = key.strip_prefix(OwnKeys::NODES) {
-                    self.nodes.remove(name);
-                }
-            }
-        }
-    }
-
-    fn apply_record(&mut self, item: Item) {
-        if let Some(service) = item.key.strip_prefix(OwnKeys::ASSIGNMENTS) {
-            let service = ServiceName::from(service);
-            match AssignmentRecord::try_from_slice(&item.value) {
-                Ok(record) => self.assigned(service, record),
-                Err(error) => self.unreadable(item.key.clone(), error.to_string()),
-            }
-        } else if let Some(name) = item.key.strip_prefix(OwnKeys::NODES) {
-            if let Ok(record) = NodeRecord::try_from_slice(&item.value) {
-                self.nodes.insert(name.to_owned(), record);
-            }
-        } else if item.key == OwnKeys::SPEEDS {
-            self.speeds = SpeedRecord::try_from_slice(&item.value).ok();
-        } else if item.key == OwnKeys::GRANTER
-            && let Ok(record) = GranterRecord::try_from_slice(&item.value)
-        {
-            self.notices.push(ViewNotice::Granter {
-                node: Some(record.node.clone()),
-                epoch: record.epoch.0,
-            });
-            self.granter = Some(record);
-        }
-    }
-
-    fn assigned(&mut self, service: ServiceName, record: AssignmentRecord) {
-        let known = self.assignments.get(&service);
-        let order = |record: &AssignmentRecord| (record.epoch, record.sequence);
-        if known.is_some_and(|known| order(known) >= order(&record)) {
-            return;
-        }
-        self.notices.push(ViewNotice::Assigned {
-            service: service.clone(),
-            epoch: record.epoch.0,
-            sequence: record.sequence,
-        });
-        self.assignments.insert(service, Rc::new(record));
-    }
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -28,8 +28,10 @@
 const CLOCK_DRIFT_PERCENT: u32 = 2;
 const TRANSIT: Duration = Duration::from_millis(300);
 const SILENCE: Duration = Duration::from_millis(1_500);
-const NOTICE: Duration = Duration::from_millis(12);
+const NOTICE: Duration = Duration::from_millis(20);
 const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// At the first start of all nodes: until all of them have registered.
+const FIRST_START_DELAY: Duration = Duration::from_millis(500);
 
 /// Why settings were refused.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -115,14 +117,21 @@
 }
 
 /// What one process may use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct ProcessLimits {
+    /// Share of a processor core.
+    #[serde(default = "whole_core")]
+    pub processor_share: f64,
     /// Memory, in megabytes.
     pub memory_mb: u64,
     /// Descriptors.
     pub descriptors: u64,
 }
 
+fn whole_core() -> f64 {
+    1.0
+}
+
 /// One value that is looked at.
 struct Check {
     field: &'static str,
@@ -171,6 +180,9 @@
     pub ip: IpAddr,
     /// Where it listens.
     pub listen: ListenSettings,
+    /// Whether all nodes of the system start now for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Where other nodes may be heard.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -249,6 +261,12 @@
                 (500..=600_000).contains(&bounds.contact_ms),
                 "500 to 600000",
             ),
+            Check::new(
+                "limits.processor_share",
+                self.limits.processor_share,
+                (0.001..=1024.0).contains(&self.limits.processor_share),
+                "0.001 to 1024",
+            ),
             Check::new(
                 "limits.descriptors",
                 self.limits.descriptors,
@@ -274,12 +292,18 @@
             run,
             zone: self.zone.clone(),
             peers: self.listen.peers,
+            capacity: (self.limits.processor_share * 1_000.0) as u32,
         };
         CoreConfig {
             dispatch: self.dispatch_config(run),
             control: self.control_config(record),
             directory: self.directory_policy(),
             watch_wait: WATCH_WAIT,
+            start_delay: if self.first_start {
+                FIRST_START_DELAY
+            } else {
+                Duration::ZERO
+            },
             seeds: self.seeds.clone(),
             timing: Timing::default(),
         }
--- a/crates/router/src/shell/peers.rs
+++ b/crates/router/src/shell/peers.rs
@@ -4,7 +4,7 @@
 use crate::shell::connections::prepare;
 use crate::shell::handle::Shared;
 use beamtray_dispatch::KeyReport;
-use beamtray_wire::{FrameBuffer, FrameError, encode};
+use beamtray_wire::{FrameBuffer, FrameError, Packed, encode};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -97,7 +97,8 @@
     let mut stream = TcpStream::connect(address).await?;
     prepare(&stream);
     stream.write_all(&encode(request)?).await?;
-    read_message(&mut stream).await
+    let packed: Packed = read_message(&mut stream).await?;
+    Ok(packed.open()?)
 }
 
 async fn read_message<T: borsh::BorshDeserialize>(stream: &mut TcpStream) -> Result<T, PeerError> {
@@ -138,6 +139,7 @@
         let _ = sender.send(core.answer(&request));
     });
     let snapshots = receiver.await.map_err(|_| PeerError::Ended)?;
-    stream.write_all(&encode(&snapshots)?).await?;
+    let packed = Packed::new(&snapshots)?;
+    stream.write_all(&encode(&packed)?).await?;
     Ok(())
 }
--- a/crates/router/tests/node.rs
+++ b/crates/router/tests/node.rs
@@ -39,7 +39,10 @@
     let mut core = core();
     assert!(told(core.handle(at(10), Input::Tick)).is_empty());
     let latest = [Revision(0); ViewName::ALL.len()];
-    let heads = Datagram::Heads(ViewHeads { latest });
+    let heads = Datagram::Heads(ViewHeads {
+        latest,
+        contact: None,
+    });
     core.handle(at(300), Input::Datagram(address(2), heads));
     assert_eq!(told(core.handle(at(310), Input::Tick)), [address(2)]);
     assert!(told(core.handle(at(4_000), Input::Tick)).is_empty());
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -26,10 +26,17 @@
     Views::new(dialect, policy, Duration::from_secs(8))
 }
 
-/// Reads every view at revision 10 and begins to watch.
+/// All views but the nodes, which are read first.
+fn others() -> Vec<ViewName> {
+    let others = ViewName::ALL.into_iter();
+    others.filter(|view| *view != ViewName::Members).collect()
+}
+
+/// Reads every view at revision 10 and begins to watch, as a relay does.
 fn watching() -> Views {
     let mut views = views();
-    for view in ViewName::ALL {
+    let [members, others] = [vec![ViewName::Members], others()];
+    for view in members.into_iter().chain(others) {
         let call = views.poll(at(0), view);
         assert!(matches!(call, Some(StoreCall::Range { .. })));
         let page = StoreOutcome::Page {
@@ -38,6 +45,7 @@
             at: Revision(10),
         };
         views.handle(at(1), view, 0, page);
+        views.follow(at(1), true);
     }
     for view in [ViewName::Operator, ViewName::Upstreams, ViewName::Members] {
         let call = views.poll(at(2), view);
@@ -49,7 +57,10 @@
 fn heads(upstreams: u64) -> ViewHeads {
     let mut latest = [Revision(0); ViewName::ALL.len()];
     latest[ViewName::Upstreams as usize] = Revision(upstreams);
-    ViewHeads { latest }
+    ViewHeads {
+        latest,
+        contact: None,
+    }
 }
 
 /// Found by a hunt: a granter that had been frozen waited 8 s on a watch that
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -57,6 +57,7 @@
         node: format!("node-{node}"),
         zone: ZONES[node % ZONES.len()].to_owned(),
         ip: own.ip(),
+        first_start: false,
         listen: ListenSettings {
             clients: own,
             readiness: own,
@@ -79,6 +80,7 @@
             heartbeat_ms: HEARTBEAT.as_millis() as u64,
         },
         limits: ProcessLimits {
+            processor_share: 0.2,
             memory_mb: 260,
             descriptors: 4_100,
         },
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -47,6 +47,46 @@
     Ok(frame)
 }
 
+/// A message in compressed form, to be sent in a frame of its own.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Packed {
+    /// Bytes of the message before compression.
+    length: u32,
+    bytes: Vec<u8>,
+}
+
+impl Packed {
+    /// Compresses a message.
+    ///
+    /// # Errors
+    /// [`FrameError::Length`] when the message is longer than [`MAX_FRAME_BYTES`].
+    pub fn new<T: BorshSerialize>(message: &T) -> Result<Self, FrameError> {
+        let plain = borsh::to_vec(message).map_err(|error| FrameError::Body(error.to_string()))?;
+        if plain.len() > MAX_FRAME_BYTES {
+            return Err(FrameError::Length(plain.len()));
+        }
+        Ok(Self {
+            length: plain.len() as u32,
+            bytes: lz4_flex::block::compress(&plain),
+        })
+    }
+
+    /// The message.
+    ///
+    /// # Errors
+    /// [`FrameError::Length`] when it claims to be longer than
+    /// [`MAX_FRAME_BYTES`], [`FrameError::Body`] when it can't be read.
+    pub fn open<T: BorshDeserialize>(&self) -> Result<T, FrameError> {
+        let length = self.length as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(FrameError::Length(length));
+        }
+        let plain = lz4_flex::block::decompress(&self.bytes, length)
+            .map_err(|error| FrameError::Body(error.to_string()))?;
+        T::try_from_slice(&plain).map_err(|error| FrameError::Body(error.to_string()))
+    }
+}
+
 /// Collects the bytes of a stream and hands out whole messages.
 #[derive(Debug, Default)]
 pub struct FrameBuffer {
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,6 +1,6 @@
 //! Frames survive any division of the stream, and what is no frame is refused.
 
-use beamtray_wire::{FrameBuffer, FrameError, MAX_FRAME_BYTES, VERSION, encode};
+use beamtray_wire::{FrameBuffer, FrameError, MAX_FRAME_BYTES, Packed, VERSION, encode};
 use quickcheck::{Gen, QuickCheck};
 
 const SEED: u64 = 20_261_202;
@@ -63,3 +63,38 @@
         FrameError::Body(_)
     ));
 }
+
+#[test]
+fn packed_messages_come_out_as_they_went_in() {
+    fn round_trips(message: Vec<(u64, String)>) -> bool {
+        let packed = Packed::new(&message).expect("short enough");
+        packed.open::<Vec<(u64, String)>>().expect("whole") == message
+    }
+    let generator = Gen::from_size_and_seed(50, SEED);
+    QuickCheck::new()
+        .rng(generator)
+        .quickcheck(round_trips as fn(Vec<(u64, String)>) -> bool);
+}
+
+#[test]
+fn text_that_repeats_is_packed_tightly() {
+    let text = "route to service by prefix, ".repeat(1_000);
+    let packed = Packed::new(&text).expect("short enough");
+    let bytes = borsh::to_vec(&packed).expect("in memory");
+    assert!(bytes.len() * 10 < text.len(), "{} bytes", bytes.len());
+}
+
+#[test]
+fn spoiled_or_boastful_packs_are_refused() {
+    let packed = Packed::new(&"some text to be spoiled".to_owned()).expect("short enough");
+    let mut bytes = borsh::to_vec(&packed).expect("in memory");
+    bytes[..4].copy_from_slice(&u32::MAX.to_le_bytes());
+    let boastful: Packed = borsh::from_slice(&bytes).expect("well formed");
+    assert!(matches!(
+        boastful.open::<String>(),
+        Err(FrameError::Length(_))
+    ));
+    bytes[..4].copy_from_slice(&3u32.to_le_bytes());
+    let spoiled: Packed = borsh::from_slice(&bytes).expect("well formed");
+    assert!(matches!(spoiled.open::<String>(), Err(FrameError::Body(_))));
+}
