Ask for one copy at a time over a link; refuse what was not written

And upstreams that forget idle connections early leave requests that can't be repeated unknown.

Change: one question for assignments and one for all other copies at a time; a relay that fails is left for another. A relay's word counts as dead after 0.9 s, a new watch gets 1.2 s. A deadline before the request was written is a refusal. What can't be repeated takes only connections that rested 0.2 s.

Ruled out: the relay's speed (it had the version 0.1 s after it was sent).

--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -29,9 +29,10 @@
     pub far_heads: Duration,
     /// Before word of a change is repeated.
     pub repeat: Duration,
-    /// How long an answer of another node is waited for before the next one is
-    /// asked.
+    /// How long assignments are waited for before another node is asked.
     pub fetch: Duration,
+    /// The same for other copies, which may be large.
+    pub fetch_large: Duration,
     /// Between reports of requests by key.
     pub key_report: Duration,
     /// Between questions to other nodes while the store is in trouble.
@@ -48,7 +49,8 @@
             heads: Duration::from_millis(250),
             far_heads: Duration::from_millis(400),
             repeat: Duration::from_millis(15),
-            fetch: Duration::from_millis(120),
+            fetch: Duration::from_millis(300),
+            fetch_large: Duration::from_millis(1_200),
             key_report: Duration::from_millis(120),
             ask_peers: Duration::from_millis(250),
         }
@@ -147,7 +149,9 @@
     /// Another node's word.
     Datagram(SocketAddr, Datagram),
     /// Another node's copies.
-    Snapshots(Vec<Snapshot>),
+    Snapshots(SocketAddr, Vec<Snapshot>),
+    /// Another node did not give its copies.
+    NotAnswered(SocketAddr),
     /// The process is to end.
     Stop,
 }
@@ -166,8 +170,8 @@
     Order(OrderTask, u64),
     /// Tell other nodes.
     Send(Datagram, Vec<SocketAddr>),
-    /// Ask another node for its copies.
-    Ask(SocketAddr, ViewRequest),
+    /// Ask another node for its copies, and wait so long.
+    Ask(SocketAddr, ViewRequest, Duration),
     /// Bounds on clients changed.
     Limits(ClientLimits),
     /// A belief changed.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -1,5 +1,6 @@
 //! One node's core: inputs and the time go in, outputs come out.
 
+mod fetch;
 mod talk;
 
 use crate::core::control::{Control, ControlConfig};
@@ -12,6 +13,7 @@
 use beamtray_metastore::StoreOutcome;
 use beamtray_sharding::GrantReply;
 use beamtray_types::Time;
+use fetch::Fetches;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -58,7 +60,7 @@
     /// When a call to the store last got no answer.
     trouble_at: Option<Time>,
     key_report_at: Time,
-    fetch_at: Time,
+    fetches: Fetches,
     ask_at: Time,
     asked: usize,
     path_failed: bool,
@@ -85,7 +87,7 @@
             relays: BTreeSet::new(),
             trouble_at: None,
             key_report_at: Time::ZERO,
-            fetch_at: Time::ZERO,
+            fetches: Fetches::default(),
             ask_at: Time::ZERO,
             asked: 0,
             path_failed: false,
@@ -138,11 +140,12 @@
                 self.viewed(now);
             }
             Input::Datagram(from, datagram) => self.datagram(now, from, &datagram),
-            Input::Snapshots(snapshots) => {
-                self.fetch_at = now;
+            Input::Snapshots(from, snapshots) => {
+                self.fetches.ended(from);
                 self.views.adopt(now, snapshots);
                 self.viewed(now);
             }
+            Input::NotAnswered(from) => self.not_answered(now, from),
             Input::Stop => self.stop(),
         }
         self.tell_changes(now);
@@ -162,26 +165,6 @@
         }
     }
 
-    /// A holder that denies a key tells that the assignment here is old.
-    fn fetch_from_granter(&mut self, now: Time) {
-        let own = self.config.control.record.peers;
-        let granter = self.views.granter.as_ref().map(|granter| granter.peers);
-        let Some(granter) = granter.filter(|granter| *granter != own) else {
-            return;
-        };
-        self.fetch(now, granter, &[ViewName::State]);
-    }
-
-    /// Asks another node for its copies, unless a question is under way.
-    fn fetch(&mut self, now: Time, from: SocketAddr, views: &[ViewName]) {
-        if views.is_empty() || now < self.fetch_at {
-            return;
-        }
-        self.fetch_at = now + self.config.timing.fetch;
-        let request = self.views.request(views);
-        self.outputs.push(Output::Ask(from, request));
-    }
-
     fn store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
         self.follow_path(now, task, &outcome);
         match task {
--- /dev/null
+++ b/crates/router/src/core/node/fetch.rs
@@ -0,0 +1,83 @@
+//! Copies that this node asks other nodes for.
+
+use super::NodeCore;
+use crate::core::message::Output;
+use crate::core::views::ViewName;
+use beamtray_types::Time;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A question under way.
+#[derive(Clone, Copy, Debug)]
+struct Fetch {
+    from: SocketAddr,
+    until: Time,
+}
+
+/// Questions under way: one for assignments and one for all other copies, so
+/// that none waits for a large one and no copy comes twice over one link.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Fetches {
+    assignments: Option<Fetch>,
+    others: Option<Fetch>,
+}
+
+impl Fetches {
+    /// Notes that a node answered, or failed to.
+    pub fn ended(&mut self, from: SocketAddr) {
+        for slot in [&mut self.assignments, &mut self.others] {
+            if slot.is_some_and(|fetch| fetch.from == from) {
+                *slot = None;
+            }
+        }
+    }
+}
+
+impl NodeCore {
+    /// A holder that denies a key tells that the assignment here is old.
+    pub(super) fn fetch_from_granter(&mut self, now: Time) {
+        let own = self.config.control.record.peers;
+        let granter = self.views.granter.as_ref().map(|granter| granter.peers);
+        if let Some(granter) = granter.filter(|granter| *granter != own) {
+            self.fetch(now, granter, &[ViewName::State]);
+        }
+    }
+
+    /// Asks another node for its copies, unless a question for such is under
+    /// way.
+    pub(super) fn fetch(&mut self, now: Time, from: SocketAddr, views: &[ViewName]) {
+        let is_state = |view: &&ViewName| **view == ViewName::State;
+        let (state, others): (Vec<&ViewName>, Vec<&ViewName>) = views.iter().partition(is_state);
+        let timing = self.config.timing;
+        for (views, wait) in [(state, timing.fetch), (others, timing.fetch_large)] {
+            let views: Vec<ViewName> = views.into_iter().copied().collect();
+            self.fetch_group(now, from, &views, wait);
+        }
+    }
+
+    fn fetch_group(&mut self, now: Time, from: SocketAddr, views: &[ViewName], wait: Duration) {
+        let slot = match views {
+            [] => return,
+            [ViewName::State] => &mut self.fetches.assignments,
+            _ => &mut self.fetches.others,
+        };
+        if slot.is_some_and(|fetch| now < fetch.until) {
+            return;
+        }
+        let until = now + wait;
+        *slot = Some(Fetch { from, until });
+        let request = self.views.request(views);
+        self.outputs.push(Output::Ask(from, request, wait));
+    }
+
+    /// Asks another relay for what is still missing.
+    pub(super) fn not_answered(&mut self, now: Time, from: SocketAddr) {
+        self.fetches.ended(from);
+        self.views.relays.distrust(from);
+        let lacking = self.views.lacking();
+        let other = self.views.relays.trusted(now).next();
+        if let Some(other) = other {
+            self.fetch(now, other, &lacking);
+        }
+    }
+}
--- a/crates/router/src/core/node/talk.rs
+++ b/crates/router/src/core/node/talk.rs
@@ -189,8 +189,7 @@
         }
         let peer = peers[self.asked % peers.len()];
         self.asked += 1;
-        self.outputs
-            .push(Output::Ask(peer, self.views.request(&ViewName::ALL)));
+        self.fetch(now, peer, &ViewName::ALL);
     }
 
     /// Whom to ask for copies: the relays, those of the same zone first, or
--- a/crates/router/src/core/relays.rs
+++ b/crates/router/src/core/relays.rs
@@ -61,6 +61,11 @@
         self.heard.insert(relay, Heard { at: now, store_age });
     }
 
+    /// Relies no more on a relay that did not answer, until it is heard again.
+    pub fn distrust(&mut self, relay: SocketAddr) {
+        self.heard.remove(&relay);
+    }
+
     /// Forgets relays that can't be relied on any more.
     pub fn expire(&mut self, now: Time) {
         self.heard.retain(|_, heard| is_trusted(now, heard));
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -29,7 +29,12 @@
 const GATHER_MANY: Duration = Duration::from_millis(200);
 /// How long another node may know of a change before the watch that should
 /// have told of it counts as dead.
-const DEAF_AFTER: Duration = Duration::from_millis(300);
+const WATCH_DEAF_AFTER: Duration = Duration::from_millis(300);
+/// The same where the change should have come from a relay. Longer, since a
+/// large copy takes its time and a second way to it would share the link.
+const RELAY_DEAF_AFTER: Duration = Duration::from_millis(900);
+/// How long a new watch is given before it counts as dead as well.
+const RESTART_PAUSE: Duration = Duration::from_millis(1_200);
 /// After this long without word from the granter assignments are read from the
 /// store.
 const GRANTER_SILENCE: Duration = Duration::from_millis(1_000);
@@ -112,8 +117,9 @@
 /// A change that another node knows of.
 #[derive(Clone, Copy, Debug)]
 struct Behind {
-    since: Time,
     revision: Revision,
+    /// From when on the way by which the change should have come counts as dead.
+    deaf_at: Time,
     /// When the watch is given up on.
     restart_at: Time,
 }
@@ -246,8 +252,7 @@
     /// which this node should have heard of it counts as dead.
     fn is_deaf(&self, now: Time, view: ViewName) -> bool {
         let behind = self.behind[view as usize];
-        view != ViewName::State
-            && behind.is_some_and(|behind| now.since(behind.since) >= DEAF_AFTER)
+        view != ViewName::State && behind.is_some_and(|behind| now >= behind.deaf_at)
     }
 
     /// Compares a copy with what another node has seen.
@@ -257,17 +262,22 @@
             // Another node's word may be older than this copy.
             return;
         }
+        let patience = if self.follows {
+            WATCH_DEAF_AFTER
+        } else {
+            RELAY_DEAF_AFTER
+        };
         let Some(behind) = &mut self.behind[view as usize] else {
             self.behind[view as usize] = Some(Behind {
-                since: now,
                 revision: theirs,
-                restart_at: now + DEAF_AFTER,
+                deaf_at: now + patience,
+                restart_at: now + patience,
             });
             return;
         };
         behind.revision = behind.revision.max(theirs);
         if view != ViewName::State && now >= behind.restart_at {
-            behind.restart_at = now + DEAF_AFTER;
+            behind.restart_at = now + RESTART_PAUSE;
             self.restart(now, view);
         }
     }
--- a/crates/router/src/core/views/exchange.rs
+++ b/crates/router/src/core/views/exchange.rs
@@ -102,6 +102,16 @@
             .collect()
     }
 
+    /// Views of which other nodes are known to have more, and that this node has
+    /// from others.
+    pub fn lacking(&self) -> Vec<ViewName> {
+        let views = ViewName::ALL.into_iter();
+        views
+            .filter(|view| *view == ViewName::State || !self.follows)
+            .filter(|view| self.behind[*view as usize].is_some())
+            .collect()
+    }
+
     fn hear_relay(&mut self, now: Time, from: SocketAddr, contact: StoreContact) {
         self.relays.hear(now, from, contact.age());
         if let Some(age) = contact.trouble_age_ms {
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Input;
 use crate::shell::answer::strip_connection_headers;
-use crate::shell::connections::{Answer, CallFailure};
+use crate::shell::connections::{Answer, CallFailure, CallProgress};
 use crate::shell::handle::{AnswerBody, Shared, Step};
 use beamtray_catalog::UpstreamId;
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
@@ -57,10 +57,18 @@
     let left = forward.deadline.since(sent);
     shared.observer.sent(&request.id, &forward, left);
     let deadline = shared.instant_of(forward.deadline);
-    let exchange = exchange(&shared, &forward, &request);
+    let progress = if forward.route.repeatable {
+        CallProgress::repeatable()
+    } else {
+        CallProgress::unrepeatable()
+    };
+    let exchange = exchange(&shared, &forward, &request, &progress);
     let result = match timeout_at(deadline, exchange).await {
         Ok(result) => result,
-        Err(_) => Result::failed(AttemptOutcome::Unknown(UnknownCause::TimedOut)),
+        Err(_) if progress.may_be_written() => {
+            Result::failed(AttemptOutcome::Unknown(UnknownCause::TimedOut))
+        }
+        Err(_) => Result::failed(AttemptOutcome::Untouched(Untouched::Unconnected)),
     };
     let took = shared.now().since(sent);
     shared
@@ -82,11 +90,17 @@
     });
 }
 
-async fn exchange(shared: &Shared, forward: &Forward, request: &ClientRequest) -> Result {
+async fn exchange(
+    shared: &Shared,
+    forward: &Forward,
+    request: &ClientRequest,
+    progress: &CallProgress,
+) -> Result {
     let Some(outgoing) = outgoing(shared, forward, request) else {
         return Result::failed(AttemptOutcome::Untouched(Untouched::Unsent));
     };
-    match shared.connections.call(forward.address, outgoing).await {
+    let call = shared.connections.call(forward.address, outgoing, progress);
+    match call.await {
         Ok(answer) => judge(shared, forward, request, answer),
         Err(failure) => Result::failed(match failure {
             CallFailure::BrokenOff => {
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the metadata store and orders to upstreams.
 
 use crate::core::{Input, OrderTask, StoreTask};
-use crate::shell::connections::{Answer, CallFailure};
+use crate::shell::connections::{Answer, CallFailure, CallProgress};
 use crate::shell::handle::Shared;
 use beamtray_dialect::{CallMethod, HttpAnswer, HttpCall};
 use beamtray_metastore::{StoreCall, StoreOutcome};
@@ -87,7 +87,8 @@
     call: HttpCall,
 ) -> Result<HttpAnswer, CallFailure> {
     let request = request(address, call).map_err(|_| CallFailure::Unsent)?;
-    let answer = shared.connections.call(address, request).await?;
+    let progress = CallProgress::repeatable();
+    let answer = shared.connections.call(address, request, &progress).await?;
     let read = read(shared, &answer);
     shared.connections.keep(answer);
     Ok(read)
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -28,6 +28,8 @@
 const DEFAULT_REST: Duration = Duration::from_secs(3);
 /// Part of the rest that the other side allows.
 const REST_PERCENT: u32 = 50;
+/// Rest after which a request that can't be repeated takes a new connection.
+const SAFE_REST: Duration = Duration::from_millis(200);
 /// Connections kept to one address.
 const KEPT: usize = 4;
 /// How long connections to an address that sent wrong bytes are not kept.
@@ -50,6 +52,40 @@
     BrokenOff,
 }
 
+/// How a call may be made, and how far it came.
+#[derive(Debug)]
+pub(crate) struct CallProgress {
+    /// Longest rest of a connection that is used.
+    longest_rest: Duration,
+    /// Whether the request may have been written.
+    written: Cell<bool>,
+}
+
+impl CallProgress {
+    /// A call of what can be repeated: a connection that the other side forgot
+    /// costs a repeat.
+    pub fn repeatable() -> Self {
+        Self {
+            longest_rest: Duration::MAX,
+            written: Cell::new(false),
+        }
+    }
+
+    /// A call of what can't: the other side may forget a connection sooner than
+    /// it tells, and nobody knows then whether the request ran.
+    pub fn unrepeatable() -> Self {
+        Self {
+            longest_rest: SAFE_REST,
+            written: Cell::new(false),
+        }
+    }
+
+    /// Whether the request may have been written.
+    pub fn may_be_written(&self) -> bool {
+        self.written.get()
+    }
+}
+
 /// A whole answer.
 pub(crate) struct Answer {
     pub head: Parts,
@@ -63,6 +99,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     address: SocketAddr,
+    rests_since: Instant,
     usable_until: Instant,
 }
 
@@ -85,20 +122,25 @@
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        progress: &CallProgress,
     ) -> Result<Answer, CallFailure> {
         let small = hyper::body::Body::size_hint(request.body())
             .upper()
             .is_some_and(|length| length <= SMALL_BODY as u64);
         loop {
-            let (mut connection, rested) = match self.take(address) {
+            let (mut connection, rested) = match self.take(address, progress.longest_rest) {
                 Some(connection) => (connection, true),
                 None => (connect(address).await?, false),
             };
+            progress.written.set(true);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return read(connection, response, small).await,
                 Err(mut error) => match error.take_message() {
                     // A connection that ended while it rested.
-                    Some(unsent) if rested => request = unsent,
+                    Some(unsent) if rested => {
+                        progress.written.set(false);
+                        request = unsent;
+                    }
                     Some(_) => return Err(CallFailure::Unsent),
                     None => return Err(CallFailure::BrokenOff),
                 },
@@ -106,10 +148,15 @@
         }
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    fn take(&self, address: SocketAddr, longest_rest: Duration) -> Option<Connection> {
         let mut resting = self.resting.borrow_mut();
         let kept = resting.get_mut(&address)?;
         let now = Instant::now();
+        // The last one has rested the shortest time.
+        let rested = now.saturating_duration_since(kept.last()?.rests_since);
+        if rested > longest_rest {
+            return None;
+        }
         while let Some(connection) = kept.pop() {
             if connection.usable_until > now && connection.sender.is_ready() {
                 return Some(connection);
@@ -124,7 +171,8 @@
             return;
         }
         let mut connection = answer.connection;
-        connection.usable_until = Instant::now() + rest(&answer.head);
+        connection.rests_since = Instant::now();
+        connection.usable_until = connection.rests_since + rest(&answer.head);
         let mut resting = self.resting.borrow_mut();
         let kept = resting.entry(connection.address).or_default();
         if kept.len() < KEPT {
@@ -200,6 +248,7 @@
         sender,
         driver: driver.abort_handle(),
         address,
+        rests_since: Instant::now(),
         usable_until: Instant::now(),
     })
 }
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -16,7 +16,7 @@
         Output::Store(task, call) => calls::call_store(shared, task, call),
         Output::Order(task, epoch) => calls::order(shared, task, epoch),
         Output::Send(datagram, addresses) => peers::send(shared, &datagram, &addresses),
-        Output::Ask(address, request) => peers::ask(shared, address, request),
+        Output::Ask(address, request, wait) => peers::ask(shared, address, request, wait),
         Output::Limits(limits) => shared.limits.set(limits),
         Output::Notice(notice) => shared.observer.notice(&notice),
         Output::Granter(epoch) => shared.observer.granter(epoch),
--- a/crates/router/src/shell/peers.rs
+++ b/crates/router/src/shell/peers.rs
@@ -14,8 +14,6 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// Longest wait for another node's answer.
-const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long a connection of another node is kept.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(5);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -76,23 +74,25 @@
     }
 }
 
-/// Asks another node for its copies.
-pub(crate) fn ask(shared: &Rc<Shared>, address: SocketAddr, request: ViewRequest) {
+/// Asks another node for its copies and waits at most `wait`.
+pub(crate) fn ask(shared: &Rc<Shared>, address: SocketAddr, request: ViewRequest, wait: Duration) {
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
-        let answer = timeout(ASK_TIMEOUT, fetch(address, &request)).await;
-        match answer {
-            Ok(Ok(snapshots)) => shared.input(Input::Snapshots(snapshots)),
-            Ok(Err(error)) => {
-                slog::debug!(shared.observer.log, "peer_ask"; "peer" => %address, "error" => %error);
-            }
-            Err(_) => {
-                slog::debug!(shared.observer.log, "peer_ask"; "peer" => %address, "error" => "timeout");
-            }
-        }
+        let answer = timeout(wait, fetch(address, &request)).await;
+        let input = match answer {
+            Ok(Ok(snapshots)) => Input::Snapshots(address, snapshots),
+            Ok(Err(error)) => not_answered(&shared, address, &error.to_string()),
+            Err(_) => not_answered(&shared, address, "timeout"),
+        };
+        shared.input(input);
     });
 }
 
+fn not_answered(shared: &Shared, address: SocketAddr, error: &str) -> Input {
+    slog::debug!(shared.observer.log, "peer_ask"; "peer" => %address, "error" => error);
+    Input::NotAnswered(address)
+}
+
 async fn fetch(address: SocketAddr, request: &ViewRequest) -> Result<Vec<Snapshot>, PeerError> {
     let mut stream = TcpStream::connect(address).await?;
     prepare(&stream);
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -10,6 +10,8 @@
 use beamtray_sharding::{CallId, GrantOrder, GrantReply};
 use beamtray_types::{ServiceName, Time};
 use std::cmp::Ordering;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 /// One run of a node's process.
 pub(crate) type Run = u64;
@@ -91,8 +93,7 @@
     AskArrives {
         from: usize,
         run: Run,
-        to: usize,
-        request: ViewRequest,
+        question: Question,
     },
     Deliver {
         node: usize,
@@ -124,16 +125,26 @@
     },
 }
 
+/// What one node asks of another, and how long it waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Question {
+    pub to: usize,
+    pub request: ViewRequest,
+    pub wait: Duration,
+}
+
 /// Inputs that other nodes cause.
 #[derive(Clone, Debug)]
 pub(crate) enum DeferredInput {
-    Snapshots(Vec<beamtray_router::core::Snapshot>),
+    Snapshots(SocketAddr, Vec<beamtray_router::core::Snapshot>),
+    NotAnswered(SocketAddr),
 }
 
 impl From<DeferredInput> for Input {
     fn from(input: DeferredInput) -> Self {
         match input {
-            DeferredInput::Snapshots(snapshots) => Input::Snapshots(snapshots),
+            DeferredInput::Snapshots(from, snapshots) => Input::Snapshots(from, snapshots),
+            DeferredInput::NotAnswered(from) => Input::NotAnswered(from),
         }
     }
 }
@@ -234,9 +245,8 @@
             Event::AskArrives {
                 from,
                 run,
-                to,
-                request,
-            } => self.ask_arrives(from, run, to, &request),
+                question,
+            } => self.ask_arrives(from, run, question),
             Event::Deliver { node, run, input } => self.input(node, run, (*input).into()),
             Event::UpstreamStart { index } => self.start_upstream(index),
             Event::LateRegistration { record } => self.late_registration(record),
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -1,11 +1,11 @@
 //! Nodes: their cores, and what becomes of their outputs.
 
-use super::network::{DeferredInput, Event, Run};
+use super::network::{DeferredInput, Event, Question, Run};
 use super::{CONTACT, HEARTBEAT, TICK, World};
 use crate::check::DRAIN_TIME;
 use crate::guard::Guard;
 use beamtray_dispatch::{Admission, Conclusion};
-use beamtray_router::core::{CoreConfig, Datagram, Input, NodeCore, Output, ViewRequest};
+use beamtray_router::core::{CoreConfig, Datagram, Input, NodeCore, Output};
 use beamtray_router::settings::{
     BoundSettings, ListenSettings, NodeSettings, ProcessLimits, SETTINGS_VERSION, StoreSettings,
 };
@@ -228,7 +228,7 @@
                 }
             }
             Output::Send(datagram, addresses) => self.send(node, &datagram, &addresses),
-            Output::Ask(address, request) => {
+            Output::Ask(address, request, wait) => {
                 if let Some(to) = node_at(address) {
                     let delay = self.millis(1, 4);
                     self.schedule(
@@ -236,8 +236,7 @@
                         Event::AskArrives {
                             from: node,
                             run,
-                            to,
-                            request,
+                            question: Question { to, request, wait },
                         },
                     );
                 }
@@ -269,16 +268,20 @@
         }
     }
 
-    pub(super) fn ask_arrives(&mut self, from: usize, run: Run, to: usize, request: &ViewRequest) {
-        if to >= self.nodes.len() || !self.is_linked(from, to) || self.nodes[to].frozen {
-            return;
-        }
-        let Some(core) = &self.nodes[to].core else {
-            return;
+    pub(super) fn ask_arrives(&mut self, from: usize, run: Run, question: Question) {
+        let Question { to, request, wait } = question;
+        let reachable = to < self.nodes.len() && self.is_linked(from, to) && !self.nodes[to].frozen;
+        let core = self.nodes.get(to).and_then(|slot| slot.core.as_ref());
+        let (delay, input) = match core.filter(|_| reachable) {
+            Some(core) => {
+                let snapshots = core.answer(&request);
+                (None, DeferredInput::Snapshots(address(to), snapshots))
+            }
+            None => (Some(wait), DeferredInput::NotAnswered(address(to))),
         };
-        let input = Box::new(DeferredInput::Snapshots(core.answer(request)));
-        let delay = self.millis(1, 4);
+        let delay = delay.unwrap_or_else(|| self.millis(1, 4));
         let node = from;
+        let input = Box::new(input);
         self.schedule(delay, Event::Deliver { node, run, input });
     }
 
