Sum the requests under way at relays where there are many nodes

Cause: with 70 nodes each told all others directly: some 500 datagrams a second and node, at most every 77 ms in the zone and 233 ms beyond, longer than the work of a request.

Change: above 16 nodes, a node reports to the relays of its zone every 30 ms; the first relay alive tells the sum over all zones to its zone's nodes, and its zone's to other relays. A node takes its own earlier report out by its number.

Ruled out as the main part of the bytes between zones: these reports.

--- a/crates/dispatch/src/dispatcher/reports.rs
+++ b/crates/dispatch/src/dispatcher/reports.rs
@@ -2,7 +2,8 @@
 
 use super::Dispatcher;
 use crate::occupancy::Occupancy;
-use crate::report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash};
+use crate::occupancy::SumSource;
+use crate::report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, LoadSum, NodeHash};
 use crate::speed::{SpeedRecord, SpeedTable};
 use beamtray_types::Time;
 
@@ -10,11 +11,7 @@
     /// Takes another node's report.
     pub fn report(&mut self, now: Time, report: &LoadReport) {
         self.occupancy.report(now, report);
-        for answers in &report.answers {
-            let count = f64::from(answers.samples);
-            self.speeds
-                .add(answers.upstream, count, f64::from(answers.sum));
-        }
+        self.take_others_answers(&report.answers);
     }
 
     /// Forgets peers that fell silent.
@@ -27,20 +24,44 @@
     pub fn load_report(&mut self, answers: Vec<Answers>) -> LoadReport {
         self.sequence += 1;
         let own = self.occupancy.own_all();
+        let in_flight: Vec<InFlight> = own
+            .map(|(upstream, requests)| InFlight {
+                upstream,
+                requests: requests.min(u16::from(u8::MAX)) as u8,
+            })
+            .collect();
+        self.occupancy.reported(self.sequence, in_flight.clone());
         LoadReport {
             node: NodeHash::of(&self.config.node),
             run: self.config.run as u32,
             sequence: self.sequence,
-            in_flight: own
-                .map(|(upstream, requests)| InFlight {
-                    upstream,
-                    requests: requests.min(u16::from(u8::MAX)) as u8,
-                })
-                .collect(),
+            in_flight,
             answers,
         }
     }
 
+    /// Takes a relay's sum of requests under way.
+    pub fn take_sum(&mut self, now: Time, source: SumSource, sum: &LoadSum) {
+        let own = NodeHash::of(&self.config.node);
+        self.occupancy.take_sum(now, own, source, sum);
+    }
+
+    /// Requests under way of this node and of those that report to it, for the
+    /// relays of other zones, or with `all_zones` for the nodes of its own.
+    pub fn load_sum(&mut self, all_zones: bool) -> Vec<LoadSum> {
+        self.sequence += 1;
+        self.occupancy.sum(self.sequence, all_zones)
+    }
+
+    /// Takes answers that other nodes had.
+    pub fn take_others_answers(&mut self, answers: &[Answers]) {
+        for answers in answers {
+            let count = f64::from(answers.samples);
+            self.speeds
+                .add(answers.upstream, count, f64::from(answers.sum));
+        }
+    }
+
     /// Answers that other nodes were not told of.
     pub fn take_answers(&mut self) -> Vec<Answers> {
         let untold = self.speeds.take_untold().into_iter();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,8 +14,10 @@
 
 pub use budget::{BudgetConfig, RetryBudget};
 pub use dispatcher::{DispatchConfig, Dispatcher};
-pub use occupancy::Occupancy;
-pub use report::{Answers, InFlight, KeyLoad, KeyReport, LoadReport, NodeHash, UpstreamHash};
+pub use occupancy::{Occupancy, SumSource};
+pub use report::{
+    Answers, Contained, InFlight, KeyLoad, KeyReport, LoadReport, LoadSum, NodeHash, UpstreamHash,
+};
 pub use request::{
     Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Ending, Forward,
     RefusalReason, RequestHead, Ticket, UnknownCause, Untouched,
--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -1,12 +1,21 @@
 //! How many requests are under way at each upstream, over all nodes.
+//!
+//! Where there are few nodes, each hears every other one's report. Where there
+//! are many, a node reports to the relays of its zone. A relay sums what it
+//! hears, tells the relays of other zones, and tells the nodes of its own zone
+//! the sum over all zones. Such a sum has the node's own earlier report in it,
+//! which is taken out again by its number.
 
-use crate::report::{InFlight, LoadReport, NodeHash, UpstreamHash};
+use crate::report::{Contained, InFlight, LoadReport, LoadSum, NodeHash, UpstreamHash, divide};
 use beamtray_types::Time;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+use std::hash::Hash;
 use std::time::Duration;
 
-/// A node that has not reported for this long no longer counts.
+/// What has not been reported again for this long no longer counts.
 const FORGET: Duration = Duration::from_millis(1_500);
+/// Own reports that may come back within a sum.
+const OWN_REPORTS: usize = 24;
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -16,12 +25,36 @@
     in_flight: Vec<InFlight>,
 }
 
+#[derive(Clone, Debug)]
+struct SumPart {
+    parts: u8,
+    heard: Time,
+    in_flight: Vec<InFlight>,
+}
+
+/// Who gave a sum.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SumSource {
+    /// A relay of another zone, by the zone's number.
+    Zone(u32),
+    /// A relay of this node's zone.
+    OwnRelay,
+}
+
+#[derive(Clone, Debug)]
+struct OwnReport {
+    sequence: u32,
+    in_flight: Vec<InFlight>,
+}
+
 /// Requests under way at each upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Occupancy {
     own: HashMap<UpstreamHash, u16>,
+    own_reports: VecDeque<OwnReport>,
     peers: HashMap<NodeHash, Peer>,
-    /// Sum over the peers.
+    sums: HashMap<(SumSource, u8), SumPart>,
+    /// Everything but the own requests, summed.
     others: HashMap<UpstreamHash, u32>,
 }
 
@@ -57,6 +90,17 @@
         self.own(upstream) + others
     }
 
+    /// Keeps what this node reported, so that it can be told from a sum.
+    pub fn reported(&mut self, sequence: u32, in_flight: Vec<InFlight>) {
+        self.own_reports.push_back(OwnReport {
+            sequence,
+            in_flight,
+        });
+        if self.own_reports.len() > OWN_REPORTS {
+            self.own_reports.pop_front();
+        }
+    }
+
     /// Takes another node's report.
     pub fn report(&mut self, now: Time, report: &LoadReport) {
         let peer = self.peers.entry(report.node).or_insert(Peer {
@@ -74,12 +118,75 @@
         peer.heard = now;
         let before = std::mem::replace(&mut peer.in_flight, report.in_flight.clone());
         subtract(&mut self.others, &before);
-        for load in &report.in_flight {
-            *self.others.entry(load.upstream).or_default() += u32::from(load.requests);
+        add(&mut self.others, &report.in_flight);
+    }
+
+    /// Takes a relay's sum. `own` is this node's name, whose report is taken
+    /// out of it. Two relays of a zone may both tell for a while; the one heard
+    /// last counts.
+    pub fn take_sum(&mut self, now: Time, own: NodeHash, source: SumSource, sum: &LoadSum) {
+        self.drop_parts(|(from, _), part| from == source && part.parts != sum.parts);
+        let in_flight = self.without_own(own, sum);
+        let part = SumPart {
+            parts: sum.parts,
+            heard: now,
+            in_flight,
+        };
+        let key = (source, sum.part);
+        if let Some(before) = self.sums.remove(&key) {
+            subtract(&mut self.others, &before.in_flight);
         }
+        add(&mut self.others, &part.in_flight);
+        self.sums.insert(key, part);
     }
 
-    /// Forgets nodes that fell silent.
+    fn without_own(&self, own: NodeHash, sum: &LoadSum) -> Vec<InFlight> {
+        let mut in_flight = sum.in_flight.clone();
+        let contained = sum.contains.iter().find(|report| report.node == own);
+        let report = contained.and_then(|contained| {
+            let mut reports = self.own_reports.iter();
+            reports.find(|report| report.sequence == contained.sequence)
+        });
+        let Some(report) = report else {
+            return in_flight;
+        };
+        let own: HashMap<UpstreamHash, u8> = report
+            .in_flight
+            .iter()
+            .map(|load| (load.upstream, load.requests))
+            .collect();
+        for load in &mut in_flight {
+            let own = own.get(&load.upstream).copied().unwrap_or_default();
+            load.requests = load.requests.saturating_sub(own);
+        }
+        in_flight
+    }
+
+    /// Sums what this node and the nodes that report to it have under way; with
+    /// `all_zones` also what relays of other zones told.
+    pub fn sum(&self, sequence: u32, all_zones: bool) -> Vec<LoadSum> {
+        let mut counts: HashMap<UpstreamHash, u32> = HashMap::new();
+        for (upstream, count) in &self.own {
+            *counts.entry(*upstream).or_default() += u32::from(*count);
+        }
+        for peer in self.peers.values() {
+            add(&mut counts, &peer.in_flight);
+        }
+        let zones = self.sums.iter().filter(|_| all_zones);
+        for ((source, _), part) in zones {
+            if matches!(source, SumSource::Zone(_)) {
+                add(&mut counts, &part.in_flight);
+            }
+        }
+        let peers = self.peers.iter().map(|(node, peer)| Contained {
+            node: *node,
+            sequence: peer.sequence,
+        });
+        let contains: Vec<Contained> = peers.filter(|_| all_zones).collect();
+        divide(sequence, counts.into_iter().collect(), &contains)
+    }
+
+    /// Forgets nodes and sums that fell silent.
     pub fn expire(&mut self, now: Time) {
         let others = &mut self.others;
         self.peers.retain(|_, peer| {
@@ -89,6 +196,18 @@
             }
             keep
         });
+        self.drop_parts(|_, part| now.since(part.heard) >= FORGET);
+    }
+
+    fn drop_parts(&mut self, drops: impl Fn((SumSource, u8), &SumPart) -> bool) {
+        let others = &mut self.others;
+        self.sums.retain(|key, part| {
+            let keep = !drops(*key, part);
+            if !keep {
+                subtract(others, &part.in_flight);
+            }
+            keep
+        });
     }
 
     /// How many other nodes reported of late.
@@ -97,15 +216,20 @@
     }
 }
 
-/// Takes a peer's requests out of the sum.
-fn subtract(others: &mut HashMap<UpstreamHash, u32>, in_flight: &[InFlight]) {
+fn add(sums: &mut HashMap<UpstreamHash, u32>, in_flight: &[InFlight]) {
+    for load in in_flight {
+        *sums.entry(load.upstream).or_default() += u32::from(load.requests);
+    }
+}
+
+fn subtract(sums: &mut HashMap<UpstreamHash, u32>, in_flight: &[InFlight]) {
     for load in in_flight {
-        let Some(sum) = others.get_mut(&load.upstream) else {
+        let Some(sum) = sums.get_mut(&load.upstream) else {
             continue;
         };
         *sum = sum.saturating_sub(u32::from(load.requests));
         if *sum == 0 {
-            others.remove(&load.upstream);
+            sums.remove(&load.upstream);
         }
     }
 }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -82,6 +82,61 @@
     pub answers: Vec<Answers>,
 }
 
+/// The report of one node that a sum contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Contained {
+    /// The node.
+    pub node: NodeHash,
+    /// Which of its reports.
+    pub sequence: u32,
+}
+
+/// Requests of many nodes under way, as a relay sums them. Where there are many
+/// nodes each hears of the others by such sums alone.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct LoadSum {
+    /// Counts the relay's sums.
+    pub sequence: u32,
+    /// A sum that does not fit a datagram comes in parts, by the upstreams'
+    /// hashes; this is one of them.
+    pub part: u8,
+    /// Number of the parts.
+    pub parts: u8,
+    /// Requests under way at the upstreams of this part.
+    pub in_flight: Vec<InFlight>,
+    /// Reports that are in the sum.
+    pub contains: Vec<Contained>,
+}
+
+/// Upstreams in one part of a sum.
+const PART_UPSTREAMS: usize = 180;
+
+/// Divides counts into parts that each fit a datagram.
+pub(crate) fn divide(
+    sequence: u32,
+    counts: Vec<(UpstreamHash, u32)>,
+    contains: &[Contained],
+) -> Vec<LoadSum> {
+    let parts = counts.len().div_ceil(PART_UPSTREAMS).clamp(1, 255) as u8;
+    let mut sums: Vec<LoadSum> = (0..parts)
+        .map(|part| LoadSum {
+            sequence,
+            part,
+            parts,
+            in_flight: Vec::new(),
+            contains: contains.to_vec(),
+        })
+        .collect();
+    for (upstream, requests) in counts {
+        let part = upstream.0 as usize % usize::from(parts);
+        sums[part].in_flight.push(InFlight {
+            upstream,
+            requests: requests.min(u32::from(u8::MAX)) as u8,
+        });
+    }
+    sums
+}
+
 /// One node's report of requests by key, for the granter.
 #[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct KeyReport {
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -3,7 +3,8 @@
 use crate::core::views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest};
 use beamtray_catalog::{ClientLimits, UpstreamId};
 use beamtray_dispatch::{
-    Admission, AttemptOutcome, Ending, Forward, KeyReport, LoadReport, RequestHead, Ticket,
+    Admission, Answers, AttemptOutcome, Ending, Forward, KeyReport, LoadReport, LoadSum,
+    RequestHead, Ticket,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply};
@@ -21,6 +22,12 @@
     pub report: Duration,
     /// Between the same to nodes of other zones.
     pub far_report: Duration,
+    /// Between reports to relays, and their sums to the nodes of their zones.
+    pub relayed_report: Duration,
+    /// Between sums to relays of other zones.
+    pub zone_report: Duration,
+    /// Between the passing on of answers.
+    pub answers: Duration,
     /// Between the same when nothing is under way.
     pub idle_report: Duration,
     /// Between words of the newest changes seen.
@@ -45,6 +52,9 @@
             tick: Duration::from_millis(10),
             report: Duration::from_millis(10),
             far_report: Duration::from_millis(40),
+            relayed_report: Duration::from_millis(30),
+            zone_report: Duration::from_millis(50),
+            answers: Duration::from_millis(500),
             idle_report: Duration::from_millis(400),
             heads: Duration::from_millis(250),
             far_heads: Duration::from_millis(400),
@@ -94,6 +104,12 @@
 pub enum Datagram {
     /// Requests under way.
     Load(LoadReport),
+    /// Requests under way in a zone, from one of its relays to those of another.
+    ZoneLoad(u32, LoadSum),
+    /// Requests under way everywhere, from a relay to the nodes of its zone.
+    AllLoad(LoadSum),
+    /// Answers of upstreams, passed on by a relay.
+    Answers(Vec<Answers>),
     /// Requests by key, for the granter.
     Keys(KeyReport),
     /// Newest changes that it has seen.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -1,20 +1,24 @@
 //! One node's core: inputs and the time go in, outputs come out.
 
 mod fetch;
+mod load;
 mod talk;
 
 use crate::core::control::{Control, ControlConfig};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
-use crate::core::relays::choose_relays;
+use crate::core::relays::Relays;
 use crate::core::views::{Snapshot, ViewName, ViewRequest, Views};
 use beamtray_catalog::DirectoryPolicy;
 use beamtray_dialect::Dialect;
-use beamtray_dispatch::{AttemptOutcome, Decision, DispatchConfig, Dispatcher, Untouched};
+use beamtray_dispatch::{
+    AttemptOutcome, Decision, DispatchConfig, Dispatcher, SumSource, Untouched,
+};
 use beamtray_metastore::StoreOutcome;
 use beamtray_sharding::GrantReply;
 use beamtray_types::Time;
 use fetch::Fetches;
-use std::collections::{BTreeMap, BTreeSet};
+use load::ReportSchedule;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,12 +55,10 @@
     dispatcher: Dispatcher,
     stopping: bool,
     started_at: Option<Time>,
-    report_at: Time,
-    far_report_at: Time,
-    reported_empty: bool,
+    reports: ReportSchedule,
     heads: HeadsSchedule,
     /// Relays among the nodes, this one included if it is one.
-    relays: BTreeSet<SocketAddr>,
+    relays: Relays,
     /// When a call to the store last got no answer.
     trouble_at: Option<Time>,
     key_report_at: Time,
@@ -80,11 +82,9 @@
             dispatcher: Dispatcher::new(config.dispatch.clone()),
             stopping: false,
             started_at: None,
-            report_at: Time::ZERO,
-            far_report_at: Time::ZERO,
-            reported_empty: true,
+            reports: ReportSchedule::default(),
             heads: HeadsSchedule::default(),
-            relays: BTreeSet::new(),
+            relays: Relays::default(),
             trouble_at: None,
             key_report_at: Time::ZERO,
             fetches: Fetches::default(),
@@ -156,7 +156,12 @@
     fn datagram(&mut self, now: Time, from: SocketAddr, datagram: &Datagram) {
         self.heard.insert(from, now);
         match datagram {
-            Datagram::Load(report) => self.dispatcher.report(now, report),
+            Datagram::Load(report) => self.take_load(now, report),
+            Datagram::ZoneLoad(zone, sum) => {
+                self.dispatcher.take_sum(now, SumSource::Zone(*zone), sum);
+            }
+            Datagram::AllLoad(sum) => self.take_all_load(now, from, sum),
+            Datagram::Answers(answers) => self.take_answers(from, answers),
             Datagram::Keys(report) => self.control.report(report),
             Datagram::Heads(heads) => {
                 let lacking = self.views.heads(now, from, heads);
@@ -232,7 +237,7 @@
         let own = &self.config.control.record;
         let mut nodes = self.views.nodes.clone();
         nodes.insert(own.name.clone(), own.clone());
-        self.relays = choose_relays(&nodes);
+        self.relays = Relays::choose(&nodes);
         self.control.set_relay(self.is_relay());
         self.dispatcher.set_nodes(self.node_count());
     }
--- /dev/null
+++ b/crates/router/src/core/node/load.rs
@@ -0,0 +1,227 @@
+//! What nodes tell one another of requests under way.
+//!
+//! Few nodes tell each other directly. Many tell the relays of their zone; the
+//! first relay that is alive tells the sums on. Told directly, n nodes send and
+//! take n x n reports, and the far ones cost bytes between zones.
+
+use super::NodeCore;
+use super::talk::{Audience, bounded};
+use crate::core::message::{Datagram, Output};
+use beamtray_dispatch::{Answers, LoadReport, LoadSum, SumSource, UpstreamHash};
+use beamtray_types::Time;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Up to this many nodes tell each other directly.
+const FEW_NODES: usize = 16;
+/// A relay that was not heard for this long is not the first one alive.
+const LEAD_SILENCE: Duration = Duration::from_millis(250);
+/// Datagrams a second that a relay sends to the nodes of its zone.
+const SUMS_A_SECOND: u32 = 800;
+/// Upstreams in one datagram of answers.
+const ANSWERS_A_DATAGRAM: usize = 120;
+
+/// Answers of one upstream that are still to be passed on.
+#[derive(Clone, Copy, Debug, Default)]
+struct Untold {
+    samples: u32,
+    sum: f32,
+}
+
+/// When reports are due, and what a relay passes on.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ReportSchedule {
+    near_at: Time,
+    far_at: Time,
+    told_empty: bool,
+    sum_at: Time,
+    zone_at: Time,
+    answers_at: Time,
+    untold: HashMap<UpstreamHash, Untold>,
+    /// When relays of this zone told a sum.
+    sums_heard: HashMap<SocketAddr, Time>,
+}
+
+impl NodeCore {
+    /// Tells other nodes what is under way.
+    pub(super) fn report(&mut self, now: Time) {
+        if self.views.nodes.len() <= FEW_NODES {
+            self.report_directly(now);
+            return;
+        }
+        if self.leads(now) {
+            self.tell_sums(now);
+            self.pass_on_answers(now);
+        }
+        self.report_to_relays(now);
+    }
+
+    /// Tells all nodes: those of the same zone often, others less so, for bytes
+    /// between zones are dear.
+    fn report_directly(&mut self, now: Time) {
+        let timing = self.config.timing;
+        let quiet = self.is_quiet();
+        if now >= self.reports.far_at {
+            let pause = if quiet {
+                timing.idle_report
+            } else {
+                timing.far_report
+            };
+            self.reports.far_at = now + pause.max(bounded(self.peers(Audience::All).len()));
+            let report = self.whole_report();
+            self.send(Datagram::Load(report), Audience::All);
+            self.reports.near_at = now + timing.report;
+        } else if now >= self.reports.near_at && !quiet {
+            let near = self.peers(Audience::Near).len();
+            self.reports.near_at = now + timing.report.max(bounded(near));
+            let report = self.dispatcher.load_report(Vec::new());
+            self.send(Datagram::Load(report), Audience::Near);
+        }
+    }
+
+    /// Whether nothing is under way and the last report said so.
+    fn is_quiet(&self) -> bool {
+        let idle = self.dispatcher.occupancy().own_all().next().is_none();
+        idle && self.reports.told_empty
+    }
+
+    /// A report that tells of answers, too.
+    fn whole_report(&mut self) -> LoadReport {
+        let answers = self.dispatcher.take_answers();
+        let report = self.dispatcher.load_report(answers);
+        self.reports.told_empty = report.in_flight.is_empty();
+        report
+    }
+
+    fn report_to_relays(&mut self, now: Time) {
+        let timing = self.config.timing;
+        let with_answers = now >= self.reports.far_at;
+        let due = now >= self.reports.near_at && !self.is_quiet();
+        if !with_answers && !due {
+            return;
+        }
+        let own = &self.config.control.record;
+        let relays = self.relays.of_zone(&own.zone).iter().copied();
+        let relays: Vec<SocketAddr> = relays.filter(|relay| *relay != own.peers).collect();
+        self.reports.near_at = now + timing.relayed_report;
+        let report = if with_answers {
+            self.reports.far_at = now + timing.idle_report;
+            self.whole_report()
+        } else {
+            self.dispatcher.load_report(Vec::new())
+        };
+        if self.is_relay() {
+            self.note_answers(&report.answers);
+        }
+        if !relays.is_empty() {
+            self.outputs
+                .push(Output::Send(Datagram::Load(report), relays));
+        }
+    }
+
+    /// Whether this is the first relay of its zone that is alive.
+    fn leads(&self, now: Time) -> bool {
+        let own = &self.config.control.record;
+        let relays = self.relays.of_zone(&own.zone).iter();
+        let before = relays.take_while(|relay| **relay != own.peers);
+        let alive = |relay: &SocketAddr| {
+            let heard = self.reports.sums_heard.get(relay);
+            heard.is_some_and(|heard| now.since(*heard) < LEAD_SILENCE)
+        };
+        self.is_relay() && !before.into_iter().any(alive)
+    }
+
+    /// Tells the nodes of this zone of all requests, and the relays of other
+    /// zones of those of this zone.
+    fn tell_sums(&mut self, now: Time) {
+        let timing = self.config.timing;
+        if now >= self.reports.sum_at {
+            let near = self.peers(Audience::Near);
+            let sums = self.dispatcher.load_sum(true);
+            let datagrams = (near.len() * sums.len()) as u32;
+            let pause = Duration::from_secs(1) * datagrams / SUMS_A_SECOND;
+            self.reports.sum_at = now + pause.max(timing.relayed_report);
+            for sum in sums {
+                self.outputs
+                    .push(Output::Send(Datagram::AllLoad(sum), near.clone()));
+            }
+        }
+        if now >= self.reports.zone_at {
+            self.reports.zone_at = now + timing.zone_report;
+            let others = self.other_relays();
+            let zone = xxh3_64(self.config.control.record.zone.as_bytes()) as u32;
+            for sum in self.dispatcher.load_sum(false) {
+                let datagram = Datagram::ZoneLoad(zone, sum);
+                self.outputs.push(Output::Send(datagram, others.clone()));
+            }
+        }
+    }
+
+    fn other_relays(&self) -> Vec<SocketAddr> {
+        let zone = &self.config.control.record.zone;
+        self.relays.of_others(zone).collect()
+    }
+
+    /// Takes a report of another node.
+    pub(super) fn take_load(&mut self, now: Time, report: &LoadReport) {
+        self.dispatcher.report(now, report);
+        if self.is_relay() {
+            self.note_answers(&report.answers);
+        }
+    }
+
+    /// Takes the sum of a relay of this zone. A relay has what it contains from
+    /// the nodes themselves.
+    pub(super) fn take_all_load(&mut self, now: Time, from: SocketAddr, sum: &LoadSum) {
+        self.reports.sums_heard.insert(from, now);
+        if !self.is_relay() {
+            self.dispatcher.take_sum(now, SumSource::OwnRelay, sum);
+        }
+    }
+
+    fn note_answers(&mut self, answers: &[Answers]) {
+        for answers in answers {
+            let untold = self.reports.untold.entry(answers.upstream).or_default();
+            untold.samples += u32::from(answers.samples);
+            untold.sum += answers.sum;
+        }
+    }
+
+    /// Passes on answers that nodes of this zone told of.
+    fn pass_on_answers(&mut self, now: Time) {
+        if now < self.reports.answers_at {
+            return;
+        }
+        self.reports.answers_at = now + self.config.timing.answers;
+        let untold = self.reports.untold.drain();
+        let answers: Vec<Answers> = untold
+            .map(|(upstream, untold)| Answers {
+                upstream,
+                samples: untold.samples.min(u32::from(u8::MAX)) as u8,
+                sum: untold.sum,
+            })
+            .collect();
+        let mut audience = self.peers(Audience::Near);
+        audience.extend(self.other_relays());
+        for part in answers.chunks(ANSWERS_A_DATAGRAM) {
+            let datagram = Datagram::Answers(part.to_vec());
+            self.outputs.push(Output::Send(datagram, audience.clone()));
+        }
+    }
+
+    /// Takes answers that a relay passed on, and passes those of other zones on
+    /// to the nodes of this one.
+    pub(super) fn take_answers(&mut self, from: SocketAddr, answers: &[Answers]) {
+        self.dispatcher.take_others_answers(answers);
+        let own = &self.config.control.record;
+        let relays = self.relays.of_zone(&own.zone);
+        let is_first = relays.first() == Some(&own.peers);
+        if is_first && !relays.contains(&from) {
+            let near = self.peers(Audience::Near);
+            let datagram = Datagram::Answers(answers.to_vec());
+            self.outputs.push(Output::Send(datagram, near));
+        }
+    }
+}
--- a/crates/router/src/core/node/talk.rs
+++ b/crates/router/src/core/node/talk.rs
@@ -30,7 +30,7 @@
 
 /// Whom a datagram is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Audience {
+pub(super) enum Audience {
     All,
     /// Nodes of the same zone.
     Near,
@@ -39,33 +39,7 @@
 }
 
 impl NodeCore {
-    /// Tells other nodes what is under way: those of the same zone often,
-    /// others less so, for bytes between zones are dear.
-    pub(super) fn report(&mut self, now: Time) {
-        let timing = self.config.timing;
-        let idle = self.dispatcher.occupancy().own_all().next().is_none();
-        let quiet = idle && self.reported_empty;
-        if now >= self.far_report_at {
-            self.reported_empty = idle;
-            let pause = if quiet {
-                timing.idle_report
-            } else {
-                timing.far_report
-            };
-            self.far_report_at = now + pause.max(bounded(self.peers(Audience::All).len()));
-            let answers = self.dispatcher.take_answers();
-            let report = self.dispatcher.load_report(answers);
-            self.send(Datagram::Load(report), Audience::All);
-            self.report_at = now + timing.report;
-        } else if now >= self.report_at && !quiet {
-            let near = self.peers(Audience::Near).len();
-            self.report_at = now + timing.report.max(bounded(near));
-            let report = self.dispatcher.load_report(Vec::new());
-            self.send(Datagram::Load(report), Audience::Near);
-        }
-    }
-
-    fn send(&mut self, datagram: Datagram, audience: Audience) {
+    pub(super) fn send(&mut self, datagram: Datagram, audience: Audience) {
         let peers = self.peers(audience);
         if !peers.is_empty() {
             self.outputs.push(Output::Send(datagram, peers));
@@ -143,7 +117,7 @@
 
     /// Addresses of other nodes. A node that lost the store loses its entry
     /// with it, but is there as long as it is heard.
-    fn peers(&self, audience: Audience) -> Vec<SocketAddr> {
+    pub(super) fn peers(&self, audience: Audience) -> Vec<SocketAddr> {
         let own = &self.config.control.record;
         let registered = self.views.nodes.values();
         let mut peers: Vec<SocketAddr> = registered
@@ -208,6 +182,6 @@
 }
 
 /// Least pause between datagrams to so many nodes.
-fn bounded(nodes: usize) -> Duration {
+pub(super) fn bounded(nodes: usize) -> Duration {
     Duration::from_secs(1) * nodes as u32 / DATAGRAMS_A_SECOND
 }
--- a/crates/router/src/core/relays.rs
+++ b/crates/router/src/core/relays.rs
@@ -13,7 +13,7 @@
 use crate::core::records::NodeRecord;
 use beamtray_types::Time;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -25,21 +25,46 @@
 /// Most relays of a zone: two that fail together leave one.
 const MOST_RELAYS: usize = 3;
 
-/// Addresses of the relays among those nodes: in each zone the ones that can
-/// do most, in an order that every node computes alike.
-pub fn choose_relays(nodes: &BTreeMap<String, NodeRecord>) -> BTreeSet<SocketAddr> {
-    let mut zones: BTreeMap<&str, Vec<&NodeRecord>> = BTreeMap::new();
-    for node in nodes.values() {
-        zones.entry(&node.zone).or_default().push(node);
-    }
-    zones
-        .into_values()
-        .flat_map(|mut nodes| {
+/// The relays of all zones.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Relays {
+    zones: BTreeMap<String, Vec<SocketAddr>>,
+}
+
+impl Relays {
+    /// The relays among those nodes: in each zone the ones that can do most, in
+    /// an order that every node computes alike.
+    pub fn choose(nodes: &BTreeMap<String, NodeRecord>) -> Self {
+        let mut zones: BTreeMap<String, Vec<&NodeRecord>> = BTreeMap::new();
+        for node in nodes.values() {
+            zones.entry(node.zone.clone()).or_default().push(node);
+        }
+        let relays = |(zone, mut nodes): (String, Vec<&NodeRecord>)| {
             nodes.sort_by_key(|node| (Reverse(node.capacity), xxh3_64(node.name.as_bytes())));
-            let relays = nodes.len().div_ceil(NODES_A_RELAY).min(MOST_RELAYS);
-            nodes.into_iter().take(relays).map(|node| node.peers)
-        })
-        .collect()
+            let count = nodes.len().div_ceil(NODES_A_RELAY).min(MOST_RELAYS);
+            let relays = nodes.into_iter().take(count).map(|node| node.peers);
+            (zone, relays.collect())
+        };
+        Self {
+            zones: zones.into_iter().map(relays).collect(),
+        }
+    }
+
+    /// Whether that node is a relay.
+    pub fn contains(&self, address: &SocketAddr) -> bool {
+        self.zones.values().any(|relays| relays.contains(address))
+    }
+
+    /// The relays of a zone, the first one first.
+    pub fn of_zone(&self, zone: &str) -> &[SocketAddr] {
+        self.zones.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    /// The relays of all other zones.
+    pub fn of_others<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
+        let others = self.zones.iter().filter(move |(other, _)| *other != zone);
+        others.flat_map(|(_, relays)| relays.iter().copied())
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
