Ask the node that is ahead when a watch is dead; fewer records of many slices

Change: a node whose watch counts as dead asks the node that is ahead as well. The pause between two records grows by 0.12 ms a slice.

Tests: the dead watch, the watch that is given time, when a relay is relied on, who is a relay, differences between copies, sums of load.

--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -6,8 +6,8 @@
 };
 use beamtray_dispatch::{
     Admission, AttemptOutcome, BudgetConfig, Conclusion, Decision, DispatchConfig, Dispatcher,
-    Forward, InFlight, LoadReport, NodeHash, RefusalReason, RequestHead, Ticket, UnknownCause,
-    Untouched, UpstreamHash,
+    Forward, InFlight, LoadReport, NodeHash, Occupancy, RefusalReason, RequestHead, SumSource,
+    Ticket, UnknownCause, Untouched, UpstreamHash,
 };
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
@@ -445,3 +445,65 @@
     let forward = forwarded(dispatcher.poll(at(61), &directory)).expect("sent again");
     assert_eq!(forward.upstream.0, "heir");
 }
+
+/// A relay that sums what its zone has under way, and a node that reports to it.
+#[test]
+fn a_node_takes_its_own_report_out_of_a_sum() {
+    let mut relay = Occupancy::default();
+    let upstream = UpstreamHash(7);
+    let mut node = Occupancy::default();
+    node.begin(upstream);
+    node.begin(upstream);
+    let report = LoadReport {
+        node: NodeHash(5),
+        run: 1,
+        sequence: 3,
+        in_flight: vec![InFlight {
+            upstream,
+            requests: 2,
+        }],
+        answers: Vec::new(),
+    };
+    node.reported(3, report.in_flight.clone());
+    relay.begin(upstream);
+    relay.report(at(0), &report);
+    for sum in relay.sum(1, true) {
+        node.take_sum(at(10), NodeHash(5), SumSource::OwnRelay, &sum);
+    }
+    assert_eq!(node.total(upstream), 3);
+    node.end(upstream);
+    assert_eq!(node.total(upstream), 2);
+    node.expire(at(2_000));
+    assert_eq!(node.total(upstream), 1);
+}
+
+#[test]
+fn a_sum_in_parts_replaces_the_one_before() {
+    let mut relay = Occupancy::default();
+    for upstream in 0..400 {
+        relay.begin(UpstreamHash(upstream));
+    }
+    let mut other = Occupancy::default();
+    let zone = SumSource::Zone(1);
+    let parts = relay.sum(1, false);
+    assert!(parts.len() > 1);
+    for sum in &parts {
+        other.take_sum(at(0), NodeHash(9), zone, sum);
+    }
+    assert!((0..400).all(|upstream| other.total(UpstreamHash(upstream)) == 1));
+    for upstream in 1..400 {
+        relay.end(UpstreamHash(upstream));
+    }
+    for sum in &relay.sum(2, false) {
+        other.take_sum(at(50), NodeHash(9), zone, sum);
+    }
+    assert_eq!(other.total(UpstreamHash(0)), 1);
+    assert!((1..400).all(|upstream| other.total(UpstreamHash(upstream)) == 0));
+    // Relays of other zones are told of this zone alone.
+    assert!(
+        other
+            .sum(3, false)
+            .iter()
+            .all(|sum| sum.in_flight.is_empty())
+    );
+}
--- a/crates/metastore/tests/mirror.rs
+++ b/crates/metastore/tests/mirror.rs
@@ -1,7 +1,9 @@
 //! A copy of a prefix never goes back.
 
 use beamtray_metastore::{Item, Mirror, MirrorChange, Revision, StoreEvent};
-use quickcheck::quickcheck;
+use quickcheck::{Gen, QuickCheck, quickcheck};
+
+const SEED: u64 = 20_261_202;
 
 fn item(key: &str, revision: u64) -> Item {
     Item {
@@ -68,3 +70,60 @@
         })
     }
 }
+
+/// What one copy has beyond another makes the other equal to it.
+#[test]
+fn a_difference_brings_an_older_copy_level() {
+    fn levels(before: Vec<(u8, bool)>, after: Vec<(u8, bool)>) -> bool {
+        let mut ahead = Mirror::default();
+        ahead.replace(Revision(1), Vec::new());
+        let mut revision = 1;
+        let mut step = |mirror: &mut Mirror, (key, present): (u8, bool)| {
+            revision += 1;
+            let key = format!("{}", key % 8);
+            let event = match present {
+                true => StoreEvent::Put(item(&key, revision)),
+                false => StoreEvent::Removed {
+                    key,
+                    revision: Revision(revision),
+                },
+            };
+            mirror.apply(Revision(revision), vec![event]);
+        };
+        before.into_iter().for_each(|one| step(&mut ahead, one));
+        let mut behind = ahead.clone();
+        after.into_iter().for_each(|one| step(&mut ahead, one));
+        let since = behind.at().expect("read");
+        let delta = ahead.delta(since).expect("remembered");
+        let removed = delta.absent.into_iter().map(|removal| StoreEvent::Removed {
+            key: removal.key,
+            revision: removal.revision,
+        });
+        let events = removed.chain(delta.present.into_iter().map(StoreEvent::Put));
+        behind.apply(ahead.at().expect("read"), events.collect());
+        behind.items().eq(ahead.items())
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(50, SEED))
+        .quickcheck(levels as fn(Vec<(u8, bool)>, Vec<(u8, bool)>) -> bool);
+}
+
+#[test]
+fn a_copy_that_forgot_removals_gives_no_difference() {
+    let mut mirror = Mirror::default();
+    mirror.replace(Revision(10), Vec::new());
+    assert!(mirror.delta(Revision(9)).is_none());
+    assert!(mirror.delta(Revision(10)).is_some());
+    for revision in 0..1_100 {
+        let key = format!("{revision}");
+        let put = 11 + 2 * revision;
+        let removed = StoreEvent::Removed {
+            key: key.clone(),
+            revision: Revision(put + 1),
+        };
+        mirror.apply(Revision(put), vec![StoreEvent::Put(item(&key, put))]);
+        mirror.apply(Revision(put + 1), vec![removed]);
+    }
+    assert!(mirror.delta(Revision(10)).is_none());
+    assert!(mirror.delta(mirror.at().expect("read")).is_some());
+}
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -30,6 +30,8 @@
 const KEEP_SPEEDS: Duration = Duration::from_secs(4);
 /// Pause between two records, so that changes close together go in one.
 const GATHER: Duration = Duration::from_millis(20);
+/// Added to that for each slice: every node takes every record.
+const GATHER_A_SLICE: Duration = Duration::from_micros(120);
 /// Pause after a record that was not written.
 const REWRITE: Duration = Duration::from_millis(80);
 /// Pause after a failed reading at a takeover.
@@ -295,7 +297,8 @@
         match outcome {
             StoreOutcome::Committed { revision } => {
                 grants.revision = revision;
-                grants.write_at = now + GATHER;
+                let slices = writing.record.slices.len() as u32;
+                grants.write_at = now + GATHER + GATHER_A_SLICE * slices;
                 grants.granter.written(now, writing.record.sequence);
                 self.written.push(Item {
                     key: OwnKeys::assignment(service),
--- a/crates/router/src/core/node/fetch.rs
+++ b/crates/router/src/core/node/fetch.rs
@@ -74,7 +74,7 @@
     pub(super) fn not_answered(&mut self, now: Time, from: SocketAddr) {
         self.fetches.ended(from);
         self.views.relays.distrust(from);
-        let lacking = self.views.lacking();
+        let lacking = self.views.lacking(now);
         let other = self.views.relays.trusted(now).next();
         if let Some(other) = other {
             self.fetch(now, other, &lacking);
--- a/crates/router/src/core/views/exchange.rs
+++ b/crates/router/src/core/views/exchange.rs
@@ -95,8 +95,7 @@
         let lacking = ViewName::ALL.into_iter().zip(heads.latest);
         lacking
             .filter(|(view, theirs)| {
-                let fetched = *view == ViewName::State || !self.follows;
-                fetched && self.replica(*view).lacks(*theirs)
+                self.is_fetched(now, *view) && self.replica(*view).lacks(*theirs)
             })
             .map(|(view, _)| view)
             .collect()
@@ -104,14 +103,21 @@
 
     /// Views of which other nodes are known to have more, and that this node has
     /// from others.
-    pub fn lacking(&self) -> Vec<ViewName> {
+    pub fn lacking(&self, now: Time) -> Vec<ViewName> {
         let views = ViewName::ALL.into_iter();
         views
-            .filter(|view| *view == ViewName::State || !self.follows)
+            .filter(|view| self.is_fetched(now, *view))
             .filter(|view| self.behind[*view as usize].is_some())
             .collect()
     }
 
+    /// Whether this node has a view from others. One that follows the store
+    /// asks others as well once its watch counts as dead: a slow store may take
+    /// longer for a large answer than any watch is given.
+    fn is_fetched(&self, now: Time, view: ViewName) -> bool {
+        view == ViewName::State || !self.follows || self.is_deaf(now, view)
+    }
+
     fn hear_relay(&mut self, now: Time, from: SocketAddr, contact: StoreContact) {
         self.relays.hear(now, from, contact.age());
         if let Some(age) = contact.trouble_age_ms {
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -2,7 +2,7 @@
 
 use beamtray_catalog::DirectoryPolicy;
 use beamtray_metastore::{Item, Revision, StoreCall, StoreEvent, StoreOutcome};
-use beamtray_router::core::{OwnKeys, ViewHeads, ViewName, Views};
+use beamtray_router::core::{OwnKeys, StoreContact, ViewHeads, ViewName, Views};
 use beamtray_routersim::SimDialect;
 use beamtray_types::Time;
 use std::net::SocketAddr;
@@ -169,3 +169,67 @@
     other.adopt(at(210), snapshots);
     assert_eq!(other.replica(ViewName::State).mirror().items().count(), 2);
 }
+
+/// Found on a day: a node that had been frozen gave each new watch up before
+/// the slow store had answered it, and served by an old configuration for 4 s.
+#[test]
+fn a_node_with_a_dead_watch_asks_the_node_that_is_ahead() {
+    let mut views = watching();
+    assert!(views.heads(at(100), peer(), &heads(12)).is_empty());
+    assert!(views.heads(at(350), peer(), &heads(12)).is_empty());
+    let lacking = views.heads(at(450), peer(), &heads(12));
+    assert_eq!(lacking, [ViewName::Upstreams]);
+}
+
+/// Found on a day: a version of 2170 routes took longer through a narrow link
+/// than the node waited before it asked again, so that none ever came whole.
+#[test]
+fn a_new_watch_is_given_time() {
+    let mut views = watching();
+    views.heads(at(100), peer(), &heads(12));
+    views.heads(at(450), peer(), &heads(12));
+    let begun = views.replica(ViewName::Upstreams).generation();
+    for millis in (500..1_600).step_by(100) {
+        views.heads(at(millis), peer(), &heads(12));
+    }
+    let after = views.replica(ViewName::Upstreams).generation();
+    assert_eq!(begun, after);
+}
+
+fn relay_heads(upstreams: u64, age_ms: u64) -> ViewHeads {
+    let contact = StoreContact::new(Duration::from_millis(age_ms), None);
+    ViewHeads {
+        contact: Some(contact),
+        ..heads(upstreams)
+    }
+}
+
+#[test]
+fn a_node_relies_on_a_relay_only_while_the_relay_reaches_the_store() {
+    let mut views = watching();
+    views.heads(at(1_000), peer(), &relay_heads(10, 100));
+    views.follow(at(1_010), false);
+    assert!(!views.follows());
+    // The relay was last answered 0.1 s before it said so.
+    views.follow(at(1_890), false);
+    assert!(!views.follows());
+    views.follow(at(1_910), false);
+    assert!(views.follows());
+    // A relay that is heard but has lost the store is not relied on.
+    views.heads(at(2_000), peer(), &relay_heads(10, 1_200));
+    views.follow(at(2_010), false);
+    assert!(views.follows());
+    views.heads(at(2_100), peer(), &relay_heads(10, 50));
+    views.follow(at(2_110), false);
+    assert!(!views.follows());
+}
+
+#[test]
+fn a_node_that_relies_on_a_relay_fetches_what_it_lacks() {
+    let mut views = watching();
+    views.heads(at(1_000), peer(), &relay_heads(10, 100));
+    views.follow(at(1_010), false);
+    let lacking = views.heads(at(1_100), peer(), &relay_heads(12, 100));
+    assert_eq!(lacking, [ViewName::Upstreams]);
+    assert_eq!(views.poll(at(1_200), ViewName::Upstreams), None);
+}
