--- /dev/null
+++ b/crates/soak/src/children.rs
@@ -0,0 +1,64 @@
+//! The processes of a run. Only those are ever ended, by their ids, and all of
+//! them end with the driver.
+
+use eyre::{Result, WrapErr};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// One process.
+pub(crate) struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program; what it writes goes to `folder`.
+    pub fn start(folder: &Path, name: &str, program: &Path, arguments: &[String]) -> Result<Self> {
+        let log = folder.join(format!("{name}.log"));
+        let output = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .wrap_err_with(|| format!("open {}", log.display()))?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stderr(output.try_clone()?)
+            .stdout(output)
+            .spawn()
+            .wrap_err_with(|| format!("start {name}: {}", program.display()))?;
+        let name = name.to_owned();
+        Ok(Self { name, child })
+    }
+
+    /// Sends a signal, if it still runs.
+    pub fn signal(&mut self, signal: Signal) -> Result<()> {
+        if self.has_ended() {
+            return Ok(());
+        }
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).wrap_err_with(|| format!("{signal} to {}", self.name))
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // One that has ended needs neither.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The router's program, which lies beside this one.
+pub(crate) fn router_program() -> Result<PathBuf> {
+    let own = std::env::current_exe().wrap_err("find the router's program")?;
+    Ok(own.with_file_name("beamtray"))
+}
--- /dev/null
+++ b/crates/soak/src/driver.rs
@@ -0,0 +1,104 @@
+//! Plays a plan: starts the processes, harms them, and judges what they saw.
+
+mod cluster;
+mod faults;
+
+use crate::checker::{Verdict, check};
+use crate::clock;
+use crate::config::RECOVERY;
+use crate::message::Command;
+use crate::plan::Plan;
+use beamtray_types::Time;
+use cluster::Cluster;
+use eyre::{Result, WrapErr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Time before the first fault.
+const LEAD: Duration = Duration::from_secs(7);
+/// Requests after the recovery that are counted.
+const COUNTED: Duration = Duration::from_secs(6);
+/// Time for the last requests to end.
+const LAST_REQUESTS: Duration = Duration::from_millis(2_500);
+/// Between looks at what is due.
+const STEP: Duration = Duration::from_millis(5);
+/// Least time of troubles.
+const LEAST_TROUBLED: Duration = Duration::from_secs(3);
+
+/// Settings of a run.
+#[derive(Clone, Debug)]
+pub struct RunSettings {
+    /// Its seed.
+    pub seed: u64,
+    /// Its length.
+    pub length: Duration,
+    /// Where logs and a broken run's plan go.
+    pub folder: PathBuf,
+    /// Requests a second.
+    pub rate: u32,
+}
+
+impl RunSettings {
+    /// The plan of the seed.
+    pub fn plan(&self) -> Plan {
+        let calm = LEAD + RECOVERY + COUNTED;
+        let troubled = self.length.saturating_sub(calm).max(LEAST_TROUBLED);
+        Plan::draw(self.seed, troubled)
+    }
+}
+
+/// Plays a plan and judges it.
+///
+/// # Errors
+/// When a process can't be started or told something.
+pub async fn play(settings: &RunSettings, plan: &Plan) -> Result<Verdict> {
+    std::fs::create_dir_all(&settings.folder)
+        .wrap_err_with(|| format!("make {}", settings.folder.display()))?;
+    let mut cluster = Cluster::start(settings).await?;
+    cluster.settle(LEAD).await?;
+    let begin = clock::now();
+    let end = begin + Duration::from_millis(plan.end_ms());
+    let mut due: Vec<_> = plan.faults.clone();
+    due.sort_by_key(|fault| std::cmp::Reverse(fault.at_ms));
+    while clock::now() < end || cluster.is_harmed() {
+        let now = clock::now();
+        while due
+            .last()
+            .is_some_and(|fault| at(begin, fault.at_ms) <= now)
+        {
+            if let Some(fault) = due.pop() {
+                cluster.harm(now, &fault)?;
+            }
+        }
+        cluster.heal(now)?;
+        tokio::time::sleep(STEP).await;
+    }
+    tokio::time::sleep(RECOVERY).await;
+    let recovered = clock::now();
+    tokio::time::sleep(COUNTED).await;
+    cluster.tell("caller", &Command::End);
+    tokio::time::sleep(LAST_REQUESTS).await;
+    Ok(check(&cluster.history(recovered)))
+}
+
+fn at(begin: Time, millis: u64) -> Time {
+    begin + Duration::from_millis(millis)
+}
+
+/// Drops faults as long as the run still fails; the shortest plan found.
+///
+/// # Errors
+/// When a run can't be played.
+pub async fn shorten(settings: &RunSettings, plan: &Plan) -> Result<Plan> {
+    let mut plan = plan.clone();
+    let mut index = 0;
+    while index < plan.faults.len() {
+        let shorter = plan.without(index);
+        if play(settings, &shorter).await?.is_clean() {
+            index += 1;
+        } else {
+            plan = shorter;
+        }
+    }
+    Ok(plan)
+}
--- /dev/null
+++ b/crates/soak/src/driver/cluster.rs
@@ -0,0 +1,324 @@
+//! The processes of a run and the proxies between them.
+
+use super::RunSettings;
+use super::faults::{ActiveFault, Target};
+use crate::channel::MessageReader;
+use crate::checker::{Disturbance, History, PlannedStop};
+use crate::children::{Process, router_program};
+use crate::clock;
+use crate::config::{
+    CONTACT, DRAIN, GRACE, HEARTBEAT, KEYED, LONGEST_HOLD, POOL, RETRY_ALLOWANCE, RETRY_RATIO,
+    RETRY_WINDOW, ZONES,
+};
+use crate::message::{Command, Report};
+use crate::plan::{KEYED_UPSTREAMS, ROUTERS, UPSTREAMS};
+use crate::proxy::Proxy;
+use beamtray_types::Time;
+use beamtray_wire::encode;
+use eyre::{Result, WrapErr};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener as StdListener, UdpSocket};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+/// Milliseconds of the shortest lease.
+const LEAST_TTL_MS: u64 = 1_000;
+const MEMORY_MB: u64 = 256;
+const DESCRIPTORS: u64 = 1_024;
+/// One upstream's clock for holds runs that much slower.
+const SLOW_CLOCK_PERCENT: u32 = 98;
+
+type Commands = Rc<RefCell<HashMap<String, UnboundedSender<Command>>>>;
+type Reports = Rc<RefCell<Vec<Report>>>;
+
+/// A router's place: its settings and the proxy on its way to the store.
+pub(super) struct RouterSlot {
+    pub process: Option<Process>,
+    pub store_proxy: Proxy,
+    settings: PathBuf,
+    pub clients: SocketAddr,
+    /// When a planned stop began, until it is over.
+    pub stopping: Option<Time>,
+}
+
+/// An upstream's place: its address and the proxy before it.
+pub(super) struct UpstreamSlot {
+    pub process: Option<Process>,
+    pub proxy: Proxy,
+    listen: SocketAddr,
+    generation: u32,
+}
+
+/// All processes.
+pub(super) struct Cluster {
+    pub routers: Vec<RouterSlot>,
+    pub upstreams: Vec<UpstreamSlot>,
+    _store: Process,
+    _caller: Process,
+    store_address: SocketAddr,
+    driver: SocketAddr,
+    folder: PathBuf,
+    commands: Commands,
+    reports: Reports,
+    pub version: u64,
+    pub active: Vec<ActiveFault>,
+    pub disturbances: Vec<Disturbance>,
+    pub stops: Vec<PlannedStop>,
+}
+
+impl Cluster {
+    /// Starts everything.
+    pub async fn start(settings: &RunSettings) -> Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let driver = listener.local_addr()?;
+        let commands = Commands::default();
+        let reports = Reports::default();
+        tokio::task::spawn_local(hear(listener, commands.clone(), reports.clone()));
+        let folder = settings.folder.clone();
+        let own = std::env::current_exe()?;
+        let store_address = free_address()?;
+        let arguments = vec![
+            "store".to_owned(),
+            format!("--listen={store_address}"),
+            format!("--driver={driver}"),
+        ];
+        let store = Process::start(&folder, "store", &own, &arguments)?;
+        let mut routers = Vec::new();
+        for node in 0..ROUTERS {
+            routers.push(router_slot(&folder, node, store_address).await?);
+        }
+        let addresses: Vec<String> = routers.iter().map(|one| one.clients.to_string()).collect();
+        let arguments = vec![
+            "caller".to_owned(),
+            format!("--driver={driver}"),
+            format!("--routers={}", addresses.join(",")),
+            format!("--rate={}", settings.rate),
+            format!("--seed={}", settings.seed),
+        ];
+        let caller = Process::start(&folder, "caller", &own, &arguments)?;
+        let mut upstreams = Vec::new();
+        for _ in 0..UPSTREAMS {
+            let listen = free_address()?;
+            upstreams.push(UpstreamSlot {
+                process: None,
+                proxy: Proxy::start(listen).await?,
+                listen,
+                generation: 0,
+            });
+        }
+        let mut cluster = Self {
+            routers,
+            upstreams,
+            _store: store,
+            _caller: caller,
+            store_address,
+            driver,
+            folder,
+            commands,
+            reports,
+            version: 0,
+            active: Vec::new(),
+            disturbances: Vec::new(),
+            stops: Vec::new(),
+        };
+        for index in 0..UPSTREAMS {
+            cluster.start_upstream(index)?;
+        }
+        for node in 0..ROUTERS {
+            cluster.start_router(node)?;
+        }
+        Ok(cluster)
+    }
+
+    /// Gives everything time to come up, then lets the callers begin.
+    pub async fn settle(&mut self, time: Duration) -> Result<()> {
+        tokio::time::sleep(time / 4).await;
+        self.configure();
+        tokio::time::sleep(time * 3 / 4).await;
+        self.tell("caller", &Command::Begin);
+        Ok(())
+    }
+
+    /// Puts the next configuration in force.
+    pub fn configure(&mut self) {
+        self.version += 1;
+        self.tell("store", &Command::Configure(self.version));
+        self.tell("caller", &Command::Probe(self.version));
+    }
+
+    /// Tells a process something; one that is not there hears nothing.
+    pub fn tell(&self, name: &str, command: &Command) {
+        if let Some(sender) = self.commands.borrow().get(name) {
+            // One that has just ended needs no command.
+            let _ = sender.send(command.clone());
+        }
+    }
+
+    pub fn start_router(&mut self, node: usize) -> Result<()> {
+        let slot = &mut self.routers[node];
+        let settings = slot.settings.display().to_string();
+        let arguments = vec!["route".to_owned(), "--settings".to_owned(), settings];
+        let name = format!("router-{node}");
+        let program = router_program()?;
+        slot.process = Some(Process::start(&self.folder, &name, &program, &arguments)?);
+        Ok(())
+    }
+
+    /// Name of the incarnation of an upstream that runs now.
+    pub fn upstream_name(&self, index: usize) -> String {
+        let service = service(index);
+        format!("{service}-{index}-{}", self.upstreams[index].generation)
+    }
+
+    /// Starts the next incarnation of an upstream.
+    pub fn start_upstream(&mut self, index: usize) -> Result<()> {
+        self.upstreams[index].generation += 1;
+        let name = self.upstream_name(index);
+        let slot = &mut self.upstreams[index];
+        let clock = if index == 0 { SLOW_CLOCK_PERCENT } else { 100 };
+        let arguments = vec![
+            "upstream".to_owned(),
+            format!("--id={name}"),
+            format!("--service={}", service(index)),
+            format!("--zone={}", ZONES[index % ZONES.len()]),
+            format!("--listen={}", slot.listen),
+            format!("--advertised={}", slot.proxy.address),
+            format!("--store={}", self.store_address),
+            format!("--driver={}", self.driver),
+            format!("--clock-percent={clock}"),
+        ];
+        let program = std::env::current_exe()?;
+        slot.process = Some(Process::start(&self.folder, &name, &program, &arguments)?);
+        Ok(())
+    }
+
+    /// Notes a fault that lasted from `from` until now.
+    pub fn disturbed(&mut self, fault: &ActiveFault, until: Time) {
+        let from = fault.from;
+        let whom = match fault.target {
+            Target::Nobody => return,
+            Target::Some(whom) => whom,
+            Target::AllRouters => {
+                let routers = (0..ROUTERS).map(|node| Disturbance {
+                    whom: crate::checker::Disturbed::Router(node),
+                    from,
+                    until,
+                });
+                self.disturbances.extend(routers);
+                return;
+            }
+        };
+        self.disturbances.push(Disturbance { whom, from, until });
+    }
+
+    /// What was seen so far.
+    pub fn history(&self, recovered: Time) -> History {
+        History {
+            reports: self.reports.borrow().clone(),
+            disturbances: self.disturbances.clone(),
+            stops: self.stops.clone(),
+            recovered,
+        }
+    }
+}
+
+fn service(index: usize) -> &'static str {
+    if index < KEYED_UPSTREAMS { KEYED } else { POOL }
+}
+
+async fn router_slot(
+    folder: &std::path::Path,
+    node: usize,
+    store: SocketAddr,
+) -> Result<RouterSlot> {
+    let store_proxy = Proxy::start(store).await?;
+    let clients = free_address()?;
+    let text = router_settings(node, clients, store_proxy.address)?;
+    let settings = folder.join(format!("router-{node}.toml"));
+    std::fs::write(&settings, text).wrap_err_with(|| format!("write {}", settings.display()))?;
+    Ok(RouterSlot {
+        process: None,
+        store_proxy,
+        settings,
+        clients,
+        stopping: None,
+    })
+}
+
+fn router_settings(node: usize, clients: SocketAddr, store: SocketAddr) -> Result<String> {
+    let zone = ZONES[node % ZONES.len()];
+    let readiness = free_address()?;
+    let peers = free_address()?;
+    let metrics = free_address()?;
+    Ok(format!(
+        "version = 1\nnode = \"router-{node}\"\nzone = \"{zone}\"\nip = \"127.0.0.1\"\n\
+         [listen]\nclients = \"{clients}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\n\
+         metrics = \"{metrics}\"\n\
+         [store]\naddress = \"{store}\"\nleast_ttl_ms = {LEAST_TTL_MS}\n\
+         [bounds]\ndrain_ms = {}\ncontact_ms = {}\ngrace_s = {}\nretry_ratio = {RETRY_RATIO}\n\
+         retry_allowance = {RETRY_ALLOWANCE:?}\nretry_window_s = {}\nlongest_hold_ms = {}\n\
+         heartbeat_ms = {}\n\
+         [limits]\nmemory_mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n",
+        DRAIN.as_millis(),
+        CONTACT.as_millis(),
+        GRACE.as_secs(),
+        RETRY_WINDOW.as_secs(),
+        LONGEST_HOLD.as_millis(),
+        HEARTBEAT.as_millis(),
+    ))
+}
+
+/// An address of this machine that nobody listens on, neither over TCP nor UDP.
+fn free_address() -> Result<SocketAddr> {
+    loop {
+        let listener = StdListener::bind(("127.0.0.1", 0)).wrap_err("find a free port")?;
+        let address = listener.local_addr()?;
+        if UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+}
+
+async fn hear(listener: TcpListener, commands: Commands, reports: Reports) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let commands = commands.clone();
+        let reports = reports.clone();
+        tokio::task::spawn_local(async move {
+            // A process that is killed ends its connection.
+            let _ = hear_one(stream, commands, reports).await;
+        });
+    }
+}
+
+async fn hear_one(stream: TcpStream, commands: Commands, reports: Reports) -> Result<()> {
+    stream.set_nodelay(true)?;
+    let (reading, mut writing) = stream.into_split();
+    let mut reader = MessageReader::new(reading);
+    let first: Report = reader.next().await?;
+    let (sender, mut outgoing) = unbounded_channel();
+    commands.borrow_mut().insert(first.from, sender);
+    tokio::task::spawn_local(async move {
+        while let Some(command) = outgoing.recv().await {
+            let Ok(frame) = encode(&command) else {
+                continue;
+            };
+            if writing.write_all(&frame).await.is_err() {
+                return;
+            }
+        }
+    });
+    loop {
+        let report: Report = reader.next().await?;
+        reports.borrow_mut().push(report);
+    }
+}
+
+/// The time now.
+pub(super) fn now() -> Time {
+    clock::now()
+}
--- /dev/null
+++ b/crates/soak/src/driver/faults.rs
@@ -0,0 +1,294 @@
+//! Carries faults out and ends them.
+
+use super::cluster::{Cluster, now};
+use crate::checker::{Disturbed, PlannedStop};
+use crate::message::{Command, StoreFaults};
+use crate::plan::{PlannedFault, ROUTERS, SoakFault};
+use crate::proxy::LinkHarm;
+use beamtray_types::Time;
+use eyre::Result;
+use nix::sys::signal::Signal;
+use std::time::Duration;
+
+/// Milliseconds that a slow store takes longer.
+const SLOW_STORE_MS: u32 = 200;
+/// Time that a slow link takes longer.
+const SLOW_LINK: Duration = Duration::from_millis(120);
+/// Percent of answers that are lost.
+const LOST_PERCENT: u32 = 30;
+/// How long watches hear nothing before the history is dropped.
+const DEAF: Duration = Duration::from_secs(1);
+/// How long a planned stop may take before the process is killed.
+const LONGEST_STOP: Duration = Duration::from_secs(8);
+
+/// Whom a fault harms, as the checks see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Target {
+    Nobody,
+    Some(Disturbed),
+    AllRouters,
+}
+
+/// A fault under way.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ActiveFault {
+    pub fault: SoakFault,
+    pub from: Time,
+    until: Time,
+    pub target: Target,
+}
+
+fn target(fault: SoakFault) -> Target {
+    match fault {
+        SoakFault::RouterKill(node)
+        | SoakFault::RouterPause(node)
+        | SoakFault::StoreCut(node)
+        | SoakFault::StoreOneWay(node)
+        | SoakFault::StoreReset(node)
+        | SoakFault::StoreDelay(node) => Target::Some(Disturbed::Router(node)),
+        SoakFault::KillAll => Target::AllRouters,
+        SoakFault::StoreDownLapse
+        | SoakFault::StoreDown
+        | SoakFault::StoreBusy
+        | SoakFault::StoreSlow
+        | SoakFault::StoreLost
+        | SoakFault::StoreLate
+        | SoakFault::StoreCompact => Target::Some(Disturbed::Store),
+        SoakFault::UpstreamKill(_)
+        | SoakFault::UpstreamPause(_)
+        | SoakFault::UpstreamCut(_)
+        | SoakFault::UpstreamReset(_)
+        | SoakFault::UpstreamDelay(_)
+        | SoakFault::AnswersLost(_) => Target::Some(Disturbed::Upstream),
+        SoakFault::RouterStop(_)
+        | SoakFault::RouterReload(_)
+        | SoakFault::UpstreamDrain(_)
+        | SoakFault::Configure => Target::Nobody,
+    }
+}
+
+impl Cluster {
+    /// Whether any fault is under way.
+    pub fn is_harmed(&self) -> bool {
+        let stopping = self.routers.iter().any(|slot| slot.stopping.is_some());
+        stopping || !self.active.is_empty()
+    }
+
+    /// Begins a fault. One that hits a process which is down or stands still
+    /// is left out.
+    pub fn harm(&mut self, now: Time, planned: &PlannedFault) -> Result<()> {
+        let fault = planned.fault;
+        if self.is_busy(fault) {
+            return Ok(());
+        }
+        let lasts = match fault {
+            SoakFault::StoreCompact => DEAF,
+            _ => Duration::from_millis(planned.for_ms),
+        };
+        self.begin(now, fault)?;
+        self.active.push(ActiveFault {
+            fault,
+            from: now,
+            until: now + lasts,
+            target: target(fault),
+        });
+        self.apply_states();
+        Ok(())
+    }
+
+    /// Whether the process that a fault hits is harmed already.
+    fn is_busy(&self, fault: SoakFault) -> bool {
+        let router = |node: usize| {
+            let harmed = self.active.iter().any(|one| {
+                matches!(one.fault, SoakFault::KillAll)
+                    || matches!(one.fault, SoakFault::RouterKill(other) | SoakFault::RouterPause(other) if other == node)
+            });
+            harmed || self.routers[node].stopping.is_some()
+        };
+        let upstream = |index: usize| {
+            self.active.iter().any(|one| {
+                matches!(one.fault, SoakFault::UpstreamKill(other) | SoakFault::UpstreamPause(other) | SoakFault::UpstreamDrain(other) if other == index)
+            })
+        };
+        match fault {
+            SoakFault::RouterKill(node)
+            | SoakFault::RouterPause(node)
+            | SoakFault::RouterStop(node)
+            | SoakFault::RouterReload(node) => router(node),
+            SoakFault::KillAll => (0..ROUTERS).any(router),
+            SoakFault::UpstreamKill(index)
+            | SoakFault::UpstreamPause(index)
+            | SoakFault::UpstreamDrain(index) => upstream(index),
+            _ => false,
+        }
+    }
+
+    fn begin(&mut self, now: Time, fault: SoakFault) -> Result<()> {
+        match fault {
+            SoakFault::RouterKill(node) => self.routers[node].process = None,
+            SoakFault::KillAll => {
+                for slot in &mut self.routers {
+                    slot.process = None;
+                }
+            }
+            SoakFault::RouterPause(node) => self.signal_router(node, Signal::SIGSTOP)?,
+            SoakFault::RouterStop(node) => {
+                self.routers[node].stopping = Some(now);
+                self.signal_router(node, Signal::SIGTERM)?;
+            }
+            SoakFault::RouterReload(node) => self.signal_router(node, Signal::SIGHUP)?,
+            SoakFault::StoreReset(node) => self.routers[node].store_proxy.reset(),
+            SoakFault::UpstreamKill(index) => self.upstreams[index].process = None,
+            SoakFault::UpstreamPause(index) => self.signal_upstream(index, Signal::SIGSTOP)?,
+            SoakFault::UpstreamDrain(index) => self.signal_upstream(index, Signal::SIGTERM)?,
+            SoakFault::UpstreamReset(index) => self.upstreams[index].proxy.reset(),
+            SoakFault::AnswersLost(index) => {
+                let name = self.upstream_name(index);
+                self.tell(&name, &Command::LoseAnswers(LOST_PERCENT));
+            }
+            SoakFault::Configure => self.configure(),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn signal_router(&mut self, node: usize, signal: Signal) -> Result<()> {
+        match &mut self.routers[node].process {
+            Some(process) => process.signal(signal),
+            None => Ok(()),
+        }
+    }
+
+    fn signal_upstream(&mut self, index: usize, signal: Signal) -> Result<()> {
+        match &mut self.upstreams[index].process {
+            Some(process) => process.signal(signal),
+            None => Ok(()),
+        }
+    }
+
+    /// Ends faults whose time is over, and starts again what has stopped.
+    pub fn heal(&mut self, at: Time) -> Result<()> {
+        let mut over = Vec::new();
+        let mut active = std::mem::take(&mut self.active);
+        active.retain(|fault| {
+            let is_over = at >= fault.until && self.may_end(fault.fault);
+            if is_over {
+                over.push(*fault);
+            }
+            !is_over
+        });
+        self.active = active;
+        for fault in &over {
+            self.end(fault.fault)?;
+        }
+        if !over.is_empty() {
+            self.apply_states();
+        }
+        for fault in over {
+            self.disturbed(&fault, now());
+        }
+        self.follow_stops(at)
+    }
+
+    /// Whether a fault that lasts until a process has ended may end.
+    fn may_end(&mut self, fault: SoakFault) -> bool {
+        match fault {
+            SoakFault::UpstreamDrain(index) => {
+                let process = self.upstreams[index].process.as_mut();
+                process.is_none_or(|process| process.has_ended())
+            }
+            _ => true,
+        }
+    }
+
+    fn end(&mut self, fault: SoakFault) -> Result<()> {
+        match fault {
+            SoakFault::RouterKill(node) => self.start_router(node)?,
+            SoakFault::KillAll => {
+                for node in 0..ROUTERS {
+                    self.start_router(node)?;
+                }
+            }
+            SoakFault::RouterPause(node) => self.signal_router(node, Signal::SIGCONT)?,
+            SoakFault::UpstreamKill(index) | SoakFault::UpstreamDrain(index) => {
+                self.start_upstream(index)?;
+            }
+            SoakFault::UpstreamPause(index) => self.signal_upstream(index, Signal::SIGCONT)?,
+            SoakFault::AnswersLost(index) => {
+                let name = self.upstream_name(index);
+                self.tell(&name, &Command::LoseAnswers(0));
+            }
+            SoakFault::StoreCompact => self.tell("store", &Command::Compact),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn follow_stops(&mut self, at: Time) -> Result<()> {
+        for node in 0..self.routers.len() {
+            let slot = &mut self.routers[node];
+            let Some(begun) = slot.stopping else { continue };
+            let ended = slot
+                .process
+                .as_mut()
+                .is_none_or(|process| process.has_ended());
+            if !ended && at.since(begun) < LONGEST_STOP {
+                continue;
+            }
+            slot.stopping = None;
+            slot.process = None;
+            self.start_router(node)?;
+            self.stops.push(PlannedStop {
+                node,
+                at: begun,
+                until: now(),
+            });
+        }
+        Ok(())
+    }
+
+    /// Puts the store and the links into the state that the active faults ask
+    /// for.
+    fn apply_states(&mut self) {
+        let active: Vec<SoakFault> = self.active.iter().map(|one| one.fault).collect();
+        let has = |fault: SoakFault| active.contains(&fault);
+        let faults = StoreFaults {
+            silent: has(SoakFault::StoreDown) || has(SoakFault::StoreDownLapse),
+            lapse: has(SoakFault::StoreDownLapse),
+            busy: has(SoakFault::StoreBusy),
+            delay_ms: if has(SoakFault::StoreSlow) {
+                SLOW_STORE_MS
+            } else {
+                0
+            },
+            lost_percent: if has(SoakFault::StoreLost) || has(SoakFault::StoreLate) {
+                LOST_PERCENT
+            } else {
+                0
+            },
+            late: has(SoakFault::StoreLate),
+            deaf: has(SoakFault::StoreCompact),
+        };
+        self.tell("store", &Command::Store(faults));
+        for (node, slot) in self.routers.iter().enumerate() {
+            slot.store_proxy.harm(if has(SoakFault::StoreCut(node)) {
+                LinkHarm::cut()
+            } else if has(SoakFault::StoreOneWay(node)) {
+                LinkHarm::one_way()
+            } else if has(SoakFault::StoreDelay(node)) {
+                LinkHarm::delayed(SLOW_LINK)
+            } else {
+                LinkHarm::default()
+            });
+        }
+        for (index, slot) in self.upstreams.iter().enumerate() {
+            slot.proxy.harm(if has(SoakFault::UpstreamCut(index)) {
+                LinkHarm::cut()
+            } else if has(SoakFault::UpstreamDelay(index)) {
+                LinkHarm::delayed(SLOW_LINK)
+            } else {
+                LinkHarm::default()
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,33 @@
+//! A soak of the router under faults, with real processes.
+//!
+//! The driver starts routers, an emulated store, upstreams and callers as
+//! processes of their own, harms them from outside (signals, and proxies on the
+//! way to the store and to upstreams), and afterwards checks what callers,
+//! upstreams and the store saw against the promises. The same seed gives the
+//! same plan of faults.
+
+mod bodies;
+mod caller;
+mod channel;
+mod checker;
+mod children;
+mod clock;
+mod config;
+mod driver;
+mod message;
+mod plan;
+mod proxy;
+mod regressions;
+mod store;
+mod upstream;
+
+pub use caller::{CallerSettings, run as run_caller};
+pub use checker::{
+    Count, Disturbance, Disturbed, Finding, History, PlannedStop, Promise, Verdict, check,
+};
+pub use driver::{RunSettings, play, shorten};
+pub use message::{CallerEnd, Observation, Report};
+pub use plan::{Plan, PlannedFault, SoakFault};
+pub use regressions::{Regression, load as load_regressions};
+pub use store::{StoreSettings, run as run_store};
+pub use upstream::{UpstreamSettings, run as run_upstream};
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,150 @@
+//! Faults as data, drawn from a seed.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Routers of a run.
+pub(crate) const ROUTERS: usize = 4;
+/// Upstreams that hold keys.
+pub(crate) const KEYED_UPSTREAMS: usize = 4;
+/// Upstreams of the other service.
+pub(crate) const POOL_UPSTREAMS: usize = 3;
+/// All upstreams; those that hold keys come first.
+pub(crate) const UPSTREAMS: usize = KEYED_UPSTREAMS + POOL_UPSTREAMS;
+
+/// What goes wrong, or is planned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SoakFault {
+    /// A router is killed and started again.
+    RouterKill(usize),
+    /// All routers are killed and started again.
+    KillAll,
+    /// A router stands still.
+    RouterPause(usize),
+    /// A router is told to stop, and started again.
+    RouterStop(usize),
+    /// A router is told that its settings changed.
+    RouterReload(usize),
+    /// A router's way to the store is silent both ways.
+    StoreCut(usize),
+    /// The store hears a router, which hears nothing.
+    StoreOneWay(usize),
+    /// A router's connections to the store are reset.
+    StoreReset(usize),
+    /// A router's way to the store takes longer.
+    StoreDelay(usize),
+    /// The store is silent; leases run out.
+    StoreDownLapse,
+    /// The store is silent; leases wait.
+    StoreDown,
+    /// The store refuses everything.
+    StoreBusy,
+    /// The store is slow.
+    StoreSlow,
+    /// Answers to writes are lost.
+    StoreLost,
+    /// Answers to writes are lost and the writes are done late.
+    StoreLate,
+    /// Watches hear nothing for a second, then the history is gone.
+    StoreCompact,
+    /// An upstream is killed; another one takes its address.
+    UpstreamKill(usize),
+    /// An upstream stands still.
+    UpstreamPause(usize),
+    /// An upstream leaves as planned; another one takes its address.
+    UpstreamDrain(usize),
+    /// The way to an upstream is silent both ways.
+    UpstreamCut(usize),
+    /// Connections to an upstream are reset.
+    UpstreamReset(usize),
+    /// The way to an upstream takes longer.
+    UpstreamDelay(usize),
+    /// An upstream loses answers.
+    AnswersLost(usize),
+    /// A new configuration.
+    Configure,
+}
+
+/// One fault of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannedFault {
+    /// Milliseconds after the beginning of the troubles.
+    pub at_ms: u64,
+    /// How long it lasts, in milliseconds.
+    pub for_ms: u64,
+    /// What.
+    pub fault: SoakFault,
+}
+
+/// The faults of a run, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// The faults.
+    pub faults: Vec<PlannedFault>,
+}
+
+impl Plan {
+    /// The plan of a seed for troubles of that length.
+    pub fn draw(seed: u64, troubled: Duration) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let end = troubled.as_millis() as u64;
+        let mut faults = Vec::new();
+        let mut at_ms = 0;
+        while at_ms < end {
+            faults.push(PlannedFault {
+                at_ms,
+                for_ms: random.random_range(500..5_000),
+                fault: draw_fault(&mut random),
+            });
+            at_ms += random.random_range(200..3_500);
+        }
+        Self { faults }
+    }
+
+    /// The plan without one of its faults.
+    pub fn without(&self, index: usize) -> Self {
+        let mut faults = self.faults.clone();
+        faults.remove(index);
+        Self { faults }
+    }
+
+    /// When the last fault is over, in milliseconds.
+    pub fn end_ms(&self) -> u64 {
+        let ends = self.faults.iter().map(|one| one.at_ms + one.for_ms);
+        ends.max().unwrap_or_default()
+    }
+}
+
+fn draw_fault(random: &mut ChaCha8Rng) -> SoakFault {
+    let router = random.random_range(0..ROUTERS);
+    let upstream = random.random_range(0..UPSTREAMS);
+    match random.random_range(0..26) {
+        0 => SoakFault::RouterKill(router),
+        1 => SoakFault::KillAll,
+        2 | 3 => SoakFault::RouterPause(router),
+        4 | 5 => SoakFault::RouterStop(router),
+        6 => SoakFault::RouterReload(router),
+        7 => SoakFault::StoreCut(router),
+        8 => SoakFault::StoreOneWay(router),
+        9 => SoakFault::StoreReset(router),
+        10 => SoakFault::StoreDelay(router),
+        11 => SoakFault::StoreDownLapse,
+        12 => SoakFault::StoreDown,
+        13 => SoakFault::StoreBusy,
+        14 => SoakFault::StoreSlow,
+        15 => SoakFault::StoreLost,
+        16 => SoakFault::StoreLate,
+        17 => SoakFault::StoreCompact,
+        18 => SoakFault::UpstreamKill(upstream),
+        19 => SoakFault::UpstreamPause(upstream),
+        20 => SoakFault::UpstreamDrain(upstream),
+        21 => SoakFault::UpstreamCut(upstream),
+        22 => SoakFault::UpstreamReset(upstream),
+        23 => SoakFault::UpstreamDelay(upstream),
+        24 => SoakFault::AnswersLost(upstream),
+        _ => SoakFault::Configure,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/store.rs
@@ -0,0 +1,292 @@
+//! The store's process: the emulated store behind the platform's calls.
+
+use crate::channel::{Reporter, connect};
+use crate::clock;
+use crate::config::{HEARTBEAT, configuration};
+use crate::message::{Command, Observation, StoreFaults};
+use beamtray_adapter::{Platform, reverse};
+use beamtray_dialect::{CallMethod, Dialect};
+use beamtray_emulator::{StoreEmulator, StoreReply, WatchWait};
+use beamtray_metastore::{StoreCall, StoreOutcome};
+use beamtray_types::Time;
+use bytes::Bytes;
+use eyre::Result;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use rand::RngExt;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Path below which upstreams keep their entries.
+pub(crate) const REGISTER: &str = "/soak/register/";
+/// How long the store remembers changes.
+const HISTORY: Duration = Duration::from_secs(20);
+/// Heartbeats without a write after which an entry goes.
+const HEARTBEATS: u32 = 3;
+/// Between looks at waiting watches, leases and entries.
+const POLL: Duration = Duration::from_millis(10);
+/// Range of the time after which a late write is done.
+const LATE_MS: std::ops::Range<u64> = 1_000..6_000;
+
+/// Settings of the store's process.
+#[derive(Clone, Debug)]
+pub struct StoreSettings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where the driver listens.
+    pub driver: SocketAddr,
+}
+
+struct Entry {
+    value: Vec<u8>,
+    written: Time,
+}
+
+struct Store {
+    emulator: RefCell<StoreEmulator>,
+    entries: RefCell<BTreeMap<String, Entry>>,
+    faults: Cell<StoreFaults>,
+    reporter: Reporter,
+}
+
+/// Runs the store until the driver is gone.
+///
+/// # Errors
+/// When it can't listen or reach the driver.
+pub async fn run(settings: StoreSettings) -> Result<()> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let (reporter, mut commands) = connect(settings.driver, "store").await?;
+    let store = Rc::new(Store {
+        emulator: RefCell::new(StoreEmulator::new(HISTORY)),
+        entries: RefCell::default(),
+        faults: Cell::default(),
+        reporter,
+    });
+    tokio::task::spawn_local(accept(listener, store.clone()));
+    tokio::task::spawn_local(keep_time(store.clone()));
+    while let Some(command) = commands.recv().await {
+        store.command(&command);
+    }
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, store: Rc<Store>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let store = store.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| answer(store.clone(), request));
+            // A caller that leaves is no failure of the store.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn keep_time(store: Rc<Store>) {
+    loop {
+        tokio::time::sleep(POLL).await;
+        store.keep_time();
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+async fn answer(store: Rc<Store>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+    let faults = store.faults.get();
+    let method = request.method().clone();
+    let target = request.uri().to_string();
+    let body = match request.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return Ok(status(400)),
+    };
+    if faults.silent {
+        return pending().await;
+    }
+    tokio::time::sleep(Duration::from_millis(faults.delay_ms.into())).await;
+    if faults.busy {
+        return Ok(status(503));
+    }
+    if let Some(id) = target.strip_prefix(REGISTER) {
+        store.register(id, &method, &body);
+        return Ok(status(200));
+    }
+    let method = match method {
+        Method::GET => CallMethod::Get,
+        Method::DELETE => CallMethod::Delete,
+        _ => CallMethod::Post,
+    };
+    let Some(call) = reverse::read_store_call(method, &target, &body) else {
+        return Ok(status(400));
+    };
+    if store.loses(&call) {
+        return pending().await;
+    }
+    let outcome = store.carry_out(&call).await;
+    Ok(match reverse::write_store_outcome(&outcome) {
+        Some(answer) => {
+            let mut response = Response::new(Full::from(answer.body));
+            *response.status_mut() = code(answer.status);
+            response
+        }
+        None => pending().await,
+    })
+}
+
+fn code(status: u16) -> hyper::StatusCode {
+    hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn status(status: u16) -> Answer {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = code(status);
+    response
+}
+
+impl Store {
+    fn command(self: &Rc<Self>, command: &Command) {
+        let now = clock::now();
+        match command {
+            Command::Store(faults) => self.set_faults(now, *faults),
+            Command::Compact => self.emulator.borrow_mut().compact(),
+            Command::Configure(version) => {
+                let value = reverse::write_configuration(&configuration(*version));
+                let key = Platform.keys().configuration;
+                self.emulator.borrow_mut().put(now, key, value);
+                let version = *version;
+                self.reporter.tell(Observation::Configured { version });
+            }
+            Command::LoseAnswers(_) | Command::Probe(_) | Command::Begin | Command::End => {}
+        }
+    }
+
+    fn set_faults(&self, now: Time, faults: StoreFaults) {
+        let before = self.faults.replace(faults);
+        let mut emulator = self.emulator.borrow_mut();
+        emulator.leases_run = !faults.silent || faults.lapse;
+        if before.silent && !faults.silent {
+            if !before.lapse {
+                emulator.renew_all(now);
+            }
+            for entry in self.entries.borrow_mut().values_mut() {
+                entry.written = entry.written.max(now);
+            }
+        }
+    }
+
+    fn keep_time(&self) {
+        let now = clock::now();
+        self.emulator.borrow_mut().advance(now);
+        let faults = self.faults.get();
+        if faults.silent && !faults.lapse {
+            return;
+        }
+        let limit = HEARTBEAT * HEARTBEATS;
+        let silent: Vec<String> = {
+            let entries = self.entries.borrow();
+            let silent = entries.iter();
+            silent
+                .filter(|(_, entry)| now.since(entry.written) >= limit)
+                .map(|(id, _)| id.clone())
+                .collect()
+        };
+        for id in silent {
+            self.remove_entry(now, &id);
+        }
+    }
+
+    fn register(&self, id: &str, method: &Method, value: &[u8]) {
+        let now = clock::now();
+        if *method == Method::DELETE {
+            self.remove_entry(now, id);
+            self.left(id);
+            return;
+        }
+        let mut entries = self.entries.borrow_mut();
+        let known = entries.get(id);
+        let changed = known.is_none_or(|entry| entry.value != value);
+        let written = now;
+        let entry = Entry {
+            value: value.to_vec(),
+            written,
+        };
+        entries.insert(id.to_owned(), entry);
+        if !changed {
+            return;
+        }
+        let key = format!("{}{id}", Platform.keys().upstream_prefix);
+        let draining = Platform
+            .decode_upstream(&key, value)
+            .is_ok_and(|record| record.state == beamtray_catalog::UpstreamState::Draining);
+        self.emulator.borrow_mut().put(now, &key, value.to_vec());
+        if draining {
+            self.left(id);
+        }
+    }
+
+    fn left(&self, id: &str) {
+        let upstream = id.to_owned();
+        self.reporter.tell(Observation::Left { upstream });
+    }
+
+    fn remove_entry(&self, now: Time, id: &str) {
+        self.entries.borrow_mut().remove(id);
+        let key = format!("{}{id}", Platform.keys().upstream_prefix);
+        self.emulator.borrow_mut().delete(now, &key);
+    }
+
+    /// Whether the answer to a call is lost; what the call does is then done,
+    /// now or later.
+    fn loses(self: &Rc<Self>, call: &StoreCall) -> bool {
+        let faults = self.faults.get();
+        let writes = matches!(call, StoreCall::Commit(_) | StoreCall::GrantLease { .. });
+        let mut random = rand::rng();
+        if !writes || random.random_range(0..100) >= faults.lost_percent {
+            return false;
+        }
+        let delay = if faults.late {
+            Duration::from_millis(random.random_range(LATE_MS))
+        } else {
+            Duration::ZERO
+        };
+        let store = self.clone();
+        let call = call.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            store.emulator.borrow_mut().call(clock::now(), &call);
+        });
+        true
+    }
+
+    async fn carry_out(&self, call: &StoreCall) -> StoreOutcome {
+        let reply = self.emulator.borrow_mut().call(clock::now(), call);
+        match reply {
+            StoreReply::Done(outcome) => outcome,
+            StoreReply::Waits(wait) => self.wait(&wait).await,
+        }
+    }
+
+    async fn wait(&self, wait: &WatchWait) -> StoreOutcome {
+        loop {
+            tokio::time::sleep(POLL).await;
+            let faults = self.faults.get();
+            if faults.silent || faults.deaf {
+                continue;
+            }
+            if let Some(outcome) = self.emulator.borrow().watch(clock::now(), wait) {
+                return outcome;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/upstream.rs
@@ -0,0 +1,405 @@
+//! An upstream's process: it holds keys, runs requests and may lose answers.
+
+use crate::bodies;
+use crate::channel::{Reporter, connect};
+use crate::clock;
+use crate::config::{DRAIN, HEARTBEAT, KEYED};
+use crate::message::{Command, Observation};
+use crate::store::REGISTER;
+use beamtray_adapter::{Platform, reverse};
+use beamtray_catalog::{UpstreamId, UpstreamState};
+use beamtray_dialect::Dialect;
+use beamtray_emulator::{Arrival, FullPolicy, Run, UpstreamConfig, UpstreamEmulator, WorkRequest};
+use beamtray_sharding::{CallId, GrantReply, OrderKind, ShardKey};
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::header::HOST;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand::RngExt;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+const SLOTS: usize = 4;
+const QUEUE: usize = 8;
+/// Longest wait for the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How much longer than the drain time it serves before it ends.
+const LINGER: Duration = Duration::from_millis(1_500);
+/// Between looks at releases that wait for work to end.
+const RELEASE_POLL: Duration = Duration::from_millis(5);
+
+/// Settings of an upstream's process.
+#[derive(Clone, Debug)]
+pub struct UpstreamSettings {
+    /// Its incarnation.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where routers reach it.
+    pub advertised: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// The driver.
+    pub driver: SocketAddr,
+    /// How fast its clock for holds runs, in percent.
+    pub clock_percent: u32,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+struct Upstream {
+    settings: UpstreamSettings,
+    emulator: RefCell<UpstreamEmulator>,
+    /// Requests that wait for a slot.
+    waiting: RefCell<HashMap<String, oneshot::Sender<Option<Run>>>>,
+    lost_percent: Cell<u32>,
+    calls: Cell<u64>,
+    reporter: Reporter,
+}
+
+/// Runs an upstream until it is told to leave.
+///
+/// # Errors
+/// When it can't listen or reach the driver.
+pub async fn run(settings: UpstreamSettings) -> Result<()> {
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .wrap_err_with(|| format!("listen on {}", settings.listen))?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let (reporter, mut commands) = connect(settings.driver, &settings.id).await?;
+    let emulator = UpstreamEmulator::new(UpstreamConfig {
+        id: UpstreamId(settings.id.clone()),
+        service: settings.service.as_str().into(),
+        address: settings.advertised,
+        zone: settings.zone.as_str().into(),
+        slots: SLOTS,
+        queue: QUEUE,
+        divided: settings.service == KEYED,
+        full: FullPolicy::Hang,
+        slowness_percent: 100,
+    });
+    let upstream = Rc::new(Upstream {
+        settings,
+        emulator: RefCell::new(emulator),
+        waiting: RefCell::default(),
+        lost_percent: Cell::new(0),
+        calls: Cell::new(0),
+        reporter,
+    });
+    tokio::task::spawn_local(accept(listener, upstream.clone()));
+    tokio::task::spawn_local(keep_entry(upstream.clone()));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            command = commands.recv() => match command {
+                Some(Command::LoseAnswers(percent)) => upstream.lost_percent.set(percent),
+                Some(_) => {}
+                None => return Ok(()),
+            },
+        }
+    }
+    upstream.emulator.borrow_mut().state = UpstreamState::Draining;
+    // The entry says so with its next write; the store may be silent.
+    let _ = upstream.write_entry(Method::POST).await;
+    tokio::time::sleep(DRAIN + LINGER).await;
+    let _ = upstream.write_entry(Method::DELETE).await;
+    Ok(())
+}
+
+async fn keep_entry(upstream: Rc<Upstream>) {
+    loop {
+        // A write that fails is made good by the next one.
+        let _ = timeout(STORE_TIMEOUT, upstream.write_entry(Method::POST)).await;
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+async fn accept(listener: TcpListener, upstream: Rc<Upstream>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let upstream = upstream.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| serve(upstream.clone(), request));
+            // A caller that leaves is no failure of the upstream.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn serve(upstream: Rc<Upstream>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+    let (head, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return Ok(upstream.status(400));
+    };
+    let body = body.to_bytes();
+    let path = head.uri.path().to_owned();
+    if upstream.is_other(&head.headers) {
+        return Ok(upstream.not_executed(421));
+    }
+    let call = CallId(upstream.calls.get());
+    upstream.calls.set(call.0 + 1);
+    let holder = UpstreamId(upstream.settings.id.clone());
+    if let Some(order) = reverse::read_order(&path, &body, holder, call) {
+        return Ok(upstream.order(order).await);
+    }
+    Ok(upstream.request(&head.headers, &path).await)
+}
+
+/// Tells when a request's work ended, also when its caller left.
+struct AtWork {
+    upstream: Rc<Upstream>,
+    run: Run,
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        self.upstream.finish(&self.run);
+    }
+}
+
+/// A request that waits for a slot.
+struct Queued {
+    upstream: Rc<Upstream>,
+    id: String,
+    receiver: oneshot::Receiver<Option<Run>>,
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        self.upstream.waiting.borrow_mut().remove(&self.id);
+        self.upstream.emulator.borrow_mut().drop_request(&self.id);
+        // The slot may have come just as the caller left.
+        if let Ok(Some(run)) = self.receiver.try_recv() {
+            self.upstream.finish(&run);
+        }
+    }
+}
+
+impl Upstream {
+    fn is_other(&self, headers: &HeaderMap) -> bool {
+        let target = header(headers, Platform.headers().target_upstream);
+        target.is_some_and(|target| target != self.settings.id)
+    }
+
+    fn status(&self, status: u16) -> Answer {
+        let mut response = Response::new(Full::new(Bytes::new()));
+        *response.status_mut() =
+            StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        self.sign(
+            &mut response,
+            Platform.headers().answering_upstream,
+            &self.settings.id,
+        );
+        response
+    }
+
+    fn sign(&self, response: &mut Answer, name: &'static str, value: &str) {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
+        }
+    }
+
+    fn not_executed(&self, status: u16) -> Answer {
+        let mut response = self.status(status);
+        self.sign(&mut response, Platform.headers().not_executed, "1");
+        response
+    }
+
+    async fn order(&self, mut order: beamtray_sharding::GrantOrder) -> Answer {
+        if let OrderKind::Grant { hold, .. } = &mut order.kind {
+            *hold = *hold * 100 / self.settings.clock_percent;
+        }
+        let reply = self.emulator.borrow_mut().order(clock::now(), &order);
+        if matches!(order.kind, OrderKind::Release) {
+            let (first, last) = (order.range.first.0, order.range.last.0);
+            self.reporter.tell(Observation::Released { first, last });
+        }
+        let reply = match reply {
+            Some(reply) => reply,
+            None => self.released(order.call).await,
+        };
+        if reply == GrantReply::Granted {
+            self.tell_held(&order);
+        }
+        let Some(written) = reverse::write_order_reply(&reply) else {
+            return pending().await;
+        };
+        let mut response = self.status(written.status);
+        if let Some(handover) = written.handover {
+            self.sign(&mut response, Platform.headers().handover, &handover);
+        }
+        *response.body_mut() = Full::from(written.body);
+        response
+    }
+
+    fn tell_held(&self, order: &beamtray_sharding::GrantOrder) {
+        let emulator = self.emulator.borrow();
+        if let Some(grant) = emulator.grant(clock::now(), order.range.first) {
+            self.reporter.tell(Observation::Held {
+                first: order.range.first.0,
+                last: order.range.last.0,
+                since: grant.since,
+                ends: grant.ends,
+            });
+        }
+    }
+
+    /// Waits until the work on released keys has ended.
+    async fn released(&self, call: CallId) -> GrantReply {
+        loop {
+            tokio::time::sleep(RELEASE_POLL).await;
+            let done = self.emulator.borrow_mut().released();
+            if done.contains(&call.0) {
+                return GrantReply::Released(None);
+            }
+        }
+    }
+
+    async fn request(self: &Rc<Self>, headers: &HeaderMap, path: &str) -> Answer {
+        let names = Platform.headers();
+        let Some(id) = header(headers, names.request_id) else {
+            return self.not_executed(400);
+        };
+        self.reporter.tell(Observation::Arrived { id: id.clone() });
+        let key = header(headers, names.shard_key).and_then(|key| key.parse().ok());
+        let request = WorkRequest {
+            id: id.clone(),
+            key: key.map(ShardKey),
+            target: UpstreamId(self.settings.id.clone()),
+            work: work(path),
+        };
+        let arrival = self.emulator.borrow_mut().arrive(clock::now(), request);
+        let run = match arrival {
+            Arrival::Runs(run) => run,
+            Arrival::Queued => match self.queued(&id).await {
+                Some(run) => run,
+                None => return self.not_executed(421),
+            },
+            Arrival::Full => return self.not_executed(503),
+            Arrival::Misdirected => return self.not_executed(421),
+            Arrival::Hangs => return pending().await,
+        };
+        self.work(run, &id, path).await
+    }
+
+    /// Waits for a slot; `None` when the key is gone by then.
+    async fn queued(self: &Rc<Self>, id: &str) -> Option<Run> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(id.to_owned(), sender);
+        let mut queued = Queued {
+            upstream: self.clone(),
+            id: id.to_owned(),
+            receiver,
+        };
+        (&mut queued.receiver).await.ok().flatten()
+    }
+
+    async fn work(self: &Rc<Self>, run: Run, id: &str, path: &str) -> Answer {
+        let now = clock::now();
+        let key = run.request.key;
+        let held_since = {
+            let emulator = self.emulator.borrow();
+            let grant = key.and_then(|key| emulator.grant(now, key).copied());
+            grant.map_or(now, |grant| grant.since)
+        };
+        let divided = self.settings.service == KEYED;
+        self.reporter.tell(Observation::Begun {
+            id: id.to_owned(),
+            path: path.to_owned(),
+            key: key.filter(|_| divided).map(|key| key.0),
+            held_since,
+        });
+        let lasts = run.ends.since(now);
+        let at_work = AtWork {
+            upstream: self.clone(),
+            run,
+        };
+        tokio::time::sleep(lasts).await;
+        drop(at_work);
+        if rand::rng().random_range(0..100) < self.lost_percent.get() {
+            return pending().await;
+        }
+        let body = bodies::body(id, &self.settings.id);
+        let mut response = self.status(200);
+        let names = Platform.headers();
+        self.sign(&mut response, names.request_id, id);
+        self.sign(
+            &mut response,
+            names.signature,
+            &bodies::signature(body.as_bytes()),
+        );
+        *response.body_mut() = Full::from(body);
+        response
+    }
+
+    fn finish(&self, run: &Run) {
+        let id = run.request.id.clone();
+        self.reporter.tell(Observation::Finished { id });
+        let mut ended = vec![run.id];
+        while let Some(run) = ended.pop() {
+            let (_, begun, refused) = self.emulator.borrow_mut().end(clock::now(), run);
+            let mut waiting = self.waiting.borrow_mut();
+            for request in refused {
+                if let Some(waiter) = waiting.remove(&request.id) {
+                    // One that has just left needs no answer.
+                    let _ = waiter.send(None);
+                }
+            }
+            for run in begun {
+                let waiter = waiting.remove(&run.request.id);
+                let sent = waiter.map(|waiter| waiter.send(Some(run.clone())));
+                if !matches!(sent, Some(Ok(()))) {
+                    ended.push(run.id);
+                }
+            }
+        }
+    }
+
+    async fn write_entry(&self, method: Method) -> Result<()> {
+        let stream = TcpStream::connect(self.settings.store).await?;
+        let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await?;
+        tokio::task::spawn_local(async move {
+            let _ = connection.await;
+        });
+        let record = self.emulator.borrow().record();
+        let body = reverse::write_upstream(&record, 0);
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{REGISTER}{}", self.settings.id))
+            .header(HOST, self.settings.store.to_string())
+            .body(Full::new(Bytes::from(body)))?;
+        sender.send_request(request).await?;
+        Ok(())
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+/// The work of a request: the last part of its path, in milliseconds.
+fn work(path: &str) -> Duration {
+    let last = path.rsplit('/').next().unwrap_or_default();
+    Duration::from_millis(last.parse().unwrap_or(10))
+}
