Count an upstream that has ended as holding nothing in the soak

The promise is about upstreams that are up. A fault of the check, not of the router: no request was begun by two.

Change: the driver notes when an upstream's process ended; the check ends its holdings there. The 'begun by both' check is as strict as before.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -89,6 +89,15 @@
     pub until: Time,
 }
 
+/// The end of an upstream's process, after which it holds nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamEnd {
+    /// The incarnation.
+    pub upstream: String,
+    /// When it had ended.
+    pub at: Time,
+}
+
 /// All that a run showed.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -98,6 +107,8 @@
     pub disturbances: Vec<Disturbance>,
     /// Planned stops.
     pub stops: Vec<PlannedStop>,
+    /// Upstreams that ended.
+    pub upstream_ends: Vec<UpstreamEnd>,
     /// From when on requests must be served again.
     pub recovered: Time,
 }
@@ -228,6 +239,7 @@
     for report in &history.reports {
         checker.take(report);
     }
+    checker.end_holdings();
     checker.judge_requests();
     checker.judge_owners();
     checker.judge_budget();
@@ -329,6 +341,16 @@
         self.holdings.extend(kept);
     }
 
+    /// Who has ended holds nothing, whatever the end of its last grant.
+    fn end_holdings(&mut self) {
+        for end in &self.history.upstream_ends {
+            let ended = self.holdings.iter_mut();
+            for holding in ended.filter(|holding| holding.upstream == end.upstream) {
+                holding.ends = holding.ends.min(end.at);
+            }
+        }
+    }
+
     /// Whether a router was in touch from `from` to `until`.
     fn in_touch(&self, node: usize, from: Time, until: Time) -> bool {
         let disturbs =
--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -3,7 +3,7 @@
 use super::RunSettings;
 use super::faults::{ActiveFault, Target};
 use crate::channel::MessageReader;
-use crate::checker::{Disturbance, History, PlannedStop};
+use crate::checker::{Disturbance, History, PlannedStop, UpstreamEnd};
 use crate::children::{Process, router_program};
 use crate::clock;
 use crate::config::{
@@ -69,6 +69,7 @@
     pub active: Vec<ActiveFault>,
     pub disturbances: Vec<Disturbance>,
     pub stops: Vec<PlannedStop>,
+    pub upstream_ends: Vec<UpstreamEnd>,
 }
 
 impl Cluster {
@@ -125,6 +126,7 @@
             active: Vec::new(),
             disturbances: Vec::new(),
             stops: Vec::new(),
+            upstream_ends: Vec::new(),
         };
         for index in 0..UPSTREAMS {
             cluster.start_upstream(index)?;
@@ -175,6 +177,13 @@
         format!("{service}-{index}-{}", self.upstreams[index].generation)
     }
 
+    /// Notes that the incarnation of an upstream that ran has ended.
+    pub fn upstream_ended(&mut self, index: usize) {
+        let upstream = self.upstream_name(index);
+        let at = now();
+        self.upstream_ends.push(UpstreamEnd { upstream, at });
+    }
+
     /// Starts the next incarnation of an upstream.
     pub fn start_upstream(&mut self, index: usize) -> Result<()> {
         self.upstreams[index].generation += 1;
@@ -222,6 +231,7 @@
             reports: self.reports.borrow().clone(),
             disturbances: self.disturbances.clone(),
             stops: self.stops.clone(),
+            upstream_ends: self.upstream_ends.clone(),
             recovered,
         }
     }
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -138,7 +138,10 @@
             }
             SoakFault::RouterReload(node) => self.signal_router(node, Signal::SIGHUP)?,
             SoakFault::StoreReset(node) => self.routers[node].store_proxy.reset(),
-            SoakFault::UpstreamKill(index) => self.upstreams[index].process = None,
+            SoakFault::UpstreamKill(index) => {
+                self.upstreams[index].process = None;
+                self.upstream_ended(index);
+            }
             SoakFault::UpstreamPause(index) => self.signal_upstream(index, Signal::SIGSTOP)?,
             SoakFault::UpstreamDrain(index) => self.signal_upstream(index, Signal::SIGTERM)?,
             SoakFault::UpstreamReset(index) => self.upstreams[index].proxy.reset(),
@@ -210,7 +213,9 @@
                 }
             }
             SoakFault::RouterPause(node) => self.signal_router(node, Signal::SIGCONT)?,
-            SoakFault::UpstreamKill(index) | SoakFault::UpstreamDrain(index) => {
+            SoakFault::UpstreamKill(index) => self.start_upstream(index)?,
+            SoakFault::UpstreamDrain(index) => {
+                self.upstream_ended(index);
                 self.start_upstream(index)?;
             }
             SoakFault::UpstreamPause(index) => self.signal_upstream(index, Signal::SIGCONT)?,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,7 +23,8 @@
 
 pub use caller::{CallerSettings, run as run_caller};
 pub use checker::{
-    Count, Disturbance, Disturbed, Finding, History, PlannedStop, Promise, Verdict, check,
+    Count, Disturbance, Disturbed, Finding, History, PlannedStop, Promise, UpstreamEnd, Verdict,
+    check,
 };
 pub use driver::{RunSettings, play, shorten};
 pub use message::{CallerEnd, Observation, Report};
