One relay of a zone follows the store; settings are read again

Change: the first relay of a zone follows; the others stand by and take over when it can't be relied on for 0.7 s, before other nodes would turn to the store (1 s). Nodes fetch from relays of other zones only while their own zone's can't be relied on. A node's entry lives 8 s and is renewed every 3 s.

Cause: SIGHUP and a changed file wrote a line and nothing else. Change: the settings are read again when told and when the file has changed; bounds of drains, contact and retries take effect, a refused file changes nothing, what needs a new process is named. Holds stay fixed: a granter must know the longest hold that any process may have given. A process test covers both ways and a refused file. Following the store, relying on a relay and a relay that does not answer each write a line; a gauge tells which it is.

The soak's LOST now counts every request around a planned stop that nothing else disturbed, not only those that were cut.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Puts another timing in force.
+    pub fn set_policy(&mut self, policy: DirectoryPolicy) {
+        self.policy = policy;
+    }
+
     /// Notes that the store failed to answer at that time, or said that it lost
     /// history.
     pub fn store_troubled(&mut self, at: Time) {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -171,6 +171,12 @@
             .collect();
     }
 
+    /// Puts other bounds in force: of repeats, and of leavers.
+    pub fn set_bounds(&mut self, config: &DispatchConfig) {
+        self.config.budget = config.budget;
+        self.config.leaver_grace = config.leaver_grace;
+    }
+
     /// Takes the newest assignment of a divided service.
     pub fn assign(&mut self, service: ServiceName, record: Rc<AssignmentRecord>) {
         self.assignments.insert(service, record);
--- a/crates/node/src/command/route.rs
+++ b/crates/node/src/command/route.rs
@@ -18,6 +18,7 @@
             return Ok(Outcome::Invalid);
         }
     };
-    shell::run(&settings, Rc::new(Platform), &shell::build_logger(level))?;
+    let log = shell::build_logger(level);
+    shell::run(&arguments.settings, &settings, Rc::new(Platform), &log)?;
     Ok(Outcome::Done)
 }
--- a/crates/node/tests/route.rs
+++ b/crates/node/tests/route.rs
@@ -1,8 +1,11 @@
 //! A process of `beamtray route` whose log nobody reads.
 
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -63,17 +66,24 @@
     dropped.expect("the figure is there")
 }
 
-#[test]
-fn requests_go_on_while_nobody_reads_the_log_and_lost_lines_are_counted() {
-    let [clients, readiness, peers, metrics, store] = free_addresses();
-    let file = std::env::temp_dir().join(format!("beamtray-route-{}.toml", std::process::id()));
-    let settings = format!(
+/// Settings of a node with those addresses and that retry allowance.
+fn settings_text(addresses: [SocketAddr; 5], allowance: i64) -> String {
+    let [clients, readiness, peers, metrics, store] = addresses;
+    format!(
         "version = 1\nnode = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\n\
          [listen]\nclients = \"{clients}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\n\
          metrics = \"{metrics}\"\n[store]\naddress = \"{store}\"\n\
          [bounds]\ndrain_ms = 2000\ncontact_ms = 3000\ngrace_s = 6.0\nretry_ratio = 0.2\n\
-         retry_allowance = 56\nretry_window_s = 10\n[limits]\nmemory_mb = 260\ndescriptors = 1000\n"
-    );
+         retry_allowance = {allowance}\nretry_window_s = 10\n[limits]\nmemory_mb = 260\n\
+         descriptors = 1000\n"
+    )
+}
+
+#[test]
+fn requests_go_on_while_nobody_reads_the_log_and_lost_lines_are_counted() {
+    let [clients, readiness, peers, metrics, store] = free_addresses();
+    let file = std::env::temp_dir().join(format!("beamtray-route-{}.toml", std::process::id()));
+    let settings = settings_text([clients, readiness, peers, metrics, store], 56);
     std::fs::write(&file, settings).expect("the file can be written");
     let child = Command::new(env!("CARGO_BIN_EXE_beamtray"))
         .args(["route", "--settings"])
@@ -103,3 +113,61 @@
     // A leftover file in the folder for such files does no harm.
     let _ = std::fs::remove_file(&file);
 }
+
+/// Lines of a process as they come.
+fn lines_of(output: ChildStdout) -> Receiver<String> {
+    let (sender, receiver) = channel();
+    thread::spawn(move || {
+        let lines = BufReader::new(output).lines().map_while(Result::ok);
+        // The test may have ended.
+        for line in lines {
+            let _ = sender.send(line);
+        }
+    });
+    receiver
+}
+
+/// Waits for a line that holds `wanted`.
+fn wait_for_line(lines: &Receiver<String>, wanted: &str) {
+    loop {
+        let line = lines.recv_timeout(PATIENCE);
+        if line.expect("another line").contains(wanted) {
+            return;
+        }
+    }
+}
+
+#[test]
+fn settings_are_read_again_when_the_file_changes_and_when_told() {
+    let addresses = free_addresses();
+    let file = std::env::temp_dir().join(format!("beamtray-reload-{}.toml", std::process::id()));
+    let write = |allowance| {
+        // Put in place whole: the process may look at any time.
+        let next = file.with_extension("next");
+        std::fs::write(&next, settings_text(addresses, allowance)).expect("a folder to write to");
+        std::fs::rename(&next, &file).expect("the same folder");
+    };
+    write(56);
+    let mut child = Command::new(env!("CARGO_BIN_EXE_beamtray"))
+        .args(["route", "--settings"])
+        .arg(&file)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let output = child.stdout.take().expect("it is piped");
+    let router = Router(child);
+    let lines = lines_of(output);
+    wait_for_line(&lines, "msg=start");
+    write(57);
+    wait_for_line(&lines, "outcome=changed");
+    // A value out of range is refused, and the process goes on.
+    write(-1);
+    wait_for_line(&lines, "outcome=refused");
+    write(58);
+    wait_for_line(&lines, "outcome=changed");
+    let pid = Pid::from_raw(router.0.id() as i32);
+    kill(pid, Signal::SIGHUP).expect("it runs");
+    wait_for_line(&lines, "outcome=same");
+    // A leftover file in the folder for such files does no harm.
+    let _ = std::fs::remove_file(&file);
+}
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -38,7 +38,7 @@
 const REREAD: Duration = Duration::from_millis(100);
 
 /// Between renewals of a relay's entry.
-const RELAY_RENEWAL: Duration = Duration::from_millis(400);
+const RELAY_RENEWAL: Duration = Duration::from_millis(250);
 /// How much longer than a relay another node leaves the granter's place vacant.
 const HANDICAP: Duration = Duration::from_millis(300);
 
@@ -107,10 +107,11 @@
         }
     }
 
-    /// States whether this node is a relay. Others rely on its word, so it looks
-    /// after its path to the store more often; and it is a better granter.
-    pub fn set_relay(&mut self, is_relay: bool) {
-        let renewal = if is_relay {
+    /// States whether this node is a relay, which makes it a better granter, and
+    /// whether it follows the store. Others rely on one that does both, so it
+    /// looks after its path to the store more often.
+    pub fn set_relay(&mut self, is_relay: bool, follows: bool) {
+        let renewal = if is_relay && follows {
             RELAY_RENEWAL
         } else {
             self.config.node_lease.renewal
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -1,5 +1,6 @@
 //! What goes into a node's core and what comes out of it.
 
+use crate::core::node::CoreConfig;
 use crate::core::views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest};
 use beamtray_catalog::{ClientLimits, UpstreamId};
 use beamtray_dispatch::{
@@ -56,7 +57,7 @@
             zone_report: Duration::from_millis(50),
             answers: Duration::from_millis(500),
             idle_report: Duration::from_millis(400),
-            heads: Duration::from_millis(250),
+            heads: Duration::from_millis(200),
             far_heads: Duration::from_millis(400),
             repeat: Duration::from_millis(15),
             fetch: Duration::from_millis(300),
@@ -168,6 +169,8 @@
     Snapshots(SocketAddr, Vec<Snapshot>),
     /// Another node did not give its copies.
     NotAnswered(SocketAddr),
+    /// The settings changed.
+    Settings(Box<CoreConfig>),
     /// The process is to end.
     Stop,
 }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -15,7 +15,7 @@
 pub use node::{CoreConfig, NodeCore};
 pub use records::{NodeRecord, OwnKeys};
 pub use registration::Registrar;
-pub use relays::{Relays, RelaysHeard, TRUST};
+pub use relays::{Relays, RelaysHeard, STANDBY_TRUST, TRUST};
 pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
 pub use views::{
     Snapshot, StoreContact, ViewHeads, ViewName, ViewNotice, ViewRequest, Views, WantedView,
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -146,6 +146,7 @@
                 self.viewed(now);
             }
             Input::NotAnswered(from) => self.not_answered(now, from),
+            Input::Settings(config) => self.take_settings(*config),
             Input::Stop => self.stop(),
         }
         self.tell_changes(now);
@@ -165,7 +166,9 @@
             Datagram::Keys(report) => self.control.report(report),
             Datagram::Heads(heads) => {
                 let lacking = self.views.heads(now, from, heads);
-                self.fetch(now, from, &lacking);
+                if self.fetches_from(now, from) {
+                    self.fetch(now, from, &lacking);
+                }
             }
         }
     }
@@ -238,10 +241,16 @@
         let mut nodes = self.views.nodes.clone();
         nodes.insert(own.name.clone(), own.clone());
         self.relays = Relays::choose(&nodes);
-        self.control.set_relay(self.is_relay());
         self.dispatcher.set_nodes(self.node_count());
     }
 
+    /// Whether this is the relay that follows the store for its zone: no relay
+    /// before it can be relied on.
+    fn is_first_relay(&self, now: Time) -> bool {
+        let before = self.relays.before(&self.config.control.record.peers);
+        before.is_some_and(|before| !self.views.relays.any_of(now, before))
+    }
+
     fn is_relay(&self) -> bool {
         self.relays.contains(&self.config.control.record.peers)
     }
@@ -257,7 +266,10 @@
     }
 
     fn poll_control(&mut self, now: Time) {
-        self.views.follow(now, self.is_relay());
+        let follows_first = self.is_first_relay(now);
+        self.views.follow(now, follows_first);
+        self.control
+            .set_relay(self.is_relay(), self.views.follows());
         for view in ViewName::ALL {
             if let Some(call) = self.views.poll(now, view) {
                 let generation = self.views.replica(view).generation();
@@ -313,6 +325,15 @@
         }
     }
 
+    /// Takes changed bounds of requests and of the directory. Control keeps its
+    /// own: see [`crate::settings::NodeSettings`].
+    fn take_settings(&mut self, config: CoreConfig) {
+        self.dispatcher.set_bounds(&config.dispatch);
+        self.views.directory.set_policy(config.directory);
+        self.config.dispatch = config.dispatch;
+        self.config.directory = config.directory;
+    }
+
     fn stop(&mut self) {
         if std::mem::replace(&mut self.stopping, true) {
             return;
--- a/crates/router/src/core/node/fetch.rs
+++ b/crates/router/src/core/node/fetch.rs
@@ -43,6 +43,17 @@
         }
     }
 
+    /// Whether this node fetches from another one. As long as a relay of its own
+    /// zone can be relied on, those of other zones are left to that relay: bytes
+    /// between zones are dear.
+    pub(super) fn fetches_from(&self, now: Time, from: SocketAddr) -> bool {
+        let own = &self.config.control.record;
+        let near = self.relays.of_zone(&own.zone);
+        let is_far = !near.contains(&from) && self.relays.contains(&from);
+        let relies_near = self.views.relays.any_of(now, near);
+        !is_far || self.views.follows() || !relies_near
+    }
+
     /// Asks another node for its copies, unless a question for such is under
     /// way.
     pub(super) fn fetch(&mut self, now: Time, from: SocketAddr, views: &[ViewName]) {
--- a/crates/router/src/core/node/talk.rs
+++ b/crates/router/src/core/node/talk.rs
@@ -59,7 +59,12 @@
 
     /// Whether other nodes rely on the word of this one.
     fn is_told_by(&self) -> bool {
-        self.is_relay() || self.was_granter.is_some()
+        self.tells_as_relay() || self.was_granter.is_some()
+    }
+
+    /// Whether other nodes may rely on this one for the store.
+    fn tells_as_relay(&self) -> bool {
+        self.is_relay() && self.views.follows()
     }
 
     pub(super) fn tell_heads(&mut self, now: Time) {
@@ -91,7 +96,10 @@
 
     /// How this node stands with the store, if others may rely on it.
     fn contact(&self, now: Time) -> Option<StoreContact> {
-        let sound_at = self.control.store_sound_at().filter(|_| self.is_relay())?;
+        let sound_at = self
+            .control
+            .store_sound_at()
+            .filter(|_| self.tells_as_relay())?;
         let trouble = self.trouble_at.map(|at| now.since(at));
         let trouble = trouble.filter(|age| *age < TROUBLE_TOLD);
         Some(StoreContact::new(now.since(sound_at), trouble))
--- a/crates/router/src/core/relays.rs
+++ b/crates/router/src/core/relays.rs
@@ -1,8 +1,10 @@
 //! Which nodes follow the metadata store, and when the others may rely on them.
 //!
 //! A store that every node watches is asked by all of them at each change. So
-//! a few nodes of each zone, the relays, follow it and tell the others of
-//! changes, who fetch them from the relay.
+//! one node of each zone, its first relay, follows it and tells the others of
+//! changes, who fetch them from the relay. The zone's other relays stand by: each
+//! takes over when none before it can be relied on, sooner than other nodes
+//! would turn to the store themselves.
 //!
 //! Invariant: a node relies on a relay only as long as an answer of the store
 //! to that relay was asked for less than [`TRUST`] ago. A relay that lost the
@@ -20,6 +22,8 @@
 
 /// How old a relay's last answer of the store may be.
 pub const TRUST: Duration = Duration::from_millis(1_000);
+/// The same for relays that stand by.
+pub const STANDBY_TRUST: Duration = Duration::from_millis(700);
 /// Nodes of a zone for each of its relays.
 const NODES_A_RELAY: usize = 4;
 /// Most relays of a zone: two that fail together leave one.
@@ -60,6 +64,14 @@
         self.zones.get(zone).map_or(&[], Vec::as_slice)
     }
 
+    /// The relays of its zone that come before a relay; `None` if it is none.
+    pub fn before(&self, address: &SocketAddr) -> Option<&[SocketAddr]> {
+        self.zones.values().find_map(|relays| {
+            let index = relays.iter().position(|relay| relay == address)?;
+            Some(&relays[..index])
+        })
+    }
+
     /// The relays of all other zones.
     pub fn of_others<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
         let others = self.zones.iter().filter(move |(other, _)| *other != zone);
@@ -101,6 +113,14 @@
         self.heard.values().any(|heard| is_trusted(now, heard))
     }
 
+    /// Whether one of those relays can be relied on by one that stands by.
+    pub fn any_of(&self, now: Time, relays: &[SocketAddr]) -> bool {
+        let heard = relays.iter().filter_map(|relay| self.heard.get(relay));
+        heard
+            .map(|heard| now.since(heard.at) + heard.store_age)
+            .any(|age| age < STANDBY_TRUST)
+    }
+
     /// The relays that can be relied on.
     pub fn trusted(&self, now: Time) -> impl Iterator<Item = SocketAddr> + '_ {
         let trusted = self.heard.iter();
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -105,6 +105,13 @@
         /// Prefix of the view.
         prefix: String,
     },
+    /// This node follows the store itself, or relies on relays.
+    Follows {
+        /// Whether it follows the store.
+        itself: bool,
+        /// Whether it is the relay that others rely on.
+        as_relay: bool,
+    },
     /// A view is not kept up by the store any more, or is again.
     Followed {
         /// Prefix of the view.
@@ -210,7 +217,14 @@
             None => now,
         };
         let relies = self.relays.any(now) || now.since(since) < RELAY_PATIENCE;
-        self.follows = is_relay || !relies;
+        let follows = is_relay || !relies;
+        if follows != self.follows {
+            self.notices.push(ViewNotice::Follows {
+                itself: follows,
+                as_relay: is_relay,
+            });
+        }
+        self.follows = follows;
     }
 
     /// Whether this node follows the store itself.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -15,8 +15,8 @@
 pub const SETTINGS_VERSION: u32 = 1;
 
 /// Life of a node's entry without renewal.
-const NODE_TTL: Duration = Duration::from_secs(6);
-const NODE_RENEWAL: Duration = Duration::from_millis(2_200);
+const NODE_TTL: Duration = Duration::from_secs(8);
+const NODE_RENEWAL: Duration = Duration::from_millis(3_000);
 /// Life of the granter's place without renewal: how long keys are without a
 /// granter after it is lost.
 const GRANTER_TTL: Duration = Duration::from_millis(2_000);
@@ -128,6 +128,16 @@
     pub descriptors: u64,
 }
 
+/// Settings that take effect without a restart.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ChangeableSettings {
+    drain_ms: u64,
+    contact_ms: u64,
+    retry_ratio: f64,
+    retry_allowance: f64,
+    retry_window_s: f64,
+}
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -280,6 +290,53 @@
         }
     }
 
+    /// What can change in a running process.
+    pub(crate) fn changeable(&self) -> ChangeableSettings {
+        let bounds = &self.bounds;
+        ChangeableSettings {
+            drain_ms: bounds.drain_ms,
+            contact_ms: bounds.contact_ms,
+            retry_ratio: bounds.retry_ratio,
+            retry_allowance: bounds.retry_allowance,
+            retry_window_s: bounds.retry_window_s,
+        }
+    }
+
+    /// Takes over what can change in a running process.
+    pub(crate) fn adopt(&mut self, next: &Self) {
+        let (own, next) = (&mut self.bounds, &next.bounds);
+        own.drain_ms = next.drain_ms;
+        own.contact_ms = next.contact_ms;
+        own.retry_ratio = next.retry_ratio;
+        own.retry_allowance = next.retry_allowance;
+        own.retry_window_s = next.retry_window_s;
+    }
+
+    /// Names of the settings that differ and that only a new process takes.
+    /// Holds are among them: a granter must know the longest hold that any
+    /// other process may have given.
+    pub(crate) fn fixed_changes(&self, next: &Self) -> Vec<&'static str> {
+        let differences = [
+            ("node", self.node != next.node),
+            ("zone", self.zone != next.zone),
+            ("ip", self.ip != next.ip),
+            ("listen", self.listen != next.listen),
+            ("store", self.store != next.store),
+            ("limits", self.limits != next.limits),
+            (
+                "bounds.longest_hold_ms",
+                self.bounds.longest_hold_ms != next.bounds.longest_hold_ms,
+            ),
+            ("bounds.grace_s", self.bounds.grace_s != next.bounds.grace_s),
+            (
+                "bounds.heartbeat_ms",
+                self.bounds.heartbeat_ms != next.bounds.heartbeat_ms,
+            ),
+        ];
+        let differing = differences.into_iter().filter(|(_, differs)| *differs);
+        differing.map(|(name, _)| name).collect()
+    }
+
     /// How long a stopping node may take.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.grace_s.max(1.0))
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -49,6 +49,8 @@
     pub ready: Cell<bool>,
     pub stopping: Cell<bool>,
     pub stop: Notify,
+    /// Number of this run.
+    pub run: u64,
     pub store: SocketAddr,
     pub datagrams: UdpSocket,
     pub observer: Observer,
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -99,6 +99,7 @@
     configuration: Gauge,
     upstreams: Gauge,
     nodes: Gauge,
+    follows_store: Gauge,
     view_age: Family<ViewLabel, Gauge>,
 }
 
@@ -124,6 +125,7 @@
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
+            follows_store: Gauge::default(),
             view_age: Family::default(),
         };
         metrics.register();
@@ -193,6 +195,11 @@
         );
         registry.register("upstreams", "Upstreams known", self.upstreams.clone());
         registry.register("nodes", "Nodes known", self.nodes.clone());
+        registry.register(
+            "follows_store",
+            "1 where the store is followed, 0 where a relay is relied on",
+            self.follows_store.clone(),
+        );
         registry.register(
             "view_age_milliseconds",
             "Time since the store last answered for a view",
@@ -240,6 +247,7 @@
         self.configuration.set(version as i64);
         self.upstreams.set(views.directory.iter().count() as i64);
         self.nodes.set(views.nodes.len() as i64);
+        self.follows_store.set(views.follows().into());
         for view in ViewName::ALL {
             let age = views.replica(view).age(now).as_millis() as i64;
             let label = ViewLabel {
--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -15,6 +15,7 @@
 mod process;
 mod rate;
 mod readiness;
+mod reload;
 mod small_server;
 
 pub use log::{LogLevel, build_logger, dropped_lines};
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -13,6 +13,7 @@
 use beamtray_metastore::StoreOutcome;
 use beamtray_sharding::{GrantReply, OrderKind, ShardKey};
 use slog::{Logger, Record, debug, info, warn};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Writes lines and counts.
@@ -96,6 +97,9 @@
             ViewNotice::Restarted { prefix } => {
                 info!(log, "watch_restarted"; "prefix" => prefix);
             }
+            ViewNotice::Follows { itself, as_relay } => {
+                info!(log, "follows"; "store" => itself, "as_relay" => as_relay);
+            }
             ViewNotice::Followed {
                 prefix,
                 sound: true,
@@ -134,6 +138,13 @@
         }
     }
 
+    /// Another node did not give its copies.
+    pub fn peer_unanswered(&self, peer: SocketAddr, error: &str) {
+        if let Some(left_out) = self.admit(LineKind::Dependency) {
+            info!(self.log, "peer_unanswered"; "peer" => %peer, "error" => error, left_out);
+        }
+    }
+
     /// A call to the store ended.
     pub fn store(&self, task: &StoreTask, outcome: &StoreOutcome) {
         let name = store_outcome(outcome);
--- a/crates/router/src/shell/peers.rs
+++ b/crates/router/src/shell/peers.rs
@@ -89,7 +89,7 @@
 }
 
 fn not_answered(shared: &Shared, address: SocketAddr, error: &str) -> Input {
-    slog::debug!(shared.observer.log, "peer_ask"; "peer" => %address, "error" => error);
+    shared.observer.peer_unanswered(address, error);
     Input::NotAnswered(address)
 }
 
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -7,7 +7,7 @@
 use crate::shell::handle::Shared;
 use crate::shell::observer::Observer;
 use crate::shell::outputs::carry_out;
-use crate::shell::{clients, peers, readiness};
+use crate::shell::{clients, peers, readiness, reload};
 use beamtray_catalog::ClientLimits;
 use beamtray_dialect::Dialect;
 use slog::{Logger, info};
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, LocalSet};
 
@@ -52,11 +52,13 @@
     Start(#[from] std::io::Error),
 }
 
-/// Runs a node until it is told to stop.
+/// Runs a node until it is told to stop. `file` is where the settings came
+/// from; they are read again from there.
 ///
 /// # Errors
 /// [`ProcessError`] when it can't start.
 pub fn run(
+    file: &str,
     settings: &NodeSettings,
     dialect: Rc<dyn Dialect>,
     log: &Logger,
@@ -65,7 +67,7 @@
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    runtime.block_on(local.run_until(serve(settings, dialect, log.clone())))
+    runtime.block_on(local.run_until(serve(file, settings, dialect, log.clone())))
 }
 
 struct Listeners {
@@ -106,13 +108,14 @@
 }
 
 async fn serve(
+    file: &str,
     settings: &NodeSettings,
     dialect: Rc<dyn Dialect>,
     log: Logger,
 ) -> Result<(), ProcessError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup())?;
     let listeners = bind(settings).await?;
     let run: u64 = rand::random();
     info!(log, "start"; "node" => &settings.node, "zone" => &settings.zone, "run" => run,
@@ -131,6 +134,7 @@
         ready: Cell::new(false),
         stopping: Cell::new(false),
         stop: Notify::new(),
+        run,
         store: settings.store.address,
         datagrams: listeners.datagrams,
         observer: Observer::new(log),
@@ -146,7 +150,12 @@
     }
     tokio::task::spawn_local(prune(shared.clone()));
     let accepting = tokio::task::spawn_local(clients::accept(shared.clone(), listeners.clients));
-    wait_for_stop(&shared, &mut terminate, &mut interrupt, &mut hangup).await;
+    let following = reload::follow(shared.clone(), file.to_owned(), settings.clone(), hangup);
+    tokio::task::spawn_local(following);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
     stop(&shared, settings.grace(), &accepting).await;
     info!(shared.observer.log, "stopped");
     Ok(())
@@ -202,21 +211,6 @@
     }
 }
 
-async fn wait_for_stop(
-    shared: &Shared,
-    terminate: &mut Signal,
-    interrupt: &mut Signal,
-    hangup: &mut Signal,
-) {
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
-            _ = hangup.recv() => info!(shared.observer.log, "reload"),
-        }
-    }
-}
-
 /// Takes what is still led here, lets what is under way end, then closes.
 ///
 /// Invariant: once connections are being closed none is accepted. A connection
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -430,9 +430,9 @@
                 }
                 self.judge_probe(id, request, asked, *status);
             }
-            CallerEnd::BrokenOff => self.judge_cut(id, request, asked, at),
-            CallerEnd::Unsent | CallerEnd::Left | CallerEnd::TimedOut => {}
+            CallerEnd::BrokenOff | CallerEnd::Unsent | CallerEnd::Left | CallerEnd::TimedOut => {}
         }
+        self.judge_stop(id, request, asked, at, *end == CallerEnd::BrokenOff);
     }
 
     fn judge_probe(&mut self, id: &str, request: &Request, asked: Time, status: u16) {
@@ -472,21 +472,23 @@
         });
     }
 
-    fn judge_cut(&mut self, id: &str, request: &Request, asked: Time, at: Time) {
-        let stop = self.history.stops.iter().find(|stop| {
-            stop.node == request.node && asked >= stop.at - CONTACT && asked <= stop.until
-        });
+    /// Judges a request of a router that was told to stop while it lasted.
+    fn judge_stop(&mut self, id: &str, request: &Request, asked: Time, at: Time, cut: bool) {
+        let stops = &self.history.stops;
+        let stopped = stops
+            .iter()
+            .any(|stop| stop.node == request.node && at >= stop.at && asked <= stop.until);
         let unplanned = self.disturbed(asked - CONTACT, at, |whom| {
             matches!(whom, Disturbed::Store | Disturbed::Upstream)
                 || whom == Disturbed::Router(request.node)
         });
-        if stop.is_none() || unplanned || at.since(asked) >= LAST_PART {
+        if !stopped || unplanned || at.since(asked) >= LAST_PART {
             return;
         }
         let passed_on = !request.arrived.is_empty();
-        let soon = at.since(asked) <= CUT_SLACK;
+        let late = at.since(asked) > CUT_SLACK;
         self.verdict
-            .test(Promise::Lost, !passed_on && soon, at, || {
+            .test(Promise::Lost, !cut || !passed_on && !late, at, || {
                 format!(
                     "router {} cut {id} {} at its stop",
                     request.node, request.path
