--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -36,6 +36,9 @@
 const SAFE_REST: Duration = Duration::from_millis(200);
 /// Connections kept to one address.
 const KEPT: usize = 4;
+/// Connections kept in all: each costs memory, and where there are many upstreams
+/// most are not used again before their rest is over.
+const MOST_RESTING: usize = 96;
 /// How long connections to an address that sent wrong bytes are not kept.
 const DISTRUST: Duration = Duration::from_secs(6);
 /// Longest answer, in bytes.
@@ -181,6 +184,7 @@
         let kept = resting.entry(connection.address).or_default();
         if kept.len() < KEPT {
             kept.push(connection);
+            drop_longest_resting(&mut resting);
         }
     }
 
@@ -214,6 +218,29 @@
     }
 }
 
+/// Closes the connection that has rested longest when there are too many.
+fn drop_longest_resting(resting: &mut HashMap<SocketAddr, Vec<Connection>>) {
+    let count: usize = resting.values().map(Vec::len).sum();
+    if count <= MOST_RESTING {
+        return;
+    }
+    // The first one of an address has rested longest there.
+    let first = |kept: &[Connection]| kept.first().map(|connection| connection.rests_since);
+    let longest = resting
+        .iter()
+        .filter_map(|(address, kept)| Some((first(kept)?, *address)))
+        .min();
+    let Some((_, address)) = longest else {
+        return;
+    };
+    if let Some(kept) = resting.get_mut(&address) {
+        kept.remove(0);
+        if kept.is_empty() {
+            resting.remove(&address);
+        }
+    }
+}
+
 /// How long the other side lets a connection rest, with a margin.
 fn rest(head: &Parts) -> Duration {
     let told = head
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -79,7 +79,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         Self {
             seed,
-            nodes: random.random_range(2..6),
+            nodes: draw_nodes(&mut random, seed),
             keyed: random.random_range(3..7),
             pool: random.random_range(2..5),
             lead: Duration::from_secs(6),
@@ -105,6 +105,18 @@
     }
 }
 
+/// One history in this many has so many nodes that they tell each other of
+/// requests through relays.
+const MANY_NODES_ONE_IN: u64 = 12;
+
+fn draw_nodes(random: &mut ChaCha8Rng, seed: u64) -> usize {
+    let few = random.random_range(2..9);
+    if seed.is_multiple_of(MANY_NODES_ONE_IN) {
+        return few + 15;
+    }
+    few
+}
+
 /// Settings of one of the world's nodes.
 pub fn usual_settings(node: usize) -> NodeSettings {
     nodes::settings(node)
