--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -118,10 +118,10 @@
         }
     }
     upstream.emulator.borrow_mut().state = UpstreamState::Draining;
-    // The entry says so with its next write; the store may be silent.
-    let _ = upstream.write_entry(Method::POST).await;
+    // The store may be silent; the entry says so with its next write.
+    let _ = timeout(STORE_TIMEOUT, upstream.write_entry(Method::POST)).await;
     tokio::time::sleep(DRAIN + LINGER).await;
-    let _ = upstream.write_entry(Method::DELETE).await;
+    let _ = timeout(STORE_TIMEOUT, upstream.write_entry(Method::DELETE)).await;
     Ok(())
 }
 
