--- /dev/null
+++ b/crates/soak/src/checker/requests.rs
@@ -0,0 +1,162 @@
+//! Promises about single requests.
+
+use super::{Checker, Disturbed, Promise, Request};
+use crate::config::{CONFIGURE, CONTACT, DRAIN, PROBE, service_of};
+use crate::message::CallerEnd;
+use beamtray_types::Time;
+use std::time::Duration;
+
+/// A request that was not passed on may be cut this soon.
+const CUT_SLACK: Duration = Duration::from_millis(200);
+/// Part of a caller's patience after which a cut is the deadline's.
+const LAST_PART: Duration = Duration::from_millis(1_400);
+
+impl Checker<'_> {
+    pub(super) fn judge_requests(&mut self) {
+        let requests = std::mem::take(&mut self.requests);
+        for (id, request) in &requests {
+            self.judge_asked(id, request);
+            self.judge_runs(id, request);
+            if let Some((at, end)) = &request.ended {
+                self.judge_end(id, request, *at, end);
+            }
+            self.judge_drain(id, request);
+        }
+        self.requests = requests;
+    }
+
+    fn judge_asked(&mut self, id: &str, request: &Request) {
+        for begun in &request.begun {
+            let asked = request.asked.is_some() && begun.path == request.path;
+            self.verdict.test(Promise::Unasked, asked, begun.at, || {
+                format!(
+                    "{} runs {id} {}, which nobody asked for",
+                    begun.upstream, begun.path
+                )
+            });
+            let service = service_of(&begun.path);
+            let right = begun.upstream.starts_with(service);
+            self.verdict.test(Promise::Route, right, begun.at, || {
+                format!("{} runs {id} {}", begun.upstream, begun.path)
+            });
+        }
+    }
+
+    fn judge_runs(&mut self, id: &str, request: &Request) {
+        if request.repeatable || request.begun.is_empty() {
+            return;
+        }
+        let at = request.begun[0].at;
+        let runs = request.begun.len();
+        self.verdict.test(Promise::Twice, runs <= 1, at, || {
+            format!("{id} {} runs {runs} times", request.path)
+        });
+    }
+
+    fn judge_end(&mut self, id: &str, request: &Request, at: Time, end: &CallerEnd) {
+        let Some(asked) = request.asked else { return };
+        match end {
+            CallerEnd::Answered {
+                status,
+                signed,
+                sound,
+            } => {
+                if (200..300).contains(status) {
+                    let whole = *signed && *sound && !request.begun.is_empty();
+                    self.verdict.test(Promise::Mixed, whole, at, || {
+                        format!("{id} got {status}, signed {signed}, sound {sound}")
+                    });
+                }
+                if matches!(status, 429 | 503 | 408 | 421) && !request.repeatable {
+                    let kept = request.begun.is_empty();
+                    self.verdict.test(Promise::Refused, kept, at, || {
+                        format!("{id} got {status} and has run")
+                    });
+                }
+                self.judge_probe(id, request, asked, *status);
+            }
+            CallerEnd::BrokenOff | CallerEnd::Unsent | CallerEnd::Left | CallerEnd::TimedOut => {}
+        }
+        self.judge_stop(id, request, asked, at, *end == CallerEnd::BrokenOff);
+    }
+
+    fn judge_probe(&mut self, id: &str, request: &Request, asked: Time, status: u16) {
+        let Some(rest) = request.path.strip_prefix(PROBE) else {
+            return;
+        };
+        let version = rest
+            .split('/')
+            .next()
+            .and_then(|text| text.parse::<u64>().ok());
+        let Some(version) = version else { return };
+        if !self.in_touch(request.node, asked - CONFIGURE, asked) {
+            return;
+        }
+        // The version that must be in force, and whether a later one may be.
+        let in_force = self
+            .configured
+            .iter()
+            .rfind(|(at, _)| *at + CONFIGURE < asked);
+        let newest = self
+            .configured
+            .iter()
+            .rfind(|(at, _)| *at <= asked + CONFIGURE);
+        let (Some((_, in_force)), Some((_, newest))) = (in_force, newest) else {
+            return;
+        };
+        if in_force != newest || version > *in_force {
+            return;
+        }
+        let there = version == *in_force;
+        let holds = if there { status != 404 } else { status == 404 };
+        self.verdict.test(Promise::Config, holds, asked, || {
+            format!(
+                "router {} answers {id} {} with {status}, {in_force} is in force",
+                request.node, request.path
+            )
+        });
+    }
+
+    /// Judges a request of a router that was told to stop while it lasted.
+    fn judge_stop(&mut self, id: &str, request: &Request, asked: Time, at: Time, cut: bool) {
+        let stops = &self.history.stops;
+        let stopped = stops
+            .iter()
+            .any(|stop| stop.node == request.node && at >= stop.at && asked <= stop.until);
+        let unplanned = self.disturbed(asked - CONTACT, at, |whom| {
+            matches!(whom, Disturbed::Store | Disturbed::Upstream)
+                || whom == Disturbed::Router(request.node)
+        });
+        if !stopped || unplanned || at.since(asked) >= LAST_PART {
+            return;
+        }
+        let passed_on = !request.arrived.is_empty();
+        let late = at.since(asked) > CUT_SLACK;
+        self.verdict
+            .test(Promise::Lost, !cut || !passed_on && !late, at, || {
+                format!(
+                    "router {} cut {id} {} at its stop",
+                    request.node, request.path
+                )
+            });
+    }
+
+    fn judge_drain(&mut self, id: &str, request: &Request) {
+        let Some(asked) = request.asked else { return };
+        for (at, upstream) in &request.arrived {
+            let Some(left) = self.left.get(upstream) else {
+                continue;
+            };
+            let touched = self.in_touch(request.node, *left, *at);
+            let hindered = self.disturbed(asked - CONTACT, *at, |whom| whom == Disturbed::Upstream);
+            if !touched || hindered {
+                continue;
+            }
+            let late = at.since(*left);
+            self.verdict.test(Promise::Drain, late <= DRAIN, *at, || {
+                let millis = late.as_millis();
+                format!("{upstream} gets {id} {millis} ms after it left")
+            });
+        }
+    }
+}
