Take nothing from a watch that heard nothing

Version 30 was written at 24.30 s while watches heard nothing; at 28.71 s front-lhr-c-2 still served by 27. It takes its copies from a relay.

Cause: not shown. By reasoning: an answer without events carries the store's newest revision. Taken by a relay that is deaf, it says that nothing is missing; the relay mends itself by reading again, but a node that took that copy never lacks the change.

Change: the revision of an answer without events is not taken. The next watch asks for the same changes, or learns that they are forgotten and reads again. Test: first failing (the watch went on from revision 20), then passing.

--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -167,6 +167,12 @@
                 if !events.is_empty() {
                     self.retry_at = now + self.timing.gather;
                 }
+                if events.is_empty() {
+                    // A watch that heard nothing proves nothing: changes may have
+                    // been kept from it. The next one asks for the same ones, or
+                    // learns that they are forgotten.
+                    return (ReplicaHealth::Sound, Vec::new());
+                }
                 for event in &events {
                     self.note(event_revision(event));
                 }
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -233,3 +233,18 @@
     assert_eq!(lacking, [ViewName::Upstreams]);
     assert_eq!(views.poll(at(1_200), ViewName::Upstreams), None);
 }
+
+/// Found by a hunt: while watches heard nothing a new configuration was written,
+/// and a watch that ended just then told a revision beyond it. From there on
+/// nothing was missing, and the node served by the old one.
+#[test]
+fn a_watch_that_ends_without_events_proves_nothing() {
+    let mut views = watching();
+    let outcome = StoreOutcome::Events {
+        events: Vec::new(),
+        at: Revision(20),
+    };
+    views.handle(at(8_000), ViewName::Operator, 0, outcome);
+    let call = views.poll(at(8_001), ViewName::Operator);
+    assert!(matches!(call, Some(StoreCall::Watch { after, .. }) if after == Revision(10)));
+}
