Tell other zones of load once a zone; let failed views wait for lease renewals

Change: where there are few nodes, the first one alive of a zone sums its load and tells one node of each other zone, which passes it on. A view that fails waits up to 1.2 s, or until a call of another sort is answered. Watches wait 25 s instead of 8; relays renew every 0.3 s instead of 0.25.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -41,7 +41,7 @@
 const REREAD: Duration = Duration::from_millis(100);
 
 /// Between renewals of a relay's entry.
-const RELAY_RENEWAL: Duration = Duration::from_millis(250);
+const RELAY_RENEWAL: Duration = Duration::from_millis(300);
 /// How much longer than a relay another node leaves the granter's place vacant.
 const HANDICAP: Duration = Duration::from_millis(300);
 
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -21,8 +21,10 @@
     pub tick: Duration,
     /// Between reports of requests under way to nodes of the same zone.
     pub report: Duration,
-    /// Between the same to nodes of other zones.
-    pub far_report: Duration,
+    /// Between reports that tell of answers, too.
+    pub answers_report: Duration,
+    /// Between sums of a zone to the others where there are few nodes.
+    pub few_zone_report: Duration,
     /// Between reports to relays, and their sums to the nodes of their zones.
     pub relayed_report: Duration,
     /// Between sums to relays of other zones.
@@ -52,7 +54,8 @@
         Self {
             tick: Duration::from_millis(10),
             report: Duration::from_millis(10),
-            far_report: Duration::from_millis(40),
+            answers_report: Duration::from_millis(40),
+            few_zone_report: Duration::from_millis(25),
             relayed_report: Duration::from_millis(30),
             zone_report: Duration::from_millis(50),
             answers: Duration::from_millis(500),
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -3,6 +3,7 @@
 mod fetch;
 mod load;
 mod talk;
+mod zone_load;
 
 use crate::core::control::{Control, ControlConfig};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
@@ -65,10 +66,15 @@
     fetches: Fetches,
     ask_at: Time,
     asked: usize,
+    /// Whether a call got no answer since one last did.
     path_failed: bool,
+    /// Whether the store refused a call since it last took one.
+    was_refused: bool,
     configured: u64,
     /// When each node was last heard.
     heard: BTreeMap<SocketAddr, Time>,
+    /// Zones of the nodes that have an entry, or had one and are heard.
+    zones: BTreeMap<SocketAddr, String>,
     was_granter: Option<u64>,
     outputs: Vec<Output>,
 }
@@ -91,8 +97,10 @@
             ask_at: Time::ZERO,
             asked: 0,
             path_failed: false,
+            was_refused: false,
             configured: 0,
             heard: BTreeMap::new(),
+            zones: BTreeMap::new(),
             was_granter: None,
             outputs: Vec::new(),
             config,
@@ -159,6 +167,7 @@
             Datagram::Load(report) => self.take_load(now, report),
             Datagram::ZoneLoad(zone, sum) => {
                 self.dispatcher.take_sum(now, SumSource::Zone(*zone), sum);
+                self.take_zone_word(now, from, datagram);
             }
             Datagram::AllLoad(sum) => self.take_all_load(now, from, sum),
             Datagram::Answers(answers) => self.take_answers(now, from, answers),
@@ -208,8 +217,17 @@
                 self.trouble_at = Some(now);
                 self.views.directory.store_troubled(now);
             }
-        } else if std::mem::take(&mut self.path_failed) {
+            return;
+        }
+        if matches!(outcome, StoreOutcome::Refused) {
+            self.was_refused = true;
+            return;
+        }
+        let was_refused = std::mem::take(&mut self.was_refused);
+        if std::mem::take(&mut self.path_failed) {
             self.views.restart_all(now);
+        } else if was_refused {
+            self.views.retry_all(now);
         }
     }
 
@@ -255,6 +273,8 @@
         let own = &self.config.control.record;
         let mut nodes = self.views.nodes.clone();
         nodes.insert(own.name.clone(), own.clone());
+        let zones = nodes.values().map(|node| (node.peers, node.zone.clone()));
+        self.zones.extend(zones);
         self.relays = Relays::choose(&nodes);
         self.dispatcher.set_nodes(self.node_count());
     }
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -1,8 +1,9 @@
 //! What nodes tell one another of requests under way.
 //!
-//! Few nodes tell each other directly. Many tell the relays of their zone; the
-//! first relay that is alive tells the sums on. Told directly, n nodes send and
-//! take n x n reports, and the far ones cost bytes between zones.
+//! Few nodes tell those of their zone directly; see [`super::zone_load`] for what
+//! other zones hear. Many tell the relays of their zone; the first relay that is
+//! alive tells the sums on. Told directly, n nodes send and take n x n reports,
+//! and the far ones cost bytes between zones.
 
 use super::NodeCore;
 use super::talk::{Audience, bounded};
@@ -16,6 +17,9 @@
 
 /// Up to this many nodes tell each other directly.
 const FEW_NODES: usize = 16;
+/// Longest pause between reports of a node to those of its zone where there are
+/// few.
+const NEAR_IDLE: Duration = Duration::from_millis(80);
 /// A relay that was not heard for this long is not the first one alive.
 const LEAD_SILENCE: Duration = Duration::from_millis(250);
 /// Datagrams a second that a relay sends to the nodes of its zone.
@@ -25,7 +29,7 @@
 
 /// Answers of one upstream that are still to be passed on.
 #[derive(Clone, Copy, Debug, Default)]
-struct Untold {
+pub(super) struct Untold {
     samples: u32,
     sum: f32,
 }
@@ -34,12 +38,16 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReportSchedule {
     near_at: Time,
+    idle_at: Time,
     far_at: Time,
     told_empty: bool,
     sum_at: Time,
-    zone_at: Time,
-    answers_at: Time,
-    untold: HashMap<UpstreamHash, Untold>,
+    pub(super) zone_at: Time,
+    pub(super) zone_told_empty: bool,
+    pub(super) answers_at: Time,
+    pub(super) untold: HashMap<UpstreamHash, Untold>,
+    /// When nodes of other zones told of theirs.
+    pub(super) zones_told: HashMap<SocketAddr, Time>,
     /// When relays of this zone told a sum.
     sums_heard: HashMap<SocketAddr, Time>,
 }
@@ -47,8 +55,9 @@
 impl NodeCore {
     /// Tells other nodes what is under way.
     pub(super) fn report(&mut self, now: Time) {
-        if self.views.nodes.len() <= FEW_NODES {
-            self.report_directly(now);
+        if self.are_few() {
+            self.report_near(now);
+            self.report_zone(now);
             return;
         }
         if self.leads(now) {
@@ -58,27 +67,30 @@
         self.report_to_relays(now);
     }
 
-    /// Tells all nodes: those of the same zone often, others less so, for bytes
-    /// between zones are dear.
-    fn report_directly(&mut self, now: Time) {
+    /// Tells the nodes of the same zone. All hear each other at least every
+    /// [`NEAR_IDLE`], which shows who is alive.
+    fn report_near(&mut self, now: Time) {
         let timing = self.config.timing;
-        let quiet = self.is_quiet();
-        if now >= self.reports.far_at {
-            let pause = if quiet {
-                timing.idle_report
-            } else {
-                timing.far_report
-            };
-            self.reports.far_at = now + pause.max(bounded(self.peers(Audience::All).len()));
-            let report = self.whole_report();
-            self.send(Datagram::Load(report), Audience::All);
-            self.reports.near_at = now + timing.report;
-        } else if now >= self.reports.near_at && !quiet {
-            let near = self.peers(Audience::Near).len();
-            self.reports.near_at = now + timing.report.max(bounded(near));
-            let report = self.dispatcher.load_report(Vec::new());
-            self.send(Datagram::Load(report), Audience::Near);
+        let due = now >= self.reports.near_at && !self.is_quiet();
+        if !due && now < self.reports.idle_at {
+            return;
         }
+        let near = self.peers(Audience::Near).len();
+        self.reports.near_at = now + timing.report.max(bounded(near));
+        self.reports.idle_at = now + NEAR_IDLE;
+        let report = if now >= self.reports.far_at {
+            self.reports.far_at = now + timing.answers_report;
+            self.whole_report()
+        } else {
+            self.dispatcher.load_report(Vec::new())
+        };
+        self.note_answers(&report.answers);
+        self.send(Datagram::Load(report), Audience::Near);
+    }
+
+    /// Whether nodes tell those of their zone directly.
+    pub(super) fn are_few(&self) -> bool {
+        self.views.nodes.len() <= FEW_NODES
     }
 
     /// Whether nothing is under way and the last report said so.
@@ -167,7 +179,7 @@
     /// Takes a report of another node.
     pub(super) fn take_load(&mut self, now: Time, report: &LoadReport) {
         self.dispatcher.report(now, report);
-        if self.is_relay() {
+        if self.is_relay() || self.are_few() {
             self.note_answers(&report.answers);
         }
     }
@@ -194,6 +206,13 @@
         if now < self.reports.answers_at {
             return;
         }
+        let mut audience = self.peers(Audience::Near);
+        audience.extend(self.other_relays());
+        self.tell_answers(now, &audience);
+    }
+
+    /// Tells what was noted of answers, which is not told again.
+    pub(super) fn tell_answers(&mut self, now: Time, audience: &[SocketAddr]) {
         self.reports.answers_at = now + self.config.timing.answers;
         let untold = self.reports.untold.drain();
         let answers: Vec<Answers> = untold
@@ -203,11 +222,9 @@
                 sum: untold.sum,
             })
             .collect();
-        let mut audience = self.peers(Audience::Near);
-        audience.extend(self.other_relays());
         for part in answers.chunks(ANSWERS_A_DATAGRAM) {
             let datagram = Datagram::Answers(part.to_vec());
-            self.outputs.push(Output::Send(datagram, audience.clone()));
+            self.outputs.push(Output::Send(datagram, audience.to_vec()));
         }
     }
 
@@ -215,6 +232,10 @@
     /// to the nodes of this one.
     pub(super) fn take_answers(&mut self, now: Time, from: SocketAddr, answers: &[Answers]) {
         self.dispatcher.take_others_answers(now, answers);
+        if self.are_few() {
+            self.pass_on_near(from, &Datagram::Answers(answers.to_vec()));
+            return;
+        }
         let own = &self.config.control.record;
         let relays = self.relays.of_zone(&own.zone);
         let is_first = relays.first() == Some(&own.peers);
--- a/crates/router/src/core/node/talk.rs
+++ b/crates/router/src/core/node/talk.rs
@@ -139,20 +139,28 @@
             .map(|node| node.peers)
             .filter(|address| *address != own.peers)
             .collect();
-        if audience == Audience::All {
-            let is_registered = |address: &SocketAddr| {
-                let mut nodes = self.views.nodes.values();
-                nodes.any(|node| node.peers == *address)
-            };
-            let heard = self.heard.keys().filter(|one| !is_registered(one));
-            peers.extend(heard.filter(|address| **address != own.peers));
-        }
+        let is_meant = |address: &SocketAddr| {
+            audience == Audience::All || self.zones.get(address) == Some(&own.zone)
+        };
+        let heard = self.heard.keys().filter(|one| !self.has_entry(one));
+        let heard = heard.filter(|address| **address != own.peers && is_meant(address));
+        peers.extend(heard);
         peers
     }
 
+    fn has_entry(&self, address: &SocketAddr) -> bool {
+        let mut nodes = self.views.nodes.values();
+        nodes.any(|node| node.peers == *address)
+    }
+
     /// Forgets nodes that fell silent.
     pub(super) fn forget_silent(&mut self, now: Time) {
         self.heard.retain(|_, heard| now.since(*heard) < HEARD_FOR);
+        let zones = std::mem::take(&mut self.zones);
+        let known = zones
+            .into_iter()
+            .filter(|(address, _)| self.heard.contains_key(address) || self.has_entry(address));
+        self.zones = known.collect();
     }
 
     /// While the store does not answer, other nodes may know more.
--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -9,8 +9,9 @@
 
 /// First pause after a failure.
 const RETRY: Duration = Duration::from_millis(60);
-/// Longest pause after failures.
-const LONGEST_RETRY: Duration = Duration::from_millis(400);
+/// Longest pause after failures. A call of another sort that is answered ends
+/// it: lease renewals, which are cheap, are tried more often.
+const LONGEST_RETRY: Duration = Duration::from_millis(1_200);
 
 /// How the last call went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -184,7 +185,7 @@
             }
             _ => {
                 self.failures += 1;
-                let pause = RETRY * 2u32.saturating_pow(self.failures.min(4) - 1);
+                let pause = RETRY * 2u32.saturating_pow(self.failures.min(8) - 1);
                 self.retry_at = now + pause.min(LONGEST_RETRY);
                 if matches!(self.phase, Phase::Reading { .. }) {
                     self.read_again();
@@ -194,6 +195,13 @@
         }
     }
 
+    /// Tries again at once what has failed: the store answers other calls.
+    pub fn retry(&mut self, now: Time) {
+        if self.failures > 0 {
+            self.retry_at = self.retry_at.min(now);
+        }
+    }
+
     fn sound(&mut self, now: Time) {
         self.failures = 0;
         self.last_answer = Some(now);
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -317,6 +317,13 @@
         self.replica_mut(view).restart(now);
     }
 
+    /// Tries again at once what has failed: the store answers other calls.
+    pub fn retry_all(&mut self, now: Time) {
+        for replica in &mut self.replicas {
+            replica.retry(now);
+        }
+    }
+
     /// Gives up on all watches: the path to the store was dead for a while.
     pub fn restart_all(&mut self, now: Time) {
         for view in ViewName::ALL {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -34,7 +34,8 @@
 /// Beyond this and what is left of its hold, a silent holder has no keys.
 const SILENCE: Duration = Duration::from_millis(1_200);
 const NOTICE: Duration = Duration::from_millis(20);
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// Longest wait of a watch: each that ends unheard costs a call.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// At the first start of all nodes: until all of them have registered.
 const FIRST_START_DELAY: Duration = Duration::from_millis(500);
 
