--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -161,6 +161,7 @@
     let record = AssignmentRecord {
         epoch: Epoch(1),
         sequence: 1,
+        standbys: Vec::new(),
         slices: vec![SliceRecord {
             range: KeyRange::ALL,
             state,
@@ -433,6 +434,7 @@
     let newer = AssignmentRecord {
         epoch: Epoch(1),
         sequence: 2,
+        standbys: Vec::new(),
         slices: vec![SliceRecord {
             range: KeyRange::ALL,
             state: SliceState::Held {
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -7,6 +7,8 @@
 use crate::core::message::{OrderTask, StoreTask};
 use crate::core::records::{NodeRecord, OwnKeys};
 use crate::core::registration::Registrar;
+use crate::core::standby::{StandbyReport, StandbyWord};
+use crate::core::standby_words::StandbyWords;
 use crate::core::views::{ViewName, Views};
 use beamtray_catalog::UpstreamId;
 use beamtray_dispatch::{Dispatcher, KeyReport, SpeedTable};
@@ -15,7 +17,8 @@
     StoreOutcome, Transaction, Write,
 };
 use beamtray_sharding::{
-    AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, Granter, GranterTiming,
+    AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, Granter, GranterTiming, OwnedAgain,
+    StandbyId,
 };
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
@@ -82,6 +85,7 @@
     election: Election,
     term: Option<Term>,
     addresses: BTreeMap<UpstreamId, SocketAddr>,
+    standbys: StandbyWords,
     /// Assignments in the store that this node's views don't show yet.
     written: Vec<Item>,
     speeds_at: Time,
@@ -103,6 +107,7 @@
             registrar: Registrar::new(config.record.clone(), config.node_lease),
             election,
             term: None,
+            standbys: StandbyWords::default(),
             written: Vec::new(),
             speeds_at: Time::ZERO,
             addresses: BTreeMap::new(),
@@ -112,9 +117,10 @@
 
     /// States whether this node is a relay, which makes it a better granter, and
     /// whether it follows the store. Others rely on one that does both, so it
-    /// looks after its path to the store more often.
-    pub fn set_relay(&mut self, is_relay: bool, follows: bool) {
-        let renewal = if is_relay && follows {
+    /// looks after its path to the store more often; so does a standby that
+    /// misses the granter.
+    pub fn set_relay(&mut self, is_relay: bool, follows: bool, misses_granter: bool) {
+        let renewal = if (is_relay && follows) || misses_granter {
             RELAY_RENEWAL
         } else {
             self.config.node_lease.renewal
@@ -124,6 +130,11 @@
             .set_handicap(if is_relay { Duration::ZERO } else { HANDICAP });
     }
 
+    /// States whether this node declines to be a standby, which its entry tells.
+    pub fn set_declines_standby(&mut self, declines: bool) {
+        self.registrar.set_declines_standby(declines);
+    }
+
     /// When the last call was sent that shows a sound path to the store.
     pub fn store_sound_at(&self) -> Option<Time> {
         self.registrar.sound_at()
@@ -380,6 +391,55 @@
         tasks
     }
 
+    /// Slices that have an owner again since the last call.
+    pub fn take_owned_again(&mut self) -> Vec<(ServiceName, OwnedAgain)> {
+        let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
+        let all = all.into_iter().flat_map(|all| all.iter_mut());
+        let owned = all.flat_map(|(service, grants)| {
+            let owned = grants.granter.take_owned_again().into_iter();
+            owned.map(move |owned| (service.clone(), owned))
+        });
+        owned.collect()
+    }
+
+    /// Where upstreams listen, or did when they were last seen.
+    pub fn addresses(&self) -> &BTreeMap<UpstreamId, SocketAddr> {
+        &self.addresses
+    }
+
+    /// Words to standbys that are due. `wanted` are the nodes that are to be
+    /// standbys.
+    pub fn poll_standbys(
+        &mut self,
+        now: Time,
+        views: &Views,
+        wanted: &[StandbyId],
+    ) -> Vec<(SocketAddr, StandbyWord)> {
+        let Some(authority) = self.election.authority(now) else {
+            return Vec::new();
+        };
+        let own = StandbyId {
+            address: self.config.record.peers,
+            run: self.config.record.run,
+        };
+        let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
+        let Some(all) = all else {
+            return Vec::new();
+        };
+        let granters = all.values_mut().map(|grants| &mut grants.granter);
+        let mut granters: Vec<&mut Granter> = granters.collect();
+        self.standbys
+            .poll(now, authority.epoch.0, own, &mut granters, views, wanted)
+    }
+
+    /// Takes a standby's report.
+    pub fn standby_reported(&mut self, now: Time, from: SocketAddr, report: &StandbyReport) {
+        let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
+        if let Some(all) = all {
+            self.standbys.reported(now, from, report, all);
+        }
+    }
+
     /// Starts granters of services that are divided and have none.
     fn add_services(&mut self, now: Time, views: &Views) {
         let Some(term) = &mut self.term else {
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -1,6 +1,7 @@
 //! What goes into a node's core and what comes out of it.
 
 use crate::core::node::CoreConfig;
+use crate::core::standby::{StandbyReport, StandbyState, StandbyWord};
 use crate::core::views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest};
 use beamtray_catalog::{ClientLimits, UpstreamId};
 use beamtray_dispatch::{
@@ -8,7 +9,7 @@
     RequestHead, Ticket,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
-use beamtray_sharding::{GrantOrder, GrantReply};
+use beamtray_sharding::{GrantOrder, GrantReply, OwnedAgain};
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
@@ -71,6 +72,9 @@
     }
 }
 
+/// Longest wait for the answer to a grant.
+pub const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// An order to be sent to an upstream.
 #[derive(Clone, Debug)]
 pub struct OrderTask {
@@ -120,6 +124,10 @@
     Keys(KeyReport),
     /// Newest changes that it has seen.
     Heads(ViewHeads),
+    /// From the granter to a standby: it may prolong holds for a while.
+    StandbyWord(StandbyWord),
+    /// From a standby to the granter.
+    StandbyReport(StandbyReport),
 }
 
 /// What happened.
@@ -202,4 +210,8 @@
     Notice(ViewNotice),
     /// This node became the granter, or ceased to be.
     Granter(Option<u64>),
+    /// As the granter: keys of a service have an owner again.
+    OwnedAgain(ServiceName, OwnedAgain),
+    /// What this node does as a standby changed.
+    Standby(StandbyState),
 }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -8,15 +8,18 @@
 mod registration;
 mod relays;
 mod replica;
+mod standby;
+mod standby_words;
 mod views;
 
 pub use control::{Control, ControlConfig};
-pub use message::{Datagram, Input, OrderTask, Output, StoreTask, Timing};
+pub use message::{Datagram, GRANT_TIMEOUT, Input, OrderTask, Output, StoreTask, Timing};
 pub use node::{CoreConfig, NodeCore};
 pub use records::{NodeRecord, OwnKeys};
 pub use registration::Registrar;
 pub use relays::{Relays, RelaysHeard, STANDBY_TRUST, TRUST};
 pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
+pub use standby::{KnownRecord, STANDBY_TERM, StandbyReport, StandbyState, StandbyWord};
 pub use views::{
     Snapshot, StoreContact, ViewHeads, ViewName, ViewNotice, ViewRequest, Views, WantedView,
 };
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -2,12 +2,14 @@
 
 mod fetch;
 mod load;
+mod standby;
 mod talk;
 mod zone_load;
 
 use crate::core::control::{Control, ControlConfig};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
 use crate::core::relays::Relays;
+use crate::core::standby::{STANDBY_TERM, StandbyConfig, StandbyDuty, StandbyState};
 use crate::core::views::{Snapshot, ViewName, ViewRequest, Views};
 use beamtray_catalog::{DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
@@ -15,7 +17,7 @@
     AttemptOutcome, Decision, DispatchConfig, Dispatcher, SumSource, Untouched,
 };
 use beamtray_metastore::StoreOutcome;
-use beamtray_sharding::GrantReply;
+use beamtray_sharding::{GrantReply, StandbyId};
 use beamtray_types::Time;
 use fetch::Fetches;
 use load::ReportSchedule;
@@ -53,6 +55,8 @@
     config: CoreConfig,
     views: Views,
     control: Control,
+    standby: StandbyDuty,
+    standby_state: StandbyState,
     dispatcher: Dispatcher,
     stopping: bool,
     started_at: Option<Time>,
@@ -85,6 +89,15 @@
         Self {
             views: Views::new(dialect, config.directory, config.watch_wait),
             control: Control::new(config.control.clone()),
+            standby: StandbyDuty::new(StandbyConfig {
+                id: StandbyId {
+                    address: config.control.record.peers,
+                    run: config.control.record.run,
+                },
+                hold: config.control.grants.hold,
+                renewal: config.control.grants.renewal,
+            }),
+            standby_state: StandbyState::default(),
             dispatcher: Dispatcher::new(config.dispatch.clone()),
             stopping: false,
             started_at: None,
@@ -138,8 +151,12 @@
                     self.views.proved_gone(now, &order.holder);
                     self.viewed(now);
                 }
-                self.control
-                    .handle_order(now, &service, &order, epoch, reply);
+                if epoch == STANDBY_TERM {
+                    self.standby.handle(now, order.call, &reply);
+                } else {
+                    self.control
+                        .handle_order(now, &service, &order, epoch, reply);
+                }
                 self.poll_control(now);
             }
             Input::Replaced { upstream } => {
@@ -177,6 +194,8 @@
                 self.viewed(now);
             }
             Datagram::Keys(report) => self.control.report(report),
+            Datagram::StandbyWord(word) => self.standby.hear(now, word),
+            Datagram::StandbyReport(report) => self.control.standby_reported(now, from, report),
             Datagram::Heads(heads) => {
                 let lacking = self.views.heads(now, from, heads);
                 if self.fetches_from(now, from) {
@@ -264,6 +283,7 @@
         for (service, record) in &self.views.assignments {
             self.dispatcher.assign(service.clone(), record.clone());
         }
+        self.report_as_standby(now, true);
         self.dispatcher.follow(now, &self.views.directory);
         self.outputs.extend(notices.into_iter().map(Output::Notice));
     }
@@ -303,8 +323,9 @@
     fn poll_control(&mut self, now: Time) {
         let follows_first = self.is_first_relay(now);
         self.views.follow(now, follows_first);
+        let misses_granter = self.standby.misses_granter(now);
         self.control
-            .set_relay(self.is_relay(), self.views.follows());
+            .set_relay(self.is_relay(), self.views.follows(), misses_granter);
         for view in ViewName::ALL {
             if let Some(call) = self.views.poll(now, view) {
                 let generation = self.views.replica(view).generation();
@@ -322,6 +343,10 @@
             let orders = orders.into_iter().map(|order| Output::Order(order, epoch));
             self.outputs.extend(orders);
         }
+        self.poll_standbys(now);
+        let owned_again = self.control.take_owned_again().into_iter();
+        let owned_again = owned_again.map(|(service, owned)| Output::OwnedAgain(service, owned));
+        self.outputs.extend(owned_again);
         let granter = self
             .control
             .epoch()
@@ -344,10 +369,13 @@
         self.viewed(now);
         self.dispatcher.expire(now);
         self.forget_silent(now);
+        self.decide_standby(now);
         self.poll_control(now);
         self.report(now);
         self.tell_heads(now);
         self.report_keys(now);
+        self.report_as_standby(now, false);
+        self.prolong_holds(now);
         self.ask_peers(now);
     }
 
--- a/crates/router/src/core/records.rs
+++ b/crates/router/src/core/records.rs
@@ -48,4 +48,6 @@
     pub peers: SocketAddr,
     /// Thousandths of a processor core that it may use.
     pub capacity: u32,
+    /// Whether it declines to prolong holds for a granter that it does not hear.
+    pub declines_standby: bool,
 }
--- a/crates/router/src/core/registration.rs
+++ b/crates/router/src/core/registration.rs
@@ -99,6 +99,14 @@
         self.sound_at
     }
 
+    /// States whether the node declines to be a standby.
+    pub fn set_declines_standby(&mut self, declines: bool) {
+        if self.record.declines_standby != declines {
+            self.record.declines_standby = declines;
+            self.write_at = Time::ZERO;
+        }
+    }
+
     /// Renews the lease that often from now on.
     pub fn set_renewal(&mut self, renewal: Duration) {
         self.keeper.set_renewal(renewal);
--- /dev/null
+++ b/crates/router/src/core/standby_words.rs
@@ -0,0 +1,137 @@
+//! The granter's side of its standbys: which nodes, their reports, its words.
+
+use crate::core::grants::Grants;
+use crate::core::records::NodeRecord;
+use crate::core::standby::{StandbyReport, StandbyWord};
+use crate::core::views::Views;
+use beamtray_sharding::{Granter, StandbyAnswer, StandbyId};
+use beamtray_types::{ServiceName, Time};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How many standbys there are: one may be lost with the granter.
+const STANDBYS: usize = 2;
+/// Between words.
+const WORDS: Duration = Duration::from_millis(200);
+
+/// Reports and words of a granter's standbys.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StandbyWords {
+    /// When the last report of each was sent, by its own clock.
+    echoes: BTreeMap<StandbyId, Time>,
+    words_at: Time,
+}
+
+impl StandbyWords {
+    /// The words that are due.
+    pub fn poll(
+        &mut self,
+        now: Time,
+        epoch: u64,
+        own: StandbyId,
+        granters: &mut [&mut Granter],
+        views: &Views,
+        wanted: &[StandbyId],
+    ) -> Vec<(SocketAddr, StandbyWord)> {
+        if now < self.words_at {
+            return Vec::new();
+        }
+        self.words_at = now + WORDS;
+        for granter in granters.iter_mut() {
+            note_ended(now, own, granter, views);
+        }
+        let mut meant: BTreeSet<StandbyId> = BTreeSet::new();
+        for granter in granters.iter_mut() {
+            granter.want_standbys(now, wanted);
+            meant.extend(granter.standby_words(now));
+        }
+        let mut words = Vec::new();
+        for id in meant {
+            for granter in granters.iter_mut() {
+                granter.standby_word_sent(now, &id);
+            }
+            let word = StandbyWord {
+                epoch,
+                run: id.run,
+                echo: self.echoes.get(&id).copied().unwrap_or_default(),
+            };
+            words.push((id.address, word));
+        }
+        words
+    }
+
+    /// Takes a standby's report.
+    pub fn reported(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        report: &StandbyReport,
+        all: &mut BTreeMap<ServiceName, Grants>,
+    ) {
+        let id = StandbyId {
+            address: from,
+            run: report.run,
+        };
+        let echo = self.echoes.entry(id).or_default();
+        *echo = report.sent.max(*echo);
+        let prolonged = report
+            .prolonged_ms
+            .map(u64::from)
+            .map(Duration::from_millis);
+        for (service, grants) in all {
+            let known = report.known.iter().find(|known| known.service == *service);
+            let answer = StandbyAnswer {
+                knows: known.map(|known| known.number),
+                prolonged,
+            };
+            grants.granter.standby_answered(now, &id, answer);
+        }
+    }
+}
+
+/// Notes standbys that prolong nothing any more: whose node declines, or has an
+/// entry with another run at the same address, so that the process before has
+/// ended. What this node did as one itself ended when it became the granter.
+fn note_ended(now: Time, own: StandbyId, granter: &mut Granter, views: &Views) {
+    for id in granter.standbys() {
+        let mut nodes = views.nodes.values();
+        let node = nodes.find(|node| node.peers == id.address);
+        let ended = node.is_some_and(|node| node.run != id.run || node.declines_standby);
+        if ended || id == own {
+            granter.standby_ended(now, &id);
+        }
+    }
+}
+
+/// The nodes that are to be standbys: able ones that are heard, in other zones
+/// than the granter's before its own, and not two of one zone where there are
+/// others.
+pub(crate) fn choose_standbys(own: &NodeRecord, nodes: &[&NodeRecord]) -> Vec<StandbyId> {
+    let mut sorted: Vec<&&NodeRecord> = nodes
+        .iter()
+        .filter(|node| node.peers != own.peers)
+        .collect();
+    sorted.sort_by_key(|node| {
+        let rank = Reverse(node.capacity);
+        (node.zone == own.zone, rank, xxh3_64(node.name.as_bytes()))
+    });
+    let mut chosen: Vec<&NodeRecord> = Vec::new();
+    for node in &sorted {
+        if chosen.iter().all(|other| other.zone != node.zone) {
+            chosen.push(node);
+        }
+    }
+    for node in &sorted {
+        if !chosen.iter().any(|other| other.peers == node.peers) {
+            chosen.push(node);
+        }
+    }
+    let ids = chosen.into_iter().take(STANDBYS).map(|node| StandbyId {
+        address: node.peers,
+        run: node.run,
+    });
+    ids.collect()
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use thiserror::Error;
 
-use crate::core::{ControlConfig, CoreConfig, NodeRecord, Timing};
+use crate::core::{ControlConfig, CoreConfig, GRANT_TIMEOUT, NodeRecord, Timing};
 
 /// Version of the settings that this program reads.
 pub const SETTINGS_VERSION: u32 = 1;
@@ -356,6 +356,7 @@
             zone: self.zone.clone(),
             peers: self.listen.peers,
             capacity: (self.limits.processor_share * 1_000.0) as u32,
+            declines_standby: false,
         };
         CoreConfig {
             dispatch: self.dispatch_config(run),
@@ -435,6 +436,7 @@
                 outage_hold,
                 drift_percent: CLOCK_DRIFT_PERCENT,
                 transit: TRANSIT,
+                order_wait: GRANT_TIMEOUT,
                 silence: SILENCE,
                 settle: heartbeat,
                 notice: NOTICE,
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -1,6 +1,6 @@
 //! Calls to the metadata store and orders to upstreams.
 
-use crate::core::{Input, OrderTask, StoreTask};
+use crate::core::{GRANT_TIMEOUT, Input, OrderTask, StoreTask};
 use crate::shell::connections::{Answer, CallFailure, CallProgress};
 use crate::shell::handle::Shared;
 use beamtray_dialect::{CallMethod, HttpAnswer, HttpCall};
@@ -17,8 +17,6 @@
 
 /// Longest wait for the store's answer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest wait for the answer to a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a release: work on the keys ends first.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(3_000);
 const JSON: &str = "application/json";
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -18,6 +18,9 @@
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 
+/// Upper bounds of the histogram of times without an owner, in seconds.
+const UNOWNED_BOUNDS: [f64; 9] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
+
 /// How a request ended.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct RequestLabels {
@@ -59,6 +62,12 @@
     pub route: String,
 }
 
+/// Why keys had no owner.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct LossLabel {
+    pub cause: String,
+}
+
 /// An upstream.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct UpstreamLabel {
@@ -77,6 +86,10 @@
     Histogram::new(LATENCY_BOUNDS)
 }
 
+fn unowned_time() -> Histogram {
+    Histogram::new(UNOWNED_BOUNDS)
+}
+
 /// The process's figures.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -86,6 +99,8 @@
     pub orders: Family<OrderLabels, Counter>,
     pub route_latency: Latencies<RouteLabel>,
     upstream_latency: Latencies<UpstreamLabel>,
+    /// Seconds for which slices had no owner.
+    pub unowned: Latencies<LossLabel>,
     /// Upstreams that have a histogram.
     timed: RefCell<BTreeSet<String>>,
     lines_dropped: Gauge,
@@ -113,6 +128,7 @@
             orders: Family::default(),
             route_latency: Family::new_with_constructor(latency),
             upstream_latency: Family::new_with_constructor(latency),
+            unowned: Family::new_with_constructor(unowned_time),
             timed: RefCell::new(BTreeSet::new()),
             lines_dropped: Gauge::default(),
             lines_left_out: Counter::default(),
@@ -160,6 +176,11 @@
             "Time of answers of upstreams",
             self.upstream_latency.clone(),
         );
+        registry.register(
+            "unowned_seconds",
+            "Time for which keys had no owner, by cause",
+            self.unowned.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Lines that standard output did not take",
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -1,8 +1,9 @@
 //! Tells what the process did and believed: a line and a count for each.
 
-use crate::core::{OrderTask, StoreTask, ViewNotice};
+use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
 use crate::shell::metrics::{
-    AttemptLabels, Metrics, OrderLabels, OrderName, RequestLabels, RouteLabel, StoreLabels,
+    AttemptLabels, LossLabel, Metrics, OrderLabels, OrderName, RequestLabels, RouteLabel,
+    StoreLabels,
 };
 use crate::shell::rate::{LineKind, LineRate};
 use beamtray_catalog::DirectoryChange;
@@ -11,7 +12,8 @@
     Untouched,
 };
 use beamtray_metastore::StoreOutcome;
-use beamtray_sharding::{GrantReply, OrderKind, ShardKey};
+use beamtray_sharding::{GrantReply, LossCause, OrderKind, OwnedAgain, ShardKey};
+use beamtray_types::ServiceName;
 use slog::{Logger, Record, debug, info, warn};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -138,6 +140,25 @@
         }
     }
 
+    /// Keys have an owner again.
+    pub fn owned_again(&self, service: &ServiceName, owned: &OwnedAgain) {
+        let cause = loss_cause(owned.cause);
+        let label = LossLabel {
+            cause: cause.to_owned(),
+        };
+        let histogram = self.metrics.unowned.get_or_create(&label);
+        histogram.observe(owned.after.as_secs_f64());
+        if let Some(left_out) = self.admit(LineKind::Dependency) {
+            info!(self.log, "owned_again"; "service" => %service, "range" => %owned.range,
+                "cause" => cause, "after_ms" => owned.after.as_millis() as u64, left_out);
+        }
+    }
+
+    /// What this node does as a standby changed.
+    pub fn standby(&self, state: StandbyState) {
+        info!(self.log, "standby"; "state" => ?state);
+    }
+
     /// Another node did not give its copies.
     pub fn peer_unanswered(&self, peer: SocketAddr, error: &str) {
         if let Some(left_out) = self.admit(LineKind::Dependency) {
@@ -311,6 +332,15 @@
     }
 }
 
+fn loss_cause(cause: LossCause) -> &'static str {
+    match cause {
+        LossCause::Silent => "silent",
+        LossCause::Ended => "ended",
+        LossCause::Left => "left",
+        LossCause::Balance => "balance",
+    }
+}
+
 fn store_outcome(outcome: &StoreOutcome) -> &'static str {
     match outcome {
         StoreOutcome::Refused => "refused",
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -20,5 +20,7 @@
         Output::Limits(limits) => shared.limits.set(limits),
         Output::Notice(notice) => shared.observer.notice(&notice),
         Output::Granter(epoch) => shared.observer.granter(epoch),
+        Output::OwnedAgain(service, owned) => shared.observer.owned_again(&service, &owned),
+        Output::Standby(state) => shared.observer.standby(state),
     }
 }
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -79,6 +79,12 @@
         /// Part of the answers, in percent.
         percent: u32,
     },
+    /// A standby of the granter and an upstream are cut off from everything else
+    /// together: they reach each other, and nothing else reaches either.
+    StandbyIsland {
+        /// The upstream's number.
+        upstream: usize,
+    },
     /// One key gets much of the traffic.
     HotKey,
     /// A new configuration.
@@ -126,7 +132,7 @@
     let node = random.random_range(0..config.nodes);
     let chosen = random.random_bool(0.5).then_some(node);
     let upstream = random.random_range(0..config.upstreams());
-    match random.random_range(0..18) {
+    match random.random_range(0..19) {
         0 | 1 => Trouble::NodeKill { node: chosen },
         2 => Trouble::KillAll,
         3 | 4 => Trouble::NodeFreeze { node: chosen },
@@ -153,6 +159,9 @@
         15 => Trouble::OrdersLate {
             percent: random.random_range(10..60),
         },
+        17 => Trouble::StandbyIsland {
+            upstream: random.random_range(0..config.keyed),
+        },
         16 => Trouble::AnswersLost {
             percent: random.random_range(2..40),
         },
--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -15,6 +15,8 @@
     UnansweredCounts,
     /// A new granter assumes that the one before gave holds for an outage.
     OutageHolds,
+    /// Keys of a silent holder wait until no standby can prolong its hold.
+    StandbyWait,
     /// What may not be repeated is sent again only on proof.
     ProofBeforeRepeat,
     /// Doubt about a missing registration is short.
@@ -23,12 +25,13 @@
 
 impl Guard {
     /// All protections.
-    pub const ALL: [Guard; 7] = [
+    pub const ALL: [Guard; 8] = [
         Guard::RecordFirst,
         Guard::LapseWait,
         Guard::PredecessorWait,
         Guard::UnansweredCounts,
         Guard::OutageHolds,
+        Guard::StandbyWait,
         Guard::ProofBeforeRepeat,
         Guard::ShortDoubt,
     ];
@@ -40,7 +43,8 @@
             | Guard::LapseWait
             | Guard::PredecessorWait
             | Guard::UnansweredCounts
-            | Guard::OutageHolds => Promise::SoleOwner,
+            | Guard::OutageHolds
+            | Guard::StandbyWait => Promise::SoleOwner,
             Guard::ProofBeforeRepeat => Promise::AtMostOnce,
             Guard::ShortDoubt => Promise::Drain,
         }
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -66,6 +66,12 @@
             Trouble::UpstreamCut { upstream } => {
                 self.upstream_state[*upstream].cut_since = Some(self.now);
             }
+            Trouble::StandbyIsland { upstream } => {
+                node = self.standby();
+                if let Some(node) = node {
+                    self.cut_off(node, *upstream);
+                }
+            }
             Trouble::OrdersLate { percent } => self.orders_late_percent = *percent,
             Trouble::AnswersLost { percent } => self.answers_lost_percent = *percent,
             Trouble::HotKey => self.hot_key = Some(ShardKey(self.random.random())),
@@ -85,6 +91,17 @@
         self.schedule(lasts, Event::FaultEnds { trouble, node });
     }
 
+    fn cut_off(&mut self, node: usize, upstream: usize) {
+        let slot = &mut self.nodes[node];
+        slot.store_cut = true;
+        slot.peer_cut = true;
+        slot.disturbed = self.now;
+        self.silence_watches(|waiting| waiting == node);
+        let state = &mut self.upstream_state[upstream];
+        state.reached_from = Some(node);
+        state.cut_since = Some(self.now);
+    }
+
     fn kill_all(&mut self, lasts: Duration) {
         for node in 0..self.nodes.len() {
             if self.nodes[node].core.is_none() {
@@ -133,6 +150,15 @@
                 self.store_state.disturbed = Some(self.now);
             }
             Trouble::UpstreamCut { upstream } => self.upstream_state[*upstream].cut_since = None,
+            Trouble::StandbyIsland { upstream } => {
+                self.upstream_state[*upstream].reached_from = None;
+                self.upstream_state[*upstream].cut_since = None;
+                if let Some(node) = node {
+                    self.nodes[node].store_cut = false;
+                    self.nodes[node].peer_cut = false;
+                    self.nodes[node].disturbed = self.now;
+                }
+            }
             Trouble::OrdersLate { .. } => self.orders_late_percent = 0,
             Trouble::AnswersLost { .. } => self.answers_lost_percent = 0,
             Trouble::HotKey => self.hot_key = None,
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -97,6 +97,7 @@
         respects_predecessor: off != Some(Guard::PredecessorWait),
         counts_unanswered: off != Some(Guard::UnansweredCounts),
         expects_outage_holds: off != Some(Guard::OutageHolds),
+        waits_for_standbys: off != Some(Guard::StandbyWait),
     };
     if off == Some(Guard::ShortDoubt) {
         config.directory.patience = CONTACT * 3;
@@ -242,7 +243,11 @@
                     );
                 }
             }
-            Output::Limits(_) | Output::Notice(_) | Output::Granter(_) => {}
+            Output::Limits(_)
+            | Output::Notice(_)
+            | Output::Granter(_)
+            | Output::OwnedAgain(..)
+            | Output::Standby(_) => {}
         }
     }
 
@@ -295,6 +300,17 @@
         })
     }
 
+    /// A node that the newest record names as a standby.
+    pub(super) fn standby(&self) -> Option<usize> {
+        let granter = self.granter()?;
+        let core = self.nodes[granter].core.as_ref()?;
+        let record = core.inspect().0.assignments.values().next()?;
+        let named = record.standbys.iter();
+        named
+            .filter_map(|id| node_at(id.address))
+            .find(|node| *node != granter)
+    }
+
     /// Whether promises with a time bound hold for the node.
     pub(super) fn is_connected(&self, node: usize) -> bool {
         let slot = &self.nodes[node];
--- a/crates/routersim/src/world/orders.rs
+++ b/crates/routersim/src/world/orders.rs
@@ -5,12 +5,10 @@
 use super::upstreams::{PendingRelease, index_of};
 use crate::check::OVERLAP;
 use beamtray_catalog::UpstreamId;
-use beamtray_router::core::OrderTask;
+use beamtray_router::core::{GRANT_TIMEOUT, OrderTask};
 use beamtray_sharding::{CallId, GrantOrder, GrantReply, OrderKind};
 use std::time::Duration;
 
-/// How long a node waits for the answer to a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long it waits for the answer to a release.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Part of the unanswered orders that are taken late, in percent; the others
@@ -36,6 +34,9 @@
         let Some(index) = index.filter(|index| self.upstreams[*index].is_some()) else {
             return self.order_answered(timeout, pending, GrantReply::Unanswered);
         };
+        if !self.reaches(node, index) {
+            return self.order_answered(timeout, pending, GrantReply::Unanswered);
+        }
         let percent = self.orders_late_percent;
         let unanswered = percent > 0 && self.chance(percent);
         if unanswered && self.chance(LATE) {
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -53,6 +53,8 @@
     pub dark: bool,
     /// Since when the store is out of reach.
     pub cut_since: Option<Time>,
+    /// The only node that reaches it, if it is cut off.
+    pub reached_from: Option<usize>,
     /// Whether it took its registration back for good.
     pub withdrawn: bool,
     pub next_heartbeat: Time,
@@ -218,6 +220,12 @@
         );
     }
 
+    /// Whether a node's packets come to an upstream.
+    pub(super) fn reaches(&self, node: usize, index: usize) -> bool {
+        let only = self.upstream_state[index].reached_from;
+        only.is_none_or(|only| only == node)
+    }
+
     fn check_configuration(&mut self, node: usize) {
         let Some((at, newest)) = self.configurations.last().copied() else {
             return;
@@ -258,6 +266,10 @@
             };
             return self.end_attempt(after, &taken, AttemptOutcome::Untouched(proof));
         }
+        if !self.reaches(node, index) {
+            let outcome = AttemptOutcome::Untouched(Untouched::Unconnected);
+            return self.end_attempt(CONNECT_TIMEOUT, &taken, outcome);
+        }
         if self.is_connected(node) {
             self.checkers.arrives(self.now, &forward.upstream);
         }
--- a/crates/routersim/tests/guards.rs
+++ b/crates/routersim/tests/guards.rs
@@ -63,31 +63,33 @@
     matters(Guard::UnansweredCounts, &faults);
 }
 
+/// The granter loses the store and gives long holds; then holders leave that its
+/// successor can't reach.
+fn long_holds_left_behind() -> Vec<Fault> {
+    vec![
+        fault(8_000, 8_000, Trouble::StoreCut { node: None }),
+        fault(9_400, 9_000, Trouble::OrdersLate { percent: 95 }),
+        leave(10_500, 0),
+        leave(10_500, 1),
+        leave(10_500, 2),
+    ]
+}
+
 #[test]
 fn predecessor_wait() {
-    // The granter is lost, and a holder that its successor can't reach.
-    let faults = [
-        fault(8_000, 9_000, Trouble::OrdersLate { percent: 95 }),
-        fault(8_250, 6_000, Trouble::NodeKill { node: None }),
-        leave(8_300, 0),
-        leave(8_300, 1),
-        leave(8_300, 2),
-    ];
-    matters(Guard::PredecessorWait, &faults);
+    matters(Guard::PredecessorWait, &long_holds_left_behind());
 }
 
 #[test]
 fn outage_holds() {
-    // The granter loses the store and gives long holds; then holders leave that
-    // its successor can't reach.
-    let faults = [
-        fault(8_000, 8_000, Trouble::StoreCut { node: None }),
-        fault(9_400, 9_000, Trouble::OrdersLate { percent: 95 }),
-        leave(10_500, 0),
-        leave(10_500, 1),
-        leave(10_500, 2),
-    ];
-    matters(Guard::OutageHolds, &faults);
+    matters(Guard::OutageHolds, &long_holds_left_behind());
+}
+
+#[test]
+fn standby_wait() {
+    // A standby keeps a holder alive that the granter can't reach.
+    let upstream = |upstream| fault(8_000, 15_000, Trouble::StandbyIsland { upstream });
+    matters(Guard::StandbyWait, &[upstream(0)]);
 }
 
 #[test]
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -19,11 +19,12 @@
 use crate::order::{CallId, GrantOrder, OrderKind};
 use crate::range::{KeyRange, ShardKey};
 use crate::record::{AssignmentRecord, FencingToken, SliceState};
-use crate::slice::{Phase, Slice};
+use crate::slice::{OwnedAgain, Phase, Slice};
+use crate::standby::{StandbyAnswer, StandbyBounds, StandbyId, Standbys};
 use beamtray_catalog::UpstreamId;
 use beamtray_metastore::Epoch;
 use beamtray_types::Time;
-use contact::Contact;
+pub use contact::Contact;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -47,6 +48,8 @@
     pub drift_percent: u32,
     /// How long an order may still be on its way after it was given up on.
     pub transit: Duration,
+    /// How long an answer to an order is waited for before it is given up on.
+    pub order_wait: Duration,
     /// How long a holder may leave grants unanswered before its slices are
     /// taken back.
     pub silence: Duration,
@@ -113,6 +116,8 @@
     pub counts_unanswered: bool,
     /// A new granter assumes that the one before gave holds for an outage.
     pub expects_outage_holds: bool,
+    /// Keys of a silent holder wait until no standby can prolong its hold.
+    pub waits_for_standbys: bool,
 }
 
 impl Default for GranterGuards {
@@ -123,6 +128,7 @@
             respects_predecessor: true,
             counts_unanswered: true,
             expects_outage_holds: true,
+            waits_for_standbys: true,
         }
     }
 }
@@ -153,6 +159,8 @@
     contacts: BTreeMap<UpstreamId, Contact>,
     /// Whether the store is late.
     store_is_late: bool,
+    standbys: Standbys,
+    owned_again: Vec<OwnedAgain>,
     next_call: u64,
     /// Sequence of the next record.
     next_sequence: u64,
@@ -186,6 +194,11 @@
             calls: BTreeMap::new(),
             contacts: BTreeMap::new(),
             store_is_late: false,
+            standbys: Standbys::new(StandbyBounds {
+                hold: timing.bound(timing.hold),
+                transit: timing.transit + timing.order_wait,
+            }),
+            owned_again: Vec::new(),
             next_call: 0,
             next_sequence: 1,
             durable: 0,
@@ -203,6 +216,7 @@
     /// Continues the assignments of the granter before. Its grants may be in
     /// force until one hold after its authority ended, which was before `now`.
     fn adopt(&mut self, now: Time, record: &AssignmentRecord) {
+        self.standbys.adopt(now, &record.standbys);
         let lapses = if self.timing.guards.respects_predecessor {
             now + self.timing.longest_bound()
         } else {
@@ -270,6 +284,38 @@
         self.store_is_late = late;
     }
 
+    /// States which nodes are to be standbys.
+    pub fn want_standbys(&mut self, now: Time, wanted: &[StandbyId]) {
+        self.dirty |= self.standbys.want(now, wanted, self.next_sequence);
+    }
+
+    /// The standbys that the next record names.
+    pub fn standbys(&self) -> Vec<StandbyId> {
+        self.standbys.ids()
+    }
+
+    /// Standbys that are to be sent a word, which lets them prolong holds for a
+    /// while.
+    pub fn standby_words(&self, now: Time) -> Vec<StandbyId> {
+        self.standbys.words(now, self.durable)
+    }
+
+    /// Notes that a standby is sent a word. To be called only with authority to
+    /// grant, and for every service.
+    pub fn standby_word_sent(&mut self, now: Time, id: &StandbyId) {
+        self.standbys.word_sent(now, id);
+    }
+
+    /// Takes what a standby tells.
+    pub fn standby_answered(&mut self, now: Time, id: &StandbyId, answer: StandbyAnswer) {
+        self.standbys.answered(now, id, answer);
+    }
+
+    /// Notes that the process of a standby has ended.
+    pub fn standby_ended(&mut self, now: Time, id: &StandbyId) {
+        self.standbys.ended(now, id);
+    }
+
     fn hold(&self) -> Duration {
         if self.store_is_late {
             self.timing.outage_hold
@@ -377,6 +423,7 @@
         Some(AssignmentRecord {
             epoch: self.epoch,
             sequence,
+            standbys: self.standbys.ids(),
             slices: self.slices.values().map(Slice::record).collect(),
         })
     }
@@ -398,6 +445,11 @@
         self.dirty = true;
     }
 
+    /// Slices that have an owner again since the last call.
+    pub fn take_owned_again(&mut self) -> Vec<OwnedAgain> {
+        std::mem::take(&mut self.owned_again)
+    }
+
     /// How many slices there are.
     pub fn slice_count(&self) -> usize {
         self.slices.len()
@@ -421,5 +473,6 @@
         strays_until: now,
         due: now,
         settled_at: now,
+        unowned: None,
     }
 }
--- a/crates/sharding/src/granter/contact.rs
+++ b/crates/sharding/src/granter/contact.rs
@@ -17,11 +17,13 @@
 
 /// What is known of one holder.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Contact {
+pub struct Contact {
     /// Grants under way, and when they were sent.
     under_way: BTreeMap<CallId, Time>,
     /// Since when no grant was answered.
     silent_since: Option<Time>,
+    /// When the first grant was sent that was not answered.
+    unanswered_since: Option<Time>,
     /// When the next grant may be sent to a silent holder.
     retry_at: Time,
 }
@@ -47,16 +49,29 @@
     /// Notes that the holder answered a grant, whatever it said.
     pub fn answered(&mut self, call: CallId) {
         self.under_way.remove(&call);
+        self.forgive();
+    }
+
+    /// Forgets its silence: it answered a release, or gets new keys, whose first
+    /// grant it must have the time to answer.
+    pub fn forgive(&mut self) {
         self.silent_since = None;
+        self.unanswered_since = None;
     }
 
     /// Notes that a grant was given up on.
     pub fn unanswered(&mut self, now: Time, call: CallId) {
-        self.under_way.remove(&call);
+        let sent = self.under_way.remove(&call).unwrap_or(now);
+        self.unanswered_since.get_or_insert(sent);
         self.silent_since.get_or_insert(now);
         self.retry_at = now + RETRY;
     }
 
+    /// When the first grant was sent that was not answered, if none was since.
+    pub fn unanswered_since(&self) -> Option<Time> {
+        self.unanswered_since
+    }
+
     /// How long no grant has been answered.
     pub fn silence(&self, now: Time) -> Option<Duration> {
         self.silent_since.map(|since| now.since(since))
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -1,9 +1,10 @@
 //! Who is to hold which slice: the first division, slices that are taken back,
 //! slices that are free.
 
-use super::{AVOID, Candidate, Granter, Standing, new_slice};
+use super::{AVOID, Candidate, Contact, Granter, Standing, new_slice};
 use crate::range::{KeyRange, ShardKey};
-use crate::slice::{Phase, Slice};
+use crate::record::RecordNumber;
+use crate::slice::{LossCause, Phase, Slice, Unowned};
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
 use std::collections::BTreeMap;
@@ -89,8 +90,26 @@
             .map(|slice| slice.range.first)
             .collect();
         for first in leaving {
+            let loss = self.loss(now, first);
             self.avoid_silent(now, first);
-            self.take_back(now, first, None);
+            self.take_back(now, first, None, loss);
+        }
+    }
+
+    /// Why the holder of a slice loses it, and since when it may not serve it.
+    fn loss(&self, now: Time, first: ShardKey) -> Unowned {
+        let holder = self.slices.get(&first).and_then(Slice::holder);
+        let contact = holder.and_then(|holder| self.contacts.get(holder));
+        let unanswered = contact.and_then(Contact::unanswered_since);
+        let has_ended = holder.is_some_and(|holder| self.dead.contains(holder));
+        let cause = match unanswered {
+            _ if has_ended => LossCause::Ended,
+            Some(_) => LossCause::Silent,
+            None => LossCause::Left,
+        };
+        Unowned {
+            cause,
+            since: unanswered.unwrap_or(now),
         }
     }
 
@@ -108,7 +127,13 @@
         self.contacts.get(holder)?.silence(now)
     }
 
-    pub(super) fn take_back(&mut self, now: Time, first: ShardKey, next: Option<UpstreamId>) {
+    pub(super) fn take_back(
+        &mut self,
+        now: Time,
+        first: ShardKey,
+        next: Option<UpstreamId>,
+        loss: Unowned,
+    ) {
         let release = self.next_token();
         let told_in = self.next_sequence;
         let Some(slice) = self.slices.get_mut(&first) else {
@@ -126,6 +151,7 @@
         slice.told_in = told_in;
         slice.due = now;
         slice.settled_at = now;
+        slice.unowned = Some(loss);
         self.dirty = true;
     }
 
@@ -134,6 +160,9 @@
         let durable = self.durable;
         let waits = self.timing.guards.waits_for_lapse;
         let last_lapses = self.lapse_together(now);
+        let epoch = self.epoch;
+        let standbys = &self.standbys;
+        let waits_for_standbys = self.timing.guards.waits_for_standbys;
         for slice in self.slices.values_mut() {
             let Phase::Leaving { holder, .. } = &slice.phase else {
                 continue;
@@ -144,6 +173,9 @@
                 .is_some_and(|call| call.hold.is_some());
             let lapses = last_lapses.get(holder).copied().unwrap_or(slice.lapses);
             let lapsed = now >= slice.lapses.max(lapses) || !waits;
+            let sequence = slice.told_in;
+            let prolonged = standbys.hold_until(RecordNumber { epoch, sequence });
+            let lapsed = lapsed && (now >= prolonged || !waits_for_standbys);
             let lapsed = lapsed && !grant_under_way && slice.told_in <= durable;
             if lapsed || self.dead.contains(holder) {
                 slice.phase = Phase::Free { handover: None };
@@ -200,6 +232,9 @@
         let Phase::Free { handover } = &slice.phase else {
             return;
         };
+        if let Some(contact) = self.contacts.get_mut(&holder) {
+            contact.forgive();
+        }
         slice.phase = Phase::Held {
             holder,
             token,
--- a/crates/sharding/src/granter/moves.rs
+++ b/crates/sharding/src/granter/moves.rs
@@ -3,7 +3,7 @@
 use super::Granter;
 use crate::balance::{BalanceLimits, Holding, MoveStep, Seat, plan_moves};
 use crate::range::{KeyRange, ShardKey};
-use crate::slice::Slice;
+use crate::slice::{LossCause, Slice, Unowned};
 use beamtray_types::Time;
 
 impl Granter {
@@ -62,7 +62,11 @@
         let Some(first) = self.carve(step.range) else {
             return;
         };
-        self.take_back(now, first, Some(step.to));
+        let loss = Unowned {
+            cause: LossCause::Balance,
+            since: now,
+        };
+        self.take_back(now, first, Some(step.to), loss);
     }
 
     /// Splits slices so that `range` is one by itself; its first key.
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -3,7 +3,7 @@
 use super::{AVOID, Call, Granter, Standing};
 use crate::order::{CallId, GrantReply, Handover};
 use crate::range::ShardKey;
-use crate::slice::Phase;
+use crate::slice::{OwnedAgain, Phase};
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
 use std::time::Duration;
@@ -79,6 +79,13 @@
                 slice.due = now + spread(timing.renewal, first);
                 if let Phase::Held { handover, .. } = &mut slice.phase {
                     *handover = None;
+                    let unowned = slice.unowned.take();
+                    let owned_again = unowned.map(|unowned| OwnedAgain {
+                        range: slice.range,
+                        cause: unowned.cause,
+                        after: now.since(unowned.since),
+                    });
+                    self.owned_again.extend(owned_again);
                 }
             }
             GrantReply::Unanswered => {
@@ -129,7 +136,12 @@
         };
         let (holder, next) = (holder.clone(), next.clone());
         match reply {
-            GrantReply::Released(handover) => self.freed(now, first, handover, next),
+            GrantReply::Released(handover) => {
+                if let Some(contact) = self.contacts.get_mut(&holder) {
+                    contact.forgive();
+                }
+                self.freed(now, first, handover, next);
+            }
             GrantReply::Replaced => self.freed(now, first, None, next),
             GrantReply::Outdated => {
                 let fresh = self.next_token();
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -11,10 +11,13 @@
 mod range;
 mod record;
 mod slice;
+mod standby;
 
 pub use balance::{BalanceLimits, Holding, MoveStep, Seat, plan_moves};
-pub use granter::{Candidate, Granter, GranterGuards, GranterTiming, Standing};
+pub use granter::{Candidate, Contact, Granter, GranterGuards, GranterTiming, Standing};
 pub use load::LoadMap;
 pub use order::{CallId, GrantOrder, GrantReply, Handover, OrderKind};
 pub use range::{KeyRange, ShardKey};
-pub use record::{AssignmentRecord, FencingToken, SliceRecord, SliceState};
+pub use record::{AssignmentRecord, FencingToken, RecordNumber, SliceRecord, SliceState};
+pub use slice::{LossCause, OwnedAgain};
+pub use standby::{STANDBY_SPAN, StandbyAnswer, StandbyId};
--- a/crates/sharding/src/record.rs
+++ b/crates/sharding/src/record.rs
@@ -1,6 +1,7 @@
 //! What the metadata store keeps of one divided service.
 
 use crate::range::{KeyRange, ShardKey};
+use crate::standby::StandbyId;
 use beamtray_catalog::UpstreamId;
 use beamtray_metastore::Epoch;
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -62,6 +63,15 @@
     pub state: SliceState,
 }
 
+/// Tells one record of a service from the others; a later one is greater.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub struct RecordNumber {
+    /// Term of the granter that wrote it.
+    pub epoch: Epoch,
+    /// Counts the records of a term.
+    pub sequence: u64,
+}
+
 /// All slices of one service, in the order of their keys, without gaps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AssignmentRecord {
@@ -69,11 +79,21 @@
     pub epoch: Epoch,
     /// Counts the records of a term.
     pub sequence: u64,
+    /// Nodes that may prolong the holds while there is no granter.
+    pub standbys: Vec<StandbyId>,
     /// The slices.
     pub slices: Vec<SliceRecord>,
 }
 
 impl AssignmentRecord {
+    /// Tells it from other records of the service.
+    pub fn number(&self) -> RecordNumber {
+        RecordNumber {
+            epoch: self.epoch,
+            sequence: self.sequence,
+        }
+    }
+
     /// The slice of a key.
     pub fn slice(&self, key: ShardKey) -> Option<&SliceRecord> {
         let above = self
@@ -103,6 +123,7 @@
 struct WrittenRecord {
     epoch: Epoch,
     sequence: u64,
+    standbys: Vec<StandbyId>,
     holders: Vec<UpstreamId>,
     slices: Vec<WrittenSlice>,
 }
@@ -138,6 +159,7 @@
         let written = WrittenRecord {
             epoch: self.epoch,
             sequence: self.sequence,
+            standbys: self.standbys.clone(),
             holders,
             slices,
         };
@@ -186,6 +208,7 @@
         Ok(Self {
             epoch: written.epoch,
             sequence: written.sequence,
+            standbys: written.standbys,
             slices,
         })
     }
--- a/crates/sharding/src/slice.rs
+++ b/crates/sharding/src/slice.rs
@@ -5,6 +5,7 @@
 use crate::record::{FencingToken, SliceRecord, SliceState};
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
+use std::time::Duration;
 
 /// What becomes of a slice.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +30,38 @@
     },
 }
 
+/// Why a slice lost its holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossCause {
+    /// The holder did not answer.
+    Silent,
+    /// It was shown to have ended.
+    Ended,
+    /// It leaves, or its registration is gone.
+    Left,
+    /// The slice goes to an upstream that can do more.
+    Balance,
+}
+
+/// A slice that has no owner, or is about to lose it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Unowned {
+    pub cause: LossCause,
+    /// Since when requests for it may go unserved.
+    pub since: Time,
+}
+
+/// A slice that has an owner again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnedAgain {
+    /// The keys.
+    pub range: KeyRange,
+    /// Why they had none.
+    pub cause: LossCause,
+    /// For how long.
+    pub after: Duration,
+}
+
 /// One slice as the granter runs it.
 #[derive(Clone, Debug)]
 pub(crate) struct Slice {
@@ -47,6 +80,8 @@
     pub due: Time,
     /// When the slice was last moved or split.
     pub settled_at: Time,
+    /// Set from its loss to the first answered grant of the next holder.
+    pub unowned: Option<Unowned>,
 }
 
 impl Slice {
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -17,6 +17,7 @@
     outage_hold: HOLD,
     drift_percent: 2,
     transit: Duration::from_millis(300),
+    order_wait: Duration::from_millis(500),
     silence: Duration::from_millis(1_500),
     settle: Duration::from_millis(1_300),
     notice: Duration::from_millis(12),
@@ -26,6 +27,7 @@
         respects_predecessor: true,
         counts_unanswered: true,
         expects_outage_holds: true,
+        waits_for_standbys: true,
     },
 };
 const LIMITS: BalanceLimits = BalanceLimits {
--- a/crates/sharding/tests/holds.rs
+++ b/crates/sharding/tests/holds.rs
@@ -19,6 +19,7 @@
         renewal: Duration::from_millis(750),
         drift_percent: 2,
         transit: Duration::from_millis(300),
+        order_wait: Duration::from_millis(500),
         silence: Duration::from_millis(1_200),
         settle: Duration::from_millis(1_300),
         notice: Duration::from_millis(12),
@@ -244,3 +245,25 @@
     let lost = lost_at(&mut second, 6_510, Silence::Unreachable);
     assert!(lost <= 6_500 + 3_060 + 250, "lost at {lost}");
 }
+
+/// Found by seed 30 of the simulator: the silence for which holders had lost
+/// keys was counted against them when they got keys again, for ever.
+#[test]
+fn upstreams_that_all_fell_silent_get_keys_again() {
+    let mut granter = granted();
+    let mut owned = 0;
+    for now in (2_010..20_000).step_by(10) {
+        for order in granter.poll(at(now)) {
+            if now < 9_000 {
+                granter.handle(at(now), order.call, GrantReply::Undelivered);
+            } else {
+                answer(&mut granter, at(now), &order);
+            }
+        }
+        write_record(&mut granter, at(now));
+        if now >= 9_000 && owned == 0 && granter.held_count(at(now)) == granter.slice_count() {
+            owned = now;
+        }
+    }
+    assert!(owned > 0 && owned < 11_000, "owned at {owned}");
+}
--- /dev/null
+++ b/crates/sharding/tests/standbys.rs
@@ -0,0 +1,184 @@
+//! What a granter relies on of its standbys.
+
+use beamtray_catalog::UpstreamId;
+use beamtray_metastore::Epoch;
+use beamtray_sharding::{
+    AssignmentRecord, Candidate, GrantOrder, GrantReply, Granter, GranterGuards, GranterTiming,
+    OrderKind, RecordNumber, STANDBY_SPAN, SliceState, StandbyAnswer, StandbyId, Standing,
+};
+use beamtray_types::Time;
+use std::time::Duration;
+
+const STANDBY: StandbyId = StandbyId {
+    address: std::net::SocketAddr::V4(std::net::SocketAddrV4::new(
+        std::net::Ipv4Addr::new(10, 0, 0, 2),
+        7_000,
+    )),
+    run: 5,
+};
+
+fn timing() -> GranterTiming {
+    GranterTiming {
+        hold: Duration::from_millis(3_000),
+        outage_hold: Duration::from_millis(9_500),
+        renewal: Duration::from_millis(750),
+        drift_percent: 2,
+        transit: Duration::from_millis(300),
+        order_wait: Duration::from_millis(500),
+        silence: Duration::from_millis(1_200),
+        settle: Duration::from_millis(1_300),
+        notice: Duration::from_millis(12),
+        guards: GranterGuards::default(),
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+fn id(name: &str) -> UpstreamId {
+    UpstreamId(name.to_owned())
+}
+
+fn ready(name: &str) -> Candidate {
+    Candidate {
+        id: id(name),
+        standing: Standing::Ready,
+        capacity: 20.0,
+        heard: None,
+    }
+}
+
+fn write_record(granter: &mut Granter, now: Time) -> Option<AssignmentRecord> {
+    let record = granter.record()?;
+    granter.written(now, record.sequence);
+    Some(record)
+}
+
+fn answer(granter: &mut Granter, now: Time, order: &GrantOrder) {
+    let reply = match order.kind {
+        OrderKind::Grant { .. } => GrantReply::Granted,
+        OrderKind::Release => GrantReply::Released(None),
+    };
+    granter.handle(now, order.call, reply);
+}
+
+/// How a standby behaves.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Conduct {
+    /// It tells of each record.
+    Follows,
+    /// It tells of none after 2,000 ms.
+    FallsSilent,
+    /// It falls silent and its process is shown to have ended 1 s later.
+    Ends,
+    /// It follows, and says that it prolonged holds at 4,000 ms.
+    Prolonged,
+}
+
+/// When the slices of "a", which answers nothing after 2,000 ms, are free.
+fn lost_at(conduct: Conduct) -> u64 {
+    let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
+    granter.set_candidates(at(0), [ready("a"), ready("b")]);
+    let mut newest = None;
+    for now in (0..25_000).step_by(10) {
+        let has_ended = conduct == Conduct::Ends && now >= 3_000;
+        let wanted: &[StandbyId] = if has_ended { &[] } else { &[STANDBY] };
+        granter.want_standbys(at(now), wanted);
+        for word in granter.standby_words(at(now)) {
+            granter.standby_word_sent(at(now), &word);
+        }
+        for order in granter.poll(at(now)) {
+            if order.holder == id("a") && now > 2_000 {
+                granter.handle(at(now), order.call, GrantReply::Undelivered);
+            } else {
+                answer(&mut granter, at(now), &order);
+            }
+        }
+        if let Some(record) = write_record(&mut granter, at(now)) {
+            newest = Some(record.number());
+            let of_a = record.slices.iter().any(|slice| match &slice.state {
+                SliceState::Held { holder, .. } | SliceState::Leaving { holder, .. } => {
+                    *holder == id("a")
+                }
+                SliceState::Free => false,
+            });
+            if now > 2_000 && !of_a {
+                return now;
+            }
+        }
+        let silent = matches!(conduct, Conduct::FallsSilent | Conduct::Ends);
+        if now <= 2_000 || !silent {
+            let prolonged = (conduct == Conduct::Prolonged && now >= 4_000)
+                .then(|| Duration::from_millis(now - 4_000));
+            let knows: Option<RecordNumber> = newest;
+            granter.standby_answered(at(now), &STANDBY, StandbyAnswer { knows, prolonged });
+        }
+        if has_ended {
+            granter.standby_ended(at(now), &STANDBY);
+        }
+    }
+    panic!("a never lost its keys");
+}
+
+#[test]
+fn a_standby_that_knows_the_record_delays_nothing() {
+    let lost = lost_at(Conduct::Follows);
+    assert!(lost <= 2_000 + 3_060 + 1_000, "lost at {lost}");
+}
+
+#[test]
+fn a_silent_standby_is_waited_for_until_its_last_word_has_run_out() {
+    let lost = lost_at(Conduct::FallsSilent);
+    let span = STANDBY_SPAN.as_millis() as u64;
+    // The last word is sent between 2,000 ms and the end of the patience.
+    assert!(lost >= 2_000 + span + 3_060, "lost at {lost}");
+    assert!(lost <= 3_200 + span + span / 50 + 4_000, "lost at {lost}");
+}
+
+#[test]
+fn a_standby_whose_process_ended_is_waited_for_one_hold() {
+    let lost = lost_at(Conduct::Ends);
+    assert!(lost >= 3_000 + 3_060, "lost at {lost}");
+    assert!(lost <= 3_000 + 800 + 3_060 + 100, "lost at {lost}");
+}
+
+#[test]
+fn what_a_standby_prolonged_counts() {
+    let lost = lost_at(Conduct::Prolonged);
+    assert!(lost >= 4_000 + 3_060, "lost at {lost}");
+    assert!(lost <= 4_000 + 800 + 3_060 + 100, "lost at {lost}");
+}
+
+#[test]
+fn a_successor_waits_for_the_standbys_of_its_predecessor() {
+    let mut first = Granter::new(at(0), timing(), Epoch(1), None);
+    first.set_candidates(at(0), [ready("a"), ready("b")]);
+    first.want_standbys(at(1_500), &[STANDBY]);
+    first.poll(at(1_500));
+    let record = write_record(&mut first, at(1_510)).expect("the keys are divided");
+    assert_eq!(record.standbys, [STANDBY]);
+    let mut second = Granter::new(at(5_000), timing(), Epoch(2), Some(&record));
+    second.set_candidates(at(5_000), [ready("b")]);
+    let span = STANDBY_SPAN.as_millis() as u64;
+    let mut freed = 0;
+    for now in (5_000..25_000).step_by(10) {
+        for order in second.poll(at(now)) {
+            if order.holder == id("a") {
+                second.handle(at(now), order.call, GrantReply::Undelivered);
+            } else {
+                answer(&mut second, at(now), &order);
+            }
+        }
+        let record = write_record(&mut second, at(now));
+        let is_free = |record: AssignmentRecord| {
+            record.slices.iter().all(
+                |slice| matches!(&slice.state, SliceState::Held { holder, .. } if *holder == id("b")),
+            )
+        };
+        if freed == 0 && record.is_some_and(is_free) {
+            freed = now;
+        }
+    }
+    assert!(freed >= 5_000 + span + 3_060, "free at {freed}");
+}
