Let standbys alone bridge outages; an answer never brings a hold's end forward

A renewal of 3 s after one of 9.5 s was taken to end the longer one. Change: the end of a hold is only ever moved back. With that, long holds would again keep keys of dark upstreams for 10 s after an outage, and a successor would have to expect them; standbys bridge outages, so they go, with their guard.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -59,6 +59,8 @@
     pub status: u16,
     /// Value of the header that hands keys over, if there is one.
     pub handover: Option<String>,
+    /// Id of the client's request that it says it answers, if it says so.
+    pub request_id: Option<String>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -124,6 +126,8 @@
     /// Puts an order to an upstream into its format.
     fn encode_order(&self, order: &GrantOrder) -> HttpCall;
 
-    /// Reads an upstream's answer to an order of that kind.
+    /// Reads an upstream's answer to an order of that kind. One that answers a
+    /// client's request came late in the place of the order's answer, which is
+    /// then not known.
     fn decode_order(&self, kind: &OrderKind, answer: &HttpAnswer) -> GrantReply;
 }
--- a/crates/emulator/src/upstream.rs
+++ b/crates/emulator/src/upstream.rs
@@ -186,15 +186,16 @@
             return GrantReply::Outdated;
         }
         self.floor(order.range).fill(token);
-        let since = self
-            .grant(now, order.range.first)
-            .map_or(now, |grant| grant.since);
+        let standing = self.grant(now, order.range.first);
+        let since = standing.map_or(now, |grant| grant.since);
+        // A shorter grant does not end a longer one that stands.
+        let ends = standing.map_or(now, |grant| grant.ends).max(now + hold);
         self.cut(order.range);
         self.grants.push(GrantTaken {
             range: order.range,
             token: order.token,
             since,
-            ends: now + hold,
+            ends,
             is_late,
         });
         GrantReply::Granted
--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -57,8 +57,6 @@
 pub struct Authority {
     /// The term.
     pub epoch: Epoch,
-    /// When the last answered renewal of its lease was sent.
-    pub renewed: Time,
     /// When the right ends on this node's clock.
     pub until: Time,
     /// Revision of the granter's key: writes are made on this condition.
@@ -129,11 +127,9 @@
     pub fn authority(&self, now: Time) -> Option<Authority> {
         let place = self.place?;
         let until = self.keeper.valid_until()?;
-        let renewed = self.keeper.renewed()?;
         let same_lease = self.keeper.lease(now)? == place.lease;
         same_lease.then_some(Authority {
             epoch: place.epoch,
-            renewed,
             until,
             revision: place.revision,
         })
--- a/crates/metastore/src/lease.rs
+++ b/crates/metastore/src/lease.rs
@@ -25,8 +25,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Held {
     lease: LeaseId,
-    /// When the last renewal was sent that was answered.
-    renewed: Time,
     valid_until: Time,
 }
 
@@ -60,11 +58,6 @@
         self.held.map(|held| held.valid_until)
     }
 
-    /// When the last renewal was sent that was answered.
-    pub fn renewed(&self) -> Option<Time> {
-        self.held.map(|held| held.renewed)
-    }
-
     /// The call that is due.
     pub fn poll(&mut self, now: Time) -> Option<StoreCall> {
         if now < self.due {
@@ -88,11 +81,7 @@
                     return;
                 };
                 let valid_until = sent + *ttl * TRUSTED_PERCENT / 100;
-                self.held = Some(Held {
-                    lease,
-                    renewed: sent,
-                    valid_until,
-                });
+                self.held = Some(Held { lease, valid_until });
                 self.due = sent + self.timing.renewal;
             }
             (StoreOutcome::Absent, Some(_)) => {
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -37,9 +37,6 @@
 const GATHER_A_SLICE: Duration = Duration::from_micros(120);
 /// Pause after a record that was not written.
 const REWRITE: Duration = Duration::from_millis(80);
-/// Age of the last answered renewal of the granter's lease from which the store
-/// counts as late. A store that takes 0.4 s for an answer is not.
-const STORE_LATE: Duration = Duration::from_millis(1_000);
 /// Pause after a failed reading at a takeover.
 const REREAD: Duration = Duration::from_millis(100);
 
@@ -357,7 +354,6 @@
         let Some(authority) = self.election.authority(now) else {
             return Vec::new();
         };
-        let store_is_late = now.since(authority.renewed) >= STORE_LATE;
         self.add_services(now, views);
         let Some(term) = &mut self.term else {
             return Vec::new();
@@ -372,7 +368,6 @@
         let mut tasks = Vec::new();
         for (service, grants) in all.iter_mut() {
             let granter = &mut grants.granter;
-            granter.set_store_late(now, store_is_late);
             granter.set_candidates(now, candidates(service, views, dispatcher));
             probe_claimed(now, granter, views);
             if rebalance {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -21,13 +21,11 @@
 /// granter after it is lost.
 const GRANTER_TTL: Duration = Duration::from_millis(2_000);
 const GRANTER_RENEWAL: Duration = Duration::from_millis(500);
-/// How long a grant holds while the store answers. When a granter is lost the
-/// next one is there after [`GRANTER_TTL`]; what is left of a hold then is this
-/// less [`GRANT_RENEWAL`].
+/// How long a grant holds at most. When a granter is lost the next one is there
+/// after [`GRANTER_TTL`]; what is left of a hold then is this less
+/// [`GRANT_RENEWAL`]. Outages of the store are bridged by standbys.
 const HOLD: Duration = Duration::from_millis(3_000);
 const GRANT_RENEWAL: Duration = Duration::from_millis(750);
-/// How long a grant holds at most while the store is late.
-const OUTAGE_HOLD: Duration = Duration::from_millis(9_500);
 /// How much longer a holder may count a hold, in percent.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
 const TRANSIT: Duration = Duration::from_millis(300);
@@ -412,11 +410,10 @@
 
     fn control_config(&self, record: NodeRecord) -> ControlConfig {
         let heartbeat = self.heartbeat();
-        let outage_hold = match self.bounds.longest_hold_ms {
-            0 => OUTAGE_HOLD,
-            longest => Duration::from_millis(longest).min(OUTAGE_HOLD),
+        let hold = match self.bounds.longest_hold_ms {
+            0 => HOLD,
+            longest => Duration::from_millis(longest).min(HOLD),
         };
-        let hold = HOLD.min(outage_hold);
         let least = Duration::from_millis(self.store.least_ttl_ms);
         let patience = Duration::from_millis(20 + run_spread(record.run) % 180);
         ControlConfig {
@@ -433,7 +430,6 @@
             grants: GranterTiming {
                 hold,
                 renewal: GRANT_RENEWAL.min(hold / 4),
-                outage_hold,
                 drift_percent: CLOCK_DRIFT_PERCENT,
                 transit: TRANSIT,
                 order_wait: GRANT_TIMEOUT,
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -96,6 +96,12 @@
     let request = request(address, call).map_err(|_| CallFailure::Unsent)?;
     let answer = shared.connections.call(address, request, progress).await?;
     let read = read(shared, &answer);
+    if read.request_id.is_some() {
+        // The answer of a request: what else comes on the connection is not
+        // what it seems either.
+        shared.connections.distrust(address);
+        return Ok(read);
+    }
     shared.connections.keep(answer);
     Ok(read)
 }
@@ -123,12 +129,15 @@
 }
 
 fn read(shared: &Shared, answer: &Answer) -> HttpAnswer {
-    let handover = answer.head.headers.get(shared.dialect.headers().handover);
+    let names = shared.dialect.headers();
+    let header = |name| {
+        let value = answer.head.headers.get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
     HttpAnswer {
         status: answer.head.status.as_u16(),
-        handover: handover
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned),
+        handover: header(names.handover),
+        request_id: header(names.request_id),
         body: answer.body.to_vec(),
     }
 }
--- a/crates/router/tests/relays.rs
+++ b/crates/router/tests/relays.rs
@@ -10,6 +10,7 @@
         zone: zone.to_owned(),
         peers: ([10, 0, zone.len() as u8, index], 7_000).into(),
         capacity: capacity(index),
+        declines_standby: false,
     };
     (0..count).map(record).collect()
 }
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -36,12 +36,9 @@
 /// Timing of grants.
 #[derive(Clone, Copy, Debug)]
 pub struct GranterTiming {
-    /// How long a grant holds while the store answers: the keys of a holder
-    /// that fell silent are without an owner for about that long.
+    /// How long a grant holds: the keys of a holder that fell silent are without
+    /// an owner for about that long.
     pub hold: Duration,
-    /// The same while the store is late, so that holders outlast an outage in
-    /// which nobody may grant.
-    pub outage_hold: Duration,
     /// Between renewals.
     pub renewal: Duration,
     /// How much longer a holder may count a hold by its own clock, in percent.
@@ -64,20 +61,9 @@
 }
 
 impl GranterTiming {
-    /// The longest that a holder may count a hold.
-    pub(crate) fn bound(&self, hold: Duration) -> Duration {
-        hold * (100 + self.drift_percent) / 100
-    }
-
-    /// The longest that a grant of any granter may be in force after it was
-    /// sent.
-    fn longest_bound(&self) -> Duration {
-        let longest = if self.guards.expects_outage_holds {
-            self.hold.max(self.outage_hold)
-        } else {
-            self.hold
-        };
-        self.bound(longest) + self.transit
+    /// The longest that a holder may count a grant.
+    pub(crate) fn hold_bound(&self) -> Duration {
+        self.hold * (100 + self.drift_percent) / 100
     }
 }
 
@@ -114,8 +100,6 @@
     pub respects_predecessor: bool,
     /// A grant without an answer counts as taken.
     pub counts_unanswered: bool,
-    /// A new granter assumes that the one before gave holds for an outage.
-    pub expects_outage_holds: bool,
     /// Keys of a silent holder wait until no standby can prolong its hold.
     pub waits_for_standbys: bool,
 }
@@ -127,7 +111,6 @@
             waits_for_lapse: true,
             respects_predecessor: true,
             counts_unanswered: true,
-            expects_outage_holds: true,
             waits_for_standbys: true,
         }
     }
@@ -137,9 +120,7 @@
 struct Call {
     first: ShardKey,
     holder: UpstreamId,
-    sent: Time,
-    /// How long the keys are granted; none for a release.
-    hold: Option<Duration>,
+    is_grant: bool,
 }
 
 /// Grants the slices of one service.
@@ -157,8 +138,6 @@
     avoided: BTreeMap<UpstreamId, Time>,
     calls: BTreeMap<CallId, Call>,
     contacts: BTreeMap<UpstreamId, Contact>,
-    /// Whether the store is late.
-    store_is_late: bool,
     standbys: Standbys,
     owned_again: Vec<OwnedAgain>,
     next_call: u64,
@@ -193,9 +172,8 @@
             avoided: BTreeMap::new(),
             calls: BTreeMap::new(),
             contacts: BTreeMap::new(),
-            store_is_late: false,
             standbys: Standbys::new(StandbyBounds {
-                hold: timing.bound(timing.hold),
+                hold: timing.hold_bound(),
                 transit: timing.transit + timing.order_wait,
             }),
             owned_again: Vec::new(),
@@ -218,7 +196,7 @@
     fn adopt(&mut self, now: Time, record: &AssignmentRecord) {
         self.standbys.adopt(now, &record.standbys);
         let lapses = if self.timing.guards.respects_predecessor {
-            now + self.timing.longest_bound()
+            now + self.timing.hold_bound() + self.timing.transit
         } else {
             now
         };
@@ -244,8 +222,7 @@
                     lapses,
                 ),
             };
-            let mut slice = new_slice(now, slice.range, phase, lapses);
-            slice.strays_until = now + self.timing.transit;
+            let slice = new_slice(now, slice.range, phase, lapses);
             self.slices.insert(slice.range.first, slice);
         }
     }
@@ -272,18 +249,6 @@
         });
     }
 
-    /// States whether the store is late. When it begins to be, holders that
-    /// answer are renewed at once, for as long as an outage may last: there may
-    /// soon be nobody who has the right to renew them.
-    pub fn set_store_late(&mut self, now: Time, late: bool) {
-        if late && !self.store_is_late {
-            for slice in self.slices.values_mut() {
-                slice.due = slice.due.min(now);
-            }
-        }
-        self.store_is_late = late;
-    }
-
     /// States which nodes are to be standbys.
     pub fn want_standbys(&mut self, now: Time, wanted: &[StandbyId]) {
         self.dirty |= self.standbys.want(now, wanted, self.next_sequence);
@@ -316,14 +281,6 @@
         self.standbys.ended(now, id);
     }
 
-    fn hold(&self) -> Duration {
-        if self.store_is_late {
-            self.timing.outage_hold
-        } else {
-            self.timing.hold
-        }
-    }
-
     /// Notes that an upstream has ended, so that it holds nothing.
     pub fn proved_dead(&mut self, id: &UpstreamId) {
         if !self.dead.contains(id) {
@@ -362,13 +319,12 @@
 
     /// The order that is due for a slice.
     fn order(&mut self, now: Time, first: ShardKey) -> Option<GrantOrder> {
-        let granted_for = self.hold();
         let slice = self.slices.get_mut(&first)?;
         let told = slice.told_in <= self.durable || !self.timing.guards.records_first;
         if slice.call.is_some() || now < slice.due || !told {
             return None;
         }
-        let (holder, token, kind, hold) = match &slice.phase {
+        let (holder, token, kind) = match &slice.phase {
             Phase::Free { .. } => return None,
             Phase::Held {
                 holder,
@@ -376,17 +332,18 @@
                 handover,
             } => {
                 let kind = OrderKind::Grant {
-                    hold: granted_for,
+                    hold: self.timing.hold,
                     handover: handover.clone(),
                 };
-                (holder.clone(), *token, kind, Some(granted_for))
+                (holder.clone(), *token, kind)
             }
             Phase::Leaving {
                 holder, release, ..
-            } => (holder.clone(), *release, OrderKind::Release, None),
+            } => (holder.clone(), *release, OrderKind::Release),
         };
         let call = CallId(self.next_call);
-        if hold.is_some() {
+        let is_grant = matches!(kind, OrderKind::Grant { .. });
+        if is_grant {
             let heard = self.candidates.get(&holder).and_then(|one| one.heard);
             let contact = self.contacts.entry(holder.clone()).or_default();
             if !contact.takes_grants(now, heard) {
@@ -399,8 +356,7 @@
         let sent = Call {
             first,
             holder: holder.clone(),
-            sent: now,
-            hold,
+            is_grant,
         };
         self.calls.insert(call, sent);
         Some(GrantOrder {
@@ -470,7 +426,6 @@
         told_in: 0,
         lapses,
         call: None,
-        strays_until: now,
         due: now,
         settled_at: now,
         unowned: None,
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -1,6 +1,6 @@
 //! What a reply to an order changes.
 
-use super::{AVOID, Call, Granter, Standing};
+use super::{AVOID, Granter, Standing};
 use crate::order::{CallId, GrantReply, Handover};
 use crate::range::ShardKey;
 use crate::slice::{OwnedAgain, Phase};
@@ -28,7 +28,7 @@
         if reply == GrantReply::Replaced {
             self.proved_dead(&sent.holder);
         }
-        if sent.hold.is_some() {
+        if sent.is_grant {
             self.note_contact(now, call, &sent.holder, &reply);
         }
         let Some(slice) = self.slices.get_mut(&sent.first) else {
@@ -38,9 +38,10 @@
             return;
         }
         slice.call = None;
-        match sent.hold {
-            Some(hold) => self.granted(now, &sent, hold, &reply),
-            None => self.released(now, sent.first, reply),
+        if sent.is_grant {
+            self.granted(now, sent.first, &reply);
+        } else {
+            self.released(now, sent.first, reply);
         }
     }
 
@@ -59,23 +60,15 @@
     /// Takes the answer to a grant.
     ///
     /// Invariant: `lapses` is not before the end of any grant that the holder
-    /// may have taken. A holder counts from the last grant that it took, so an
-    /// answered one replaces what was granted before, longer or not, unless one
-    /// without an answer may still come after it.
-    fn granted(&mut self, now: Time, sent: &Call, hold: Duration, reply: &GrantReply) {
+    /// may have taken. A shorter grant does not end a longer one that stands.
+    fn granted(&mut self, now: Time, first: ShardKey, reply: &GrantReply) {
         let timing = self.timing;
-        let first = sent.first;
         let Some(slice) = self.slices.get_mut(&first) else {
             return;
         };
         match reply {
             GrantReply::Granted => {
-                let lapses = now + timing.bound(hold);
-                slice.lapses = if sent.sent >= slice.strays_until {
-                    lapses
-                } else {
-                    slice.lapses.max(lapses)
-                };
+                slice.lapses = slice.lapses.max(now + timing.hold_bound());
                 slice.due = now + spread(timing.renewal, first);
                 if let Phase::Held { handover, .. } = &mut slice.phase {
                     *handover = None;
@@ -90,8 +83,7 @@
             }
             GrantReply::Unanswered => {
                 if timing.guards.counts_unanswered {
-                    slice.strays_until = now + timing.transit;
-                    let lapses = slice.strays_until + timing.bound(hold);
+                    let lapses = now + timing.transit + timing.hold_bound();
                     slice.lapses = slice.lapses.max(lapses);
                 }
                 slice.due = now + RETRY;
--- a/crates/sharding/src/slice.rs
+++ b/crates/sharding/src/slice.rs
@@ -71,9 +71,6 @@
     pub told_in: u64,
     /// After this no grant that was answered, or could have been, is in force.
     pub lapses: Time,
-    /// Until when grants that got no answer may still reach the holder. One
-    /// that it answers after that is the last that it took.
-    pub strays_until: Time,
     /// Order under way.
     pub call: Option<CallId>,
     /// When the next order is due.
