--- /dev/null
+++ b/crates/sharding/tests/common/mod.rs
@@ -0,0 +1,70 @@
+//! What tests of the granter share.
+
+use beamtray_catalog::UpstreamId;
+use beamtray_sharding::{
+    AssignmentRecord, Candidate, GrantOrder, GrantReply, Granter, GranterGuards, GranterTiming,
+    OrderKind, SliceState, Standing,
+};
+use beamtray_types::Time;
+use std::time::Duration;
+
+/// How long a grant holds where slices are few.
+pub const HOLD: Duration = Duration::from_millis(3_000);
+
+/// The product's timing, with one pace for any number of slices.
+pub fn timing() -> GranterTiming {
+    GranterTiming {
+        hold: HOLD,
+        renewal: Duration::from_millis(750),
+        order_pause: Duration::from_millis(5),
+        longest_renewal: Duration::from_millis(750),
+        drift_percent: 2,
+        transit: Duration::from_millis(300),
+        order_wait: Duration::from_millis(500),
+        silence: Duration::from_millis(1_200),
+        settle: Duration::from_millis(1_300),
+        notice: Duration::from_millis(12),
+        guards: GranterGuards::default(),
+    }
+}
+
+pub fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+pub fn id(name: &str) -> UpstreamId {
+    UpstreamId(name.to_owned())
+}
+
+/// An upstream that takes keys and was last heard then.
+pub fn ready(name: &str, heard: Option<Time>) -> Candidate {
+    Candidate {
+        id: id(name),
+        standing: Standing::Ready,
+        capacity: 20.0,
+        heard,
+    }
+}
+
+pub fn write_record(granter: &mut Granter, now: Time) -> Option<AssignmentRecord> {
+    let record = granter.record()?;
+    granter.written(now, record.sequence);
+    Some(record)
+}
+
+pub fn answer(granter: &mut Granter, now: Time, order: &GrantOrder) {
+    let reply = match order.kind {
+        OrderKind::Grant { .. } => GrantReply::Granted,
+        OrderKind::Release => GrantReply::Released(None),
+    };
+    granter.handle(now, order.call, reply);
+}
+
+/// Slices that an upstream holds or is giving back.
+pub fn slices_of(record: &AssignmentRecord, name: &str) -> usize {
+    let of_it = record.slices.iter().filter(|slice| match &slice.state {
+        SliceState::Held { holder, .. } | SliceState::Leaving { holder, .. } => *holder == id(name),
+        SliceState::Free => false,
+    });
+    of_it.count()
+}
--- a/crates/sharding/tests/holds.rs
+++ b/crates/sharding/tests/holds.rs
@@ -1,63 +1,12 @@
 //! How long grants hold, and when the keys of a silent holder are free.
 
-use beamtray_catalog::UpstreamId;
+mod common;
+
 use beamtray_metastore::Epoch;
-use beamtray_sharding::{
-    AssignmentRecord, Candidate, GrantOrder, GrantReply, Granter, GranterGuards, GranterTiming,
-    OrderKind, SliceState, Standing,
-};
-use beamtray_types::Time;
+use beamtray_sharding::{GrantOrder, GrantReply, Granter, GranterTiming};
+use common::{HOLD, answer, at, id, ready, slices_of, timing, write_record};
 use std::time::Duration;
 
-const HOLD: Duration = Duration::from_millis(3_000);
-
-fn timing() -> GranterTiming {
-    GranterTiming {
-        hold: HOLD,
-        renewal: Duration::from_millis(750),
-        order_pause: Duration::from_millis(5),
-        longest_renewal: Duration::from_millis(750),
-        drift_percent: 2,
-        transit: Duration::from_millis(300),
-        order_wait: Duration::from_millis(500),
-        silence: Duration::from_millis(1_200),
-        settle: Duration::from_millis(1_300),
-        notice: Duration::from_millis(12),
-        guards: GranterGuards::default(),
-    }
-}
-
-fn at(millis: u64) -> Time {
-    Time(millis * 1_000)
-}
-
-fn id(name: &str) -> UpstreamId {
-    UpstreamId(name.to_owned())
-}
-
-fn ready(name: &str, heard: Option<Time>) -> Candidate {
-    Candidate {
-        id: id(name),
-        standing: Standing::Ready,
-        capacity: 20.0,
-        heard,
-    }
-}
-
-fn write_record(granter: &mut Granter, now: Time) -> Option<AssignmentRecord> {
-    let record = granter.record()?;
-    granter.written(now, record.sequence);
-    Some(record)
-}
-
-fn answer(granter: &mut Granter, now: Time, order: &GrantOrder) {
-    let reply = match order.kind {
-        OrderKind::Grant { .. } => GrantReply::Granted,
-        OrderKind::Release => GrantReply::Released(None),
-    };
-    granter.handle(now, order.call, reply);
-}
-
 /// All keys granted to "a" and "b", at 2,000 ms.
 fn granted() -> Granter {
     let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
@@ -70,13 +19,6 @@
     granter
 }
 
-fn holds_any(record: &AssignmentRecord, name: &str) -> bool {
-    record.slices.iter().any(|slice| match &slice.state {
-        SliceState::Held { holder, .. } | SliceState::Leaving { holder, .. } => *holder == id(name),
-        SliceState::Free => false,
-    })
-}
-
 /// Why a holder answers nothing.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Silence {
@@ -115,7 +57,7 @@
             }
         }
         let record = write_record(granter, at(now));
-        if record.is_some_and(|record| !holds_any(&record, "a")) {
+        if record.is_some_and(|record| slices_of(&record, "a") == 0) {
             return now;
         }
     }
@@ -155,13 +97,7 @@
             }
         }
         if let Some(record) = write_record(&mut granter, at(now)) {
-            let of_a = record.slices.iter().filter(|slice| match &slice.state {
-                SliceState::Held { holder, .. } | SliceState::Leaving { holder, .. } => {
-                    *holder == id("a")
-                }
-                SliceState::Free => false,
-            });
-            left = of_a.count();
+            left = slices_of(&record, "a");
         }
     }
     assert!(left <= 1, "{left} of {before} left");
--- a/crates/sharding/tests/standbys.rs
+++ b/crates/sharding/tests/standbys.rs
@@ -1,12 +1,13 @@
 //! What a granter relies on of its standbys.
 
-use beamtray_catalog::UpstreamId;
+mod common;
+
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
-    AssignmentRecord, Candidate, GrantOrder, GrantReply, Granter, GranterGuards, GranterTiming,
-    OrderKind, RecordNumber, STANDBY_SPAN, SliceState, StandbyAnswer, StandbyId, Standing,
+    AssignmentRecord, GrantReply, Granter, RecordNumber, STANDBY_SPAN, SliceState, StandbyAnswer,
+    StandbyId,
 };
-use beamtray_types::Time;
+use common::{answer, at, id, ready, slices_of, timing, write_record};
 use std::time::Duration;
 
 const STANDBY: StandbyId = StandbyId {
@@ -17,53 +18,6 @@
     run: 5,
 };
 
-fn timing() -> GranterTiming {
-    GranterTiming {
-        hold: Duration::from_millis(3_000),
-        renewal: Duration::from_millis(750),
-        order_pause: Duration::from_millis(5),
-        longest_renewal: Duration::from_millis(750),
-        drift_percent: 2,
-        transit: Duration::from_millis(300),
-        order_wait: Duration::from_millis(500),
-        silence: Duration::from_millis(1_200),
-        settle: Duration::from_millis(1_300),
-        notice: Duration::from_millis(12),
-        guards: GranterGuards::default(),
-    }
-}
-
-fn at(millis: u64) -> Time {
-    Time(millis * 1_000)
-}
-
-fn id(name: &str) -> UpstreamId {
-    UpstreamId(name.to_owned())
-}
-
-fn ready(name: &str) -> Candidate {
-    Candidate {
-        id: id(name),
-        standing: Standing::Ready,
-        capacity: 20.0,
-        heard: None,
-    }
-}
-
-fn write_record(granter: &mut Granter, now: Time) -> Option<AssignmentRecord> {
-    let record = granter.record()?;
-    granter.written(now, record.sequence);
-    Some(record)
-}
-
-fn answer(granter: &mut Granter, now: Time, order: &GrantOrder) {
-    let reply = match order.kind {
-        OrderKind::Grant { .. } => GrantReply::Granted,
-        OrderKind::Release => GrantReply::Released(None),
-    };
-    granter.handle(now, order.call, reply);
-}
-
 /// How a standby behaves.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Conduct {
@@ -80,7 +34,7 @@
 /// When the slices of "a", which answers nothing after 2,000 ms, are free.
 fn lost_at(conduct: Conduct) -> u64 {
     let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
-    granter.set_candidates(at(0), [ready("a"), ready("b")]);
+    granter.set_candidates(at(0), [ready("a", None), ready("b", None)]);
     let mut newest = None;
     for now in (0..25_000).step_by(10) {
         let has_ended = conduct == Conduct::Ends && now >= 3_000;
@@ -98,13 +52,7 @@
         }
         if let Some(record) = write_record(&mut granter, at(now)) {
             newest = Some(record.number());
-            let of_a = record.slices.iter().any(|slice| match &slice.state {
-                SliceState::Held { holder, .. } | SliceState::Leaving { holder, .. } => {
-                    *holder == id("a")
-                }
-                SliceState::Free => false,
-            });
-            if now > 2_000 && !of_a {
+            if now > 2_000 && slices_of(&record, "a") == 0 {
                 return now;
             }
         }
@@ -154,13 +102,13 @@
 #[test]
 fn a_successor_waits_for_the_standbys_of_its_predecessor() {
     let mut first = Granter::new(at(0), timing(), Epoch(1), None);
-    first.set_candidates(at(0), [ready("a"), ready("b")]);
+    first.set_candidates(at(0), [ready("a", None), ready("b", None)]);
     first.want_standbys(at(1_500), &[STANDBY]);
     first.poll(at(1_500));
     let record = write_record(&mut first, at(1_510)).expect("the keys are divided");
     assert_eq!(record.standbys, [STANDBY]);
     let mut second = Granter::new(at(5_000), timing(), Epoch(2), Some(&record));
-    second.set_candidates(at(5_000), [ready("b")]);
+    second.set_candidates(at(5_000), [ready("b", None)]);
     let span = STANDBY_SPAN.as_millis() as u64;
     let mut freed = 0;
     for now in (5_000..25_000).step_by(10) {
