--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -1,13 +1,14 @@
 //! This node's part in control: its entry, the election, and the grants while
 //! it is the granter.
 
+mod standbys;
+
 use crate::core::grants::{
     Grants, Writing, adopt, candidates, encode, probe_claimed, read_assignments, write_record,
 };
 use crate::core::message::{OrderTask, StoreTask};
 use crate::core::records::{NodeRecord, OwnKeys};
 use crate::core::registration::Registrar;
-use crate::core::standby::{StandbyReport, StandbyWord};
 use crate::core::standby_words::StandbyWords;
 use crate::core::views::{ViewName, Views};
 use beamtray_catalog::UpstreamId;
@@ -18,7 +19,6 @@
 };
 use beamtray_sharding::{
     AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, Granter, GranterTiming, OwnedAgain,
-    StandbyId,
 };
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
@@ -127,11 +127,6 @@
             .set_handicap(if is_relay { Duration::ZERO } else { HANDICAP });
     }
 
-    /// States whether this node declines to be a standby, which its entry tells.
-    pub fn set_declines_standby(&mut self, declines: bool) {
-        self.registrar.set_declines_standby(declines);
-    }
-
     /// When the last call was sent that shows a sound path to the store.
     pub fn store_sound_at(&self) -> Option<Time> {
         self.registrar.sound_at()
@@ -402,39 +397,6 @@
         &self.addresses
     }
 
-    /// Words to standbys that are due. `wanted` are the nodes that are to be
-    /// standbys.
-    pub fn poll_standbys(
-        &mut self,
-        now: Time,
-        views: &Views,
-        wanted: &[StandbyId],
-    ) -> Vec<(SocketAddr, StandbyWord)> {
-        let Some(authority) = self.election.authority(now) else {
-            return Vec::new();
-        };
-        let own = StandbyId {
-            address: self.config.record.peers,
-            run: self.config.record.run,
-        };
-        let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
-        let Some(all) = all else {
-            return Vec::new();
-        };
-        let granters = all.values_mut().map(|grants| &mut grants.granter);
-        let mut granters: Vec<&mut Granter> = granters.collect();
-        self.standbys
-            .poll(now, authority.epoch.0, own, &mut granters, views, wanted)
-    }
-
-    /// Takes a standby's report.
-    pub fn standby_reported(&mut self, now: Time, from: SocketAddr, report: &StandbyReport) {
-        let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
-        if let Some(all) = all {
-            self.standbys.reported(now, from, report, all);
-        }
-    }
-
     /// Starts granters of services that are divided and have none.
     fn add_services(&mut self, now: Time, views: &Views) {
         let Some(term) = &mut self.term else {
--- /dev/null
+++ b/crates/router/src/core/control/standbys.rs
@@ -0,0 +1,49 @@
+//! Standbys, as this node's control sees them: words to them and reports of them
+//! while it is the granter, and whether it declines to be one.
+
+use super::Control;
+use crate::core::standby::{StandbyReport, StandbyWord};
+use crate::core::views::Views;
+use beamtray_sharding::{Granter, StandbyId};
+use beamtray_types::Time;
+use std::net::SocketAddr;
+
+impl Control {
+    /// States whether this node declines to be a standby, which its entry tells.
+    pub fn set_declines_standby(&mut self, declines: bool) {
+        self.registrar.set_declines_standby(declines);
+    }
+
+    /// Words to standbys that are due. `wanted` are the nodes that are to be
+    /// standbys.
+    pub fn poll_standbys(
+        &mut self,
+        now: Time,
+        views: &Views,
+        wanted: &[StandbyId],
+    ) -> Vec<(SocketAddr, StandbyWord)> {
+        let Some(authority) = self.election.authority(now) else {
+            return Vec::new();
+        };
+        let own = StandbyId {
+            address: self.config.record.peers,
+            run: self.config.record.run,
+        };
+        let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
+        let Some(all) = all else {
+            return Vec::new();
+        };
+        let granters = all.values_mut().map(|grants| &mut grants.granter);
+        let mut granters: Vec<&mut Granter> = granters.collect();
+        self.standbys
+            .poll(now, authority.epoch.0, own, &mut granters, views, wanted)
+    }
+
+    /// Takes a standby's report.
+    pub fn standby_reported(&mut self, now: Time, from: SocketAddr, report: &StandbyReport) {
+        let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
+        if let Some(all) = all {
+            self.standbys.reported(now, from, report, all);
+        }
+    }
+}
