Let a tick cost the same whatever the size of the deployment

Ruled out: sockets and the runtime, each below 5%. Change: nodes and audiences are indexed when members change; addresses, candidates and pools follow a count of the directory's changes; unconfirmed upstreams are listed; reports of single nodes no longer make waiting requests look for an upstream again.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -12,7 +12,7 @@
 
 use crate::upstream::{UpstreamId, UpstreamRecord, UpstreamState};
 use beamtray_types::{ServiceName, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,8 @@
 
 /// How long late writes of an upstream that was found gone are expected.
 const REMEMBER_GONE: Duration = Duration::from_secs(120);
+/// Between looks for upstreams that need not be remembered any more.
+const FORGET_PAUSE: Duration = Duration::from_secs(1);
 
 /// Timing of a directory.
 #[derive(Clone, Copy, Debug)]
@@ -61,6 +63,11 @@
 pub struct Directory {
     policy: DirectoryPolicy,
     upstreams: BTreeMap<UpstreamId, Registration>,
+    /// Counts the changes: who keeps an index of its own follows it by this.
+    changes: u64,
+    /// Upstreams that are unconfirmed.
+    unconfirmed: BTreeSet<UpstreamId>,
+    forget_at: Time,
     store_trouble: Option<Time>,
     /// Upstreams that were found gone, and when.
     gone: BTreeMap<UpstreamId, Time>,
@@ -72,11 +79,20 @@
         Self {
             policy,
             upstreams: BTreeMap::new(),
+            changes: 0,
+            unconfirmed: BTreeSet::new(),
+            forget_at: Time::ZERO,
             store_trouble: None,
             gone: BTreeMap::new(),
         }
     }
 
+    /// Number of changes so far; an index that was made at this number is still
+    /// right.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Puts another timing in force.
     pub fn set_policy(&mut self, policy: DirectoryPolicy) {
         self.policy = policy;
@@ -102,6 +118,8 @@
         let known = self.upstreams.get(&record.id);
         let changed = known.is_none_or(|known| known.record.state != record.state);
         let change = DirectoryChange::Registered(record.id.clone(), record.state);
+        self.changes += 1;
+        self.unconfirmed.remove(&record.id);
         self.upstreams.insert(
             record.id.clone(),
             Registration {
@@ -141,6 +159,8 @@
             return None;
         }
         registration.unconfirmed_since = Some(now);
+        self.changes += 1;
+        self.unconfirmed.insert(id.clone());
         Some(DirectoryChange::Unconfirmed(id.clone()))
     }
 
@@ -152,24 +172,25 @@
 
     fn remove(&mut self, id: &UpstreamId) -> Option<DirectoryChange> {
         self.upstreams.remove(id)?;
+        self.changes += 1;
+        self.unconfirmed.remove(id);
         Some(DirectoryChange::Removed(id.clone()))
     }
 
     /// Removes unconfirmed upstreams that had enough time.
     pub fn expire(&mut self, now: Time) -> Vec<DirectoryChange> {
-        self.gone
-            .retain(|_, since| now.since(*since) < REMEMBER_GONE);
+        if now >= self.forget_at {
+            self.forget_at = now + FORGET_PAUSE;
+            self.gone
+                .retain(|_, since| now.since(*since) < REMEMBER_GONE);
+        }
         let patience = self.policy.patience;
-        let expired: Vec<UpstreamId> = self
-            .upstreams
-            .iter()
-            .filter(|(_, registration)| {
-                registration
-                    .unconfirmed_since
-                    .is_some_and(|since| now.since(since) >= patience)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
+        let is_over = |id: &&UpstreamId| {
+            let registration = self.upstreams.get(*id);
+            let since = registration.and_then(|registration| registration.unconfirmed_since);
+            since.is_some_and(|since| now.since(since) >= patience)
+        };
+        let expired: Vec<UpstreamId> = self.unconfirmed.iter().filter(is_over).cloned().collect();
         expired
             .into_iter()
             .filter_map(|id| self.remove(&id))
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod outcome;
+mod pools;
 mod reports;
 
 use crate::budget::{BudgetConfig, RetryBudget};
@@ -16,6 +17,7 @@
 use beamtray_catalog::{UpstreamState, WeightedBackend};
 use beamtray_sharding::{AssignmentRecord, ShardKey};
 use beamtray_types::{ServiceName, Time, Zone};
+use pools::Pools;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -122,7 +124,10 @@
     patience: HashMap<String, Duration>,
     version: u64,
     budgets: HashMap<ServiceName, RetryBudget>,
-    health: HashMap<UpstreamId, Health>,
+    health: HashMap<UpstreamHash, Health>,
+    pools: Pools,
+    /// State of the directory that was followed last.
+    followed: Option<u64>,
     draining_since: HashMap<UpstreamId, Time>,
     occupancy: Occupancy,
     speeds: SpeedTable,
@@ -151,6 +156,8 @@
             version: 0,
             budgets: HashMap::new(),
             health: HashMap::new(),
+            pools: Pools::default(),
+            followed: None,
             draining_since: HashMap::new(),
             occupancy: Occupancy::default(),
             speeds: SpeedTable::default(),
@@ -192,13 +199,17 @@
 
     /// Follows the directory: forgets who is gone, notes who begins to leave.
     pub fn follow(&mut self, now: Time, directory: &Directory) {
-        self.health.retain(|id, _| directory.get(id).is_some());
+        if self.followed == Some(directory.changes()) {
+            return;
+        }
+        self.followed = Some(directory.changes());
         self.draining_since
             .retain(|id, _| directory.get(id).is_some());
         let known: std::collections::HashSet<UpstreamHash> = directory
             .iter()
             .map(|registration| UpstreamHash::of(&registration.record.id))
             .collect();
+        self.health.retain(|hash, _| known.contains(hash));
         self.speeds.retain(|hash| known.contains(&hash));
         self.heard.retain(|hash, _| known.contains(hash));
         for registration in directory.iter() {
@@ -306,6 +317,7 @@
         if self.waiting.is_empty() {
             return Vec::new();
         }
+        self.pools.follow(directory);
         let mut order = std::mem::take(&mut self.waiting);
         order.sort_by_key(|ticket| {
             let request = self.requests.get(ticket);
@@ -346,7 +358,7 @@
             self.choose(now, directory, request)
         };
         match wanted {
-            Ok(registration) => Some(Ok(self.forward(now, request, registration))),
+            Ok(registration) => Some(Ok(self.forward(now, request, &registration))),
             Err(reason) if now >= request.wait_until => {
                 Some(Err(self.conclude(now, request, reason)))
             }
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -1,5 +1,6 @@
 //! Which upstream gets a request now.
 
+use super::pools::Seat;
 use super::{Dispatcher, Request};
 use crate::report::UpstreamHash;
 use crate::request::{AssignmentNumber, RefusalReason};
@@ -16,19 +17,19 @@
 const WARMING_SLOWNESS: f64 = 2.0;
 
 impl Dispatcher {
-    pub(super) fn choose<'a>(
+    pub(super) fn choose(
         &mut self,
         now: Time,
-        directory: &'a Directory,
+        directory: &Directory,
         request: &Request,
-    ) -> Result<&'a Registration, RefusalReason> {
+    ) -> Result<Registration, RefusalReason> {
         match request.key {
-            Some(key) => self.choose_holder(now, directory, request, key),
-            None => self.choose_any(now, directory, request),
+            Some(key) => self.choose_holder(now, directory, request, key).cloned(),
+            None => self.choose_any(now, request),
         }
     }
 
-    pub(super) fn choose_holder<'a>(
+    fn choose_holder<'a>(
         &self,
         now: Time,
         directory: &'a Directory,
@@ -53,11 +54,11 @@
         if self.is_denied(now, request, holder) {
             return Err(RefusalReason::KeyUnheld);
         }
-        if self.is_paused(now, holder) {
+        let hash = UpstreamHash::of(holder);
+        if self.is_paused(now, hash) {
             return Err(RefusalReason::Busy);
         }
-        let hash = UpstreamHash::of(holder);
-        let time = self.expected(now, request, registration, hash);
+        let time = self.expected(now, self.mean_work(request), registration, hash);
         let occupied = self.occupancy.total(hash);
         if occupied >= self.room(now, request, registration, time) {
             return Err(RefusalReason::Busy);
@@ -74,57 +75,64 @@
         })
     }
 
-    pub(super) fn choose_any<'a>(
-        &mut self,
-        now: Time,
-        directory: &'a Directory,
-        request: &Request,
-    ) -> Result<&'a Registration, RefusalReason> {
-        let mut best: Option<(f64, &Registration)> = None;
-        let mut any = false;
+    fn choose_any(&mut self, now: Time, request: &Request) -> Result<Registration, RefusalReason> {
+        let pool = self.pools.of(&request.service);
         let start = self.draw();
-        for (index, registration) in directory.ready(&request.service).enumerate() {
-            any = true;
-            let record = &registration.record;
-            if self.is_paused(now, &record.id) || request.tried.contains(&record.id) {
-                continue;
-            }
-            let hash = UpstreamHash::of(&record.id);
-            let occupied = self.occupancy.total(hash);
-            let time = self.expected(now, request, registration, hash);
-            if occupied >= self.room(now, request, registration, time) {
+        let work = self.mean_work(request);
+        let mut best: Option<(f64, &Seat)> = None;
+        for (index, seat) in pool.iter().enumerate() {
+            let Some(cost) = self.cost(now, request, work, seat) else {
                 continue;
-            }
-            let rounds = f64::from(occupied + 1) / f64::from(record.slots.max(1));
-            let mut cost = time * rounds.max(1.0);
-            if record.zone != self.config.zone {
-                cost += self.config.zone_cost.as_secs_f64();
-            }
+            };
             // Equal ones are told apart by chance, so that nodes differ.
-            cost *= 1.0 + 0.02 * (((start >> (index % 32)) & 7) as f64 / 7.0);
+            let cost = cost * (1.0 + 0.02 * (((start >> (index % 32)) & 7) as f64 / 7.0));
             if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, registration));
+                best = Some((cost, seat));
             }
         }
         match best {
-            Some((_, registration)) => Ok(registration),
-            None if any => Err(RefusalReason::Busy),
-            None => Err(RefusalReason::NoUpstream),
+            Some((_, seat)) => Ok(seat.registration.clone()),
+            None if pool.is_empty() => Err(RefusalReason::NoUpstream),
+            None => Err(RefusalReason::Busy),
+        }
+    }
+
+    /// Seconds until an upstream is likely to have answered; `None` if it is not
+    /// to get the request now.
+    fn cost(&self, now: Time, request: &Request, work: f64, seat: &Seat) -> Option<f64> {
+        let record = &seat.registration.record;
+        if self.is_paused(now, seat.hash) || request.tried.contains(&record.id) {
+            return None;
         }
+        let occupied = self.occupancy.total(seat.hash);
+        let time = self.expected(now, work, &seat.registration, seat.hash);
+        if occupied >= self.room(now, request, &seat.registration, time) {
+            return None;
+        }
+        let rounds = f64::from(occupied + 1) / f64::from(record.slots.max(1));
+        let mut cost = time * rounds.max(1.0);
+        if record.zone != self.config.zone {
+            cost += self.config.zone_cost.as_secs_f64();
+        }
+        Some(cost)
     }
 
-    /// Seconds of work that a request is likely to be at an upstream.
-    pub(super) fn expected(
+    /// Seconds that a request of this kind takes on average.
+    fn mean_work(&self, request: &Request) -> f64 {
+        let unknown = request.route.target_latency.as_secs_f64() * UNKNOWN_WORK_SHARE;
+        let learned = self.speeds.route_mean(&request.route.name);
+        learned.unwrap_or(unknown)
+    }
+
+    /// Seconds that a request which takes `mean` on average is likely to be at an
+    /// upstream.
+    fn expected(
         &self,
         now: Time,
-        request: &Request,
+        mean: f64,
         registration: &Registration,
         hash: UpstreamHash,
     ) -> f64 {
-        let mean = self
-            .speeds
-            .route_mean(&request.route.name)
-            .unwrap_or(request.route.target_latency.as_secs_f64() * UNKNOWN_WORK_SHARE);
         let warming = if now < registration.warm_at {
             WARMING_SLOWNESS
         } else {
@@ -136,7 +144,7 @@
     /// Requests that an upstream may have before this one is sent there: as
     /// many as let it still be answered in time. One that has come back is to
     /// be answered at all.
-    pub(super) fn room(
+    fn room(
         &self,
         now: Time,
         request: &Request,
@@ -156,9 +164,9 @@
         slots + queued.min(self.config.most_queued)
     }
 
-    pub(super) fn is_paused(&self, now: Time, id: &UpstreamId) -> bool {
+    fn is_paused(&self, now: Time, upstream: UpstreamHash) -> bool {
         self.health
-            .get(id)
+            .get(&upstream)
             .is_some_and(|health| now < health.paused_until)
     }
 
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -86,7 +86,7 @@
         attempt: &Attempt,
         outcome: AttemptOutcome,
     ) {
-        let health = self.health.entry(attempt.upstream.clone()).or_default();
+        let health = self.health.entry(attempt.hash).or_default();
         match outcome {
             AttemptOutcome::Answered { success } => {
                 self.heard.insert(attempt.hash, now);
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/pools.rs
@@ -0,0 +1,55 @@
+//! The upstreams of each service that take new work, ready to be chosen from.
+//!
+//! Made anew when the directory changes, so that a choice does not look at the
+//! upstreams of other services, nor names each one again.
+
+use crate::report::UpstreamHash;
+use beamtray_catalog::{Directory, Registration, UpstreamState};
+use beamtray_types::ServiceName;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// One upstream that may be chosen.
+#[derive(Clone, Debug)]
+pub(super) struct Seat {
+    pub hash: UpstreamHash,
+    pub registration: Registration,
+}
+
+/// The upstreams of each service that take new work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pools {
+    /// State of the directory that this was made from.
+    made_of: Option<u64>,
+    seats: HashMap<ServiceName, Rc<[Seat]>>,
+}
+
+impl Pools {
+    /// Follows the directory.
+    pub fn follow(&mut self, directory: &Directory) {
+        if self.made_of == Some(directory.changes()) {
+            return;
+        }
+        self.made_of = Some(directory.changes());
+        let mut seats: HashMap<ServiceName, Vec<Seat>> = HashMap::new();
+        let ready = |one: &&Registration| one.record.state == UpstreamState::Ready;
+        for registration in directory.iter().filter(ready) {
+            let record = &registration.record;
+            let seat = Seat {
+                hash: UpstreamHash::of(&record.id),
+                registration: registration.clone(),
+            };
+            let pool = seats.entry(record.service.clone());
+            pool.or_default().push(seat);
+        }
+        let seats = seats.into_iter();
+        self.seats = seats
+            .map(|(service, pool)| (service, pool.into()))
+            .collect();
+    }
+
+    /// The upstreams of a service that take new work, in the order of their ids.
+    pub fn of(&self, service: &ServiceName) -> Rc<[Seat]> {
+        self.seats.get(service).cloned().unwrap_or_default()
+    }
+}
--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -14,6 +14,8 @@
 
 /// What has not been reported again for this long no longer counts.
 const FORGET: Duration = Duration::from_millis(1_500);
+/// Between looks for nodes and sums that fell silent.
+const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
 /// Own reports that may come back within a sum.
 const OWN_REPORTS: usize = 24;
 
@@ -56,6 +58,7 @@
     sums: HashMap<(SumSource, u8), SumPart>,
     /// Everything but the own requests, summed.
     others: HashMap<UpstreamHash, u32>,
+    expire_at: Time,
 }
 
 impl Occupancy {
@@ -188,6 +191,10 @@
 
     /// Forgets nodes and sums that fell silent.
     pub fn expire(&mut self, now: Time) {
+        if now < self.expire_at {
+            return;
+        }
+        self.expire_at = now + EXPIRE_PAUSE;
         let others = &mut self.others;
         self.peers.retain(|_, peer| {
             let keep = now.since(peer.heard) < FORGET;
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -11,7 +11,7 @@
 use crate::core::registration::Registrar;
 use crate::core::standby_words::StandbyWords;
 use crate::core::views::{ViewName, Views};
-use beamtray_catalog::UpstreamId;
+use beamtray_catalog::{Directory, UpstreamId};
 use beamtray_dispatch::{Dispatcher, KeyReport, SpeedTable};
 use beamtray_metastore::{
     Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, Revision, StoreCall,
@@ -29,6 +29,12 @@
 const REBALANCE: Duration = Duration::from_millis(150);
 /// Share of the counted load that is left after one look.
 const LOAD_KEPT: f64 = 0.917;
+/// Between looks at which orders are due, when nothing asks for one sooner.
+const ORDERS: Duration = Duration::from_millis(10);
+/// Between looks at what nodes heard of upstreams, and at their speeds, when the
+/// directory does not change: a holder that leaves a grant unanswered for that
+/// long may have answered requests meanwhile.
+const REFRESH_CANDIDATES: Duration = Duration::from_millis(100);
 /// Between two writes of learned speeds.
 const KEEP_SPEEDS: Duration = Duration::from_secs(4);
 /// Pause between two records, so that changes close together go in one.
@@ -73,6 +79,38 @@
     read: Vec<Item>,
     read_at: Time,
     rebalance_at: Time,
+    /// When orders are looked at next.
+    orders_at: Time,
+    /// When candidates are looked at next, and the state of the directory that
+    /// they were last taken from.
+    candidates_at: Time,
+    candidates_of: Option<u64>,
+}
+
+impl Term {
+    fn new(now: Time, authority: Authority) -> Self {
+        Self {
+            authority,
+            grants: None,
+            reading: false,
+            read: Vec::new(),
+            read_at: now,
+            rebalance_at: now,
+            orders_at: now,
+            candidates_at: now,
+            candidates_of: None,
+        }
+    }
+
+    /// Whether candidates are to be taken from the directory again.
+    fn refreshes_candidates(&mut self, now: Time, changes: u64) -> bool {
+        let refreshes = self.candidates_of != Some(changes) || now >= self.candidates_at;
+        if refreshes {
+            self.candidates_of = Some(changes);
+            self.candidates_at = now + REFRESH_CANDIDATES;
+        }
+        refreshes
+    }
 }
 
 /// This node's part in control.
@@ -82,6 +120,8 @@
     election: Election,
     term: Option<Term>,
     addresses: BTreeMap<UpstreamId, SocketAddr>,
+    /// State of the directory that the addresses were last taken from.
+    addresses_of: Option<u64>,
     standbys: StandbyWords,
     /// Assignments in the store that this node's views don't show yet.
     written: Vec<Item>,
@@ -108,6 +148,7 @@
             written: Vec::new(),
             speeds_at: Time::ZERO,
             addresses: BTreeMap::new(),
+            addresses_of: None,
             config,
         }
     }
@@ -179,14 +220,7 @@
             }
             return;
         }
-        self.term = Some(Term {
-            authority,
-            grants: None,
-            reading: false,
-            read: Vec::new(),
-            read_at: now,
-            rebalance_at: now,
-        });
+        self.term = Some(Term::new(now, authority));
     }
 
     fn poll_term(&mut self, now: Time) -> Vec<(StoreTask, StoreCall)> {
@@ -301,6 +335,7 @@
         let Some(writing) = grants.writing.take() else {
             return;
         };
+        term.orders_at = now;
         match outcome {
             StoreOutcome::Committed { revision } => {
                 grants.revision = revision;
@@ -342,10 +377,7 @@
         views: &Views,
         dispatcher: &Dispatcher,
     ) -> Vec<OrderTask> {
-        for registration in views.directory.iter() {
-            let record = &registration.record;
-            self.addresses.insert(record.id.clone(), record.address);
-        }
+        self.follow_addresses(&views.directory);
         let Some(authority) = self.election.authority(now) else {
             return Vec::new();
         };
@@ -353,6 +385,11 @@
         let Some(term) = &mut self.term else {
             return Vec::new();
         };
+        if now < term.orders_at {
+            return Vec::new();
+        }
+        term.orders_at = now + ORDERS;
+        let refreshes = term.refreshes_candidates(now, views.directory.changes());
         let Some(all) = &mut term.grants else {
             return Vec::new();
         };
@@ -363,8 +400,10 @@
         let mut tasks = Vec::new();
         for (service, grants) in all.iter_mut() {
             let granter = &mut grants.granter;
-            granter.set_candidates(now, candidates(service, views, dispatcher));
-            probe_claimed(now, granter, views);
+            if refreshes {
+                granter.set_candidates(now, candidates(service, views, dispatcher));
+                probe_claimed(now, granter, views);
+            }
             if rebalance {
                 granter.rebalance(now, &self.config.balance);
                 granter.load.decay(LOAD_KEPT);
@@ -381,6 +420,21 @@
         tasks
     }
 
+    /// Follows where upstreams listen. An address never changes during the life of
+    /// an upstream.
+    fn follow_addresses(&mut self, directory: &Directory) {
+        if self.addresses_of == Some(directory.changes()) {
+            return;
+        }
+        self.addresses_of = Some(directory.changes());
+        for registration in directory.iter() {
+            let record = &registration.record;
+            if !self.addresses.contains_key(&record.id) {
+                self.addresses.insert(record.id.clone(), record.address);
+            }
+        }
+    }
+
     /// Slices that have an owner again since the last call.
     pub fn take_owned_again(&mut self) -> Vec<(ServiceName, OwnedAgain)> {
         let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
@@ -432,6 +486,9 @@
         if term.authority.epoch.0 != epoch {
             return;
         }
+        if reply != GrantReply::Granted {
+            term.orders_at = now;
+        }
         let grants = term.grants.as_mut().and_then(|all| all.get_mut(service));
         if let Some(grants) = grants {
             grants.granter.handle(now, order.call, reply);
--- /dev/null
+++ b/crates/router/src/core/membership.rs
@@ -0,0 +1,167 @@
+//! Which other nodes there are, where they listen, and who of them was heard.
+//!
+//! Looked up for each datagram, so everything is indexed by address and computed
+//! when the nodes change, not when it is asked for: what a tick costs does not
+//! depend on how many nodes there are.
+
+use crate::core::records::NodeRecord;
+use crate::core::relays::Relays;
+use beamtray_types::Time;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a node without an entry counts as there since it was heard: as long
+/// as a node that lost the store may serve by what others tell it.
+const HEARD_FOR: Duration = Duration::from_secs(3);
+/// Between looks for nodes that fell silent.
+const FORGET_PAUSE: Duration = Duration::from_millis(250);
+
+/// Whom a datagram is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// All other nodes.
+    All,
+    /// Other nodes of the same zone.
+    Near,
+    /// Other nodes of the same zone, and the relays of the others.
+    NearAndRelays,
+}
+
+/// The other nodes, as this one knows them.
+pub(crate) struct Membership {
+    own: SocketAddr,
+    own_zone: String,
+    /// Addresses of all nodes with an entry, this one included.
+    entries: HashSet<SocketAddr>,
+    all: Vec<SocketAddr>,
+    near: Vec<SocketAddr>,
+    near_and_relays: Vec<SocketAddr>,
+    /// When each node was last heard.
+    heard: HashMap<SocketAddr, Time>,
+    /// Nodes that are heard and have no entry: a node that lost the store loses
+    /// its entry, but is there as long as it is heard.
+    unregistered: BTreeSet<SocketAddr>,
+    /// Zones of the nodes that have an entry, or had one and are heard.
+    zones: HashMap<SocketAddr, String>,
+    relays: Relays,
+    forget_at: Time,
+}
+
+impl Membership {
+    /// Knows no other node yet; `own` is this one.
+    pub fn new(own: &NodeRecord) -> Self {
+        Self {
+            own: own.peers,
+            own_zone: own.zone.clone(),
+            entries: HashSet::new(),
+            all: Vec::new(),
+            near: Vec::new(),
+            near_and_relays: Vec::new(),
+            heard: HashMap::new(),
+            unregistered: BTreeSet::new(),
+            zones: HashMap::new(),
+            relays: Relays::default(),
+            forget_at: Time::ZERO,
+        }
+    }
+
+    /// Takes the nodes that have an entry.
+    pub fn registered(&mut self, own: &NodeRecord, nodes: &BTreeMap<String, NodeRecord>) {
+        let mut with_own = nodes.clone();
+        with_own.insert(own.name.clone(), own.clone());
+        self.relays = Relays::choose(&with_own);
+        let zones = with_own.values();
+        self.zones
+            .extend(zones.map(|node| (node.peers, node.zone.clone())));
+        self.entries = nodes.values().map(|node| node.peers).collect();
+        let others = nodes.values().filter(|node| node.peers != self.own);
+        let others: Vec<&NodeRecord> = others.collect();
+        let is_near = |node: &&&NodeRecord| node.zone == self.own_zone;
+        let address = |node: &&NodeRecord| node.peers;
+        self.all = others.iter().map(address).collect();
+        self.near = others.iter().filter(is_near).map(address).collect();
+        let relays = &self.relays;
+        let is_told = |node: &&&NodeRecord| is_near(node) || relays.contains(&node.peers);
+        self.near_and_relays = others.iter().filter(is_told).map(address).collect();
+        let heard = self.heard.keys().copied();
+        let unregistered = heard.filter(|address| !self.entries.contains(address));
+        self.unregistered = unregistered.collect();
+    }
+
+    /// Notes that a node was heard.
+    pub fn hear(&mut self, now: Time, from: SocketAddr) {
+        let is_new = self.heard.insert(from, now).is_none();
+        if is_new && !self.entries.contains(&from) {
+            self.unregistered.insert(from);
+        }
+    }
+
+    /// When a node was last heard.
+    pub fn heard(&self, address: &SocketAddr) -> Option<Time> {
+        self.heard.get(address).copied()
+    }
+
+    /// Whether a node was heard within that time.
+    pub fn is_heard(&self, now: Time, address: &SocketAddr, within: Duration) -> bool {
+        self.heard(address)
+            .is_some_and(|heard| now.since(heard) < within)
+    }
+
+    /// Forgets nodes that fell silent.
+    pub fn forget_silent(&mut self, now: Time) {
+        if now < self.forget_at {
+            return;
+        }
+        self.forget_at = now + FORGET_PAUSE;
+        let (heard, entries) = (&mut self.heard, &self.entries);
+        heard.retain(|_, at| now.since(*at) < HEARD_FOR);
+        self.unregistered
+            .retain(|address| heard.contains_key(address));
+        self.zones
+            .retain(|address, _| heard.contains_key(address) || entries.contains(address));
+    }
+
+    /// The relays of all zones.
+    pub fn relays(&self) -> &Relays {
+        &self.relays
+    }
+
+    /// The zone of a node, if it is known.
+    pub fn zone(&self, address: &SocketAddr) -> Option<&String> {
+        self.zones.get(address)
+    }
+
+    /// Whether a node is in this one's zone.
+    pub fn is_near(&self, address: &SocketAddr) -> bool {
+        self.zone(address) == Some(&self.own_zone)
+    }
+
+    /// Addresses of other nodes.
+    pub fn peers(&self, audience: Audience) -> Vec<SocketAddr> {
+        let mut peers = self.registered_peers(audience).to_vec();
+        peers.extend(self.unregistered_peers(audience));
+        peers
+    }
+
+    /// How many other nodes those are.
+    pub fn count(&self, audience: Audience) -> usize {
+        self.registered_peers(audience).len() + self.unregistered_peers(audience).count()
+    }
+
+    fn registered_peers(&self, audience: Audience) -> &[SocketAddr] {
+        match audience {
+            Audience::All => &self.all,
+            Audience::Near => &self.near,
+            Audience::NearAndRelays => &self.near_and_relays,
+        }
+    }
+
+    fn unregistered_peers(&self, audience: Audience) -> impl Iterator<Item = SocketAddr> + '_ {
+        let unregistered = self.unregistered.iter().copied();
+        unregistered.filter(move |address| {
+            let is_meant = audience == Audience::All || self.is_near(address);
+            *address != self.own && is_meant
+        })
+    }
+}
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod grants;
+mod membership;
 mod message;
 mod node;
 mod records;
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -7,8 +7,8 @@
 mod zone_load;
 
 use crate::core::control::{Control, ControlConfig};
+use crate::core::membership::{Audience, Membership};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
-use crate::core::relays::Relays;
 use crate::core::standby::{STANDBY_TERM, StandbyConfig, StandbyDuty, StandbyState};
 use crate::core::views::{Snapshot, ViewName, ViewRequest, Views};
 use beamtray_catalog::{DirectoryPolicy, UpstreamId};
@@ -21,11 +21,10 @@
 use beamtray_types::Time;
 use fetch::Fetches;
 use load::ReportSchedule;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use talk::{Audience, HeadsSchedule};
+use talk::HeadsSchedule;
 
 /// Fixed values of a core.
 #[derive(Clone, Debug)]
@@ -62,8 +61,8 @@
     started_at: Option<Time>,
     reports: ReportSchedule,
     heads: HeadsSchedule,
-    /// Relays among the nodes, this one included if it is one.
-    relays: Relays,
+    /// The other nodes.
+    membership: Membership,
     /// When a call to the store last got no answer.
     trouble_at: Option<Time>,
     key_report_at: Time,
@@ -75,10 +74,6 @@
     /// Whether the store refused a call since it last took one.
     was_refused: bool,
     configured: u64,
-    /// When each node was last heard.
-    heard: BTreeMap<SocketAddr, Time>,
-    /// Zones of the nodes that have an entry, or had one and are heard.
-    zones: BTreeMap<SocketAddr, String>,
     was_granter: Option<u64>,
     outputs: Vec<Output>,
 }
@@ -102,7 +97,7 @@
             started_at: None,
             reports: ReportSchedule::default(),
             heads: HeadsSchedule::default(),
-            relays: Relays::default(),
+            membership: Membership::new(&config.control.record),
             trouble_at: None,
             key_report_at: Time::ZERO,
             fetches: Fetches::default(),
@@ -111,8 +106,6 @@
             path_failed: false,
             was_refused: false,
             configured: 0,
-            heard: BTreeMap::new(),
-            zones: BTreeMap::new(),
             was_granter: None,
             outputs: Vec::new(),
             config,
@@ -121,6 +114,7 @@
 
     /// Takes one input; what is to be done about it.
     pub fn handle(&mut self, now: Time, input: Input) -> Vec<Output> {
+        let may_decide = may_free_requests(&input);
         match input {
             Input::Tick => self.tick(now),
             Input::Request { ticket, head } => {
@@ -173,12 +167,14 @@
             Input::Stop => self.stop(),
         }
         self.tell_changes(now);
-        self.dispatch(now);
+        if may_decide {
+            self.dispatch(now);
+        }
         std::mem::take(&mut self.outputs)
     }
 
     fn datagram(&mut self, now: Time, from: SocketAddr, datagram: &Datagram) {
-        self.heard.insert(from, now);
+        self.membership.hear(now, from);
         match datagram {
             Datagram::Load(report) => self.take_load(now, report),
             Datagram::ZoneLoad(zone, sum) => {
@@ -290,23 +286,22 @@
     /// Follows changes among the nodes.
     fn choose_relays(&mut self) {
         let own = &self.config.control.record;
-        let mut nodes = self.views.nodes.clone();
-        nodes.insert(own.name.clone(), own.clone());
-        let zones = nodes.values().map(|node| (node.peers, node.zone.clone()));
-        self.zones.extend(zones);
-        self.relays = Relays::choose(&nodes);
+        self.membership.registered(own, &self.views.nodes);
         self.dispatcher.set_nodes(self.node_count());
     }
 
     /// Whether this is the relay that follows the store for its zone: no relay
     /// before it can be relied on.
     fn is_first_relay(&self, now: Time) -> bool {
-        let before = self.relays.before(&self.config.control.record.peers);
+        let relays = self.membership.relays();
+        let before = relays.before(&self.config.control.record.peers);
         before.is_some_and(|before| !self.views.relays.any_of(now, before))
     }
 
     fn is_relay(&self) -> bool {
-        self.relays.contains(&self.config.control.record.peers)
+        self.membership
+            .relays()
+            .contains(&self.config.control.record.peers)
     }
 
     /// Nodes that share what is bounded over all of them. Before any is known
@@ -367,7 +362,7 @@
         self.views.expire(now);
         self.viewed(now);
         self.dispatcher.expire(now);
-        self.forget_silent(now);
+        self.membership.forget_silent(now);
         self.decide_standby(now);
         self.poll_control(now);
         self.report(now);
@@ -425,3 +420,21 @@
         (&self.views, &self.control, &self.dispatcher)
     }
 }
+
+/// Whether an input may let a request go that waits, or brings one. Reports of
+/// single nodes are many where this node is a relay, and each would have every
+/// waiting request look at every upstream.
+fn may_free_requests(input: &Input) -> bool {
+    !matches!(
+        input,
+        Input::Datagram(
+            _,
+            Datagram::Load(_)
+                | Datagram::Heads(_)
+                | Datagram::Keys(_)
+                | Datagram::Answers(_)
+                | Datagram::StandbyReport(_)
+                | Datagram::StandbyWord(_)
+        )
+    )
+}
--- a/crates/router/src/core/node/fetch.rs
+++ b/crates/router/src/core/node/fetch.rs
@@ -48,8 +48,8 @@
     /// between zones are dear.
     pub(super) fn fetches_from(&self, now: Time, from: SocketAddr) -> bool {
         let own = &self.config.control.record;
-        let near = self.relays.of_zone(&own.zone);
-        let is_far = !near.contains(&from) && self.relays.contains(&from);
+        let near = self.membership.relays().of_zone(&own.zone);
+        let is_far = !near.contains(&from) && self.membership.relays().contains(&from);
         let relies_near = self.views.relays.any_of(now, near);
         !is_far || self.views.follows() || !relies_near
     }
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -6,7 +6,8 @@
 //! and the far ones cost bytes between zones.
 
 use super::NodeCore;
-use super::talk::{Audience, bounded};
+use super::talk::bounded;
+use crate::core::membership::Audience;
 use crate::core::message::{Datagram, Output};
 use beamtray_dispatch::{Answers, LoadReport, LoadSum, SumSource, UpstreamHash};
 use beamtray_types::Time;
@@ -75,7 +76,7 @@
         if !due && now < self.reports.idle_at {
             return;
         }
-        let near = self.peers(Audience::Near).len();
+        let near = self.membership.count(Audience::Near);
         self.reports.near_at = now + timing.report.max(bounded(near));
         self.reports.idle_at = now + NEAR_IDLE;
         let report = if now >= self.reports.far_at {
@@ -115,7 +116,7 @@
             return;
         }
         let own = &self.config.control.record;
-        let relays = self.relays.of_zone(&own.zone).iter().copied();
+        let relays = self.membership.relays().of_zone(&own.zone).iter().copied();
         let relays: Vec<SocketAddr> = relays.filter(|relay| *relay != own.peers).collect();
         self.reports.near_at = now + timing.relayed_report;
         let report = if with_answers {
@@ -136,7 +137,7 @@
     /// Whether this is the first relay of its zone that is alive.
     fn leads(&self, now: Time) -> bool {
         let own = &self.config.control.record;
-        let relays = self.relays.of_zone(&own.zone).iter();
+        let relays = self.membership.relays().of_zone(&own.zone).iter();
         let before = relays.take_while(|relay| **relay != own.peers);
         let alive = |relay: &SocketAddr| {
             let heard = self.reports.sums_heard.get(relay);
@@ -150,7 +151,7 @@
     fn tell_sums(&mut self, now: Time) {
         let timing = self.config.timing;
         if now >= self.reports.sum_at {
-            let near = self.peers(Audience::Near);
+            let near = self.membership.peers(Audience::Near);
             let sums = self.dispatcher.load_sum(true);
             let datagrams = (near.len() * sums.len()) as u32;
             let pause = Duration::from_secs(1) * datagrams / SUMS_A_SECOND;
@@ -173,7 +174,7 @@
 
     fn other_relays(&self) -> Vec<SocketAddr> {
         let zone = &self.config.control.record.zone;
-        self.relays.of_others(zone).collect()
+        self.membership.relays().of_others(zone).collect()
     }
 
     /// Takes a report of another node.
@@ -206,7 +207,7 @@
         if now < self.reports.answers_at {
             return;
         }
-        let mut audience = self.peers(Audience::Near);
+        let mut audience = self.membership.peers(Audience::Near);
         audience.extend(self.other_relays());
         self.tell_answers(now, &audience);
     }
@@ -237,10 +238,10 @@
             return;
         }
         let own = &self.config.control.record;
-        let relays = self.relays.of_zone(&own.zone);
+        let relays = self.membership.relays().of_zone(&own.zone);
         let is_first = relays.first() == Some(&own.peers);
         if is_first && !relays.contains(&from) {
-            let near = self.peers(Audience::Near);
+            let near = self.membership.peers(Audience::Near);
             let datagram = Datagram::Answers(answers.to_vec());
             self.outputs.push(Output::Send(datagram, near));
         }
--- a/crates/router/src/core/node/standby.rs
+++ b/crates/router/src/core/node/standby.rs
@@ -37,8 +37,7 @@
             return Vec::new();
         }
         let is_heard = |node: &&NodeRecord| {
-            let heard = self.heard.get(&node.peers);
-            !node.declines_standby && heard.is_some_and(|heard| now.since(*heard) < SILENCE)
+            !node.declines_standby && self.membership.is_heard(now, &node.peers, SILENCE)
         };
         let heard: Vec<&NodeRecord> = self.views.nodes.values().filter(is_heard).collect();
         choose_standbys(&self.config.control.record, &heard)
@@ -60,8 +59,10 @@
     /// As a standby: declines where another granter can be elected.
     pub(super) fn decide_standby(&mut self, now: Time) {
         let granter = self.views.granter.as_ref();
-        let heard = granter.and_then(|granter| self.heard.get(&granter.peers));
-        let is_heard = heard.is_some_and(|heard| now.since(*heard) < GRANTER_SILENCE);
+        let is_heard = granter.is_some_and(|granter| {
+            self.membership
+                .is_heard(now, &granter.peers, GRANTER_SILENCE)
+        });
         let is_heard = is_heard || self.control.is_granter(now);
         let sound_at = self.control.store_sound_at();
         self.standby.decide(now, sound_at, is_heard);
--- a/crates/router/src/core/node/talk.rs
+++ b/crates/router/src/core/node/talk.rs
@@ -1,6 +1,7 @@
 //! What a node tells other nodes, and what it asks of them.
 
 use super::{NodeCore, TROUBLE_TOLD};
+use crate::core::membership::Audience;
 use crate::core::message::{Datagram, Output};
 use crate::core::views::{StoreContact, ViewName};
 use beamtray_metastore::Revision;
@@ -10,8 +11,6 @@
 
 /// Most datagrams a second of one sort: with many nodes each hears less often.
 const DATAGRAMS_A_SECOND: u32 = 300;
-/// How long a node without an entry counts as there since it was heard.
-const HEARD_FOR: Duration = Duration::from_secs(3);
 /// How often word of a change is repeated at once: datagrams get lost.
 const HEADS_REPEATED: u32 = 2;
 
@@ -28,19 +27,9 @@
     told: [Revision; ViewName::ALL.len()],
 }
 
-/// Whom a datagram is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Audience {
-    All,
-    /// Nodes of the same zone.
-    Near,
-    /// Nodes of the same zone, and the relays of the others.
-    NearAndRelays,
-}
-
 impl NodeCore {
     pub(super) fn send(&mut self, datagram: Datagram, audience: Audience) {
-        let peers = self.peers(audience);
+        let peers = self.membership.peers(audience);
         if !peers.is_empty() {
             self.outputs.push(Output::Send(datagram, peers));
         }
@@ -72,7 +61,7 @@
             return;
         }
         let timing = self.config.timing;
-        let all = self.peers(Audience::All).len();
+        let all = self.membership.count(Audience::All);
         if all == 0 {
             return;
         }
@@ -88,7 +77,7 @@
             timing.heads
         };
         self.heads.left = self.heads.left.saturating_sub(1);
-        let near = self.peers(Audience::NearAndRelays).len();
+        let near = self.membership.count(Audience::NearAndRelays);
         self.heads.near_at = now + pause.max(bounded(near));
         let heads = self.views.own_heads(self.contact(now));
         self.send(Datagram::Heads(heads), audience);
@@ -123,46 +112,6 @@
         }
     }
 
-    /// Addresses of other nodes. A node that lost the store loses its entry
-    /// with it, but is there as long as it is heard.
-    pub(super) fn peers(&self, audience: Audience) -> Vec<SocketAddr> {
-        let own = &self.config.control.record;
-        let registered = self.views.nodes.values();
-        let mut peers: Vec<SocketAddr> = registered
-            .filter(|node| match audience {
-                Audience::All => true,
-                Audience::Near => node.zone == own.zone,
-                Audience::NearAndRelays => {
-                    node.zone == own.zone || self.relays.contains(&node.peers)
-                }
-            })
-            .map(|node| node.peers)
-            .filter(|address| *address != own.peers)
-            .collect();
-        let is_meant = |address: &SocketAddr| {
-            audience == Audience::All || self.zones.get(address) == Some(&own.zone)
-        };
-        let heard = self.heard.keys().filter(|one| !self.has_entry(one));
-        let heard = heard.filter(|address| **address != own.peers && is_meant(address));
-        peers.extend(heard);
-        peers
-    }
-
-    fn has_entry(&self, address: &SocketAddr) -> bool {
-        let mut nodes = self.views.nodes.values();
-        nodes.any(|node| node.peers == *address)
-    }
-
-    /// Forgets nodes that fell silent.
-    pub(super) fn forget_silent(&mut self, now: Time) {
-        self.heard.retain(|_, heard| now.since(*heard) < HEARD_FOR);
-        let zones = std::mem::take(&mut self.zones);
-        let known = zones
-            .into_iter()
-            .filter(|(address, _)| self.heard.contains_key(address) || self.has_entry(address));
-        self.zones = known.collect();
-    }
-
     /// While the store does not answer, other nodes may know more.
     pub(super) fn ask_peers(&mut self, now: Time) {
         if now < self.ask_at || !self.views.is_troubled(now) {
@@ -186,11 +135,11 @@
     /// anybody where this node is a relay itself.
     fn knowing_peers(&self) -> Vec<SocketAddr> {
         if self.is_relay() {
-            return self.peers(Audience::All);
+            return self.membership.peers(Audience::All);
         }
         let own = &self.config.control.record;
         let relays = self.views.nodes.values();
-        let relays = relays.filter(|node| self.relays.contains(&node.peers));
+        let relays = relays.filter(|node| self.membership.relays().contains(&node.peers));
         let (near, far): (Vec<_>, Vec<_>) = relays.partition(|node| node.zone == own.zone);
         let relays = near.into_iter().chain(far).map(|node| node.peers);
         relays.filter(|address| *address != own.peers).collect()
--- a/crates/router/src/core/node/zone_load.rs
+++ b/crates/router/src/core/node/zone_load.rs
@@ -8,7 +8,7 @@
 //! instead of 6, and the larger part of all bytes between zones).
 
 use super::NodeCore;
-use super::talk::Audience;
+use crate::core::membership::Audience;
 use crate::core::message::{Datagram, Output};
 use beamtray_types::Time;
 use std::collections::BTreeSet;
@@ -58,21 +58,22 @@
     /// Whether no node of this zone comes before this one that is alive.
     fn leads_zone(&self, now: Time) -> bool {
         let own = self.config.control.record.peers;
-        let near = self.peers(Audience::Near).into_iter();
+        let near = self.membership.peers(Audience::Near).into_iter();
         let mut before = near.filter(|address| *address < own);
         !before.any(|address| self.was_heard(now, address))
     }
 
     fn was_heard(&self, now: Time, address: SocketAddr) -> bool {
-        let heard = self.heard.get(&address);
-        heard.is_some_and(|heard| now.since(*heard) < LEAD_SILENCE)
+        self.membership.is_heard(now, &address, LEAD_SILENCE)
     }
 
     /// Whom to tell in the other zones: those who told of theirs of late, or
     /// everybody in a zone that is silent.
     fn contacts(&self, now: Time) -> Vec<SocketAddr> {
-        let near: BTreeSet<SocketAddr> = self.peers(Audience::Near).into_iter().collect();
+        let near: BTreeSet<SocketAddr> =
+            self.membership.peers(Audience::Near).into_iter().collect();
         let far: Vec<SocketAddr> = self
+            .membership
             .peers(Audience::All)
             .into_iter()
             .filter(|address| !near.contains(address))
@@ -84,10 +85,10 @@
         let reached: BTreeSet<&String> = far
             .iter()
             .filter(|address| told(address))
-            .filter_map(|address| self.zones.get(address))
+            .filter_map(|address| self.membership.zone(address))
             .collect();
         let is_contact = |address: &SocketAddr| {
-            let zone = self.zones.get(address);
+            let zone = self.membership.zone(address);
             told(address) || zone.is_none_or(|zone| !reached.contains(zone))
         };
         far.iter().copied().filter(is_contact).collect()
@@ -110,6 +111,6 @@
     }
 
     fn is_near(&self, address: SocketAddr) -> bool {
-        self.zones.get(&address) == Some(&self.config.control.record.zone)
+        self.membership.is_near(&address)
     }
 }
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -265,6 +265,11 @@
         self.now >= self.config.late() && self.now < self.config.end() - Duration::from_secs(2)
     }
 
+    /// The configuration that a history begins with.
+    pub fn usual_configuration() -> Configuration {
+        configuration(1)
+    }
+
     /// Runs the history to its end.
     pub fn run(mut self) -> Outcome {
         let end = self.config.end();
