Tick and report as often as others wait for it

Cause: on a large deployment each plain node woke every 10 ms and sent its requests under way to three relays every 30 ms, although a relay tells sums on every 0.2 to 0.4 s only. With 60 nodes a zone that pause is longer than the 0.25 s after which the relays that stand by took the first one for silent, so that up to three told sums at once. Change: 30 ms between ticks of a node that nobody waits for (no requests waiting, no grants, no sums to tell); reports go to the relay that tells sums, to the others together with the answers; silence is counted in missed sums.

--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -18,8 +18,11 @@
 /// Pauses between periodic works.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// Between looks at what is due.
+    /// Between looks at what is due, where others wait for this node: it grants,
+    /// prolongs holds, tells sums, or has requests waiting.
     pub tick: Duration,
+    /// The same at all other times.
+    pub idle_tick: Duration,
     /// Between reports of requests under way to nodes of the same zone.
     pub report: Duration,
     /// Between reports that tell of answers, too.
@@ -54,6 +57,7 @@
     fn default() -> Self {
         Self {
             tick: Duration::from_millis(10),
+            idle_tick: Duration::from_millis(30),
             report: Duration::from_millis(10),
             answers_report: Duration::from_millis(40),
             few_zone_report: Duration::from_millis(25),
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -410,6 +410,25 @@
         self.views.is_ready()
     }
 
+    /// How long after one tick the next one is due.
+    ///
+    /// Most nodes of a large deployment have little to do; each wake-up costs
+    /// processor time, of which they have a tenth of a core.
+    pub fn tick_pause(&self, now: Time) -> Duration {
+        let timing = self.config.timing;
+        let (waiting, _) = self.dispatcher.counts();
+        let is_awaited = self.are_few()
+            || waiting > 0
+            || self.control.epoch().is_some()
+            || self.standby.state(now) == StandbyState::Prolongs
+            || self.leads(now);
+        if is_awaited {
+            timing.tick
+        } else {
+            timing.idle_tick
+        }
+    }
+
     /// When a request's next decision is due.
     pub fn next_due(&self) -> Option<Time> {
         self.dispatcher.next_due()
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -23,6 +23,11 @@
 const NEAR_IDLE: Duration = Duration::from_millis(80);
 /// A relay that was not heard for this long is not the first one alive.
 const LEAD_SILENCE: Duration = Duration::from_millis(250);
+/// Sums that a relay must have left out to count as silent, where their pause is
+/// long.
+const SUMS_MISSED: u32 = 3;
+/// Reports a second that one relay takes from the nodes of its zone.
+const REPORTS_A_SECOND: u32 = 1_000;
 /// Datagrams a second that a relay sends to the nodes of its zone.
 const SUMS_A_SECOND: u32 = 800;
 /// Upstreams in one datagram of answers.
@@ -43,6 +48,8 @@
     far_at: Time,
     told_empty: bool,
     sum_at: Time,
+    /// Between sums of the relay that this node hears.
+    sum_pause: Duration,
     pub(super) zone_at: Time,
     pub(super) zone_told_empty: bool,
     pub(super) answers_at: Time,
@@ -108,6 +115,8 @@
         report
     }
 
+    /// Tells the relays of this zone: the first one alive often, the others, which
+    /// take over from it, together with the answers.
     fn report_to_relays(&mut self, now: Time) {
         let timing = self.config.timing;
         let with_answers = now >= self.reports.far_at;
@@ -115,10 +124,14 @@
         if !with_answers && !due {
             return;
         }
-        let own = &self.config.control.record;
-        let relays = self.membership.relays().of_zone(&own.zone).iter().copied();
-        let relays: Vec<SocketAddr> = relays.filter(|relay| *relay != own.peers).collect();
-        self.reports.near_at = now + timing.relayed_report;
+        let relays = if with_answers {
+            self.near_relays()
+        } else {
+            self.leading_relay(now)
+        };
+        let near = self.membership.count(Audience::Near) as u32;
+        let pause = Duration::from_secs(1) * near / REPORTS_A_SECOND;
+        self.reports.near_at = now + timing.relayed_report.max(pause);
         let report = if with_answers {
             self.reports.far_at = now + timing.idle_report;
             self.whole_report()
@@ -134,16 +147,40 @@
         }
     }
 
+    /// The other relays of this zone, the first one first.
+    fn near_relays(&self) -> Vec<SocketAddr> {
+        let own = &self.config.control.record;
+        let relays = self.membership.relays().of_zone(&own.zone).iter();
+        relays
+            .copied()
+            .filter(|relay| *relay != own.peers)
+            .collect()
+    }
+
+    /// The relay of this zone that tells sums, or all while none is heard; none if
+    /// it is this one.
+    fn leading_relay(&self, now: Time) -> Vec<SocketAddr> {
+        if self.leads(now) {
+            return Vec::new();
+        }
+        let relays = self.near_relays();
+        let leading = relays.iter().find(|relay| self.tells_sums(now, relay));
+        leading.map_or(relays.clone(), |leading| vec![*leading])
+    }
+
+    /// Whether a relay of this zone tells sums.
+    fn tells_sums(&self, now: Time, relay: &SocketAddr) -> bool {
+        let silence = LEAD_SILENCE.max(self.reports.sum_pause * SUMS_MISSED);
+        let heard = self.reports.sums_heard.get(relay);
+        heard.is_some_and(|heard| now.since(*heard) < silence)
+    }
+
     /// Whether this is the first relay of its zone that is alive.
-    fn leads(&self, now: Time) -> bool {
+    pub(super) fn leads(&self, now: Time) -> bool {
         let own = &self.config.control.record;
         let relays = self.membership.relays().of_zone(&own.zone).iter();
-        let before = relays.take_while(|relay| **relay != own.peers);
-        let alive = |relay: &SocketAddr| {
-            let heard = self.reports.sums_heard.get(relay);
-            heard.is_some_and(|heard| now.since(*heard) < LEAD_SILENCE)
-        };
-        self.is_relay() && !before.into_iter().any(alive)
+        let mut before = relays.take_while(|relay| **relay != own.peers);
+        self.is_relay() && !before.any(|relay| self.tells_sums(now, relay))
     }
 
     /// Tells the nodes of this zone of all requests, and the relays of other
@@ -153,9 +190,8 @@
         if now >= self.reports.sum_at {
             let near = self.membership.peers(Audience::Near);
             let sums = self.dispatcher.load_sum(true);
-            let datagrams = (near.len() * sums.len()) as u32;
-            let pause = Duration::from_secs(1) * datagrams / SUMS_A_SECOND;
-            self.reports.sum_at = now + pause.max(timing.relayed_report);
+            let pause = sum_pause(near.len(), sums.len()).max(timing.relayed_report);
+            self.reports.sum_at = now + pause;
             for sum in sums {
                 self.outputs
                     .push(Output::Send(Datagram::AllLoad(sum), near.clone()));
@@ -189,6 +225,8 @@
     /// the nodes themselves.
     pub(super) fn take_all_load(&mut self, now: Time, from: SocketAddr, sum: &LoadSum) {
         self.reports.sums_heard.insert(from, now);
+        let near = self.membership.count(Audience::Near);
+        self.reports.sum_pause = sum_pause(near, sum.parts.into());
         if !self.is_relay() {
             self.dispatcher.take_sum(now, SumSource::OwnRelay, sum);
         }
@@ -247,3 +285,8 @@
         }
     }
 }
+
+/// Between sums of so many parts to so many nodes.
+fn sum_pause(nodes: usize, parts: usize) -> Duration {
+    Duration::from_secs(1) * (nodes * parts) as u32 / SUMS_A_SECOND
+}
--- a/crates/router/src/shell/actor.rs
+++ b/crates/router/src/shell/actor.rs
@@ -5,7 +5,7 @@
 use stakker::{CX, Fwd};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What the process's loop needs to know after each turn of the actor.
 #[derive(Debug, Default)]
@@ -14,6 +14,8 @@
     pub due: Cell<Option<Time>>,
     /// Whether the node is ready for clients.
     pub ready: Cell<bool>,
+    /// How long after one tick the next one is due.
+    pub tick_pause: Cell<Duration>,
 }
 
 /// Owns the core; passes on what it asks for.
@@ -49,6 +51,7 @@
         }
         self.turn.due.set(self.core.next_due());
         self.turn.ready.set(self.core.is_ready());
+        self.turn.tick_pause.set(self.core.tick_pause(now));
     }
 
     /// Lets the owner look at the core.
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -23,8 +23,6 @@
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, LocalSet};
 
-/// Between ticks of the core.
-const TICK: Duration = Duration::from_millis(10);
 /// Between looks at resting connections.
 const PRUNE: Duration = Duration::from_secs(1);
 /// After the order to stop, clients may still be led here for so long.
@@ -183,15 +181,17 @@
 
 /// Lets the actor work after each batch of events and when something is due.
 async fn turns(shared: Rc<Shared>, turn: Rc<Turn>, mut stakker: Stakker) {
-    let mut tick_at = Instant::now();
+    let mut ticked = None;
     loop {
         let now = Instant::now();
-        if now >= tick_at {
-            tick_at = now + TICK;
+        let pause = turn.tick_pause.get();
+        if ticked.is_none_or(|ticked| now >= ticked + pause) {
+            ticked = Some(now);
             shared.input(Input::Tick);
         }
         stakker.run(now, false);
         shared.ready.set(turn.ready.get());
+        let tick_at = ticked.unwrap_or(now) + turn.tick_pause.get();
         let due = turn.due.get().map(|time| shared.instant_of(time));
         let wait = due.map_or(tick_at, |due| tick_at.min(due.into_std()));
         tokio::select! {
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -30,7 +30,7 @@
 use std::time::Duration;
 use stores::StoreState;
 
-/// Between ticks of a node.
+/// Before the first tick of a node.
 pub(crate) const TICK: Duration = Duration::from_millis(10);
 /// Between looks at waiting watches and registrations.
 pub(crate) const HOUSEKEEPING: Duration = Duration::from_millis(20);
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -136,10 +136,12 @@
         if slot.run != run {
             return;
         }
-        self.schedule(TICK, Event::NodeTick { node, run });
         if !self.nodes[node].frozen {
             self.input(node, run, Input::Tick);
         }
+        let core = self.nodes[node].core.as_ref();
+        let pause = core.map_or(TICK, |core| core.tick_pause(self.now));
+        self.schedule(pause, Event::NodeTick { node, run });
     }
 
     pub(super) fn freeze(&mut self, node: usize, lasts: Duration) {
