Let a zone's relay give out slots of upstreams

Hypothesis: a relay that hears of every request of its zone, and counts what it gives out until the node reports it, keeps queues level; fewer 504 of full upstreams that hang. Ruled out: choosing at random between the better half, which ignores what the relay knows exactly at no more cost than one round trip within the zone. Change: a request without a key asks the relay that tells sums, with the node's report in the question; no answer within 40 ms, two in a row: it chooses itself.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,20 +4,24 @@
 mod outcome;
 mod pools;
 mod reports;
+mod slots;
 
 use crate::budget::{BudgetConfig, RetryBudget};
 use crate::occupancy::Occupancy;
 use crate::report::UpstreamHash;
 use crate::request::{
-    Admission, AssignmentNumber, Conclusion, Decision, Ending, Forward, RefusalReason, RequestHead,
-    Ticket, UnknownCause,
+    Admission, AssignmentNumber, Conclusion, Decision, Ending, RefusalReason, RequestHead, Ticket,
+    UnknownCause,
 };
 use crate::speed::SpeedTable;
 use beamtray_catalog::{Configuration, Directory, Route, RouteTable, UpstreamId};
 use beamtray_catalog::{UpstreamState, WeightedBackend};
 use beamtray_sharding::{AssignmentRecord, ShardKey};
 use beamtray_types::{ServiceName, Time, Zone};
+use choice::Choice;
 use pools::Pools;
+use slots::{SlotDesk, SlotState};
+pub use slots::{SlotReply, SlotRequest};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -80,7 +84,8 @@
     /// Earliest next attempt.
     not_before: Time,
     arrivals: u32,
-    tried: Vec<UpstreamId>,
+    tried: Vec<UpstreamHash>,
+    slot: SlotState,
     attempt: Option<Attempt>,
     unknown: Option<UnknownCause>,
     /// Whether its client seems to have been refused before.
@@ -130,6 +135,7 @@
     followed: Option<u64>,
     draining_since: HashMap<UpstreamId, Time>,
     occupancy: Occupancy,
+    slots: SlotDesk,
     speeds: SpeedTable,
     /// When each upstream last answered a request of any node.
     heard: HashMap<UpstreamHash, Time>,
@@ -160,6 +166,7 @@
             followed: None,
             draining_since: HashMap::new(),
             occupancy: Occupancy::default(),
+            slots: SlotDesk::default(),
             speeds: SpeedTable::default(),
             heard: HashMap::new(),
             key_loads: HashMap::new(),
@@ -267,6 +274,7 @@
                 not_before: now,
                 arrivals: 0,
                 tried: Vec::new(),
+                slot: SlotState::default(),
                 attempt: None,
                 unknown: None,
                 returned,
@@ -328,29 +336,34 @@
             let Some(mut request) = self.requests.remove(&ticket) else {
                 continue;
             };
-            match self.decide(now, directory, &mut request) {
-                Some(Ok(forward)) => {
-                    self.requests.insert(ticket, request);
-                    decisions.push(Decision::Forward(ticket, forward));
-                }
-                Some(Err(ending)) => decisions.push(Decision::Conclude(ticket, ending)),
-                None => {
-                    self.requests.insert(ticket, request);
-                    self.waiting.push(ticket);
-                }
+            let decision = self.decide(now, directory, ticket, &mut request);
+            let (waits, ended) = match &decision {
+                None | Some(Decision::Ask(_)) => (true, false),
+                Some(Decision::Forward(..)) => (false, false),
+                Some(Decision::Conclude(..)) => (false, true),
+            };
+            if !ended {
+                self.requests.insert(ticket, request);
             }
+            if waits {
+                self.waiting.push(ticket);
+            }
+            decisions.extend(decision);
         }
         decisions
     }
 
+    /// What is to happen with a request now; it waits if nothing is.
     fn decide(
         &mut self,
         now: Time,
         directory: &Directory,
+        ticket: Ticket,
         request: &mut Request,
-    ) -> Option<Result<Forward, Ending>> {
+    ) -> Option<Decision> {
         if now >= request.deadline {
-            return Some(Err(self.conclude(now, request, RefusalReason::TimeUp)));
+            let ending = self.conclude(now, request, RefusalReason::TimeUp);
+            return Some(Decision::Conclude(ticket, ending));
         }
         let wanted = if now < request.not_before {
             Err(RefusalReason::Busy)
@@ -358,9 +371,15 @@
             self.choose(now, directory, request)
         };
         match wanted {
-            Ok(registration) => Some(Ok(self.forward(now, request, &registration))),
+            Ok(Choice::Send(registration)) => {
+                let forward = self.forward(now, request, &registration);
+                Some(Decision::Forward(ticket, forward))
+            }
+            Ok(Choice::Ask) => Some(Decision::Ask(self.slot_request(now, ticket, request))),
+            Ok(Choice::Wait) => None,
             Err(reason) if now >= request.wait_until => {
-                Some(Err(self.conclude(now, request, reason)))
+                let ending = self.conclude(now, request, reason);
+                Some(Decision::Conclude(ticket, ending))
             }
             Err(_) => None,
         }
@@ -406,6 +425,10 @@
             .filter_map(|ticket| self.requests.get(ticket))
             .map(|request| {
                 let due = request.wait_until.min(request.deadline);
+                let due = match request.slot {
+                    SlotState::Asked(until) => due.min(until),
+                    _ => due,
+                };
                 let again = request.denied.as_ref().map(|denial| denial.until);
                 let resumes = again.unwrap_or_default().max(request.not_before);
                 if resumes > request.arrived {
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -1,6 +1,7 @@
 //! Which upstream gets a request now.
 
 use super::pools::Seat;
+use super::slots::SlotStep;
 use super::{Dispatcher, Request};
 use crate::report::UpstreamHash;
 use crate::request::{AssignmentNumber, RefusalReason};
@@ -16,15 +17,61 @@
 /// How much slower an upstream is that has just started.
 const WARMING_SLOWNESS: f64 = 2.0;
 
+/// How much slower an upstream counts that another node could not reach of late.
+const SUSPECT_SLOWNESS: f64 = 4.0;
+
+/// What becomes of a request now.
+pub(super) enum Choice {
+    /// It is sent there.
+    Send(Registration),
+    /// The relay is asked.
+    Ask,
+    /// The relay's answer is waited for.
+    Wait,
+}
+
+/// What is looked for on behalf of a request.
+pub(super) struct Query<'a> {
+    /// Seconds that such a request takes on average.
+    pub work: f64,
+    /// Seconds within which it is to be answered.
+    pub left: f64,
+    /// Upstreams that it is not to be sent to.
+    pub tried: &'a [UpstreamHash],
+}
+
 impl Dispatcher {
     pub(super) fn choose(
         &mut self,
         now: Time,
         directory: &Directory,
+        request: &mut Request,
+    ) -> Result<Choice, RefusalReason> {
+        if let Some(key) = request.key {
+            let holder = self.choose_holder(now, directory, request, key)?;
+            return Ok(Choice::Send(holder.clone()));
+        }
+        match self.slot_step(now, request) {
+            SlotStep::Ask => Ok(Choice::Ask),
+            SlotStep::Wait => Ok(Choice::Wait),
+            SlotStep::Use(upstream) => self.use_slot(now, request, upstream),
+            SlotStep::Choose => self.choose_any(now, request),
+            SlotStep::GiveUp => Err(RefusalReason::Busy),
+        }
+    }
+
+    /// The upstream that the relay named, unless it proved useless meanwhile.
+    fn use_slot(
+        &mut self,
+        now: Time,
         request: &Request,
-    ) -> Result<Registration, RefusalReason> {
-        match request.key {
-            Some(key) => self.choose_holder(now, directory, request, key).cloned(),
+        upstream: UpstreamHash,
+    ) -> Result<Choice, RefusalReason> {
+        let pool = self.pools.of(&request.service);
+        let named = pool.iter().find(|seat| seat.hash == upstream);
+        let is_usable = !self.is_paused(now, upstream) && !request.tried.contains(&upstream);
+        match named.filter(|_| is_usable) {
+            Some(seat) => Ok(Choice::Send(seat.registration.clone())),
             None => self.choose_any(now, request),
         }
     }
@@ -58,9 +105,10 @@
         if self.is_paused(now, hash) {
             return Err(RefusalReason::Busy);
         }
-        let time = self.expected(now, self.mean_work(request), registration, hash);
+        let query = self.query(now, request);
+        let time = self.expected(now, query.work, registration, hash);
         let occupied = self.occupancy.total(hash);
-        if occupied >= self.room(now, request, registration, time) {
+        if occupied >= self.room(&query, registration, time) {
             return Err(RefusalReason::Busy);
         }
         Ok(registration)
@@ -75,13 +123,27 @@
         })
     }
 
-    fn choose_any(&mut self, now: Time, request: &Request) -> Result<Registration, RefusalReason> {
+    fn choose_any(&mut self, now: Time, request: &Request) -> Result<Choice, RefusalReason> {
         let pool = self.pools.of(&request.service);
+        let query = self.query(now, request);
+        match self.least_cost(now, &query, &pool) {
+            Some(seat) => Ok(Choice::Send(seat.registration.clone())),
+            None if pool.is_empty() => Err(RefusalReason::NoUpstream),
+            None => Err(RefusalReason::Busy),
+        }
+    }
+
+    /// The upstream with room that is likely to answer first.
+    pub(super) fn least_cost<'a>(
+        &mut self,
+        now: Time,
+        query: &Query<'_>,
+        pool: &'a [Seat],
+    ) -> Option<&'a Seat> {
         let start = self.draw();
-        let work = self.mean_work(request);
         let mut best: Option<(f64, &Seat)> = None;
         for (index, seat) in pool.iter().enumerate() {
-            let Some(cost) = self.cost(now, request, work, seat) else {
+            let Some(cost) = self.cost(now, query, seat) else {
                 continue;
             };
             // Equal ones are told apart by chance, so that nodes differ.
@@ -90,25 +152,24 @@
                 best = Some((cost, seat));
             }
         }
-        match best {
-            Some((_, seat)) => Ok(seat.registration.clone()),
-            None if pool.is_empty() => Err(RefusalReason::NoUpstream),
-            None => Err(RefusalReason::Busy),
-        }
+        best.map(|(_, seat)| seat)
     }
 
     /// Seconds until an upstream is likely to have answered; `None` if it is not
     /// to get the request now.
-    fn cost(&self, now: Time, request: &Request, work: f64, seat: &Seat) -> Option<f64> {
+    fn cost(&self, now: Time, query: &Query<'_>, seat: &Seat) -> Option<f64> {
         let record = &seat.registration.record;
-        if self.is_paused(now, seat.hash) || request.tried.contains(&record.id) {
+        if self.is_paused(now, seat.hash) || query.tried.contains(&seat.hash) {
             return None;
         }
         let occupied = self.occupancy.total(seat.hash);
-        let time = self.expected(now, work, &seat.registration, seat.hash);
-        if occupied >= self.room(now, request, &seat.registration, time) {
+        let mut time = self.expected(now, query.work, &seat.registration, seat.hash);
+        if occupied >= self.room(query, &seat.registration, time) {
             return None;
         }
+        if self.slots.is_suspect(now, seat.hash) {
+            time *= SUSPECT_SLOWNESS;
+        }
         let rounds = f64::from(occupied + 1) / f64::from(record.slots.max(1));
         let mut cost = time * rounds.max(1.0);
         if record.zone != self.config.zone {
@@ -117,11 +178,22 @@
         Some(cost)
     }
 
-    /// Seconds that a request of this kind takes on average.
-    fn mean_work(&self, request: &Request) -> f64 {
+    /// What is looked for on behalf of a request.
+    pub(super) fn query<'a>(&self, now: Time, request: &'a Request) -> Query<'a> {
         let unknown = request.route.target_latency.as_secs_f64() * UNKNOWN_WORK_SHARE;
         let learned = self.speeds.route_mean(&request.route.name);
-        learned.unwrap_or(unknown)
+        let target = request.arrived + request.route.target_latency;
+        // One that has come back is to be answered at all.
+        let end = if request.returned {
+            target.max(request.deadline)
+        } else {
+            target
+        };
+        Query {
+            work: learned.unwrap_or(unknown),
+            left: end.min(request.deadline).since(now).as_secs_f64(),
+            tried: &request.tried,
+        }
     }
 
     /// Seconds that a request which takes `mean` on average is likely to be at an
@@ -142,28 +214,21 @@
     }
 
     /// Requests that an upstream may have before this one is sent there: as
-    /// many as let it still be answered in time. One that has come back is to
-    /// be answered at all.
-    fn room(
-        &self,
-        now: Time,
-        request: &Request,
-        registration: &Registration,
-        expected: f64,
-    ) -> u32 {
+    /// many as let it still be answered in time.
+    fn room(&self, query: &Query<'_>, registration: &Registration, expected: f64) -> u32 {
         let slots = registration.record.slots.max(1);
-        let target = request.arrived + request.route.target_latency;
-        let end = if request.returned {
-            target.max(request.deadline)
-        } else {
-            target
-        };
-        let left = end.min(request.deadline).since(now).as_secs_f64() * TARGET_SHARE;
+        let left = query.left * TARGET_SHARE;
         let rounds = ((left - expected) / expected.max(1e-3)).max(0.0);
         let queued = (rounds * f64::from(slots)) as u32;
         slots + queued.min(self.config.most_queued)
     }
 
+    /// Whether attempts at an upstream failed of late.
+    pub(super) fn is_unreachable(&self, now: Time, upstream: UpstreamHash) -> bool {
+        let health = self.health.get(&upstream);
+        health.is_some_and(|health| health.failures > 0 && now < health.paused_until)
+    }
+
     fn is_paused(&self, now: Time, upstream: UpstreamHash) -> bool {
         self.health
             .get(&upstream)
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -1,5 +1,6 @@
 //! Attempts: how they begin, and what becomes of a request when one ends.
 
+use super::slots::SlotState;
 use super::{Attempt, Denial, Dispatcher, Request};
 use crate::report::UpstreamHash;
 use crate::request::{
@@ -67,9 +68,10 @@
             AttemptOutcome::Untouched(proof) => self.untouched(now, &mut request, &attempt, proof),
             AttemptOutcome::Unknown(cause) => {
                 request.unknown = Some(cause);
-                request.tried.push(attempt.upstream.clone());
+                request.tried.push(attempt.hash);
             }
         }
+        request.slot = SlotState::default();
         if !self.may_repeat(now, &request, outcome) {
             return Some(self.conclude(now, &request, RefusalReason::Refused));
         }
@@ -135,7 +137,7 @@
             Untouched::Misdirected => {}
         }
         if request.key.is_none() {
-            request.tried.push(attempt.upstream.clone());
+            request.tried.push(attempt.hash);
         }
         let half = request.route.target_latency / 2;
         request.wait_until = request.wait_until.max(now + half).min(request.deadline);
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/slots.rs
@@ -0,0 +1,225 @@
+//! Slots of upstreams that one node of a zone gives out to the others.
+//!
+//! Where there are many nodes, each hears of the others' requests by sums that are
+//! about as old as a request lasts. All of them then send to the same upstreams,
+//! which looked idle a while ago, and fill their queues. So a node that has a
+//! request without a key asks its zone's relay, which hears of every request of the
+//! zone, where to send it. The relay counts what it gave out until the node reports
+//! it.
+//!
+//! A node that gets no answer within [`SLOT_WAIT`] chooses by itself: a relay that
+//! is lost costs its zone that wait, and no request.
+
+use super::choice::Query;
+use super::{Dispatcher, Request};
+use crate::report::{LoadReport, UpstreamHash};
+use crate::request::Ticket;
+use beamtray_catalog::Directory;
+use beamtray_types::{ServiceName, Time};
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How long the relay's answer is waited for: some round trips within a zone, and a
+/// turn of a relay that has little processor time.
+pub(super) const SLOT_WAIT: Duration = Duration::from_millis(40);
+/// Answers that stay out one after the other until a relay is not asked for a while.
+const MOST_UNANSWERED: u32 = 2;
+/// How long that while is.
+const ASK_NOBODY: Duration = Duration::from_millis(300);
+/// Pause before the relay is asked again when it had no slot.
+pub(super) const NO_SLOT_PAUSE: Duration = Duration::from_millis(30);
+/// How long an upstream that a node could not reach is given to others only if
+/// they are much busier.
+const SUSPECT: Duration = Duration::from_millis(400);
+
+/// Asks a relay which upstream a request is to be sent to.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct SlotRequest {
+    /// The request at the asking node.
+    pub ticket: Ticket,
+    /// What the asking node has under way now.
+    pub report: LoadReport,
+    /// The service.
+    pub service: ServiceName,
+    /// Microseconds that such a request takes on average.
+    pub work_us: u32,
+    /// Milliseconds within which it is to be answered.
+    pub left_ms: u32,
+    /// Upstreams that it is not to be sent to.
+    pub excluded: Vec<UpstreamHash>,
+    /// Those of them that the asking node can't reach.
+    pub unreachable: Vec<UpstreamHash>,
+}
+
+/// A relay's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct SlotReply {
+    /// The request that asked.
+    pub ticket: Ticket,
+    /// The upstream; none if all are busy.
+    pub upstream: Option<UpstreamHash>,
+}
+
+/// How a request stands with the relay that gives out slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum SlotState {
+    /// The relay was not asked.
+    #[default]
+    Unasked,
+    /// It was, and is waited for until then.
+    Asked(Time),
+    /// It named an upstream.
+    Given(UpstreamHash),
+    /// It had none.
+    Refused,
+    /// It did not answer: this node chooses by itself.
+    Unanswered,
+}
+
+/// Whether the relay answers, and whom other nodes can't reach.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SlotDesk {
+    /// Whether there is a relay to ask.
+    pub has_relay: bool,
+    unanswered: u32,
+    ask_from: Time,
+    suspects: HashMap<UpstreamHash, Time>,
+}
+
+impl SlotDesk {
+    fn is_asked(&self, now: Time) -> bool {
+        self.has_relay && now >= self.ask_from
+    }
+
+    fn note_unanswered(&mut self, now: Time) {
+        self.unanswered += 1;
+        if self.unanswered >= MOST_UNANSWERED {
+            self.unanswered = 0;
+            self.ask_from = now + ASK_NOBODY;
+        }
+    }
+
+    /// Whether another node could not reach the upstream of late.
+    pub fn is_suspect(&self, now: Time, upstream: UpstreamHash) -> bool {
+        self.suspects
+            .get(&upstream)
+            .is_some_and(|until| now < *until)
+    }
+
+    fn suspect(&mut self, now: Time, upstreams: &[UpstreamHash]) {
+        self.suspects.retain(|_, until| now < *until);
+        let until = now + SUSPECT;
+        self.suspects
+            .extend(upstreams.iter().map(|upstream| (*upstream, until)));
+    }
+}
+
+/// What the relay says to a request now.
+pub(super) enum SlotStep {
+    /// Ask it.
+    Ask,
+    /// Wait for its answer.
+    Wait,
+    /// Send the request there.
+    Use(UpstreamHash),
+    /// Choose without it.
+    Choose,
+    /// Give up: it has had no slot for as long as the request may wait.
+    GiveUp,
+}
+
+impl Dispatcher {
+    /// States whether there is a relay that gives out slots.
+    pub fn set_slot_relay(&mut self, has_relay: bool) {
+        self.slots.has_relay = has_relay;
+    }
+
+    pub(super) fn slot_step(&mut self, now: Time, request: &mut Request) -> SlotStep {
+        match request.slot {
+            SlotState::Refused if now >= request.wait_until => SlotStep::GiveUp,
+            SlotState::Unasked | SlotState::Refused if self.slots.is_asked(now) => {
+                request.slot = SlotState::Asked(now + SLOT_WAIT);
+                SlotStep::Ask
+            }
+            SlotState::Asked(until) if now < until => SlotStep::Wait,
+            SlotState::Asked(_) => {
+                self.slots.note_unanswered(now);
+                request.slot = SlotState::Unanswered;
+                SlotStep::Choose
+            }
+            SlotState::Given(upstream) => SlotStep::Use(upstream),
+            SlotState::Unasked | SlotState::Refused | SlotState::Unanswered => SlotStep::Choose,
+        }
+    }
+
+    /// The question to the relay for a request.
+    pub(super) fn slot_request(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: &Request,
+    ) -> SlotRequest {
+        let pool = self.pools.of(&request.service);
+        let paused = pool.iter().map(|seat| seat.hash);
+        let unreachable: Vec<UpstreamHash> = paused
+            .filter(|upstream| self.is_unreachable(now, *upstream))
+            .collect();
+        let mut excluded = request.tried.clone();
+        excluded.extend(&unreachable);
+        let query = self.query(now, request);
+        SlotRequest {
+            ticket,
+            report: self.load_report(Vec::new()),
+            service: request.service.clone(),
+            work_us: (query.work * 1e6) as u32,
+            left_ms: (query.left * 1e3) as u32,
+            excluded,
+            unreachable,
+        }
+    }
+
+    /// As the relay: chooses an upstream for another node's request and counts it.
+    pub fn give_slot(
+        &mut self,
+        now: Time,
+        directory: &Directory,
+        request: &SlotRequest,
+    ) -> SlotReply {
+        self.pools.follow(directory);
+        self.slots.suspect(now, &request.unreachable);
+        let query = Query {
+            work: f64::from(request.work_us) / 1e6,
+            left: f64::from(request.left_ms) / 1e3,
+            tried: &request.excluded,
+        };
+        let pool = self.pools.of(&request.service);
+        let seat = self.least_cost(now, &query, &pool);
+        let upstream = seat.map(|seat| seat.hash);
+        if let Some(upstream) = upstream {
+            self.occupancy.given(now, request.report.node, upstream);
+        }
+        SlotReply {
+            ticket: request.ticket,
+            upstream,
+        }
+    }
+
+    /// Takes the relay's answer.
+    pub fn slot_given(&mut self, now: Time, reply: SlotReply) {
+        self.slots.unanswered = 0;
+        let Some(request) = self.requests.get_mut(&reply.ticket) else {
+            return;
+        };
+        if !matches!(request.slot, SlotState::Asked(_)) {
+            return;
+        }
+        match reply.upstream {
+            Some(upstream) => request.slot = SlotState::Given(upstream),
+            None => {
+                request.slot = SlotState::Refused;
+                request.not_before = now + NO_SLOT_PAUSE;
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -16,6 +16,9 @@
 const FORGET: Duration = Duration::from_millis(1_500);
 /// Between looks for nodes and sums that fell silent.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
+/// A report that comes sooner than this after a slot was given out may not tell of
+/// the request that it was for.
+const GIVEN_UNSEEN: Duration = Duration::from_millis(8);
 /// Own reports that may come back within a sum.
 const OWN_REPORTS: usize = 24;
 
@@ -25,6 +28,8 @@
     sequence: u32,
     heard: Time,
     in_flight: Vec<InFlight>,
+    /// Slots that were given to this node and that it has not reported yet.
+    given: Vec<(Time, UpstreamHash)>,
 }
 
 #[derive(Clone, Debug)]
@@ -111,6 +116,7 @@
             sequence: 0,
             heard: now,
             in_flight: Vec::new(),
+            given: Vec::new(),
         });
         let older = peer.run == report.run && report.sequence <= peer.sequence;
         if older {
@@ -122,6 +128,22 @@
         let before = std::mem::replace(&mut peer.in_flight, report.in_flight.clone());
         subtract(&mut self.others, &before);
         add(&mut self.others, &report.in_flight);
+        let others = &mut self.others;
+        peer.given.retain(|(at, upstream)| {
+            let unseen = now.since(*at) < GIVEN_UNSEEN;
+            if !unseen {
+                take_one(others, *upstream);
+            }
+            unseen
+        });
+    }
+
+    /// Counts a slot that was given to another node until that node reports.
+    pub fn given(&mut self, now: Time, node: NodeHash, upstream: UpstreamHash) {
+        if let Some(peer) = self.peers.get_mut(&node) {
+            peer.given.push((now, upstream));
+            *self.others.entry(upstream).or_default() += 1;
+        }
     }
 
     /// Takes a relay's sum. `own` is this node's name, whose report is taken
@@ -174,6 +196,9 @@
         }
         for peer in self.peers.values() {
             add(&mut counts, &peer.in_flight);
+            for (_, upstream) in &peer.given {
+                *counts.entry(*upstream).or_default() += 1;
+            }
         }
         let zones = self.sums.iter().filter(|_| all_zones);
         for ((source, _), part) in zones {
@@ -200,6 +225,9 @@
             let keep = now.since(peer.heard) < FORGET;
             if !keep {
                 subtract(others, &peer.in_flight);
+                for (_, upstream) in &peer.given {
+                    take_one(others, *upstream);
+                }
             }
             keep
         });
@@ -240,3 +268,11 @@
         }
     }
 }
+
+fn take_one(sums: &mut HashMap<UpstreamHash, u32>, upstream: UpstreamHash) {
+    let one = InFlight {
+        upstream,
+        requests: 1,
+    };
+    subtract(sums, &[one]);
+}
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,14 +1,18 @@
 //! Requests and what is decided about them.
 
+use crate::dispatcher::SlotRequest;
 use beamtray_catalog::{Route, UpstreamId};
 use beamtray_sharding::ShardKey;
 use beamtray_types::{ServiceName, Time};
+use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Tells one request of this process from the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
+)]
 pub struct Ticket(pub u64);
 
 /// What the dispatcher needs to know of a request.
@@ -170,4 +174,6 @@
     Forward(Ticket, Forward),
     /// Give it its final answer.
     Conclude(Ticket, Ending),
+    /// Ask the relay where to send it.
+    Ask(SlotRequest),
 }
--- /dev/null
+++ b/crates/dispatch/tests/common/mod.rs
@@ -0,0 +1,140 @@
+//! A small deployment for tests of the dispatcher.
+
+#![allow(dead_code, reason = "not every test file uses every helper")]
+
+use beamtray_catalog::{
+    ClientLimits, Configuration, ConfigurationVersion, Directory, DirectoryPolicy, Route,
+    ServiceConfig, UpstreamId, UpstreamRecord, UpstreamState, WeightedBackend,
+};
+use beamtray_dispatch::{
+    BudgetConfig, Conclusion, Decision, DispatchConfig, Dispatcher, Forward, RequestHead,
+};
+use beamtray_sharding::ShardKey;
+use beamtray_types::Time;
+use std::time::Duration;
+
+pub const PATIENCE: Duration = Duration::from_millis(2_000);
+
+pub fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+pub fn route(name: &str, repeatable: bool, backends: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        path_prefix: format!("/{name}/"),
+        repeatable,
+        timeout: Duration::from_millis(1_000),
+        target_latency: Duration::from_millis(400),
+        priority: 0,
+        max_attempts: 2,
+        backends: backends
+            .iter()
+            .map(|(service, weight)| WeightedBackend {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+pub fn configuration() -> Configuration {
+    let service = |name: &str, divided| ServiceConfig {
+        name: name.into(),
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        divided,
+        warm_up: Duration::ZERO,
+    };
+    Configuration {
+        version: ConfigurationVersion(1),
+        routes: vec![
+            route("read", true, &[("pool", 1)]),
+            route("order", false, &[("pool", 1)]),
+            route("keyed", true, &[("keyed", 1)]),
+            route("shared", true, &[("pool", 9), ("other", 1)]),
+        ],
+        services: vec![
+            service("pool", false),
+            service("other", false),
+            service("keyed", true),
+        ],
+        limits: ClientLimits::default(),
+    }
+}
+
+pub fn record(id: &str, service: &str, zone: &str, port: u16) -> UpstreamRecord {
+    UpstreamRecord {
+        id: UpstreamId(id.to_owned()),
+        service: service.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: zone.into(),
+        slots: 2,
+        state: UpstreamState::Ready,
+        warm_up_left: Duration::ZERO,
+    }
+}
+
+pub fn directory() -> Directory {
+    let mut directory = Directory::new(DirectoryPolicy {
+        distrust: Duration::from_millis(500),
+        patience: Duration::from_millis(1_600),
+    });
+    for (number, (id, service, zone)) in [
+        ("near", "pool", "here"),
+        ("far", "pool", "there"),
+        ("other", "other", "here"),
+        ("holder", "keyed", "here"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        directory.register(at(0), record(id, service, zone, 8_000 + number as u16));
+    }
+    directory
+}
+
+pub fn dispatcher() -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatchConfig {
+        node: "node".to_owned(),
+        run: 9,
+        zone: "here".into(),
+        budget: BudgetConfig {
+            ratio: 0.2,
+            allowance: 10.0,
+            window: Duration::from_secs(10),
+        },
+        queue_limit: 100,
+        most_queued: 6,
+        zone_cost: Duration::from_millis(80),
+        leaver_grace: Duration::from_millis(1_333),
+        proves_before_repeat: true,
+    });
+    dispatcher.configure(&configuration());
+    dispatcher
+}
+
+pub fn head(path: &str, key: Option<u16>) -> RequestHead {
+    RequestHead {
+        id: "id".to_owned(),
+        host: "host:80".to_owned(),
+        path: path.to_owned(),
+        patience: Some(PATIENCE),
+        key: key.map(ShardKey),
+    }
+}
+
+pub fn forwarded(decisions: Vec<Decision>) -> Option<Forward> {
+    decisions.into_iter().find_map(|decision| match decision {
+        Decision::Forward(_, forward) => Some(forward),
+        _ => None,
+    })
+}
+
+pub fn concluded(decisions: Vec<Decision>) -> Option<Conclusion> {
+    decisions.into_iter().find_map(|decision| match decision {
+        Decision::Conclude(_, ending) => Some(ending.conclusion),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/dispatch/tests/slots.rs
@@ -0,0 +1,146 @@
+//! Slots that a relay gives out to the nodes of its zone.
+
+mod common;
+
+use beamtray_catalog::UpstreamId;
+use beamtray_dispatch::{
+    AttemptOutcome, Decision, Dispatcher, SlotReply, SlotRequest, Ticket, UnknownCause,
+    UpstreamHash,
+};
+use common::*;
+
+fn hash(id: &str) -> UpstreamHash {
+    UpstreamHash::of(&UpstreamId(id.to_owned()))
+}
+
+/// A node that asks a relay, with one request.
+fn asking() -> (Dispatcher, SlotRequest) {
+    let mut node = dispatcher();
+    node.set_slot_relay(true);
+    node.admit(at(0), Ticket(1), &head("/order/1", None))
+        .expect("it is admitted");
+    let request = asked(node.poll(at(0), &directory())).expect("the relay is asked");
+    (node, request)
+}
+
+fn asked(decisions: Vec<Decision>) -> Option<SlotRequest> {
+    decisions.into_iter().find_map(|decision| match decision {
+        Decision::Ask(request) => Some(request),
+        _ => None,
+    })
+}
+
+fn reply(ticket: Ticket, upstream: Option<&str>) -> SlotReply {
+    SlotReply {
+        ticket,
+        upstream: upstream.map(hash),
+    }
+}
+
+#[test]
+fn a_request_goes_where_the_relay_says() {
+    let (mut node, request) = asking();
+    node.slot_given(at(2), reply(request.ticket, Some("far")));
+    let forward = forwarded(node.poll(at(2), &directory())).expect("it is sent");
+    assert_eq!(forward.upstream.0, "far");
+}
+
+#[test]
+fn a_request_whose_relay_is_silent_is_sent_all_the_same() {
+    let (mut node, _) = asking();
+    assert!(node.poll(at(20), &directory()).is_empty());
+    assert_eq!(node.next_due(), Some(at(40)));
+    assert!(forwarded(node.poll(at(40), &directory())).is_some());
+}
+
+#[test]
+fn a_relay_that_stays_silent_is_not_asked_for_a_while() {
+    let (mut node, _) = asking();
+    node.poll(at(40), &directory());
+    let mut admit = |ticket, time| {
+        node.admit(at(time), Ticket(ticket), &head("/order/1", None))
+            .expect("it is admitted");
+        let is_asked = asked(node.poll(at(time), &directory())).is_some();
+        node.poll(at(time + 40), &directory());
+        is_asked
+    };
+    assert!(admit(2, 50));
+    assert!(!admit(3, 100));
+    assert!(admit(4, 400));
+}
+
+#[test]
+fn a_late_answer_changes_nothing() {
+    let (mut node, request) = asking();
+    let forward = forwarded(node.poll(at(40), &directory())).expect("it is sent");
+    node.slot_given(at(41), reply(request.ticket, Some("far")));
+    assert!(node.poll(at(41), &directory()).is_empty());
+    assert_eq!(forward.upstream.0, "near");
+}
+
+/// Nodes that choose by sums of a while ago all choose the same upstream.
+#[test]
+fn slots_given_out_at_once_go_to_different_upstreams() {
+    let mut relay = dispatcher();
+    let (_, request) = asking();
+    relay.report(at(0), &request.report);
+    let mut given = Vec::new();
+    for node in 0..8 {
+        let mut request = request.clone();
+        request.report.node.0 += node;
+        relay.report(at(1), &request.report);
+        given.extend(relay.give_slot(at(1), &directory(), &request).upstream);
+    }
+    let near = given.iter().filter(|one| **one == hash("near")).count();
+    assert_eq!(given.len(), 8);
+    assert!(
+        (4..=5).contains(&near),
+        "{near} of 8 to the upstream of the own zone"
+    );
+}
+
+/// A slot counts until the node that has it reports, and not twice after.
+#[test]
+fn a_report_takes_the_place_of_the_slots_given_before() {
+    let mut relay = dispatcher();
+    let (_, mut request) = asking();
+    relay.report(at(0), &request.report);
+    relay.give_slot(at(1), &directory(), &request);
+    assert_eq!(relay.occupancy().total(hash("near")), 1);
+    request.report.sequence += 1;
+    relay.report(at(5), &request.report);
+    assert_eq!(relay.occupancy().total(hash("near")), 1, "too soon to tell");
+    request.report.sequence += 1;
+    relay.report(at(30), &request.report);
+    assert_eq!(relay.occupancy().total(hash("near")), 0);
+}
+
+#[test]
+fn an_upstream_that_a_node_could_not_reach_is_not_given_to_it_again() {
+    let (mut node, request) = asking();
+    node.slot_given(at(2), reply(request.ticket, Some("near")));
+    assert!(forwarded(node.poll(at(2), &directory())).is_some());
+    node.ended(
+        at(300),
+        Ticket(1),
+        AttemptOutcome::Unknown(UnknownCause::TimedOut),
+    );
+    node.admit(at(301), Ticket(2), &head("/order/2", None))
+        .expect("it is admitted");
+    let request = asked(node.poll(at(301), &directory())).expect("the relay is asked");
+    assert_eq!(request.unreachable, [hash("near")]);
+    let mut relay = dispatcher();
+    relay.report(at(301), &request.report);
+    let reply = relay.give_slot(at(301), &directory(), &request);
+    assert_eq!(reply.upstream, Some(hash("far")));
+}
+
+#[test]
+fn a_request_without_a_slot_is_asked_for_again_and_refused_in_time() {
+    let (mut node, request) = asking();
+    node.slot_given(at(2), reply(request.ticket, None));
+    assert!(node.poll(at(10), &directory()).is_empty());
+    let again = asked(node.poll(at(32), &directory())).expect("the relay is asked again");
+    node.slot_given(at(34), reply(again.ticket, None));
+    assert!(concluded(node.poll(at(90), &directory())).is_some());
+}
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -6,7 +6,7 @@
 use beamtray_catalog::{ClientLimits, UpstreamId};
 use beamtray_dispatch::{
     Admission, Answers, AttemptOutcome, Ending, Forward, KeyReport, LoadReport, LoadSum,
-    RequestHead, Ticket,
+    RequestHead, SlotReply, SlotRequest, Ticket,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply, OwnedAgain};
@@ -128,6 +128,10 @@
     Keys(KeyReport),
     /// Newest changes that it has seen.
     Heads(ViewHeads),
+    /// Asks a relay where to send a request.
+    SlotRequest(SlotRequest),
+    /// The relay's answer.
+    SlotReply(SlotReply),
     /// From the granter to a standby: it may prolong holds for a while.
     StandbyWord(StandbyWord),
     /// From a standby to the granter.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -188,6 +188,8 @@
                 self.views.proved_gone(now, upstream);
                 self.viewed(now);
             }
+            Datagram::SlotRequest(request) => self.give_slot(now, from, request),
+            Datagram::SlotReply(reply) => self.dispatcher.slot_given(now, *reply),
             Datagram::Keys(report) => self.control.report(report),
             Datagram::StandbyWord(word) => self.standby.hear(now, word),
             Datagram::StandbyReport(report) => self.control.standby_reported(now, from, report),
@@ -374,10 +376,16 @@
     }
 
     fn dispatch(&mut self, now: Time) {
+        let relay = self.slot_relay(now);
+        self.dispatcher.set_slot_relay(relay.is_some());
         for decision in self.dispatcher.poll(now, &self.views.directory) {
             self.outputs.push(match decision {
                 Decision::Forward(ticket, forward) => Output::Forward(ticket, forward),
                 Decision::Conclude(ticket, ending) => Output::Conclude(ticket, ending),
+                Decision::Ask(request) => {
+                    let datagram = Datagram::SlotRequest(request);
+                    Output::Send(datagram, relay.into_iter().collect())
+                }
             });
         }
     }
@@ -450,6 +458,7 @@
             _,
             Datagram::Load(_)
                 | Datagram::Heads(_)
+                | Datagram::SlotRequest(_)
                 | Datagram::Keys(_)
                 | Datagram::Answers(_)
                 | Datagram::StandbyReport(_)
