Fewer calls to the store at size: two tiers of relays, slower retries

Change: beyond 16 nodes one zone's relay follows the store for the site and the other zones' first relays rely on it (the age of its answer is passed on and only grows); a failed renewal waits twice as long each time, up to half a renewal; the ablest nodes read first who there is, and who hears a relay has it from there. Ruled out: longer leases (a tenth of a call a renewal), changes gathered for longer (they put off drains).

--- a/crates/metastore/src/lease.rs
+++ b/crates/metastore/src/lease.rs
@@ -8,8 +8,12 @@
 use beamtray_types::Time;
 use std::time::Duration;
 
-/// Wait after a call that failed.
+/// Wait after a call that failed. It doubles with each further one, up to half of the
+/// time between renewals: a store that turns away a third of 300 nodes would be asked
+/// by them 700 times a second.
 const RETRY: Duration = Duration::from_millis(150);
+/// Failures after which the wait does not double any more.
+const MOST_DOUBLINGS: u32 = 5;
 /// Share of a lease's life that is trusted, in percent: clocks may differ.
 const TRUSTED_PERCENT: u32 = 97;
 
@@ -34,6 +38,7 @@
     timing: LeaseTiming,
     held: Option<Held>,
     due: Time,
+    failures: u32,
 }
 
 impl LeaseKeeper {
@@ -43,6 +48,7 @@
             timing,
             held: None,
             due: Time::ZERO,
+            failures: 0,
         }
     }
 
@@ -81,6 +87,7 @@
                     return;
                 };
                 let valid_until = sent + *ttl * TRUSTED_PERCENT / 100;
+                self.failures = 0;
                 self.held = Some(Held { lease, valid_until });
                 self.due = sent + self.timing.renewal;
             }
@@ -88,7 +95,11 @@
                 self.held = None;
                 self.due = now;
             }
-            _ => self.due = now + RETRY,
+            _ => {
+                let doubled = RETRY * 2u32.pow(self.failures.min(MOST_DOUBLINGS));
+                self.failures += 1;
+                self.due = now + doubled.min(self.timing.renewal / 2).max(RETRY);
+            }
         }
     }
 
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -18,7 +18,7 @@
 pub use node::{CoreConfig, NodeCore};
 pub use records::{NodeRecord, OwnKeys};
 pub use registration::Registrar;
-pub use relays::{Relays, RelaysHeard, STANDBY_TRUST, TRUST};
+pub use relays::{RelayedContact, Relays, RelaysHeard, STANDBY_TRUST, TIERED_TRUST, TRUST};
 pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
 pub use standby::{KnownRecord, STANDBY_TERM, StandbyReport, StandbyState, StandbyWord};
 pub use views::{
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -9,6 +9,7 @@
 use crate::core::control::{Control, ControlConfig};
 use crate::core::membership::{Audience, Membership};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
+use crate::core::relays::RelayedContact;
 use crate::core::standby::{STANDBY_TERM, StandbyConfig, StandbyDuty, StandbyState};
 use crate::core::views::{Snapshot, ViewName, ViewRequest, Views};
 use beamtray_catalog::{DirectoryPolicy, UpstreamId};
@@ -63,6 +64,8 @@
     heads: HeadsSchedule,
     /// The other nodes.
     membership: Membership,
+    /// Whether this is the relay that its zone relies on.
+    acts_as_relay: bool,
     /// When a call to the store last got no answer.
     trouble_at: Option<Time>,
     key_report_at: Time,
@@ -98,6 +101,7 @@
             reports: ReportSchedule::default(),
             heads: HeadsSchedule::default(),
             membership: Membership::new(&config.control.record),
+            acts_as_relay: false,
             trouble_at: None,
             key_report_at: Time::ZERO,
             fetches: Fetches::default(),
@@ -292,14 +296,25 @@
         self.dispatcher.set_nodes(self.node_count());
     }
 
-    /// Whether this is the relay that follows the store for its zone: no relay
-    /// before it can be relied on.
+    /// Whether this is the relay that its zone relies on: no relay before it can be
+    /// relied on.
     fn is_first_relay(&self, now: Time) -> bool {
         let relays = self.membership.relays();
         let before = relays.before(&self.config.control.record.peers);
         before.is_some_and(|before| !self.views.relays.any_of(now, before))
     }
 
+    /// What a relay of another zone, which follows the store for the site, tells of
+    /// it. Where there are few nodes each zone's relay follows the store.
+    fn relayed_contact(&self, now: Time) -> Option<RelayedContact> {
+        if self.are_few() {
+            return None;
+        }
+        let relays = self.membership.relays();
+        let before = relays.of_zones_before(&self.config.control.record.zone);
+        self.views.relays.newest_of(now, before)
+    }
+
     fn is_relay(&self) -> bool {
         self.membership
             .relays()
@@ -317,7 +332,9 @@
     }
 
     fn poll_control(&mut self, now: Time) {
-        let follows_first = self.is_first_relay(now);
+        self.views.relays.set_tiered(!self.are_few());
+        self.acts_as_relay = self.is_first_relay(now);
+        let follows_first = self.acts_as_relay && self.relayed_contact(now).is_none();
         self.views.follow(now, follows_first);
         let misses_granter = self.standby.misses_granter(now);
         self.control
--- a/crates/router/src/core/node/talk.rs
+++ b/crates/router/src/core/node/talk.rs
@@ -53,7 +53,7 @@
 
     /// Whether other nodes may rely on this one for the store.
     fn tells_as_relay(&self) -> bool {
-        self.is_relay() && self.views.follows()
+        self.acts_as_relay || (self.is_relay() && self.views.follows())
     }
 
     pub(super) fn tell_heads(&mut self, now: Time) {
@@ -85,10 +85,15 @@
 
     /// How this node stands with the store, if others may rely on it.
     fn contact(&self, now: Time) -> Option<StoreContact> {
-        let sound_at = self
-            .control
-            .store_sound_at()
-            .filter(|_| self.tells_as_relay())?;
+        if !self.tells_as_relay() {
+            return None;
+        }
+        if !self.views.follows() {
+            let relayed = self.relayed_contact(now)?;
+            let trouble = relayed.trouble_age.filter(|age| *age < TROUBLE_TOLD);
+            return Some(StoreContact::new(relayed.age, trouble));
+        }
+        let sound_at = self.control.store_sound_at()?;
         let trouble = self.trouble_at.map(|at| now.since(at));
         let trouble = trouble.filter(|age| *age < TROUBLE_TOLD);
         Some(StoreContact::new(now.since(sound_at), trouble))
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -39,6 +39,9 @@
 /// store.
 const GRANTER_SILENCE: Duration = Duration::from_millis(1_000);
 
+/// How long a node that hears a relay is given to get the nodes from it before it
+/// reads them itself.
+const TOLD_PATIENCE: Duration = Duration::from_millis(1_000);
 /// How long a node that has just started waits for the word of a relay.
 const RELAY_PATIENCE: Duration = Duration::from_millis(600);
 
@@ -251,7 +254,7 @@
     pub fn poll(&mut self, now: Time, view: ViewName) -> Option<StoreCall> {
         let known = self.replica(view).mirror().at().is_some();
         let is_due = match view {
-            ViewName::Members if !known => now >= self.members_from,
+            ViewName::Members if !known => self.reads_members(now),
             _ if self.members_since.is_none() => false,
             ViewName::State if known => self.follows && !self.hears_granter(now),
             _ => self.follows,
@@ -262,6 +265,13 @@
         self.replica_mut(view).poll(now)
     }
 
+    /// Whether a node that knows no other is to read them: not while it hears a
+    /// relay, from which it has them at no cost to the store.
+    fn reads_members(&self, now: Time) -> bool {
+        let is_told = self.relays.any(now) && now < self.members_from + TOLD_PATIENCE;
+        now >= self.members_from && !is_told
+    }
+
     /// Whether another node has known of a change for so long that the way by
     /// which this node should have heard of it counts as dead.
     fn is_deaf(&self, now: Time, view: ViewName) -> bool {
--- a/crates/router/src/core/views/exchange.rs
+++ b/crates/router/src/core/views/exchange.rs
@@ -45,6 +45,12 @@
     pub fn age(&self) -> Duration {
         Duration::from_millis(self.age_ms.into())
     }
+
+    /// Time since a call got no answer, if that was of late.
+    pub fn trouble_age(&self) -> Option<Duration> {
+        let age = self.trouble_age_ms.map(u64::from);
+        age.map(Duration::from_millis)
+    }
 }
 
 fn millis(age: Duration) -> u16 {
@@ -119,9 +125,9 @@
     }
 
     fn hear_relay(&mut self, now: Time, from: SocketAddr, contact: StoreContact) {
-        self.relays.hear(now, from, contact.age());
-        if let Some(age) = contact.trouble_age_ms {
-            let age = Duration::from_millis(age.into());
+        let trouble_age = contact.trouble_age();
+        self.relays.hear(now, from, contact.age(), trouble_age);
+        if let Some(age) = trouble_age {
             self.directory.store_troubled(now - age);
         }
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -39,6 +39,10 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// At the first start of all nodes: until all of them have registered.
 const FIRST_START_DELAY: Duration = Duration::from_millis(500);
+/// How much longer a node waits that has next to no processor time.
+const WEAK_START_DELAY: Duration = Duration::from_millis(1_500);
+/// Share of a core from which a node waits no longer than [`FIRST_START_DELAY`].
+const ABLE_SHARE: f64 = 0.5;
 
 /// Why settings were refused.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -364,16 +368,22 @@
             control: self.control_config(record),
             directory: self.directory_policy(),
             watch_wait: WATCH_WAIT,
-            start_delay: if self.first_start {
-                FIRST_START_DELAY
-            } else {
-                Duration::ZERO
-            },
+            start_delay: self.start_delay(),
             seeds: self.seeds.clone(),
             timing: Timing::default(),
         }
     }
 
+    /// How long this node waits for others to register before it reads who they
+    /// are. Relays are the ablest nodes, so those read first and tell the others.
+    fn start_delay(&self) -> Duration {
+        if !self.first_start {
+            return Duration::ZERO;
+        }
+        let lacking = (1.0 - self.limits.processor_share / ABLE_SHARE).max(0.0);
+        FIRST_START_DELAY + WEAK_START_DELAY.mul_f64(lacking)
+    }
+
     fn dispatch_config(&self, run: u64) -> DispatchConfig {
         // The other half of the drain time is for hearing of it, and for a request
         // that takes long to reach the upstream: connecting alone may take a third
--- a/crates/router/tests/relays.rs
+++ b/crates/router/tests/relays.rs
@@ -1,7 +1,9 @@
 //! Which nodes are relays.
 
-use beamtray_router::core::{NodeRecord, Relays};
+use beamtray_router::core::{NodeRecord, Relays, RelaysHeard};
+use beamtray_types::Time;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 fn nodes(zone: &str, count: u8, capacity: impl Fn(u8) -> u32) -> Vec<NodeRecord> {
     let record = |index: u8| NodeRecord {
@@ -55,3 +57,42 @@
     let after = Relays::choose(&named(left));
     assert_eq!(after.of_zone("a")[..2], before.of_zone("a")[1..]);
 }
+
+/// One zone's relay follows the store for the site, in an order that all compute
+/// alike: the zone with the ablest node comes first.
+#[test]
+fn zones_follow_the_store_in_one_order() {
+    let mut records = nodes("a", 20, |_| 200);
+    records.extend(nodes("bb", 20, |_| 500));
+    let relays = Relays::choose(&named(records));
+    assert_eq!(relays.of_zones_before("bb").count(), 0);
+    let before: Vec<_> = relays.of_zones_before("a").collect();
+    assert_eq!(before, relays.of_zone("bb"));
+}
+
+/// What a relay passes on of the store's answer only grows older, so two relays that
+/// hear only each other soon follow the store again.
+#[test]
+fn a_passed_on_answer_grows_old() {
+    let one = ([10, 0, 0, 1], 7_000).into();
+    let other = ([10, 0, 0, 2], 7_000).into();
+    let mut at_one = RelaysHeard::default();
+    let mut at_other = RelaysHeard::default();
+    at_one.hear(Time(0), other, Duration::from_millis(100), None);
+    let mut now = Time(0);
+    let mut rounds = 0;
+    loop {
+        now = now + Duration::from_millis(200);
+        let Some(contact) = at_one.newest_of(now, [other].into_iter()) else {
+            break;
+        };
+        at_other.hear(now, one, contact.age, contact.trouble_age);
+        let Some(contact) = at_other.newest_of(now, [one].into_iter()) else {
+            break;
+        };
+        at_one.hear(now, other, contact.age, contact.trouble_age);
+        rounds += 1;
+        assert!(rounds < 10);
+    }
+    assert_eq!(now, Time(1_000_000));
+}
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -271,3 +271,20 @@
     assert!(views.poll(at(500), ViewName::Members).is_some());
     assert!(views.poll(at(510), ViewName::Members).is_none());
 }
+
+/// Where many nodes start together, each reading of who there is costs a call; the
+/// relay has it anyway.
+#[test]
+fn a_node_that_hears_a_relay_gets_the_nodes_from_it() {
+    let mut views = views();
+    let mut heads = heads(12);
+    heads.contact = Some(StoreContact::new(Duration::from_millis(10), None));
+    views.heads(at(0), peer(), &heads);
+    views.follow(at(1), false);
+    assert_eq!(views.poll(at(1), ViewName::Members), None);
+    let lacking = views.heads(at(2), peer(), &heads);
+    assert_eq!(lacking, [ViewName::Upstreams]);
+    views.heads(at(900), peer(), &heads);
+    let call = views.poll(at(1_001), ViewName::Members);
+    assert!(matches!(call, Some(StoreCall::Range { .. })), "{call:?}");
+}
