Give orders as fast as the node's processor share allows

Cause: one granter gives 200 orders a second whatever it runs on; at 417 holders renewals are 2 s apart and keys of a dark upstream wait for a hold of 4.25 s. The place went to any relay. Change: one order a millisecond for a whole core, 2 ms at half of one; abler nodes try for the place first; entry and granter's record are read when they change; answers are told at 150 datagrams a second.

--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -95,6 +95,8 @@
     attempted: Option<Epoch>,
     place: Option<Place>,
     vacant_since: Option<Time>,
+    /// The granter's key as it was seen last, which need not be read again.
+    observed: Option<Revision>,
     /// Added to the patience.
     handicap: Duration,
     retry_at: Time,
@@ -112,6 +114,7 @@
             attempted: None,
             place: None,
             vacant_since: None,
+            observed: None,
             handicap: Duration::ZERO,
             retry_at: Time::ZERO,
             stopped: false,
@@ -167,11 +170,17 @@
     fn observe(&mut self, now: Time, granter: Option<&Item>) {
         let Some(item) = granter else {
             self.vacant_since.get_or_insert(now);
+            self.observed = None;
             // The key may be unseen as yet right after this node wrote it;
             // the lease alone decides whether the place is still held.
             return;
         };
         self.vacant_since = None;
+        let is_settled = self.attempted.is_none() || self.place.is_some();
+        if self.observed == Some(item.revision) && is_settled {
+            return;
+        }
+        self.observed = Some(item.revision);
         let Ok(record) = GranterRecord::try_from_slice(&item.value) else {
             return;
         };
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -50,6 +50,9 @@
 const RELAY_RENEWAL: Duration = Duration::from_millis(300);
 /// How much longer than a relay another node leaves the granter's place vacant.
 const HANDICAP: Duration = Duration::from_millis(300);
+/// How much longer a node that can do next to nothing leaves it vacant than the one
+/// that can do most.
+const WEAK_HANDICAP: Duration = Duration::from_millis(250);
 
 /// Fixed values of a node's control.
 #[derive(Clone, Debug)]
@@ -157,15 +160,18 @@
     /// whether it follows the store. Others rely on one that does both, so it
     /// looks after its path to the store more often; so does a standby that
     /// misses the granter.
-    pub fn set_relay(&mut self, is_relay: bool, follows: bool, misses_granter: bool) {
+    ///
+    /// `ability` is this node's processor share, as a part of the ablest one's.
+    pub fn set_relay(&mut self, is_relay: bool, follows: bool, misses_granter: bool, ability: f64) {
         let renewal = if (is_relay && follows) || misses_granter {
             RELAY_RENEWAL
         } else {
             self.config.node_lease.renewal
         };
         self.registrar.set_renewal(renewal);
-        self.election
-            .set_handicap(if is_relay { Duration::ZERO } else { HANDICAP });
+        let handicap = if is_relay { Duration::ZERO } else { HANDICAP };
+        let weak = WEAK_HANDICAP.mul_f64((1.0 - ability).clamp(0.0, 1.0));
+        self.election.set_handicap(handicap + weak);
     }
 
     /// When the last call was sent that shows a sound path to the store.
@@ -193,7 +199,7 @@
         if let Some(call) = self.election.poll(now, view) {
             calls.push((StoreTask::Election, call));
         }
-        let entry = mirror.get(&OwnKeys::node(&self.config.record.name));
+        let entry = mirror.get(self.registrar.key());
         if let Some(call) = self.registrar.poll(now, entry) {
             calls.push((StoreTask::Registration, call));
         }
--- a/crates/router/src/core/membership.rs
+++ b/crates/router/src/core/membership.rs
@@ -45,6 +45,8 @@
     /// Zones of the nodes that have an entry, or had one and are heard.
     zones: HashMap<SocketAddr, String>,
     relays: Relays,
+    is_relay: bool,
+    ability: f64,
     forget_at: Time,
 }
 
@@ -62,6 +64,8 @@
             unregistered: BTreeSet::new(),
             zones: HashMap::new(),
             relays: Relays::default(),
+            is_relay: false,
+            ability: 1.0,
             forget_at: Time::ZERO,
         }
     }
@@ -71,6 +75,9 @@
         let mut with_own = nodes.clone();
         with_own.insert(own.name.clone(), own.clone());
         self.relays = Relays::choose(&with_own);
+        self.is_relay = self.relays.contains(&self.own);
+        let most = with_own.values().map(|node| node.capacity).max();
+        self.ability = f64::from(own.capacity) / f64::from(most.unwrap_or(1).max(1));
         let zones = with_own.values();
         self.zones
             .extend(zones.map(|node| (node.peers, node.zone.clone())));
@@ -127,6 +134,16 @@
         &self.relays
     }
 
+    /// Whether this node is a relay.
+    pub fn is_relay(&self) -> bool {
+        self.is_relay
+    }
+
+    /// This node's processor share, as a part of the ablest node's.
+    pub fn ability(&self) -> f64 {
+        self.ability
+    }
+
     /// The zone of a node, if it is known.
     pub fn zone(&self, address: &SocketAddr) -> Option<&String> {
         self.zones.get(address)
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -316,9 +316,7 @@
     }
 
     fn is_relay(&self) -> bool {
-        self.membership
-            .relays()
-            .contains(&self.config.control.record.peers)
+        self.membership.is_relay()
     }
 
     /// Nodes that share what is bounded over all of them. Before any is known
@@ -337,8 +335,10 @@
         let follows_first = self.acts_as_relay && self.relayed_contact(now).is_none();
         self.views.follow(now, follows_first);
         let misses_granter = self.standby.misses_granter(now);
+        let ability = self.membership.ability();
+        let (is_relay, follows) = (self.is_relay(), self.views.follows());
         self.control
-            .set_relay(self.is_relay(), self.views.follows(), misses_granter);
+            .set_relay(is_relay, follows, misses_granter, ability);
         for view in ViewName::ALL {
             if let Some(call) = self.views.poll(now, view) {
                 let generation = self.views.replica(view).generation();
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -30,6 +30,9 @@
 const REPORTS_A_SECOND: u32 = 1_000;
 /// Datagrams a second that a relay sends to the nodes of its zone.
 const SUMS_A_SECOND: u32 = 800;
+/// Datagrams of answers a second that a relay sends: how fast upstreams are changes
+/// slowly, and each node takes in all of them.
+const ANSWERS_A_SECOND: u32 = 150;
 /// Upstreams in one datagram of answers.
 const ANSWERS_A_DATAGRAM: usize = 120;
 
@@ -266,7 +269,10 @@
         }
         let mut audience = self.membership.peers(Audience::Near);
         audience.extend(self.other_relays());
+        let datagrams = self.reports.untold.len().div_ceil(ANSWERS_A_DATAGRAM) * audience.len();
         self.tell_answers(now, &audience);
+        let pause = Duration::from_secs(1) * datagrams as u32 / ANSWERS_A_SECOND;
+        self.reports.answers_at = now + pause.max(self.config.timing.answers);
     }
 
     /// Tells what was noted of answers, which is not told again.
--- a/crates/router/src/core/registration.rs
+++ b/crates/router/src/core/registration.rs
@@ -22,6 +22,9 @@
 #[derive(Clone, Debug)]
 pub struct Registrar {
     record: NodeRecord,
+    /// Key and value of the entry.
+    key: String,
+    value: Vec<u8>,
     keeper: LeaseKeeper,
     pending: Option<(Step, Time)>,
     write_at: Time,
@@ -33,6 +36,8 @@
     /// A registrar of an entry that is not written yet.
     pub fn new(record: NodeRecord, timing: LeaseTiming) -> Self {
         Self {
+            key: OwnKeys::node(&record.name),
+            value: encode(&record),
             record,
             keeper: LeaseKeeper::new(timing),
             pending: None,
@@ -42,6 +47,11 @@
         }
     }
 
+    /// Key of the entry.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
     /// The call that is due; `entry` is the entry as this node sees it.
     pub fn poll(&mut self, now: Time, entry: Option<&Item>) -> Option<StoreCall> {
         if self.pending.is_some() || self.stopped {
@@ -50,8 +60,7 @@
         let Some(lease) = self.keeper.lease(now) else {
             return self.lease_call(now);
         };
-        let value = borsh::to_vec(&self.record).unwrap_or_default();
-        let written = entry.is_some_and(|item| item.value == value);
+        let written = entry.is_some_and(|item| item.value == self.value);
         if written || now < self.write_at {
             return self.lease_call(now);
         }
@@ -59,8 +68,8 @@
         self.pending = Some((Step::Write, now));
         Some(StoreCall::Commit(Transaction {
             writes: vec![Write {
-                key: OwnKeys::node(&self.record.name),
-                value,
+                key: self.key.clone(),
+                value: self.value.clone(),
                 lease: Some(lease),
             }],
             ..Transaction::default()
@@ -103,6 +112,7 @@
     pub fn set_declines_standby(&mut self, declines: bool) {
         if self.record.declines_standby != declines {
             self.record.declines_standby = declines;
+            self.value = encode(&self.record);
             self.write_at = Time::ZERO;
         }
     }
@@ -118,3 +128,8 @@
         self.keeper.resign()
     }
 }
+
+fn encode(record: &NodeRecord) -> Vec<u8> {
+    // Writing borsh to memory can't fail.
+    borsh::to_vec(record).unwrap_or_default()
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -26,8 +26,12 @@
 /// [`GRANT_RENEWAL`]. Outages of the store are bridged by standbys.
 const HOLD: Duration = Duration::from_millis(3_000);
 const GRANT_RENEWAL: Duration = Duration::from_millis(750);
-/// Renewals a second that a node with a fifth of a core has the time for.
-const ORDER_PAUSE: Duration = Duration::from_millis(5);
+/// Time between orders that a granter with a whole core has the processor time for:
+/// an order costs some 0.2 ms with its connection, and takes a fifth of the node's
+/// share at most.
+const ORDER_PAUSE: Duration = Duration::from_millis(1);
+/// Longest time between orders, for nodes with next to no processor time.
+const LONGEST_ORDER_PAUSE: Duration = Duration::from_millis(10);
 const LONGEST_RENEWAL: Duration = Duration::from_millis(2_000);
 /// How much longer a holder may count a hold, in percent.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
@@ -445,7 +449,9 @@
             grants: GranterTiming {
                 hold,
                 renewal,
-                order_pause: ORDER_PAUSE,
+                order_pause: ORDER_PAUSE
+                    .div_f64(self.limits.processor_share.min(1.0))
+                    .min(LONGEST_ORDER_PAUSE),
                 longest_renewal: renewal + (longest - hold).min(LONGEST_RENEWAL - renewal),
                 drift_percent: CLOCK_DRIFT_PERCENT,
                 transit: TRANSIT,
