Write assignments in parts of the keys

Change: 32 parts by key range, each a value of its own, and a head that is written with the last changed part of a record; 14 parts fit a transaction. A slice never reaches over a part. A request's denial names its part's record; a successor reads all parts. AssignmentRecord has no written form of its own any more, so the test of what is read back goes over parts and is as strict.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -16,7 +16,7 @@
 use crate::speed::SpeedTable;
 use beamtray_catalog::{Configuration, Directory, Route, RouteTable, UpstreamId};
 use beamtray_catalog::{UpstreamState, WeightedBackend};
-use beamtray_sharding::{AssignmentRecord, ShardKey};
+use beamtray_sharding::{Assignment, ShardKey};
 use beamtray_types::{ServiceName, Time, Zone};
 use choice::Choice;
 use pools::Pools;
@@ -121,7 +121,7 @@
     configured: bool,
     routes: RouteTable,
     divided: HashMap<ServiceName, bool>,
-    assignments: BTreeMap<ServiceName, Rc<AssignmentRecord>>,
+    assignments: BTreeMap<ServiceName, Rc<Assignment>>,
     requests: HashMap<Ticket, Request>,
     waiting: Vec<Ticket>,
     shares: HashMap<String, Shares>,
@@ -195,8 +195,8 @@
     }
 
     /// Takes the newest assignment of a divided service.
-    pub fn assign(&mut self, service: ServiceName, record: Rc<AssignmentRecord>) {
-        self.assignments.insert(service, record);
+    pub fn assign(&mut self, service: ServiceName, assignment: Rc<Assignment>) {
+        self.assignments.insert(service, assignment);
     }
 
     /// States how many nodes share the retry allowance.
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -86,7 +86,7 @@
         let slice = self
             .assignments
             .get(&request.service)
-            .and_then(|record| record.slice(key));
+            .and_then(|assignment| assignment.slice(key));
         let Some(SliceState::Held { holder, .. }) = slice.map(|slice| &slice.state) else {
             return Err(RefusalReason::KeyUnheld);
         };
@@ -237,11 +237,11 @@
 
     /// The assignment that a keyed request is sent by.
     pub(super) fn assignment(&self, request: &Request) -> Option<AssignmentNumber> {
-        request.key?;
-        let record = self.assignments.get(&request.service)?;
+        let key = request.key?;
+        let number = self.assignments.get(&request.service)?.part(key)?.number;
         Some(AssignmentNumber {
-            epoch: record.epoch.0,
-            sequence: record.sequence,
+            epoch: number.epoch.0,
+            sequence: number.sequence,
         })
     }
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -9,7 +9,9 @@
     UpstreamHash,
 };
 use beamtray_metastore::Epoch;
-use beamtray_sharding::{AssignmentRecord, FencingToken, KeyRange, SliceRecord, SliceState};
+use beamtray_sharding::{
+    Assignment, AssignmentRecord, FencingToken, Part, SliceRecord, SliceState,
+};
 use common::*;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,17 +30,18 @@
     }
 }
 
-fn assign(dispatcher: &mut Dispatcher, state: SliceState) {
+fn assign(dispatcher: &mut Dispatcher, sequence: u64, state: SliceState) {
+    let slices = Part::all().map(|part| SliceRecord {
+        range: part.range(),
+        state: state.clone(),
+    });
     let record = AssignmentRecord {
         epoch: Epoch(1),
-        sequence: 1,
+        sequence,
         standbys: Vec::new(),
-        slices: vec![SliceRecord {
-            range: KeyRange::ALL,
-            state,
-        }],
+        slices: slices.collect(),
     };
-    dispatcher.assign("keyed".into(), Rc::new(record));
+    dispatcher.assign("keyed".into(), Rc::new(Assignment::from(record)));
 }
 
 fn held() -> SliceState {
@@ -179,6 +182,7 @@
     let (mut dispatcher, directory) = (dispatcher(), directory());
     assign(
         &mut dispatcher,
+        1,
         SliceState::Leaving {
             holder: UpstreamId("holder".to_owned()),
             token: FencingToken(1),
@@ -203,7 +207,7 @@
 #[test]
 fn a_key_goes_to_its_holder_with_the_number_of_the_assignment() {
     let (mut dispatcher, directory) = (dispatcher(), directory());
-    assign(&mut dispatcher, held());
+    assign(&mut dispatcher, 1, held());
     dispatcher
         .admit(at(0), Ticket(1), &head("/keyed/1", Some(5)))
         .expect("admitted");
@@ -218,7 +222,7 @@
 #[test]
 fn a_leaving_holder_soon_gets_nothing_whoever_is_the_granter() {
     let (mut dispatcher, mut directory) = (dispatcher(), directory());
-    assign(&mut dispatcher, held());
+    assign(&mut dispatcher, 1, held());
     let mut leaver = record("holder", "keyed", "here", 8_003);
     leaver.state = UpstreamState::Draining;
     directory.register(at(1_000), leaver);
@@ -240,7 +244,7 @@
 #[test]
 fn no_more_is_sent_than_can_be_answered_in_time() {
     let (mut dispatcher, directory) = (dispatcher(), directory());
-    assign(&mut dispatcher, held());
+    assign(&mut dispatcher, 1, held());
     let mut sent = 0;
     for ticket in 0..20 {
         dispatcher
@@ -294,7 +298,7 @@
 fn after_a_denial_a_request_waits_for_a_newer_assignment() {
     let (mut dispatcher, mut directory) = (dispatcher(), directory());
     directory.register(at(0), record("heir", "keyed", "here", 8_009));
-    assign(&mut dispatcher, held());
+    assign(&mut dispatcher, 1, held());
     dispatcher
         .admit(at(0), Ticket(1), &head("/keyed/1", Some(5)))
         .expect("admitted");
@@ -302,19 +306,11 @@
     let denied = AttemptOutcome::Untouched(Untouched::Misdirected);
     assert!(dispatcher.ended(at(5), Ticket(1), denied).is_none());
     assert!(forwarded(dispatcher.poll(at(60), &directory)).is_none());
-    let newer = AssignmentRecord {
-        epoch: Epoch(1),
-        sequence: 2,
-        standbys: Vec::new(),
-        slices: vec![SliceRecord {
-            range: KeyRange::ALL,
-            state: SliceState::Held {
-                holder: UpstreamId("heir".to_owned()),
-                token: FencingToken(2),
-            },
-        }],
+    let newer = SliceState::Held {
+        holder: UpstreamId("heir".to_owned()),
+        token: FencingToken(2),
     };
-    dispatcher.assign("keyed".into(), Rc::new(newer));
+    assign(&mut dispatcher, 2, newer);
     let forward = forwarded(dispatcher.poll(at(61), &directory)).expect("sent again");
     assert_eq!(forward.upstream.0, "heir");
 }
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -3,9 +3,7 @@
 
 mod standbys;
 
-use crate::core::grants::{
-    Grants, Writing, adopt, candidates, encode, probe_claimed, read_assignments, write_record,
-};
+use crate::core::grants::{Grants, adopt, candidates, probe_claimed, read_assignments};
 use crate::core::message::{OrderTask, StoreTask};
 use crate::core::records::{NodeRecord, OwnKeys};
 use crate::core::registration::Registrar;
@@ -14,12 +12,10 @@
 use beamtray_catalog::{Directory, UpstreamId};
 use beamtray_dispatch::{Dispatcher, KeyReport, SpeedTable};
 use beamtray_metastore::{
-    Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, Revision, StoreCall,
-    StoreOutcome, Transaction, Write,
-};
-use beamtray_sharding::{
-    AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, Granter, GranterTiming, OwnedAgain,
+    Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, StoreCall, StoreOutcome,
+    Transaction, Write,
 };
+use beamtray_sharding::{BalanceLimits, GrantOrder, GrantReply, GranterTiming, OwnedAgain};
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -246,15 +242,8 @@
         };
         let mut calls = Vec::new();
         for (service, grants) in grants {
-            if grants.writing.is_some() || now < grants.write_at {
-                continue;
-            }
-            let Some(record) = grants.granter.record() else {
-                continue;
-            };
-            let call = write_record(service, &record, grants.revision, authority.revision);
-            grants.writing = Some(Writing { record });
-            calls.push((StoreTask::Record(service.clone()), call));
+            let call = grants.poll_write(now, service, authority.revision);
+            calls.extend(call.map(|call| (StoreTask::Record(service.clone()), call)));
         }
         calls
     }
@@ -313,11 +302,7 @@
         let timing = self.config.grants;
         let epoch = term.authority.epoch;
         let read = std::mem::take(&mut term.read);
-        let grants = read
-            .iter()
-            .filter_map(|item| adopt(now, timing, epoch, item))
-            .collect();
-        term.grants = Some(grants);
+        term.grants = Some(adopt(now, timing, epoch, &read));
         self.written.extend(read);
     }
 
@@ -338,42 +323,23 @@
         else {
             return;
         };
-        let Some(writing) = grants.writing.take() else {
-            return;
-        };
-        term.orders_at = now;
         match outcome {
             StoreOutcome::Committed { revision } => {
-                grants.revision = revision;
-                let slices = writing.record.slices.len() as u32;
+                let slices = grants.granter.slice_count() as u32;
                 grants.write_at = now + GATHER + GATHER_A_SLICE * slices;
-                grants.granter.written(now, writing.record.sequence);
-                self.written.push(Item {
-                    key: OwnKeys::assignment(service),
-                    value: encode(&writing.record),
-                    revision,
-                });
+                let written = grants.written(now, service, revision);
+                self.written.extend(written);
             }
             StoreOutcome::Conflict { items } => {
                 grants.write_at = now + REWRITE;
-                grants.granter.not_written();
-                let key = OwnKeys::assignment(service);
-                let present = items.into_iter().find(|item| item.key == key);
-                let Some(item) = present else {
-                    return;
-                };
-                // An earlier write of this term whose answer was lost.
-                if let Ok(record) = borsh::from_slice::<AssignmentRecord>(&item.value)
-                    && record.epoch == epoch
-                {
-                    grants.revision = item.revision;
-                }
+                grants.conflict(epoch, &items);
             }
             _ => {
                 grants.write_at = now + REWRITE;
-                grants.granter.not_written();
+                grants.not_written();
             }
         }
+        term.orders_at = now;
     }
 
     /// Follows the directory and gives orders that are due.
@@ -468,12 +434,8 @@
         let epoch = term.authority.epoch;
         let divided = configuration.services.iter().filter(|s| s.divided);
         for service in divided {
-            all.entry(service.name.clone()).or_insert_with(|| Grants {
-                granter: Granter::new(now, self.config.grants, epoch, None),
-                revision: Revision(0),
-                writing: None,
-                write_at: now,
-            });
+            all.entry(service.name.clone())
+                .or_insert_with(|| Grants::new(now, self.config.grants, epoch));
         }
     }
 
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -1,33 +1,215 @@
 //! The grants of one service, and their record in the store.
 
-use crate::core::records::OwnKeys;
+use crate::core::records::{AssignmentKey, OwnKeys};
 use crate::core::views::Views;
 use beamtray_catalog::{UpstreamId, UpstreamState};
 use beamtray_dispatch::{Dispatcher, UpstreamHash};
-use beamtray_metastore::{Condition, Item, Revision, StoreCall, Transaction, Write};
-use beamtray_sharding::{AssignmentRecord, Candidate, Granter, GranterTiming, Standing};
+use beamtray_metastore::{Condition, Epoch, Item, Revision, StoreCall, Transaction, Write};
+use beamtray_sharding::{
+    Assignment, AssignmentHead, AssignmentPart, Candidate, Granter, GranterTiming, Part,
+    SliceRecord, Standing,
+};
 use beamtray_types::{ServiceName, Time};
+use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Time of a request where nothing is learned yet, in seconds.
 const UNKNOWN_WORK: f64 = 0.1;
 
-/// A record that is being written.
+/// Entries that one transaction may have; each condition and each write is one.
+const MOST_ENTRIES: usize = 32;
+/// Parts that fit one transaction, next to the head and the condition on the
+/// granter's place.
+const PARTS_A_WRITE: usize = (MOST_ENTRIES - 3) / 2;
+
+/// A write under way: some parts of a record, and its head with the last of them.
+#[derive(Clone, Debug)]
+struct Writing {
+    parts: Vec<AssignmentPart>,
+    head: Option<AssignmentHead>,
+}
+
+/// What is left to write of a record.
 #[derive(Clone, Debug)]
-pub(crate) struct Writing {
-    pub(crate) record: AssignmentRecord,
+struct Unwritten {
+    head: AssignmentHead,
+    parts: Vec<AssignmentPart>,
 }
 
-/// Grants of one service.
+/// A part as it stands in the store.
+#[derive(Clone, Debug)]
+struct StoredPart {
+    revision: Revision,
+    /// None after a write that may or may not have been done.
+    slices: Option<Vec<SliceRecord>>,
+}
+
+/// Grants of one service, and what stands of them in the store.
 pub(crate) struct Grants {
     pub(crate) granter: Granter,
-    /// Revision of the record in the store.
-    pub(crate) revision: Revision,
-    pub(crate) writing: Option<Writing>,
+    head_revision: Revision,
+    stored: BTreeMap<Part, StoredPart>,
+    unwritten: Option<Unwritten>,
+    writing: Option<Writing>,
     pub(crate) write_at: Time,
 }
 
+impl Grants {
+    /// Grants of a service that has none in the store.
+    pub fn new(now: Time, timing: GranterTiming, epoch: Epoch) -> Self {
+        Self {
+            granter: Granter::new(now, timing, epoch, None),
+            head_revision: Revision(0),
+            stored: BTreeMap::new(),
+            unwritten: None,
+            writing: None,
+            write_at: now,
+        }
+    }
+
+    /// The write that is due, if one is.
+    pub fn poll_write(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        place: Revision,
+    ) -> Option<StoreCall> {
+        if self.writing.is_some() || now < self.write_at {
+            return None;
+        }
+        let mut unwritten = match self.unwritten.take() {
+            Some(unwritten) => unwritten,
+            None => self.changes()?,
+        };
+        let count = unwritten.parts.len().min(PARTS_A_WRITE);
+        let parts: Vec<AssignmentPart> = unwritten.parts.drain(..count).collect();
+        let head = if unwritten.parts.is_empty() {
+            Some(unwritten.head)
+        } else {
+            self.unwritten = Some(unwritten);
+            None
+        };
+        let writing = Writing { parts, head };
+        let call = self.write(service, &writing, place);
+        self.writing = Some(writing);
+        Some(call)
+    }
+
+    /// The parts of the next record that differ from what stands in the store.
+    fn changes(&mut self) -> Option<Unwritten> {
+        let record = self.granter.record()?;
+        let differs = |part: &AssignmentPart| {
+            let stored = self.stored.get(&part.part);
+            let slices = stored.and_then(|stored| stored.slices.as_ref());
+            slices != Some(&part.slices)
+        };
+        Some(Unwritten {
+            head: record.head(),
+            parts: record.parts().into_iter().filter(differs).collect(),
+        })
+    }
+
+    fn write(&self, service: &ServiceName, writing: &Writing, place: Revision) -> StoreCall {
+        let mut transaction = Transaction::default();
+        transaction.conditions.push(Condition {
+            key: OwnKeys::GRANTER.to_owned(),
+            revision: place,
+        });
+        let mut put = |key: String, value, revision| {
+            transaction.conditions.push(Condition {
+                key: key.clone(),
+                revision,
+            });
+            transaction.writes.push(Write {
+                key,
+                value,
+                lease: None,
+            });
+        };
+        for part in &writing.parts {
+            let stored = self.stored.get(&part.part);
+            let revision = stored.map_or(Revision(0), |stored| stored.revision);
+            let key = OwnKeys::assignment_part(service, part.part);
+            put(key, encode(part), revision);
+        }
+        if let Some(head) = &writing.head {
+            let key = OwnKeys::assignment_head(service);
+            put(key, encode(head), self.head_revision);
+        }
+        StoreCall::Commit(transaction)
+    }
+
+    /// Notes that the write under way was done; what stands in the store now.
+    pub fn written(&mut self, now: Time, service: &ServiceName, revision: Revision) -> Vec<Item> {
+        let Some(writing) = self.writing.take() else {
+            return Vec::new();
+        };
+        let item = |key, value| Item {
+            key,
+            value,
+            revision,
+        };
+        let mut items = Vec::new();
+        for part in writing.parts {
+            let key = OwnKeys::assignment_part(service, part.part);
+            items.push(item(key, encode(&part)));
+            let stored = StoredPart {
+                revision,
+                slices: Some(part.slices),
+            };
+            self.stored.insert(part.part, stored);
+        }
+        if let Some(head) = writing.head {
+            items.push(item(OwnKeys::assignment_head(service), encode(&head)));
+            self.head_revision = revision;
+            self.granter.written(now, head.number.sequence);
+        }
+        items
+    }
+
+    /// Notes that the write under way may or may not have been done.
+    pub fn not_written(&mut self) {
+        let parts = self.writing.take().map(|writing| writing.parts);
+        for part in parts.into_iter().flatten() {
+            let unknown = StoredPart {
+                revision: Revision(0),
+                slices: None,
+            };
+            self.stored.entry(part.part).or_insert(unknown).slices = None;
+        }
+        self.unwritten = None;
+        self.granter.not_written();
+    }
+
+    /// Takes what the store has in place of a write that failed its conditions: an
+    /// earlier write of this term whose answer was lost.
+    pub fn conflict(&mut self, epoch: Epoch, items: &[Item]) {
+        self.not_written();
+        for item in items {
+            match OwnKeys::assignment_key(&item.key) {
+                Some(AssignmentKey::Head(_)) => {
+                    let head = AssignmentHead::try_from_slice(&item.value);
+                    if head.is_ok_and(|head| head.number.epoch == epoch) {
+                        self.head_revision = item.revision;
+                    }
+                }
+                Some(AssignmentKey::Part(_, part)) => {
+                    let stored = AssignmentPart::try_from_slice(&item.value);
+                    if stored.is_ok_and(|stored| stored.number.epoch == epoch) {
+                        let stored = StoredPart {
+                            revision: item.revision,
+                            slices: None,
+                        };
+                        self.stored.insert(part, stored);
+                    }
+                }
+                None => {}
+            }
+        }
+    }
+}
+
 pub(crate) fn read_assignments(after: Option<String>) -> StoreCall {
     StoreCall::Range {
         prefix: OwnKeys::ASSIGNMENTS.to_owned(),
@@ -35,55 +217,67 @@
     }
 }
 
+/// One service's assignment as it was read at the start of a term.
+#[derive(Default)]
+struct ReadAssignment {
+    assignment: Assignment,
+    head_revision: Revision,
+    stored: BTreeMap<Part, StoredPart>,
+}
+
+/// Continues the grants that were read from the store; keys of items that can't be
+/// read are without a holder until their last grants have run out.
 pub(crate) fn adopt(
     now: Time,
     timing: GranterTiming,
-    epoch: beamtray_metastore::Epoch,
-    item: &Item,
-) -> Option<(ServiceName, Grants)> {
-    let service = item.key.strip_prefix(OwnKeys::ASSIGNMENTS)?;
-    let record: AssignmentRecord = borsh::from_slice(&item.value).ok()?;
-    let mut granter = Granter::new(now, timing, epoch, Some(&record));
-    granter.not_written();
-    let grants = Grants {
-        granter,
-        revision: item.revision,
-        writing: None,
-        write_at: now,
-    };
-    Some((service.into(), grants))
-}
-
-pub(crate) fn write_record(
-    service: &ServiceName,
-    record: &AssignmentRecord,
-    revision: Revision,
-    granter: Revision,
-) -> StoreCall {
-    let key = OwnKeys::assignment(service);
-    StoreCall::Commit(Transaction {
-        conditions: vec![
-            Condition {
-                key: OwnKeys::GRANTER.to_owned(),
-                revision: granter,
-            },
-            Condition {
-                key: key.clone(),
-                revision,
-            },
-        ],
-        writes: vec![Write {
-            key,
-            value: encode(record),
-            lease: None,
-        }],
-        removals: Vec::new(),
+    epoch: Epoch,
+    items: &[Item],
+) -> BTreeMap<ServiceName, Grants> {
+    let mut read: BTreeMap<ServiceName, ReadAssignment> = BTreeMap::new();
+    for item in items {
+        match OwnKeys::assignment_key(&item.key) {
+            Some(AssignmentKey::Head(service)) => {
+                let read = read.entry(service).or_default();
+                read.head_revision = item.revision;
+                if let Ok(head) = AssignmentHead::try_from_slice(&item.value) {
+                    read.assignment.take_head(head);
+                }
+            }
+            Some(AssignmentKey::Part(service, part)) => {
+                let read = read.entry(service).or_default();
+                let stored = StoredPart {
+                    revision: item.revision,
+                    slices: None,
+                };
+                read.stored.insert(part, stored);
+                if let Ok(part) = AssignmentPart::try_from_slice(&item.value) {
+                    read.assignment.take_part(part);
+                }
+            }
+            None => {}
+        }
+    }
+    let read = read.into_iter();
+    read.map(|(service, read)| {
+        let record = read.assignment.whole();
+        let mut granter = Granter::new(now, timing, epoch, record.as_ref());
+        granter.not_written();
+        let grants = Grants {
+            granter,
+            head_revision: read.head_revision,
+            stored: read.stored,
+            unwritten: None,
+            writing: None,
+            write_at: now,
+        };
+        (service, grants)
     })
+    .collect()
 }
 
-pub(crate) fn encode(record: &AssignmentRecord) -> Vec<u8> {
+fn encode(value: &impl BorshSerialize) -> Vec<u8> {
     // Writing borsh to memory can't fail.
-    borsh::to_vec(record).unwrap_or_default()
+    borsh::to_vec(value).unwrap_or_default()
 }
 
 pub(crate) fn candidates(
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -16,7 +16,7 @@
 pub use control::{Control, ControlConfig};
 pub use message::{Datagram, GRANT_TIMEOUT, Input, OrderTask, Output, StoreTask, Timing};
 pub use node::{CoreConfig, NodeCore};
-pub use records::{NodeRecord, OwnKeys};
+pub use records::{AssignmentKey, NodeRecord, OwnKeys};
 pub use registration::Registrar;
 pub use relays::{RelayedContact, Relays, RelaysHeard, STANDBY_TRUST, TIERED_TRUST, TRUST};
 pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -270,6 +270,11 @@
         if self.views.take_nodes_changed() {
             self.choose_relays();
         }
+        for service in self.views.take_assigned() {
+            if let Some(assignment) = self.views.assignments.get(&service) {
+                self.dispatcher.assign(service, assignment.clone());
+            }
+        }
         let notices = self.views.take_notices();
         if notices.is_empty() {
             return;
@@ -281,9 +286,6 @@
             self.dispatcher.configure(configuration);
             self.outputs.push(Output::Limits(configuration.limits));
         }
-        for (service, record) in &self.views.assignments {
-            self.dispatcher.assign(service.clone(), record.clone());
-        }
         self.report_as_standby(now, true);
         self.dispatcher.follow(now, &self.views.directory);
         self.outputs.extend(notices.into_iter().map(Output::Notice));
--- a/crates/router/src/core/records.rs
+++ b/crates/router/src/core/records.rs
@@ -1,5 +1,6 @@
 //! Keys and values that the router keeps in the metadata store.
 
+use beamtray_sharding::Part;
 use beamtray_types::ServiceName;
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
@@ -19,8 +20,10 @@
     /// Prefix of what the granter writes. Nodes read it when they start, then
     /// hear of it from the granter, and read it again only where they don't.
     pub const STATE: &'static str = "beamtray/state/";
-    /// Prefix of the assignments, one record for each divided service.
+    /// Prefix of the assignments.
     pub const ASSIGNMENTS: &'static str = "beamtray/state/assignments/";
+    /// Prefix of their heads, one for each divided service.
+    const HEADS: &'static str = "beamtray/state/assignments/head/";
     /// What was learned of the upstreams' speeds.
     pub const SPEEDS: &'static str = "beamtray/state/speeds";
 
@@ -29,10 +32,34 @@
         format!("{}{name}", Self::NODES)
     }
 
-    /// Key of a service's assignment.
-    pub fn assignment(service: &ServiceName) -> String {
-        format!("{}{service}", Self::ASSIGNMENTS)
+    /// Key of the head of a service's assignment.
+    pub fn assignment_head(service: &ServiceName) -> String {
+        format!("{}{service}", Self::HEADS)
     }
+
+    /// Key of one part of a service's assignment.
+    pub fn assignment_part(service: &ServiceName, part: Part) -> String {
+        format!("{}{:02}/{service}", Self::ASSIGNMENTS, part.number())
+    }
+
+    /// What a key below [`OwnKeys::ASSIGNMENTS`] stands for.
+    pub fn assignment_key(key: &str) -> Option<AssignmentKey> {
+        if let Some(service) = key.strip_prefix(Self::HEADS) {
+            return Some(AssignmentKey::Head(service.into()));
+        }
+        let (number, service) = key.strip_prefix(Self::ASSIGNMENTS)?.split_once('/')?;
+        let part = Part::numbered(number.parse().ok()?)?;
+        Some(AssignmentKey::Part(service.into(), part))
+    }
+}
+
+/// What a key of an assignment stands for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AssignmentKey {
+    /// The head of a service's assignment.
+    Head(ServiceName),
+    /// One part of it.
+    Part(ServiceName, Part),
 }
 
 /// What a node tells of itself.
--- a/crates/router/src/core/standby.rs
+++ b/crates/router/src/core/standby.rs
@@ -17,7 +17,7 @@
 use crate::core::message::OrderTask;
 use beamtray_catalog::UpstreamId;
 use beamtray_sharding::{
-    AssignmentRecord, CallId, Contact, GrantOrder, GrantPace, GrantReply, GranterTiming, OrderKind,
+    Assignment, CallId, Contact, GrantOrder, GrantPace, GrantReply, GranterTiming, OrderKind,
     RecordNumber, STANDBY_SPAN, ShardKey, SliceRecord, SliceState, StandbyId,
 };
 use beamtray_types::{ServiceName, Time};
@@ -188,8 +188,8 @@
         }
     }
 
-    fn names_this(&self, record: &AssignmentRecord) -> bool {
-        record.standbys.contains(&self.config.id)
+    fn names_this(&self, assignment: &Assignment) -> bool {
+        assignment.standbys().contains(&self.config.id)
     }
 
     /// The report that is due, if a record names this node. A change of the
@@ -197,17 +197,20 @@
     pub fn report(
         &mut self,
         now: Time,
-        assignments: &BTreeMap<ServiceName, Rc<AssignmentRecord>>,
+        assignments: &BTreeMap<ServiceName, Rc<Assignment>>,
         changed: bool,
     ) -> Option<StandbyReport> {
-        let is_named = assignments.values().any(|record| self.names_this(record));
+        let mut all = assignments.values();
+        let is_named = all.any(|assignment| self.names_this(assignment));
         if !is_named || self.declines() || (now < self.report_at && !changed) {
             return None;
         }
         self.report_at = now + REPORT;
-        let known = assignments.iter().map(|(service, record)| KnownRecord {
-            service: service.clone(),
-            number: record.number(),
+        let known = assignments.iter().filter_map(|(service, assignment)| {
+            Some(KnownRecord {
+                service: service.clone(),
+                number: assignment.number()?,
+            })
         });
         let prolonged = self.prolonged_at.map(|at| now.since(at).as_millis());
         Some(StandbyReport {
@@ -243,7 +246,7 @@
         &mut self,
         now: Time,
         own_term: Option<u64>,
-        assignments: &BTreeMap<ServiceName, Rc<AssignmentRecord>>,
+        assignments: &BTreeMap<ServiceName, Rc<Assignment>>,
         addresses: &BTreeMap<UpstreamId, SocketAddr>,
     ) -> Vec<OrderTask> {
         if !self.is_acting(now) {
@@ -252,13 +255,14 @@
             return Vec::new();
         }
         let mut tasks = Vec::new();
-        for (service, record) in assignments {
-            let is_own = own_term >= Some(record.epoch.0);
-            if is_own || !self.names_this(record) {
+        for (service, assignment) in assignments {
+            let epoch = assignment.number().map(|number| number.epoch.0);
+            let is_own = own_term >= epoch;
+            if is_own || !self.names_this(assignment) {
                 continue;
             }
-            let pace = self.config.timing.pace(record.slices.len());
-            let orders = record.slices.iter().filter_map(|slice| {
+            let pace = self.config.timing.pace(assignment.slices().count());
+            let orders = assignment.slices().filter_map(|slice| {
                 let order = self.order(now, pace, service, slice)?;
                 Some(OrderTask {
                     service: service.clone(),
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -16,10 +16,10 @@
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::SpeedRecord;
 use beamtray_metastore::{GranterRecord, Item, Revision, StoreCall, StoreOutcome};
-use beamtray_sharding::AssignmentRecord;
+use beamtray_sharding::Assignment;
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -153,7 +153,9 @@
     /// The configuration in force.
     pub configuration: Option<Rc<Configuration>>,
     /// Newest assignment of each service.
-    pub assignments: BTreeMap<ServiceName, Rc<AssignmentRecord>>,
+    pub assignments: BTreeMap<ServiceName, Rc<Assignment>>,
+    /// Services whose assignment changed since that was last asked for.
+    assigned: BTreeSet<ServiceName>,
     /// Speeds that an earlier process learned, until they are taken.
     pub speeds: Option<SpeedRecord>,
     /// Nodes that are registered.
@@ -186,6 +188,7 @@
             directory: Directory::new(policy),
             configuration: None,
             assignments: BTreeMap::new(),
+            assigned: BTreeSet::new(),
             speeds: None,
             nodes: BTreeMap::new(),
             nodes_changed: true,
@@ -390,6 +393,11 @@
         std::mem::take(&mut self.nodes_changed)
     }
 
+    /// Services whose assignment changed since the last call.
+    pub fn take_assigned(&mut self) -> BTreeSet<ServiceName> {
+        std::mem::take(&mut self.assigned)
+    }
+
     /// Beliefs that changed since the last call.
     pub fn take_notices(&mut self) -> Vec<ViewNotice> {
         std::mem::take(&mut self.notices)
--- a/crates/router/src/core/views/apply.rs
+++ b/crates/router/src/core/views/apply.rs
@@ -1,13 +1,14 @@
 //! Turns changes of the copies into what the node believes.
 
 use super::{ViewName, ViewNotice, Views};
-use crate::core::records::{NodeRecord, OwnKeys};
+use crate::core::records::{AssignmentKey, NodeRecord, OwnKeys};
 use beamtray_catalog::{DirectoryChange, UpstreamId};
 use beamtray_dispatch::SpeedRecord;
 use beamtray_metastore::{GranterRecord, Item, MirrorChange, Revision};
-use beamtray_sharding::AssignmentRecord;
-use beamtray_types::{ServiceName, Time};
+use beamtray_sharding::{AssignmentHead, AssignmentPart};
+use beamtray_types::Time;
 use borsh::BorshDeserialize;
+use std::io;
 use std::rc::Rc;
 
 impl Views {
@@ -109,11 +110,9 @@
     }
 
     fn apply_record(&mut self, item: Item) {
-        if let Some(service) = item.key.strip_prefix(OwnKeys::ASSIGNMENTS) {
-            let service = ServiceName::from(service);
-            match AssignmentRecord::try_from_slice(&item.value) {
-                Ok(record) => self.assigned(service, record),
-                Err(error) => self.unreadable(item.key.clone(), error.to_string()),
+        if let Some(key) = OwnKeys::assignment_key(&item.key) {
+            if let Err(error) = self.assigned(key, &item.value) {
+                self.unreadable(item.key, error.to_string());
             }
         } else if let Some(name) = item.key.strip_prefix(OwnKeys::NODES) {
             if let Ok(record) = NodeRecord::try_from_slice(&item.value) {
@@ -133,17 +132,29 @@
         }
     }
 
-    fn assigned(&mut self, service: ServiceName, record: AssignmentRecord) {
-        let known = self.assignments.get(&service);
-        let order = |record: &AssignmentRecord| (record.epoch, record.sequence);
-        if known.is_some_and(|known| order(known) >= order(&record)) {
-            return;
+    fn assigned(&mut self, key: AssignmentKey, value: &[u8]) -> io::Result<()> {
+        match key {
+            AssignmentKey::Head(service) => {
+                let head = AssignmentHead::try_from_slice(value)?;
+                let number = head.number;
+                let assignment = self.assignments.entry(service.clone()).or_default();
+                if Rc::make_mut(assignment).take_head(head) {
+                    self.assigned.insert(service.clone());
+                    self.notices.push(ViewNotice::Assigned {
+                        service,
+                        epoch: number.epoch.0,
+                        sequence: number.sequence,
+                    });
+                }
+            }
+            AssignmentKey::Part(service, _) => {
+                let part = AssignmentPart::try_from_slice(value)?;
+                let assignment = self.assignments.entry(service.clone()).or_default();
+                if Rc::make_mut(assignment).take_part(part) {
+                    self.assigned.insert(service);
+                }
+            }
         }
-        self.notices.push(ViewNotice::Assigned {
-            service: service.clone(),
-            epoch: record.epoch.0,
-            sequence: record.sequence,
-        });
-        self.assignments.insert(service, Rc::new(record));
+        Ok(())
     }
 }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -305,8 +305,8 @@
     pub(super) fn standby(&self) -> Option<usize> {
         let granter = self.granter()?;
         let core = self.nodes[granter].core.as_ref()?;
-        let record = core.inspect().0.assignments.values().next()?;
-        let named = record.standbys.iter();
+        let assignment = core.inspect().0.assignments.values().next()?;
+        let named = assignment.standbys().iter();
         named
             .filter_map(|id| node_at(id.address))
             .find(|node| *node != granter)
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -2,6 +2,7 @@
 //! slices that are free.
 
 use super::{AVOID, Candidate, Contact, Granter, Standing, new_slice};
+use crate::part::Part;
 use crate::range::{KeyRange, ShardKey};
 use crate::record::RecordNumber;
 use crate::slice::{LossCause, Phase, Slice, Unowned};
@@ -32,7 +33,7 @@
             return;
         }
         let each = (MOST_SLICES / ready).clamp(1, SLICES_PER_UPSTREAM);
-        for range in KeyRange::divide_all(ready * each) {
+        for range in divide(ready * each) {
             let phase = Phase::Free { handover: None };
             self.slices
                 .insert(range.first, new_slice(now, range, phase, now));
@@ -275,3 +276,16 @@
         .min_by(|one, other| relative(one).total_cmp(&relative(other)))
         .map(|candidate| candidate.id.clone())
 }
+
+/// Divides all keys into that many slices, or one for each part if those are more.
+/// None reaches over the end of a part.
+fn divide(slices: u32) -> Vec<KeyRange> {
+    let parts = Part::all().count() as u32;
+    let before = |part: u32| part * slices / parts;
+    let ranges = Part::all().flat_map(|part| {
+        let number = u32::from(part.number());
+        let count = before(number + 1) - before(number);
+        part.range().divide(count.max(1))
+    });
+    ranges.collect()
+}
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -1,6 +1,7 @@
 //! Which upstream holds which keys of a divided service.
 //!
-//! [`AssignmentRecord`] is what the metadata store keeps, [`Granter`] the side
+//! [`AssignmentRecord`] is who holds what, kept in the metadata store by
+//! [`AssignmentPart`]s; [`Granter`] the side
 //! that grants and takes back, [`LoadMap`] and [`plan_moves`] decide what is
 //! to move. All pure.
 
@@ -8,6 +9,7 @@
 mod granter;
 mod load;
 mod order;
+mod part;
 mod range;
 mod record;
 mod slice;
@@ -17,6 +19,7 @@
 pub use granter::{Candidate, Contact, GrantPace, Granter, GranterGuards, GranterTiming, Standing};
 pub use load::LoadMap;
 pub use order::{CallId, GrantOrder, GrantReply, Handover, OrderKind};
+pub use part::{Assignment, AssignmentHead, AssignmentPart, Part};
 pub use range::{KeyRange, ShardKey};
 pub use record::{AssignmentRecord, FencingToken, RecordNumber, SliceRecord, SliceState};
 pub use slice::{LossCause, OwnedAgain};
--- a/crates/sharding/src/range.rs
+++ b/crates/sharding/src/range.rs
@@ -70,17 +70,19 @@
         Some((below, above))
     }
 
-    /// Divides all keys into that many ranges of nearly the same length.
-    pub fn divide_all(parts: u32) -> Vec<KeyRange> {
-        const KEYS: u32 = 1 << 16;
-        let parts = parts.clamp(1, KEYS);
-        let bound = |part: u32| u64::from(part) * u64::from(KEYS) / u64::from(parts);
-        (0..parts)
-            .map(|part| KeyRange {
-                first: ShardKey(bound(part) as u16),
-                last: ShardKey((bound(part + 1) - 1) as u16),
-            })
-            .collect()
+    /// Divides the range into that many of nearly the same length, or into single
+    /// keys if those are fewer.
+    pub fn divide(self, parts: u32) -> Vec<KeyRange> {
+        let parts = parts.clamp(1, self.len());
+        let bound = |part: u32| {
+            let keys = u64::from(part) * u64::from(self.len()) / u64::from(parts);
+            u32::from(self.first.0) + keys as u32
+        };
+        let ranges = (0..parts).map(|part| KeyRange {
+            first: ShardKey(bound(part) as u16),
+            last: ShardKey((bound(part + 1) - 1) as u16),
+        });
+        ranges.collect()
     }
 }
 
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -3,9 +3,9 @@
 use beamtray_catalog::UpstreamId;
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
-    AssignmentRecord, BalanceLimits, Candidate, FencingToken, GrantOrder, GrantReply, Granter,
-    GranterGuards, GranterTiming, Handover, KeyRange, OrderKind, ShardKey, SliceRecord, SliceState,
-    Standing,
+    Assignment, AssignmentPart, AssignmentRecord, BalanceLimits, Candidate, FencingToken,
+    GrantOrder, GrantReply, Granter, GranterGuards, GranterTiming, Handover, KeyRange, OrderKind,
+    Part, ShardKey, SliceRecord, SliceState, Standing,
 };
 use beamtray_types::Time;
 use std::time::Duration;
@@ -289,10 +289,63 @@
     granter.rebalance(at(3_500), &LIMITS);
     granter.poll(at(3_500));
     let record = granter.record().expect("moves are told");
-    let bytes = borsh::to_vec(&record).expect("it can be written");
-    let read: AssignmentRecord = borsh::from_slice(&bytes).expect("it can be read");
-    assert_eq!(read, record);
-    assert!(borsh::from_slice::<AssignmentRecord>(&bytes[..bytes.len() - 1]).is_err());
+    let bytes = borsh::to_vec(&record.head()).expect("it can be written");
+    let mut read = Assignment::default();
+    read.take_head(borsh::from_slice(&bytes).expect("it can be read"));
+    for part in record.parts() {
+        let bytes = borsh::to_vec(&part).expect("it can be written");
+        let part: AssignmentPart = borsh::from_slice(&bytes).expect("it can be read");
+        assert!(borsh::from_slice::<AssignmentPart>(&bytes[..bytes.len() - 1]).is_err());
+        read.take_part(part);
+    }
+    assert_eq!(read.whole(), Some(record));
+}
+
+/// A record of parts whose slices reached over their ends could not be put together.
+#[test]
+fn no_slice_reaches_over_the_end_of_a_part() {
+    for upstreams in [1, 7, 50, 417, 1_000] {
+        let mut granter = Granter::new(at(0), TIMING, Epoch(1), None);
+        let names: Vec<String> = (0..upstreams).map(|number| format!("u{number}")).collect();
+        granter.set_candidates(at(0), names.iter().map(|name| ready(name, 20.0)));
+        granter.poll(at(1_500));
+        let record = granter.record().expect("the keys are divided");
+        let mut next = 0;
+        for slice in &record.slices {
+            assert_eq!(u32::from(slice.range.first.0), next);
+            assert_eq!(Part::of(slice.range.first), Part::of(slice.range.last));
+            next = u32::from(slice.range.last.0) + 1;
+        }
+        assert_eq!(next, KeyRange::ALL.len());
+    }
+}
+
+/// The first granter may be lost while it writes the first record.
+#[test]
+fn parts_that_were_never_written_have_no_holder() {
+    let mut granter = granted();
+    granter.not_written();
+    let record = granter.record().expect("a record");
+    let mut read = Assignment::default();
+    for part in record.parts().into_iter().take(3) {
+        read.take_part(part);
+    }
+    let whole = read.whole().expect("what is known");
+    let free = whole
+        .slices
+        .iter()
+        .filter(|slice| slice.state == SliceState::Free);
+    assert_eq!(free.count(), Part::all().count() - 3);
+    let mut second = Granter::new(at(5_000), TIMING, Epoch(2), Some(&whole));
+    second.set_candidates(at(5_000), [ready("a", 20.0), ready("b", 20.0)]);
+    second.poll(at(5_000));
+    let record = second.record().expect("all keys are given");
+    assert!(
+        record
+            .slices
+            .iter()
+            .all(|slice| slice.state != SliceState::Free)
+    );
 }
 
 /// Found by seed 10 of the simulator: the answer to an order for a dead holder
