--- a/crates/sharding/tests/common/mod.rs
+++ b/crates/sharding/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What tests of the granter share.
 
+#![allow(dead_code, reason = "not every test file uses every helper")]
+
 use beamtray_catalog::UpstreamId;
 use beamtray_sharding::{
     AssignmentRecord, Candidate, GrantOrder, GrantReply, Granter, GranterGuards, GranterTiming,
