Let the simulator play 300 nodes and 800 upstreams

Node and upstream addresses of the simulated world ended at 255. Change: addresses of two octets, WorldConfig::large and a test of one seed with faults.

--- a/crates/routersim/src/lib.rs
+++ b/crates/routersim/src/lib.rs
@@ -22,6 +22,13 @@
     World::new(config, plan).run()
 }
 
+/// Runs the history of a seed at 300 nodes and 800 upstreams.
+pub fn explore_large(seed: u64) -> Outcome {
+    let config = WorldConfig::large(seed);
+    let plan = FaultPlan::draw(seed, &config);
+    World::new(config, plan).run()
+}
+
 /// Runs a history of given faults, with a protection switched off or none.
 pub fn play(seed: u64, plan: FaultPlan, off: Option<Guard>) -> Outcome {
     let mut config = WorldConfig::drawn(seed);
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -90,6 +90,20 @@
         }
     }
 
+    /// A world of hundreds of nodes, shorter than others since it takes long.
+    pub fn large(seed: u64) -> Self {
+        Self {
+            nodes: 300,
+            keyed: 480,
+            pool: 320,
+            lead: Duration::from_secs(8),
+            troubled: Duration::from_secs(6),
+            calm: Duration::from_secs(14),
+            rate: 400,
+            ..Self::drawn(seed)
+        }
+    }
+
     /// Upstreams of both services.
     pub fn upstreams(&self) -> usize {
         self.keyed + self.pool
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -36,17 +36,18 @@
 }
 
 pub(crate) fn address(node: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(10, 0, 0, node as u8 + 1), PEER_PORT))
+    let [high, low] = (node as u16 + 1).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 0, high, low), PEER_PORT))
 }
 
 fn node_at(address: SocketAddr) -> Option<usize> {
     let SocketAddr::V4(address) = address else {
         return None;
     };
-    let [10, 0, 0, last] = address.ip().octets() else {
+    let [10, 0, high, low] = address.ip().octets() else {
         return None;
     };
-    usize::from(last).checked_sub(1)
+    usize::from(u16::from_be_bytes([high, low])).checked_sub(1)
 }
 
 /// Settings of a usual environment: the world runs the product's own timing.
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -63,14 +63,16 @@
 }
 
 fn address(index: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(10, 1, 0, index as u8 + 1), PORT))
+    let [high, low] = (index as u16 + 1).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 1, high, low), PORT))
 }
 
 pub(super) fn index_of(address: SocketAddr) -> Option<usize> {
     let SocketAddr::V4(address) = address else {
         return None;
     };
-    usize::from(address.ip().octets()[3]).checked_sub(1)
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(u16::from_be_bytes([high, low])).checked_sub(1)
 }
 
 pub(super) fn key_of(id: &UpstreamId) -> String {
--- /dev/null
+++ b/crates/routersim/tests/large.rs
@@ -0,0 +1,25 @@
+//! A deployment of hundreds of nodes keeps every promise.
+
+use beamtray_routersim::explore_large;
+
+/// Seeds whose faults strike the granter, nodes, the store and upstreams.
+const SEEDS: [u64; 1] = [1];
+
+#[test]
+fn three_hundred_nodes_keep_every_promise() {
+    for seed in SEEDS {
+        let outcome = explore_large(seed);
+        let broken: Vec<String> = outcome
+            .violations
+            .iter()
+            .map(|one| one.to_string())
+            .collect();
+        assert!(broken.is_empty(), "seed {seed}: {}", broken.join("\n"));
+        assert!(
+            outcome.served * 10 >= outcome.asked * 6,
+            "seed {seed}: {} of {} served",
+            outcome.served,
+            outcome.asked
+        );
+    }
+}
