Give no keys to an upstream that left a grant unanswered

Cause: an upstream that has gone dark is the idlest one for a balance. It was a taker until it lost its own keys, 1.2 s after its first unanswered grant. Change: whoever left a grant unanswered takes none until it answers. The test in sharding/tests/balance.rs failed before. The simulator's size is an option of explore-router (drawn, many, large).

--- a/crates/routersim/src/lib.rs
+++ b/crates/routersim/src/lib.rs
@@ -13,25 +13,17 @@
 pub use dialect::SimDialect;
 pub use fault::{Fault, FaultPlan, Trouble};
 pub use guard::Guard;
-pub use world::{Outcome, World, WorldConfig, usual_settings};
+pub use world::{Outcome, World, WorldConfig, WorldSize, usual_settings};
 
-/// Runs the history of a seed.
-pub fn explore(seed: u64) -> Outcome {
-    let config = WorldConfig::drawn(seed);
-    let plan = FaultPlan::draw(seed, &config);
-    World::new(config, plan).run()
-}
-
-/// Runs the history of a seed at 300 nodes and 800 upstreams.
-pub fn explore_large(seed: u64) -> Outcome {
-    let config = WorldConfig::large(seed);
+/// Runs the history of a seed in a world of that size.
+pub fn explore(size: WorldSize, seed: u64) -> Outcome {
+    let config = WorldConfig::sized(size, seed);
     let plan = FaultPlan::draw(seed, &config);
     World::new(config, plan).run()
 }
 
 /// Runs a history of given faults, with a protection switched off or none.
-pub fn play(seed: u64, plan: FaultPlan, off: Option<Guard>) -> Outcome {
-    let mut config = WorldConfig::drawn(seed);
+pub fn play(mut config: WorldConfig, plan: FaultPlan, off: Option<Guard>) -> Outcome {
     config.off = off;
     World::new(config, plan).run()
 }
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -27,6 +27,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::str::FromStr;
 use std::time::Duration;
 use stores::StoreState;
 
@@ -50,6 +51,31 @@
 /// The only host.
 pub(crate) const HOST: &str = "host";
 
+/// Sizes of worlds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WorldSize {
+    /// As the seed says; one in twelve has many nodes.
+    #[default]
+    Drawn,
+    /// So many nodes that they tell each other of requests through relays.
+    Many,
+    /// Hundreds of nodes and upstreams.
+    Large,
+}
+
+impl FromStr for WorldSize {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "drawn" => Ok(Self::Drawn),
+            "many" => Ok(Self::Many),
+            "large" => Ok(Self::Large),
+            _ => Err(format!("no size {text}; there are drawn, many, large")),
+        }
+    }
+}
+
 /// Size and length of a history.
 #[derive(Clone, Debug)]
 pub struct WorldConfig {
@@ -90,8 +116,22 @@
         }
     }
 
+    /// The world of a seed, of that size.
+    pub fn sized(size: WorldSize, seed: u64) -> Self {
+        let drawn = Self::drawn(seed);
+        match size {
+            WorldSize::Drawn => drawn,
+            WorldSize::Many if drawn.nodes > MOST_FEW_NODES => drawn,
+            WorldSize::Many => Self {
+                nodes: drawn.nodes + MORE_NODES,
+                ..drawn
+            },
+            WorldSize::Large => Self::large(seed),
+        }
+    }
+
     /// A world of hundreds of nodes, shorter than others since it takes long.
-    pub fn large(seed: u64) -> Self {
+    fn large(seed: u64) -> Self {
         Self {
             nodes: 300,
             keyed: 480,
@@ -122,11 +162,15 @@
 /// One history in this many has so many nodes that they tell each other of
 /// requests through relays.
 const MANY_NODES_ONE_IN: u64 = 12;
+/// How many more nodes it has.
+const MORE_NODES: usize = 15;
+/// Most nodes of other histories.
+const MOST_FEW_NODES: usize = 8;
 
 fn draw_nodes(random: &mut ChaCha8Rng, seed: u64) -> usize {
     let few = random.random_range(2..9);
     if seed.is_multiple_of(MANY_NODES_ONE_IN) {
-        return few + 15;
+        return few + MORE_NODES;
     }
     few
 }
--- a/crates/routersim/tests/guards.rs
+++ b/crates/routersim/tests/guards.rs
@@ -1,7 +1,7 @@
 //! Without any one protection a history breaks its promise, which it keeps
 //! with all of them.
 
-use beamtray_routersim::{Fault, FaultPlan, Guard, Promise, Trouble, play};
+use beamtray_routersim::{Fault, FaultPlan, Guard, Promise, Trouble, WorldConfig, play};
 use beamtray_types::Time;
 use std::ops::Range;
 use std::time::Duration;
@@ -24,7 +24,7 @@
     let plan = FaultPlan {
         faults: faults.to_vec(),
     };
-    let violations = play(seed, plan, off).violations;
+    let violations = play(WorldConfig::drawn(seed), plan, off).violations;
     violations
         .iter()
         .any(|violation| violation.promise == promise)
--- a/crates/routersim/tests/large.rs
+++ b/crates/routersim/tests/large.rs
@@ -1,6 +1,6 @@
 //! A deployment of hundreds of nodes keeps every promise.
 
-use beamtray_routersim::explore_large;
+use beamtray_routersim::{WorldSize, explore};
 
 /// Seeds whose faults strike the granter, nodes, the store and upstreams.
 const SEEDS: [u64; 1] = [1];
@@ -8,7 +8,7 @@
 #[test]
 fn three_hundred_nodes_keep_every_promise() {
     for seed in SEEDS {
-        let outcome = explore_large(seed);
+        let outcome = explore(WorldSize::Large, seed);
         let broken: Vec<String> = outcome
             .violations
             .iter()
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -61,7 +61,8 @@
     pub(super) fn takers(&self, now: Time) -> Vec<&Candidate> {
         let answers = |one: &&Candidate| {
             let until = self.avoided.get(&one.id);
-            until.is_none_or(|until| now >= *until)
+            let is_avoided = until.is_some_and(|until| now < *until);
+            !is_avoided && self.silence(now, &one.id).is_none()
         };
         let answering: Vec<&Candidate> = self.ready().filter(answers).collect();
         if answering.is_empty() {
--- a/crates/sharding/tests/balance.rs
+++ b/crates/sharding/tests/balance.rs
@@ -105,3 +105,34 @@
     };
     assert!(granter.rebalance(at(now), &few) > 0);
 }
+
+/// An upstream that has just gone dark is the idlest one. It got the busiest keys of
+/// others until it was given up on, 1.2 s after its first unanswered grant.
+#[test]
+fn no_keys_go_to_an_upstream_that_left_a_grant_unanswered() {
+    let mut granter = granted(8);
+    let dark = id("u000");
+    let renewals = granter.poll(at(2_800));
+    for order in renewals {
+        if order.holder == dark {
+            granter.handle(at(2_810), order.call, GrantReply::Unanswered);
+        } else {
+            // All others have something to do.
+            granter.load.add(order.range.first, 1.0);
+            answer(&mut granter, at(2_810), &order);
+        }
+    }
+    for key in 60_000..60_200 {
+        granter.load.add(ShardKey(key), 0.5);
+    }
+    assert!(granter.rebalance(at(2_900), &LIMITS) > 0);
+    let record = write_record(&mut granter, at(2_900)).expect("moves are told");
+    assert!(!holders(&record, 60_000..60_200).contains("u000"));
+    for order in granter.poll(at(3_000)) {
+        if order.holder != dark {
+            answer(&mut granter, at(3_000), &order);
+        }
+    }
+    let record = write_record(&mut granter, at(3_010)).expect("new holders are told");
+    assert!(!holders(&record, 60_000..60_200).contains("u000"));
+}
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -3,6 +3,7 @@
 mod router;
 
 use beamtray_placement::Policy;
+use beamtray_routersim::WorldSize;
 use beamtray_settings::Declaration;
 use beamtray_sim::check::Point;
 use beamtray_sim::explore::{ALL_FAULTS, Exploration, Summary, violations};
@@ -106,6 +107,12 @@
     threads: u64,
     #[options(help = "do without this protection", no_short, meta = "GUARD")]
     without: Option<String>,
+    #[options(
+        help = "size of the worlds: drawn (the default), many (17 to 23 nodes), large (300)",
+        no_short,
+        default = "drawn"
+    )]
+    size: WorldSize,
 }
 
 #[derive(Debug, Options)]
--- a/crates/sim/src/router.rs
+++ b/crates/sim/src/router.rs
@@ -1,7 +1,7 @@
 //! `explore-router`: histories of the store-backed router.
 
 use crate::ExploreRouterArguments;
-use beamtray_routersim::{FaultPlan, Guard, Outcome, WorldConfig, play};
+use beamtray_routersim::{FaultPlan, Guard, Outcome, WorldConfig, WorldSize, play};
 use eyre::{Result, eyre};
 use std::process::ExitCode;
 use std::thread;
@@ -40,13 +40,14 @@
 
 pub(crate) fn explore(arguments: &ExploreRouterArguments) -> Result<ExitCode> {
     let off = arguments.without.as_deref().map(guard).transpose()?;
+    let size = arguments.size;
     let threads = arguments.threads.max(1);
     let first = arguments.first_seed;
     let end = first + arguments.seeds;
     let workers: Vec<_> = (0..threads)
         .map(|worker| {
             let seeds = (first + worker..end).step_by(threads as usize);
-            thread::spawn(move || run(seeds, off))
+            thread::spawn(move || run(seeds, size, off))
         })
         .collect();
     let mut total = Total::default();
@@ -65,11 +66,12 @@
     })
 }
 
-fn run(seeds: impl Iterator<Item = u64>, off: Option<Guard>) -> Total {
+fn run(seeds: impl Iterator<Item = u64>, size: WorldSize, off: Option<Guard>) -> Total {
     let mut total = Total::default();
     for seed in seeds {
-        let plan = FaultPlan::draw(seed, &WorldConfig::drawn(seed));
-        total.add(seed, &play(seed, plan, off));
+        let config = WorldConfig::sized(size, seed);
+        let plan = FaultPlan::draw(seed, &config);
+        total.add(seed, &play(config, plan, off));
     }
     total
 }
