Give no orders before a granter knows which upstreams there are

Cause: since candidates are taken when the directory changes, a granter that had just read its records was asked for orders without any: to it all holders had left, and it took all slices back. Change: candidates are taken anew with the records, and a granter that was never told any gives no orders. The test in sharding/tests/granter.rs failed before.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -303,6 +303,7 @@
         let epoch = term.authority.epoch;
         let read = std::mem::take(&mut term.read);
         term.grants = Some(adopt(now, timing, epoch, &read));
+        term.candidates_of = None;
         self.written.extend(read);
     }
 
@@ -361,6 +362,9 @@
             return Vec::new();
         }
         term.orders_at = now + ORDERS;
+        if term.grants.is_none() {
+            return Vec::new();
+        }
         let refreshes = term.refreshes_candidates(now, views.directory.changes());
         let Some(all) = &mut term.grants else {
             return Vec::new();
@@ -432,6 +436,13 @@
             return;
         };
         let epoch = term.authority.epoch;
+        if configuration
+            .services
+            .iter()
+            .any(|service| service.divided && !all.contains_key(&service.name))
+        {
+            term.candidates_of = None;
+        }
         let divided = configuration.services.iter().filter(|s| s.divided);
         for service in divided {
             all.entry(service.name.clone())
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -162,6 +162,9 @@
     counter: u64,
     slices: BTreeMap<ShardKey, Slice>,
     candidates: BTreeMap<UpstreamId, Candidate>,
+    /// Whether it was ever stated which upstreams there are. Before that a holder
+    /// that is not among them has not left.
+    knows_candidates: bool,
     dead: Vec<UpstreamId>,
     /// When holders whose address is contested were last asked.
     probed: BTreeMap<UpstreamId, Time>,
@@ -198,6 +201,7 @@
             counter: 0,
             slices: BTreeMap::new(),
             candidates: BTreeMap::new(),
+            knows_candidates: false,
             dead: Vec::new(),
             probed: BTreeMap::new(),
             avoided: BTreeMap::new(),
@@ -273,6 +277,7 @@
             self.first_seen.get_or_insert(now);
             self.last_seen = now;
         }
+        self.knows_candidates = true;
         let same = next.keys().eq(self.candidates.keys());
         self.candidates = next;
         if !same {
@@ -346,6 +351,9 @@
 
     /// Orders that are due. To be called only with authority to grant.
     pub fn poll(&mut self, now: Time) -> Vec<GrantOrder> {
+        if !self.knows_candidates {
+            return Vec::new();
+        }
         self.found(now);
         self.take_from_leavers(now);
         self.free_lapsed(now);
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -225,6 +225,25 @@
     }
 }
 
+/// Found on a day at 78 machines: a successor was asked for orders before it was told
+/// which upstreams there are, and took all slices back.
+#[test]
+fn a_successor_that_knows_no_upstream_yet_takes_nothing_back() {
+    let mut first = granted();
+    first.not_written();
+    let record = first.record().expect("a record");
+    let mut second = Granter::new(at(5_000), TIMING, Epoch(2), Some(&record));
+    assert!(second.poll(at(5_000)).is_empty());
+    second.set_candidates(at(5_050), [ready("a", 20.0), ready("b", 20.0)]);
+    let orders = second.poll(at(5_050));
+    assert!(
+        orders
+            .iter()
+            .all(|order| matches!(order.kind, OrderKind::Grant { .. }))
+    );
+    assert_eq!(orders.len(), record.slices.len());
+}
+
 #[test]
 fn a_refused_token_is_raised_for_the_same_holder() {
     let mut granter = granted();
