Start faster after all nodes were lost

All 78 asked the first relay that they heard, another zone's, which did not answer within 300 ms; 1,777 requests were refused for want of a configuration. The granter's lease went on for 0.4 s although its process had been replaced. Change: a node that has just started asks its own zone's relays in turn; a process that finds the place held by an earlier run of its node at its own address takes it over.

--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -3,6 +3,10 @@
 //! The granter's key hangs on a lease, the epoch's key on none. Taking the
 //! place raises the epoch in the same transaction. The place's authority ends
 //! on the holder's own clock before the store can give it to another.
+//!
+//! A process that finds the place held by an earlier run of its own node, at its own
+//! address, takes it over at once: that process has ended, and its authority with it.
+//! Its lease would go on for up to its whole life.
 
 use crate::call::{
     Condition, Item, LeaseId, Revision, StoreCall, StoreOutcome, Transaction, Write,
@@ -95,6 +99,9 @@
     attempted: Option<Epoch>,
     place: Option<Place>,
     vacant_since: Option<Time>,
+    /// Revision that the granter's key must have when this node takes the place: none
+    /// is there, or that of an earlier run of this node.
+    replaces: Revision,
     /// The granter's key as it was seen last, which need not be read again.
     observed: Option<Revision>,
     /// Added to the patience.
@@ -114,6 +121,7 @@
             attempted: None,
             place: None,
             vacant_since: None,
+            replaces: Revision(0),
             observed: None,
             handicap: Duration::ZERO,
             retry_at: Time::ZERO,
@@ -155,7 +163,9 @@
             return Some(self.send(now, ElectionStep::Lease, call));
         }
         let vacant_since = self.vacant_since?;
-        if now.since(vacant_since) < self.config.patience + self.handicap {
+        let waits_for_others = self.replaces == Revision(0);
+        let patience = self.config.patience + self.handicap;
+        if waits_for_others && now.since(vacant_since) < patience {
             return None;
         }
         let Some(lease) = self.keeper.lease(now) else {
@@ -170,17 +180,18 @@
     fn observe(&mut self, now: Time, granter: Option<&Item>) {
         let Some(item) = granter else {
             self.vacant_since.get_or_insert(now);
+            self.replaces = Revision(0);
             self.observed = None;
             // The key may be unseen as yet right after this node wrote it;
             // the lease alone decides whether the place is still held.
             return;
         };
-        self.vacant_since = None;
         let is_settled = self.attempted.is_none() || self.place.is_some();
         if self.observed == Some(item.revision) && is_settled {
             return;
         }
         self.observed = Some(item.revision);
+        self.vacant_since = None;
         let Ok(record) = GranterRecord::try_from_slice(&item.value) else {
             return;
         };
@@ -192,6 +203,12 @@
             if lost {
                 self.place = None;
             }
+            let is_predecessor =
+                record.node == self.config.node && record.peers == self.config.peers;
+            if is_predecessor && self.place.is_none() {
+                self.vacant_since = Some(now);
+                self.replaces = item.revision;
+            }
             return;
         }
         // A taking of the place whose answer was lost shows here.
@@ -236,7 +253,7 @@
         let epoch_revision = epoch.map_or(Revision(0), |item| item.revision);
         StoreCall::Commit(Transaction {
             conditions: vec![
-                condition(&self.config.granter_key, Revision(0)),
+                condition(&self.config.granter_key, self.replaces),
                 condition(&self.config.epoch_key, epoch_revision),
             ],
             writes: vec![
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -70,6 +70,9 @@
     trouble_at: Option<Time>,
     key_report_at: Time,
     fetches: Fetches,
+    /// Relays of this node's zone that a node which has just started still asks for
+    /// their copies; none before it knows who they are.
+    first_asked: Option<Vec<SocketAddr>>,
     ask_at: Time,
     asked: usize,
     /// Whether a call got no answer since one last did.
@@ -105,6 +108,7 @@
             trouble_at: None,
             key_report_at: Time::ZERO,
             fetches: Fetches::default(),
+            first_asked: None,
             ask_at: Time::ZERO,
             asked: 0,
             path_failed: false,
@@ -269,6 +273,7 @@
         }
         if self.views.take_nodes_changed() {
             self.choose_relays();
+            self.begin_with_relays(now);
         }
         for service in self.views.take_assigned() {
             if let Some(assignment) = self.views.assignments.get(&service) {
--- a/crates/router/src/core/node/fetch.rs
+++ b/crates/router/src/core/node/fetch.rs
@@ -81,10 +81,36 @@
         self.outputs.push(Output::Ask(from, request, wait));
     }
 
+    /// Asks the first relay of this zone for its copies once this node, which has
+    /// just started, knows who it is. Where all nodes start together it would
+    /// otherwise ask whichever relay it hears first, as all others do.
+    pub(super) fn begin_with_relays(&mut self, now: Time) {
+        if self.first_asked.is_some() || self.are_few() {
+            return;
+        }
+        let mut relays = if self.is_relay() {
+            Vec::new()
+        } else {
+            self.near_relays()
+        };
+        relays.reverse();
+        self.first_asked = Some(relays);
+        self.ask_next_relay(now);
+    }
+
+    fn ask_next_relay(&mut self, now: Time) {
+        let relays = self.first_asked.as_mut();
+        let next = relays.and_then(Vec::pop);
+        if let Some(relay) = next.filter(|_| !self.views.is_ready()) {
+            self.fetch(now, relay, &ViewName::ALL);
+        }
+    }
+
     /// Asks another relay for what is still missing.
     pub(super) fn not_answered(&mut self, now: Time, from: SocketAddr) {
         self.fetches.ended(from);
         self.views.relays.distrust(from);
+        self.ask_next_relay(now);
         let lacking = self.views.lacking(now);
         let other = self.views.relays.trusted(now).next();
         if let Some(other) = other {
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -151,7 +151,7 @@
     }
 
     /// The other relays of this zone, the first one first.
-    fn near_relays(&self) -> Vec<SocketAddr> {
+    pub(super) fn near_relays(&self) -> Vec<SocketAddr> {
         let own = &self.config.control.record;
         let relays = self.membership.relays().of_zone(&own.zone).iter();
         relays
