Count how questions for slots end

A relay that is too slow shows as unanswered questions, an overloaded service as none free. Compiles and is registered; not looked at in a running process.

--- a/crates/dispatch/src/dispatcher/slots.rs
+++ b/crates/dispatch/src/dispatcher/slots.rs
@@ -77,11 +77,25 @@
     Unanswered,
 }
 
+/// How questions for slots ended, since the process began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotCounts {
+    /// The relay named an upstream.
+    pub given: u64,
+    /// It had none.
+    pub refused: u64,
+    /// It did not answer in time.
+    pub unanswered: u64,
+    /// As the relay: questions of other nodes.
+    pub asked_here: u64,
+}
+
 /// Whether the relay answers, and whom other nodes can't reach.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SlotDesk {
     /// Whether there is a relay to ask.
     pub has_relay: bool,
+    pub counts: SlotCounts,
     unanswered: u32,
     ask_from: Time,
     suspects: HashMap<UpstreamHash, Time>,
@@ -93,6 +107,7 @@
     }
 
     fn note_unanswered(&mut self, now: Time) {
+        self.counts.unanswered += 1;
         self.unanswered += 1;
         if self.unanswered >= MOST_UNANSWERED {
             self.unanswered = 0;
@@ -135,6 +150,11 @@
         self.slots.has_relay = has_relay;
     }
 
+    /// How questions for slots ended.
+    pub fn slot_counts(&self) -> SlotCounts {
+        self.slots.counts
+    }
+
     pub(super) fn slot_step(&mut self, now: Time, request: &mut Request) -> SlotStep {
         match request.slot {
             SlotState::Refused if now >= request.wait_until => SlotStep::GiveUp,
@@ -187,6 +207,7 @@
         request: &SlotRequest,
     ) -> SlotReply {
         self.pools.follow(directory);
+        self.slots.counts.asked_here += 1;
         self.slots.suspect(now, &request.unreachable);
         let query = Query {
             work: f64::from(request.work_us) / 1e6,
@@ -215,8 +236,12 @@
             return;
         }
         match reply.upstream {
-            Some(upstream) => request.slot = SlotState::Given(upstream),
+            Some(upstream) => {
+                self.slots.counts.given += 1;
+                request.slot = SlotState::Given(upstream);
+            }
             None => {
+                self.slots.counts.refused += 1;
                 request.slot = SlotState::Refused;
                 request.not_before = now + NO_SLOT_PAUSE;
             }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,7 +13,7 @@
 mod speed;
 
 pub use budget::{BudgetConfig, RetryBudget};
-pub use dispatcher::{DispatchConfig, Dispatcher, SlotReply, SlotRequest};
+pub use dispatcher::{DispatchConfig, Dispatcher, SlotCounts, SlotReply, SlotRequest};
 pub use occupancy::{Occupancy, SumSource};
 pub use report::{
     Answers, Contained, InFlight, KeyLoad, KeyReport, LoadReport, LoadSum, NodeHash, UpstreamHash,
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -74,6 +74,12 @@
     pub upstream: String,
 }
 
+/// How questions for slots ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct SlotLabel {
+    pub outcome: &'static str,
+}
+
 /// A view.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct ViewLabel {
@@ -108,6 +114,7 @@
     waiting: Gauge,
     under_way: Gauge,
     slots_in_use: Family<UpstreamLabel, Gauge>,
+    slots: Family<SlotLabel, Gauge>,
     slices: Gauge,
     slices_held: Gauge,
     is_granter: Gauge,
@@ -135,6 +142,7 @@
             waiting: Gauge::default(),
             under_way: Gauge::default(),
             slots_in_use: Family::default(),
+            slots: Family::default(),
             slices: Gauge::default(),
             slices_held: Gauge::default(),
             is_granter: Gauge::default(),
@@ -202,6 +210,11 @@
             "Requests of all nodes under way at an upstream, as known here",
             self.slots_in_use.clone(),
         );
+        registry.register(
+            "slot_requests",
+            "Questions to a relay where to send requests, by outcome; asked_here at the relay",
+            self.slots.clone(),
+        );
         registry.register("slices", "Slices, at the granter", self.slices.clone());
         registry.register(
             "slices_held",
@@ -260,6 +273,16 @@
             let total = dispatcher.occupancy().total(hash);
             self.slots_in_use.get_or_create(&label).set(total.into());
         }
+        let slots = dispatcher.slot_counts();
+        for (outcome, count) in [
+            ("given", slots.given),
+            ("none_free", slots.refused),
+            ("unanswered", slots.unanswered),
+            ("asked_here", slots.asked_here),
+        ] {
+            let label = SlotLabel { outcome };
+            self.slots.get_or_create(&label).set(count as i64);
+        }
         let (slices, held) = control.slice_counts(now);
         self.slices.set(slices as i64);
         self.slices_held.set(held as i64);
