Keep a connection to each holder at the granter

The granter keeps 96 connections and has 119 holders, so most orders open one, and a holder of busy keys resets new connections: 111 grants undelivered in second 5, and a holder with an undelivered grant gives nothing away. Ruled out: records (written every 0.1 s meanwhile), the room for moves. Price: a dark holder's first grant goes over a kept connection and counts as taken, so its keys wait up to 0.8 s longer.

--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -39,6 +39,10 @@
 /// Connections kept in all: each costs memory, and where there are many upstreams
 /// most are not used again before their rest is over.
 const MOST_RESTING: usize = 96;
+/// The same at the granter: one to each of hundreds of holders. A holder of busy keys
+/// resets new connections, and is to get the order that takes some of them away. Some
+/// 10 kB each, at one node.
+const MOST_RESTING_AT_GRANTER: usize = 800;
 /// How long connections to an address that sent wrong bytes are not kept.
 const DISTRUST: Duration = Duration::from_secs(6);
 /// Longest answer, in bytes.
@@ -121,9 +125,23 @@
 pub(crate) struct Connections {
     resting: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     distrusted: RefCell<HashMap<SocketAddr, Instant>>,
+    gives_orders: Cell<bool>,
 }
 
 impl Connections {
+    /// States whether this node gives orders to all holders of keys.
+    pub fn set_gives_orders(&self, gives_orders: bool) {
+        self.gives_orders.set(gives_orders);
+    }
+
+    fn most_resting(&self) -> usize {
+        if self.gives_orders.get() {
+            MOST_RESTING_AT_GRANTER
+        } else {
+            MOST_RESTING
+        }
+    }
+
     /// Sends a request and reads the whole answer.
     pub async fn call(
         &self,
@@ -184,7 +202,7 @@
         let kept = resting.entry(connection.address).or_default();
         if kept.len() < KEPT {
             kept.push(connection);
-            drop_longest_resting(&mut resting);
+            drop_longest_resting(&mut resting, self.most_resting());
         }
     }
 
@@ -219,9 +237,9 @@
 }
 
 /// Closes the connection that has rested longest when there are too many.
-fn drop_longest_resting(resting: &mut HashMap<SocketAddr, Vec<Connection>>) {
+fn drop_longest_resting(resting: &mut HashMap<SocketAddr, Vec<Connection>>, most: usize) {
     let count: usize = resting.values().map(Vec::len).sum();
-    if count <= MOST_RESTING {
+    if count <= most {
         return;
     }
     // The first one of an address has rested longest there.
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -19,7 +19,10 @@
         Output::Ask(address, request, wait) => peers::ask(shared, address, request, wait),
         Output::Limits(limits) => shared.limits.set(limits),
         Output::Notice(notice) => shared.observer.notice(&notice),
-        Output::Granter(epoch) => shared.observer.granter(epoch),
+        Output::Granter(epoch) => {
+            shared.connections.set_gives_orders(epoch.is_some());
+            shared.observer.granter(epoch);
+        }
         Output::OwnedAgain(service, owned) => shared.observer.owned_again(&service, &owned),
         Output::Standby(state) => shared.observer.standby(state),
     }
