Relays have wide links; nodes that start leave the seeds alone

Each asked the first seed for all copies at once, before it knew the nodes, and waited for that; 78 copies of some 100 kB go through one link of 10 to 200 Mbit/s. Relays were chosen by processor alone. Change: seeds are asked half a second after the start at the earliest; who there is known, the own zone's relays are asked in turn; what a node counts for as a relay and granter is bounded by its link (limits.link_mbps).

--- a/crates/router/src/core/node/fetch.rs
+++ b/crates/router/src/core/node/fetch.rs
@@ -95,6 +95,8 @@
         };
         relays.reverse();
         self.first_asked = Some(relays);
+        // What was asked of a relay that happened to be heard first may not come.
+        self.fetches = Fetches::default();
         self.ask_next_relay(now);
     }
 
--- a/crates/router/src/core/node/talk.rs
+++ b/crates/router/src/core/node/talk.rs
@@ -11,6 +11,9 @@
 
 /// Most datagrams a second of one sort: with many nodes each hears less often.
 const DATAGRAMS_A_SECOND: u32 = 300;
+/// How long a node that has just started waits for the store before it asks the seeds:
+/// where all nodes start together the few seeds would be asked by all of them.
+const SEED_PATIENCE: Duration = Duration::from_millis(500);
 /// How often word of a change is repeated at once: datagrams get lost.
 const HEADS_REPEATED: u32 = 2;
 
@@ -122,8 +125,12 @@
         if now < self.ask_at || !self.views.is_troubled(now) {
             return;
         }
-        self.ask_at = now + self.config.timing.ask_peers;
         let mut peers = self.knowing_peers();
+        let started = self.started_at.unwrap_or(now);
+        if peers.is_empty() && now.since(started) < SEED_PATIENCE {
+            return;
+        }
+        self.ask_at = now + self.config.timing.ask_peers;
         if peers.is_empty() {
             let own = self.config.control.record.peers;
             peers.extend(self.config.seeds.iter().filter(|seed| **seed != own));
--- a/crates/router/src/core/records.rs
+++ b/crates/router/src/core/records.rs
@@ -73,7 +73,7 @@
     pub zone: String,
     /// Where it hears other nodes.
     pub peers: SocketAddr,
-    /// Thousandths of a processor core that it may use.
+    /// Thousandths of a processor core that it may use, fewer if its link is narrow.
     pub capacity: u32,
     /// Whether it declines to prolong holds for a granter that it does not hear.
     pub declines_standby: bool,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -141,6 +141,20 @@
     pub memory_mb: u64,
     /// Descriptors.
     pub descriptors: u64,
+    /// Megabits a second of its link; none where that is not known to be narrow.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
+}
+
+impl ProcessLimits {
+    /// How much the process can do for others, in thousandths of a core. A relay sends
+    /// its zone copies of a hundred kilobytes and more, so one with a narrow link counts
+    /// as one with little processor time.
+    fn ability(&self) -> u32 {
+        let processor = self.processor_share * 1_000.0;
+        let link = self.link_mbps.map(|mbps| mbps * ABILITY_A_MBPS);
+        link.map_or(processor, |link| processor.min(link)) as u32
+    }
 }
 
 /// Settings that take effect without a restart.
@@ -192,6 +206,10 @@
     }
 }
 
+/// Thousandths of a core that a megabit a second goes with: at 100 Mbit/s a link is no
+/// bound for half of a core.
+const ABILITY_A_MBPS: f64 = 5.0;
+
 /// Settings of one node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct NodeSettings {
@@ -292,6 +310,14 @@
                 (0.001..=1024.0).contains(&self.limits.processor_share),
                 "0.001 to 1024",
             ),
+            Check::new(
+                "limits.link_mbps",
+                self.limits.link_mbps.unwrap_or_default(),
+                self.limits
+                    .link_mbps
+                    .is_none_or(|mbps| (0.001..=1e6).contains(&mbps)),
+                "0.001 to 1000000",
+            ),
             Check::new(
                 "limits.descriptors",
                 self.limits.descriptors,
@@ -364,7 +390,7 @@
             run,
             zone: self.zone.clone(),
             peers: self.listen.peers,
-            capacity: (self.limits.processor_share * 1_000.0) as u32,
+            capacity: self.limits.ability(),
             declines_standby: false,
         };
         CoreConfig {
--- a/crates/router/tests/node.rs
+++ b/crates/router/tests/node.rs
@@ -3,7 +3,9 @@
 use beamtray_catalog::{UpstreamId, UpstreamRecord, UpstreamState};
 use beamtray_dialect::Dialect;
 use beamtray_metastore::{Item, Revision};
-use beamtray_router::core::{Datagram, Input, NodeCore, Output, Snapshot, ViewHeads, ViewName};
+use beamtray_router::core::{
+    Datagram, Input, NodeCore, NodeRecord, Output, OwnKeys, Snapshot, ViewHeads, ViewName,
+};
 use beamtray_routersim::{SimDialect, usual_settings};
 use beamtray_types::Time;
 use std::net::SocketAddr;
@@ -99,3 +101,61 @@
     assert_eq!(told(core.handle(at(310), Input::Tick)), [address(2)]);
     assert!(told(core.handle(at(4_000), Input::Tick)).is_empty());
 }
+
+/// A copy of the nodes: this one, and so many others of its zone, the ablest last.
+fn members(count: u16) -> Snapshot {
+    let own = usual_settings(0).core_config(3).control.record;
+    let others = (1..=count).map(|index| NodeRecord {
+        name: format!("other-{index:02}"),
+        run: 1,
+        peers: address(index),
+        capacity: 1_000 + u32::from(index),
+        ..own.clone()
+    });
+    let item = |record: NodeRecord| Item {
+        key: OwnKeys::node(&record.name),
+        value: borsh::to_vec(&record).expect("a record in memory"),
+        revision: Revision(4),
+    };
+    Snapshot {
+        view: ViewName::Members,
+        at: Revision(4),
+        items: others.map(item).collect(),
+        removals: Vec::new(),
+        is_whole: true,
+    }
+}
+
+/// Whom the node asks for copies.
+fn asked(outputs: Vec<Output>) -> Vec<SocketAddr> {
+    let asked = outputs.into_iter().filter_map(|output| match output {
+        Output::Ask(address, ..) => Some(address),
+        _ => None,
+    });
+    asked.collect()
+}
+
+/// Found on a day at 78 machines: after all had lost power each asked the first of the
+/// seeds, and had no configuration for a third of a second.
+#[test]
+fn a_node_that_has_just_started_asks_its_own_zones_relays() {
+    let mut core = core();
+    assert_eq!(asked(core.handle(at(0), Input::Tick)), []);
+    assert_eq!(asked(core.handle(at(10), Input::Tick)), []);
+    let nodes = Input::Snapshots(address(800), vec![members(30)]);
+    let first = asked(core.handle(at(18), nodes));
+    assert!(!first.is_empty());
+    assert!(first.iter().all(|one| *one == address(30)), "{first:?}");
+    let next = asked(core.handle(at(19), Input::NotAnswered(address(30))));
+    assert!(next.contains(&address(29)), "{next:?}");
+}
+
+#[test]
+fn a_node_that_does_not_reach_the_store_asks_the_seeds() {
+    let mut core = core();
+    core.handle(at(0), Input::Tick);
+    assert_eq!(asked(core.handle(at(490), Input::Tick)), []);
+    let seeds = &usual_settings(0).seeds;
+    let first = asked(core.handle(at(510), Input::Tick));
+    assert!(!first.is_empty() && first.iter().all(|one| seeds.contains(one)));
+}
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -84,6 +84,7 @@
             processor_share: 0.2,
             memory_mb: 260,
             descriptors: 4_100,
+            link_mbps: None,
         },
     }
 }
