--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -4,6 +4,7 @@
 use crate::shell::actor::RouterActor;
 use crate::shell::connections::Connections;
 use crate::shell::observer::Observer;
+use crate::shell::peers::LastAnswer;
 use beamtray_catalog::ClientLimits;
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{Admission, Ending, Forward, Ticket};
@@ -53,6 +54,7 @@
     pub run: u64,
     pub store: SocketAddr,
     pub datagrams: UdpSocket,
+    pub last_answer: LastAnswer,
     pub observer: Observer,
 }
 
--- a/crates/router/src/shell/peers.rs
+++ b/crates/router/src/shell/peers.rs
@@ -1,10 +1,13 @@
 //! Talk between nodes: reports in datagrams, copies of views over TCP.
 
-use crate::core::{Datagram, Input, Snapshot, ViewRequest};
+use crate::core::{Datagram, Input, NodeCore, Snapshot, ViewRequest};
 use crate::shell::connections::prepare;
 use crate::shell::handle::Shared;
 use beamtray_dispatch::KeyReport;
+use beamtray_metastore::Revision;
 use beamtray_wire::{FrameBuffer, FrameError, Packed, encode};
+use bytes::Bytes;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -131,15 +134,88 @@
     }
 }
 
+/// The last answer to other nodes, ready to be sent. After each change all nodes of a
+/// zone ask their relay for the same difference, and after a start for the same copies.
+#[derive(Default)]
+pub(crate) struct LastAnswer {
+    last: RefCell<Option<PackedAnswer>>,
+}
+
+/// Tells one state of a copy from the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct CopyState {
+    /// Up to which revision it is whole.
+    at: Option<Revision>,
+    /// Newest change in it.
+    latest: Revision,
+}
+
+/// An answer, and what it answers.
+struct PackedAnswer {
+    request: ViewRequest,
+    /// The copies that it was made of.
+    made_of: Vec<CopyState>,
+    bytes: Bytes,
+}
+
+impl LastAnswer {
+    /// The bytes of the last answer, if it is this question's and still right.
+    fn find(&self, request: &ViewRequest, made_of: &[CopyState]) -> Option<Bytes> {
+        let last = self.last.borrow();
+        let last = last.as_ref()?;
+        let is_same = last.request == *request && last.made_of == made_of;
+        is_same.then(|| last.bytes.clone())
+    }
+
+    fn keep(&self, answer: PackedAnswer) {
+        *self.last.borrow_mut() = Some(answer);
+    }
+}
+
+/// What an answer is made of, and the copies unless it stands ready.
+enum Prepared {
+    Ready(Bytes),
+    Made(Vec<CopyState>, Vec<Snapshot>),
+}
+
+fn prepare_answer(shared: &Shared, core: &NodeCore, request: &ViewRequest) -> Prepared {
+    let (views, ..) = core.inspect();
+    let wanted = request.wanted.iter();
+    let made_of: Vec<CopyState> = wanted
+        .map(|wanted| {
+            let replica = views.replica(wanted.view);
+            CopyState {
+                at: replica.mirror().at(),
+                latest: replica.latest(),
+            }
+        })
+        .collect();
+    match shared.last_answer.find(request, &made_of) {
+        Some(bytes) => Prepared::Ready(bytes),
+        None => Prepared::Made(made_of, core.answer(request)),
+    }
+}
+
 async fn answer(shared: &Rc<Shared>, mut stream: TcpStream) -> Result<(), PeerError> {
     let request: ViewRequest = read_message(&mut stream).await?;
     let (sender, receiver) = oneshot::channel();
+    let (for_look, asked) = (shared.clone(), request.clone());
     shared.inspect(move |core| {
         // The asker may have left.
-        let _ = sender.send(core.answer(&request));
+        let _ = sender.send(prepare_answer(&for_look, core, &asked));
     });
-    let snapshots = receiver.await.map_err(|_| PeerError::Ended)?;
-    let packed = Packed::new(&snapshots)?;
-    stream.write_all(&encode(&packed)?).await?;
+    let bytes = match receiver.await.map_err(|_| PeerError::Ended)? {
+        Prepared::Ready(bytes) => bytes,
+        Prepared::Made(made_of, snapshots) => {
+            let bytes = Bytes::from(encode(&Packed::new(&snapshots)?)?);
+            shared.last_answer.keep(PackedAnswer {
+                request,
+                made_of,
+                bytes: bytes.clone(),
+            });
+            bytes
+        }
+    };
+    stream.write_all(&bytes).await?;
     Ok(())
 }
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -135,6 +135,7 @@
         run,
         store: settings.store.address,
         datagrams: listeners.datagrams,
+        last_answer: peers::LastAnswer::default(),
         observer: Observer::new(log),
     });
     let turn = Rc::new(Turn::default());
