Send less to upstreams that answer with failures

One that fails fast looks idle. Hypothesis: where there is a choice, each failure of the last seconds counts as the time of a request. Ruled out: sending again (what may not be repeated has run), ejecting an upstream (its health answers may lie either way, and all may fail). Both tests in dispatch/tests/faults.rs failed before.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The decisions.
 
 mod choice;
+mod faults;
 mod outcome;
 mod pools;
 mod reports;
@@ -19,6 +20,7 @@
 use beamtray_sharding::{Assignment, ShardKey};
 use beamtray_types::{ServiceName, Time, Zone};
 use choice::Choice;
+use faults::Faults;
 use pools::Pools;
 pub use slots::{SlotCounts, SlotReply, SlotRequest};
 use slots::{SlotDesk, SlotState};
@@ -139,6 +141,7 @@
     draining_since: HashMap<UpstreamId, Time>,
     occupancy: Occupancy,
     slots: SlotDesk,
+    faults: Faults,
     speeds: SpeedTable,
     /// When each upstream last answered a request of any node.
     heard: HashMap<UpstreamHash, Time>,
@@ -170,6 +173,7 @@
             draining_since: HashMap::new(),
             occupancy: Occupancy::default(),
             slots: SlotDesk::default(),
+            faults: Faults::default(),
             speeds: SpeedTable::default(),
             heard: HashMap::new(),
             key_loads: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -172,6 +172,7 @@
         }
         let rounds = f64::from(occupied + 1) / f64::from(record.slots.max(1));
         let mut cost = time * rounds.max(1.0);
+        cost += self.faults.cost(now, seat.hash, query.work);
         if record.zone != self.config.zone {
             cost += self.config.zone_cost.as_secs_f64();
         }
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -93,6 +93,10 @@
             AttemptOutcome::Answered { success } => {
                 self.heard.insert(attempt.hash, now);
                 health.failures = 0;
+                if !success {
+                    self.faults.note(now, attempt.hash, 1);
+                    self.speeds.fail(attempt.hash);
+                }
                 if success && attempt.unqueued {
                     let seconds = now.since(attempt.sent).as_secs_f64();
                     self.speeds
--- a/crates/dispatch/src/dispatcher/reports.rs
+++ b/crates/dispatch/src/dispatcher/reports.rs
@@ -64,6 +64,10 @@
     pub fn take_others_answers(&mut self, now: Time, answers: &[Answers]) {
         for answers in answers {
             self.heard.insert(answers.upstream, now);
+            if answers.failures > 0 {
+                let failures = u32::from(answers.failures);
+                self.faults.note(now, answers.upstream, failures);
+            }
             let count = f64::from(answers.samples);
             self.speeds
                 .add(answers.upstream, count, f64::from(answers.sum));
@@ -78,6 +82,7 @@
                 upstream,
                 samples: untold.count.min(u32::from(u8::MAX)) as u8,
                 sum: untold.sum as f32,
+                failures: untold.failures.min(u32::from(u8::MAX)) as u8,
             })
             .collect()
     }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -54,6 +54,8 @@
     pub samples: u8,
     /// Their times relative to their routes' means, summed.
     pub sum: f32,
+    /// Answers that told of a failure; they are not among the samples.
+    pub failures: u8,
 }
 
 /// Requests for one key since the last report.
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -32,6 +32,7 @@
 pub(crate) struct Untold {
     pub count: u32,
     pub sum: f64,
+    pub failures: u32,
 }
 
 /// What was learned of one upstream.
@@ -87,6 +88,11 @@
         untold.sum += ratio;
     }
 
+    /// Takes an answer that told of a failure, to be told to other nodes.
+    pub fn fail(&mut self, upstream: UpstreamHash) {
+        self.untold.entry(upstream).or_default().failures += 1;
+    }
+
     /// Takes samples of another node.
     pub fn add(&mut self, upstream: UpstreamHash, count: f64, sum: f64) {
         let samples = self.upstreams.entry(upstream).or_insert(Samples {
--- /dev/null
+++ b/crates/dispatch/tests/faults.rs
@@ -0,0 +1,50 @@
+//! Upstreams that answer with failures.
+
+mod common;
+
+use beamtray_dispatch::{AttemptOutcome, Dispatcher, LoadReport, NodeHash, Ticket};
+use common::*;
+
+/// Sends a request and ends it at once; where it went. "near" fails if it does.
+fn send(node: &mut Dispatcher, ticket: u64, time: u64, near_fails: bool) -> String {
+    node.admit(at(time), Ticket(ticket), &head("/order/1", None))
+        .expect("it is admitted");
+    let forward = forwarded(node.poll(at(time), &directory())).expect("it is sent");
+    let fails = near_fails && forward.upstream.0 == "near";
+    let outcome = AttemptOutcome::Answered { success: !fails };
+    node.ended(at(time + 10), Ticket(ticket), outcome);
+    forward.upstream.0
+}
+
+/// An upstream that fails fast is always idle. It got every request of its zone.
+#[test]
+fn an_upstream_that_fails_gets_fewer_requests_for_a_while() {
+    let mut node = dispatcher();
+    let sent: Vec<String> = (0..20)
+        .map(|index| send(&mut node, index, index * 20, true))
+        .collect();
+    let failed = sent.iter().filter(|one| *one == "near").count();
+    assert!((1..=4).contains(&failed), "{failed} of 20 failed");
+    assert_eq!(send(&mut node, 30, 30_000, false), "near");
+}
+
+#[test]
+fn failures_are_told_to_other_nodes() {
+    let mut node = dispatcher();
+    for index in 0..3 {
+        send(&mut node, index, index, true);
+    }
+    let answers = node.take_answers();
+    let failures: u32 = answers.iter().map(|one| u32::from(one.failures)).sum();
+    assert!(failures > 0);
+    let mut relay = dispatcher();
+    let report = LoadReport {
+        node: NodeHash(4),
+        run: 1,
+        sequence: 1,
+        in_flight: Vec::new(),
+        answers,
+    };
+    relay.report(at(50), &report);
+    assert_eq!(send(&mut relay, 1, 60, true), "far");
+}
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -41,6 +41,7 @@
 pub(super) struct Untold {
     samples: u32,
     sum: f32,
+    failures: u32,
 }
 
 /// When reports are due, and what a relay passes on.
@@ -259,6 +260,7 @@
             let untold = self.reports.untold.entry(answers.upstream).or_default();
             untold.samples += u32::from(answers.samples);
             untold.sum += answers.sum;
+            untold.failures += u32::from(answers.failures);
         }
     }
 
@@ -284,6 +286,7 @@
                 upstream,
                 samples: untold.samples.min(u32::from(u8::MAX)) as u8,
                 sum: untold.sum,
+                failures: untold.failures.min(u32::from(u8::MAX)) as u8,
             })
             .collect();
         for part in answers.chunks(ANSWERS_A_DATAGRAM) {
