Take the view of the assignments whole at the start of a term

Cause, from reading: a granter took the values that it read for its term into its copy one by one, each as the newest change. With parts there are 33 of them in the order of their keys, and those older than one before were dropped if the copy was not known yet; the copy was then told to others as whole, until the granter had written each part anew. Change: the reading at the start of a term goes over all that granters write and is taken as a whole copy.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -3,17 +3,17 @@
 
 mod standbys;
 
-use crate::core::grants::{Grants, adopt, candidates, probe_claimed, read_assignments};
+use crate::core::grants::{Grants, adopt, candidates, probe_claimed, read_state};
 use crate::core::message::{OrderTask, StoreTask};
 use crate::core::records::{NodeRecord, OwnKeys};
 use crate::core::registration::Registrar;
 use crate::core::standby_words::StandbyWords;
-use crate::core::views::{ViewName, Views};
+use crate::core::views::{Snapshot, ViewName, Views};
 use beamtray_catalog::{Directory, UpstreamId};
 use beamtray_dispatch::{Dispatcher, KeyReport, SpeedTable};
 use beamtray_metastore::{
-    Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, StoreCall, StoreOutcome,
-    Transaction, Write,
+    Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, Revision, StoreCall,
+    StoreOutcome, Transaction, Write,
 };
 use beamtray_sharding::{BalanceLimits, GrantOrder, GrantReply, GranterTiming, OwnedAgain};
 use beamtray_types::{ServiceName, Time};
@@ -74,8 +74,9 @@
     grants: Option<BTreeMap<ServiceName, Grants>>,
     /// Whether a reading of them is under way.
     reading: bool,
-    /// Pages read so far.
+    /// Pages read so far, and the revision of the first one.
     read: Vec<Item>,
+    read_from: Option<Revision>,
     read_at: Time,
     rebalance_at: Time,
     /// When orders are looked at next.
@@ -93,6 +94,7 @@
             grants: None,
             reading: false,
             read: Vec::new(),
+            read_from: None,
             read_at: now,
             rebalance_at: now,
             orders_at: now,
@@ -124,6 +126,8 @@
     standbys: StandbyWords,
     /// Assignments in the store that this node's views don't show yet.
     written: Vec<Item>,
+    /// What was read at the start of the term.
+    taken_over: Option<Snapshot>,
     speeds_at: Time,
 }
 
@@ -145,6 +149,7 @@
             term: None,
             standbys: StandbyWords::default(),
             written: Vec::new(),
+            taken_over: None,
             speeds_at: Time::ZERO,
             addresses: BTreeMap::new(),
             addresses_of: None,
@@ -238,7 +243,7 @@
             }
             term.reading = true;
             let after = term.read.last().map(|item| item.key.clone());
-            return vec![(StoreTask::TakeOver, read_assignments(after))];
+            return vec![(StoreTask::TakeOver, read_state(after))];
         };
         let mut calls = Vec::new();
         for (service, grants) in grants {
@@ -291,10 +296,12 @@
             return;
         };
         term.reading = false;
-        let StoreOutcome::Page { items, more, .. } = outcome else {
+        let StoreOutcome::Page { items, more, at } = outcome else {
             term.read_at = now + REREAD;
             return;
         };
+        // Later pages may hold newer items, so the first one's revision counts.
+        let from = *term.read_from.get_or_insert(at);
         term.read.extend(items);
         if more {
             return;
@@ -304,10 +311,25 @@
         let read = std::mem::take(&mut term.read);
         term.grants = Some(adopt(now, timing, epoch, &read));
         term.candidates_of = None;
-        self.written.extend(read);
+        self.taken_over = Some(Snapshot {
+            view: ViewName::State,
+            at: from,
+            items: read,
+            removals: Vec::new(),
+            is_whole: true,
+        });
+    }
+
+    /// What this node read at the start of its term, as a copy of the view of the
+    /// assignments.
+    ///
+    /// Invariant: that view is whole before this node adds what it writes. It tells the
+    /// others of the view up to its last write, and what it lacked they would lack.
+    pub fn take_taken_over(&mut self) -> Option<Snapshot> {
+        self.taken_over.take()
     }
 
-    /// Assignments that this node wrote or read for itself.
+    /// Assignments that this node wrote.
     pub fn take_written(&mut self) -> Vec<Item> {
         std::mem::take(&mut self.written)
     }
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -210,9 +210,10 @@
     }
 }
 
-pub(crate) fn read_assignments(after: Option<String>) -> StoreCall {
+/// Reads all that granters write: the assignments, and what else the view of them has.
+pub(crate) fn read_state(after: Option<String>) -> StoreCall {
     StoreCall::Range {
-        prefix: OwnKeys::ASSIGNMENTS.to_owned(),
+        prefix: OwnKeys::STATE.to_owned(),
         after,
     }
 }
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -219,6 +219,10 @@
             }
             task => self.control.handle_store(now, task, outcome),
         }
+        if let Some(snapshot) = self.control.take_taken_over() {
+            self.views.adopt(now, vec![snapshot]);
+            self.viewed(now);
+        }
         let written = self.control.take_written();
         if !written.is_empty() {
             for item in written {
