Split control and settings by what they are about

control/term.rs has a granter's term: its start, its readings, its records; settings/core_config.rs what settings and constants make of a core's configuration. Code is only moved; one comment calls an estimate what it is.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -2,8 +2,9 @@
 //! it is the granter.
 
 mod standbys;
+mod term;
 
-use crate::core::grants::{Grants, adopt, candidates, probe_claimed, read_state};
+use crate::core::grants::{Grants, candidates, probe_claimed};
 use crate::core::message::{OrderTask, StoreTask};
 use crate::core::records::{NodeRecord, OwnKeys};
 use crate::core::registration::Registrar;
@@ -12,14 +13,15 @@
 use beamtray_catalog::{Directory, UpstreamId};
 use beamtray_dispatch::{Dispatcher, KeyReport, SpeedTable};
 use beamtray_metastore::{
-    Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, Revision, StoreCall,
-    StoreOutcome, Transaction, Write,
+    Condition, Election, ElectionConfig, Item, LeaseTiming, StoreCall, StoreOutcome, Transaction,
+    Write,
 };
 use beamtray_sharding::{BalanceLimits, GrantOrder, GrantReply, GranterTiming, OwnedAgain};
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use term::Term;
 
 /// Between two looks at the balance.
 const REBALANCE: Duration = Duration::from_millis(150);
@@ -27,21 +29,8 @@
 const LOAD_KEPT: f64 = 0.917;
 /// Between looks at which orders are due, when nothing asks for one sooner.
 const ORDERS: Duration = Duration::from_millis(10);
-/// Between looks at what nodes heard of upstreams, and at their speeds, when the
-/// directory does not change: a holder that leaves a grant unanswered for that
-/// long may have answered requests meanwhile.
-const REFRESH_CANDIDATES: Duration = Duration::from_millis(100);
 /// Between two writes of learned speeds.
 const KEEP_SPEEDS: Duration = Duration::from_secs(4);
-/// Pause between two records, so that changes close together go in one.
-const GATHER: Duration = Duration::from_millis(20);
-/// Added to that for each slice: every node takes every record.
-const GATHER_A_SLICE: Duration = Duration::from_micros(120);
-/// Pause after a record that was not written.
-const REWRITE: Duration = Duration::from_millis(80);
-/// Pause after a failed reading at a takeover.
-const REREAD: Duration = Duration::from_millis(100);
-
 /// Between renewals of a relay's entry.
 const RELAY_RENEWAL: Duration = Duration::from_millis(300);
 /// How much longer than a relay another node leaves the granter's place vacant.
@@ -67,53 +56,6 @@
     pub balance: BalanceLimits,
 }
 
-/// One term of this node as the granter.
-struct Term {
-    authority: Authority,
-    /// None until the records were read.
-    grants: Option<BTreeMap<ServiceName, Grants>>,
-    /// Whether a reading of them is under way.
-    reading: bool,
-    /// Pages read so far, and the revision of the first one.
-    read: Vec<Item>,
-    read_from: Option<Revision>,
-    read_at: Time,
-    rebalance_at: Time,
-    /// When orders are looked at next.
-    orders_at: Time,
-    /// When candidates are looked at next, and the state of the directory that
-    /// they were last taken from.
-    candidates_at: Time,
-    candidates_of: Option<u64>,
-}
-
-impl Term {
-    fn new(now: Time, authority: Authority) -> Self {
-        Self {
-            authority,
-            grants: None,
-            reading: false,
-            read: Vec::new(),
-            read_from: None,
-            read_at: now,
-            rebalance_at: now,
-            orders_at: now,
-            candidates_at: now,
-            candidates_of: None,
-        }
-    }
-
-    /// Whether candidates are to be taken from the directory again.
-    fn refreshes_candidates(&mut self, now: Time, changes: u64) -> bool {
-        let refreshes = self.candidates_of != Some(changes) || now >= self.candidates_at;
-        if refreshes {
-            self.candidates_of = Some(changes);
-            self.candidates_at = now + REFRESH_CANDIDATES;
-        }
-        refreshes
-    }
-}
-
 /// This node's part in control.
 pub struct Control {
     config: ControlConfig,
@@ -210,49 +152,6 @@
         calls
     }
 
-    /// Begins and ends terms as the authority comes and goes.
-    fn follow_authority(&mut self, now: Time) {
-        let Some(authority) = self.election.authority(now) else {
-            // The lease may prove to have lasted after all: the term is kept
-            // and nothing is sent meanwhile.
-            return;
-        };
-        let same = self
-            .term
-            .as_ref()
-            .is_some_and(|term| term.authority.epoch == authority.epoch);
-        if same {
-            if let Some(term) = &mut self.term {
-                term.authority = authority;
-            }
-            return;
-        }
-        self.term = Some(Term::new(now, authority));
-    }
-
-    fn poll_term(&mut self, now: Time) -> Vec<(StoreTask, StoreCall)> {
-        let Some(authority) = self.election.authority(now) else {
-            return Vec::new();
-        };
-        let Some(term) = &mut self.term else {
-            return Vec::new();
-        };
-        let Some(grants) = &mut term.grants else {
-            if term.reading || now < term.read_at {
-                return Vec::new();
-            }
-            term.reading = true;
-            let after = term.read.last().map(|item| item.key.clone());
-            return vec![(StoreTask::TakeOver, read_state(after))];
-        };
-        let mut calls = Vec::new();
-        for (service, grants) in grants {
-            let call = grants.poll_write(now, service, authority.revision);
-            calls.extend(call.map(|call| (StoreTask::Record(service.clone()), call)));
-        }
-        calls
-    }
-
     /// Keeps what was learned of speeds for the processes after this one.
     fn poll_speeds(&mut self, now: Time, speeds: &SpeedTable) -> Option<(StoreTask, StoreCall)> {
         let authority = self.election.authority(now)?;
@@ -290,81 +189,6 @@
         }
     }
 
-    /// Takes a page of the assignments read at a takeover.
-    fn taken_over(&mut self, now: Time, outcome: StoreOutcome) {
-        let Some(term) = &mut self.term else {
-            return;
-        };
-        term.reading = false;
-        let StoreOutcome::Page { items, more, at } = outcome else {
-            term.read_at = now + REREAD;
-            return;
-        };
-        // Later pages may hold newer items, so the first one's revision counts.
-        let from = *term.read_from.get_or_insert(at);
-        term.read.extend(items);
-        if more {
-            return;
-        }
-        let timing = self.config.grants;
-        let epoch = term.authority.epoch;
-        let read = std::mem::take(&mut term.read);
-        term.grants = Some(adopt(now, timing, epoch, &read));
-        term.candidates_of = None;
-        self.taken_over = Some(Snapshot {
-            view: ViewName::State,
-            at: from,
-            items: read,
-            removals: Vec::new(),
-            is_whole: true,
-        });
-    }
-
-    /// What this node read at the start of its term, as a copy of the view of the
-    /// assignments.
-    ///
-    /// Invariant: that view is whole before this node adds what it writes. It tells the
-    /// others of the view up to its last write, and what it lacked they would lack.
-    pub fn take_taken_over(&mut self) -> Option<Snapshot> {
-        self.taken_over.take()
-    }
-
-    /// Assignments that this node wrote.
-    pub fn take_written(&mut self) -> Vec<Item> {
-        std::mem::take(&mut self.written)
-    }
-
-    fn recorded(&mut self, now: Time, service: &ServiceName, outcome: StoreOutcome) {
-        let Some(term) = &mut self.term else {
-            return;
-        };
-        let epoch = term.authority.epoch;
-        let Some(grants) = term
-            .grants
-            .as_mut()
-            .and_then(|grants| grants.get_mut(service))
-        else {
-            return;
-        };
-        match outcome {
-            StoreOutcome::Committed { revision } => {
-                let slices = grants.granter.slice_count() as u32;
-                grants.write_at = now + GATHER + GATHER_A_SLICE * slices;
-                let written = grants.written(now, service, revision);
-                self.written.extend(written);
-            }
-            StoreOutcome::Conflict { items } => {
-                grants.write_at = now + REWRITE;
-                grants.conflict(epoch, &items);
-            }
-            _ => {
-                grants.write_at = now + REWRITE;
-                grants.not_written();
-            }
-        }
-        term.orders_at = now;
-    }
-
     /// Follows the directory and gives orders that are due.
     pub fn poll_orders(
         &mut self,
--- /dev/null
+++ b/crates/router/src/core/control/term.rs
@@ -0,0 +1,192 @@
+//! A term of this node as the granter: how it begins, what it reads from the store at its
+//! start, and the records that it writes.
+
+use super::Control;
+use crate::core::grants::{Grants, adopt, read_state};
+use crate::core::message::StoreTask;
+use crate::core::views::{Snapshot, ViewName};
+use beamtray_metastore::{Authority, Item, Revision, StoreCall, StoreOutcome};
+use beamtray_types::{ServiceName, Time};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Pause between two records, so that changes close together go in one.
+const GATHER: Duration = Duration::from_millis(20);
+/// Added to that for each slice: every node takes every record.
+const GATHER_A_SLICE: Duration = Duration::from_micros(120);
+/// Pause after a record that was not written.
+const REWRITE: Duration = Duration::from_millis(80);
+/// Pause after a failed reading at a takeover.
+const REREAD: Duration = Duration::from_millis(100);
+/// Between looks at what nodes heard of upstreams, and at their speeds, when the
+/// directory does not change: a holder that leaves a grant unanswered for that
+/// long may have answered requests meanwhile.
+const REFRESH_CANDIDATES: Duration = Duration::from_millis(100);
+
+/// One term of this node as the granter.
+pub(super) struct Term {
+    pub(super) authority: Authority,
+    /// None until the records were read.
+    pub(super) grants: Option<BTreeMap<ServiceName, Grants>>,
+    /// Whether a reading of them is under way.
+    pub(super) reading: bool,
+    /// Pages read so far, and the revision of the first one.
+    pub(super) read: Vec<Item>,
+    pub(super) read_from: Option<Revision>,
+    pub(super) read_at: Time,
+    pub(super) rebalance_at: Time,
+    /// When orders are looked at next.
+    pub(super) orders_at: Time,
+    /// When candidates are looked at next, and the state of the directory that
+    /// they were last taken from.
+    pub(super) candidates_at: Time,
+    pub(super) candidates_of: Option<u64>,
+}
+
+impl Term {
+    pub(super) fn new(now: Time, authority: Authority) -> Self {
+        Self {
+            authority,
+            grants: None,
+            reading: false,
+            read: Vec::new(),
+            read_from: None,
+            read_at: now,
+            rebalance_at: now,
+            orders_at: now,
+            candidates_at: now,
+            candidates_of: None,
+        }
+    }
+
+    /// Whether candidates are to be taken from the directory again.
+    pub(super) fn refreshes_candidates(&mut self, now: Time, changes: u64) -> bool {
+        let refreshes = self.candidates_of != Some(changes) || now >= self.candidates_at;
+        if refreshes {
+            self.candidates_of = Some(changes);
+            self.candidates_at = now + REFRESH_CANDIDATES;
+        }
+        refreshes
+    }
+}
+
+impl Control {
+    /// Begins and ends terms as the authority comes and goes.
+    pub(super) fn follow_authority(&mut self, now: Time) {
+        let Some(authority) = self.election.authority(now) else {
+            // The lease may prove to have lasted after all: the term is kept
+            // and nothing is sent meanwhile.
+            return;
+        };
+        let same = self
+            .term
+            .as_ref()
+            .is_some_and(|term| term.authority.epoch == authority.epoch);
+        if same {
+            if let Some(term) = &mut self.term {
+                term.authority = authority;
+            }
+            return;
+        }
+        self.term = Some(Term::new(now, authority));
+    }
+
+    /// Readings and records that are due.
+    pub(super) fn poll_term(&mut self, now: Time) -> Vec<(StoreTask, StoreCall)> {
+        let Some(authority) = self.election.authority(now) else {
+            return Vec::new();
+        };
+        let Some(term) = &mut self.term else {
+            return Vec::new();
+        };
+        let Some(grants) = &mut term.grants else {
+            if term.reading || now < term.read_at {
+                return Vec::new();
+            }
+            term.reading = true;
+            let after = term.read.last().map(|item| item.key.clone());
+            return vec![(StoreTask::TakeOver, read_state(after))];
+        };
+        let mut calls = Vec::new();
+        for (service, grants) in grants {
+            let call = grants.poll_write(now, service, authority.revision);
+            calls.extend(call.map(|call| (StoreTask::Record(service.clone()), call)));
+        }
+        calls
+    }
+
+    /// Takes a page of the assignments read at a takeover.
+    pub(super) fn taken_over(&mut self, now: Time, outcome: StoreOutcome) {
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        term.reading = false;
+        let StoreOutcome::Page { items, more, at } = outcome else {
+            term.read_at = now + REREAD;
+            return;
+        };
+        // Later pages may hold newer items, so the first one's revision counts.
+        let from = *term.read_from.get_or_insert(at);
+        term.read.extend(items);
+        if more {
+            return;
+        }
+        let timing = self.config.grants;
+        let epoch = term.authority.epoch;
+        let read = std::mem::take(&mut term.read);
+        term.grants = Some(adopt(now, timing, epoch, &read));
+        term.candidates_of = None;
+        self.taken_over = Some(Snapshot {
+            view: ViewName::State,
+            at: from,
+            items: read,
+            removals: Vec::new(),
+            is_whole: true,
+        });
+    }
+
+    /// What this node read at the start of its term, as a copy of the view of the
+    /// assignments.
+    ///
+    /// Invariant: that view is whole before this node adds what it writes. It tells the
+    /// others of the view up to its last write, and what it lacked they would lack.
+    pub fn take_taken_over(&mut self) -> Option<Snapshot> {
+        self.taken_over.take()
+    }
+
+    /// Assignments that this node wrote.
+    pub fn take_written(&mut self) -> Vec<Item> {
+        std::mem::take(&mut self.written)
+    }
+
+    pub(super) fn recorded(&mut self, now: Time, service: &ServiceName, outcome: StoreOutcome) {
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        let epoch = term.authority.epoch;
+        let Some(grants) = term
+            .grants
+            .as_mut()
+            .and_then(|grants| grants.get_mut(service))
+        else {
+            return;
+        };
+        match outcome {
+            StoreOutcome::Committed { revision } => {
+                let slices = grants.granter.slice_count() as u32;
+                grants.write_at = now + GATHER + GATHER_A_SLICE * slices;
+                let written = grants.written(now, service, revision);
+                self.written.extend(written);
+            }
+            StoreOutcome::Conflict { items } => {
+                grants.write_at = now + REWRITE;
+                grants.conflict(epoch, &items);
+            }
+            _ => {
+                grants.write_at = now + REWRITE;
+                grants.not_written();
+            }
+        }
+        term.orders_at = now;
+    }
+}
--- /dev/null
+++ b/crates/router/src/settings/core_config.rs
@@ -0,0 +1,166 @@
+//! What the settings and the constants here make of a core's configuration.
+
+use super::NodeSettings;
+use crate::core::{ControlConfig, CoreConfig, GRANT_TIMEOUT, NodeRecord, Timing};
+use beamtray_catalog::DirectoryPolicy;
+use beamtray_dispatch::{BudgetConfig, DispatchConfig};
+use beamtray_metastore::LeaseTiming;
+use beamtray_sharding::{BalanceLimits, GranterGuards, GranterTiming};
+use std::time::Duration;
+
+/// Life of a node's entry without renewal.
+const NODE_TTL: Duration = Duration::from_secs(8);
+const NODE_RENEWAL: Duration = Duration::from_millis(3_000);
+/// Life of the granter's place without renewal: how long keys are without a
+/// granter after it is lost.
+const GRANTER_TTL: Duration = Duration::from_millis(2_000);
+const GRANTER_RENEWAL: Duration = Duration::from_millis(500);
+/// How long a grant holds at most. When a granter is lost the next one is there
+/// after [`GRANTER_TTL`]; what is left of a hold then is this less
+/// [`GRANT_RENEWAL`]. Outages of the store are bridged by standbys.
+const HOLD: Duration = Duration::from_millis(3_000);
+const GRANT_RENEWAL: Duration = Duration::from_millis(750);
+/// Time between orders that a granter with a whole core has the processor time for. An
+/// estimate: a fifth of it, if an order with its connection costs 0.2 ms.
+const ORDER_PAUSE: Duration = Duration::from_millis(1);
+/// Longest time between orders, for nodes with next to no processor time.
+const LONGEST_ORDER_PAUSE: Duration = Duration::from_millis(10);
+const LONGEST_RENEWAL: Duration = Duration::from_millis(2_000);
+/// How much longer a holder may count a hold, in percent.
+const CLOCK_DRIFT_PERCENT: u32 = 2;
+const TRANSIT: Duration = Duration::from_millis(300);
+/// Beyond this and what is left of its hold, a silent holder has no keys.
+const SILENCE: Duration = Duration::from_millis(1_200);
+const NOTICE: Duration = Duration::from_millis(20);
+/// Longest wait of a watch: each that ends unheard costs a call.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// At the first start of all nodes: until all of them have registered.
+const FIRST_START_DELAY: Duration = Duration::from_millis(500);
+/// How much longer a node waits that has next to no processor time.
+const WEAK_START_DELAY: Duration = Duration::from_millis(1_500);
+/// Share of a core from which a node waits no longer than [`FIRST_START_DELAY`].
+const ABLE_SHARE: f64 = 0.5;
+
+impl NodeSettings {
+    /// The core's fixed values for this run of the process.
+    pub fn core_config(&self, run: u64) -> CoreConfig {
+        let record = NodeRecord {
+            name: self.node.clone(),
+            run,
+            zone: self.zone.clone(),
+            peers: self.listen.peers,
+            capacity: self.limits.ability(),
+            declines_standby: false,
+        };
+        CoreConfig {
+            dispatch: self.dispatch_config(run),
+            control: self.control_config(record),
+            directory: self.directory_policy(),
+            watch_wait: WATCH_WAIT,
+            start_delay: self.start_delay(),
+            seeds: self.seeds.clone(),
+            timing: Timing::default(),
+        }
+    }
+
+    /// How long this node waits for others to register before it reads who they
+    /// are. Relays are the ablest nodes, so those read first and tell the others.
+    fn start_delay(&self) -> Duration {
+        if !self.first_start {
+            return Duration::ZERO;
+        }
+        let lacking = (1.0 - self.limits.processor_share / ABLE_SHARE).max(0.0);
+        FIRST_START_DELAY + WEAK_START_DELAY.mul_f64(lacking)
+    }
+
+    fn dispatch_config(&self, run: u64) -> DispatchConfig {
+        // The other half of the drain time is for hearing of it, and for a request
+        // that takes long to reach the upstream: connecting alone may take a third
+        // of a second, and a node may have a tenth of a core.
+        let drain = Duration::from_millis(self.bounds.drain_ms.max(200));
+        DispatchConfig {
+            node: self.node.clone(),
+            run,
+            zone: self.zone.as_str().into(),
+            budget: BudgetConfig {
+                ratio: self.bounds.retry_ratio,
+                allowance: self.bounds.retry_allowance,
+                window: Duration::from_secs_f64(self.bounds.retry_window_s),
+            },
+            queue_limit: 2_000,
+            most_queued: 6,
+            zone_cost: Duration::from_millis(80),
+            leaver_grace: drain / 2,
+            proves_before_repeat: true,
+        }
+    }
+
+    /// An upstream that left while the store was sound must get nothing once
+    /// the drain time is over, so doubt about its absence ends before a node
+    /// counts as connected again.
+    fn directory_policy(&self) -> DirectoryPolicy {
+        let contact = Duration::from_millis(self.bounds.contact_ms.max(500));
+        DirectoryPolicy {
+            distrust: contact / 6,
+            patience: contact * 53 / 100,
+        }
+    }
+
+    fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.bounds.heartbeat_ms.max(500))
+    }
+
+    fn control_config(&self, record: NodeRecord) -> ControlConfig {
+        let heartbeat = self.heartbeat();
+        let longest = match self.bounds.longest_hold_ms {
+            0 => HOLD + LONGEST_RENEWAL,
+            longest => Duration::from_millis(longest),
+        };
+        let hold = longest.min(HOLD);
+        let renewal = GRANT_RENEWAL.min(hold / 4);
+        let least = Duration::from_millis(self.store.least_ttl_ms);
+        let patience = Duration::from_millis(20 + run_spread(record.run) % 180);
+        ControlConfig {
+            record,
+            node_lease: LeaseTiming {
+                ttl: NODE_TTL.max(least),
+                renewal: NODE_RENEWAL,
+            },
+            granter_lease: LeaseTiming {
+                ttl: GRANTER_TTL.max(least),
+                renewal: GRANTER_RENEWAL,
+            },
+            patience,
+            grants: GranterTiming {
+                hold,
+                renewal,
+                order_pause: ORDER_PAUSE
+                    .div_f64(self.limits.processor_share.min(1.0))
+                    .min(LONGEST_ORDER_PAUSE),
+                longest_renewal: renewal + (longest - hold).min(LONGEST_RENEWAL - renewal),
+                drift_percent: CLOCK_DRIFT_PERCENT,
+                transit: TRANSIT,
+                order_wait: GRANT_TIMEOUT,
+                silence: SILENCE,
+                settle: heartbeat,
+                notice: NOTICE,
+                guards: GranterGuards::default(),
+            },
+            balance: BalanceLimits {
+                moves: 8,
+                moves_share: 0.25,
+                overloaded: 1.0,
+                busy: 0.45,
+                difference: 0.3,
+                least_requests: 2.0,
+                rest: Duration::from_millis(700),
+                window: 1.8,
+            },
+        }
+    }
+}
+
+/// Spreads runs so that nodes differ.
+fn run_spread(run: u64) -> u64 {
+    run.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32
+}
