--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -2,6 +2,7 @@
 
 mod fetch;
 mod load;
+mod slots;
 mod standby;
 mod talk;
 mod zone_load;
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -9,7 +9,7 @@
 use super::talk::bounded;
 use crate::core::membership::Audience;
 use crate::core::message::{Datagram, Output};
-use beamtray_dispatch::{Answers, LoadReport, LoadSum, SlotRequest, SumSource, UpstreamHash};
+use beamtray_dispatch::{Answers, LoadReport, LoadSum, SumSource, UpstreamHash};
 use beamtray_types::Time;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -172,27 +172,8 @@
         leading.map_or(relays.clone(), |leading| vec![*leading])
     }
 
-    /// The relay that is asked where to send requests without a key.
-    pub(super) fn slot_relay(&self, now: Time) -> Option<SocketAddr> {
-        if self.are_few() || self.leads(now) {
-            return None;
-        }
-        let own = &self.config.control.record;
-        let mut relays = self.membership.relays().of_zone(&own.zone).iter().copied();
-        relays.find(|relay| *relay != own.peers && self.tells_sums(now, relay))
-    }
-
-    /// As the relay of a zone: chooses an upstream for another node's request.
-    pub(super) fn give_slot(&mut self, now: Time, from: SocketAddr, request: &SlotRequest) {
-        self.take_load(now, &request.report);
-        let directory = &self.views.directory;
-        let reply = self.dispatcher.give_slot(now, directory, request);
-        let datagram = Datagram::SlotReply(reply);
-        self.outputs.push(Output::Send(datagram, vec![from]));
-    }
-
     /// Whether a relay of this zone tells sums.
-    fn tells_sums(&self, now: Time, relay: &SocketAddr) -> bool {
+    pub(super) fn tells_sums(&self, now: Time, relay: &SocketAddr) -> bool {
         let silence = LEAD_SILENCE.max(self.reports.sum_pause * SUMS_MISSED);
         let heard = self.reports.sums_heard.get(relay);
         heard.is_some_and(|heard| now.since(*heard) < silence)
