Let the simulated world tell attempts apart by a number of its own

Printed at each refusal: the holder had 0 or 1 requests, its nodes believed 4, and three nodes had one of their own under way for good. An attempt that does not arrive is not counted, so the next one has the same number, and the world dropped the end of the second as a repetition. Ruled out: a leak in the product, where each attempt is a task that ends. Change: the world numbers attempts itself.

--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -223,6 +223,8 @@
     pub(crate) orders_late_percent: u32,
     pub(crate) answers_lost_percent: u32,
     pub(crate) hot_key: Option<ShardKey>,
+    /// Number of the last attempt of all nodes.
+    pub(crate) last_attempt: u32,
     /// Last attempt that ended, by request.
     pub(crate) ended_attempts: BTreeMap<(usize, u64, Ticket), u32>,
     pub(crate) asked: BTreeMap<(usize, u64, Ticket), Asked>,
@@ -253,6 +255,7 @@
             orders_late_percent: 0,
             answers_lost_percent: 0,
             hot_key: None,
+            last_attempt: 0,
             ended_attempts: BTreeMap::new(),
             asked: BTreeMap::new(),
             configurations: Vec::new(),
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -193,7 +193,11 @@
         }
     }
 
-    pub(super) fn forward(&mut self, node: usize, run: Run, ticket: Ticket, forward: Forward) {
+    /// Sends a request to an upstream, as an attempt with a number of its own: an attempt
+    /// that did not arrive is not counted by the node, so its number comes again.
+    pub(super) fn forward(&mut self, node: usize, run: Run, ticket: Ticket, mut forward: Forward) {
+        self.last_attempt += 1;
+        forward.attempt = self.last_attempt;
         if self.is_connected(node) && self.is_store_stable() {
             self.check_configuration(node);
         }
--- a/crates/routersim/tests/explore.rs
+++ b/crates/routersim/tests/explore.rs
@@ -15,3 +15,19 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Histories of many nodes that once broke a promise.
+const ONCE_BROKEN_WITH_MANY: [u64; 1] = [5043];
+
+#[test]
+fn histories_that_once_broke_a_promise_keep_it() {
+    for seed in ONCE_BROKEN_WITH_MANY {
+        let outcome = explore(WorldSize::Many, seed);
+        let broken: Vec<String> = outcome
+            .violations
+            .iter()
+            .map(|one| one.to_string())
+            .collect();
+        assert!(broken.is_empty(), "seed {seed}: {}", broken.join("\n"));
+    }
+}
