--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -23,7 +23,7 @@
 use faults::Faults;
 use pools::Pools;
 pub use slots::{SlotCounts, SlotReply, SlotRequest};
-use slots::{SlotDesk, SlotState};
+use slots::{SlotState, SlotTracker};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -140,7 +140,7 @@
     followed: Option<u64>,
     draining_since: HashMap<UpstreamId, Time>,
     occupancy: Occupancy,
-    slots: SlotDesk,
+    slots: SlotTracker,
     faults: Faults,
     speeds: SpeedTable,
     /// When each upstream last answered a request of any node.
@@ -172,7 +172,7 @@
             followed: None,
             draining_since: HashMap::new(),
             occupancy: Occupancy::default(),
-            slots: SlotDesk::default(),
+            slots: SlotTracker::default(),
             faults: Faults::default(),
             speeds: SpeedTable::default(),
             heard: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -1,6 +1,6 @@
 //! Which upstream gets a request now.
 
-use super::pools::Seat;
+use super::pools::PoolMember;
 use super::slots::SlotStep;
 use super::{Dispatcher, Request};
 use crate::report::UpstreamHash;
@@ -68,10 +68,10 @@
         upstream: UpstreamHash,
     ) -> Result<Choice, RefusalReason> {
         let pool = self.pools.of(&request.service);
-        let named = pool.iter().find(|seat| seat.hash == upstream);
+        let named = pool.iter().find(|member| member.hash == upstream);
         let is_usable = !self.is_paused(now, upstream) && !request.tried.contains(&upstream);
         match named.filter(|_| is_usable) {
-            Some(seat) => Ok(Choice::Send(seat.registration.clone())),
+            Some(member) => Ok(Choice::Send(member.registration.clone())),
             None => self.choose_any(now, request),
         }
     }
@@ -127,7 +127,7 @@
         let pool = self.pools.of(&request.service);
         let query = self.query(now, request);
         match self.least_cost(now, &query, &pool) {
-            Some(seat) => Ok(Choice::Send(seat.registration.clone())),
+            Some(member) => Ok(Choice::Send(member.registration.clone())),
             None if pool.is_empty() => Err(RefusalReason::NoUpstream),
             None => Err(RefusalReason::Busy),
         }
@@ -138,41 +138,41 @@
         &mut self,
         now: Time,
         query: &Query<'_>,
-        pool: &'a [Seat],
-    ) -> Option<&'a Seat> {
+        pool: &'a [PoolMember],
+    ) -> Option<&'a PoolMember> {
         let start = self.draw();
-        let mut best: Option<(f64, &Seat)> = None;
-        for (index, seat) in pool.iter().enumerate() {
-            let Some(cost) = self.cost(now, query, seat) else {
+        let mut best: Option<(f64, &PoolMember)> = None;
+        for (index, member) in pool.iter().enumerate() {
+            let Some(cost) = self.cost(now, query, member) else {
                 continue;
             };
             // Equal ones are told apart by chance, so that nodes differ.
             let cost = cost * (1.0 + 0.02 * (((start >> (index % 32)) & 7) as f64 / 7.0));
             if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, seat));
+                best = Some((cost, member));
             }
         }
-        best.map(|(_, seat)| seat)
+        best.map(|(_, member)| member)
     }
 
     /// Seconds until an upstream is likely to have answered; `None` if it is not
     /// to get the request now.
-    fn cost(&self, now: Time, query: &Query<'_>, seat: &Seat) -> Option<f64> {
-        let record = &seat.registration.record;
-        if self.is_paused(now, seat.hash) || query.tried.contains(&seat.hash) {
+    fn cost(&self, now: Time, query: &Query<'_>, member: &PoolMember) -> Option<f64> {
+        let record = &member.registration.record;
+        if self.is_paused(now, member.hash) || query.tried.contains(&member.hash) {
             return None;
         }
-        let occupied = self.occupancy.total(seat.hash);
-        let mut time = self.expected(now, query.work, &seat.registration, seat.hash);
-        if occupied >= self.room(query, &seat.registration, time) {
+        let occupied = self.occupancy.total(member.hash);
+        let mut time = self.expected(now, query.work, &member.registration, member.hash);
+        if occupied >= self.room(query, &member.registration, time) {
             return None;
         }
-        if self.slots.is_suspect(now, seat.hash) {
+        if self.slots.is_suspect(now, member.hash) {
             time *= SUSPECT_SLOWNESS;
         }
         let rounds = f64::from(occupied + 1) / f64::from(record.slots.max(1));
         let mut cost = time * rounds.max(1.0);
-        cost += self.faults.cost(now, seat.hash, query.work);
+        cost += self.faults.cost(now, member.hash, query.work);
         if record.zone != self.config.zone {
             cost += self.config.zone_cost.as_secs_f64();
         }
--- a/crates/dispatch/src/dispatcher/pools.rs
+++ b/crates/dispatch/src/dispatcher/pools.rs
@@ -11,7 +11,7 @@
 
 /// One upstream that may be chosen.
 #[derive(Clone, Debug)]
-pub(super) struct Seat {
+pub(super) struct PoolMember {
     pub hash: UpstreamHash,
     pub registration: Registration,
 }
@@ -21,7 +21,7 @@
 pub(super) struct Pools {
     /// State of the directory that this was made from.
     made_of: Option<u64>,
-    seats: HashMap<ServiceName, Rc<[Seat]>>,
+    members: HashMap<ServiceName, Rc<[PoolMember]>>,
 }
 
 impl Pools {
@@ -31,25 +31,25 @@
             return;
         }
         self.made_of = Some(directory.changes());
-        let mut seats: HashMap<ServiceName, Vec<Seat>> = HashMap::new();
+        let mut members: HashMap<ServiceName, Vec<PoolMember>> = HashMap::new();
         let ready = |one: &&Registration| one.record.state == UpstreamState::Ready;
         for registration in directory.iter().filter(ready) {
             let record = &registration.record;
-            let seat = Seat {
+            let member = PoolMember {
                 hash: UpstreamHash::of(&record.id),
                 registration: registration.clone(),
             };
-            let pool = seats.entry(record.service.clone());
-            pool.or_default().push(seat);
+            let pool = members.entry(record.service.clone());
+            pool.or_default().push(member);
         }
-        let seats = seats.into_iter();
-        self.seats = seats
+        let members = members.into_iter();
+        self.members = members
             .map(|(service, pool)| (service, pool.into()))
             .collect();
     }
 
     /// The upstreams of a service that take new work, in the order of their ids.
-    pub fn of(&self, service: &ServiceName) -> Rc<[Seat]> {
-        self.seats.get(service).cloned().unwrap_or_default()
+    pub fn of(&self, service: &ServiceName) -> Rc<[PoolMember]> {
+        self.members.get(service).cloned().unwrap_or_default()
     }
 }
--- a/crates/dispatch/src/dispatcher/slots.rs
+++ b/crates/dispatch/src/dispatcher/slots.rs
@@ -92,7 +92,7 @@
 
 /// Whether the relay answers, and whom other nodes can't reach.
 #[derive(Clone, Debug, Default)]
-pub(super) struct SlotDesk {
+pub(super) struct SlotTracker {
     /// Whether there is a relay to ask.
     pub has_relay: bool,
     pub counts: SlotCounts,
@@ -101,7 +101,7 @@
     suspects: HashMap<UpstreamHash, Time>,
 }
 
-impl SlotDesk {
+impl SlotTracker {
     fn is_asked(&self, now: Time) -> bool {
         self.has_relay && now >= self.ask_from
     }
@@ -181,7 +181,7 @@
         request: &Request,
     ) -> SlotRequest {
         let pool = self.pools.of(&request.service);
-        let paused = pool.iter().map(|seat| seat.hash);
+        let paused = pool.iter().map(|member| member.hash);
         let unreachable: Vec<UpstreamHash> = paused
             .filter(|upstream| self.is_unreachable(now, *upstream))
             .collect();
@@ -215,8 +215,8 @@
             tried: &request.excluded,
         };
         let pool = self.pools.of(&request.service);
-        let seat = self.least_cost(now, &query, &pool);
-        let upstream = seat.map(|seat| seat.hash);
+        let member = self.least_cost(now, &query, &pool);
+        let upstream = member.map(|member| member.hash);
         if let Some(upstream) = upstream {
             self.occupancy.given(now, request.report.node, upstream);
         }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -95,8 +95,9 @@
     directory
 }
 
-pub fn dispatcher() -> Dispatcher {
-    let mut dispatcher = Dispatcher::new(DispatchConfig {
+/// A node that knows no configuration yet.
+pub fn unconfigured() -> Dispatcher {
+    Dispatcher::new(DispatchConfig {
         node: "node".to_owned(),
         run: 9,
         zone: "here".into(),
@@ -110,7 +111,11 @@
         zone_cost: Duration::from_millis(80),
         leaver_grace: Duration::from_millis(1_333),
         proves_before_repeat: true,
-    });
+    })
+}
+
+pub fn dispatcher() -> Dispatcher {
+    let mut dispatcher = unconfigured();
     dispatcher.configure(&configuration());
     dispatcher
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -4,9 +4,8 @@
 
 use beamtray_catalog::{UpstreamId, UpstreamState};
 use beamtray_dispatch::{
-    Admission, AttemptOutcome, BudgetConfig, Conclusion, DispatchConfig, Dispatcher, InFlight,
-    LoadReport, NodeHash, Occupancy, RefusalReason, SumSource, Ticket, UnknownCause, Untouched,
-    UpstreamHash,
+    Admission, AttemptOutcome, Conclusion, Dispatcher, InFlight, LoadReport, NodeHash, Occupancy,
+    RefusalReason, SumSource, Ticket, UnknownCause, Untouched, UpstreamHash,
 };
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
@@ -53,21 +52,7 @@
 
 #[test]
 fn what_no_configuration_allows_is_not_admitted() {
-    let mut unconfigured = Dispatcher::new(DispatchConfig {
-        node: "node".to_owned(),
-        run: 9,
-        zone: "here".into(),
-        budget: BudgetConfig {
-            ratio: 0.2,
-            allowance: 10.0,
-            window: Duration::from_secs(10),
-        },
-        queue_limit: 100,
-        most_queued: 6,
-        zone_cost: Duration::ZERO,
-        leaver_grace: Duration::ZERO,
-        proves_before_repeat: true,
-    });
+    let mut unconfigured = unconfigured();
     let denied = unconfigured.admit(at(1), Ticket(1), &head("/read/1", None));
     assert_eq!(denied, Err(Admission::NoConfiguration));
     let mut dispatcher = dispatcher();
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -69,7 +69,7 @@
     /// Assignments in the store that this node's views don't show yet.
     written: Vec<Item>,
     /// What was read at the start of the term.
-    taken_over: Option<Snapshot>,
+    reading: Option<Snapshot>,
     speeds_at: Time,
 }
 
@@ -91,7 +91,7 @@
             term: None,
             standbys: StandbyWords::default(),
             written: Vec::new(),
-            taken_over: None,
+            reading: None,
             speeds_at: Time::ZERO,
             addresses: BTreeMap::new(),
             addresses_of: None,
--- a/crates/router/src/core/control/term.rs
+++ b/crates/router/src/core/control/term.rs
@@ -136,7 +136,7 @@
         let read = std::mem::take(&mut term.read);
         term.grants = Some(adopt(now, timing, epoch, &read));
         term.candidates_of = None;
-        self.taken_over = Some(Snapshot {
+        self.reading = Some(Snapshot {
             view: ViewName::State,
             at: from,
             items: read,
@@ -150,8 +150,8 @@
     ///
     /// Invariant: that view is whole before this node adds what it writes. It tells the
     /// others of the view up to its last write, and what it lacked they would lack.
-    pub fn take_taken_over(&mut self) -> Option<Snapshot> {
-        self.taken_over.take()
+    pub fn take_reading(&mut self) -> Option<Snapshot> {
+        self.reading.take()
     }
 
     /// Assignments that this node wrote.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -220,7 +220,7 @@
             }
             task => self.control.handle_store(now, task, outcome),
         }
-        if let Some(snapshot) = self.control.take_taken_over() {
+        if let Some(snapshot) = self.control.take_reading() {
             self.views.adopt(now, vec![snapshot]);
             self.viewed(now);
         }
