Tell whose lateness it is: time of orders, unanswered grants of serving holders, keys with a holder

The lines could not tell a granter that reads answers too late from holders that give none, and what nodes know of holders showed nowhere: the granter alone told how much is held. The line of an order and a histogram have the time from the decision to the end; unanswered grants are counted by whether nodes heard the holder meanwhile; each node tells the share of keys whose holder it knows.

No change of what is decided.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -16,7 +16,9 @@
     Condition, Election, ElectionConfig, Item, LeaseTiming, StoreCall, StoreOutcome, Transaction,
     Write,
 };
-use beamtray_sharding::{BalanceLimits, GrantOrder, GrantReply, GranterTiming, OwnedAgain};
+use beamtray_sharding::{
+    BalanceLimits, GrantOrder, GrantReply, GranterTiming, OwnedAgain, UnansweredGrants,
+};
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -356,6 +358,19 @@
         place.into_iter().chain(entry).collect()
     }
 
+    /// Grants of this term that were left unanswered, over all services.
+    pub fn unanswered_grants(&self) -> UnansweredGrants {
+        let all = self.term.as_ref().and_then(|term| term.grants.as_ref());
+        let granters = all.into_iter().flatten().map(|(_, grants)| &grants.granter);
+        granters.fold(UnansweredGrants::default(), |sum, granter| {
+            let counts = granter.unanswered_grants();
+            UnansweredGrants {
+                serving: sum.serving + counts.serving,
+                silent: sum.silent + counts.silent,
+            }
+        })
+    }
+
     /// Slices, and how many of them are held, over all services.
     pub fn slice_counts(&self, now: Time) -> (usize, usize) {
         let all = self.term.as_ref().and_then(|term| term.grants.as_ref());
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -48,12 +48,14 @@
 /// Gives an order and tells the core how it went.
 pub(crate) fn order(shared: &Rc<Shared>, task: OrderTask, epoch: u64) {
     let shared = shared.clone();
+    let decided = shared.now();
     tokio::task::spawn_local(async move {
         let reply = match task.address {
             Some(address) => give(&shared, address, &task).await,
             None => GrantReply::Undelivered,
         };
-        shared.observer.order(&task, &reply);
+        let took = shared.now().since(decided);
+        shared.observer.order(&task, &reply, took);
         shared.input(Input::Order {
             service: task.service,
             order: task.order,
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::registry::Registry;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -80,6 +81,18 @@
     pub outcome: &'static str,
 }
 
+/// What other nodes knew of a holder that left a grant unanswered.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct UnansweredLabel {
+    pub holder: &'static str,
+}
+
+/// A service.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ServiceLabel {
+    pub service: String,
+}
+
 /// A view.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct ViewLabel {
@@ -103,6 +116,10 @@
     pub attempts: Family<AttemptLabels, Counter>,
     pub store_calls: Family<StoreLabels, Counter>,
     pub orders: Family<OrderLabels, Counter>,
+    /// Seconds from the decision on an order to its end.
+    pub order_latency: Latencies<OrderLabels>,
+    unanswered_grants: Family<UnansweredLabel, Gauge>,
+    keys_with_holder: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     pub route_latency: Latencies<RouteLabel>,
     upstream_latency: Latencies<UpstreamLabel>,
     /// Seconds for which slices had no owner.
@@ -133,6 +150,9 @@
             attempts: Family::default(),
             store_calls: Family::default(),
             orders: Family::default(),
+            order_latency: Family::new_with_constructor(latency),
+            unanswered_grants: Family::default(),
+            keys_with_holder: Family::default(),
             route_latency: Family::new_with_constructor(latency),
             upstream_latency: Family::new_with_constructor(latency),
             unowned: Family::new_with_constructor(unowned_time),
@@ -174,6 +194,22 @@
             self.store_calls.clone(),
         );
         registry.register("orders", "Orders to upstreams", self.orders.clone());
+        registry.register(
+            "order_seconds",
+            "Time from the decision on an order to its end, by kind and reply",
+            self.order_latency.clone(),
+        );
+        registry.register(
+            "unanswered_grants",
+            "Grants of this term without an answer: of holders that serve other nodes \
+             meanwhile, or of silent ones",
+            self.unanswered_grants.clone(),
+        );
+        registry.register(
+            "keys_with_holder",
+            "Share of the keys of a divided service whose holder this node knows",
+            self.keys_with_holder.clone(),
+        );
         registry.register(
             "request_seconds",
             "Time from a whole request to its answer",
@@ -286,6 +322,23 @@
         let (slices, held) = control.slice_counts(now);
         self.slices.set(slices as i64);
         self.slices_held.set(held as i64);
+        let unanswered = control.unanswered_grants();
+        for (holder, count) in [
+            ("serves", unanswered.serving),
+            ("silent", unanswered.silent),
+        ] {
+            let label = UnansweredLabel { holder };
+            self.unanswered_grants
+                .get_or_create(&label)
+                .set(count as i64);
+        }
+        for (service, assignment) in &views.assignments {
+            let label = ServiceLabel {
+                service: service.to_string(),
+            };
+            let share = assignment.held_share();
+            self.keys_with_holder.get_or_create(&label).set(share);
+        }
         self.is_granter.set(control.is_granter(now).into());
         let version = views.configuration.as_ref().map_or(0, |one| one.version.0);
         self.configuration.set(version as i64);
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -189,8 +189,8 @@
         }
     }
 
-    /// An order ended.
-    pub fn order(&self, task: &OrderTask, reply: &GrantReply) {
+    /// An order ended, that long after it was decided on.
+    pub fn order(&self, task: &OrderTask, reply: &GrantReply, took: Duration) {
         let order = &task.order;
         let kind = match order.kind {
             OrderKind::Grant { .. } => OrderName::Grant,
@@ -201,17 +201,20 @@
             reply: grant_reply(reply).to_owned(),
         };
         self.metrics.orders.get_or_create(&labels).inc();
+        let histogram = self.metrics.order_latency.get_or_create(&labels);
+        histogram.observe(took.as_secs_f64());
+        let took_ms = took.as_millis() as u64;
         let log = &self.log;
         if matches!(reply, GrantReply::Granted) {
             debug!(log, "order"; "kind" => ?kind, "service" => %task.service,
                 "holder" => %order.holder, "range" => %order.range, "token" => %order.token,
-                "reply" => ?reply);
+                "reply" => ?reply, "took_ms" => took_ms);
             return;
         }
         if let Some(left_out) = self.admit(LineKind::Dependency) {
             info!(log, "order"; "kind" => ?kind, "service" => %task.service,
                 "holder" => %order.holder, "range" => %order.range, "token" => %order.token,
-                "reply" => ?reply, left_out);
+                "reply" => ?reply, "took_ms" => took_ms, left_out);
         }
     }
 
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -24,7 +24,7 @@
 use beamtray_catalog::UpstreamId;
 use beamtray_metastore::Epoch;
 use beamtray_types::Time;
-pub use contact::Contact;
+pub use contact::{Contact, UnansweredGrants};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -172,6 +172,7 @@
     avoided: BTreeMap<UpstreamId, Time>,
     calls: BTreeMap<CallId, Call>,
     contacts: BTreeMap<UpstreamId, Contact>,
+    unanswered_grants: UnansweredGrants,
     standbys: Standbys,
     owned_again: Vec<OwnedAgain>,
     next_call: u64,
@@ -207,6 +208,7 @@
             avoided: BTreeMap::new(),
             calls: BTreeMap::new(),
             contacts: BTreeMap::new(),
+            unanswered_grants: UnansweredGrants::default(),
             standbys: Standbys::new(StandbyBounds {
                 hold: timing.longest_bound(),
                 transit: timing.transit + timing.order_wait,
@@ -455,6 +457,11 @@
         std::mem::take(&mut self.owned_again)
     }
 
+    /// Grants that were left unanswered.
+    pub fn unanswered_grants(&self) -> UnansweredGrants {
+        self.unanswered_grants
+    }
+
     /// How many slices there are.
     pub fn slice_count(&self) -> usize {
         self.slices.len()
--- a/crates/sharding/src/granter/contact.rs
+++ b/crates/sharding/src/granter/contact.rs
@@ -15,6 +15,16 @@
 /// Pause after a grant that was not answered.
 const RETRY: Duration = Duration::from_millis(200);
 
+/// Grants that were left unanswered, by what the nodes know of their holders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnansweredGrants {
+    /// The holder answered requests after the grant was sent: the granter, or its path
+    /// to the holder, is late.
+    pub serving: u64,
+    /// The holder was not heard of since.
+    pub silent: u64,
+}
+
 /// What is known of one holder.
 #[derive(Clone, Debug, Default)]
 pub struct Contact {
@@ -59,12 +69,13 @@
         self.unanswered_since = None;
     }
 
-    /// Notes that a grant was given up on.
-    pub fn unanswered(&mut self, now: Time, call: CallId) {
+    /// Notes that a grant was given up on; when it was sent.
+    pub fn unanswered(&mut self, now: Time, call: CallId) -> Time {
         let sent = self.under_way.remove(&call).unwrap_or(now);
         self.unanswered_since.get_or_insert(sent);
         self.silent_since.get_or_insert(now);
         self.retry_at = now + RETRY;
+        sent
     }
 
     /// When the first grant was sent that was not answered, if none was since.
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -45,6 +45,7 @@
     }
 
     fn note_contact(&mut self, now: Time, call: CallId, holder: &UpstreamId, reply: &GrantReply) {
+        let heard = self.candidates.get(holder).and_then(|one| one.heard);
         let contact = self.contacts.entry(holder.clone()).or_default();
         match reply {
             GrantReply::Granted | GrantReply::Outdated => contact.answered(call),
@@ -52,7 +53,14 @@
             | GrantReply::Undelivered
             | GrantReply::Rejected
             | GrantReply::Replaced
-            | GrantReply::Released(_) => contact.unanswered(now, call),
+            | GrantReply::Released(_) => {
+                let sent = contact.unanswered(now, call);
+                if heard > Some(sent) {
+                    self.unanswered_grants.serving += 1;
+                } else {
+                    self.unanswered_grants.silent += 1;
+                }
+            }
         }
     }
 
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -16,7 +16,10 @@
 mod standby;
 
 pub use balance::{BalanceLimits, Holding, MoveRoom, MoveStep, Seat, plan_moves};
-pub use granter::{Candidate, Contact, GrantPace, Granter, GranterGuards, GranterTiming, Standing};
+pub use granter::{
+    Candidate, Contact, GrantPace, Granter, GranterGuards, GranterTiming, Standing,
+    UnansweredGrants,
+};
 pub use load::LoadMap;
 pub use order::{CallId, GrantOrder, GrantReply, Handover, OrderKind};
 pub use part::{Assignment, AssignmentHead, AssignmentPart, Part};
--- a/crates/sharding/src/part.rs
+++ b/crates/sharding/src/part.rs
@@ -283,6 +283,15 @@
         self.parts.values().flat_map(|part| &part.slices)
     }
 
+    /// Share of all keys that have a holder.
+    pub fn held_share(&self) -> f64 {
+        let held = self
+            .slices()
+            .filter(|slice| matches!(slice.state, SliceState::Held { .. }));
+        let keys: u32 = held.map(|slice| slice.range.len()).sum();
+        f64::from(keys) / f64::from(KeyRange::ALL.len())
+    }
+
     /// The newest record with all parts. One that was never written, since the first
     /// granter was lost on the way, has no holder.
     pub fn whole(&self) -> Option<AssignmentRecord> {
