Refuse at once what will not be served in time; tell clients when keys will have a holder

Change: a node observes how long keys were without a holder and expects of a key what became of those that had been without one for as long. If that is beyond what the request may wait, it is refused at once; else it waits, and is sent when the key has a holder. The client is told the expected time, spread by half of it, whatever time it has left. What a holder denied still waits for the newer assignment. HONOURED_SHARE is gone; rand's ChaCha in place of the hand-written generator. A histogram has the time before each refusal.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The decisions.
 
+mod absences;
 mod choice;
 mod faults;
 mod outcome;
@@ -15,6 +16,7 @@
     UnknownCause,
 };
 use crate::speed::SpeedTable;
+use absences::Absences;
 use beamtray_catalog::{Configuration, Directory, Route, RouteTable, UpstreamId};
 use beamtray_catalog::{UpstreamState, WeightedBackend};
 use beamtray_sharding::{Assignment, ShardKey};
@@ -22,6 +24,8 @@
 use choice::Choice;
 use faults::Faults;
 use pools::Pools;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 pub use slots::{SlotCounts, SlotReply, SlotRequest};
 use slots::{SlotState, SlotTracker};
 use std::collections::{BTreeMap, HashMap};
@@ -62,11 +66,11 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// Least time to come back in.
 const LEAST_RETRY_AFTER: Duration = Duration::from_millis(120);
-/// Part of the time left up to which clients honour a time to come back in: a third,
-/// less the way of the answer.
-const HONOURED_SHARE: f64 = 0.31;
-/// Spread of the time to come back in.
+/// Least spread of the time to come back in.
 const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(200);
+/// Spread as a part of the time to come back in: the longer keys are without a holder,
+/// the more clients come back for them.
+const RETRY_AFTER_SPREAD_SHARE: f64 = 0.5;
 
 #[derive(Clone, Debug)]
 struct Attempt {
@@ -127,6 +131,7 @@
     routes: RouteTable,
     divided: HashMap<ServiceName, bool>,
     assignments: BTreeMap<ServiceName, Rc<Assignment>>,
+    absences: Absences,
     requests: HashMap<Ticket, Request>,
     waiting: Vec<Ticket>,
     shares: HashMap<String, Shares>,
@@ -148,19 +153,20 @@
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
     nodes: usize,
     sequence: u32,
-    random: u64,
+    random: ChaCha8Rng,
 }
 
 impl Dispatcher {
     /// A dispatcher that knows no configuration yet.
     pub fn new(config: DispatchConfig) -> Self {
-        let random = config.run | 1;
+        let random = ChaCha8Rng::seed_from_u64(config.run);
         Self {
             config,
             configured: false,
             routes: RouteTable::default(),
             divided: HashMap::new(),
             assignments: BTreeMap::new(),
+            absences: Absences::default(),
             requests: HashMap::new(),
             waiting: Vec::new(),
             shares: HashMap::new(),
@@ -202,7 +208,8 @@
     }
 
     /// Takes the newest assignment of a divided service.
-    pub fn assign(&mut self, service: ServiceName, assignment: Rc<Assignment>) {
+    pub fn assign(&mut self, now: Time, service: ServiceName, assignment: Rc<Assignment>) {
+        self.absences.follow(now, &service, &assignment);
         self.assignments.insert(service, assignment);
     }
 
@@ -384,7 +391,7 @@
             }
             Ok(Choice::Ask) => Some(Decision::Ask(self.slot_request(now, ticket, request))),
             Ok(Choice::Wait) => None,
-            Err(reason) if now >= request.wait_until => {
+            Err(reason) if now >= request.wait_until || self.is_futile(now, request, reason) => {
                 let ending = self.conclude(now, request, reason);
                 Some(Decision::Conclude(ticket, ending))
             }
@@ -392,12 +399,23 @@
         }
     }
 
+    /// Whether waiting is of no use: the key will not have a holder in time. One that a
+    /// holder denied waits for the assignment that names the next, which may be on its
+    /// way.
+    fn is_futile(&self, now: Time, request: &Request, reason: RefusalReason) -> bool {
+        let Some(key) = request.key else {
+            return false;
+        };
+        let is_unheld = reason == RefusalReason::KeyUnheld && request.denied.is_none();
+        is_unheld && now + self.absences.remaining(now, &request.service, key) > request.wait_until
+    }
+
     fn conclude(&mut self, now: Time, request: &Request, reason: RefusalReason) -> Ending {
         let conclusion = match request.unknown {
             Some(cause) => Conclusion::Unknown(cause),
             None => Conclusion::Refused {
                 reason,
-                retry_after: self.retry_after(reason, request.deadline.since(now)),
+                retry_after: self.retry_after(now, request, reason),
             },
         };
         Ending {
@@ -412,26 +430,18 @@
         }
     }
 
-    /// When a client is to come back that has so much time left.
-    ///
-    /// Keys without a holder have one again after half a second where they move, and
-    /// after seconds where their holder was lost. A client comes back once, so it is
-    /// told the longest that it waits.
-    fn retry_after(&mut self, reason: RefusalReason, left: Duration) -> Duration {
-        let spread = RETRY_AFTER_SPREAD.as_micros() as u64;
-        let soon = LEAST_RETRY_AFTER + Duration::from_micros(self.draw() % spread);
-        match reason {
-            RefusalReason::KeyUnheld => soon.max(left.mul_f64(HONOURED_SHARE)),
-            _ => soon,
-        }
-    }
-
-    /// A pseudo-random number (xorshift).
-    fn draw(&mut self) -> u64 {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        self.random
+    /// When a client is to come back: when its key is likely to have a holder again, or
+    /// soon. Clients of the same keys are spread.
+    fn retry_after(&mut self, now: Time, request: &Request, reason: RefusalReason) -> Duration {
+        let expected = match request.key {
+            Some(key) if reason == RefusalReason::KeyUnheld => {
+                self.absences.remaining(now, &request.service, key)
+            }
+            _ => Duration::ZERO,
+        };
+        let spread = RETRY_AFTER_SPREAD + expected.mul_f64(RETRY_AFTER_SPREAD_SHARE);
+        let least = expected.max(LEAST_RETRY_AFTER);
+        least + spread.mul_f64(self.random.random())
     }
 
     /// When the next decision is due if nothing else happens.
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -8,6 +8,7 @@
 use beamtray_catalog::{Directory, Registration, UpstreamId};
 use beamtray_sharding::{ShardKey, SliceState};
 use beamtray_types::Time;
+use rand::RngExt;
 
 /// Part of the time left that likely work may take.
 const TARGET_SHARE: f64 = 0.85;
@@ -140,7 +141,7 @@
         query: &Query<'_>,
         pool: &'a [PoolMember],
     ) -> Option<&'a PoolMember> {
-        let start = self.draw();
+        let start: u64 = self.random.random();
         let mut best: Option<(f64, &PoolMember)> = None;
         for (index, member) in pool.iter().enumerate() {
             let Some(cost) = self.cost(now, query, member) else {
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -9,8 +9,12 @@
 use beamtray_dispatch::{
     BudgetConfig, Conclusion, Decision, DispatchConfig, Dispatcher, Forward, RequestHead,
 };
-use beamtray_sharding::ShardKey;
+use beamtray_metastore::Epoch;
+use beamtray_sharding::{
+    Assignment, AssignmentRecord, FencingToken, Part, ShardKey, SliceRecord, SliceState,
+};
 use beamtray_types::Time;
+use std::rc::Rc;
 use std::time::Duration;
 
 pub const PATIENCE: Duration = Duration::from_millis(2_000);
@@ -143,3 +147,35 @@
         _ => None,
     })
 }
+
+/// All keys of "keyed" are in that state.
+pub fn assign(dispatcher: &mut Dispatcher, sequence: u64, state: SliceState) {
+    assign_at(dispatcher, 0, sequence, state);
+}
+
+/// The same, from then on.
+pub fn assign_at(dispatcher: &mut Dispatcher, millis: u64, sequence: u64, state: SliceState) {
+    let slices = Part::all().map(|part| SliceRecord {
+        range: part.range(),
+        state: state.clone(),
+    });
+    let record = AssignmentRecord {
+        epoch: Epoch(1),
+        sequence,
+        standbys: Vec::new(),
+        slices: slices.collect(),
+    };
+    dispatcher.assign(
+        at(millis),
+        "keyed".into(),
+        Rc::new(Assignment::from(record)),
+    );
+}
+
+/// The usual holder has them.
+pub fn held() -> SliceState {
+    SliceState::Held {
+        holder: UpstreamId("holder".to_owned()),
+        token: FencingToken(1),
+    }
+}
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -282,7 +282,7 @@
         }
         for service in self.views.take_assigned() {
             if let Some(assignment) = self.views.assignments.get(&service) {
-                self.dispatcher.assign(service, assignment.clone());
+                self.dispatcher.assign(now, service, assignment.clone());
             }
         }
         let notices = self.views.take_notices();
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -29,6 +29,15 @@
     pub outcome: String,
 }
 
+/// Why a request was refused.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct RefusalLabels {
+    pub route: String,
+    pub reason: String,
+    /// "yes" if it arrived at an upstream, which turned it away.
+    pub arrived: &'static str,
+}
+
 /// What a call to the store was for, and how it ended.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct StoreLabels {
@@ -121,6 +130,8 @@
     unanswered_grants: Family<UnansweredLabel, Gauge>,
     keys_with_holder: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     pub route_latency: Latencies<RouteLabel>,
+    /// Seconds from a whole request to its refusal.
+    pub refusal_latency: Latencies<RefusalLabels>,
     upstream_latency: Latencies<UpstreamLabel>,
     /// Seconds for which slices had no owner.
     pub unowned: Latencies<LossLabel>,
@@ -154,6 +165,7 @@
             unanswered_grants: Family::default(),
             keys_with_holder: Family::default(),
             route_latency: Family::new_with_constructor(latency),
+            refusal_latency: Family::new_with_constructor(latency),
             upstream_latency: Family::new_with_constructor(latency),
             unowned: Family::new_with_constructor(unowned_time),
             timed: RefCell::new(BTreeSet::new()),
@@ -215,6 +227,11 @@
             "Time from a whole request to its answer",
             self.route_latency.clone(),
         );
+        registry.register(
+            "refusal_seconds",
+            "Time from a whole request to its refusal, by reason and whether it arrived",
+            self.refusal_latency.clone(),
+        );
         registry.register(
             "upstream_seconds",
             "Time of answers of upstreams",
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -2,14 +2,14 @@
 
 use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
 use crate::shell::metrics::{
-    AttemptLabels, LossLabel, Metrics, OrderLabels, OrderName, RequestLabels, RouteLabel,
-    StoreLabels,
+    AttemptLabels, LossLabel, Metrics, OrderLabels, OrderName, RefusalLabels, RequestLabels,
+    RouteLabel, StoreLabels,
 };
 use crate::shell::rate::{LineKind, LineRate};
 use beamtray_catalog::DirectoryChange;
 use beamtray_dispatch::{
-    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Ending, Forward, UnknownCause,
-    Untouched,
+    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Ending, Forward, RefusalReason,
+    UnknownCause, Untouched,
 };
 use beamtray_metastore::StoreOutcome;
 use beamtray_sharding::{GrantReply, LossCause, OrderKind, OwnedAgain, ShardKey};
@@ -292,7 +292,10 @@
             Conclusion::Refused {
                 reason,
                 retry_after,
-            } => ("refused", format!("{reason:?}"), retry_after),
+            } => {
+                self.refused(ending, reason);
+                ("refused", format!("{reason:?}"), retry_after)
+            }
             Conclusion::Unknown(cause) => ("unknown", format!("{cause:?}"), Duration::ZERO),
         };
         self.finished(&ending.route, &format!("{outcome} {reason}"), ending.age);
@@ -310,6 +313,16 @@
             "retry_after_ms" => retry_after.as_millis() as u64, fields, left_out);
     }
 
+    fn refused(&self, ending: &Ending, reason: RefusalReason) {
+        let labels = RefusalLabels {
+            route: ending.route.clone(),
+            reason: format!("{reason:?}"),
+            arrived: if ending.arrivals > 0 { "yes" } else { "no" },
+        };
+        let histogram = self.metrics.refusal_latency.get_or_create(&labels);
+        histogram.observe(ending.age.as_secs_f64());
+    }
+
     /// A client left before its answer.
     pub fn cancelled(&self, id: &str, under_way: bool) {
         let labels = RequestLabels {
