--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -4,22 +4,20 @@
 use crate::channel::{Reporter, connect};
 use crate::config::{HOST, ORDER, PATIENCE, PROBE, READ};
 use crate::message::{CallerEnd, Command, Observation};
+use crate::pool::Pool;
 use beamtray_adapter::Platform;
 use beamtray_dialect::Dialect;
 use bytes::Bytes;
 use eyre::Result;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Method, Request, Response};
-use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Of a hundred requests, how many read by key; the others may not be repeated.
@@ -68,6 +66,7 @@
     let (reporter, mut commands) = connect(settings.driver, "caller").await?;
     let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
     let probed = Rc::new(Cell::new(0u64));
+    let pool = Pool::default();
     let mut begun = false;
     let pause = Duration::from_secs(1) / settings.rate.max(1);
     let mut ticks = tokio::time::interval(pause);
@@ -81,7 +80,7 @@
             },
             _ = ticks.tick(), if begun => {
                 let asking = draw(&mut random, &settings, probed.get());
-                tokio::task::spawn_local(ask(reporter.clone(), asking));
+                tokio::task::spawn_local(ask(reporter.clone(), pool.clone(), asking));
             }
         }
     }
@@ -91,7 +90,8 @@
 
 fn draw(random: &mut ChaCha8Rng, settings: &CallerSettings, probed: u64) -> Asking {
     let node = random.random_range(0..settings.routers.len());
-    let id = format!("{:016x}", random.random::<u64>());
+    // Runs that play the same seed at the same time must not take each other's for theirs.
+    let id = format!("{:016x}-{}", random.random::<u64>(), std::process::id());
     let work: u64 = random.random_range(5..60);
     let kind = random.random_range(0..100);
     let address = settings.routers[node];
@@ -123,7 +123,7 @@
     asking
 }
 
-async fn ask(reporter: Reporter, asking: Asking) {
+async fn ask(reporter: Reporter, pool: Pool, asking: Asking) {
     reporter.tell(Observation::Asked {
         id: asking.id.clone(),
         node: asking.node,
@@ -135,20 +135,29 @@
     } else {
         (PATIENCE, CallerEnd::TimedOut)
     };
-    let end = timeout(patience, exchange(&asking)).await.unwrap_or(late);
+    let end = timeout(patience, exchange(&pool, &asking))
+        .await
+        .unwrap_or(late);
     let id = asking.id;
     reporter.tell(Observation::Ended { id, end });
 }
 
-async fn exchange(asking: &Asking) -> CallerEnd {
-    let Some(mut sender) = connection(asking.address).await else {
+async fn exchange(pool: &Pool, asking: &Asking) -> CallerEnd {
+    let Some(mut connection) = pool.take(asking.address).await else {
         return CallerEnd::Unsent;
     };
     let Some(request) = request(asking) else {
         return CallerEnd::Unsent;
     };
-    match sender.try_send_request(request).await {
-        Ok(response) => judge(asking, response).await,
+    match connection.try_send_request(request).await {
+        Ok(response) => {
+            let end = judge(asking, response).await;
+            if end != CallerEnd::BrokenOff && connection.ready().await.is_ok() {
+                pool.keep(asking.address, connection);
+            }
+            end
+        }
+        // It crossed the router's close.
         Err(mut error) => match error.take_message() {
             Some(_) => CallerEnd::Unsent,
             None => CallerEnd::BrokenOff,
@@ -156,16 +165,6 @@
     }
 }
 
-async fn connection(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::task::spawn_local(async move {
-        // Its failure shows in the request.
-        let _ = connection.await;
-    });
-    Some(sender)
-}
-
 fn request(asking: &Asking) -> Option<Request<Full<Bytes>>> {
     let names = Platform.headers();
     let (method, body) = match asking.repeatable {
--- a/crates/soak/src/checker/requests.rs
+++ b/crates/soak/src/checker/requests.rs
@@ -77,7 +77,25 @@
             }
             CallerEnd::BrokenOff | CallerEnd::Unsent | CallerEnd::Left | CallerEnd::TimedOut => {}
         }
-        self.judge_stop(id, request, asked, at, *end == CallerEnd::BrokenOff);
+        let is_cut = *end == CallerEnd::BrokenOff;
+        self.judge_stop(id, request, asked, at, is_cut);
+        self.judge_cut(id, request, asked, at, is_cut);
+    }
+
+    /// Judges a request of a router that nothing disturbed: the connection that it came on
+    /// is not closed without an answer once it was passed on.
+    fn judge_cut(&mut self, id: &str, request: &Request, asked: Time, at: Time, cut: bool) {
+        let upstreams = self.disturbed(asked - CONTACT, at, |whom| whom == Disturbed::Upstream);
+        let is_calm = self.in_touch(request.node, asked, at) && !upstreams;
+        if !is_calm || request.arrived.is_empty() || at.since(asked) >= LAST_PART {
+            return;
+        }
+        self.verdict.test(Promise::Lost, !cut, at, || {
+            format!(
+                "router {} cut {id} {} while nothing disturbed it",
+                request.node, request.path
+            )
+        });
     }
 
     fn judge_probe(&mut self, id: &str, request: &Request, asked: Time, status: u16) {
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod faults;
+mod ports;
 
 use crate::checker::{Verdict, check};
 use crate::clock;
@@ -22,6 +23,8 @@
 const LAST_REQUESTS: Duration = Duration::from_millis(2_500);
 /// Between looks at what is due.
 const STEP: Duration = Duration::from_millis(5);
+/// A step that takes so long shows that the machine had no time for its processes.
+const STALL: Duration = Duration::from_millis(150);
 /// Least time of troubles.
 const LEAST_TROUBLED: Duration = Duration::from_secs(3);
 
@@ -71,16 +74,35 @@
             }
         }
         cluster.heal(now)?;
-        tokio::time::sleep(STEP).await;
+        watched_sleep(&mut cluster, STEP).await;
     }
-    tokio::time::sleep(RECOVERY).await;
+    watched_sleep(&mut cluster, RECOVERY).await;
     let recovered = clock::now();
-    tokio::time::sleep(COUNTED).await;
+    watched_sleep(&mut cluster, COUNTED).await;
     cluster.tell("caller", &Command::End);
-    tokio::time::sleep(LAST_REQUESTS).await;
+    watched_sleep(&mut cluster, LAST_REQUESTS).await;
+    cluster.require_routers()?;
     Ok(check(&cluster.history(recovered)))
 }
 
+/// Sleeps, and notes when the machine ran nobody meanwhile: what was late then is not the
+/// routers' doing.
+async fn watched_sleep(cluster: &mut Cluster, time: Duration) {
+    let end = clock::now() + time;
+    loop {
+        let before = clock::now();
+        let left = end.since(before);
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(STEP)).await;
+        let after = clock::now();
+        if after.since(before) >= STALL {
+            cluster.stalled(before, after);
+        }
+    }
+}
+
 fn at(begin: Time, millis: u64) -> Time {
     begin + Duration::from_millis(millis)
 }
--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -2,8 +2,9 @@
 
 use super::RunSettings;
 use super::faults::{ActiveFault, Target};
+use super::ports::Ports;
 use crate::channel::MessageReader;
-use crate::checker::{Disturbance, History, PlannedStop, UpstreamEnd};
+use crate::checker::{Disturbance, Disturbed, History, PlannedStop, UpstreamEnd};
 use crate::children::{Process, router_program};
 use crate::clock;
 use crate::config::{
@@ -15,10 +16,10 @@
 use crate::proxy::Proxy;
 use beamtray_types::Time;
 use beamtray_wire::encode;
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, ensure};
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener as StdListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -82,7 +83,8 @@
         tokio::task::spawn_local(hear(listener, commands.clone(), reports.clone()));
         let folder = settings.folder.clone();
         let own = std::env::current_exe()?;
-        let store_address = free_address()?;
+        let ports = Ports::of_this_process();
+        let store_address = ports.free_address()?;
         let arguments = vec![
             "store".to_owned(),
             format!("--listen={store_address}"),
@@ -91,7 +93,7 @@
         let store = Process::start(&folder, "store", &own, &arguments)?;
         let mut routers = Vec::new();
         for node in 0..ROUTERS {
-            routers.push(router_slot(&folder, node, store_address).await?);
+            routers.push(router_slot(&folder, node, store_address, &ports).await?);
         }
         let addresses: Vec<String> = routers.iter().map(|one| one.clients.to_string()).collect();
         let arguments = vec![
@@ -104,7 +106,7 @@
         let caller = Process::start(&folder, "caller", &own, &arguments)?;
         let mut upstreams = Vec::new();
         for _ in 0..UPSTREAMS {
-            let listen = free_address()?;
+            let listen = ports.free_address()?;
             upstreams.push(UpstreamSlot {
                 process: None,
                 proxy: Proxy::start(listen).await?,
@@ -214,7 +216,7 @@
             Target::Some(whom) => whom,
             Target::AllRouters => {
                 let routers = (0..ROUTERS).map(|node| Disturbance {
-                    whom: crate::checker::Disturbed::Router(node),
+                    whom: Disturbed::Router(node),
                     from,
                     until,
                 });
@@ -225,6 +227,24 @@
         self.disturbances.push(Disturbance { whom, from, until });
     }
 
+    /// Fails if a router has ended by itself: a run without one of its routers says
+    /// nothing.
+    pub fn require_routers(&mut self) -> Result<()> {
+        for (node, slot) in self.routers.iter_mut().enumerate() {
+            let has_ended = slot.process.as_mut().is_none_or(Process::has_ended);
+            ensure!(!has_ended, "router {node} ended by itself: see its log");
+        }
+        Ok(())
+    }
+
+    /// Notes that the machine ran nobody.
+    pub fn stalled(&mut self, from: Time, until: Time) {
+        let routers = (0..ROUTERS).map(Disturbed::Router);
+        let all = routers.chain([Disturbed::Store, Disturbed::Upstream]);
+        let stalls = all.map(|whom| Disturbance { whom, from, until });
+        self.disturbances.extend(stalls);
+    }
+
     /// What was seen so far.
     pub fn history(&self, recovered: Time) -> History {
         History {
@@ -245,10 +265,11 @@
     folder: &std::path::Path,
     node: usize,
     store: SocketAddr,
+    ports: &Ports,
 ) -> Result<RouterSlot> {
     let store_proxy = Proxy::start(store).await?;
-    let clients = free_address()?;
-    let text = router_settings(node, clients, store_proxy.address)?;
+    let clients = ports.free_address()?;
+    let text = router_settings(node, clients, store_proxy.address, ports)?;
     let settings = folder.join(format!("router-{node}.toml"));
     std::fs::write(&settings, text).wrap_err_with(|| format!("write {}", settings.display()))?;
     Ok(RouterSlot {
@@ -260,11 +281,16 @@
     })
 }
 
-fn router_settings(node: usize, clients: SocketAddr, store: SocketAddr) -> Result<String> {
+fn router_settings(
+    node: usize,
+    clients: SocketAddr,
+    store: SocketAddr,
+    ports: &Ports,
+) -> Result<String> {
     let zone = ZONES[node % ZONES.len()];
-    let readiness = free_address()?;
-    let peers = free_address()?;
-    let metrics = free_address()?;
+    let readiness = ports.free_address()?;
+    let peers = ports.free_address()?;
+    let metrics = ports.free_address()?;
     Ok(format!(
         "version = 1\nnode = \"router-{node}\"\nzone = \"{zone}\"\nip = \"127.0.0.1\"\n\
          [listen]\nclients = \"{clients}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\n\
@@ -283,17 +309,6 @@
     ))
 }
 
-/// An address of this machine that nobody listens on, neither over TCP nor UDP.
-fn free_address() -> Result<SocketAddr> {
-    loop {
-        let listener = StdListener::bind(("127.0.0.1", 0)).wrap_err("find a free port")?;
-        let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-}
-
 async fn hear(listener: TcpListener, commands: Commands, reports: Reports) {
     while let Ok((stream, _)) = listener.accept().await {
         let commands = commands.clone();
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -98,13 +98,13 @@
 
     /// Whether the process that a fault hits is harmed already.
     fn is_busy(&self, fault: SoakFault) -> bool {
-        let router = |node: usize| {
-            let harmed = self.active.iter().any(|one| {
+        let down = |node: usize| {
+            self.active.iter().any(|one| {
                 matches!(one.fault, SoakFault::KillAll)
                     || matches!(one.fault, SoakFault::RouterKill(other) | SoakFault::RouterPause(other) if other == node)
-            });
-            harmed || self.routers[node].stopping.is_some()
+            })
         };
+        let router = |node: usize| down(node) || self.routers[node].stopping.is_some();
         let upstream = |index: usize| {
             self.active.iter().any(|one| {
                 matches!(one.fault, SoakFault::UpstreamKill(other) | SoakFault::UpstreamPause(other) | SoakFault::UpstreamDrain(other) if other == index)
@@ -113,8 +113,9 @@
         match fault {
             SoakFault::RouterKill(node)
             | SoakFault::RouterPause(node)
-            | SoakFault::RouterStop(node)
-            | SoakFault::RouterReload(node) => router(node),
+            | SoakFault::RouterStop(node) => router(node),
+            // A router that stops may be told meanwhile that its settings changed.
+            SoakFault::RouterReload(node) => down(node),
             SoakFault::KillAll => (0..ROUTERS).any(router),
             SoakFault::UpstreamKill(index)
             | SoakFault::UpstreamPause(index)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod driver;
 mod message;
 mod plan;
+mod pool;
 mod proxy;
 mod regressions;
 mod store;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,6 +14,11 @@
 /// All upstreams; those that hold keys come first.
 pub(crate) const UPSTREAMS: usize = KEYED_UPSTREAMS + POOL_UPSTREAMS;
 
+/// Most series of planned work in a run.
+const MOST_SERIES: usize = 3;
+/// Configurations in a series.
+const CONFIGURATIONS: usize = 6;
+
 /// What goes wrong, or is planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -101,6 +106,12 @@
             });
             at_ms += random.random_range(200..3_500);
         }
+        for _ in 0..random.random_range(1..=MOST_SERIES) {
+            let begin = random.random_range(0..end.max(1));
+            let series = draw_series(&mut random, begin);
+            faults.extend(series.into_iter().filter(|fault| fault.at_ms < end));
+        }
+        faults.sort_by_key(|fault| fault.at_ms);
         Self { faults }
     }
 
@@ -118,6 +129,36 @@
     }
 }
 
+/// Planned work in a series, one step a machine, as operators and platforms do it. It
+/// overlaps other series and faults.
+fn draw_series(random: &mut ChaCha8Rng, begin_ms: u64) -> Vec<PlannedFault> {
+    let gap_ms = random.random_range(50..900);
+    let steps: Vec<SoakFault> = match random.random_range(0..5) {
+        0 => (0..ROUTERS).map(SoakFault::RouterStop).collect(),
+        1 => {
+            let twice = (0..ROUTERS).chain(0..ROUTERS);
+            twice.map(SoakFault::RouterReload).collect()
+        }
+        2 => (0..UPSTREAMS).map(SoakFault::UpstreamDrain).collect(),
+        3 => vec![SoakFault::Configure; CONFIGURATIONS],
+        _ => {
+            let stops = (0..ROUTERS).map(SoakFault::RouterStop);
+            let reloads = (0..ROUTERS).map(SoakFault::RouterReload);
+            stops
+                .zip(reloads)
+                .flat_map(|(stop, reload)| [stop, reload])
+                .collect()
+        }
+    };
+    let steps = steps.into_iter().enumerate();
+    let planned = steps.map(|(step, fault)| PlannedFault {
+        at_ms: begin_ms + gap_ms * step as u64,
+        for_ms: gap_ms,
+        fault,
+    });
+    planned.collect()
+}
+
 fn draw_fault(random: &mut ChaCha8Rng) -> SoakFault {
     let router = random.random_range(0..ROUTERS);
     let upstream = random.random_range(0..UPSTREAMS);
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -261,7 +261,8 @@
             .begun(4_005, "pool-1", "a", "/order/900")
             .ended(4_500, "a", CallerEnd::BrokenOff)
     };
-    assert!(story().objections().is_empty());
+    let before = story().disturbed(Disturbed::Upstream, 3_900, 4_400);
+    assert!(before.objections().is_empty());
     assert_eq!(story().stopped(4_100, 5_000).objections(), [Promise::Lost]);
     let harmed = story()
         .stopped(4_100, 5_000)
@@ -269,6 +270,35 @@
     assert!(harmed.objections().is_empty());
 }
 
+#[test]
+fn a_request_cut_while_nothing_is_disturbed_is_lost() {
+    let story = |end| {
+        Story::default()
+            .asked(4_000, "a", "/order/900")
+            .begun(4_005, "pool-1", "a", "/order/900")
+            .ended(4_500, "a", end)
+    };
+    let cut = || story(CallerEnd::BrokenOff);
+    assert_eq!(cut().objections(), [Promise::Lost]);
+    assert!(story(CallerEnd::Left).objections().is_empty());
+    for whom in [Disturbed::Router(0), Disturbed::Store, Disturbed::Upstream] {
+        let harmed = cut().disturbed(whom, 3_000, 3_500);
+        assert!(harmed.objections().is_empty(), "{whom:?}");
+    }
+    assert_eq!(
+        cut()
+            .disturbed(Disturbed::Router(1), 3_000, 3_500)
+            .objections(),
+        [Promise::Lost]
+    );
+    // One that was not passed on may have crossed the close.
+    let not_passed_on =
+        Story::default()
+            .asked(4_000, "a", "/order/900")
+            .ended(4_010, "a", CallerEnd::BrokenOff);
+    assert!(not_passed_on.objections().is_empty());
+}
+
 #[test]
 fn an_old_configuration_in_force_is_config() {
     let configured = |version| Observation::Configured { version };
