Count a change as seen only once it is in the copy

At 21.91 s it failed (history_lost) and they read the prefix again; at 21.99 they took another node's copy with version 7, which ends a reading; at 22.23 the reading came with version 9 and was dropped, but its revision was noted as the newest change seen. From then on they did not lack it, by their own reckoning, asked nobody, and served by version 7 until 30.9 s.

Change: what is read counts as seen when it goes into the copy. Class: a mark of progress that moves before the progress is made. Looked for elsewhere: events of watches and copies of other nodes are noted where they are applied.

Both tests fail before and pass after.

--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -160,7 +160,6 @@
         match outcome {
             StoreOutcome::Page { items, more, at } => {
                 self.sound(now);
-                self.note_items(&items);
                 (ReplicaHealth::Sound, self.page(items, more, at))
             }
             StoreOutcome::Events { events, at } => {
@@ -230,6 +229,11 @@
         };
     }
 
+    /// Takes a page of a reading.
+    ///
+    /// Invariant: a change counts as seen only once it is in the copy. A reading may be
+    /// dropped, since another node's copy was taken meanwhile or a later page failed; were
+    /// its changes noted, this node would lack them and ask nobody.
     fn page(&mut self, page: Vec<Item>, more: bool, page_at: Revision) -> Vec<MirrorChange> {
         let Phase::Reading { at, items } = &mut self.phase else {
             return Vec::new();
@@ -243,7 +247,13 @@
         }
         let items = std::mem::take(items);
         self.phase = Phase::Watching;
-        self.mirror.replace(from, items)
+        let changes = self.mirror.replace(from, items);
+        for change in &changes {
+            if let MirrorChange::Present(item) = change {
+                self.note(item.revision);
+            }
+        }
+        changes
     }
 
     fn note(&mut self, revision: Revision) {
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -2,7 +2,7 @@
 
 use beamtray_catalog::DirectoryPolicy;
 use beamtray_metastore::{Item, Revision, StoreCall, StoreEvent, StoreOutcome};
-use beamtray_router::core::{OwnKeys, StoreContact, ViewHeads, ViewName, Views};
+use beamtray_router::core::{OwnKeys, Snapshot, StoreContact, ViewHeads, ViewName, Views};
 use beamtray_routersim::SimDialect;
 use beamtray_types::Time;
 use std::net::SocketAddr;
@@ -288,3 +288,56 @@
     let call = views.poll(at(1_001), ViewName::Members);
     assert!(matches!(call, Some(StoreCall::Range { .. })), "{call:?}");
 }
+
+fn upstream(revision: u64) -> Item {
+    Item {
+        key: "upstreams/x".to_owned(),
+        value: Vec::new(),
+        revision: Revision(revision),
+    }
+}
+
+/// Found on a day of weak machines (CONFIG), and by its symptoms in a hunt: a relay whose
+/// watch had lost its history read the store again, took another node's copy meanwhile,
+/// and dropped what it had read, but for its revision. It lacked a configuration then that
+/// it believed to have, until the next one came.
+#[test]
+fn a_reading_that_is_dropped_counts_for_nothing() {
+    let mut views = watching();
+    views.handle(at(100), ViewName::Upstreams, 0, StoreOutcome::Compacted);
+    let call = views.poll(at(200), ViewName::Upstreams);
+    assert!(matches!(call, Some(StoreCall::Range { .. })));
+    let copy = Snapshot {
+        view: ViewName::Upstreams,
+        at: Revision(12),
+        items: Vec::new(),
+        removals: Vec::new(),
+        is_whole: true,
+    };
+    views.adopt(at(210), vec![copy]);
+    let page = StoreOutcome::Page {
+        items: vec![upstream(15)],
+        more: false,
+        at: Revision(15),
+    };
+    views.handle(at(300), ViewName::Upstreams, 0, page);
+    let replica = views.replica(ViewName::Upstreams);
+    let has_it = replica.mirror().get("upstreams/x").is_some();
+    assert_eq!(has_it, !replica.lacks(Revision(15)));
+}
+
+#[test]
+fn the_first_page_of_a_reading_that_fails_counts_for_nothing() {
+    let mut views = watching();
+    views.handle(at(100), ViewName::Upstreams, 0, StoreOutcome::Compacted);
+    views.poll(at(200), ViewName::Upstreams);
+    let page = StoreOutcome::Page {
+        items: vec![upstream(15)],
+        more: true,
+        at: Revision(15),
+    };
+    views.handle(at(300), ViewName::Upstreams, 0, page);
+    views.poll(at(310), ViewName::Upstreams);
+    views.handle(at(400), ViewName::Upstreams, 0, StoreOutcome::Unknown);
+    assert!(views.replica(ViewName::Upstreams).lacks(Revision(15)));
+}
