Split the dispatcher's and the granter's files by what they are about

What becomes of a waiting request, and the granter's dealings with its standbys, stand in files of their own; no line of logic changed. Tests of both crates pass.

--- /dev/null
+++ b/crates/dispatch/src/dispatcher/decide.rs
@@ -0,0 +1,157 @@
+//! What becomes of a request that waits: it is sent, waits on, or has its final answer.
+
+use super::choice::Choice;
+use super::slots::SlotState;
+use super::{Dispatcher, Request};
+use crate::request::{Conclusion, Decision, Ending, RefusalReason, Ticket};
+use beamtray_catalog::Directory;
+use beamtray_types::Time;
+use rand::RngExt;
+use std::time::Duration;
+
+/// Least time to come back in.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(120);
+/// Least spread of the time to come back in.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(200);
+/// Spread as a part of the time to come back in: the longer keys are without a holder,
+/// the more clients come back for them.
+const RETRY_AFTER_SPREAD_SHARE: f64 = 0.5;
+
+impl Dispatcher {
+    /// Decisions that are due.
+    pub fn poll(&mut self, now: Time, directory: &Directory) -> Vec<Decision> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        self.pools.follow(directory);
+        let mut order = std::mem::take(&mut self.waiting);
+        order.sort_by_key(|ticket| {
+            let request = self.requests.get(ticket);
+            request.map(|request| (request.route.priority, request.arrived))
+        });
+        let mut decisions = Vec::new();
+        for ticket in order {
+            let Some(mut request) = self.requests.remove(&ticket) else {
+                continue;
+            };
+            let decision = self.decide(now, directory, ticket, &mut request);
+            let (waits, ended) = match &decision {
+                None | Some(Decision::Ask(_)) => (true, false),
+                Some(Decision::Forward(..)) => (false, false),
+                Some(Decision::Conclude(..)) => (false, true),
+            };
+            if !ended {
+                self.requests.insert(ticket, request);
+            }
+            if waits {
+                self.waiting.push(ticket);
+            }
+            decisions.extend(decision);
+        }
+        decisions
+    }
+
+    /// What is to happen with a request now; it waits if nothing is.
+    fn decide(
+        &mut self,
+        now: Time,
+        directory: &Directory,
+        ticket: Ticket,
+        request: &mut Request,
+    ) -> Option<Decision> {
+        if now >= request.deadline {
+            let ending = self.conclude(now, request, RefusalReason::TimeUp);
+            return Some(Decision::Conclude(ticket, ending));
+        }
+        let wanted = if now < request.not_before {
+            Err(RefusalReason::Busy)
+        } else {
+            self.choose(now, directory, request)
+        };
+        match wanted {
+            Ok(Choice::Send(registration)) => {
+                let forward = self.forward(now, request, &registration);
+                Some(Decision::Forward(ticket, forward))
+            }
+            Ok(Choice::Ask) => Some(Decision::Ask(self.slot_request(now, ticket, request))),
+            Ok(Choice::Wait) => None,
+            Err(reason) if now >= request.wait_until || self.is_futile(now, request, reason) => {
+                let ending = self.conclude(now, request, reason);
+                Some(Decision::Conclude(ticket, ending))
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Whether waiting is of no use: the key will not have a holder in time. One that a
+    /// holder denied waits for the assignment that names the next, which may be on its
+    /// way.
+    fn is_futile(&self, now: Time, request: &Request, reason: RefusalReason) -> bool {
+        let Some(key) = request.key else {
+            return false;
+        };
+        let is_unheld = reason == RefusalReason::KeyUnheld && request.denied.is_none();
+        is_unheld && now + self.absences.remaining(now, &request.service, key) > request.wait_until
+    }
+
+    pub(super) fn conclude(
+        &mut self,
+        now: Time,
+        request: &Request,
+        reason: RefusalReason,
+    ) -> Ending {
+        let conclusion = match request.unknown {
+            Some(cause) => Conclusion::Unknown(cause),
+            None => Conclusion::Refused {
+                reason,
+                retry_after: self.retry_after(now, request, reason),
+            },
+        };
+        Ending {
+            conclusion,
+            route: request.route.name.clone(),
+            service: request.service.clone(),
+            key: request.key,
+            assignment: self.assignment(request),
+            arrivals: request.arrivals,
+            age: now.since(request.arrived),
+            left: request.deadline.since(now),
+        }
+    }
+
+    /// When a client is to come back: when its key is likely to have a holder again, or
+    /// soon. Clients of the same keys are spread.
+    fn retry_after(&mut self, now: Time, request: &Request, reason: RefusalReason) -> Duration {
+        let expected = match request.key {
+            Some(key) if reason == RefusalReason::KeyUnheld => {
+                self.absences.remaining(now, &request.service, key)
+            }
+            _ => Duration::ZERO,
+        };
+        let spread = RETRY_AFTER_SPREAD + expected.mul_f64(RETRY_AFTER_SPREAD_SHARE);
+        let least = expected.max(LEAST_RETRY_AFTER);
+        least + spread.mul_f64(self.random.random())
+    }
+
+    /// When the next decision is due if nothing else happens.
+    pub fn next_due(&self) -> Option<Time> {
+        self.waiting
+            .iter()
+            .filter_map(|ticket| self.requests.get(ticket))
+            .map(|request| {
+                let due = request.wait_until.min(request.deadline);
+                let due = match request.slot {
+                    SlotState::Asked(until) => due.min(until),
+                    _ => due,
+                };
+                let again = request.denied.as_ref().map(|denial| denial.until);
+                let resumes = again.unwrap_or_default().max(request.not_before);
+                if resumes > request.arrived {
+                    due.min(resumes)
+                } else {
+                    due
+                }
+            })
+            .min()
+    }
+}
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -15,13 +15,14 @@
 mod moves;
 mod orders;
 mod replies;
+mod standbys;
 
 use crate::load::LoadMap;
 use crate::order::CallId;
 use crate::range::{KeyRange, ShardKey};
 use crate::record::{AssignmentRecord, FencingToken, SliceState};
 use crate::slice::{OwnedAgain, Phase, Slice};
-use crate::standby::{StandbyAnswer, StandbyBounds, StandbyId, Standbys};
+use crate::standby::{StandbyBounds, Standbys};
 use beamtray_catalog::UpstreamId;
 use beamtray_metastore::Epoch;
 use beamtray_types::Time;
@@ -301,38 +302,6 @@
             .retain(|id, _| candidates.contains_key(id) || holders.contains(id));
     }
 
-    /// States which nodes are to be standbys.
-    pub fn want_standbys(&mut self, now: Time, wanted: &[StandbyId]) {
-        self.dirty |= self.standbys.want(now, wanted, self.next_sequence);
-    }
-
-    /// The standbys that the next record names.
-    pub fn standbys(&self) -> Vec<StandbyId> {
-        self.standbys.ids()
-    }
-
-    /// Standbys that are to be sent a word, which lets them prolong holds for a
-    /// while.
-    pub fn standby_words(&self, now: Time) -> Vec<StandbyId> {
-        self.standbys.words(now, self.durable)
-    }
-
-    /// Notes that a standby is sent a word. To be called only with authority to
-    /// grant, and for every service.
-    pub fn standby_word_sent(&mut self, now: Time, id: &StandbyId) {
-        self.standbys.word_sent(now, id);
-    }
-
-    /// Takes what a standby tells.
-    pub fn standby_answered(&mut self, now: Time, id: &StandbyId, answer: StandbyAnswer) {
-        self.standbys.answered(now, id, answer);
-    }
-
-    /// Notes that the process of a standby has ended.
-    pub fn standby_ended(&mut self, now: Time, id: &StandbyId) {
-        self.standbys.ended(now, id);
-    }
-
     /// Notes that an upstream has ended, so that it holds nothing.
     pub fn proved_dead(&mut self, id: &UpstreamId) {
         if !self.dead.contains(id) {
--- /dev/null
+++ b/crates/sharding/src/granter/standbys.rs
@@ -0,0 +1,39 @@
+//! The granter's dealings with its standbys.
+
+use super::Granter;
+use crate::standby::{StandbyAnswer, StandbyId};
+use beamtray_types::Time;
+
+impl Granter {
+    /// States which nodes are to be standbys.
+    pub fn want_standbys(&mut self, now: Time, wanted: &[StandbyId]) {
+        self.dirty |= self.standbys.want(now, wanted, self.next_sequence);
+    }
+
+    /// The standbys that the next record names.
+    pub fn standbys(&self) -> Vec<StandbyId> {
+        self.standbys.ids()
+    }
+
+    /// Standbys that are to be sent a word, which lets them prolong holds for a
+    /// while.
+    pub fn standby_words(&self, now: Time) -> Vec<StandbyId> {
+        self.standbys.words(now, self.durable)
+    }
+
+    /// Notes that a standby is sent a word. To be called only with authority to
+    /// grant, and for every service.
+    pub fn standby_word_sent(&mut self, now: Time, id: &StandbyId) {
+        self.standbys.word_sent(now, id);
+    }
+
+    /// Takes what a standby tells.
+    pub fn standby_answered(&mut self, now: Time, id: &StandbyId, answer: StandbyAnswer) {
+        self.standbys.answered(now, id, answer);
+    }
+
+    /// Notes that the process of a standby has ended.
+    pub fn standby_ended(&mut self, now: Time, id: &StandbyId) {
+        self.standbys.ended(now, id);
+    }
+}
