Read a prefix again after its watch was cut

The relay that follows the store for the site watched on from the revision that it knew, at 6.60 s. That watch waits for a change below its prefix before it tells that history is lost: it did so at 11.22 s, with version 19. All 70 nodes served by version 11 meanwhile.

Change: after a watch that got no answer, and after the path to the store was dead, the prefix is read again, and watched from there. A watch that was refused is tried as before. One call more after each cut, at the nodes that follow the store.

Both tests failed before.

--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Gives up on the call under way, and reads the prefix again: the path to the store
+    /// was dead, and the watch with it.
+    pub fn reread(&mut self, now: Time) {
+        self.read_again();
+        self.restart(now);
+    }
+
     /// Takes the outcome of the call of that generation.
     pub fn handle(
         &mut self,
@@ -182,11 +189,15 @@
                 self.read_again();
                 (ReplicaHealth::Troubled, Vec::new())
             }
-            _ => {
+            outcome => {
                 self.failures += 1;
                 let pause = RETRY * 2u32.saturating_pow(self.failures.min(8) - 1);
                 self.retry_at = now + pause.min(LONGEST_RETRY);
-                if matches!(self.phase, Phase::Reading { .. }) {
+                // A watch that was cut may have heard nothing for a while, and the history
+                // may be gone: the next watch from the same revision waits for a change,
+                // and only then learns that it has missed some.
+                let was_cut = matches!(outcome, StoreOutcome::Unknown);
+                if was_cut || matches!(self.phase, Phase::Reading { .. }) {
                     self.read_again();
                 }
                 (ReplicaHealth::Troubled, Vec::new())
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -330,9 +330,13 @@
     }
 
     fn restart(&mut self, now: Time, view: ViewName) {
+        self.note_restart(view);
+        self.replica_mut(view).restart(now);
+    }
+
+    fn note_restart(&mut self, view: ViewName) {
         let prefix = self.replica(view).prefix().to_owned();
         self.notices.push(ViewNotice::Restarted { prefix });
-        self.replica_mut(view).restart(now);
     }
 
     /// Tries again at once what has failed: the store answers other calls.
@@ -342,10 +346,11 @@
         }
     }
 
-    /// Gives up on all watches: the path to the store was dead for a while.
+    /// Gives up on all watches and reads again: the path to the store was dead for a while.
     pub fn restart_all(&mut self, now: Time) {
         for view in ViewName::ALL {
-            self.restart(now, view);
+            self.note_restart(view);
+            self.replica_mut(view).reread(now);
         }
     }
 
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -341,3 +341,31 @@
     views.handle(at(400), ViewName::Upstreams, 0, StoreOutcome::Unknown);
     assert!(views.replica(ViewName::Upstreams).lacks(Revision(15)));
 }
+
+/// Found by a hunt (CONFIG): watches heard nothing for a second in which a configuration
+/// was written, then the history was dropped and they were cut. The next watch from the
+/// same revision waited for 5 s, until the next configuration, to learn of that.
+#[test]
+fn after_a_watch_was_cut_the_store_is_read_again() {
+    let mut views = watching();
+    views.handle(at(100), ViewName::Operator, 0, StoreOutcome::Unknown);
+    let call = views.poll(at(2_000), ViewName::Operator);
+    assert!(matches!(call, Some(StoreCall::Range { .. })), "{call:?}");
+}
+
+/// The answer to a lease renewal may tell of the dead path before the watch does.
+#[test]
+fn after_the_path_was_dead_the_store_is_read_again() {
+    let mut views = watching();
+    views.restart_all(at(100));
+    let call = views.poll(at(110), ViewName::Operator);
+    assert!(matches!(call, Some(StoreCall::Range { .. })), "{call:?}");
+}
+
+#[test]
+fn a_watch_that_was_refused_is_tried_again() {
+    let mut views = watching();
+    views.handle(at(100), ViewName::Operator, 0, StoreOutcome::Refused);
+    let call = views.poll(at(2_000), ViewName::Operator);
+    assert!(matches!(call, Some(StoreCall::Watch { .. })), "{call:?}");
+}
