--- a/crates/routersim/src/check.rs
+++ b/crates/routersim/src/check.rs
@@ -22,6 +22,9 @@
     Drain,
     /// Connected nodes act by the newest configuration in time.
     Configuration,
+    /// A request that ended three upstreams comes to no more than three others from
+    /// nodes that had the time to hear of it.
+    PoisonKeptOff,
     /// After the troubles most requests are served again.
     Recovery,
 }
@@ -66,6 +69,20 @@
 /// Least part of the requests served after the troubles, in percent.
 pub const LEAST_SERVED_PERCENT: usize = 90;
 
+/// Upstreams that a request has ended when it counts as poison.
+const POISON_AFTER: usize = 3;
+/// Most attempts with it that may still come to upstreams once all nodes had the time
+/// to hear of that.
+const POISON_LET_THROUGH: usize = 3;
+
+/// What a request did to the upstreams that ran it, over all its sendings.
+#[derive(Clone, Debug, Default)]
+struct Poison {
+    ended: usize,
+    known_at: Option<Time>,
+    let_through: usize,
+}
+
 /// All checkers.
 #[derive(Clone, Debug, Default)]
 pub struct Checkers {
@@ -75,6 +92,7 @@
     once: BTreeSet<String>,
     refused: BTreeSet<String>,
     left: BTreeMap<UpstreamId, Time>,
+    poison: BTreeMap<String, Poison>,
     late_served: usize,
     late_asked: usize,
 }
@@ -134,6 +152,32 @@
         }
     }
 
+    /// A request with that content ended the upstream that ran it.
+    pub fn poison_ends(&mut self, at: Time, content: &str) {
+        let poison = self.poison.entry(content.to_owned()).or_default();
+        poison.ended += 1;
+        if poison.ended == POISON_AFTER {
+            poison.known_at = Some(at);
+        }
+    }
+
+    /// A request with that content, sent by a connected node at `sent`, comes to an
+    /// upstream.
+    pub fn poison_arrives(&mut self, sent: Time, contact: Duration, content: &str) {
+        let Some(poison) = self.poison.get_mut(content) else {
+            return;
+        };
+        let is_late = |known: Time| sent > known + contact;
+        if !poison.known_at.is_some_and(is_late) {
+            return;
+        }
+        poison.let_through += 1;
+        if poison.let_through == POISON_LET_THROUGH + 1 {
+            let text = format!("{content} ended {} upstreams so far", poison.ended);
+            self.object(Promise::PoisonKeptOff, sent, text);
+        }
+    }
+
     /// The sound store acknowledged that an upstream leaves or is gone.
     pub fn leaves(&mut self, at: Time, upstream: &UpstreamId) {
         self.left.entry(upstream.clone()).or_insert(at);
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -92,6 +92,14 @@
         /// The upstream's number.
         upstream: usize,
     },
+    /// A client sends one request again and again, to any node, that ends each upstream
+    /// which begins to run it.
+    PoisonRequest {
+        /// Whether it is a read by key, which may be repeated, or an order.
+        is_read: bool,
+        /// Milliseconds between two sendings.
+        pause_ms: u64,
+    },
     /// One key gets much of the traffic.
     HotKey,
     /// A new configuration.
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -5,6 +5,7 @@
 mod network;
 mod nodes;
 mod orders;
+mod poison;
 mod registrations;
 mod stores;
 mod upstreams;
@@ -204,6 +205,8 @@
     pub repeatable: bool,
     pub is_late: bool,
     pub work: Duration,
+    /// Its content, where that ends the upstreams that run it.
+    pub poison: Option<String>,
 }
 
 /// The simulated world.
--- a/crates/routersim/src/world/clients.rs
+++ b/crates/routersim/src/world/clients.rs
@@ -13,7 +13,7 @@
 /// Part of the reads that are of the hot key while there is one, in percent.
 const HOT: u32 = 40;
 /// How long a client waits.
-const PATIENCE: Duration = Duration::from_millis(1_500);
+pub(super) const PATIENCE: Duration = Duration::from_millis(1_500);
 
 impl World {
     pub(super) fn client(&mut self) {
@@ -50,6 +50,7 @@
             repeatable: is_read,
             is_late,
             work,
+            poison: None,
         };
         self.asked.insert((node, run, ticket), asked);
         self.input(node, run, Input::Request { ticket, head });
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -83,6 +83,9 @@
             }
             Trouble::OrdersLate { percent } => self.orders_late_percent = *percent,
             Trouble::AnswersLost { percent } => self.answers_lost_percent = *percent,
+            Trouble::PoisonRequest { .. } => {
+                self.schedule(Duration::ZERO, Event::PoisonClient { fault: index });
+            }
             Trouble::HotKey => self.hot_key = Some(ShardKey(self.random.random())),
             Trouble::Configure => {
                 if !self.store_state.down {
@@ -181,6 +184,7 @@
             | Trouble::NodeFreeze { .. }
             | Trouble::UpstreamCrash { .. }
             | Trouble::UpstreamDrain { .. }
+            | Trouble::PoisonRequest { .. }
             | Trouble::Configure => {}
         }
     }
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -115,6 +115,16 @@
         back: bool,
     },
     Client,
+    /// A client sends the request of that fault.
+    PoisonClient {
+        fault: usize,
+    },
+    /// A request ends the upstream that runs it.
+    PoisonEnds {
+        index: usize,
+        incarnation: u64,
+        content: String,
+    },
     Housekeeping,
     Fault {
         index: usize,
@@ -257,6 +267,12 @@
                 back,
             } => self.end_upstream(index, incarnation, back),
             Event::Client => self.client(),
+            Event::PoisonClient { fault } => self.poison_client(fault),
+            Event::PoisonEnds {
+                index,
+                incarnation,
+                content,
+            } => self.poison_ends(index, incarnation, &content),
             Event::Housekeeping => self.housekeeping(),
             Event::Fault { index } => self.fault(index),
             Event::FaultEnds { trouble, node } => self.fault_ends(&trouble, node),
--- /dev/null
+++ b/crates/routersim/src/world/poison.rs
@@ -0,0 +1,76 @@
+//! A request that ends each upstream which begins to run it, and comes again.
+
+use super::clients::PATIENCE;
+use super::network::Event;
+use super::{Asked, CONTACT, HOST, ORDER, READ, World};
+use crate::fault::Trouble;
+use beamtray_dispatch::{RequestHead, Ticket};
+use beamtray_router::core::Input;
+use beamtray_sharding::ShardKey;
+use rand::RngExt;
+use std::time::Duration;
+
+/// Time after which an upstream that was ended is back.
+const BACK_AFTER: Duration = Duration::from_secs(2);
+
+impl World {
+    /// Sends the request of a fault to some node, and again after its pause.
+    pub(super) fn poison_client(&mut self, fault: usize) {
+        let (begun, lasts) = (self.faults[fault].at, self.faults[fault].lasts);
+        let Trouble::PoisonRequest { is_read, pause_ms } = self.faults[fault].trouble else {
+            return;
+        };
+        if self.now >= begun + lasts {
+            return;
+        }
+        let pause = Duration::from_millis(pause_ms);
+        self.schedule(pause, Event::PoisonClient { fault });
+        let node = self.random.random_range(0..self.nodes.len());
+        let number = self.request_number();
+        let slot = &mut self.nodes[node];
+        if slot.core.is_none() {
+            return;
+        }
+        slot.next_ticket += 1;
+        let (run, ticket) = (slot.run, Ticket(slot.next_ticket));
+        let prefix = if is_read { READ } else { ORDER };
+        let content = format!("{prefix}poison-{fault}");
+        let id = format!("poison-{number}");
+        let key = is_read.then(|| ShardKey(7_919 * (fault as u16 + 1)));
+        let head = RequestHead {
+            id: id.clone(),
+            host: HOST.to_owned(),
+            path: content.clone(),
+            patience: Some(PATIENCE),
+            key,
+        };
+        let asked = Asked {
+            id,
+            node,
+            key,
+            repeatable: is_read,
+            is_late: false,
+            work: PATIENCE,
+            poison: Some(content),
+        };
+        self.asked.insert((node, run, ticket), asked);
+        self.input(node, run, Input::Request { ticket, head });
+    }
+
+    /// An upstream ends under a request that it runs.
+    pub(super) fn poison_ends(&mut self, index: usize, incarnation: u64, content: &str) {
+        let is_there = self.upstreams[index].is_some();
+        if !is_there || self.upstream_state[index].incarnation != incarnation {
+            return;
+        }
+        self.checkers.poison_ends(self.now, content);
+        self.crash(index, false, BACK_AFTER);
+    }
+
+    /// A request from a connected node comes to an upstream.
+    pub(super) fn check_poison(&mut self, asked: &Asked) {
+        if let Some(content) = asked.poison.as_deref().filter(|_| self.is_store_stable()) {
+            self.checkers.poison_arrives(self.now, CONTACT, content);
+        }
+    }
+}
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -22,6 +22,8 @@
 /// Part of the crashes after which an old write of the dead upstream comes
 /// late, in percent.
 const LATE_REGISTRATION: u32 = 50;
+/// How long an upstream works on a request that ends it.
+const POISON_WORK: Duration = Duration::from_millis(20);
 /// Heartbeats without a write after which a registration vanishes.
 pub(super) const MISSED: u32 = 3;
 
@@ -33,6 +35,7 @@
     ticket: Ticket,
     attempt: u32,
     repeatable: bool,
+    poison: Option<String>,
 }
 
 /// A release that waits for work to end.
@@ -263,6 +266,7 @@
             ticket,
             attempt: forward.attempt,
             repeatable: asked.repeatable,
+            poison: asked.poison.clone(),
         };
         if self.upstreams[index].is_none() {
             let (after, proof) = if self.upstream_state[index].dark {
@@ -278,6 +282,7 @@
         }
         if self.is_connected(node) {
             self.checkers.arrives(self.now, &forward.upstream);
+            self.check_poison(&asked);
         }
         let present = self.upstreams[index].as_ref().map(|u| u.config.id.clone());
         if present.is_some_and(|id| id != forward.upstream) {
@@ -335,6 +340,15 @@
             self.check_owner(index, key);
         }
         let taken = self.upstream_state[index].taken.get(&run.request.id);
+        if let Some(content) = taken.and_then(|taken| taken.poison.clone()) {
+            let event = Event::PoisonEnds {
+                index,
+                incarnation,
+                content,
+            };
+            self.schedule(POISON_WORK, event);
+        }
+        let taken = self.upstream_state[index].taken.get(&run.request.id);
         if taken.is_some_and(|taken| !taken.repeatable) {
             self.checkers.unrepeatable_begins(self.now, &run.request.id);
         }
