Keep requests off that end the upstreams which run them

Cause: what a request did to the upstreams that ran it was known to that one request and forgotten with its answer. Nothing told that a request which comes again, at another node, is the same one, nor whether a connection that broke off ended with its upstream or alone. Change: fingerprints of the content and of the content from that caller; an upstream to which a connection broke off is tried, and if nobody listens its requests are suspected; nodes tell each other, through relays where there are many; the granter keeps what ended two upstreams or more in the store; after three, with no answer between, it is refused for two minutes, doubling. A success clears. Lines, metrics, two guards, such a client in the simulator's drawn faults.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,7 +10,9 @@
 mod slots;
 
 use crate::budget::{BudgetConfig, RetryBudget};
+use crate::fingerprint::Fingerprints;
 use crate::occupancy::Occupancy;
+use crate::quarantine::Quarantine;
 use crate::report::UpstreamHash;
 use crate::request::{Admission, AssignmentNumber, RequestHead, Ticket, UnknownCause};
 use crate::speed::SpeedTable;
@@ -26,6 +28,7 @@
 pub use slots::{SlotCounts, SlotReply, SlotRequest};
 use slots::{SlotState, SlotTracker};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,6 +67,7 @@
 #[derive(Clone, Debug)]
 struct Attempt {
     upstream: UpstreamId,
+    address: SocketAddr,
     hash: UpstreamHash,
     sent: Time,
     /// Whether the upstream had a free slot then, as far as known.
@@ -75,6 +79,7 @@
     route: Rc<Route>,
     service: ServiceName,
     key: Option<ShardKey>,
+    fingerprints: Fingerprints,
     arrived: Time,
     deadline: Time,
     /// Latest sending, once it has been told to wait.
@@ -113,6 +118,15 @@
     credit: Vec<i64>,
 }
 
+/// An upstream to which a connection broke off: it may have ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DoubtedUpstream {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// Decides for all requests of one node.
 pub struct Dispatcher {
     config: DispatchConfig,
@@ -137,6 +151,9 @@
     slots: SlotTracker,
     faults: Faults,
     speeds: SpeedTable,
+    quarantine: Quarantine,
+    /// Upstreams to which connections broke off, and where they listen.
+    doubted: Vec<DoubtedUpstream>,
     /// When each upstream last answered a request of any node.
     heard: HashMap<UpstreamHash, Time>,
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
@@ -170,6 +187,8 @@
             slots: SlotTracker::default(),
             faults: Faults::default(),
             speeds: SpeedTable::default(),
+            quarantine: Quarantine::default(),
+            doubted: Vec::new(),
             heard: HashMap::new(),
             key_loads: HashMap::new(),
             nodes: 1,
@@ -271,6 +290,7 @@
             Request {
                 service,
                 key,
+                fingerprints: head.fingerprints,
                 arrived: now,
                 deadline,
                 wait_until: now + wait,
--- a/crates/dispatch/src/dispatcher/decide.rs
+++ b/crates/dispatch/src/dispatcher/decide.rs
@@ -63,6 +63,16 @@
             let ending = self.conclude(now, request, RefusalReason::TimeUp);
             return Some(Decision::Conclude(ticket, ending));
         }
+        // Here, not at admission alone: a request may wait while others that say the same
+        // end upstreams.
+        if self
+            .quarantine
+            .remaining(now, request.fingerprints)
+            .is_some()
+        {
+            let ending = self.conclude(now, request, RefusalReason::Quarantined);
+            return Some(Decision::Conclude(ticket, ending));
+        }
         let wanted = if now < request.not_before {
             Err(RefusalReason::Busy)
         } else {
@@ -122,6 +132,9 @@
     /// When a client is to come back: when its key is likely to have a holder again, or
     /// soon. Clients of the same keys are spread.
     fn retry_after(&mut self, now: Time, request: &Request, reason: RefusalReason) -> Duration {
+        if let Some(remaining) = self.quarantine.remaining(now, request.fingerprints) {
+            return remaining;
+        }
         let expected = match request.key {
             Some(key) if reason == RefusalReason::KeyUnheld => {
                 self.absences.remaining(now, &request.service, key)
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -1,7 +1,8 @@
 //! Attempts: how they begin, and what becomes of a request when one ends.
 
 use super::slots::SlotState;
-use super::{Attempt, Denial, Dispatcher, Request};
+use super::{Attempt, Denial, Dispatcher, DoubtedUpstream, Request};
+use crate::quarantine::Quarantine;
 use crate::report::UpstreamHash;
 use crate::request::{
     AttemptOutcome, Ending, Forward, RefusalReason, Ticket, UnknownCause, Untouched,
@@ -38,6 +39,7 @@
         request.arrivals += 1;
         request.attempt = Some(Attempt {
             upstream: record.id.clone(),
+            address: record.address,
             hash,
             sent: now,
             unqueued: occupied < record.slots && now >= registration.warm_at,
@@ -63,6 +65,7 @@
         let attempt = request.attempt.take()?;
         self.occupancy.end(attempt.hash);
         self.judge(now, &request, &attempt, outcome);
+        self.suspect(now, &request, &attempt, outcome);
         match outcome {
             AttemptOutcome::Answered { .. } => return None,
             AttemptOutcome::Untouched(proof) => self.untouched(now, &mut request, &attempt, proof),
@@ -118,6 +121,49 @@
         }
     }
 
+    /// Learns from an attempt whether its request ends upstreams.
+    fn suspect(
+        &mut self,
+        now: Time,
+        request: &Request,
+        attempt: &Attempt,
+        outcome: AttemptOutcome,
+    ) {
+        match outcome {
+            AttemptOutcome::Answered { success: true } => {
+                self.quarantine.succeeded(now, request.fingerprints);
+            }
+            AttemptOutcome::Unknown(UnknownCause::BrokenOff) => {
+                let fingerprints = request.fingerprints;
+                self.quarantine.broke_off(now, attempt.hash, fingerprints);
+                let doubted = DoubtedUpstream {
+                    upstream: attempt.upstream.clone(),
+                    address: attempt.address,
+                };
+                if !self.doubted.contains(&doubted) {
+                    self.doubted.push(doubted);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Upstreams to which connections broke off since the last call. Whether they ended
+    /// decides whether their requests are suspected.
+    pub fn take_doubted(&mut self) -> Vec<DoubtedUpstream> {
+        std::mem::take(&mut self.doubted)
+    }
+
+    /// Requests that end upstreams, as known here.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// The same, to add what others know.
+    pub fn quarantine_mut(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
+    }
+
     pub(super) fn untouched(
         &self,
         now: Time,
--- a/crates/dispatch/src/dispatcher/reports.rs
+++ b/crates/dispatch/src/dispatcher/reports.rs
@@ -23,6 +23,7 @@
 
     /// Forgets peers that fell silent.
     pub fn expire(&mut self, now: Time) {
+        self.quarantine.expire(now);
         self.occupancy.expire(now);
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,14 +7,20 @@
 
 mod budget;
 mod dispatcher;
+mod fingerprint;
 mod occupancy;
+mod quarantine;
 mod report;
 mod request;
 mod speed;
 
 pub use budget::{BudgetConfig, RetryBudget};
-pub use dispatcher::{DispatchConfig, Dispatcher, SlotCounts, SlotReply, SlotRequest};
+pub use dispatcher::{
+    DispatchConfig, Dispatcher, DoubtedUpstream, SlotCounts, SlotReply, SlotRequest,
+};
+pub use fingerprint::{Fingerprint, Fingerprints, RequestContent};
 pub use occupancy::{Occupancy, SumSource};
+pub use quarantine::{Quarantine, QuarantineNotice, Suspicion, SuspicionRecord, UPSTREAMS_ENDED};
 pub use report::{
     Answers, Contained, InFlight, KeyLoad, KeyReport, LoadReport, LoadSum, NodeHash, UpstreamHash,
 };
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,6 +1,7 @@
 //! Requests and what is decided about them.
 
 use crate::dispatcher::SlotRequest;
+use crate::fingerprint::Fingerprints;
 use beamtray_catalog::{Route, UpstreamId};
 use beamtray_sharding::ShardKey;
 use beamtray_types::{ServiceName, Time};
@@ -28,6 +29,8 @@
     pub patience: Option<Duration>,
     /// Key, when it carries one.
     pub key: Option<ShardKey>,
+    /// What it says, in short.
+    pub fingerprints: Fingerprints,
 }
 
 /// Why a request is not admitted.
@@ -56,6 +59,8 @@
     Refused,
     /// The time ran out before it was sent.
     TimeUp,
+    /// Upstreams ended under requests that say the same.
+    Quarantined,
 }
 
 /// Proof that an attempt did not run.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -7,7 +7,8 @@
     ServiceConfig, UpstreamId, UpstreamRecord, UpstreamState, WeightedBackend,
 };
 use beamtray_dispatch::{
-    BudgetConfig, Conclusion, Decision, DispatchConfig, Dispatcher, Forward, RequestHead,
+    BudgetConfig, Conclusion, Decision, DispatchConfig, Dispatcher, Fingerprints, Forward,
+    RequestHead,
 };
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
@@ -131,6 +132,7 @@
         path: path.to_owned(),
         patience: Some(PATIENCE),
         key: key.map(ShardKey),
+        fingerprints: Fingerprints::default(),
     }
 }
 
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -2,6 +2,7 @@
 //! it is the granter.
 
 mod standbys;
+mod suspicions;
 mod term;
 
 use crate::core::grants::{Grants, candidates, probe_claimed};
@@ -23,6 +24,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use suspicions::SuspicionWriter;
 use term::Term;
 
 /// Between two looks at the balance.
@@ -52,6 +54,9 @@
     pub granter_lease: LeaseTiming,
     /// How long the place is left vacant before this node tries to take it.
     pub patience: Duration,
+    /// Whether the granter keeps in the store which requests end upstreams. Only a test
+    /// that shows why turns it off.
+    pub keeps_suspicions: bool,
     /// Grants.
     pub grants: GranterTiming,
     /// Balance.
@@ -73,6 +78,7 @@
     /// What was read at the start of the term.
     reading: Option<Snapshot>,
     speeds_at: Time,
+    suspicions: SuspicionWriter,
 }
 
 impl Control {
@@ -95,6 +101,7 @@
             written: Vec::new(),
             reading: None,
             speeds_at: Time::ZERO,
+            suspicions: SuspicionWriter::default(),
             addresses: BTreeMap::new(),
             addresses_of: None,
             config,
@@ -134,7 +141,7 @@
         &mut self,
         now: Time,
         views: &Views,
-        speeds: &SpeedTable,
+        dispatcher: &Dispatcher,
     ) -> Vec<(StoreTask, StoreCall)> {
         let mirror = views.replica(ViewName::Members).mirror();
         let view = mirror
@@ -150,7 +157,8 @@
         }
         self.follow_authority(now);
         calls.extend(self.poll_term(now));
-        calls.extend(self.poll_speeds(now, speeds));
+        calls.extend(self.poll_speeds(now, dispatcher.speeds()));
+        calls.extend(self.poll_suspicions(now, dispatcher.quarantine()));
         calls
     }
 
@@ -187,6 +195,7 @@
             StoreTask::Registration => self.registrar.handle(now, &outcome),
             StoreTask::TakeOver => self.taken_over(now, outcome),
             StoreTask::Record(service) => self.recorded(now, service, outcome),
+            StoreTask::Suspicions => self.suspicions_written(now, &outcome),
             StoreTask::View(..) | StoreTask::Speeds | StoreTask::Farewell => {}
         }
     }
--- /dev/null
+++ b/crates/router/src/core/control/suspicions.rs
@@ -0,0 +1,77 @@
+//! The granter keeps in the store which requests end upstreams, so that all processes may
+//! be lost and the next ones know, and nodes that missed the word read it.
+
+use super::Control;
+use crate::core::message::StoreTask;
+use crate::core::records::OwnKeys;
+use beamtray_dispatch::{Quarantine, SuspicionRecord};
+use beamtray_metastore::{Condition, Item, StoreCall, StoreOutcome, Transaction, Write};
+use beamtray_types::Time;
+use std::time::Duration;
+
+/// Between two writes, so that ends close together go in one.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// What of the suspicions is in the store.
+#[derive(Debug, Default)]
+pub(super) struct SuspicionWriter {
+    /// Written last, by this node.
+    written: SuspicionRecord,
+    /// On its way to the store.
+    sent: Option<SuspicionRecord>,
+    due: Time,
+}
+
+impl Control {
+    /// Writes the suspicions that are worth keeping if they changed.
+    pub(super) fn poll_suspicions(
+        &mut self,
+        now: Time,
+        quarantine: &Quarantine,
+    ) -> Option<(StoreTask, StoreCall)> {
+        let authority = self.election.authority(now)?;
+        // Before the records were read they would be written without what they hold.
+        let is_read = self.term.as_ref()?.grants.is_some();
+        if !self.config.keeps_suspicions || !is_read {
+            return None;
+        }
+        if now < self.suspicions.due || self.suspicions.sent.is_some() {
+            return None;
+        }
+        self.suspicions.due = now + PAUSE;
+        let record = quarantine.record();
+        if record == self.suspicions.written {
+            return None;
+        }
+        let call = StoreCall::Commit(Transaction {
+            conditions: vec![Condition {
+                key: OwnKeys::GRANTER.to_owned(),
+                revision: authority.revision,
+            }],
+            writes: vec![Write {
+                key: OwnKeys::SUSPICIONS.to_owned(),
+                value: borsh::to_vec(&record).unwrap_or_default(),
+                lease: None,
+            }],
+            removals: Vec::new(),
+        });
+        self.suspicions.sent = Some(record);
+        Some((StoreTask::Suspicions, call))
+    }
+
+    /// Takes the outcome of a write; one that failed is tried again.
+    pub(super) fn suspicions_written(&mut self, now: Time, outcome: &StoreOutcome) {
+        let Some(record) = self.suspicions.sent.take() else {
+            return;
+        };
+        self.suspicions.due = now + PAUSE;
+        if let StoreOutcome::Committed { revision } = outcome {
+            self.written.push(Item {
+                key: OwnKeys::SUSPICIONS.to_owned(),
+                value: borsh::to_vec(&record).unwrap_or_default(),
+                revision: *revision,
+            });
+            self.suspicions.written = record;
+        }
+    }
+}
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -5,8 +5,8 @@
 use crate::core::views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest};
 use beamtray_catalog::{ClientLimits, UpstreamId};
 use beamtray_dispatch::{
-    Admission, Answers, AttemptOutcome, Ending, Forward, KeyReport, LoadReport, LoadSum,
-    RequestHead, SlotReply, SlotRequest, Ticket,
+    Admission, Answers, AttemptOutcome, DoubtedUpstream, Ending, Forward, KeyReport, LoadReport,
+    LoadSum, QuarantineNotice, RequestHead, SlotReply, SlotRequest, Suspicion, Ticket,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply, OwnedAgain};
@@ -105,6 +105,8 @@
     TakeOver,
     /// Writes what was learned of speeds.
     Speeds,
+    /// Writes which requests end upstreams.
+    Suspicions,
     /// Writes the assignment of a service.
     Record(ServiceName),
     /// Gives up leases at a planned stop.
@@ -124,6 +126,8 @@
     Answers(Vec<Answers>),
     /// An upstream is gone: another one answered at its address.
     Gone(UpstreamId),
+    /// Upstreams that ended under requests.
+    Suspicions(Vec<Suspicion>),
     /// Requests by key, for the granter.
     Keys(KeyReport),
     /// Newest changes that it has seen.
@@ -138,6 +142,17 @@
     StandbyReport(StandbyReport),
 }
 
+/// What the try to connect to an upstream showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// Nobody listens at its address.
+    Ended,
+    /// Somebody does.
+    Listens,
+    /// Nothing came back: it may be cut off, or have lost its power.
+    Silent,
+}
+
 /// What happened.
 pub enum Input {
     /// Time passed.
@@ -184,6 +199,13 @@
         /// The upstream that is gone.
         upstream: UpstreamId,
     },
+    /// It was tried whether an upstream still listens.
+    Probed {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// What that showed.
+        liveness: Liveness,
+    },
     /// Another node's word.
     Datagram(SocketAddr, Datagram),
     /// Another node's copies.
@@ -212,6 +234,10 @@
     Send(Datagram, Vec<SocketAddr>),
     /// Ask another node for its copies, and wait so long.
     Ask(SocketAddr, ViewRequest, Duration),
+    /// Try to connect to an upstream, to see whether it still listens.
+    Probe(DoubtedUpstream),
+    /// What is known of requests that end upstreams changed.
+    Quarantine(QuarantineNotice),
     /// Bounds on clients changed.
     Limits(ClientLimits),
     /// A belief changed.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -2,6 +2,7 @@
 
 mod fetch;
 mod load;
+mod quarantine;
 mod slots;
 mod standby;
 mod talk;
@@ -23,6 +24,7 @@
 use beamtray_types::Time;
 use fetch::Fetches;
 use load::ReportSchedule;
+use quarantine::SuspicionNews;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +48,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Pauses.
     pub timing: Timing,
+    /// Whether nodes tell each other of requests that end upstreams. Only a test that
+    /// shows why turns it off.
+    pub tells_suspicions: bool,
 }
 
 /// Trouble with the store longer ago than this is not told to others.
@@ -70,6 +75,7 @@
     /// When a call to the store last got no answer.
     trouble_at: Option<Time>,
     key_report_at: Time,
+    suspicion_news: SuspicionNews,
     fetches: Fetches,
     /// Relays of this node's zone that a node which has just started still asks for
     /// their copies; none before it knows who they are.
@@ -108,6 +114,7 @@
             acts_as_relay: false,
             trouble_at: None,
             key_report_at: Time::ZERO,
+            suspicion_news: SuspicionNews::default(),
             fetches: Fetches::default(),
             first_asked: None,
             ask_at: Time::ZERO,
@@ -165,6 +172,7 @@
                 self.control.proved_gone(&upstream);
                 self.found_gone(now, upstream);
             }
+            Input::Probed { upstream, liveness } => self.probed(now, &upstream, liveness),
             Input::Datagram(from, datagram) => self.datagram(now, from, &datagram),
             Input::Snapshots(from, snapshots) => {
                 self.fetches.ended(from);
@@ -175,6 +183,7 @@
             Input::Settings(config) => self.take_settings(*config),
             Input::Stop => self.stop(),
         }
+        self.follow_quarantine(now);
         self.tell_changes(now);
         if may_decide {
             self.dispatch(now);
@@ -196,9 +205,11 @@
             Datagram::Gone(upstream) => {
                 self.views.proved_gone(now, upstream);
                 self.viewed(now);
+                self.upstream_ended(now, upstream);
             }
             Datagram::SlotRequest(request) => self.give_slot(now, from, request),
             Datagram::SlotReply(reply) => self.dispatcher.slot_given(now, *reply),
+            Datagram::Suspicions(suspicions) => self.take_suspicions(now, suspicions),
             Datagram::Keys(report) => self.control.report(report),
             Datagram::StandbyWord(word) => self.standby.hear(now, word),
             Datagram::StandbyReport(report) => self.control.standby_reported(now, from, report),
@@ -266,6 +277,7 @@
         let was_known = self.views.directory.get(&upstream).is_some();
         self.views.proved_gone(now, &upstream);
         self.viewed(now);
+        self.upstream_ended(now, &upstream);
         if was_known {
             self.send(Datagram::Gone(upstream), Audience::All);
         }
@@ -276,6 +288,9 @@
         if let Some(speeds) = self.views.speeds.take() {
             self.dispatcher.adopt_speeds(&speeds);
         }
+        if let Some(record) = self.views.suspicions.take() {
+            self.dispatcher.quarantine_mut().adopt(now, &record);
+        }
         if self.views.take_nodes_changed() {
             self.choose_relays();
             self.begin_with_relays(now);
@@ -358,8 +373,7 @@
                 self.outputs.push(Output::Store(task, call));
             }
         }
-        let speeds = self.dispatcher.speeds();
-        for (task, call) in self.control.poll_store(now, &self.views, speeds) {
+        for (task, call) in self.control.poll_store(now, &self.views, &self.dispatcher) {
             self.outputs.push(Output::Store(task, call));
         }
         let orders = self.control.poll_orders(now, &self.views, &self.dispatcher);
@@ -399,6 +413,7 @@
         self.report(now);
         self.tell_heads(now);
         self.report_keys(now);
+        self.tell_suspicions(now);
         self.report_as_standby(now, false);
         self.prolong_holds(now);
         self.ask_peers(now);
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -212,7 +212,7 @@
         }
     }
 
-    fn other_relays(&self) -> Vec<SocketAddr> {
+    pub(super) fn other_relays(&self) -> Vec<SocketAddr> {
         let zone = &self.config.control.record.zone;
         self.membership.relays().of_others(zone).collect()
     }
--- /dev/null
+++ b/crates/router/src/core/node/quarantine.rs
@@ -0,0 +1,179 @@
+//! What nodes tell one another of requests that end upstreams.
+//!
+//! A client that comes again meets another node, so each node sees one end or two. All
+//! have to know of the third within the time in which nodes in touch hear of things.
+//! Where there are few nodes each tells all. Where there are many each tells the relays,
+//! and these tell the nodes of their zones of what is kept off; the granter, which is one
+//! of them, writes it into the store, where those find it that missed the word.
+
+use super::NodeCore;
+use crate::core::membership::Audience;
+use crate::core::message::{Datagram, Liveness, Output};
+use beamtray_catalog::UpstreamId;
+use beamtray_dispatch::{QuarantineNotice, Suspicion, UPSTREAMS_ENDED, UpstreamHash};
+use beamtray_types::Time;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How often each suspicion is told: of links that lose one datagram in ten, one loses all
+/// of them once in ten thousand.
+const TOLD: u32 = 4;
+/// Between two tellings. All are told well within a second.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Suspicions in one datagram, 13 bytes each.
+const SUSPICIONS_A_DATAGRAM: usize = 80;
+/// Most suspicions that are still to be told; a zone that is lost leaves thousands, nearly
+/// all of bystanders. The oldest give way.
+const MOST_NEWS: usize = 2_000;
+
+/// Whom a suspicion is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewsAudience {
+    /// Whoever puts together what single nodes saw.
+    Collectors,
+    /// All nodes of this zone.
+    Zone,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct News {
+    suspicion: Suspicion,
+    audience: NewsAudience,
+    left: u32,
+}
+
+/// Suspicions that are still to be told.
+#[derive(Debug, Default)]
+pub(super) struct SuspicionNews {
+    news: VecDeque<News>,
+    due: Time,
+}
+
+impl SuspicionNews {
+    fn add(&mut self, suspicion: Suspicion, audience: NewsAudience) {
+        if self.news.len() >= MOST_NEWS {
+            self.news.pop_front();
+        }
+        self.news.push_back(News {
+            suspicion,
+            audience,
+            left: TOLD,
+        });
+    }
+
+    /// Those that are told next, and again later unless it was the last time.
+    fn take_due(&mut self) -> Vec<News> {
+        let count = self.news.len().min(SUSPICIONS_A_DATAGRAM);
+        let told: Vec<News> = self.news.drain(..count).collect();
+        for news in &told {
+            let left = news.left - 1;
+            if left > 0 {
+                self.news.push_back(News { left, ..*news });
+            }
+        }
+        told
+    }
+}
+
+impl NodeCore {
+    /// Takes what the try to connect to an upstream showed.
+    pub(super) fn probed(&mut self, now: Time, upstream: &UpstreamId, liveness: Liveness) {
+        match liveness {
+            Liveness::Ended => self.upstream_ended(now, upstream),
+            Liveness::Listens => {
+                let hash = UpstreamHash::of(upstream);
+                self.dispatcher.quarantine_mut().upstream_lives(hash);
+            }
+            // Another proof may come, or the doubt passes.
+            Liveness::Silent => {}
+        }
+    }
+
+    /// Suspects the requests whose connections to an upstream broke off, since it ended.
+    pub(super) fn upstream_ended(&mut self, now: Time, upstream: &UpstreamId) {
+        let hash = UpstreamHash::of(upstream);
+        self.dispatcher.quarantine_mut().upstream_ended(now, hash);
+    }
+
+    /// Asks for proof where connections broke off, and passes on what became known.
+    pub(super) fn follow_quarantine(&mut self, now: Time) {
+        for doubted in self.dispatcher.take_doubted() {
+            self.outputs.push(Output::Probe(doubted));
+        }
+        let found = self.dispatcher.quarantine_mut().take_untold();
+        if !found.is_empty() {
+            self.suspicion_news.due = now;
+        }
+        for suspicion in found {
+            self.suspicion_news.add(suspicion, NewsAudience::Collectors);
+        }
+        let notices = self.dispatcher.quarantine_mut().take_notices();
+        for notice in &notices {
+            self.pass_on_notice(now, *notice);
+        }
+        let notices = notices.into_iter().map(Output::Quarantine);
+        self.outputs.extend(notices);
+    }
+
+    /// A relay tells its zone of requests that are kept off, or are not any more.
+    fn pass_on_notice(&mut self, now: Time, notice: QuarantineNotice) {
+        let fingerprint = match notice {
+            QuarantineNotice::KeptOff { fingerprint, .. }
+            | QuarantineNotice::Cleared { fingerprint } => fingerprint,
+            QuarantineNotice::Suspected { .. } => return,
+        };
+        if self.are_few() || !self.is_relay() {
+            return;
+        }
+        let known = self.dispatcher.quarantine().known_of(fingerprint);
+        if known.len() < UPSTREAMS_ENDED {
+            return;
+        }
+        for suspicion in known {
+            self.suspicion_news.add(suspicion, NewsAudience::Zone);
+        }
+        self.suspicion_news.due = now;
+    }
+
+    /// Takes what another node saw.
+    pub(super) fn take_suspicions(&mut self, now: Time, suspicions: &[Suspicion]) {
+        let quarantine = self.dispatcher.quarantine_mut();
+        for suspicion in suspicions {
+            quarantine.learn(now, *suspicion);
+        }
+    }
+
+    /// Tells other nodes of suspicions.
+    pub(super) fn tell_suspicions(&mut self, now: Time) {
+        let is_due = now >= self.suspicion_news.due && !self.suspicion_news.news.is_empty();
+        if !is_due || !self.config.tells_suspicions {
+            return;
+        }
+        self.suspicion_news.due = now + PAUSE;
+        let told = self.suspicion_news.take_due();
+        for audience in [NewsAudience::Collectors, NewsAudience::Zone] {
+            let meant = told.iter().filter(|news| news.audience == audience);
+            let suspicions: Vec<Suspicion> = meant.map(|news| news.suspicion).collect();
+            let peers = self.news_peers(audience);
+            if !suspicions.is_empty() && !peers.is_empty() {
+                let datagram = Datagram::Suspicions(suspicions);
+                self.outputs.push(Output::Send(datagram, peers));
+            }
+        }
+    }
+
+    fn news_peers(&self, audience: NewsAudience) -> Vec<SocketAddr> {
+        if self.are_few() {
+            return self.membership.peers(Audience::All);
+        }
+        match audience {
+            NewsAudience::Zone => self.membership.peers(Audience::Near),
+            NewsAudience::Collectors => {
+                let mut relays = self.near_relays();
+                relays.extend(self.other_relays());
+                relays
+            }
+        }
+    }
+}
--- a/crates/router/src/core/records.rs
+++ b/crates/router/src/core/records.rs
@@ -26,6 +26,8 @@
     const HEADS: &'static str = "beamtray/state/assignments/head/";
     /// What was learned of the upstreams' speeds.
     pub const SPEEDS: &'static str = "beamtray/state/speeds";
+    /// Requests that end upstreams.
+    pub const SUSPICIONS: &'static str = "beamtray/state/suspicions";
 
     /// Key of a node.
     pub fn node(name: &str) -> String {
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -14,7 +14,7 @@
 use crate::core::replica::{Replica, ReplicaHealth, ReplicaTiming};
 use beamtray_catalog::{Configuration, Directory, DirectoryChange, DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
-use beamtray_dispatch::SpeedRecord;
+use beamtray_dispatch::{SpeedRecord, SuspicionRecord};
 use beamtray_metastore::{GranterRecord, Item, Revision, StoreCall, StoreOutcome};
 use beamtray_sharding::Assignment;
 use beamtray_types::{ServiceName, Time};
@@ -158,6 +158,8 @@
     assigned: BTreeSet<ServiceName>,
     /// Speeds that an earlier process learned, until they are taken.
     pub speeds: Option<SpeedRecord>,
+    /// Requests that end upstreams, as the store has them, until they are taken.
+    pub suspicions: Option<SuspicionRecord>,
     /// Nodes that are registered.
     pub nodes: BTreeMap<String, NodeRecord>,
     nodes_changed: bool,
@@ -190,6 +192,7 @@
             assignments: BTreeMap::new(),
             assigned: BTreeSet::new(),
             speeds: None,
+            suspicions: None,
             nodes: BTreeMap::new(),
             nodes_changed: true,
             granter: None,
--- a/crates/router/src/core/views/apply.rs
+++ b/crates/router/src/core/views/apply.rs
@@ -3,7 +3,7 @@
 use super::{ViewName, ViewNotice, Views};
 use crate::core::records::{AssignmentKey, NodeRecord, OwnKeys};
 use beamtray_catalog::{DirectoryChange, UpstreamId};
-use beamtray_dispatch::SpeedRecord;
+use beamtray_dispatch::{SpeedRecord, SuspicionRecord};
 use beamtray_metastore::{GranterRecord, Item, MirrorChange, Revision};
 use beamtray_sharding::{AssignmentHead, AssignmentPart};
 use beamtray_types::Time;
@@ -121,6 +121,11 @@
             }
         } else if item.key == OwnKeys::SPEEDS {
             self.speeds = SpeedRecord::try_from_slice(&item.value).ok();
+        } else if item.key == OwnKeys::SUSPICIONS {
+            match SuspicionRecord::try_from_slice(&item.value) {
+                Ok(record) => self.suspicions = Some(record),
+                Err(error) => self.unreadable(item.key, error.to_string()),
+            }
         } else if item.key == OwnKeys::GRANTER
             && let Ok(record) = GranterRecord::try_from_slice(&item.value)
         {
--- a/crates/router/src/settings/core_config.rs
+++ b/crates/router/src/settings/core_config.rs
@@ -60,6 +60,7 @@
             start_delay: self.start_delay(),
             seeds: self.seeds.clone(),
             timing: Timing::default(),
+            tells_suspicions: true,
         }
     }
 
@@ -131,6 +132,7 @@
                 renewal: GRANTER_RENEWAL,
             },
             patience,
+            keeps_suspicions: true,
             grants: GranterTiming {
                 hold,
                 renewal,
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -5,7 +5,7 @@
 use crate::shell::connections::{Answer, CallFailure, CallProgress};
 use crate::shell::handle::{AnswerBody, Shared, Step};
 use beamtray_catalog::UpstreamId;
-use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
+use beamtray_dispatch::{AttemptOutcome, Fingerprints, Forward, Ticket, UnknownCause, Untouched};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -21,6 +21,7 @@
 /// A client's request as it is sent on.
 pub(crate) struct ClientRequest {
     pub id: String,
+    pub fingerprints: Fingerprints,
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
@@ -73,7 +74,7 @@
     let took = shared.now().since(sent);
     shared
         .observer
-        .ended(&request.id, &forward, result.outcome, took);
+        .ended(&request, &forward, result.outcome, took);
     if result.replaced {
         shared.input(Input::Replaced {
             upstream: forward.upstream.clone(),
--- a/crates/router/src/shell/clients.rs
+++ b/crates/router/src/shell/clients.rs
@@ -5,7 +5,7 @@
 use crate::shell::attempt::{ClientRequest, attempt};
 use crate::shell::connections::prepare;
 use crate::shell::handle::{AnswerBody, Shared, Step};
-use beamtray_dispatch::{RequestHead, Ticket};
+use beamtray_dispatch::{Fingerprints, RequestContent, RequestHead, Ticket};
 use beamtray_sharding::ShardKey;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -15,6 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -36,19 +37,20 @@
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(shared.clone(), stream));
+            Ok((stream, caller)) => {
+                let connection = serve_connection(shared.clone(), stream, caller.ip());
+                tokio::task::spawn_local(connection);
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn serve_connection(shared: Rc<Shared>, stream: TcpStream) {
+async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, caller: IpAddr) {
     prepare(&stream);
     let limits = shared.limits.get();
     let for_requests = shared.clone();
-    let service = service_fn(move |request| serve(for_requests.clone(), request));
+    let service = service_fn(move |request| serve(for_requests.clone(), request, caller));
     // The time for a head also bounds the rest between requests, so it must
     // not be shorter than that.
     let connection = http1::Builder::new()
@@ -69,8 +71,9 @@
 async fn serve(
     shared: Rc<Shared>,
     request: Request<Incoming>,
+    caller: IpAddr,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let mut response = match receive(&shared, request).await {
+    let mut response = match receive(&shared, request, caller).await {
         Ok(request) => decide(&shared, request).await,
         Err(status) => own(status),
     };
@@ -85,6 +88,7 @@
 async fn receive(
     shared: &Shared,
     request: Request<Incoming>,
+    caller: IpAddr,
 ) -> Result<(RequestHead, ClientRequest), StatusCode> {
     let (parts, body) = request.into_parts();
     let longest = shared.limits.get().max_body_bytes;
@@ -96,13 +100,22 @@
         Ok(Err(_)) => return Err(StatusCode::BAD_REQUEST),
         Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
     };
-    let head = head(shared, &parts.headers, &parts.uri)?;
+    let mut head = head(shared, &parts.headers, &parts.uri)?;
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let content = RequestContent {
+        method: parts.method.as_str(),
+        host: &head.host,
+        target: path,
+        key: head.key,
+        body: &body,
+    };
+    head.fingerprints = Fingerprints::of(&content, caller);
     let mut headers = parts.headers;
     strip_connection_headers(&mut headers);
     headers.remove(EXPECT);
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let request = ClientRequest {
         id: head.id.clone(),
+        fingerprints: head.fingerprints,
         method: parts.method,
         uri: path.parse().map_err(|_| StatusCode::BAD_REQUEST)?,
         headers,
@@ -132,6 +145,8 @@
         path: uri.path().to_owned(),
         patience,
         key,
+        // Known once the body is.
+        fingerprints: Fingerprints::default(),
     })
 }
 
@@ -205,7 +220,10 @@
                 denial(admission)
             }
             Step::Conclude(ending) => {
-                shared.observer.concluded(&request.id, &ending);
+                let fingerprints = request.fingerprints;
+                shared
+                    .observer
+                    .concluded(&request.id, fingerprints, &ending);
                 conclusion(ending.conclusion)
             }
             Step::Answer(response) => *response,
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -18,7 +18,7 @@
 use tokio::task::AbortHandle;
 
 /// How long a connection may take to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// How long written bytes may stay unacknowledged before the connection ends.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 const PROBE_AFTER: Duration = Duration::from_secs(1);
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -96,6 +96,12 @@
     pub holder: &'static str,
 }
 
+/// What is known of requests under which upstreams ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct SuspectLabel {
+    pub state: &'static str,
+}
+
 /// A service.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct ServiceLabel {
@@ -143,6 +149,7 @@
     under_way: Gauge,
     slots_in_use: Family<UpstreamLabel, Gauge>,
     slots: Family<SlotLabel, Gauge>,
+    suspects: Family<SuspectLabel, Gauge>,
     slices: Gauge,
     slices_held: Gauge,
     is_granter: Gauge,
@@ -175,6 +182,7 @@
             under_way: Gauge::default(),
             slots_in_use: Family::default(),
             slots: Family::default(),
+            suspects: Family::default(),
             slices: Gauge::default(),
             slices_held: Gauge::default(),
             is_granter: Gauge::default(),
@@ -268,6 +276,11 @@
             "Questions to a relay where to send requests, by outcome; asked_here at the relay",
             self.slots.clone(),
         );
+        registry.register(
+            "suspects",
+            "Fingerprints of requests under which upstreams ended, and of those kept off",
+            self.suspects.clone(),
+        );
         registry.register("slices", "Slices, at the granter", self.slices.clone());
         registry.register(
             "slices_held",
@@ -336,6 +349,11 @@
             let label = SlotLabel { outcome };
             self.slots.get_or_create(&label).set(count as i64);
         }
+        let (suspected, kept_off) = dispatcher.quarantine().counts(now);
+        for (state, count) in [("suspected", suspected), ("kept_off", kept_off)] {
+            let label = SuspectLabel { state };
+            self.suspects.get_or_create(&label).set(count as i64);
+        }
         let (slices, held) = control.slice_counts(now);
         self.slices.set(slices as i64);
         self.slices_held.set(held as i64);
--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -12,6 +12,7 @@
 mod observer;
 mod outputs;
 mod peers;
+mod probe;
 mod process;
 mod rate;
 mod readiness;
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -1,15 +1,16 @@
 //! Tells what the process did and believed: a line and a count for each.
 
-use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
+use crate::core::{Liveness, OrderTask, StandbyState, StoreTask, ViewNotice};
+use crate::shell::attempt::ClientRequest;
 use crate::shell::metrics::{
     AttemptLabels, LossLabel, Metrics, OrderLabels, OrderName, RefusalLabels, RequestLabels,
     RouteLabel, StoreLabels,
 };
 use crate::shell::rate::{LineKind, LineRate};
-use beamtray_catalog::DirectoryChange;
+use beamtray_catalog::{DirectoryChange, UpstreamId};
 use beamtray_dispatch::{
-    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Ending, Forward, RefusalReason,
-    UnknownCause, Untouched,
+    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Ending, Fingerprints, Forward,
+    QuarantineNotice, RefusalReason, UnknownCause, Untouched, UpstreamHash,
 };
 use beamtray_metastore::StoreOutcome;
 use beamtray_sharding::{GrantReply, LossCause, OrderKind, OwnedAgain, ShardKey};
@@ -44,6 +45,20 @@
     }
 }
 
+/// What the request says, in short, where an upstream may have ended under it.
+struct FingerprintFields(Option<Fingerprints>);
+
+impl slog::KV for FingerprintFields {
+    fn serialize(&self, _: &Record, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        let Some(fingerprints) = self.0 else {
+            return Ok(());
+        };
+        serializer.emit_arguments("content", &format_args!("{}", fingerprints.content))?;
+        let from_caller = fingerprints.from_caller;
+        serializer.emit_arguments("from_caller", &format_args!("{from_caller}"))
+    }
+}
+
 /// How many lines of the same kind were left out before this one.
 struct LeftOut(u64);
 
@@ -166,6 +181,43 @@
         }
     }
 
+    /// It was tried whether an upstream to which a connection broke off still listens.
+    pub fn probed(&self, upstream: &UpstreamId, liveness: Liveness) {
+        if let Some(left_out) = self.admit(LineKind::Dependency) {
+            info!(self.log, "upstream_probed"; "upstream" => %upstream,
+                "short" => UpstreamHash::of(upstream).0, "found" => ?liveness, left_out);
+        }
+    }
+
+    /// What is known of requests that end upstreams changed.
+    pub fn quarantine(&self, notice: QuarantineNotice) {
+        let Some(left_out) = self.admit(LineKind::Failure) else {
+            return;
+        };
+        let log = &self.log;
+        match notice {
+            QuarantineNotice::Suspected {
+                fingerprint,
+                upstream,
+                ended,
+            } => {
+                info!(log, "request_suspected"; "fingerprint" => %fingerprint,
+                    "short" => upstream.0, "ended" => ended, left_out);
+            }
+            QuarantineNotice::KeptOff {
+                fingerprint,
+                ended,
+                lasts,
+            } => {
+                warn!(log, "request_kept_off"; "fingerprint" => %fingerprint,
+                    "ended" => ended, "for_s" => lasts.as_secs(), left_out);
+            }
+            QuarantineNotice::Cleared { fingerprint } => {
+                info!(log, "request_cleared"; "fingerprint" => %fingerprint, left_out);
+            }
+        }
+    }
+
     /// A call to the store ended.
     pub fn store(&self, task: &StoreTask, outcome: &StoreOutcome) {
         let name = store_outcome(outcome);
@@ -235,7 +287,13 @@
     }
 
     /// An attempt ended.
-    pub fn ended(&self, id: &str, forward: &Forward, outcome: AttemptOutcome, took: Duration) {
+    pub fn ended(
+        &self,
+        request: &ClientRequest,
+        forward: &Forward,
+        outcome: AttemptOutcome,
+        took: Duration,
+    ) {
         let name = attempt_outcome(outcome);
         let labels = AttemptLabels {
             service: forward.service.0.clone(),
@@ -250,9 +308,12 @@
             _ => LineKind::Failure,
         };
         if let Some(left_out) = self.admit(kind) {
-            info!(self.log, "attempt_ended"; "request" => id, "upstream" => %forward.upstream,
-                "attempt" => forward.attempt, "outcome" => name,
-                "took_ms" => took.as_millis() as u64, left_out);
+            let is_broken_off = outcome == AttemptOutcome::Unknown(UnknownCause::BrokenOff);
+            let fingerprints = is_broken_off.then_some(request.fingerprints);
+            info!(self.log, "attempt_ended"; "request" => &request.id,
+                "upstream" => %forward.upstream, "attempt" => forward.attempt,
+                "outcome" => name, "took_ms" => took.as_millis() as u64,
+                FingerprintFields(fingerprints), left_out);
         }
     }
 
@@ -287,7 +348,7 @@
     }
 
     /// A request got its final answer without one of an upstream.
-    pub fn concluded(&self, id: &str, ending: &Ending) {
+    pub fn concluded(&self, id: &str, fingerprints: Fingerprints, ending: &Ending) {
         let (outcome, reason, retry_after) = match ending.conclusion {
             Conclusion::Refused {
                 reason,
@@ -306,11 +367,19 @@
             key: ending.key,
             assignment: ending.assignment,
         };
+        let is_quarantined = matches!(
+            ending.conclusion,
+            Conclusion::Refused {
+                reason: RefusalReason::Quarantined,
+                ..
+            }
+        );
+        let fingerprints = FingerprintFields(is_quarantined.then_some(fingerprints));
         info!(self.log, "concluded"; "request" => id, "route" => &ending.route,
             "service" => %ending.service, "outcome" => outcome, "reason" => reason,
             "arrivals" => ending.arrivals, "age_ms" => ending.age.as_millis() as u64,
             "left_ms" => ending.left.as_millis() as u64,
-            "retry_after_ms" => retry_after.as_millis() as u64, fields, left_out);
+            "retry_after_ms" => retry_after.as_millis() as u64, fields, fingerprints, left_out);
     }
 
     fn refused(&self, ending: &Ending, reason: RefusalReason) {
@@ -343,6 +412,7 @@
         StoreTask::Registration => "registration",
         StoreTask::TakeOver => "take_over",
         StoreTask::Speeds => "speeds",
+        StoreTask::Suspicions => "suspicions",
         StoreTask::Record(_) => "record",
         StoreTask::Farewell => "farewell",
     }
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Output;
 use crate::shell::handle::{Shared, Step};
-use crate::shell::{calls, peers};
+use crate::shell::{calls, peers, probe};
 use std::rc::Rc;
 
 /// Does what the core asks for.
@@ -17,6 +17,8 @@
         Output::Order(task, epoch) => calls::order(shared, task, epoch),
         Output::Send(datagram, addresses) => peers::send(shared, &datagram, &addresses),
         Output::Ask(address, request, wait) => peers::ask(shared, address, request, wait),
+        Output::Probe(doubted) => probe::listens(shared, doubted),
+        Output::Quarantine(notice) => shared.observer.quarantine(notice),
         Output::Limits(limits) => shared.limits.set(limits),
         Output::Notice(notice) => shared.observer.notice(&notice),
         Output::Granter(epoch) => {
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -138,11 +138,30 @@
                 trouble: draw_trouble(&mut random, config),
             })
             .collect();
+        faults.extend(draw_poison(seed, config));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
 }
 
+/// In one history of four, a request that ends upstreams: from a generator of its own,
+/// so that the other faults of a seed stay what they were.
+fn draw_poison(seed: u64, config: &WorldConfig) -> Option<Fault> {
+    const PERCENT: u32 = 25;
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x9015_0000);
+    if random.random_range(0..100) >= PERCENT {
+        return None;
+    }
+    Some(Fault {
+        at: Time::ZERO + config.lead + Duration::from_millis(random.random_range(0..4_000)),
+        lasts: config.troubled + config.calm,
+        trouble: Trouble::PoisonRequest {
+            is_read: random.random(),
+            pause_ms: random.random_range(400..4_000),
+        },
+    })
+}
+
 fn draw_trouble(random: &mut ChaCha8Rng, config: &WorldConfig) -> Trouble {
     let node = random.random_range(0..config.nodes);
     let chosen = random.random_bool(0.5).then_some(node);
--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -19,11 +19,15 @@
     ProofBeforeRepeat,
     /// Doubt about a missing registration is short.
     ShortDoubt,
+    /// Nodes tell each other of requests that end upstreams.
+    SuspicionsTold,
+    /// The granter keeps in the store which requests those are.
+    SuspicionsKept,
 }
 
 impl Guard {
     /// All protections.
-    pub const ALL: [Guard; 7] = [
+    pub const ALL: [Guard; 9] = [
         Guard::RecordFirst,
         Guard::LapseWait,
         Guard::PredecessorWait,
@@ -31,6 +35,8 @@
         Guard::StandbyWait,
         Guard::ProofBeforeRepeat,
         Guard::ShortDoubt,
+        Guard::SuspicionsTold,
+        Guard::SuspicionsKept,
     ];
 
     /// The promise that is broken without it.
@@ -43,6 +49,7 @@
             | Guard::StandbyWait => Promise::SoleOwner,
             Guard::ProofBeforeRepeat => Promise::AtMostOnce,
             Guard::ShortDoubt => Promise::Drain,
+            Guard::SuspicionsTold | Guard::SuspicionsKept => Promise::PoisonKeptOff,
         }
     }
 }
--- a/crates/routersim/src/world/clients.rs
+++ b/crates/routersim/src/world/clients.rs
@@ -2,19 +2,41 @@
 
 use super::network::{Event, Run};
 use super::{Asked, HOST, ORDER, READ, World};
-use beamtray_dispatch::{RequestHead, Ticket};
+use beamtray_dispatch::{Fingerprints, RequestContent, RequestHead, Ticket};
 use beamtray_router::core::Input;
 use beamtray_sharding::ShardKey;
 use rand::RngExt;
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 /// Part of the requests that have a key, in percent.
 const READS: u32 = 65;
 /// Part of the reads that are of the hot key while there is one, in percent.
 const HOT: u32 = 40;
+/// Where all clients call from.
+const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 2, 0, 1));
 /// How long a client waits.
 pub(super) const PATIENCE: Duration = Duration::from_millis(1_500);
 
+/// What a client's request says.
+pub(super) fn request_head(id: &str, path: String, key: Option<ShardKey>) -> RequestHead {
+    let content = RequestContent {
+        method: "GET",
+        host: HOST,
+        target: &path,
+        key,
+        body: &[],
+    };
+    RequestHead {
+        id: id.to_owned(),
+        host: HOST.to_owned(),
+        fingerprints: Fingerprints::of(&content, CALLER),
+        path,
+        patience: Some(PATIENCE),
+        key,
+    }
+}
+
 impl World {
     pub(super) fn client(&mut self) {
         let gap = 1_000_000 / self.config.rate;
@@ -36,13 +58,7 @@
         let ticket = Ticket(slot.next_ticket);
         let id = format!("request-{number}");
         let prefix = if is_read { READ } else { ORDER };
-        let head = RequestHead {
-            id: id.clone(),
-            host: HOST.to_owned(),
-            path: format!("{prefix}{number}"),
-            patience: Some(PATIENCE),
-            key,
-        };
+        let head = request_head(&id, format!("{prefix}{number}"), key);
         let asked = Asked {
             id,
             node,
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -2,11 +2,11 @@
 
 use super::World;
 use crate::fault::Trouble;
-use beamtray_catalog::UpstreamRecord;
+use beamtray_catalog::{UpstreamId, UpstreamRecord};
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket};
 use beamtray_emulator::RunId;
 use beamtray_metastore::{StoreCall, StoreOutcome};
-use beamtray_router::core::{Datagram, Input, OrderTask, StoreTask, ViewRequest};
+use beamtray_router::core::{Datagram, Input, Liveness, OrderTask, StoreTask, ViewRequest};
 use beamtray_sharding::{CallId, GrantOrder, GrantReply};
 use beamtray_types::{ServiceName, Time};
 use std::cmp::Ordering;
@@ -143,11 +143,12 @@
     pub wait: Duration,
 }
 
-/// Inputs that other nodes cause.
+/// Inputs that other nodes and upstreams cause.
 #[derive(Clone, Debug)]
 pub(crate) enum DeferredInput {
     Snapshots(SocketAddr, Vec<beamtray_router::core::Snapshot>),
     NotAnswered(SocketAddr),
+    Probed(UpstreamId, Liveness),
 }
 
 impl From<DeferredInput> for Input {
@@ -155,6 +156,7 @@
         match input {
             DeferredInput::Snapshots(from, snapshots) => Input::Snapshots(from, snapshots),
             DeferredInput::NotAnswered(from) => Input::NotAnswered(from),
+            DeferredInput::Probed(upstream, liveness) => Input::Probed { upstream, liveness },
         }
     }
 }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -99,6 +99,8 @@
 pub(crate) fn core_config(node: usize, run: Run, off: Option<Guard>) -> CoreConfig {
     let mut config = settings(node).core_config(run);
     config.dispatch.proves_before_repeat = off != Some(Guard::ProofBeforeRepeat);
+    config.tells_suspicions = off != Some(Guard::SuspicionsTold);
+    config.control.keeps_suspicions = off != Some(Guard::SuspicionsKept);
     config.control.grants.guards = GranterGuards {
         records_first: off != Some(Guard::RecordFirst),
         waits_for_lapse: off != Some(Guard::LapseWait),
@@ -239,7 +241,9 @@
                     );
                 }
             }
+            Output::Probe(doubted) => self.probe(node, run, doubted),
             Output::Limits(_)
+            | Output::Quarantine(_)
             | Output::Notice(_)
             | Output::Granter(_)
             | Output::OwnedAgain(..)
--- a/crates/routersim/src/world/poison.rs
+++ b/crates/routersim/src/world/poison.rs
@@ -1,10 +1,10 @@
 //! A request that ends each upstream which begins to run it, and comes again.
 
-use super::clients::PATIENCE;
+use super::clients::{PATIENCE, request_head};
 use super::network::Event;
-use super::{Asked, CONTACT, HOST, ORDER, READ, World};
+use super::{Asked, CONTACT, ORDER, READ, World};
 use crate::fault::Trouble;
-use beamtray_dispatch::{RequestHead, Ticket};
+use beamtray_dispatch::Ticket;
 use beamtray_router::core::Input;
 use beamtray_sharding::ShardKey;
 use rand::RngExt;
@@ -37,13 +37,7 @@
         let content = format!("{prefix}poison-{fault}");
         let id = format!("poison-{number}");
         let key = is_read.then(|| ShardKey(7_919 * (fault as u16 + 1)));
-        let head = RequestHead {
-            id: id.clone(),
-            host: HOST.to_owned(),
-            path: content.clone(),
-            patience: Some(PATIENCE),
-            key,
-        };
+        let head = request_head(&id, content.clone(), key);
         let asked = Asked {
             id,
             node,
