Trust no watch from before when a node follows the store again

Cause: a node that had followed the store, and then relied on a relay, kept its watch of that time. Where its path was cut while it stood still no call of its own failed, so nothing told that the watch was dead; when it took over as a relay it waited on it, and a configuration reached nobody of its site for 4.3 s. Ruled out: trust between relays (the cut one was given up after 0.5 s). Change: watches that are under way when a node begins to follow the store are given up for new ones.

--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -98,6 +98,11 @@
         self.failures > 0 || self.last_answer.is_none()
     }
 
+    /// Whether a call is under way.
+    pub fn is_pending(&self) -> bool {
+        self.pending
+    }
+
     /// The call that is due.
     pub fn poll(&mut self, now: Time) -> Option<StoreCall> {
         if self.pending || now < self.retry_at {
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -233,9 +233,23 @@
                 as_relay: is_relay,
             });
         }
+        if follows && !self.follows {
+            self.restart_pending(now);
+        }
         self.follows = follows;
     }
 
+    /// Gives up on watches that began while this node followed the store before. Nothing
+    /// told since whether they still hear: others rely on a relay that takes over, and its
+    /// old watch may wait on a dead path for as long as a watch waits.
+    fn restart_pending(&mut self, now: Time) {
+        for view in ViewName::ALL {
+            if self.replica(view).is_pending() {
+                self.restart(now, view);
+            }
+        }
+    }
+
     /// Whether this node follows the store itself.
     pub fn follows(&self) -> bool {
         self.follows
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -369,3 +369,19 @@
     let call = views.poll(at(2_000), ViewName::Operator);
     assert!(matches!(call, Some(StoreCall::Watch { .. })), "{call:?}");
 }
+
+/// Found by simulation: a granter stood still while its path to the store was cut, so no
+/// call of its own failed, and later took over as a relay with the watches from before. A
+/// configuration reached nobody for 4 s.
+#[test]
+fn a_node_that_follows_the_store_again_trusts_no_older_watch() {
+    let mut views = watching();
+    views.heads(at(100), peer(), &relay_heads(10, 0));
+    views.follow(at(200), false);
+    assert!(!views.follows());
+    views.follow(at(2_000), true);
+    for view in [ViewName::Operator, ViewName::Upstreams, ViewName::Members] {
+        let call = views.poll(at(2_001), view);
+        assert!(matches!(call, Some(StoreCall::Watch { .. })), "{view:?}");
+    }
+}
--- a/crates/routersim/tests/explore.rs
+++ b/crates/routersim/tests/explore.rs
@@ -17,7 +17,7 @@
 }
 
 /// Histories of many nodes that once broke a promise.
-const ONCE_BROKEN_WITH_MANY: [u64; 1] = [5043];
+const ONCE_BROKEN_WITH_MANY: [u64; 2] = [5043, 29];
 
 #[test]
 fn histories_that_once_broke_a_promise_keep_it() {
