Simulator: a request that ends upstreams comes only while there is trouble

That trouble was not over, so it tells nothing of recovery. Change: it ends with the other troubles.

--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -154,7 +154,9 @@
     }
     Some(Fault {
         at: Time::ZERO + config.lead + Duration::from_millis(random.random_range(0..4_000)),
-        lasts: config.troubled + config.calm,
+        // It ends with the other troubles: each upstream that it ends takes its keys with it
+        // for seconds.
+        lasts: config.troubled,
         trouble: Trouble::PoisonRequest {
             is_read: random.random(),
             pause_ms: random.random_range(400..4_000),
