Take the trouble of a relay's path for its own while another has all answers

Trouble that any relay told of counted as the store's. Ruled out: the new handling of requests that end upstreams (nobody was suspected); the code that decides this is older. Change: a registration that vanishes is doubted only while no node is known to have the answers to all of its calls.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -69,6 +69,8 @@
     unconfirmed: BTreeSet<UpstreamId>,
     forget_at: Time,
     store_trouble: Option<Time>,
+    /// When some node was last known to have the store's answers to all of its calls.
+    store_sound: Option<Time>,
     /// Upstreams that were found gone, and when.
     gone: BTreeMap<UpstreamId, Time>,
 }
@@ -83,6 +85,7 @@
             unconfirmed: BTreeSet::new(),
             forget_at: Time::ZERO,
             store_trouble: None,
+            store_sound: None,
             gone: BTreeMap::new(),
         }
     }
@@ -104,6 +107,12 @@
         self.store_trouble = self.store_trouble.max(Some(at));
     }
 
+    /// Notes that some node has the answers to all of its calls. Trouble that others have
+    /// with the store is then their path's: leases did not run out for lack of a store.
+    pub fn store_is_sound(&mut self, at: Time) {
+        self.store_sound = self.store_sound.max(Some(at));
+    }
+
     /// Takes a registration. One of an upstream that was found gone is a late
     /// write of that upstream and changes nothing.
     ///
@@ -135,7 +144,8 @@
     pub fn vanish(&mut self, now: Time, ids: &[UpstreamId]) -> Vec<DirectoryChange> {
         let distrusted = self
             .store_trouble
-            .is_some_and(|trouble| now.since(trouble) < self.policy.distrust);
+            .is_some_and(|trouble| now.since(trouble) < self.policy.distrust)
+            && self.store_sound != Some(now);
         let known = ids.iter().filter(|id| self.upstreams.contains_key(*id));
         let many = known.count() * 100 > self.upstreams.len() * MANY_PERCENT;
         let many = many && ids.len() > 1;
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -11,7 +11,7 @@
 use crate::core::control::{Control, ControlConfig};
 use crate::core::membership::{Audience, Membership};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
-use crate::core::relays::RelayedContact;
+use crate::core::relays::{RelayedContact, STANDBY_TRUST};
 use crate::core::standby::{STANDBY_TERM, StandbyConfig, StandbyDuty, StandbyState};
 use crate::core::views::{Snapshot, ViewName, ViewRequest, Views};
 use beamtray_catalog::{DirectoryPolicy, UpstreamId};
@@ -176,6 +176,7 @@
             Input::Datagram(from, datagram) => self.datagram(now, from, &datagram),
             Input::Snapshots(from, snapshots) => {
                 self.fetches.ended(from);
+                self.judge_store(now);
                 self.views.adopt(now, snapshots);
                 self.viewed(now);
             }
@@ -226,6 +227,7 @@
         self.follow_path(now, task, &outcome);
         match task {
             StoreTask::View(view, generation) => {
+                self.judge_store(now);
                 self.views.handle(now, *view, *generation, outcome);
                 self.viewed(now);
             }
@@ -245,6 +247,20 @@
         self.poll_control(now);
     }
 
+    /// Judges whether the store itself is sound, before registrations that vanished are
+    /// taken in: the trouble of some nodes' paths would have upstreams that left get
+    /// requests for half of the contact time longer.
+    fn judge_store(&mut self, now: Time) {
+        let sound_at = self.control.store_sound_at();
+        let is_answered = sound_at.is_some_and(|at| now.since(at) < STANDBY_TRUST);
+        let had_trouble = self
+            .trouble_at
+            .is_some_and(|at| now.since(at) < TROUBLE_TOLD);
+        if (is_answered && !had_trouble) || self.views.relays.any_untroubled(now) {
+            self.views.directory.store_is_sound(now);
+        }
+    }
+
     /// After calls that got no answer, one that does shows that the path is
     /// back. Watches that were waiting on the dead path would never hear.
     ///
--- a/crates/router/src/core/relays.rs
+++ b/crates/router/src/core/relays.rs
@@ -199,6 +199,12 @@
         })
     }
 
+    /// Whether some relay had answers of the store until now and no call without one.
+    pub fn any_untroubled(&self, now: Time) -> bool {
+        let mut heard = self.heard.values();
+        heard.any(|heard| heard.age(now) < STANDBY_TRUST && heard.trouble_age.is_none())
+    }
+
     fn trust(&self) -> Duration {
         if self.tiered { TIERED_TRUST } else { TRUST }
     }
