Read the core's times off the boot clock

Cause: every time came from the steady clock, which does not count the time for which a machine is suspended. A granter that slept believed its lease, its right to grant and all holds to be that much younger than they are. Change: a crate for the process's clock, which also notices a suspension; resting connections and watches from before are given up then; attempts and orders look at the boot clock right before they are written; attempts end by it. A line and a counter of seconds asleep. Not done: a run of real processes with two clocks.

--- /dev/null
+++ b/crates/clock/tests/clocks.rs
@@ -0,0 +1,71 @@
+//! The process's clock where the steady one stands still.
+
+use beamtray_clock::{BootClock, ClockSource, SleepWatch, SystemClocks};
+use beamtray_types::Time;
+use std::cell::Cell;
+use std::time::Duration;
+
+/// A machine that runs and is suspended as told.
+#[derive(Default)]
+struct Machine {
+    steady: Cell<Duration>,
+    asleep: Cell<Duration>,
+}
+
+impl Machine {
+    fn run(&self, millis: u64) {
+        let steady = self.steady.get() + Duration::from_millis(millis);
+        self.steady.set(steady);
+    }
+
+    fn suspend(&self, millis: u64) {
+        let asleep = self.asleep.get() + Duration::from_millis(millis);
+        self.asleep.set(asleep);
+    }
+}
+
+impl ClockSource for &Machine {
+    fn boot(&self) -> Duration {
+        self.steady.get() + self.asleep.get()
+    }
+
+    fn steady(&self) -> Duration {
+        self.steady.get()
+    }
+}
+
+#[test]
+fn time_asleep_counts() {
+    let machine = Machine::default();
+    machine.run(5_000);
+    let clock = BootClock::start(&machine);
+    let lease_ends = Time(2_000_000);
+    machine.run(500);
+    assert_eq!(clock.until(lease_ends), Duration::from_millis(1_500));
+    machine.suspend(6_000);
+    assert_eq!(clock.now(), Time(6_500_000));
+    assert!(clock.until(lease_ends).is_zero());
+}
+
+#[test]
+fn a_suspension_is_noticed_once() {
+    let machine = Machine::default();
+    let mut watch = SleepWatch::new(&&machine);
+    machine.run(10_000);
+    assert_eq!(watch.asleep(&&machine), None);
+    machine.suspend(6_000);
+    machine.run(10);
+    assert_eq!(watch.asleep(&&machine), Some(Duration::from_secs(6)));
+    assert_eq!(watch.asleep(&&machine), None);
+}
+
+#[test]
+fn the_system_has_both_clocks() {
+    let clocks = SystemClocks::new().expect("both clocks can be read");
+    let watch = &mut SleepWatch::new(&clocks);
+    let clock = BootClock::start(clocks);
+    let before = clock.now();
+    std::thread::sleep(Duration::from_millis(20));
+    assert!(clock.now().since(before) >= Duration::from_millis(20));
+    assert_eq!(watch.asleep(clock.source()), None);
+}
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -206,6 +206,8 @@
         /// What that showed.
         liveness: Liveness,
     },
+    /// The machine was suspended; the time that comes with this counts that.
+    Woke,
     /// Another node's word.
     Datagram(SocketAddr, Datagram),
     /// Another node's copies.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -173,6 +173,7 @@
                 self.found_gone(now, upstream);
             }
             Input::Probed { upstream, liveness } => self.probed(now, &upstream, liveness),
+            Input::Woke => self.woke(now),
             Input::Datagram(from, datagram) => self.datagram(now, from, &datagram),
             Input::Snapshots(from, snapshots) => {
                 self.fetches.ended(from);
@@ -415,6 +416,13 @@
         }
     }
 
+    /// Doubts what hung on connections from before the machine was suspended. Leases, holds
+    /// and trust in relays have aged by themselves.
+    fn woke(&mut self, now: Time) {
+        self.views.restart_all(now);
+        self.poll_control(now);
+    }
+
     fn tick(&mut self, now: Time) {
         if self.started_at.is_none() {
             self.started_at = Some(now);
--- a/crates/router/src/shell/actor.rs
+++ b/crates/router/src/shell/actor.rs
@@ -5,11 +5,13 @@
 use stakker::{CX, Fwd};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// What the process's loop needs to know after each turn of the actor.
 #[derive(Debug, Default)]
 pub(crate) struct Turn {
+    /// The time at which the actor works.
+    pub now: Cell<Time>,
     /// When the next decision is due.
     pub due: Cell<Option<Time>>,
     /// Whether the node is ready for clients.
@@ -21,31 +23,22 @@
 /// Owns the core; passes on what it asks for.
 pub(crate) struct RouterActor {
     core: NodeCore,
-    epoch: Instant,
     turn: Rc<Turn>,
     outputs: Fwd<Output>,
 }
 
 impl RouterActor {
-    pub fn init(
-        _: CX![],
-        core: NodeCore,
-        epoch: Instant,
-        turn: Rc<Turn>,
-        outputs: Fwd<Output>,
-    ) -> Option<Self> {
+    pub fn init(_: CX![], core: NodeCore, turn: Rc<Turn>, outputs: Fwd<Output>) -> Option<Self> {
         Some(Self {
             core,
-            epoch,
             turn,
             outputs,
         })
     }
 
     /// Takes one input.
-    pub fn input(&mut self, cx: CX![], input: Input) {
-        let elapsed = cx.now().saturating_duration_since(self.epoch);
-        let now = Time(elapsed.as_micros() as u64);
+    pub fn input(&mut self, _: CX![], input: Input) {
+        let now = self.turn.now.get();
         for output in self.core.handle(now, input) {
             self.outputs.fwd(output);
         }
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -12,7 +12,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout_at;
 
 /// Kept back from the time that an upstream is given, so that its own answer
 /// at its deadline still arrives.
@@ -57,19 +56,19 @@
     let sent = shared.now();
     let left = forward.deadline.since(sent);
     shared.observer.sent(&request.id, &forward, left);
-    let deadline = shared.instant_of(forward.deadline);
     let progress = if forward.route.repeatable {
         CallProgress::repeatable()
     } else {
         CallProgress::unrepeatable()
     };
+    let progress = progress.before(shared.clock.clone(), forward.deadline);
     let exchange = exchange(&shared, &forward, &request, &progress);
-    let result = match timeout_at(deadline, exchange).await {
-        Ok(result) => result,
-        Err(_) if progress.may_be_written() => {
+    let result = match shared.until(forward.deadline, exchange).await {
+        Some(result) => result,
+        None if progress.may_be_written() => {
             Result::failed(AttemptOutcome::Unknown(UnknownCause::TimedOut))
         }
-        Err(_) => Result::failed(AttemptOutcome::Untouched(Untouched::Unconnected)),
+        None => Result::failed(AttemptOutcome::Untouched(Untouched::Unconnected)),
     };
     let took = shared.now().since(sent);
     shared
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Request};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Longest wait for the store's answer.
@@ -77,7 +77,7 @@
         OrderKind::Release => RELEASE_TIMEOUT,
     };
     let call = shared.dialect.encode_order(&task.order);
-    let progress = CallProgress::repeatable_before(Instant::now() + right_left);
+    let progress = CallProgress::repeatable().before(shared.clock.clone(), task.until);
     match timeout(limit, send(shared, address, call, &progress)).await {
         Ok(Ok(answer)) => shared.dialect.decode_order(&task.order.kind, &answer),
         Ok(Err(_)) | Err(_) if progress.may_be_written() => {
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -1,5 +1,7 @@
 //! Connections that this node opens, kept for further calls.
 
+use beamtray_clock::BootClock;
+use beamtray_types::Time;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -13,6 +15,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -63,13 +66,21 @@
     BrokenOff,
 }
 
+/// Until when a call may be written, looked at right before it is: the process may have
+/// stood still, or the machine have been suspended, while a connection came up.
+#[derive(Debug)]
+struct WriteBefore {
+    clock: Rc<BootClock>,
+    end: Time,
+}
+
 /// How a call may be made, and how far it came.
 #[derive(Debug)]
 pub(crate) struct CallProgress {
     /// Longest rest of a connection that is used.
     longest_rest: Duration,
     /// The request is not written after this.
-    write_before: Option<Instant>,
+    write_before: Option<WriteBefore>,
     /// Whether the request may have been written.
     written: Cell<bool>,
 }
@@ -95,17 +106,18 @@
         }
     }
 
-    /// A call of what can be repeated and must not be written after that: to connect may
-    /// take longer than the right to say it lasts.
-    pub fn repeatable_before(end: Instant) -> Self {
+    /// The same call, which must not be written after that: to connect may take longer
+    /// than the right to say it lasts.
+    pub fn before(self, clock: Rc<BootClock>, end: Time) -> Self {
         Self {
-            write_before: Some(end),
-            ..Self::repeatable()
+            write_before: Some(WriteBefore { clock, end }),
+            ..self
         }
     }
 
     fn is_too_late(&self) -> bool {
-        self.write_before.is_some_and(|end| Instant::now() >= end)
+        let before = self.write_before.as_ref();
+        before.is_some_and(|before| before.clock.now() >= before.end)
     }
 
     /// Whether the request may have been written.
@@ -245,6 +257,11 @@
             .is_some_and(|until| *until > Instant::now())
     }
 
+    /// Closes all resting connections: the other sides may have forgotten them.
+    pub fn forget_all(&self) {
+        self.resting.borrow_mut().clear();
+    }
+
     /// Closes connections that rested too long.
     pub fn prune(&self) {
         let now = Instant::now();
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -6,6 +6,7 @@
 use crate::shell::observer::Observer;
 use crate::shell::peers::LastAnswer;
 use beamtray_catalog::ClientLimits;
+use beamtray_clock::BootClock;
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{Admission, Ending, Forward, Ticket};
 use beamtray_types::Time;
@@ -17,7 +18,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
@@ -44,7 +44,10 @@
     pub clients: RefCell<HashMap<Ticket, UnboundedSender<Step>>>,
     pub actor: RefCell<Option<ActorOwn<RouterActor>>>,
     pub wake: Notify,
-    pub epoch: Instant,
+    /// What the core's times are read off.
+    pub clock: Rc<BootClock>,
+    /// Told after the machine was suspended.
+    pub woke: Notify,
     pub next_ticket: Cell<u64>,
     pub limits: Cell<ClientLimits>,
     pub ready: Cell<bool>,
@@ -78,17 +81,26 @@
 
     /// The core's clock.
     pub fn now(&self) -> Time {
-        self.time_of(Instant::now())
+        self.clock.now()
     }
 
-    /// An instant on the core's clock.
-    pub fn time_of(&self, instant: Instant) -> Time {
-        Time(instant.saturating_duration_since(self.epoch).as_micros() as u64)
-    }
-
-    /// A reading of the core's clock as an instant.
-    pub fn instant_of(&self, time: Time) -> tokio::time::Instant {
-        (self.epoch + std::time::Duration::from_micros(time.0)).into()
+    /// Lets `work` go on until then; none if it did not end. Timers do not count the time
+    /// asleep, so the clock is looked at again after it.
+    pub async fn until<Work: Future>(&self, time: Time, work: Work) -> Option<Work::Output> {
+        let mut work = std::pin::pin!(work);
+        loop {
+            let woke = self.woke.notified();
+            let left = self.clock.until(time);
+            if left.is_zero() {
+                return None;
+            }
+            tokio::select! {
+                biased;
+                done = work.as_mut() => return Some(done),
+                () = woke => {}
+                () = tokio::time::sleep(left) => {}
+            }
+        }
     }
 
     /// A new ticket.
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -145,6 +145,8 @@
     timed: RefCell<BTreeSet<String>>,
     lines_dropped: Gauge,
     lines_left_out: Counter,
+    /// Seconds for which the machine was suspended.
+    pub asleep: Counter<f64, AtomicU64>,
     waiting: Gauge,
     under_way: Gauge,
     slots_in_use: Family<UpstreamLabel, Gauge>,
@@ -178,6 +180,7 @@
             timed: RefCell::new(BTreeSet::new()),
             lines_dropped: Gauge::default(),
             lines_left_out: Counter::default(),
+            asleep: Counter::default(),
             waiting: Gauge::default(),
             under_way: Gauge::default(),
             slots_in_use: Family::default(),
@@ -260,6 +263,11 @@
             "Lines beyond the rate of their kind",
             self.lines_left_out.clone(),
         );
+        registry.register(
+            "asleep_seconds",
+            "Time for which the machine was suspended",
+            self.asleep.clone(),
+        );
         registry.register("waiting", "Requests that wait here", self.waiting.clone());
         registry.register(
             "under_way",
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// The machine was suspended.
+    pub fn woke(&self, asleep: Duration) {
+        self.metrics.asleep.inc_by(asleep.as_secs_f64());
+        warn!(self.log, "woke"; "asleep_ms" => asleep.as_millis() as u64);
+    }
+
     /// It was tried whether an upstream to which a connection broke off still listens.
     pub fn probed(&self, upstream: &UpstreamId, liveness: Liveness) {
         if let Some(left_out) = self.admit(LineKind::Dependency) {
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -9,6 +9,7 @@
 use crate::shell::outputs::carry_out;
 use crate::shell::{clients, peers, readiness, reload};
 use beamtray_catalog::ClientLimits;
+use beamtray_clock::{BootClock, SleepWatch, SystemClocks};
 use beamtray_dialect::Dialect;
 use slog::{Logger, info};
 use stakker::{Fwd, Stakker, actor, ret_nop};
@@ -118,7 +119,7 @@
     let run: u64 = rand::random();
     info!(log, "start"; "node" => &settings.node, "zone" => &settings.zone, "run" => run,
         "clients" => %settings.listen.clients, "store" => %settings.store.address);
-    let epoch = Instant::now();
+    let clock = Rc::new(BootClock::start(SystemClocks::new()?));
     let core = NodeCore::new(settings.core_config(run), dialect.clone());
     let shared = Rc::new(Shared {
         dialect,
@@ -126,7 +127,8 @@
         clients: RefCell::new(HashMap::new()),
         actor: RefCell::new(None),
         wake: Notify::new(),
-        epoch,
+        clock,
+        woke: Notify::new(),
         next_ticket: Cell::new(0),
         limits: Cell::new(ClientLimits::default()),
         ready: Cell::new(false),
@@ -161,20 +163,15 @@
 }
 
 fn start_actor(shared: &Rc<Shared>, core: NodeCore, turn: &Rc<Turn>) -> Stakker {
-    let mut stakker = Stakker::new(shared.epoch);
+    let mut stakker = Stakker::new(Instant::now());
     let for_outputs = Rc::downgrade(shared);
     let outputs = Fwd::new(move |output| {
         if let Some(shared) = for_outputs.upgrade() {
             carry_out(&shared, output);
         }
     });
-    let epoch = shared.epoch;
     let turn = turn.clone();
-    let owner = actor!(
-        stakker,
-        RouterActor::init(core, epoch, turn, outputs),
-        ret_nop!()
-    );
+    let owner = actor!(stakker, RouterActor::init(core, turn, outputs), ret_nop!());
     *shared.actor.borrow_mut() = Some(owner);
     stakker.run(Instant::now(), false);
     stakker
@@ -183,7 +180,12 @@
 /// Lets the actor work after each batch of events and when something is due.
 async fn turns(shared: Rc<Shared>, turn: Rc<Turn>, mut stakker: Stakker) {
     let mut ticked = None;
+    let mut sleep_watch = SleepWatch::new(shared.clock.source());
     loop {
+        if let Some(asleep) = sleep_watch.asleep(shared.clock.source()) {
+            wake(&shared, asleep);
+        }
+        turn.now.set(shared.now());
         let now = Instant::now();
         let pause = turn.tick_pause.get();
         if ticked.is_none_or(|ticked| now >= ticked + pause) {
@@ -193,8 +195,8 @@
         stakker.run(now, false);
         shared.ready.set(turn.ready.get());
         let tick_at = ticked.unwrap_or(now) + turn.tick_pause.get();
-        let due = turn.due.get().map(|time| shared.instant_of(time));
-        let wait = due.map_or(tick_at, |due| tick_at.min(due.into_std()));
+        let due = turn.due.get().map(|time| now + shared.clock.until(time));
+        let wait = due.map_or(tick_at, |due| tick_at.min(due));
         tokio::select! {
             () = shared.wake.notified() => {}
             () = tokio::time::sleep_until(wait.into()) => {}
@@ -205,6 +207,16 @@
     }
 }
 
+/// The machine was suspended: what was known before is as old as the boot clock says, and
+/// what hung on connections is doubted until something new is heard. Attempts whose time
+/// is over end, orders whose right is over are not written; both look at the boot clock.
+fn wake(shared: &Shared, asleep: Duration) {
+    shared.observer.woke(asleep);
+    shared.connections.forget_all();
+    shared.woke.notify_waiters();
+    shared.input(Input::Woke);
+}
+
 async fn prune(shared: Rc<Shared>) {
     loop {
         tokio::time::sleep(PRUNE).await;
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -21,6 +21,11 @@
         /// The node; the granter for none.
         node: Option<usize>,
     },
+    /// A node's machine is suspended: its steady clock does not count that time.
+    NodeSuspend {
+        /// The node; the granter for none.
+        node: Option<usize>,
+    },
     /// A node is slow: each order that it gives takes that long, one after the other.
     NodeSlow {
         /// The node; the granter for none.
@@ -92,6 +97,11 @@
         /// The upstream's number.
         upstream: usize,
     },
+    /// The same with the granter instead of a standby.
+    GranterIsland {
+        /// The upstream's number.
+        upstream: usize,
+    },
     /// A client sends one request again and again, to any node, that ends each upstream
     /// which begins to run it.
     PoisonRequest {
@@ -139,6 +149,7 @@
             })
             .collect();
         faults.extend(draw_poison(seed, config));
+        faults.extend(draw_suspensions(seed, config));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -164,6 +175,31 @@
     })
 }
 
+/// In one history of six, machines are suspended: from a generator of its own, as above.
+fn draw_suspensions(seed: u64, config: &WorldConfig) -> Vec<Fault> {
+    const ONE_IN: u32 = 6;
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x51EE_0000);
+    if !random.random_ratio(1, ONE_IN) {
+        return Vec::new();
+    }
+    let troubled = config.troubled.as_millis() as u64;
+    let count = random.random_range(1..4);
+    (0..count)
+        .map(|_| {
+            let node = random.random_range(0..config.nodes);
+            Fault {
+                at: Time::ZERO
+                    + config.lead
+                    + Duration::from_millis(random.random_range(0..troubled)),
+                lasts: Duration::from_millis(random.random_range(500..8_000)),
+                trouble: Trouble::NodeSuspend {
+                    node: random.random_bool(0.5).then_some(node),
+                },
+            }
+        })
+        .collect()
+}
+
 fn draw_trouble(random: &mut ChaCha8Rng, config: &WorldConfig) -> Trouble {
     let node = random.random_range(0..config.nodes);
     let chosen = random.random_bool(0.5).then_some(node);
--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -23,11 +23,13 @@
     SuspicionsTold,
     /// The granter keeps in the store which requests those are.
     SuspicionsKept,
+    /// Time asleep counts.
+    BootClock,
 }
 
 impl Guard {
     /// All protections.
-    pub const ALL: [Guard; 9] = [
+    pub const ALL: [Guard; 10] = [
         Guard::RecordFirst,
         Guard::LapseWait,
         Guard::PredecessorWait,
@@ -37,6 +39,7 @@
         Guard::ShortDoubt,
         Guard::SuspicionsTold,
         Guard::SuspicionsKept,
+        Guard::BootClock,
     ];
 
     /// The promise that is broken without it.
@@ -46,7 +49,8 @@
             | Guard::LapseWait
             | Guard::PredecessorWait
             | Guard::UnansweredCounts
-            | Guard::StandbyWait => Promise::SoleOwner,
+            | Guard::StandbyWait
+            | Guard::BootClock => Promise::SoleOwner,
             Guard::ProofBeforeRepeat => Promise::AtMostOnce,
             Guard::ShortDoubt => Promise::Drain,
             Guard::SuspicionsTold | Guard::SuspicionsKept => Promise::PoisonKeptOff,
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -29,6 +29,11 @@
                     self.freeze(node, lasts);
                 }
             }
+            Trouble::NodeSuspend { node: chosen } => {
+                if let Some(node) = chosen.or_else(|| self.granter()) {
+                    self.suspend(node, lasts);
+                }
+            }
             Trouble::NodeSlow {
                 node: chosen,
                 order_ms,
@@ -81,6 +86,12 @@
                     self.cut_off(node, *upstream);
                 }
             }
+            Trouble::GranterIsland { upstream } => {
+                node = self.granter();
+                if let Some(node) = node {
+                    self.cut_off(node, *upstream);
+                }
+            }
             Trouble::OrdersLate { percent } => self.orders_late_percent = *percent,
             Trouble::AnswersLost { percent } => self.answers_lost_percent = *percent,
             Trouble::PoisonRequest { .. } => {
@@ -167,7 +178,7 @@
                 self.store_state.disturbed = Some(self.now);
             }
             Trouble::UpstreamCut { upstream } => self.upstream_state[*upstream].cut_since = None,
-            Trouble::StandbyIsland { upstream } => {
+            Trouble::StandbyIsland { upstream } | Trouble::GranterIsland { upstream } => {
                 self.upstream_state[*upstream].reached_from = None;
                 self.upstream_state[*upstream].cut_since = None;
                 if let Some(node) = node {
@@ -182,6 +193,7 @@
             Trouble::NodeKill { .. }
             | Trouble::KillAll
             | Trouble::NodeFreeze { .. }
+            | Trouble::NodeSuspend { .. }
             | Trouble::UpstreamCrash { .. }
             | Trouble::UpstreamDrain { .. }
             | Trouble::PoisonRequest { .. }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -34,6 +34,10 @@
     pub order_cost: Duration,
     /// When it has given all orders that it was to give.
     orders_given: Time,
+    /// Time for which its machine was suspended, all in all.
+    asleep: Duration,
+    /// When its machine was suspended, while it is.
+    suspended_at: Option<Time>,
     /// Inputs that came while the process stood still.
     backlog: Vec<Input>,
     /// When the node was last disturbed.
@@ -114,6 +118,16 @@
     config
 }
 
+/// By how much a node's clock is behind after that time asleep: not at all, unless it goes
+/// by the steady clock.
+fn clock_behind(asleep: Duration, off: Option<Guard>) -> Duration {
+    if off == Some(Guard::BootClock) {
+        asleep
+    } else {
+        Duration::ZERO
+    }
+}
+
 impl World {
     pub(super) fn start_node(&mut self, node: usize) {
         let dialect = Rc::new(self.dialect.clone());
@@ -127,6 +141,8 @@
         slot.frozen = false;
         slot.disturbed = now;
         slot.backlog.clear();
+        slot.asleep = Duration::ZERO;
+        slot.suspended_at = None;
         self.schedule(TICK, Event::NodeTick { node, run });
     }
 
@@ -166,6 +182,15 @@
         self.schedule(lasts, Event::Thaw { node, run });
     }
 
+    /// Suspends a node's machine: to its process it is as if no time passed.
+    pub(super) fn suspend(&mut self, node: usize, lasts: Duration) {
+        let now = self.now;
+        if self.nodes[node].core.is_some() && !self.nodes[node].frozen {
+            self.freeze(node, lasts);
+            self.nodes[node].suspended_at = Some(now);
+        }
+    }
+
     pub(super) fn thaw(&mut self, node: usize, run: Run) {
         let now = self.now;
         let slot = &mut self.nodes[node];
@@ -175,6 +200,10 @@
         slot.frozen = false;
         slot.disturbed = now;
         let backlog = std::mem::take(&mut slot.backlog);
+        if let Some(since) = slot.suspended_at.take() {
+            slot.asleep += now.since(since);
+            self.input(node, run, Input::Woke);
+        }
         for input in backlog {
             self.input(node, run, input);
         }
@@ -191,10 +220,12 @@
             slot.backlog.push(input);
             return;
         }
+        let asleep = slot.asleep;
         let Some(core) = &mut slot.core else {
             return;
         };
-        let outputs = core.handle(now, input);
+        let behind = clock_behind(asleep, self.config.off);
+        let outputs = core.handle(now - behind, input);
         for output in outputs {
             self.output(node, run, output);
         }
@@ -209,7 +240,10 @@
                 );
                 self.concluded(node, run, ticket, refused);
             }
-            Output::Forward(ticket, forward) => self.forward(node, run, ticket, forward),
+            Output::Forward(ticket, mut forward) => {
+                forward.deadline = self.by_world(node, forward.deadline);
+                self.forward(node, run, ticket, forward);
+            }
             Output::Conclude(ticket, ending) => {
                 let refused = matches!(ending.conclusion, Conclusion::Refused { .. });
                 self.concluded(node, run, ticket, refused);
@@ -226,7 +260,10 @@
                     },
                 );
             }
-            Output::Order(task, epoch) => self.give_order(node, run, task, epoch),
+            Output::Order(mut task, epoch) => {
+                task.until = self.by_world(node, task.until);
+                self.give_order(node, run, task, epoch);
+            }
             Output::Send(datagram, addresses) => self.send(node, &datagram, &addresses),
             Output::Ask(address, request, wait) => {
                 if let Some(to) = node_at(address) {
@@ -251,6 +288,11 @@
         }
     }
 
+    /// A reading of a node's clock as the world's time.
+    fn by_world(&self, node: usize, time: Time) -> Time {
+        time + clock_behind(self.nodes[node].asleep, self.config.off)
+    }
+
     /// Sends an order once those before it were sent. One that is not sent while its answer
     /// is waited for, or while the node may grant, is not sent at all.
     fn give_order(&mut self, node: usize, run: Run, task: OrderTask, epoch: u64) {
--- a/crates/routersim/tests/guards.rs
+++ b/crates/routersim/tests/guards.rs
@@ -111,3 +111,14 @@
     ];
     matters(Guard::ShortDoubt, &faults);
 }
+
+#[test]
+fn boot_clock() {
+    // The granter's machine is suspended and cut off together with a holder. When it wakes
+    // it reaches that holder alone, whose keys have gone to another since.
+    let faults = [
+        fault(8_000, 15_000, Trouble::GranterIsland { upstream: 0 }),
+        fault(8_001, 9_000, Trouble::NodeSuspend { node: None }),
+    ];
+    matters(Guard::BootClock, &faults);
+}
