--- a/crates/node/tests/processes/planned_stop.rs
+++ b/crates/node/tests/processes/planned_stop.rs
@@ -22,7 +22,10 @@
         .iter()
         .filter(|t| t.outcome == "unknown")
         .collect();
-    assert!(unknown.is_empty(), "cut off: {unknown:?}");
+    if !unknown.is_empty() {
+        let lines = cluster.nodes[leader].process.lines().join("\n");
+        panic!("cut off: {unknown:?}\nthe stopped node's lines:\n{lines}");
+    }
     assert!(transfers.iter().any(|t| t.outcome == "complete"));
 
     let other = (leader + 1) % 3;
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -10,11 +10,11 @@
 /// The other service.
 pub(crate) const POOL: &str = "pool";
 /// The only host.
-pub(crate) const HOST: &str = "soak.example";
+pub const HOST: &str = "soak.example";
 /// Prefix of reads by key.
 pub(crate) const READ: &str = "/read/";
 /// Prefix of what may not be repeated.
-pub(crate) const ORDER: &str = "/order/";
+pub const ORDER: &str = "/order/";
 /// Prefix of probes; the version comes next.
 pub(crate) const PROBE: &str = "/probe/";
 /// Zones of routers and upstreams.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,9 +27,10 @@
     Count, Disturbance, Disturbed, Finding, History, PlannedStop, Promise, UpstreamEnd, Verdict,
     check,
 };
+pub use config::{HOST, ORDER};
 pub use driver::{RunSettings, play, shorten};
-pub use message::{CallerEnd, Observation, Report};
+pub use message::{CallerEnd, Command, Observation, Report};
 pub use plan::{Plan, PlannedFault, SoakFault};
 pub use regressions::{Regression, load as load_regressions};
 pub use store::{StoreSettings, run as run_store};
-pub use upstream::{UpstreamSettings, run as run_upstream};
+pub use upstream::{POISON, UpstreamSettings, run as run_upstream};
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -43,6 +43,11 @@
 /// Between looks at releases that wait for work to end.
 const RELEASE_POLL: Duration = Duration::from_millis(5);
 
+/// A request with this in its path ends the process that begins to run it.
+pub const POISON: &str = "/poison/";
+/// How long it runs before that.
+const POISON_WORK: Duration = Duration::from_millis(15);
+
 /// Settings of an upstream's process.
 #[derive(Clone, Debug)]
 pub struct UpstreamSettings {
@@ -330,6 +335,10 @@
             key: key.filter(|_| divided).map(|key| key.0),
             held_since,
         });
+        if path.contains(POISON) {
+            tokio::time::sleep(POISON_WORK).await;
+            std::process::exit(1);
+        }
         let lasts = run.ends.since(now);
         let at_work = AtWork {
             upstream: self.clone(),
