--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -16,7 +16,7 @@
 /// Prefix of what may not be repeated.
 pub const ORDER: &str = "/order/";
 /// Prefix of probes; the version comes next.
-pub(crate) const PROBE: &str = "/probe/";
+pub const PROBE: &str = "/probe/";
 /// Zones of routers and upstreams.
 pub(crate) const ZONES: [&str; 2] = ["a", "b"];
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,7 +27,7 @@
     Count, Disturbance, Disturbed, Finding, History, PlannedStop, Promise, UpstreamEnd, Verdict,
     check,
 };
-pub use config::{HOST, ORDER};
+pub use config::{HOST, ORDER, PROBE};
 pub use driver::{RunSettings, play, shorten};
 pub use message::{CallerEnd, Command, Observation, Report};
 pub use plan::{Plan, PlannedFault, SoakFault};
