Close the other resting connections to an upstream when one proves silent

Cause: connections from before a silence are silent together; each request found it out for itself, by its deadline. Change: where a request that was written on a rested connection gets no answer in time, the others to that upstream are closed.

--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -66,6 +66,11 @@
     let result = match shared.until(forward.deadline, exchange).await {
         Some(result) => result,
         None if progress.may_be_written() => {
+            // It may be the connection that is silent, not the upstream; then the others
+            // from that time are, too, and each would cost a request of its own.
+            if progress.was_rested() {
+                shared.connections.forget(forward.address);
+            }
             Result::failed(AttemptOutcome::Unknown(UnknownCause::TimedOut))
         }
         None => Result::failed(AttemptOutcome::Untouched(Untouched::Unconnected)),
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -83,6 +83,8 @@
     write_before: Option<WriteBefore>,
     /// Whether the request may have been written.
     written: Cell<bool>,
+    /// Whether that was on a connection that had been used before.
+    rested: Cell<bool>,
 }
 
 impl CallProgress {
@@ -93,6 +95,7 @@
             longest_rest: Duration::MAX,
             write_before: None,
             written: Cell::new(false),
+            rested: Cell::new(false),
         }
     }
 
@@ -103,6 +106,7 @@
             longest_rest: SAFE_REST,
             write_before: None,
             written: Cell::new(false),
+            rested: Cell::new(false),
         }
     }
 
@@ -120,6 +124,11 @@
         before.is_some_and(|before| before.clock.now() >= before.end)
     }
 
+    /// Whether the request was written on a connection that had been used before.
+    pub fn was_rested(&self) -> bool {
+        self.rested.get()
+    }
+
     /// Whether the request may have been written.
     pub fn may_be_written(&self) -> bool {
         self.written.get()
@@ -190,6 +199,7 @@
                 return Err(CallFailure::Unsent);
             }
             progress.written.set(true);
+            progress.rested.set(rested);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return read(connection, response, small).await,
                 Err(mut error) => match error.take_message() {
