explain: a request that is kept off, with what the others did

Cause: the story of a refused request had its own line alone, which names a fingerprint and not why. Change: the lines of its node about that fingerprint, at any time, are part of it. Result: the test failed before (one entry of three) and passes.

--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -118,7 +118,8 @@
 }
 
 /// The lines of a request in order, with beliefs at its first and last line,
-/// and what happened to its upstreams meanwhile.
+/// and what happened to its upstreams meanwhile. Where an upstream ended under it, or it
+/// was kept off, also what its node knew of requests that say the same, at any time.
 pub fn request_story(lines: &[Line], request: &str) -> Vec<Entry> {
     let ordered = in_order(lines);
     let own: Vec<&Line> = ordered
@@ -134,12 +135,14 @@
         .filter_map(|line| line.get("upstream").map(str::to_owned))
         .collect();
     let key = own.iter().find_map(|line| line.number("key"));
+    let sayings = Sayings::of(&own);
     let mut believed = Believed::default();
     let mut entries = Vec::new();
     for line in &ordered {
         let is_own = line.get("request") == Some(request);
         let during = (first.time_ms..=last.time_ms).contains(&line.time_ms);
-        let bears = during && !is_own && bears_on(line, &upstreams, key);
+        let meanwhile = during && !is_own && bears_on(line, &upstreams, key);
+        let bears = meanwhile || sayings.are_told_of(line);
         if is_own || bears {
             let at_end = is_own && (line == first || line == last);
             let beliefs = if at_end {
@@ -157,6 +160,34 @@
     entries
 }
 
+/// The fingerprints of a request, and the nodes that it came to.
+struct Sayings<'a> {
+    fingerprints: Vec<&'a str>,
+    nodes: Vec<&'a str>,
+}
+
+impl<'a> Sayings<'a> {
+    fn of(own: &[&'a Line]) -> Self {
+        let fields = ["content", "from_caller"];
+        let told = own
+            .iter()
+            .flat_map(|line| fields.map(|field| line.get(field)));
+        Self {
+            fingerprints: told.flatten().collect(),
+            nodes: own.iter().map(|line| line.node.as_str()).collect(),
+        }
+    }
+
+    /// Whether a line tells what such a node knew of requests that say the same.
+    fn are_told_of(&self, line: &Line) -> bool {
+        const EVENTS: [&str; 3] = ["request_suspected", "request_kept_off", "request_cleared"];
+        let fingerprint = line.get("fingerprint");
+        EVENTS.contains(&line.event.as_str())
+            && fingerprint.is_some_and(|one| self.fingerprints.contains(&one))
+            && self.nodes.contains(&line.node.as_str())
+    }
+}
+
 /// Whether a line of another request's time tells of the same upstream or key.
 fn bears_on(line: &Line, upstreams: &[String], key: Option<u64>) -> bool {
     let names = |field: &str| {
--- a/crates/explain/tests/stories.rs
+++ b/crates/explain/tests/stories.rs
@@ -75,3 +75,23 @@
 fn an_unknown_request_has_no_story() {
     assert!(request_story(&lines(), "nobody").is_empty());
 }
+
+const POISON: &str = r#"
+ 0.1 node-1 time=1000 level=INFO msg=request_suspected ended=1 short=7 fingerprint=aa
+ 0.1 node-2 time=1001 level=INFO msg=request_suspected ended=1 short=7 fingerprint=aa
+ 0.2 node-1 time=2000 level=INFO msg=request_suspected ended=2 short=8 fingerprint=bb
+ 0.3 node-1 time=3000 level=WARN msg=request_kept_off for_s=120 ended=3 fingerprint=aa
+ 0.4 node-1 time=4000 level=INFO msg=concluded content=aa from_caller=cc outcome=refused reason=Quarantined service=pool request=late
+"#;
+
+/// Its own line alone does not tell why it was refused.
+#[test]
+fn a_request_that_is_kept_off_is_told_with_what_the_others_did() {
+    let lines: Vec<Line> = POISON
+        .lines()
+        .filter_map(|text| Line::parse("-", text))
+        .collect();
+    let story = request_story(&lines, "late");
+    let times: Vec<u64> = story.iter().map(|entry| entry.line.time_ms).collect();
+    assert_eq!(times, [1000, 3000, 4000]);
+}
