--- a/crates/node/tests/processes/planned_stop.rs
+++ b/crates/node/tests/processes/planned_stop.rs
@@ -23,8 +23,8 @@
         .filter(|t| t.outcome == "unknown")
         .collect();
     if !unknown.is_empty() {
-        let lines = cluster.nodes[leader].process.lines().join("\n");
-        panic!("cut off: {unknown:?}\nthe stopped node's lines:\n{lines}");
+        let log = cluster.nodes[leader].log();
+        panic!("cut off: {unknown:?}\nthe stopped node's log:\n{log}");
     }
     assert!(transfers.iter().any(|t| t.outcome == "complete"));
 
--- a/crates/node/tests/processes/support.rs
+++ b/crates/node/tests/processes/support.rs
@@ -139,6 +139,18 @@
     arguments: Vec<String>,
 }
 
+impl Node {
+    /// What it wrote to its log so far.
+    pub fn log(&self) -> String {
+        let settings = self.arguments.last().expect("a settings file");
+        std::fs::read_to_string(errors_file(settings)).expect("the file can be read")
+    }
+}
+
+fn errors_file(settings: &str) -> String {
+    format!("{settings}.errors")
+}
+
 /// One keyed server's process.
 pub struct Server {
     pub name: String,
@@ -371,7 +383,7 @@
 
 fn start_node(arguments: &[String]) -> Result<Node, PortTaken> {
     let settings = arguments.last().expect("a settings file");
-    let errors_file = format!("{settings}.errors");
+    let errors_file = errors_file(settings);
     let errors = std::fs::File::create(&errors_file).expect("the file can be written");
     let mut process = Process::start_with_errors(node_program(), arguments, errors.into());
     let Some(line) = process.first_line_or_end() else {
