--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -14,8 +14,8 @@
 use beamtray_catalog::{Directory, UpstreamId};
 use beamtray_dispatch::{Dispatcher, KeyReport, SpeedTable};
 use beamtray_metastore::{
-    Condition, Election, ElectionConfig, Item, LeaseTiming, StoreCall, StoreOutcome, Transaction,
-    Write,
+    Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, StoreCall, StoreOutcome,
+    Transaction, Write,
 };
 use beamtray_sharding::{
     BalanceLimits, GrantOrder, GrantReply, GranterTiming, OwnedAgain, UnansweredGrants,
@@ -63,6 +63,22 @@
     pub balance: BalanceLimits,
 }
 
+/// A write that the store takes only from the granter.
+fn granters_write(authority: &Authority, key: &str, value: Vec<u8>) -> StoreCall {
+    StoreCall::Commit(Transaction {
+        conditions: vec![Condition {
+            key: OwnKeys::GRANTER.to_owned(),
+            revision: authority.revision,
+        }],
+        writes: vec![Write {
+            key: key.to_owned(),
+            value,
+            lease: None,
+        }],
+        removals: Vec::new(),
+    })
+}
+
 /// This node's part in control.
 pub struct Control {
     config: ControlConfig,
@@ -173,18 +189,8 @@
         if record.services.is_empty() {
             return None;
         }
-        let call = StoreCall::Commit(Transaction {
-            conditions: vec![Condition {
-                key: OwnKeys::GRANTER.to_owned(),
-                revision: authority.revision,
-            }],
-            writes: vec![Write {
-                key: OwnKeys::SPEEDS.to_owned(),
-                value: borsh::to_vec(&record).unwrap_or_default(),
-                lease: None,
-            }],
-            removals: Vec::new(),
-        });
+        let value = borsh::to_vec(&record).unwrap_or_default();
+        let call = granters_write(&authority, OwnKeys::SPEEDS, value);
         Some((StoreTask::Speeds, call))
     }
 
--- a/crates/router/src/core/control/suspicions.rs
+++ b/crates/router/src/core/control/suspicions.rs
@@ -1,11 +1,11 @@
 //! The granter keeps in the store which requests end upstreams, so that all processes may
 //! be lost and the next ones know, and nodes that missed the word read it.
 
-use super::Control;
+use super::{Control, granters_write};
 use crate::core::message::StoreTask;
 use crate::core::records::OwnKeys;
 use beamtray_dispatch::{Quarantine, SuspicionRecord};
-use beamtray_metastore::{Condition, Item, StoreCall, StoreOutcome, Transaction, Write};
+use beamtray_metastore::{Item, StoreCall, StoreOutcome};
 use beamtray_types::Time;
 use std::time::Duration;
 
@@ -22,6 +22,11 @@
     due: Time,
 }
 
+/// The record as it lies in the store. Writing plain data into memory can't fail.
+fn encoded(record: &SuspicionRecord) -> Vec<u8> {
+    borsh::to_vec(record).unwrap_or_default()
+}
+
 impl Control {
     /// Writes the suspicions that are worth keeping if they changed.
     pub(super) fn poll_suspicions(
@@ -43,18 +48,7 @@
         if record == self.suspicions.written {
             return None;
         }
-        let call = StoreCall::Commit(Transaction {
-            conditions: vec![Condition {
-                key: OwnKeys::GRANTER.to_owned(),
-                revision: authority.revision,
-            }],
-            writes: vec![Write {
-                key: OwnKeys::SUSPICIONS.to_owned(),
-                value: borsh::to_vec(&record).unwrap_or_default(),
-                lease: None,
-            }],
-            removals: Vec::new(),
-        });
+        let call = granters_write(&authority, OwnKeys::SUSPICIONS, encoded(&record));
         self.suspicions.sent = Some(record);
         Some((StoreTask::Suspicions, call))
     }
@@ -68,7 +62,7 @@
         if let StoreOutcome::Committed { revision } = outcome {
             self.written.push(Item {
                 key: OwnKeys::SUSPICIONS.to_owned(),
-                value: borsh::to_vec(&record).unwrap_or_default(),
+                value: encoded(&record),
                 revision: *revision,
             });
             self.suspicions.written = record;
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -5,13 +5,14 @@
 mod quarantine;
 mod slots;
 mod standby;
+mod store_path;
 mod talk;
 mod zone_load;
 
 use crate::core::control::{Control, ControlConfig};
 use crate::core::membership::{Audience, Membership};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
-use crate::core::relays::{RelayedContact, STANDBY_TRUST};
+use crate::core::relays::RelayedContact;
 use crate::core::standby::{STANDBY_TERM, StandbyConfig, StandbyDuty, StandbyState};
 use crate::core::views::{Snapshot, ViewName, ViewRequest, Views};
 use beamtray_catalog::{DirectoryPolicy, UpstreamId};
@@ -19,7 +20,6 @@
 use beamtray_dispatch::{
     AttemptOutcome, Decision, DispatchConfig, Dispatcher, SumSource, Untouched,
 };
-use beamtray_metastore::StoreOutcome;
 use beamtray_sharding::{GrantReply, StandbyId};
 use beamtray_types::Time;
 use fetch::Fetches;
@@ -224,70 +224,6 @@
         }
     }
 
-    fn store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
-        self.follow_path(now, task, &outcome);
-        match task {
-            StoreTask::View(view, generation) => {
-                self.judge_store(now);
-                self.views.handle(now, *view, *generation, outcome);
-                self.viewed(now);
-            }
-            task => self.control.handle_store(now, task, outcome),
-        }
-        if let Some(snapshot) = self.control.take_reading() {
-            self.views.adopt(now, vec![snapshot]);
-            self.viewed(now);
-        }
-        let written = self.control.take_written();
-        if !written.is_empty() {
-            for item in written {
-                self.views.wrote(now, item);
-            }
-            self.viewed(now);
-        }
-        self.poll_control(now);
-    }
-
-    /// Judges whether the store itself is sound, before registrations that vanished are
-    /// taken in: the trouble of some nodes' paths would have upstreams that left get
-    /// requests for half of the contact time longer.
-    fn judge_store(&mut self, now: Time) {
-        let sound_at = self.control.store_sound_at();
-        let is_answered = sound_at.is_some_and(|at| now.since(at) < STANDBY_TRUST);
-        let had_trouble = self
-            .trouble_at
-            .is_some_and(|at| now.since(at) < TROUBLE_TOLD);
-        if (is_answered && !had_trouble) || self.views.relays.any_untroubled(now) {
-            self.views.directory.store_is_sound(now);
-        }
-    }
-
-    /// After calls that got no answer, one that does shows that the path is
-    /// back. Watches that were waiting on the dead path would never hear.
-    ///
-    /// A watch that fails does not say when: its path may have been dead long
-    /// ago. Only other calls tell that the store is in trouble now.
-    fn follow_path(&mut self, now: Time, task: &StoreTask, outcome: &StoreOutcome) {
-        if matches!(outcome, StoreOutcome::Unknown) {
-            self.path_failed = true;
-            if !matches!(task, StoreTask::View(..)) {
-                self.trouble_at = Some(now);
-                self.views.directory.store_troubled(now);
-            }
-            return;
-        }
-        if matches!(outcome, StoreOutcome::Refused) {
-            self.was_refused = true;
-            return;
-        }
-        let was_refused = std::mem::take(&mut self.was_refused);
-        if std::mem::take(&mut self.path_failed) {
-            self.views.restart_all(now);
-        } else if was_refused {
-            self.views.retry_all(now);
-        }
-    }
-
     /// Takes the proof that an upstream is gone and tells the other nodes, so that
     /// not each of them has to send it a request.
     fn found_gone(&mut self, now: Time, upstream: UpstreamId) {
@@ -416,13 +352,6 @@
         }
     }
 
-    /// Doubts what hung on connections from before the machine was suspended. Leases, holds
-    /// and trust in relays have aged by themselves.
-    fn woke(&mut self, now: Time) {
-        self.views.restart_all(now);
-        self.poll_control(now);
-    }
-
     fn tick(&mut self, now: Time) {
         if self.started_at.is_none() {
             self.started_at = Some(now);
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -1,20 +1,24 @@
 //! Tells what the process did and believed: a line and a count for each.
 
-use crate::core::{Liveness, OrderTask, StandbyState, StoreTask, ViewNotice};
+mod names;
+mod quarantine;
+
+use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
 use crate::shell::attempt::ClientRequest;
 use crate::shell::metrics::{
     AttemptLabels, LossLabel, Metrics, OrderLabels, OrderName, RefusalLabels, RequestLabels,
     RouteLabel, StoreLabels,
 };
 use crate::shell::rate::{LineKind, LineRate};
-use beamtray_catalog::{DirectoryChange, UpstreamId};
+use beamtray_catalog::DirectoryChange;
 use beamtray_dispatch::{
     Admission, AssignmentNumber, AttemptOutcome, Conclusion, Ending, Fingerprints, Forward,
-    QuarantineNotice, RefusalReason, UnknownCause, Untouched, UpstreamHash,
+    RefusalReason, UnknownCause,
 };
 use beamtray_metastore::StoreOutcome;
-use beamtray_sharding::{GrantReply, LossCause, OrderKind, OwnedAgain, ShardKey};
+use beamtray_sharding::{GrantReply, OrderKind, OwnedAgain, ShardKey};
 use beamtray_types::ServiceName;
+use names::{attempt_outcome, grant_reply, loss_cause, store_outcome, store_task};
 use slog::{Logger, Record, debug, info, warn};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -181,49 +185,6 @@
         }
     }
 
-    /// The machine was suspended.
-    pub fn woke(&self, asleep: Duration) {
-        self.metrics.asleep.inc_by(asleep.as_secs_f64());
-        warn!(self.log, "woke"; "asleep_ms" => asleep.as_millis() as u64);
-    }
-
-    /// It was tried whether an upstream to which a connection broke off still listens.
-    pub fn probed(&self, upstream: &UpstreamId, liveness: Liveness) {
-        if let Some(left_out) = self.admit(LineKind::Dependency) {
-            info!(self.log, "upstream_probed"; "upstream" => %upstream,
-                "short" => UpstreamHash::of(upstream).0, "found" => ?liveness, left_out);
-        }
-    }
-
-    /// What is known of requests that end upstreams changed.
-    pub fn quarantine(&self, notice: QuarantineNotice) {
-        let Some(left_out) = self.admit(LineKind::Failure) else {
-            return;
-        };
-        let log = &self.log;
-        match notice {
-            QuarantineNotice::Suspected {
-                fingerprint,
-                upstream,
-                ended,
-            } => {
-                info!(log, "request_suspected"; "fingerprint" => %fingerprint,
-                    "short" => upstream.0, "ended" => ended, left_out);
-            }
-            QuarantineNotice::KeptOff {
-                fingerprint,
-                ended,
-                lasts,
-            } => {
-                warn!(log, "request_kept_off"; "fingerprint" => %fingerprint,
-                    "ended" => ended, "for_s" => lasts.as_secs(), left_out);
-            }
-            QuarantineNotice::Cleared { fingerprint } => {
-                info!(log, "request_cleared"; "fingerprint" => %fingerprint, left_out);
-            }
-        }
-    }
-
     /// A call to the store ended.
     pub fn store(&self, task: &StoreTask, outcome: &StoreOutcome) {
         let name = store_outcome(outcome);
@@ -410,67 +371,3 @@
         }
     }
 }
-
-fn store_task(task: &StoreTask) -> &'static str {
-    match task {
-        StoreTask::View(..) => "view",
-        StoreTask::Election => "election",
-        StoreTask::Registration => "registration",
-        StoreTask::TakeOver => "take_over",
-        StoreTask::Speeds => "speeds",
-        StoreTask::Suspicions => "suspicions",
-        StoreTask::Record(_) => "record",
-        StoreTask::Farewell => "farewell",
-    }
-}
-
-fn loss_cause(cause: LossCause) -> &'static str {
-    match cause {
-        LossCause::Silent => "silent",
-        LossCause::Ended => "ended",
-        LossCause::Left => "left",
-        LossCause::Balance => "balance",
-    }
-}
-
-fn store_outcome(outcome: &StoreOutcome) -> &'static str {
-    match outcome {
-        StoreOutcome::Refused => "refused",
-        StoreOutcome::Unknown => "unanswered",
-        StoreOutcome::Conflict { .. } => "conflict",
-        StoreOutcome::Compacted => "history_lost",
-        StoreOutcome::Absent => "absent",
-        _ => "done",
-    }
-}
-
-fn grant_reply(reply: &GrantReply) -> &'static str {
-    match reply {
-        GrantReply::Granted => "granted",
-        GrantReply::Outdated => "outdated",
-        GrantReply::Released(_) => "released",
-        GrantReply::Replaced => "replaced",
-        GrantReply::Rejected => "rejected",
-        GrantReply::Undelivered => "undelivered",
-        GrantReply::Unanswered => "unanswered",
-    }
-}
-
-fn attempt_outcome(outcome: AttemptOutcome) -> &'static str {
-    match outcome {
-        AttemptOutcome::Answered { success: true } => "answered",
-        AttemptOutcome::Answered { success: false } => "answered_failure",
-        AttemptOutcome::Untouched(proof) => match proof {
-            Untouched::Unconnected => "unconnected",
-            Untouched::ConnectionRefused => "connection_refused",
-            Untouched::Unsent => "unsent",
-            Untouched::Full => "full",
-            Untouched::Misdirected => "misdirected",
-        },
-        AttemptOutcome::Unknown(cause) => match cause {
-            UnknownCause::BrokenOff => "broken_off",
-            UnknownCause::WrongAnswer => "wrong_answer",
-            UnknownCause::TimedOut => "timed_out",
-        },
-    }
-}
--- /dev/null
+++ b/crates/router/src/shell/observer/names.rs
@@ -0,0 +1,70 @@
+//! Names of outcomes, in lines and labels.
+
+use crate::core::StoreTask;
+use beamtray_dispatch::{AttemptOutcome, UnknownCause, Untouched};
+use beamtray_metastore::StoreOutcome;
+use beamtray_sharding::{GrantReply, LossCause};
+
+pub(super) fn store_task(task: &StoreTask) -> &'static str {
+    match task {
+        StoreTask::View(..) => "view",
+        StoreTask::Election => "election",
+        StoreTask::Registration => "registration",
+        StoreTask::TakeOver => "take_over",
+        StoreTask::Speeds => "speeds",
+        StoreTask::Suspicions => "suspicions",
+        StoreTask::Record(_) => "record",
+        StoreTask::Farewell => "farewell",
+    }
+}
+
+pub(super) fn loss_cause(cause: LossCause) -> &'static str {
+    match cause {
+        LossCause::Silent => "silent",
+        LossCause::Ended => "ended",
+        LossCause::Left => "left",
+        LossCause::Balance => "balance",
+    }
+}
+
+pub(super) fn store_outcome(outcome: &StoreOutcome) -> &'static str {
+    match outcome {
+        StoreOutcome::Refused => "refused",
+        StoreOutcome::Unknown => "unanswered",
+        StoreOutcome::Conflict { .. } => "conflict",
+        StoreOutcome::Compacted => "history_lost",
+        StoreOutcome::Absent => "absent",
+        _ => "done",
+    }
+}
+
+pub(super) fn grant_reply(reply: &GrantReply) -> &'static str {
+    match reply {
+        GrantReply::Granted => "granted",
+        GrantReply::Outdated => "outdated",
+        GrantReply::Released(_) => "released",
+        GrantReply::Replaced => "replaced",
+        GrantReply::Rejected => "rejected",
+        GrantReply::Undelivered => "undelivered",
+        GrantReply::Unanswered => "unanswered",
+    }
+}
+
+pub(super) fn attempt_outcome(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Answered { success: true } => "answered",
+        AttemptOutcome::Answered { success: false } => "answered_failure",
+        AttemptOutcome::Untouched(proof) => match proof {
+            Untouched::Unconnected => "unconnected",
+            Untouched::ConnectionRefused => "connection_refused",
+            Untouched::Unsent => "unsent",
+            Untouched::Full => "full",
+            Untouched::Misdirected => "misdirected",
+        },
+        AttemptOutcome::Unknown(cause) => match cause {
+            UnknownCause::BrokenOff => "broken_off",
+            UnknownCause::WrongAnswer => "wrong_answer",
+            UnknownCause::TimedOut => "timed_out",
+        },
+    }
+}
--- /dev/null
+++ b/crates/router/src/shell/observer/quarantine.rs
@@ -0,0 +1,54 @@
+//! Lines of requests that end upstreams, and of what is doubted.
+
+use super::Observer;
+use crate::core::Liveness;
+use crate::shell::rate::LineKind;
+use beamtray_catalog::UpstreamId;
+use beamtray_dispatch::{QuarantineNotice, UpstreamHash};
+use slog::{info, warn};
+use std::time::Duration;
+
+impl Observer {
+    /// The machine was suspended.
+    pub fn woke(&self, asleep: Duration) {
+        self.metrics.asleep.inc_by(asleep.as_secs_f64());
+        warn!(self.log, "woke"; "asleep_ms" => asleep.as_millis() as u64);
+    }
+
+    /// It was tried whether an upstream to which a connection broke off still listens.
+    pub fn probed(&self, upstream: &UpstreamId, liveness: Liveness) {
+        if let Some(left_out) = self.admit(LineKind::Dependency) {
+            info!(self.log, "upstream_probed"; "upstream" => %upstream,
+                "short" => UpstreamHash::of(upstream).0, "found" => ?liveness, left_out);
+        }
+    }
+
+    /// What is known of requests that end upstreams changed.
+    pub fn quarantine(&self, notice: QuarantineNotice) {
+        let Some(left_out) = self.admit(LineKind::Failure) else {
+            return;
+        };
+        let log = &self.log;
+        match notice {
+            QuarantineNotice::Suspected {
+                fingerprint,
+                upstream,
+                ended,
+            } => {
+                info!(log, "request_suspected"; "fingerprint" => %fingerprint,
+                    "short" => upstream.0, "ended" => ended, left_out);
+            }
+            QuarantineNotice::KeptOff {
+                fingerprint,
+                ended,
+                lasts,
+            } => {
+                warn!(log, "request_kept_off"; "fingerprint" => %fingerprint,
+                    "ended" => ended, "for_s" => lasts.as_secs(), left_out);
+            }
+            QuarantineNotice::Cleared { fingerprint } => {
+                info!(log, "request_cleared"; "fingerprint" => %fingerprint, left_out);
+            }
+        }
+    }
+}
--- a/crates/routersim/src/world/poison.rs
+++ b/crates/routersim/src/world/poison.rs
@@ -1,11 +1,12 @@
 //! A request that ends each upstream which begins to run it, and comes again.
 
 use super::clients::{PATIENCE, request_head};
-use super::network::Event;
+use super::network::{DeferredInput, Event, Run};
+use super::upstreams::{CONNECT_TIMEOUT, index_of};
 use super::{Asked, CONTACT, ORDER, READ, World};
 use crate::fault::Trouble;
-use beamtray_dispatch::Ticket;
-use beamtray_router::core::Input;
+use beamtray_dispatch::{DoubtedUpstream, Ticket};
+use beamtray_router::core::{Input, Liveness};
 use beamtray_sharding::ShardKey;
 use rand::RngExt;
 use std::time::Duration;
@@ -67,4 +68,23 @@
             self.checkers.poison_arrives(self.now, CONTACT, content);
         }
     }
+
+    /// A node tries to connect to an upstream.
+    pub(super) fn probe(&mut self, node: usize, run: Run, doubted: DoubtedUpstream) {
+        let Some(index) = index_of(doubted.address) else {
+            return;
+        };
+        let soon = self.millis(2, 6);
+        let (after, liveness) = if !self.reaches(node, index) {
+            (CONNECT_TIMEOUT, Liveness::Silent)
+        } else if self.upstreams[index].is_some() {
+            (soon, Liveness::Listens)
+        } else if self.upstream_state[index].dark {
+            (CONNECT_TIMEOUT, Liveness::Silent)
+        } else {
+            (soon, Liveness::Ended)
+        };
+        let input = Box::new(DeferredInput::Probed(doubted.upstream, liveness));
+        self.schedule(after, Event::Deliver { node, run, input });
+    }
 }
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -1,16 +1,14 @@
 //! Upstreams: registrations, orders and requests.
 
-use super::network::{DeferredInput, Event, Run};
+use super::network::{Event, Run};
 use super::{KEYED, POOL, World};
 use crate::check::OtherHolder;
 use beamtray_catalog::{UpstreamId, UpstreamState as Announced};
-use beamtray_dispatch::{
-    AttemptOutcome, DoubtedUpstream, Forward, Ticket, UnknownCause, Untouched,
-};
+use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
 use beamtray_emulator::{
     Arrival, FullPolicy, Run as WorkRun, RunId, UpstreamConfig, UpstreamEmulator, WorkRequest,
 };
-use beamtray_router::core::{Input, Liveness};
+use beamtray_router::core::Input;
 use beamtray_sharding::{GrantOrder, GrantReply, Handover, ShardKey};
 use beamtray_types::{ServiceName, Time};
 use rand::RngExt;
@@ -20,7 +18,7 @@
 
 const PORT: u16 = 8000;
 /// How long it waits for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Part of the crashes after which an old write of the dead upstream comes
 /// late, in percent.
 const LATE_REGISTRATION: u32 = 50;
@@ -237,25 +235,6 @@
         only.is_none_or(|only| only == node)
     }
 
-    /// A node tries to connect to an upstream.
-    pub(super) fn probe(&mut self, node: usize, run: Run, doubted: DoubtedUpstream) {
-        let Some(index) = index_of(doubted.address) else {
-            return;
-        };
-        let soon = self.millis(2, 6);
-        let (after, liveness) = if !self.reaches(node, index) {
-            (CONNECT_TIMEOUT, Liveness::Silent)
-        } else if self.upstreams[index].is_some() {
-            (soon, Liveness::Listens)
-        } else if self.upstream_state[index].dark {
-            (CONNECT_TIMEOUT, Liveness::Silent)
-        } else {
-            (soon, Liveness::Ended)
-        };
-        let input = Box::new(DeferredInput::Probed(doubted.upstream, liveness));
-        self.schedule(after, Event::Deliver { node, run, input });
-    }
-
     fn check_configuration(&mut self, node: usize) {
         let Some((at, newest)) = self.configurations.last().copied() else {
             return;
