Suspect requests that got no answer, too, and try a silent upstream thrice

Cause, by reading: where links lose packets the end of a connection may get lost, and the attempt ends as timed out; a single lost opening packet made the try to connect say nothing. Either way an end that a request caused was not counted. Costs a connection for each attempt that times out.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -118,7 +118,7 @@
     credit: Vec<i64>,
 }
 
-/// An upstream to which a connection broke off: it may have ended.
+/// An upstream to which a connection broke off or fell silent: it may have ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DoubtedUpstream {
     /// The upstream.
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -133,7 +133,8 @@
             AttemptOutcome::Answered { success: true } => {
                 self.quarantine.succeeded(now, request.fingerprints);
             }
-            AttemptOutcome::Unknown(UnknownCause::BrokenOff) => {
+            // The end of a connection may get lost on the way, and shows as silence then.
+            AttemptOutcome::Unknown(UnknownCause::BrokenOff | UnknownCause::TimedOut) => {
                 let fingerprints = request.fingerprints;
                 self.quarantine.broke_off(now, attempt.hash, fingerprints);
                 let doubted = DoubtedUpstream {
@@ -148,7 +149,7 @@
         }
     }
 
-    /// Upstreams to which connections broke off since the last call. Whether they ended
+    /// Upstreams to which connections broke off, or fell silent, since the last call. Whether they ended
     /// decides whether their requests are suspected.
     pub fn take_doubted(&mut self) -> Vec<DoubtedUpstream> {
         std::mem::take(&mut self.doubted)
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -136,7 +136,7 @@
 }
 
 impl Quarantine {
-    /// The connection of a request to an upstream broke off.
+    /// The connection of a request to an upstream broke off, or fell silent.
     pub(crate) fn broke_off(
         &mut self,
         now: Time,
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -189,6 +189,23 @@
     assert!(deployment.node.quarantine_mut().take_untold().is_empty());
 }
 
+/// The end of its connection got lost on the way.
+#[test]
+fn a_request_that_got_no_answer_is_suspected_if_the_upstream_ended() {
+    let mut deployment = Deployment::new();
+    deployment.told_of_two("bad");
+    let silent = AttemptOutcome::Unknown(UnknownCause::TimedOut);
+    deployment.send(100, "bad", silent);
+    let doubted = deployment.node.take_doubted();
+    assert_eq!(doubted.len(), 1);
+    let hash = UpstreamHash::of(&doubted[0].upstream);
+    deployment
+        .node
+        .quarantine_mut()
+        .upstream_ended(at(900), hash);
+    assert!(refusal(deployment.come(1_000, "bad")).is_some());
+}
+
 /// It is tried again after a while, and kept off for longer if it does the same.
 #[test]
 fn each_further_end_doubles_the_time_for_which_it_is_kept_off() {
--- a/crates/router/src/shell/probe.rs
+++ b/crates/router/src/shell/probe.rs
@@ -7,22 +7,36 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// How often a connection is tried before an upstream counts as silent: one opening packet
+/// in forty may get lost, and the system sends the next one after a second.
+const TRIES: u32 = 3;
+/// Between two tries.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// Tries to connect to an upstream and tells the core what that showed. Nothing is sent: a
 /// request would take one of its slots.
 pub(crate) fn listens(shared: &Rc<Shared>, doubted: DoubtedUpstream) {
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
-        let liveness = liveness(doubted.address).await;
+        let mut liveness = Liveness::Silent;
+        for _ in 0..TRIES {
+            liveness = try_once(doubted.address).await;
+            if liveness != Liveness::Silent {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
         let upstream = doubted.upstream;
         shared.observer.probed(&upstream, liveness);
         shared.input(Input::Probed { upstream, liveness });
     });
 }
 
-async fn liveness(address: SocketAddr) -> Liveness {
+async fn try_once(address: SocketAddr) -> Liveness {
     match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(_)) => Liveness::Listens,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Liveness::Ended,
