Refuse truthfully what the core had not seen when a stop was complete

Cause, by one log and by reading (not shown by a test that fails first): a request that the shell took in the same turn in which the core said that its stop is complete was answered by nobody, and its caller was told that nobody knows; a connection that came up while the accepting thread did not run was reset when the listener closed. Ruled out for the logged one: work that was cut off (cut_off=0). Change: where nothing was cut off, what the core has not concluded did not run and is told so; what stands in the queue of connections is taken before the listener closes. A test with 24 callers until the last moment passes before and after, so it proves neither.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -404,11 +404,12 @@
         let overdue = waited >= Duration::from_millis(self.config.stop_millis);
         if (left && self.router.is_idle()) || overdue {
             self.stopped = true;
+            let cut_off = self.router.pending() + self.router.running();
             let event = Event::new(Level::Info, "stopped")
                 .with("waited_ms", waited.as_millis())
-                .with("cut_off", self.router.pending() + self.router.running());
+                .with("cut_off", cut_off);
             self.log(event);
-            self.outputs.push(Output::Stopped);
+            self.outputs.push(Output::Stopped { cut_off });
         }
     }
 
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -140,5 +140,8 @@
     /// Write an event to the log.
     Log(Event),
     /// The planned stop is complete: the process may end.
-    Stopped,
+    Stopped {
+        /// Requests that are not concluded; nobody knows what becomes of them.
+        cut_off: usize,
+    },
 }
--- a/crates/http/src/caller_server.rs
+++ b/crates/http/src/caller_server.rs
@@ -142,6 +142,13 @@
             Some((Err(_), _)) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
+    let serve_last = |stream, permit| {
+        let connection = serve_connection(stream, config, handler.clone(), None);
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    };
     // Whoever connected before the end is answered, not reset.
     let last = Instant::now() + LAST_ACCEPTS;
     while let Ok(Ok((stream, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
@@ -151,13 +158,23 @@
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             break;
         };
-        let connection = serve_connection(stream, config, handler.clone(), None);
-        tokio::spawn(async move {
-            connection.await;
-            drop(permit);
-        });
+        serve_last(stream, permit);
+    }
+    // What came while this thread did not run is answered, too: closing the listener resets
+    // it, and its caller would not know that it did not run. A connection that comes up
+    // between the last look and the close is still reset.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((stream, _)) = listener.accept() {
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                break;
+            };
+            let (Ok(()), Ok(stream)) = (stream.set_nonblocking(true), TcpStream::from_std(stream))
+            else {
+                break;
+            };
+            serve_last(stream, permit);
+        }
     }
-    drop(listener);
     let all = u32::try_from(config.max_connections).unwrap_or(u32::MAX);
     let _ = timeout(STOP_PATIENCE, permits.acquire_many(all)).await;
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -34,12 +34,17 @@
 impl Drop for UnseenCaller {
     fn drop(&mut self) {
         if let Some(responder) = self.0.take() {
-            let refusal = HttpResponse::text(503, "not-run: this node has stopped\n");
-            responder.respond(refusal.with_header("beamtray-outcome", "not-run"));
+            responder.respond(not_run());
         }
     }
 }
 
+/// The answer to a request that the loop did not take before it ended.
+pub(crate) fn not_run() -> HttpResponse {
+    let refusal = HttpResponse::text(503, "not-run: this node has stopped\n");
+    refusal.with_header("beamtray-outcome", "not-run")
+}
+
 /// What is asked of the process itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Probe {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -2,7 +2,7 @@
 //! brings it what happened.
 
 use crate::edge::{PlatformEdge, ResponderPool, UpstreamEdge, operator_response};
-use crate::event::{EdgeEvent, Probe};
+use crate::event::{EdgeEvent, Probe, not_run};
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::peer::{LinkEvent, PeerLink, frame};
@@ -191,7 +191,7 @@
                 }
             }
             Output::Log(event) => logging::write(&self.log, &event),
-            Output::Stopped => self.stopped(cx),
+            Output::Stopped { cut_off } => self.stopped(cx, cut_off),
         }
     }
 
@@ -262,7 +262,12 @@
     }
 
     /// The planned stop is complete: answers are written out, then the loop ends.
-    fn stopped(&mut self, cx: CX![]) {
+    fn stopped(&mut self, cx: CX![], cut_off: usize) {
+        // Where the core has concluded all that it took, it has not seen the requests that
+        // are still here, and its word about them would come too late.
+        if cut_off == 0 {
+            self.refuse_unseen();
+        }
         if let Some(responders) = self.responders.take() {
             responders.finish();
         }
@@ -270,6 +275,15 @@
     }
 }
 
+impl Shell {
+    /// Tells the callers whose requests the core has not taken that they did not run.
+    fn refuse_unseen(&mut self) {
+        for (_, caller) in std::mem::take(&mut self.callers) {
+            self.respond(caller.responder, not_run());
+        }
+    }
+}
+
 /// A caller's answer as HTTP.
 fn answer_response(answer: Answer) -> HttpResponse {
     let mut response = HttpResponse {
--- a/crates/node/tests/processes/planned_stop.rs
+++ b/crates/node/tests/processes/planned_stop.rs
@@ -37,6 +37,25 @@
     assert_eq!(reply.status, 200);
 }
 
+/// Callers that ask until the last moment. Requests that came between the end of the core
+/// and that of the process were told that nobody knows what became of them, and some
+/// connections were reset.
+#[test]
+fn callers_at_the_end_of_a_stop_are_told_that_nothing_ran() {
+    const CALLERS: usize = 24;
+    let mut cluster = Cluster::start("last-callers", 3);
+    let leader = cluster.leader();
+    let load = Load::start("last", &[cluster.nodes[leader].callers; CALLERS]);
+    std::thread::sleep(Duration::from_millis(500));
+    cluster.nodes[leader].process.signal(Signal::SIGTERM);
+    assert_eq!(cluster.nodes[leader].process.wait(), Some(0));
+    let transfers = load.finish();
+    check(&transfers, &cluster.effects());
+    let unknown = transfers.iter().filter(|t| t.outcome == "unknown");
+    let unknown: Vec<_> = unknown.collect();
+    assert!(unknown.is_empty(), "cut off: {unknown:?}");
+}
+
 #[test]
 fn of_two_conflicting_confirmations_one_wins() {
     let cluster = Cluster::start("conflict", 2);
--- a/crates/sim/src/world/nodes.rs
+++ b/crates/sim/src/world/nodes.rs
@@ -196,7 +196,7 @@
                     println!("{:>10} node {index} {event:?}", self.now);
                 }
             }
-            Output::Stopped => self.end_node(index, true),
+            Output::Stopped { .. } => self.end_node(index, true),
         }
     }
 
