Soak: sizes of a run

Cause: with four routers relays, parts of records and slots are never in play. The plan of a seed is the same at the small size.

--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -9,6 +9,7 @@
 use crate::config::RECOVERY;
 use crate::message::Command;
 use crate::plan::Plan;
+use crate::size::Size;
 use beamtray_types::Time;
 use cluster::Cluster;
 use eyre::{Result, WrapErr};
@@ -39,6 +40,8 @@
     pub folder: PathBuf,
     /// Requests a second.
     pub rate: u32,
+    /// How many processes.
+    pub size: Size,
 }
 
 impl RunSettings {
@@ -46,7 +49,7 @@
     pub fn plan(&self) -> Plan {
         let calm = LEAD + RECOVERY + COUNTED;
         let troubled = self.length.saturating_sub(calm).max(LEAST_TROUBLED);
-        Plan::draw(self.seed, troubled)
+        Plan::draw(self.seed, troubled, self.size)
     }
 }
 
--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -12,8 +12,8 @@
     RETRY_WINDOW, ZONES,
 };
 use crate::message::{Command, Report};
-use crate::plan::{KEYED_UPSTREAMS, ROUTERS, UPSTREAMS};
 use crate::proxy::Proxy;
+use crate::size::Size;
 use beamtray_types::Time;
 use beamtray_wire::encode;
 use eyre::{Result, WrapErr, ensure};
@@ -66,6 +66,7 @@
     folder: PathBuf,
     commands: Commands,
     reports: Reports,
+    size: Size,
     pub version: u64,
     pub active: Vec<ActiveFault>,
     pub disturbances: Vec<Disturbance>,
@@ -83,7 +84,8 @@
         tokio::task::spawn_local(hear(listener, commands.clone(), reports.clone()));
         let folder = settings.folder.clone();
         let own = std::env::current_exe()?;
-        let ports = Ports::of_this_process();
+        let size = settings.size;
+        let ports = Ports::of_this_process(size);
         let store_address = ports.free_address()?;
         let arguments = vec![
             "store".to_owned(),
@@ -92,7 +94,7 @@
         ];
         let store = Process::start(&folder, "store", &own, &arguments)?;
         let mut routers = Vec::new();
-        for node in 0..ROUTERS {
+        for node in 0..size.routers {
             routers.push(router_slot(&folder, node, store_address, &ports).await?);
         }
         let addresses: Vec<String> = routers.iter().map(|one| one.clients.to_string()).collect();
@@ -105,7 +107,7 @@
         ];
         let caller = Process::start(&folder, "caller", &own, &arguments)?;
         let mut upstreams = Vec::new();
-        for _ in 0..UPSTREAMS {
+        for _ in 0..size.upstreams() {
             let listen = ports.free_address()?;
             upstreams.push(UpstreamSlot {
                 process: None,
@@ -124,16 +126,17 @@
             folder,
             commands,
             reports,
+            size,
             version: 0,
             active: Vec::new(),
             disturbances: Vec::new(),
             stops: Vec::new(),
             upstream_ends: Vec::new(),
         };
-        for index in 0..UPSTREAMS {
+        for index in 0..size.upstreams() {
             cluster.start_upstream(index)?;
         }
-        for node in 0..ROUTERS {
+        for node in 0..size.routers {
             cluster.start_router(node)?;
         }
         Ok(cluster)
@@ -173,9 +176,13 @@
         Ok(())
     }
 
+    fn service(&self, index: usize) -> &'static str {
+        if index < self.size.keyed { KEYED } else { POOL }
+    }
+
     /// Name of the incarnation of an upstream that runs now.
     pub fn upstream_name(&self, index: usize) -> String {
-        let service = service(index);
+        let service = self.service(index);
         format!("{service}-{index}-{}", self.upstreams[index].generation)
     }
 
@@ -190,12 +197,13 @@
     pub fn start_upstream(&mut self, index: usize) -> Result<()> {
         self.upstreams[index].generation += 1;
         let name = self.upstream_name(index);
+        let service = self.service(index);
         let slot = &mut self.upstreams[index];
         let clock = if index == 0 { SLOW_CLOCK_PERCENT } else { 100 };
         let arguments = vec![
             "upstream".to_owned(),
             format!("--id={name}"),
-            format!("--service={}", service(index)),
+            format!("--service={service}"),
             format!("--zone={}", ZONES[index % ZONES.len()]),
             format!("--listen={}", slot.listen),
             format!("--advertised={}", slot.proxy.address),
@@ -215,7 +223,7 @@
             Target::Nobody => return,
             Target::Some(whom) => whom,
             Target::AllRouters => {
-                let routers = (0..ROUTERS).map(|node| Disturbance {
+                let routers = (0..self.routers.len()).map(|node| Disturbance {
                     whom: Disturbed::Router(node),
                     from,
                     until,
@@ -239,7 +247,7 @@
 
     /// Notes that the machine ran nobody.
     pub fn stalled(&mut self, from: Time, until: Time) {
-        let routers = (0..ROUTERS).map(Disturbed::Router);
+        let routers = (0..self.routers.len()).map(Disturbed::Router);
         let all = routers.chain([Disturbed::Store, Disturbed::Upstream]);
         let stalls = all.map(|whom| Disturbance { whom, from, until });
         self.disturbances.extend(stalls);
@@ -257,10 +265,6 @@
     }
 }
 
-fn service(index: usize) -> &'static str {
-    if index < KEYED_UPSTREAMS { KEYED } else { POOL }
-}
-
 async fn router_slot(
     folder: &std::path::Path,
     node: usize,
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -3,7 +3,7 @@
 use super::cluster::{Cluster, now};
 use crate::checker::{Disturbed, PlannedStop};
 use crate::message::{Command, StoreFaults};
-use crate::plan::{PlannedFault, ROUTERS, SoakFault};
+use crate::plan::{PlannedFault, SoakFault};
 use crate::proxy::LinkHarm;
 use beamtray_types::Time;
 use eyre::Result;
@@ -116,7 +116,7 @@
             | SoakFault::RouterStop(node) => router(node),
             // A router that stops may be told meanwhile that its settings changed.
             SoakFault::RouterReload(node) => down(node),
-            SoakFault::KillAll => (0..ROUTERS).any(router),
+            SoakFault::KillAll => (0..self.routers.len()).any(router),
             SoakFault::UpstreamKill(index)
             | SoakFault::UpstreamPause(index)
             | SoakFault::UpstreamDrain(index) => upstream(index),
@@ -209,7 +209,7 @@
         match fault {
             SoakFault::RouterKill(node) => self.start_router(node)?,
             SoakFault::KillAll => {
-                for node in 0..ROUTERS {
+                for node in 0..self.routers.len() {
                     self.start_router(node)?;
                 }
             }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod proxy;
 mod regressions;
+mod size;
 mod store;
 mod upstream;
 
@@ -32,5 +33,6 @@
 pub use message::{CallerEnd, Command, Observation, Report};
 pub use plan::{Plan, PlannedFault, SoakFault};
 pub use regressions::{Regression, load as load_regressions};
+pub use size::Size;
 pub use store::{StoreSettings, run as run_store};
 pub use upstream::{POISON, UpstreamSettings, run as run_upstream};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,8 +1,8 @@
 //! `beamtray-soak`: see `beamtray-soak --help` and docs/DEVELOPING.md.
 
 use beamtray_soak::{
-    CallerSettings, Plan, RunSettings, StoreSettings, UpstreamSettings, load_regressions, play,
-    run_caller, run_store, run_upstream, shorten,
+    CallerSettings, Plan, RunSettings, Size, StoreSettings, UpstreamSettings, load_regressions,
+    play, run_caller, run_store, run_upstream, shorten,
 };
 use eyre::{Result, WrapErr, bail, eyre};
 use gumdrop::Options;
@@ -51,6 +51,13 @@
     /// Requests a second (default 60).
     #[options(default = "60")]
     rate: u32,
+    /// How many processes: small (the default) or full.
+    #[options(default = "small", parse(try_from_str))]
+    size: Size,
+    /// Routers, if not as many as the size has.
+    routers: Option<usize>,
+    /// Upstreams that hold keys, and as many others, if not as many as the size has.
+    upstreams: Option<usize>,
     /// Drop faults of a failing run while it still fails.
     shorten: bool,
     /// Play this plan instead of the seed's.
@@ -212,6 +219,7 @@
             length: Duration::from_secs(arguments.seconds),
             folder: arguments.folder.join(format!("seed-{seed}")),
             rate: arguments.rate,
+            size: size_of(&arguments),
         };
         let plan = match &arguments.plan {
             Some(file) => read_plan(file)?,
@@ -222,6 +230,16 @@
     Ok(clean)
 }
 
+/// The size of a run, with what is given by itself.
+fn size_of(arguments: &RunArguments) -> Size {
+    let size = arguments.size;
+    Size {
+        routers: arguments.routers.unwrap_or(size.routers).max(1),
+        keyed: arguments.upstreams.unwrap_or(size.keyed).max(1),
+        pool: arguments.upstreams.unwrap_or(size.pool).max(1),
+    }
+}
+
 async fn run_one(settings: &RunSettings, plan: &Plan, shortens: bool) -> Result<bool> {
     let verdict = play(settings, plan).await?;
     println!(
@@ -274,6 +292,7 @@
                 .folder
                 .join(format!("regression-{}", regression.seed)),
             rate: REGRESSION_RATE,
+            size: Size::SMALL,
         };
         let plan = regression.plan.unwrap_or_else(|| settings.plan());
         clean &= run_one(&settings, &plan, false).await?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,19 +1,11 @@
 //! Faults as data, drawn from a seed.
 
+use crate::size::Size;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Routers of a run.
-pub(crate) const ROUTERS: usize = 4;
-/// Upstreams that hold keys.
-pub(crate) const KEYED_UPSTREAMS: usize = 4;
-/// Upstreams of the other service.
-pub(crate) const POOL_UPSTREAMS: usize = 3;
-/// All upstreams; those that hold keys come first.
-pub(crate) const UPSTREAMS: usize = KEYED_UPSTREAMS + POOL_UPSTREAMS;
-
 /// Most series of planned work in a run.
 const MOST_SERIES: usize = 3;
 /// Configurations in a series.
@@ -93,7 +85,7 @@
 
 impl Plan {
     /// The plan of a seed for troubles of that length.
-    pub fn draw(seed: u64, troubled: Duration) -> Self {
+    pub fn draw(seed: u64, troubled: Duration, size: Size) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let end = troubled.as_millis() as u64;
         let mut faults = Vec::new();
@@ -102,13 +94,13 @@
             faults.push(PlannedFault {
                 at_ms,
                 for_ms: random.random_range(500..5_000),
-                fault: draw_fault(&mut random),
+                fault: draw_fault(&mut random, size),
             });
             at_ms += random.random_range(200..3_500);
         }
         for _ in 0..random.random_range(1..=MOST_SERIES) {
             let begin = random.random_range(0..end.max(1));
-            let series = draw_series(&mut random, begin);
+            let series = draw_series(&mut random, begin, size);
             faults.extend(series.into_iter().filter(|fault| fault.at_ms < end));
         }
         faults.sort_by_key(|fault| fault.at_ms);
@@ -131,19 +123,21 @@
 
 /// Planned work in a series, one step a machine, as operators and platforms do it. It
 /// overlaps other series and faults.
-fn draw_series(random: &mut ChaCha8Rng, begin_ms: u64) -> Vec<PlannedFault> {
+fn draw_series(random: &mut ChaCha8Rng, begin_ms: u64, size: Size) -> Vec<PlannedFault> {
     let gap_ms = random.random_range(50..900);
     let steps: Vec<SoakFault> = match random.random_range(0..5) {
-        0 => (0..ROUTERS).map(SoakFault::RouterStop).collect(),
+        0 => (0..size.routers).map(SoakFault::RouterStop).collect(),
         1 => {
-            let twice = (0..ROUTERS).chain(0..ROUTERS);
+            let twice = (0..size.routers).chain(0..size.routers);
             twice.map(SoakFault::RouterReload).collect()
         }
-        2 => (0..UPSTREAMS).map(SoakFault::UpstreamDrain).collect(),
+        2 => (0..size.upstreams())
+            .map(SoakFault::UpstreamDrain)
+            .collect(),
         3 => vec![SoakFault::Configure; CONFIGURATIONS],
         _ => {
-            let stops = (0..ROUTERS).map(SoakFault::RouterStop);
-            let reloads = (0..ROUTERS).map(SoakFault::RouterReload);
+            let stops = (0..size.routers).map(SoakFault::RouterStop);
+            let reloads = (0..size.routers).map(SoakFault::RouterReload);
             stops
                 .zip(reloads)
                 .flat_map(|(stop, reload)| [stop, reload])
@@ -159,9 +153,9 @@
     planned.collect()
 }
 
-fn draw_fault(random: &mut ChaCha8Rng) -> SoakFault {
-    let router = random.random_range(0..ROUTERS);
-    let upstream = random.random_range(0..UPSTREAMS);
+fn draw_fault(random: &mut ChaCha8Rng, size: Size) -> SoakFault {
+    let router = random.random_range(0..size.routers);
+    let upstream = random.random_range(0..size.upstreams());
     match random.random_range(0..26) {
         0 => SoakFault::RouterKill(router),
         1 => SoakFault::KillAll,
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -1,6 +1,6 @@
 //! Plans of faults.
 
-use beamtray_soak::{Plan, load_regressions};
+use beamtray_soak::{Plan, Size, load_regressions};
 use std::path::Path;
 use std::time::Duration;
 
@@ -8,13 +8,19 @@
 
 #[test]
 fn the_same_seed_gives_the_same_plan() {
-    assert_eq!(Plan::draw(5, TROUBLED), Plan::draw(5, TROUBLED));
-    assert_ne!(Plan::draw(5, TROUBLED), Plan::draw(6, TROUBLED));
+    assert_eq!(
+        Plan::draw(5, TROUBLED, Size::SMALL),
+        Plan::draw(5, TROUBLED, Size::SMALL)
+    );
+    assert_ne!(
+        Plan::draw(5, TROUBLED, Size::SMALL),
+        Plan::draw(6, TROUBLED, Size::SMALL)
+    );
 }
 
 #[test]
 fn a_plan_lies_within_its_time_and_gets_shorter_by_one() {
-    let plan = Plan::draw(9, TROUBLED);
+    let plan = Plan::draw(9, TROUBLED, Size::SMALL);
     let latest = plan.faults.iter().map(|fault| fault.at_ms).max();
     assert!(latest.is_some_and(|at| at < TROUBLED.as_millis() as u64));
     assert_eq!(plan.without(0).faults, plan.faults[1..]);
@@ -22,7 +28,7 @@
 
 #[test]
 fn a_plan_is_read_as_it_was_written() {
-    let plan = Plan::draw(11, TROUBLED);
+    let plan = Plan::draw(11, TROUBLED, Size::SMALL);
     let text = toml::to_string(&plan).expect("plain data");
     assert_eq!(toml::from_str::<Plan>(&text).expect("just written"), plan);
 }
