Bound the tries of silent upstreams; tell what matters first

Change: unanswered attempts have an upstream tried once a second at most; suspicions of a request under which two upstreams ended are told first.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -69,7 +69,8 @@
     unconfirmed: BTreeSet<UpstreamId>,
     forget_at: Time,
     store_trouble: Option<Time>,
-    /// When some node was last known to have the store's answers to all of its calls.
+    /// When some node was last known to have the store's answers to all of its calls. It is
+    /// judged anew at each time at which registrations vanish.
     store_sound: Option<Time>,
     /// Upstreams that were found gone, and when.
     gone: BTreeMap<UpstreamId, Time>,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -154,6 +154,8 @@
     quarantine: Quarantine,
     /// Upstreams to which connections broke off, and where they listen.
     doubted: Vec<DoubtedUpstream>,
+    /// When each upstream was last doubted.
+    doubted_at: HashMap<UpstreamHash, Time>,
     /// When each upstream last answered a request of any node.
     heard: HashMap<UpstreamHash, Time>,
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
@@ -189,6 +191,7 @@
             speeds: SpeedTable::default(),
             quarantine: Quarantine::default(),
             doubted: Vec::new(),
+            doubted_at: HashMap::new(),
             heard: HashMap::new(),
             key_loads: HashMap::new(),
             nodes: 1,
@@ -241,6 +244,7 @@
         self.health.retain(|hash, _| known.contains(hash));
         self.speeds.retain(|hash| known.contains(&hash));
         self.heard.retain(|hash, _| known.contains(hash));
+        self.doubted_at.retain(|hash, _| known.contains(hash));
         for registration in directory.iter() {
             let record = &registration.record;
             if record.state == UpstreamState::Draining {
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -18,6 +18,10 @@
 const FULL_PAUSE: Duration = Duration::from_millis(30);
 /// First pause after a failure; doubles with each further one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// Between two doubts of an upstream that leaves requests unanswered. Each has a connection
+/// opened, which takes one of its slots for a moment, and where it is only full there are
+/// many such requests.
+const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 
@@ -133,24 +137,36 @@
             AttemptOutcome::Answered { success: true } => {
                 self.quarantine.succeeded(now, request.fingerprints);
             }
+            AttemptOutcome::Unknown(UnknownCause::BrokenOff) => {
+                self.doubt(now, request, attempt);
+            }
             // The end of a connection may get lost on the way, and shows as silence then.
-            AttemptOutcome::Unknown(UnknownCause::BrokenOff | UnknownCause::TimedOut) => {
-                let fingerprints = request.fingerprints;
-                self.quarantine.broke_off(now, attempt.hash, fingerprints);
-                let doubted = DoubtedUpstream {
-                    upstream: attempt.upstream.clone(),
-                    address: attempt.address,
-                };
-                if !self.doubted.contains(&doubted) {
-                    self.doubted.push(doubted);
+            AttemptOutcome::Unknown(UnknownCause::TimedOut) => {
+                let last = self.doubted_at.get(&attempt.hash);
+                if last.is_none_or(|last| now.since(*last) >= SILENCE_PAUSE) {
+                    self.doubt(now, request, attempt);
                 }
             }
             _ => {}
         }
     }
 
-    /// Upstreams to which connections broke off, or fell silent, since the last call. Whether they ended
-    /// decides whether their requests are suspected.
+    /// Notes that the upstream of an attempt may have ended.
+    fn doubt(&mut self, now: Time, request: &Request, attempt: &Attempt) {
+        self.doubted_at.insert(attempt.hash, now);
+        let fingerprints = request.fingerprints;
+        self.quarantine.broke_off(now, attempt.hash, fingerprints);
+        let doubted = DoubtedUpstream {
+            upstream: attempt.upstream.clone(),
+            address: attempt.address,
+        };
+        if !self.doubted.contains(&doubted) {
+            self.doubted.push(doubted);
+        }
+    }
+
+    /// Upstreams to which connections broke off, or fell silent, since the last call.
+    /// Whether they ended decides whether their requests are suspected.
     pub fn take_doubted(&mut self) -> Vec<DoubtedUpstream> {
         std::mem::take(&mut self.doubted)
     }
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -206,6 +206,28 @@
     assert!(refusal(deployment.come(1_000, "bad")).is_some());
 }
 
+/// An upstream that is full answers nobody; it is tried once a second.
+#[test]
+fn an_upstream_that_leaves_many_unanswered_is_doubted_once_a_second() {
+    let mut deployment = Deployment::new();
+    let mut tried = 0;
+    for millis in (0..2_000).step_by(50) {
+        let mut head = head("/order/1", None);
+        head.fingerprints = fingerprints("slow");
+        let admitted = deployment.node.admit(at(millis), Ticket(millis), &head);
+        admitted.expect("it is admitted");
+        let decisions = deployment.node.poll(at(millis), &deployment.directory);
+        if forwarded(decisions).is_some() {
+            let silent = AttemptOutcome::Unknown(UnknownCause::TimedOut);
+            deployment
+                .node
+                .ended(at(millis + 20), Ticket(millis), silent);
+            tried += deployment.node.take_doubted().len();
+        }
+    }
+    assert!((1..=2).contains(&tried), "{tried} times");
+}
+
 /// It is tried again after a while, and kept off for longer if it does the same.
 #[test]
 fn each_further_end_doubles_the_time_for_which_it_is_kept_off() {
--- a/crates/router/src/core/node/quarantine.rs
+++ b/crates/router/src/core/node/quarantine.rs
@@ -24,8 +24,10 @@
 /// Suspicions in one datagram, 13 bytes each.
 const SUSPICIONS_A_DATAGRAM: usize = 80;
 /// Most suspicions that are still to be told; a zone that is lost leaves thousands, nearly
-/// all of bystanders. The oldest give way.
+/// all of bystanders. What was told least urgently gives way.
 const MOST_NEWS: usize = 2_000;
+/// Suspicions of a request under which so many upstreams ended are told before others.
+const URGENT_FROM: usize = 2;
 
 /// Whom a suspicion is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,15 +53,22 @@
 }
 
 impl SuspicionNews {
-    fn add(&mut self, suspicion: Suspicion, audience: NewsAudience) {
-        if self.news.len() >= MOST_NEWS {
-            self.news.pop_front();
-        }
-        self.news.push_back(News {
+    /// Adds a suspicion; one that `is_urgent` goes before the others. Where a zone is lost
+    /// those of its bystanders take seconds to tell.
+    fn add(&mut self, suspicion: Suspicion, audience: NewsAudience, is_urgent: bool) {
+        let news = News {
             suspicion,
             audience,
             left: TOLD,
-        });
+        };
+        if is_urgent {
+            self.news.push_front(news);
+        } else {
+            self.news.push_back(news);
+        }
+        if self.news.len() > MOST_NEWS {
+            self.news.pop_back();
+        }
     }
 
     /// Those that are told next, and again later unless it was the last time.
@@ -106,7 +115,10 @@
             self.suspicion_news.due = now;
         }
         for suspicion in found {
-            self.suspicion_news.add(suspicion, NewsAudience::Collectors);
+            let known = self.dispatcher.quarantine().known_of(suspicion.fingerprint);
+            let is_urgent = known.len() >= URGENT_FROM;
+            let audience = NewsAudience::Collectors;
+            self.suspicion_news.add(suspicion, audience, is_urgent);
         }
         let notices = self.dispatcher.quarantine_mut().take_notices();
         for notice in &notices {
@@ -131,7 +143,8 @@
             return;
         }
         for suspicion in known {
-            self.suspicion_news.add(suspicion, NewsAudience::Zone);
+            let audience = NewsAudience::Zone;
+            self.suspicion_news.add(suspicion, audience, true);
         }
         self.suspicion_news.due = now;
     }
