A pause between two clock readings is no suspension

Cause, by reading the diff: the steady clock was read first, so a process that got no processor before it read the boot clock believed that the machine had slept, and gave up its watches and resting connections. Change: the boot clock is read first; the test failed before.

--- a/crates/clock/src/boot.rs
+++ b/crates/clock/src/boot.rs
@@ -48,9 +48,8 @@
     Ok(Duration::from(clock_gettime(clock)?))
 }
 
-/// Reads a clock that was read before. That it fails later is not foreseen by the system's
-/// interface; the clock stands still then, which no lease outlasts unseen: the store's
-/// answers stop fitting.
+/// Reads a clock that could be read before. The system's only error is that it does not know
+/// the clock, so the last reading stands in for what can't happen.
 fn read_again(last: &Cell<Duration>, clock: ClockId) -> Duration {
     if let Ok(now) = read(clock) {
         last.set(now);
--- a/crates/clock/src/sleep.rs
+++ b/crates/clock/src/sleep.rs
@@ -3,11 +3,13 @@
 use crate::boot::ClockSource;
 use std::time::Duration;
 
-/// Shortest suspension that counts. Reading two clocks one after the other may be
-/// interrupted for some milliseconds; no lease or bound of trust is within an order of
-/// this.
+/// Shortest suspension that counts: a tenth of the shortest time for which another node's
+/// word is trusted.
 const LEAST: Duration = Duration::from_millis(50);
 
+/// Readings that the first comparison takes the best of.
+const FIRST_LOOKS: u32 = 3;
+
 /// Compares two clocks from look to look.
 #[derive(Clone, Copy, Debug)]
 pub struct SleepWatch {
@@ -17,8 +19,10 @@
 impl SleepWatch {
     /// Compares from now on.
     pub fn new(source: &impl ClockSource) -> Self {
+        // The process may be interrupted between two readings, which shows too little.
+        let looks = (0..FIRST_LOOKS).map(|_| ahead(source));
         Self {
-            ahead: ahead(source),
+            ahead: looks.max().unwrap_or_default(),
         }
     }
 
@@ -33,8 +37,9 @@
     }
 }
 
-/// How much more the boot clock has counted.
+/// How much more the boot clock has counted, at least: it is read first, so that a pause
+/// between the two readings does not look like a suspension.
 fn ahead(source: &impl ClockSource) -> Duration {
-    let steady = source.steady();
-    source.boot().saturating_sub(steady)
+    let boot = source.boot();
+    boot.saturating_sub(source.steady())
 }
--- a/crates/clock/tests/clocks.rs
+++ b/crates/clock/tests/clocks.rs
@@ -59,6 +59,44 @@
     assert_eq!(watch.asleep(&&machine), None);
 }
 
+/// A machine that gives its process no processor after some readings.
+#[derive(Default)]
+struct Interrupted {
+    machine: Machine,
+    pauses: Cell<bool>,
+}
+
+impl Interrupted {
+    fn read(&self, clock: impl Fn(&Machine) -> Duration) -> Duration {
+        let reading = clock(&self.machine);
+        if self.pauses.get() {
+            self.machine.run(80);
+        }
+        reading
+    }
+}
+
+impl ClockSource for Interrupted {
+    fn boot(&self) -> Duration {
+        self.read(|machine| machine.boot())
+    }
+
+    fn steady(&self) -> Duration {
+        self.read(|machine| machine.steady())
+    }
+}
+
+#[test]
+fn a_pause_between_two_readings_is_no_suspension() {
+    let source = Interrupted::default();
+    source.machine.run(1_000);
+    let mut watch = SleepWatch::new(&source);
+    for pauses in [false, true, false, true, true, false] {
+        source.pauses.set(pauses);
+        assert_eq!(watch.asleep(&source), None);
+    }
+}
+
 #[test]
 fn the_system_has_both_clocks() {
     let clocks = SystemClocks::new().expect("both clocks can be read");
