Tell a holder that lost its keys until it answers

Cause: an order that was given up on may be taken after a cut, and with the move of the keys the granter stopped telling the old holder, so that nothing there refused the old token. Change: who lost keys without an answer is named in the record, is sent releases under fresh tokens each 0.2 s by this granter and its successors, and gets no keys before it has answered or ended. Lines holder_unfenced, holder_fenced, holder_forgotten and a gauge. What is seen of the grants moves to files of its own.

--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -165,6 +165,7 @@
         epoch: Epoch(1),
         sequence,
         standbys: Vec::new(),
+        unfenced: Vec::new(),
         slices: slices.collect(),
     };
     dispatcher.assign(
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -1,6 +1,7 @@
 //! This node's part in control: its entry, the election, and the grants while
 //! it is the granter.
 
+mod ownership;
 mod standbys;
 mod suspicions;
 mod term;
@@ -17,9 +18,7 @@
     Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, StoreCall, StoreOutcome,
     Transaction, Write,
 };
-use beamtray_sharding::{
-    BalanceLimits, GrantOrder, GrantReply, GranterTiming, OwnedAgain, UnansweredGrants,
-};
+use beamtray_sharding::{BalanceLimits, GrantOrder, GrantReply, GranterTiming};
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -275,17 +274,6 @@
         }
     }
 
-    /// Slices that have an owner again since the last call.
-    pub fn take_owned_again(&mut self) -> Vec<(ServiceName, OwnedAgain)> {
-        let all = self.term.as_mut().and_then(|term| term.grants.as_mut());
-        let all = all.into_iter().flat_map(|all| all.iter_mut());
-        let owned = all.flat_map(|(service, grants)| {
-            let owned = grants.granter.take_owned_again().into_iter();
-            owned.map(move |owned| (service.clone(), owned))
-        });
-        owned.collect()
-    }
-
     /// Where upstreams listen, or did when they were last seen.
     pub fn addresses(&self) -> &BTreeMap<UpstreamId, SocketAddr> {
         &self.addresses
@@ -372,29 +360,4 @@
         let entry = self.registrar.resign();
         place.into_iter().chain(entry).collect()
     }
-
-    /// Grants of this term that were left unanswered, over all services.
-    pub fn unanswered_grants(&self) -> UnansweredGrants {
-        let all = self.term.as_ref().and_then(|term| term.grants.as_ref());
-        let granters = all.into_iter().flatten().map(|(_, grants)| &grants.granter);
-        granters.fold(UnansweredGrants::default(), |sum, granter| {
-            let counts = granter.unanswered_grants();
-            UnansweredGrants {
-                serving: sum.serving + counts.serving,
-                silent: sum.silent + counts.silent,
-            }
-        })
-    }
-
-    /// Slices, and how many of them are held, over all services.
-    pub fn slice_counts(&self, now: Time) -> (usize, usize) {
-        let all = self.term.as_ref().and_then(|term| term.grants.as_ref());
-        let granters = all.into_iter().flatten().map(|(_, grants)| &grants.granter);
-        granters.fold((0, 0), |(slices, held), granter| {
-            (
-                slices + granter.slice_count(),
-                held + granter.held_count(now),
-            )
-        })
-    }
 }
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -9,7 +9,7 @@
     LoadSum, QuarantineNotice, RequestHead, SlotReply, SlotRequest, Suspicion, Ticket,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
-use beamtray_sharding::{GrantOrder, GrantReply, OwnedAgain};
+use beamtray_sharding::{FenceNotice, GrantOrder, GrantReply, OwnedAgain};
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
@@ -220,6 +220,15 @@
     Stop,
 }
 
+/// What became of keys of a divided service, or of those who held them.
+#[derive(Clone, Debug)]
+pub enum OwnershipNotice {
+    /// Keys have an owner again.
+    OwnedAgain(OwnedAgain),
+    /// An upstream lost keys without an answer, or has answered since.
+    Fence(FenceNotice),
+}
+
 /// What is to be done.
 pub enum Output {
     /// A request that can't be admitted.
@@ -246,8 +255,8 @@
     Notice(ViewNotice),
     /// This node became the granter, or ceased to be.
     Granter(Option<u64>),
-    /// As the granter: keys of a service have an owner again.
-    OwnedAgain(ServiceName, OwnedAgain),
+    /// As the granter: what became of keys of a service, or of their holders.
+    Ownership(ServiceName, OwnershipNotice),
     /// What this node does as a standby changed.
     Standby(StandbyState),
 }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -14,7 +14,9 @@
 mod views;
 
 pub use control::{Control, ControlConfig};
-pub use message::{Datagram, GRANT_TIMEOUT, Input, Liveness, OrderTask, Output, StoreTask, Timing};
+pub use message::{
+    Datagram, GRANT_TIMEOUT, Input, Liveness, OrderTask, Output, OwnershipNotice, StoreTask, Timing,
+};
 pub use node::{CoreConfig, NodeCore};
 pub use records::{AssignmentKey, NodeRecord, OwnKeys};
 pub use registration::Registrar;
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -336,9 +336,9 @@
             self.outputs.extend(orders);
         }
         self.poll_standbys(now);
-        let owned_again = self.control.take_owned_again().into_iter();
-        let owned_again = owned_again.map(|(service, owned)| Output::OwnedAgain(service, owned));
-        self.outputs.extend(owned_again);
+        let notices = self.control.take_ownership_notices().into_iter();
+        let notices = notices.map(|(service, notice)| Output::Ownership(service, notice));
+        self.outputs.extend(notices);
         let granter = self
             .control
             .epoch()
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -134,6 +134,7 @@
     /// Seconds from the decision on an order to its end.
     pub order_latency: Latencies<OrderLabels>,
     unanswered_grants: Family<UnansweredLabel, Gauge>,
+    unfenced_holders: Gauge,
     keys_with_holder: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     pub route_latency: Latencies<RouteLabel>,
     /// Seconds from a whole request to its refusal.
@@ -172,6 +173,7 @@
             orders: Family::default(),
             order_latency: Family::new_with_constructor(latency),
             unanswered_grants: Family::default(),
+            unfenced_holders: Gauge::default(),
             keys_with_holder: Family::default(),
             route_latency: Family::new_with_constructor(latency),
             refusal_latency: Family::new_with_constructor(latency),
@@ -228,6 +230,11 @@
              meanwhile, or of silent ones",
             self.unanswered_grants.clone(),
         );
+        registry.register(
+            "unfenced_holders",
+            "Upstreams that lost keys without an answer and have not answered since",
+            self.unfenced_holders.clone(),
+        );
         registry.register(
             "keys_with_holder",
             "Share of the keys of a divided service whose holder this node knows",
@@ -365,6 +372,7 @@
         let (slices, held) = control.slice_counts(now);
         self.slices.set(slices as i64);
         self.slices_held.set(held as i64);
+        self.unfenced_holders.set(control.unfenced_count() as i64);
         let unanswered = control.unanswered_grants();
         for (holder, count) in [
             ("serves", unanswered.serving),
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -1,13 +1,14 @@
 //! Tells what the process did and believed: a line and a count for each.
 
 mod names;
+mod ownership;
 mod quarantine;
 
 use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
 use crate::shell::attempt::ClientRequest;
 use crate::shell::metrics::{
-    AttemptLabels, LossLabel, Metrics, OrderLabels, OrderName, RefusalLabels, RequestLabels,
-    RouteLabel, StoreLabels,
+    AttemptLabels, Metrics, OrderLabels, OrderName, RefusalLabels, RequestLabels, RouteLabel,
+    StoreLabels,
 };
 use crate::shell::rate::{LineKind, LineRate};
 use beamtray_catalog::DirectoryChange;
@@ -16,9 +17,8 @@
     RefusalReason, UnknownCause,
 };
 use beamtray_metastore::StoreOutcome;
-use beamtray_sharding::{GrantReply, OrderKind, OwnedAgain, ShardKey};
-use beamtray_types::ServiceName;
-use names::{attempt_outcome, grant_reply, loss_cause, store_outcome, store_task};
+use beamtray_sharding::{GrantReply, OrderKind, ShardKey};
+use names::{attempt_outcome, grant_reply, store_outcome, store_task};
 use slog::{Logger, Record, debug, info, warn};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -159,20 +159,6 @@
         }
     }
 
-    /// Keys have an owner again.
-    pub fn owned_again(&self, service: &ServiceName, owned: &OwnedAgain) {
-        let cause = loss_cause(owned.cause);
-        let label = LossLabel {
-            cause: cause.to_owned(),
-        };
-        let histogram = self.metrics.unowned.get_or_create(&label);
-        histogram.observe(owned.after.as_secs_f64());
-        if let Some(left_out) = self.admit(LineKind::Dependency) {
-            info!(self.log, "owned_again"; "service" => %service, "range" => %owned.range,
-                "cause" => cause, "after_ms" => owned.after.as_millis() as u64, left_out);
-        }
-    }
-
     /// What this node does as a standby changed.
     pub fn standby(&self, state: StandbyState) {
         info!(self.log, "standby"; "state" => ?state);
--- /dev/null
+++ b/crates/router/src/shell/observer/ownership.rs
@@ -0,0 +1,49 @@
+//! Lines and counts of keys and of those who held them.
+
+use super::Observer;
+use super::names::loss_cause;
+use crate::core::OwnershipNotice;
+use crate::shell::metrics::LossLabel;
+use crate::shell::rate::LineKind;
+use beamtray_sharding::{FenceNotice, OwnedAgain};
+use beamtray_types::ServiceName;
+use slog::info;
+
+impl Observer {
+    /// What became of keys, or of those who held them.
+    pub fn ownership(&self, service: &ServiceName, notice: &OwnershipNotice) {
+        match notice {
+            OwnershipNotice::OwnedAgain(owned) => self.owned_again(service, owned),
+            OwnershipNotice::Fence(notice) => self.fence(service, notice),
+        }
+    }
+
+    fn fence(&self, service: &ServiceName, notice: &FenceNotice) {
+        let log = &self.log;
+        match notice {
+            FenceNotice::Unfenced(upstream) => {
+                info!(log, "holder_unfenced"; "service" => %service, "upstream" => %upstream);
+            }
+            FenceNotice::Fenced(upstream, after) => {
+                info!(log, "holder_fenced"; "service" => %service, "upstream" => %upstream,
+                    "after_ms" => after.as_millis() as u64);
+            }
+            FenceNotice::Forgotten(upstream) => {
+                info!(log, "holder_forgotten"; "service" => %service, "upstream" => %upstream);
+            }
+        }
+    }
+
+    fn owned_again(&self, service: &ServiceName, owned: &OwnedAgain) {
+        let cause = loss_cause(owned.cause);
+        let label = LossLabel {
+            cause: cause.to_owned(),
+        };
+        let histogram = self.metrics.unowned.get_or_create(&label);
+        histogram.observe(owned.after.as_secs_f64());
+        if let Some(left_out) = self.admit(LineKind::Dependency) {
+            info!(self.log, "owned_again"; "service" => %service, "range" => %owned.range,
+                "cause" => cause, "after_ms" => owned.after.as_millis() as u64, left_out);
+        }
+    }
+}
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -25,7 +25,7 @@
             shared.connections.set_gives_orders(epoch.is_some());
             shared.observer.granter(epoch);
         }
-        Output::OwnedAgain(service, owned) => shared.observer.owned_again(&service, &owned),
+        Output::Ownership(service, notice) => shared.observer.ownership(&service, &notice),
         Output::Standby(state) => shared.observer.standby(state),
     }
 }
--- a/crates/router/tests/takeover.rs
+++ b/crates/router/tests/takeover.rs
@@ -35,6 +35,7 @@
         epoch: Epoch(1),
         sequence: 1,
         standbys: Vec::new(),
+        unfenced: Vec::new(),
         slices: slices.collect(),
     };
     let head = borsh::to_vec(&record.head()).expect("in memory");
--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -15,6 +15,8 @@
     UnansweredCounts,
     /// Keys of a silent holder wait until no standby can prolong its hold.
     StandbyWait,
+    /// A holder that lost keys without an answer is told until it answers.
+    LostHolderFence,
     /// What may not be repeated is sent again only on proof.
     ProofBeforeRepeat,
     /// Doubt about a missing registration is short.
@@ -29,12 +31,13 @@
 
 impl Guard {
     /// All protections.
-    pub const ALL: [Guard; 10] = [
+    pub const ALL: [Guard; 11] = [
         Guard::RecordFirst,
         Guard::LapseWait,
         Guard::PredecessorWait,
         Guard::UnansweredCounts,
         Guard::StandbyWait,
+        Guard::LostHolderFence,
         Guard::ProofBeforeRepeat,
         Guard::ShortDoubt,
         Guard::SuspicionsTold,
@@ -50,6 +53,7 @@
             | Guard::PredecessorWait
             | Guard::UnansweredCounts
             | Guard::StandbyWait
+            | Guard::LostHolderFence
             | Guard::BootClock => Promise::SoleOwner,
             Guard::ProofBeforeRepeat => Promise::AtMostOnce,
             Guard::ShortDoubt => Promise::Drain,
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -111,6 +111,7 @@
         respects_predecessor: off != Some(Guard::PredecessorWait),
         counts_unanswered: off != Some(Guard::UnansweredCounts),
         waits_for_standbys: off != Some(Guard::StandbyWait),
+        fences_lost_holders: off != Some(Guard::LostHolderFence),
     };
     if off == Some(Guard::ShortDoubt) {
         config.directory.patience = CONTACT * 3;
@@ -283,7 +284,7 @@
             | Output::Quarantine(_)
             | Output::Notice(_)
             | Output::Granter(_)
-            | Output::OwnedAgain(..)
+            | Output::Ownership(..)
             | Output::Standby(_) => {}
         }
     }
--- /dev/null
+++ b/crates/sharding/src/fence.rs
@@ -0,0 +1,222 @@
+//! Upstreams that lost keys without an answer, and are told of it until they answer.
+//!
+//! An order that was given up on may still be taken: what was written to a connection goes
+//! on being sent, and a cut keeps it back for as long as the cut lasts. An upstream refuses
+//! an old grant only if it has seen a higher token on one of its keys. The wait for the end
+//! of all holds does not help: the time of an old grant counts from when it is taken.
+//!
+//! Invariant: whoever lost keys without an answer is named in each record from the one that
+//! asks it for them to the one after its answer; it is sent releases of them under fresh
+//! tokens, by this granter and its successors, and gets no keys before it has answered one
+//! or has ended. Without it an upstream that was cut off for five seconds took a renewal
+//! from before the cut 1.2 s after the cut, while another one held the keys.
+
+use crate::order::{CallId, GrantReply};
+use crate::range::KeyRange;
+use beamtray_catalog::UpstreamId;
+use beamtray_types::Time;
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Between two releases to an upstream that has not answered one. The sooner it is told
+/// after a cut, the fewer old orders come before: they come at steps of retransmission,
+/// which double from 0.2 s.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Most releases to one upstream that are under way: one that takes connections and stands
+/// still leaves each of them open for seconds.
+const MOST_UNDER_WAY: usize = 16;
+/// How long an upstream that is not registered any more is told. What was written before
+/// it vanished comes by the retransmission after 51 s at the latest; senders reset their
+/// connections long before that.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+
+/// An upstream that may still take old grants of keys that it lost.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct UnfencedUpstream {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The keys.
+    pub ranges: Vec<KeyRange>,
+}
+
+/// What became of an upstream that lost keys without an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FenceNotice {
+    /// It lost keys and has not answered.
+    Unfenced(UpstreamId),
+    /// It answered, that long after it lost the first of them.
+    Fenced(UpstreamId, Duration),
+    /// It has not been registered for so long that it is taken to have ended.
+    Forgotten(UpstreamId),
+}
+
+/// A release that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct DueRelease {
+    pub upstream: UpstreamId,
+    pub range: KeyRange,
+}
+
+#[derive(Clone, Debug)]
+struct Fence {
+    ranges: Vec<KeyRange>,
+    since: Time,
+    due: Time,
+    /// Since when it is not registered.
+    missing_since: Option<Time>,
+    /// Releases under way.
+    calls: BTreeMap<CallId, KeyRange>,
+}
+
+/// Upstreams that lost keys without an answer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fences {
+    fences: BTreeMap<UpstreamId, Fence>,
+    notices: Vec<FenceNotice>,
+}
+
+impl Fences {
+    /// Notes that an upstream lost keys without an answer.
+    pub fn add(&mut self, now: Time, upstream: &UpstreamId, range: KeyRange) {
+        if !self.fences.contains_key(upstream) {
+            self.notices.push(FenceNotice::Unfenced(upstream.clone()));
+        }
+        let fence = self.fences.entry(upstream.clone()).or_insert(Fence {
+            ranges: Vec::new(),
+            since: now,
+            due: now,
+            missing_since: None,
+            calls: BTreeMap::new(),
+        });
+        if !fence.ranges.contains(&range) {
+            fence.ranges.push(range);
+        }
+        // Releases that are under way may have been sent before the keys were lost.
+        fence.calls.clear();
+    }
+
+    /// Whether the upstream still owes an answer.
+    pub fn is_unfenced(&self, upstream: &UpstreamId) -> bool {
+        self.fences.contains_key(upstream)
+    }
+
+    /// Notes that an upstream has ended: it takes nothing any more.
+    pub fn ended(&mut self, upstream: &UpstreamId) {
+        self.fences.remove(upstream);
+    }
+
+    /// States whether upstreams are registered.
+    pub fn set_registered(&mut self, now: Time, is_registered: impl Fn(&UpstreamId) -> bool) {
+        for (upstream, fence) in &mut self.fences {
+            if !is_registered(upstream) {
+                fence.missing_since.get_or_insert(now);
+            } else if fence.missing_since.take().is_some() {
+                fence.due = now;
+            }
+        }
+    }
+
+    /// Forgets those that have not been registered for long.
+    pub fn forget(&mut self, now: Time) {
+        let notices = &mut self.notices;
+        self.fences.retain(|upstream, fence| {
+            let since = fence.missing_since;
+            let is_over = since.is_some_and(|since| now.since(since) >= FORGOTTEN_AFTER);
+            if is_over {
+                notices.push(FenceNotice::Forgotten(upstream.clone()));
+            }
+            !is_over
+        });
+    }
+
+    /// Releases that are due. `holds_others` tells whether an upstream is to keep other
+    /// keys; one that has none is released of all at once.
+    pub fn due(
+        &mut self,
+        now: Time,
+        holds_others: impl Fn(&UpstreamId) -> bool,
+    ) -> Vec<DueRelease> {
+        let mut due = Vec::new();
+        for (upstream, fence) in &mut self.fences {
+            if now < fence.due {
+                continue;
+            }
+            fence.due = now + PAUSE;
+            let ranges = match holds_others(upstream) {
+                true => fence.ranges.clone(),
+                false => vec![KeyRange::ALL],
+            };
+            let room = MOST_UNDER_WAY.saturating_sub(fence.calls.len());
+            let releases = ranges.into_iter().take(room);
+            due.extend(releases.map(|range| DueRelease {
+                upstream: upstream.clone(),
+                range,
+            }));
+        }
+        due
+    }
+
+    /// Notes that a release is sent.
+    pub fn sent(&mut self, call: CallId, release: &DueRelease) {
+        if let Some(fence) = self.fences.get_mut(&release.upstream) {
+            fence.calls.insert(call, release.range);
+        }
+    }
+
+    /// Whom a release went to.
+    pub fn asked(&self, call: CallId) -> Option<UpstreamId> {
+        let mut fences = self.fences.iter();
+        let asked = fences.find(|(_, fence)| fence.calls.contains_key(&call));
+        asked.map(|(upstream, _)| upstream.clone())
+    }
+
+    /// Takes the answer to a release; whether the upstream has answered for all keys now.
+    pub fn handle(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        call: CallId,
+        reply: &GrantReply,
+    ) -> bool {
+        let Some(fence) = self.fences.get_mut(upstream) else {
+            return false;
+        };
+        let Some(released) = fence.calls.remove(&call) else {
+            return false;
+        };
+        if !matches!(reply, GrantReply::Released(_)) {
+            return false;
+        }
+        fence.ranges.retain(|range| !released.covers(*range));
+        if !fence.ranges.is_empty() {
+            return false;
+        }
+        let took = now.since(fence.since);
+        self.fences.remove(upstream);
+        self.notices
+            .push(FenceNotice::Fenced(upstream.clone(), took));
+        true
+    }
+
+    /// Those that the next record names.
+    pub fn record(&self) -> Vec<UnfencedUpstream> {
+        let fences = self.fences.iter();
+        fences
+            .map(|(upstream, fence)| UnfencedUpstream {
+                upstream: upstream.clone(),
+                ranges: fence.ranges.clone(),
+            })
+            .collect()
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.fences.len()
+    }
+
+    /// What became known since the last call.
+    pub fn take_notices(&mut self) -> Vec<FenceNotice> {
+        std::mem::take(&mut self.notices)
+    }
+}
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -7,16 +7,20 @@
 //!   a token above all its grants, is known to have ended, or cannot hold an
 //!   unexpired grant. A grant without an answer counts as taken when it was
 //!   given up on.
+//! - An upstream that lost keys without an answer is told of it until it answers, and
+//!   gets none before ([`crate::FenceNotice`]).
 //! - Whoever calls [`Granter::poll`] must have the authority to grant at that
 //!   instant; the granter itself knows nothing of leases.
 
 mod contact;
+mod fences;
 mod holders;
 mod moves;
 mod orders;
 mod replies;
 mod standbys;
 
+use crate::fence::Fences;
 use crate::load::LoadMap;
 use crate::order::CallId;
 use crate::range::{KeyRange, ShardKey};
@@ -135,6 +139,9 @@
     pub counts_unanswered: bool,
     /// Keys of a silent holder wait until no standby can prolong its hold.
     pub waits_for_standbys: bool,
+    /// An upstream that lost keys without an answer is told of it until it answers, and
+    /// gets none before.
+    pub fences_lost_holders: bool,
 }
 
 impl Default for GranterGuards {
@@ -145,6 +152,7 @@
             respects_predecessor: true,
             counts_unanswered: true,
             waits_for_standbys: true,
+            fences_lost_holders: true,
         }
     }
 }
@@ -179,6 +187,7 @@
     contacts: BTreeMap<UpstreamId, Contact>,
     unanswered_grants: UnansweredGrants,
     standbys: Standbys,
+    fences: Fences,
     owned_again: Vec<OwnedAgain>,
     next_call: u64,
     /// Sequence of the next record.
@@ -219,6 +228,7 @@
                 hold: timing.longest_bound(),
                 transit: timing.transit + timing.order_wait,
             }),
+            fences: Fences::default(),
             owned_again: Vec::new(),
             next_call: 0,
             next_sequence: 1,
@@ -268,6 +278,9 @@
             let slice = new_slice(now, slice.range, phase, lapses);
             self.slices.insert(slice.range.first, slice);
         }
+        if self.timing.guards.fences_lost_holders {
+            self.adopt_unfenced(now, &record.unfenced);
+        }
     }
 
     fn next_token(&mut self) -> FencingToken {
@@ -286,6 +299,7 @@
             self.last_seen = now;
         }
         self.knows_candidates = true;
+        self.fences.set_registered(now, |id| next.contains_key(id));
         let same = next.keys().eq(self.candidates.keys());
         self.candidates = next;
         if !same {
@@ -307,6 +321,7 @@
         if !self.dead.contains(id) {
             self.dead.push(id.clone());
         }
+        self.fences.ended(id);
     }
 
     /// Lets one grant of a holder be due soon, to see whether it still has its
@@ -337,6 +352,7 @@
             epoch: self.epoch,
             sequence,
             standbys: self.standbys.ids(),
+            unfenced: self.unfenced_record(),
             slices: self.slices.values().map(Slice::record).collect(),
         })
     }
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -54,6 +54,7 @@
         self.candidates
             .values()
             .filter(|one| one.standing == Standing::Ready && !self.dead.contains(&one.id))
+            .filter(|one| !self.fences.is_unfenced(&one.id))
     }
 
     /// Upstreams that may get keys: those that are ready and answer, or all
@@ -179,7 +180,11 @@
             let prolonged = standbys.hold_until(RecordNumber { epoch, sequence });
             let lapsed = lapsed && (now >= prolonged || !waits_for_standbys);
             let lapsed = lapsed && !grant_under_way && slice.told_in <= durable;
-            if lapsed || self.dead.contains(holder) {
+            let has_ended = self.dead.contains(holder);
+            if !has_ended && lapsed && self.timing.guards.fences_lost_holders {
+                self.fences.add(now, holder, slice.range);
+            }
+            if lapsed || has_ended {
                 slice.phase = Phase::Free { handover: None };
                 slice.call = None;
                 slice.lapses = now;
--- a/crates/sharding/src/granter/orders.rs
+++ b/crates/sharding/src/granter/orders.rs
@@ -107,6 +107,7 @@
                 orders.push(order);
             }
         }
+        orders.extend(self.fence_orders(now));
         orders
     }
 
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -23,6 +23,7 @@
     /// the order was on its way.
     pub fn handle(&mut self, now: Time, call: CallId, reply: GrantReply) {
         let Some(sent) = self.calls.remove(&call) else {
+            self.fence_answered(now, call, &reply);
             return;
         };
         if reply == GrantReply::Replaced {
@@ -184,6 +185,7 @@
             self.candidates
                 .get(id)
                 .is_some_and(|candidate| candidate.standing == Standing::Ready)
+                && !self.fences.is_unfenced(id)
         };
         if let Some(next) = next.filter(ready) {
             self.give(now, first, next);
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -6,6 +6,7 @@
 //! to move. All pure.
 
 mod balance;
+mod fence;
 mod granter;
 mod load;
 mod order;
@@ -16,6 +17,7 @@
 mod standby;
 
 pub use balance::{BalanceLimits, Holding, MoveRoom, MoveStep, Seat, plan_moves};
+pub use fence::{FenceNotice, UnfencedUpstream};
 pub use granter::{
     Candidate, Contact, GrantPace, Granter, GranterGuards, GranterTiming, Standing,
     UnansweredGrants,
--- a/crates/sharding/src/part.rs
+++ b/crates/sharding/src/part.rs
@@ -10,6 +10,7 @@
 //! written loses nothing: nothing is granted by a record before its head is durable,
 //! and parts of it name nobody who is not known to the granter that wrote them.
 
+use crate::fence::UnfencedUpstream;
 use crate::range::{KeyRange, ShardKey};
 use crate::record::{AssignmentRecord, FencingToken, RecordNumber, SliceRecord, SliceState};
 use crate::standby::StandbyId;
@@ -70,6 +71,8 @@
     pub number: RecordNumber,
     /// Nodes that may prolong the holds while there is no granter.
     pub standbys: Vec<StandbyId>,
+    /// Upstreams that may still take old grants of keys that they lost.
+    pub unfenced: Vec<UnfencedUpstream>,
 }
 
 /// The slices of one part, in the order of their keys, without gaps.
@@ -204,6 +207,7 @@
         AssignmentHead {
             number: self.number(),
             standbys: self.standbys.clone(),
+            unfenced: self.unfenced.clone(),
         }
     }
 
@@ -265,6 +269,12 @@
         head.map_or(&[], |head| &head.standbys)
     }
 
+    /// Upstreams that may still take old grants of keys that they lost.
+    fn unfenced(&self) -> &[UnfencedUpstream] {
+        let head = self.head.as_ref();
+        head.map_or(&[], |head| &head.unfenced)
+    }
+
     /// The part of a key.
     pub fn part(&self, key: ShardKey) -> Option<&AssignmentPart> {
         self.parts.get(&Part::of(key)).map(Rc::as_ref)
@@ -308,6 +318,7 @@
             epoch: number.epoch,
             sequence: number.sequence,
             standbys: self.standbys().to_vec(),
+            unfenced: self.unfenced().to_vec(),
             slices: slices.collect(),
         })
     }
--- a/crates/sharding/src/range.rs
+++ b/crates/sharding/src/range.rs
@@ -43,6 +43,11 @@
         self.first <= other.last && other.first <= self.last
     }
 
+    /// Whether every key of the other range is in this one.
+    pub fn covers(self, other: KeyRange) -> bool {
+        self.first <= other.first && other.last <= self.last
+    }
+
     /// How many keys there are in the range.
     pub fn len(self) -> u32 {
         u32::from(self.last.0) - u32::from(self.first.0) + 1
--- a/crates/sharding/src/record.rs
+++ b/crates/sharding/src/record.rs
@@ -1,5 +1,6 @@
 //! Who holds the keys of one divided service.
 
+use crate::fence::UnfencedUpstream;
 use crate::range::{KeyRange, ShardKey};
 use crate::standby::StandbyId;
 use beamtray_catalog::UpstreamId;
@@ -80,6 +81,8 @@
     pub sequence: u64,
     /// Nodes that may prolong the holds while there is no granter.
     pub standbys: Vec<StandbyId>,
+    /// Upstreams that may still take old grants of keys that they lost.
+    pub unfenced: Vec<UnfencedUpstream>,
     /// The slices.
     pub slices: Vec<SliceRecord>,
 }
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -28,6 +28,7 @@
         respects_predecessor: true,
         counts_unanswered: true,
         waits_for_standbys: true,
+        fences_lost_holders: true,
     },
 };
 const LIMITS: BalanceLimits = BalanceLimits {
--- a/crates/sharding/tests/old_grants.rs
+++ b/crates/sharding/tests/old_grants.rs
@@ -15,6 +15,7 @@
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
     AssignmentRecord, FencingToken, GrantOrder, GrantReply, Granter, KeyRange, OrderKind, ShardKey,
+    SliceState,
 };
 use common::{LIMITS, answer, at, give_all, id, ready, slices_of, timing, write_record};
 
@@ -205,3 +206,62 @@
     assert_eq!(told.kind, OrderKind::Release);
     assert!(told.token > FencingToken::new(Epoch(2), 0));
 }
+/// A record that gives keys away names who may still take them, and so does the one before,
+/// by which a successor goes that finds only some parts of the newer one.
+#[test]
+fn who_is_asked_for_keys_stands_in_the_record() {
+    let mut cut = Cut::begin();
+    let mut leaving_named = false;
+    for _ in 0..1_000 {
+        cut.step();
+        let Some(record) = &cut.record else {
+            continue;
+        };
+        let leaving = record.slices.iter().any(
+            |slice| matches!(&slice.state, SliceState::Leaving { holder, .. } if *holder == id("a")),
+        );
+        let gone = slices_of(record, "a") == 0;
+        if leaving || gone {
+            let unfenced = &record.unfenced;
+            let is_named = unfenced.iter().any(|unfenced| unfenced.upstream == id("a"));
+            assert!(is_named, "leaving {leaving}, gone {gone}");
+            leaving_named |= leaving;
+        }
+    }
+    assert!(leaving_named);
+}
+
+/// A release that waits for long work lets the hold run out at a holder that answers
+/// everything else: it keeps its other keys.
+#[test]
+fn a_holder_of_other_keys_is_told_of_those_that_it_lost_alone() {
+    let mut granter = granted();
+    granter.not_written();
+    let record = write_record(&mut granter, at(2_000)).expect("a record");
+    let SliceState::Held { holder, .. } = record.slices[0].state.clone() else {
+        panic!("{:?}", record.slices[0]);
+    };
+    let busy = record.slices.iter().filter(
+        |slice| matches!(&slice.state, SliceState::Held { holder: other, .. } if *other == holder),
+    );
+    for slice in busy {
+        granter.load.add(slice.range.first, 20.0);
+    }
+    granter.rebalance(at(2_800), &LIMITS);
+    let mut releases = Vec::new();
+    for now in (2_800..12_000).step_by(10) {
+        for order in granter.poll(at(now)) {
+            if order.kind == OrderKind::Release && order.holder == holder {
+                granter.handle(at(now), order.call, GrantReply::Unanswered);
+                releases.push(order);
+            } else {
+                answer(&mut granter, at(now), &order);
+            }
+        }
+        write_record(&mut granter, at(now));
+    }
+    let last = releases.last().expect("releases");
+    assert!(last.token > releases[0].token, "no fresh token");
+    let all = releases.iter().find(|order| order.range == KeyRange::ALL);
+    assert!(all.is_none(), "{all:?}");
+}
--- a/crates/sharding/tests/slow_granter.rs
+++ b/crates/sharding/tests/slow_granter.rs
@@ -35,6 +35,7 @@
         epoch: Epoch(1),
         sequence: 7,
         standbys: Vec::new(),
+        unfenced: Vec::new(),
         slices: slices.collect(),
     }
 }
