Given-up calls: a test that fails

Cause under test: a call that is given up on is closed in the ordinary way, after which the kernel goes on sending it. No change of logic.

--- /dev/null
+++ b/crates/soak/tests/given_up_calls.rs
@@ -0,0 +1,124 @@
+//! What becomes of a call that nobody waits for any more.
+//!
+//! After an ordinary close the kernel goes on sending what was written, for as long as the
+//! path is cut; a reset has it dropped. A stand-in for the path reads on without passing
+//! anything on and sees which of the two ended the connection.
+
+mod common;
+
+use beamtray_soak::PROBE;
+use common::*;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const CLIENT_PATIENCE: Duration = Duration::from_millis(500);
+/// How long after its last byte a given-up connection may stay open.
+const END_PATIENCE: Duration = Duration::from_secs(4);
+
+/// How a connection of the router ended that had a call under way.
+#[derive(Debug, PartialEq, Eq)]
+enum End {
+    Closed,
+    Reset,
+}
+
+/// The way to an upstream.
+struct Path {
+    address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+    ends: Receiver<End>,
+}
+
+impl Path {
+    fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let (sender, ends) = channel();
+        let cut = is_cut.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().map_while(Result::ok) {
+                let (cut, sender) = (cut.clone(), sender.clone());
+                thread::spawn(move || pass(client, to, &cut, &sender));
+            }
+        });
+        Self {
+            address,
+            is_cut,
+            ends,
+        }
+    }
+
+    fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+    }
+}
+
+fn pass(mut client: TcpStream, to: SocketAddr, is_cut: &AtomicBool, ends: &Sender<End>) {
+    let Ok(mut server) = TcpStream::connect(to) else {
+        return;
+    };
+    let (Ok(mut answers), Ok(mut answered)) = (server.try_clone(), client.try_clone()) else {
+        return;
+    };
+    thread::spawn(move || std::io::copy(&mut answers, &mut answered));
+    let mut buffer = [0; 4_096];
+    let mut was_held_back = false;
+    loop {
+        let end = match client.read(&mut buffer) {
+            Ok(0) => End::Closed,
+            Ok(length) if is_cut.load(Ordering::SeqCst) => {
+                was_held_back |= length > 0;
+                continue;
+            }
+            Ok(length) => {
+                if server.write_all(&buffer[..length]).is_err() {
+                    return;
+                }
+                continue;
+            }
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => End::Reset,
+            Err(error) => panic!("{error}"),
+        };
+        if was_held_back {
+            // Nobody waits for it when the test has ended.
+            let _ = ends.send(end);
+        }
+        return;
+    }
+}
+
+#[test]
+fn a_call_that_is_given_up_is_reset() {
+    let folder = folder("given-up-calls");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let driver = listener.local_addr().expect("an address");
+    drive(listener);
+    let (store, _store) = store(&folder, driver);
+    let (router, _router) = router(&folder, 0, store);
+    let listen = free_addresses(1)[0];
+    let path = Path::start(listen);
+    let upstream = Upstream {
+        id: "pool-0-0",
+        listen,
+        advertised: path.address,
+        store,
+        driver,
+    };
+    let _upstream = upstream.start(&folder);
+    let read = || ask(router, "GET", &format!("{PROBE}1/1"), CLIENT_PATIENCE);
+    let deadline = Instant::now() + PATIENCE;
+    while !is_served(&read()) {
+        assert!(Instant::now() < deadline, "the router does not serve");
+        thread::sleep(PAUSE);
+    }
+    path.cut();
+    assert!(!is_served(&read()));
+    let end = path.ends.recv_timeout(END_PATIENCE);
+    assert_eq!(end, Ok(End::Reset));
+}
