Search through the grant protocol: a small world of the product's granter

Random histories missed late grants three times; this visits every history of a small world, shortest first.

--- /dev/null
+++ b/crates/grantsearch/src/check.rs
@@ -0,0 +1,129 @@
+//! What must hold in every history.
+//!
+//! The rule of sole ownership has three sentences:
+//!
+//! 1. Two upstreams never both hold a key and both begin requests on it meanwhile.
+//! 2. The token under which an upstream takes a key lies above all those under which other
+//!    upstreams had it.
+//! 3. Two upstreams never hold a key for more than half a second, with requests or without.
+//!
+//! Left out, as the rule says: of the first two, grants that arrive within [`SOON`] after
+//! their sender was continued or a path healed; of the third also those that were held up on
+//! their way or taken late. Here every holder begins requests all the time, as routers with
+//! an old view would send them, so that any time in which two hold a key breaks the first
+//! sentence. Work that is still under way when keys are given on is not in this world.
+
+use crate::upstream::Upstream;
+use beamtray_catalog::UpstreamId;
+use beamtray_types::Time;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// Grants that arrive so soon after a path healed or their sender was continued are left
+/// out by the rule.
+pub const SOON: Duration = Duration::from_millis(300);
+/// How long two may hold a key without requests.
+pub const OVERLAP: Duration = Duration::from_millis(500);
+
+/// A sentence that must hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// Two upstreams hold a key and both begin requests on it.
+    SoleOwner,
+    /// A token is not above those under which others had the key.
+    RisingTokens,
+    /// Two upstreams hold a key for more than half a second.
+    ShortOverlap,
+    /// A key has no owner for too long though an upstream is there.
+    OwnedAgain,
+}
+
+/// A sentence that does not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// Which.
+    pub promise: Promise,
+    /// What happened.
+    pub text: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?}: {}", self.promise, self.text)
+    }
+}
+
+/// Follows who took which range under which token.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Judge {
+    /// The highest token under which an upstream had a range, by its number.
+    had: BTreeMap<(usize, UpstreamId), u64>,
+    /// Since when two hold a range.
+    doubled: BTreeMap<usize, Time>,
+    pub broken: Option<Broken>,
+}
+
+impl Judge {
+    fn object(&mut self, promise: Promise, text: String) {
+        self.broken.get_or_insert(Broken { promise, text });
+    }
+
+    /// An upstream took a range under a token, by a grant that counts.
+    pub fn taken(&mut self, now: Time, range: usize, token: u64, by: usize, all: &[Upstream]) {
+        let taker = &all[by].id;
+        let others = self
+            .had
+            .iter()
+            .filter(|((of, id), _)| *of == range && id != taker);
+        let above = others.max_by_key(|(_, token)| **token);
+        let above = above.filter(|(_, highest)| **highest >= token);
+        if let Some(((_, other), highest)) = above {
+            let text = format!("{taker} takes range {range} under {token}, {other} had {highest}");
+            self.object(Promise::RisingTokens, text);
+        }
+        let holder = holders(all, range, |held| held.counted_ends, now);
+        let others: Vec<&str> = holder
+            .filter(|id| *id != taker)
+            .map(|id| id.0.as_str())
+            .collect();
+        if !others.is_empty() {
+            let text = format!(
+                "{taker} takes range {range}, which {} holds",
+                others.join(", ")
+            );
+            self.object(Promise::SoleOwner, text);
+        }
+        let had = self.had.entry((range, taker.clone())).or_default();
+        *had = token.max(*had);
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Time, ranges: usize, all: &[Upstream]) {
+        for range in 0..ranges {
+            let held = holders(all, range, |held| held.prompt_ends, now).count();
+            if held < 2 {
+                self.doubled.remove(&range);
+                continue;
+            }
+            let since = *self.doubled.entry(range).or_insert(now);
+            if now.since(since) > OVERLAP {
+                let text = format!("{held} upstreams hold range {range}");
+                self.object(Promise::ShortOverlap, text);
+            }
+        }
+    }
+}
+
+/// Who holds a range at `now`, by one of the ends of a hold.
+fn holders(
+    all: &[Upstream],
+    range: usize,
+    end: fn(&crate::upstream::Holding) -> Time,
+    now: Time,
+) -> impl Iterator<Item = &UpstreamId> {
+    let held = all
+        .iter()
+        .filter(move |one| now < end(&one.holdings[range]));
+    held.map(|one| &one.id)
+}
--- /dev/null
+++ b/crates/grantsearch/src/main.rs
@@ -0,0 +1,117 @@
+//! `beamtray-grantsearch`: searches one scope and prints how it ended.
+
+use beamtray_grantsearch::{Faults, Limits, Scope, Transport, search};
+use eyre::{Result, eyre};
+use gumdrop::Options;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "most steps of a history", default = "10", no_short)]
+    depth: usize,
+    #[options(help = "most states", default = "2000000", no_short)]
+    states: usize,
+    #[options(help = "upstreams, 2 or 3", default = "2", no_short)]
+    upstreams: usize,
+    #[options(help = "ranges, 1 or 2", default = "1", no_short)]
+    ranges: usize,
+    #[options(
+        help = "connections are closed in the ordinary way, not reset",
+        no_short
+    )]
+    plain_close: bool,
+    #[options(
+        help = "how long copies live after a reset, in ms; the granter counts 300",
+        default = "300",
+        no_short
+    )]
+    copy_life: u64,
+    #[options(
+        help = "how long they live after the end of their sender, in ms; as above if not given",
+        no_short
+    )]
+    copy_life_after_end: Option<u64>,
+    #[options(help = "a node is a standby", no_short)]
+    standby: bool,
+    #[options(help = "most cuts", default = "1", no_short)]
+    cuts: u8,
+    #[options(help = "most orders held up without a cut", default = "0", no_short)]
+    messages: u8,
+    #[options(help = "most restarts under the same id", default = "0", no_short)]
+    same_id: u8,
+    #[options(help = "most restarts under another id", default = "0", no_short)]
+    new_id: u8,
+    #[options(help = "most ends of a granter", default = "0", no_short)]
+    ends: u8,
+    #[options(help = "most granters that stand still", default = "0", no_short)]
+    freezes: u8,
+    #[options(help = "most outages of the store", default = "0", no_short)]
+    store_outages: u8,
+    #[options(help = "check that keys have an owner within so many ms", no_short)]
+    owned_within: Option<u64>,
+    #[options(
+        help = "switch a guard of the granter off; may be given several times",
+        no_short
+    )]
+    without: Vec<String>,
+}
+
+fn scope(arguments: &Arguments) -> Result<Scope> {
+    let life = Duration::from_millis(arguments.copy_life);
+    let after_end = arguments.copy_life_after_end.map(Duration::from_millis);
+    let transport = if arguments.plain_close {
+        Transport::PLAIN_CLOSE
+    } else {
+        Transport {
+            after_give_up: Some(life),
+            after_end: Some(after_end.unwrap_or(life)),
+        }
+    };
+    let mut scope = Scope::new(transport);
+    scope.upstreams = arguments.upstreams.clamp(2, 3);
+    scope.ranges = arguments.ranges.clamp(1, 2);
+    scope.standby = arguments.standby;
+    scope.owned_within = arguments.owned_within.map(Duration::from_millis);
+    scope.faults = Faults {
+        cuts: arguments.cuts,
+        messages: arguments.messages,
+        restarts_same_id: arguments.same_id,
+        restarts_new_id: arguments.new_id,
+        ends: arguments.ends,
+        freezes: arguments.freezes,
+        store_outages: arguments.store_outages,
+    };
+    for guard in &arguments.without {
+        let guards = &mut scope.timing.guards;
+        let guard = match guard.as_str() {
+            "records_first" => &mut guards.records_first,
+            "waits_for_lapse" => &mut guards.waits_for_lapse,
+            "respects_predecessor" => &mut guards.respects_predecessor,
+            "counts_unanswered" => &mut guards.counts_unanswered,
+            "waits_for_standbys" => &mut guards.waits_for_standbys,
+            other => return Err(eyre!("there is no guard {other}")),
+        };
+        *guard = false;
+    }
+    Ok(scope)
+}
+
+fn main() -> Result<ExitCode> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let scope = scope(&arguments)?;
+    let limits = Limits {
+        depth: arguments.depth,
+        states: arguments.states,
+    };
+    let begin = Instant::now();
+    let search = search(&scope, limits);
+    println!("{search}");
+    println!("{:.1} s", begin.elapsed().as_secs_f64());
+    Ok(match search.found() {
+        Some(_) => ExitCode::FAILURE,
+        None => ExitCode::SUCCESS,
+    })
+}
--- /dev/null
+++ b/crates/grantsearch/src/scope.rs
@@ -0,0 +1,87 @@
+//! How large the world is, and which faults a history may have.
+
+use crate::transport::Transport;
+use beamtray_sharding::{GranterGuards, GranterTiming};
+use std::time::Duration;
+
+/// How finely time passes: what a granter decides is up to this much late, which delays
+/// its decisions and never brings them forward.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// Most faults of each kind in one history.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Times that an upstream is cut off from the granter, whoever that is.
+    pub cuts: u8,
+    /// Orders that are held up on their way, or arrive twice, or lose their answer, without
+    /// a cut.
+    pub messages: u8,
+    /// Upstreams that start again under their id.
+    pub restarts_same_id: u8,
+    /// Upstreams that start again under another id.
+    pub restarts_new_id: u8,
+    /// Granters that end and are succeeded at once.
+    pub ends: u8,
+    /// Granters that stand still.
+    pub freezes: u8,
+    /// Times that the store takes no records.
+    pub store_outages: u8,
+}
+
+/// One world to search.
+#[derive(Clone, Copy, Debug)]
+pub struct Scope {
+    /// Two or three; they are called a1, b1, c1, and a2 after a restart under another id.
+    pub upstreams: usize,
+    /// One or two; each is held by an upstream at first.
+    pub ranges: usize,
+    /// Whether a node is a standby. A cut then separates the granter from an upstream and
+    /// from the standby, which still reaches the upstream.
+    pub standby: bool,
+    /// How long a copy of an order may live.
+    pub transport: Transport,
+    /// Timing and guards of all granters.
+    pub timing: GranterTiming,
+    /// What may happen.
+    pub faults: Faults,
+    /// Within which time keys must have an owner, if that is to be checked: in each state
+    /// all faults but cuts end, and an upstream that is not cut off is to have them.
+    pub owned_within: Option<Duration>,
+}
+
+impl Scope {
+    /// Two upstreams, one range, the product's timing, no faults.
+    pub fn new(transport: Transport) -> Self {
+        Self {
+            upstreams: 2,
+            ranges: 1,
+            standby: false,
+            transport,
+            timing: timing(),
+            faults: Faults::default(),
+            owned_within: None,
+        }
+    }
+
+    /// The same with other faults.
+    pub fn with(self, faults: Faults) -> Self {
+        Self { faults, ..self }
+    }
+}
+
+/// The product's timing, with one pace for any number of ranges.
+fn timing() -> GranterTiming {
+    GranterTiming {
+        hold: Duration::from_millis(3_000),
+        renewal: Duration::from_millis(750),
+        order_pause: Duration::from_millis(1),
+        longest_renewal: Duration::from_millis(750),
+        drift_percent: 2,
+        transit: Duration::from_millis(300),
+        order_wait: Duration::from_millis(500),
+        silence: Duration::from_millis(1_200),
+        settle: Duration::from_millis(1_300),
+        notice: Duration::from_millis(20),
+        guards: GranterGuards::default(),
+    }
+}
--- /dev/null
+++ b/crates/grantsearch/src/standby.rs
@@ -0,0 +1,89 @@
+//! A node that prolongs recorded holds while it hears no granter.
+//!
+//! A small copy of the product's duty: it acts by the newest record that it heard of, gives
+//! the same holder the same token, and stops when the granter's last word has run out. The
+//! store does not answer it, so it never declines.
+
+use beamtray_sharding::{
+    AssignmentRecord, CallId, GrantOrder, Granter, KeyRange, OrderKind, RecordNumber, STANDBY_SPAN,
+    SliceState, StandbyAnswer, StandbyId,
+};
+use beamtray_types::Time;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// How long the granter must have been silent.
+const GRANTER_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// The standby's name in records.
+pub(crate) fn standby_id() -> StandbyId {
+    StandbyId {
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000)),
+        run: 1,
+    }
+}
+
+/// The standby.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Standby {
+    word_until: Time,
+    word_heard: Option<Time>,
+    knows: Option<AssignmentRecord>,
+    prolonged_at: Option<Time>,
+    due: BTreeMap<KeyRange, Time>,
+}
+
+impl Standby {
+    /// Granter and standby hear each other: records, words, reports.
+    pub fn meets(&mut self, now: Time, granter: &mut Granter, record: &AssignmentRecord) {
+        let known = self.knows.as_ref().map(AssignmentRecord::number);
+        if known < Some(record.number()) {
+            self.knows = Some(record.clone());
+        }
+        let knows: Option<RecordNumber> = self.knows.as_ref().map(AssignmentRecord::number);
+        let prolonged = self.prolonged_at.map(|at| now.since(at));
+        let id = standby_id();
+        granter.standby_answered(now, &id, StandbyAnswer { knows, prolonged });
+        if granter.standby_words(now).contains(&id) {
+            granter.standby_word_sent(now, &id);
+            self.word_until = now + STANDBY_SPAN;
+            self.word_heard = Some(now);
+        }
+    }
+
+    /// Orders that are due.
+    pub fn poll(&mut self, now: Time, hold: Duration, renewal: Duration) -> Vec<GrantOrder> {
+        let silence = self.word_heard.map(|heard| now.since(heard));
+        let is_acting = now < self.word_until && silence >= Some(GRANTER_SILENCE);
+        let known = self.knows.as_ref().filter(|_| is_acting);
+        let Some(record) = known.filter(|record| record.standbys.contains(&standby_id())) else {
+            return Vec::new();
+        };
+        let mut orders = Vec::new();
+        for slice in &record.slices {
+            let due = self.due.entry(slice.range).or_default();
+            let SliceState::Held { holder, token } = &slice.state else {
+                continue;
+            };
+            if now < *due {
+                continue;
+            }
+            *due = now + renewal;
+            orders.push(GrantOrder {
+                call: CallId(0),
+                holder: holder.clone(),
+                range: slice.range,
+                token: *token,
+                kind: OrderKind::Grant {
+                    hold,
+                    handover: None,
+                },
+            });
+        }
+        if !orders.is_empty() {
+            self.prolonged_at = Some(now);
+        }
+        orders
+    }
+}
--- /dev/null
+++ b/crates/grantsearch/src/transport.rs
@@ -0,0 +1,64 @@
+//! Orders on their way, and how long a copy of one may live.
+
+use beamtray_sharding::GrantOrder;
+use beamtray_types::Time;
+use std::time::Duration;
+
+/// How long a copy of an order that got no answer may still take effect.
+///
+/// While the sender waits for the answer, or stands still, a copy may arrive at any time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Transport {
+    /// After the sender gave the call up. None: no bound.
+    pub after_give_up: Option<Duration>,
+    /// After the sender's process ended. None: no bound.
+    pub after_end: Option<Duration>,
+}
+
+impl Transport {
+    /// The connection is closed in the ordinary way: the kernel goes on sending what was
+    /// written, so a copy may arrive at any later time.
+    pub const PLAIN_CLOSE: Transport = Transport {
+        after_give_up: None,
+        after_end: None,
+    };
+
+    /// The connection is reset, also by the end of the process: nothing is sent any more,
+    /// and what is on the wire arrives within `transit`.
+    pub fn reset(transit: Duration) -> Transport {
+        Transport {
+            after_give_up: Some(transit),
+            after_end: Some(transit),
+        }
+    }
+}
+
+/// The process that wrote an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Term(pub u64);
+
+/// A copy of an order that has not arrived.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldCopy {
+    pub order: GrantOrder,
+    pub sender: Term,
+    /// The last moment at which it may arrive; none while that is not bounded.
+    pub until: Option<Time>,
+}
+
+/// How a call ends if no answer comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoAnswer {
+    /// No connection came up: the order was not sent.
+    Undelivered,
+    /// It was sent.
+    Unanswered,
+}
+
+/// An order whose answer the granter waits for.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub order: GrantOrder,
+    pub ends: Time,
+    pub without_answer: NoAnswer,
+}
--- /dev/null
+++ b/crates/grantsearch/src/world.rs
@@ -0,0 +1,221 @@
+//! A state of the small world.
+
+mod faults;
+mod orders;
+mod recovery;
+mod start;
+mod time;
+
+use crate::check::{Broken, Judge};
+use crate::scope::{Faults, Scope};
+use crate::standby::Standby;
+use crate::transport::{Call, HeldCopy, Term};
+use crate::upstream::Upstream;
+use beamtray_sharding::{AssignmentRecord, GrantOrder, Granter, KeyRange};
+use beamtray_types::Time;
+use std::collections::VecDeque;
+use std::fmt::{self, Write};
+use std::hash::{DefaultHasher, Hasher};
+
+/// What may happen next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Time passes up to the next moment at which a fault could make a difference.
+    Pass,
+    /// The order that was just written arrives, and its answer too.
+    Arrives,
+    /// It is held up on its way.
+    HeldUp,
+    /// It arrives, its answer is lost, and it may arrive once more.
+    Twice,
+    /// A copy that was held up arrives now; copies count in the order of their writing.
+    CopyArrives(usize),
+    /// The path between the granter and an upstream is cut.
+    Cut(usize),
+    /// It heals.
+    Heal(usize),
+    /// An upstream ends and starts again under its id.
+    RestartSameId(usize),
+    /// An upstream ends and starts again under another id.
+    RestartNewId(usize),
+    /// The granter ends, having given up its place.
+    EndGranter,
+    /// The granter stands still; what it wrote goes on.
+    FreezeGranter,
+    /// The granter that stands still goes on, succeeded or not.
+    ContinueGranter,
+    /// The store takes no records.
+    StoreFails,
+    /// It takes records again.
+    StoreReturns,
+}
+
+/// What happened, for a reader.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// When.
+    pub at: Time,
+    /// What.
+    pub text: String,
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = self.at.as_millis() as f64 / 1_000.0;
+        write!(formatter, "{seconds:8.2} s  {}", self.text)
+    }
+}
+
+/// The granter's process.
+#[derive(Clone, Debug)]
+struct Process {
+    term: Term,
+    granter: Granter,
+    calls: Vec<Call>,
+    /// Whether a kept connection to an upstream is there, by its index.
+    connected: Vec<bool>,
+    is_frozen: bool,
+}
+
+/// How the granter reaches an upstream.
+#[derive(Clone, Debug, Default)]
+struct Path {
+    is_cut: bool,
+    healed_at: Option<Time>,
+    /// When the upstream is up again after a restart.
+    back_at: Option<Time>,
+    /// The id that it has then.
+    next_id: Option<beamtray_catalog::UpstreamId>,
+}
+
+impl Path {
+    fn is_open(&self) -> bool {
+        !self.is_cut && self.back_at.is_none()
+    }
+}
+
+/// A process that stood still went on.
+#[derive(Clone, Copy, Debug)]
+struct Continued {
+    term: Term,
+    at: Time,
+}
+
+/// A state.
+#[derive(Clone, Debug)]
+pub struct World {
+    scope: Scope,
+    ranges: Vec<KeyRange>,
+    now: Time,
+    left: Faults,
+    process: Option<Process>,
+    /// When the next granter is there.
+    successor_at: Option<Time>,
+    terms: u64,
+    /// Stands still and was succeeded.
+    stalled: Option<Process>,
+    store_fails: bool,
+    /// The newest durable record.
+    record: AssignmentRecord,
+    upstreams: Vec<Upstream>,
+    paths: Vec<Path>,
+    copies: Vec<HeldCopy>,
+    /// Written at this moment; what becomes of them is to be decided.
+    undecided: VecDeque<GrantOrder>,
+    standby: Option<Standby>,
+    continued: Vec<Continued>,
+    judge: Judge,
+    /// Written down for a reader; no part of the state.
+    lines: Option<Vec<Line>>,
+}
+
+/// Hashes what is written to it.
+struct HashWriter(DefaultHasher);
+
+impl Write for HashWriter {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        self.0.write(text.as_bytes());
+        Ok(())
+    }
+}
+
+impl World {
+    /// Tells states apart. The granter shows all that it has only to be read by people, so
+    /// that is what is hashed.
+    pub fn fingerprint(&self) -> u64 {
+        let mut writer = HashWriter(DefaultHasher::new());
+        let time = (self.now, self.left, self.successor_at, self.terms);
+        let processes = (&self.process, &self.stalled, &self.continued);
+        let stored = (self.store_fails, &self.record);
+        let upstreams = (&self.upstreams, &self.paths);
+        let orders = (&self.copies, &self.undecided);
+        // Writing to a hasher can't fail.
+        let _ = write!(
+            writer,
+            "{:?}",
+            (
+                time,
+                processes,
+                stored,
+                upstreams,
+                orders,
+                &self.standby,
+                &self.judge
+            )
+        );
+        writer.0.finish()
+    }
+
+    /// What is broken, if something is.
+    pub fn broken(&self) -> Option<&Broken> {
+        self.judge.broken.as_ref()
+    }
+
+    /// Begins to write down what happens.
+    pub fn write_down(&mut self) {
+        self.lines = Some(Vec::new());
+    }
+
+    /// What was written down.
+    pub fn lines(self) -> Vec<Line> {
+        self.lines.unwrap_or_default()
+    }
+
+    fn note(&mut self, text: impl FnOnce() -> String) {
+        let at = self.now;
+        if let Some(lines) = &mut self.lines {
+            lines.push(Line { at, text: text() });
+        }
+    }
+
+    /// What may happen next.
+    pub fn steps(&self) -> Vec<Step> {
+        if !self.undecided.is_empty() {
+            return self.fates();
+        }
+        let mut steps = vec![Step::Pass];
+        let arriving = self.copies.iter().enumerate();
+        let arriving = arriving.filter(|(_, copy)| self.may_arrive(copy));
+        steps.extend(arriving.map(|(index, _)| Step::CopyArrives(index)));
+        steps.extend(self.fault_steps());
+        steps
+    }
+
+    /// Does a step that [`World::steps`] lists.
+    pub fn apply(&mut self, step: Step) {
+        match step {
+            Step::Pass => self.pass(),
+            Step::Arrives | Step::HeldUp | Step::Twice => self.decide(step),
+            Step::CopyArrives(index) => self.copy_arrives(index),
+            Step::Cut(upstream) => self.cut(upstream),
+            Step::Heal(upstream) => self.heal(upstream),
+            Step::RestartSameId(upstream) => self.restart(upstream, true),
+            Step::RestartNewId(upstream) => self.restart(upstream, false),
+            Step::EndGranter => self.end_granter(),
+            Step::FreezeGranter => self.freeze_granter(),
+            Step::ContinueGranter => self.continue_granter(),
+            Step::StoreFails => self.store_fails(),
+            Step::StoreReturns => self.store_returns(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/grantsearch/src/world/faults.rs
@@ -0,0 +1,142 @@
+//! Faults begin and end.
+
+use super::start::upstream_id;
+use super::{Continued, Step, World};
+use crate::scope::TICK;
+use crate::upstream::Upstream;
+use std::time::Duration;
+
+/// How long an upstream that ended takes to be up again.
+const RESTART: Duration = Duration::from_millis(500);
+/// What is left of the granter's place, at least, when it falls silent: its time to live
+/// less the time between renewals.
+const PLACE_LEFT: Duration = Duration::from_millis(1_500);
+
+impl World {
+    /// Faults that may begin or end now.
+    pub(super) fn fault_steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for (index, path) in self.paths.iter().enumerate() {
+            if path.is_cut {
+                steps.push(Step::Heal(index));
+            } else if self.left.cuts > 0 {
+                steps.push(Step::Cut(index));
+            }
+            let is_up = path.back_at.is_none();
+            if is_up && self.left.restarts_same_id > 0 {
+                steps.push(Step::RestartSameId(index));
+            }
+            if is_up && self.left.restarts_new_id > 0 {
+                steps.push(Step::RestartNewId(index));
+            }
+        }
+        steps.extend(self.granter_steps());
+        if self.store_fails {
+            steps.push(Step::StoreReturns);
+        } else if self.left.store_outages > 0 {
+            steps.push(Step::StoreFails);
+        }
+        steps
+    }
+
+    fn granter_steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let process = self.process.as_ref();
+        let is_running = process.is_some_and(|process| !process.is_frozen);
+        let is_frozen = process.is_some_and(|process| process.is_frozen);
+        if is_running && self.left.ends > 0 {
+            steps.push(Step::EndGranter);
+        }
+        if is_running && self.left.freezes > 0 {
+            steps.push(Step::FreezeGranter);
+        }
+        if is_frozen || self.stalled.is_some() {
+            steps.push(Step::ContinueGranter);
+        }
+        steps
+    }
+
+    pub(super) fn cut(&mut self, index: usize) {
+        self.left.cuts -= 1;
+        self.paths[index].is_cut = true;
+        let id = self.upstreams[index].id.clone();
+        self.note(|| format!("{id} is cut off"));
+    }
+
+    pub(super) fn heal(&mut self, index: usize) {
+        self.paths[index].is_cut = false;
+        self.paths[index].healed_at = Some(self.now);
+        let id = self.upstreams[index].id.clone();
+        self.note(|| format!("the path to {id} heals"));
+    }
+
+    /// What an upstream held and knew is gone at once; it is up again later.
+    pub(super) fn restart(&mut self, index: usize, same_id: bool) {
+        let old = &self.upstreams[index];
+        let life = old.life + 1;
+        let next_id = if same_id {
+            self.left.restarts_same_id -= 1;
+            None
+        } else {
+            self.left.restarts_new_id -= 1;
+            Some(upstream_id(index, life))
+        };
+        let id = old.id.clone();
+        self.note(|| format!("{id} ends and starts again"));
+        self.upstreams[index] = Upstream::new(id, life, &self.ranges);
+        self.paths[index].back_at = Some(self.now + RESTART);
+        self.paths[index].next_id = next_id;
+    }
+
+    /// The granter's process ends with its connections; the next one is there at once.
+    pub(super) fn end_granter(&mut self) {
+        self.left.ends -= 1;
+        if let Some(process) = self.process.take() {
+            let life = self.scope.transport.after_end;
+            self.drop_process(&process, life);
+            self.note(|| format!("granter {} ends", process.term.0));
+        }
+        self.successor_at = Some(self.now + TICK);
+    }
+
+    /// The granter stands still; its place runs out.
+    pub(super) fn freeze_granter(&mut self) {
+        self.left.freezes -= 1;
+        if let Some(process) = &mut self.process {
+            process.is_frozen = true;
+            let term = process.term;
+            self.note(|| format!("granter {} stands still", term.0));
+        }
+        self.successor_at = Some(self.now + PLACE_LEFT);
+    }
+
+    /// The one that stood still goes on. If it was succeeded it gives its calls up, for it
+    /// gives no order without looking at its right first; if not, it renews its place.
+    pub(super) fn continue_granter(&mut self) {
+        let at = self.now;
+        if let Some(process) = self.process.as_mut().filter(|process| process.is_frozen) {
+            process.is_frozen = false;
+            let term = process.term;
+            self.successor_at = None;
+            self.continued.push(Continued { term, at });
+            self.note(|| format!("granter {} goes on", term.0));
+        } else if let Some(process) = self.stalled.take() {
+            let life = self.scope.transport.after_give_up;
+            self.drop_process(&process, life);
+            let term = process.term;
+            self.continued.push(Continued { term, at });
+            self.note(|| format!("granter {} goes on, which was succeeded", term.0));
+        }
+    }
+
+    pub(super) fn store_fails(&mut self) {
+        self.left.store_outages -= 1;
+        self.store_fails = true;
+        self.note(|| "the store takes no records".to_owned());
+    }
+
+    pub(super) fn store_returns(&mut self) {
+        self.store_fails = false;
+        self.note(|| "the store takes records again".to_owned());
+    }
+}
--- /dev/null
+++ b/crates/grantsearch/src/world/recovery.rs
@@ -0,0 +1,65 @@
+//! Whether keys have an owner again in time.
+
+use super::World;
+use crate::check::{Broken, Promise};
+use crate::scope::Faults;
+use beamtray_sharding::SliceState;
+use std::time::Duration;
+
+/// How long keys must then keep their owners.
+const STEADY: Duration = Duration::from_millis(1_000);
+
+impl World {
+    /// Runs on from here without new faults and with those ended that can end; who is cut
+    /// off stays so, if another is there. Tells when keys have no owner in time.
+    pub fn stays_unowned(&self) -> Option<Broken> {
+        let within = self.scope.owned_within?;
+        let mut world = self.clone();
+        world.end_faults();
+        let due = world.now + within;
+        while world.now < due + STEADY {
+            world.tick();
+            if world.now >= due && !world.is_owned() {
+                let millis = within.as_millis();
+                let text = format!("keys have no owner {millis} ms after the last fault");
+                return Some(Broken {
+                    promise: Promise::OwnedAgain,
+                    text,
+                });
+            }
+        }
+        None
+    }
+
+    fn end_faults(&mut self) {
+        self.left = Faults::default();
+        self.store_fails = false;
+        self.copies.clear();
+        while let Some(fate) = self.undecided.front().map(|_| super::Step::Arrives) {
+            self.decide(fate);
+        }
+        if self.paths.iter().all(|path| path.is_cut) {
+            for path in &mut self.paths {
+                path.is_cut = false;
+            }
+        }
+    }
+
+    /// Whether each range is held by the upstream that the record names, which is there.
+    fn is_owned(&self) -> bool {
+        self.ranges.iter().enumerate().all(|(number, range)| {
+            let slices = self.record.slices.iter();
+            let mut slices = slices.filter(|slice| slice.range.overlaps(*range));
+            slices.all(|slice| self.is_held(number, &slice.state))
+        })
+    }
+
+    fn is_held(&self, number: usize, state: &SliceState) -> bool {
+        let SliceState::Held { holder, .. } = state else {
+            return false;
+        };
+        let upstreams = self.upstreams.iter().zip(&self.paths);
+        let mut holders = upstreams.filter(|(upstream, _)| upstream.id == *holder);
+        holders.any(|(upstream, path)| path.is_open() && self.now < upstream.holdings[number].ends)
+    }
+}
--- /dev/null
+++ b/crates/grantsearch/src/world/start.rs
@@ -0,0 +1,131 @@
+//! How a history begins: all ranges held and renewed, nobody at fault.
+
+use super::{Path, Process, World};
+use crate::check::Judge;
+use crate::scope::{Faults, Scope};
+use crate::standby::{Standby, standby_id};
+use crate::transport::Term;
+use crate::upstream::Upstream;
+use beamtray_catalog::UpstreamId;
+use beamtray_metastore::Epoch;
+use beamtray_sharding::{
+    AssignmentRecord, Candidate, FencingToken, Granter, KeyRange, SliceRecord, SliceState, Standing,
+};
+use beamtray_types::Time;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// The term of the record that the first granter finds.
+const FOUNDING_TERM: u64 = 1;
+/// After that a granter counts nothing of the one before it any more.
+const WARM_UP: Duration = Duration::from_millis(5_000);
+/// Requests a second that an upstream can work on; all are alike.
+const CAPACITY: f64 = 20.0;
+
+/// The id of an upstream, by its index and how often it had another.
+pub(super) fn upstream_id(index: usize, number: u32) -> UpstreamId {
+    let letter = char::from(b'a' + index as u8);
+    UpstreamId(format!("{letter}{number}"))
+}
+
+impl World {
+    /// A world in which the first granter has held its place for some time.
+    pub fn new(scope: &Scope) -> Self {
+        let ranges = KeyRange::ALL.divide(scope.ranges as u32);
+        let ids = (0..scope.upstreams).map(|index| upstream_id(index, 1));
+        let upstreams: Vec<Upstream> = ids.map(|id| Upstream::new(id, 1, &ranges)).collect();
+        let record = founding_record(scope, &upstreams, &ranges);
+        let mut world = Self {
+            scope: *scope,
+            ranges,
+            now: Time::ZERO,
+            left: Faults::default(),
+            process: None,
+            successor_at: None,
+            terms: FOUNDING_TERM,
+            stalled: None,
+            store_fails: false,
+            record,
+            paths: vec![Path::default(); upstreams.len()],
+            upstreams,
+            copies: Vec::new(),
+            undecided: VecDeque::new(),
+            standby: scope.standby.then(Standby::default),
+            continued: Vec::new(),
+            judge: Judge::default(),
+            lines: None,
+        };
+        world.elect();
+        while world.now < Time::ZERO + WARM_UP {
+            world.tick();
+        }
+        world.left = scope.faults;
+        world
+    }
+
+    /// A granter takes over by the durable record.
+    pub(super) fn elect(&mut self) {
+        self.terms += 1;
+        let term = self.terms;
+        self.note(|| format!("granter {term} takes over"));
+        let epoch = Epoch(term);
+        let granter = Granter::new(self.now, self.scope.timing, epoch, Some(&self.record));
+        let mut process = Process {
+            term: Term(term),
+            granter,
+            calls: Vec::new(),
+            connected: vec![false; self.upstreams.len()],
+            is_frozen: false,
+        };
+        if self.scope.standby {
+            process.granter.want_standbys(self.now, &[standby_id()]);
+        }
+        self.process = Some(process);
+        self.successor_at = None;
+        self.tell_candidates();
+    }
+
+    /// The directory tells the granter which upstreams there are.
+    pub(super) fn tell_candidates(&mut self) {
+        let ids = self.upstreams.iter().map(|upstream| upstream.id.clone());
+        let candidates: Vec<Candidate> = ids.map(candidate).collect();
+        if let Some(process) = &mut self.process {
+            process.granter.set_candidates(self.now, candidates);
+        }
+    }
+}
+
+fn candidate(id: UpstreamId) -> Candidate {
+    Candidate {
+        id,
+        standing: Standing::Ready,
+        capacity: CAPACITY,
+        heard: None,
+    }
+}
+
+/// A record in which each range is held by another upstream. A granter makes it, so that
+/// it has all that records have; only its slices are others.
+fn founding_record(scope: &Scope, upstreams: &[Upstream], ranges: &[KeyRange]) -> AssignmentRecord {
+    let epoch = Epoch(FOUNDING_TERM);
+    let mut granter = Granter::new(Time::ZERO, scope.timing, epoch, None);
+    let all = upstreams
+        .iter()
+        .map(|upstream| candidate(upstream.id.clone()));
+    granter.set_candidates(Time::ZERO, all);
+    if scope.standby {
+        granter.want_standbys(Time::ZERO, &[standby_id()]);
+    }
+    granter.poll(Time::ZERO + scope.timing.settle);
+    let mut record = granter.record().expect("keys are divided once settled");
+    let held = ranges.iter().zip(upstreams).enumerate();
+    let slices = held.map(|(index, (range, upstream))| SliceRecord {
+        range: *range,
+        state: SliceState::Held {
+            holder: upstream.id.clone(),
+            token: FencingToken::new(epoch, index as u64 + 1),
+        },
+    });
+    record.slices = slices.collect();
+    record
+}
