--- a/crates/grantsearch/src/check.rs
+++ b/crates/grantsearch/src/check.rs
@@ -61,11 +61,23 @@
     had: BTreeMap<(usize, UpstreamId), u64>,
     /// Since when two hold a range.
     doubled: BTreeMap<usize, Time>,
+    /// Looks at this promise alone, if at one.
+    only: Option<Promise>,
     pub broken: Option<Broken>,
 }
 
 impl Judge {
+    pub fn new(only: Option<Promise>) -> Self {
+        Self {
+            only,
+            ..Self::default()
+        }
+    }
+
     fn object(&mut self, promise: Promise, text: String) {
+        if self.only.is_some_and(|only| only != promise) {
+            return;
+        }
         self.broken.get_or_insert(Broken { promise, text });
     }
 
--- a/crates/grantsearch/src/main.rs
+++ b/crates/grantsearch/src/main.rs
@@ -52,6 +52,17 @@
     store_outages: u8,
     #[options(help = "check that keys have an owner within so many ms", no_short)]
     owned_within: Option<u64>,
+    #[options(
+        help = "longest time that passes in one step, in ms",
+        default = "3000",
+        no_short
+    )]
+    longest_pass: u64,
+    #[options(
+        help = "count also grants that the rule excludes for a path that healed just before",
+        no_short
+    )]
+    counts_excluded: bool,
     #[options(
         help = "switch a guard of the granter off; may be given several times",
         no_short
@@ -75,6 +86,8 @@
     scope.ranges = arguments.ranges.clamp(1, 2);
     scope.standby = arguments.standby;
     scope.owned_within = arguments.owned_within.map(Duration::from_millis);
+    scope.longest_pass = Duration::from_millis(arguments.longest_pass);
+    scope.counts_excluded = arguments.counts_excluded;
     scope.faults = Faults {
         cuts: arguments.cuts,
         messages: arguments.messages,
--- a/crates/grantsearch/src/scope.rs
+++ b/crates/grantsearch/src/scope.rs
@@ -1,5 +1,6 @@
 //! How large the world is, and which faults a history may have.
 
+use crate::check::Promise;
 use crate::transport::Transport;
 use beamtray_sharding::{GranterGuards, GranterTiming};
 use std::time::Duration;
@@ -8,6 +9,9 @@
 /// its decisions and never brings them forward.
 pub const TICK: Duration = Duration::from_millis(50);
 
+/// Longest time that passes in one step, where a scope names no other: a whole hold.
+const LONGEST_PASS: Duration = Duration::from_millis(3_000);
+
 /// Most faults of each kind in one history.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Faults {
@@ -44,6 +48,15 @@
     pub timing: GranterTiming,
     /// What may happen.
     pub faults: Faults,
+    /// Longest time that passes in one step if nothing happens. A fault begins or ends
+    /// between steps, so a shorter time finds what hangs on its moment, at the price of more
+    /// steps.
+    pub longest_pass: Duration,
+    /// Look only at this promise, to see that each is checked by itself.
+    pub only: Option<Promise>,
+    /// Count also grants that the rule excludes since a path healed or their sender was
+    /// continued just before.
+    pub counts_excluded: bool,
     /// Within which time keys must have an owner, if that is to be checked: in each state
     /// all faults but cuts end, and an upstream that is not cut off is to have them.
     pub owned_within: Option<Duration>,
@@ -59,6 +72,9 @@
             transport,
             timing: timing(),
             faults: Faults::default(),
+            longest_pass: LONGEST_PASS,
+            only: None,
+            counts_excluded: false,
             owned_within: None,
         }
     }
--- a/crates/grantsearch/src/search.rs
+++ b/crates/grantsearch/src/search.rs
@@ -68,6 +68,11 @@
 }
 
 impl Search {
+    /// Whether there are no longer histories than were searched.
+    pub fn is_exhausted(&self) -> bool {
+        matches!(self.outcome, Outcome::Exhausted)
+    }
+
     /// The counter-case, if there is one.
     pub fn found(&self) -> Option<&CounterCase> {
         match &self.outcome {
--- a/crates/grantsearch/src/world/orders.rs
+++ b/crates/grantsearch/src/world/orders.rs
@@ -190,6 +190,9 @@
     /// Whether the rule leaves an arrival out: a path healed just before, or its sender was
     /// continued.
     fn is_excluded(&self, order: &GrantOrder, sender: Option<Term>) -> bool {
+        if self.scope.counts_excluded {
+            return false;
+        }
         let path = &self.paths[self.index_of(order)];
         let continued = self.continued.iter();
         let continued = continued.filter(|one| Some(one.term) == sender);
--- a/crates/grantsearch/src/world/start.rs
+++ b/crates/grantsearch/src/world/start.rs
@@ -52,7 +52,7 @@
             undecided: VecDeque::new(),
             standby: scope.standby.then(Standby::default),
             continued: Vec::new(),
-            judge: Judge::default(),
+            judge: Judge::new(scope.only),
             lines: None,
         };
         world.elect();
--- a/crates/grantsearch/src/world/time.rs
+++ b/crates/grantsearch/src/world/time.rs
@@ -4,17 +4,12 @@
 use crate::check::SOON;
 use crate::scope::TICK;
 use crate::standby::standby_id;
-use std::time::Duration;
-
-/// Longest time that passes in one step if nothing happens.
-const LONGEST_PASS: Duration = Duration::from_millis(3_000);
 
 impl World {
     /// Runs until something may be decided, or something is broken.
     pub(super) fn pass(&mut self) {
-        let end = self.now + LONGEST_PASS;
+        let end = self.now + self.scope.longest_pass;
         while self.now < end && !self.tick() && self.judge.broken.is_none() {}
-        self.note(|| "time passed".to_owned());
     }
 
     /// One tick; whether something happened beside which a fault would make a difference.
--- /dev/null
+++ b/crates/grantsearch/tests/guards.rs
@@ -0,0 +1,98 @@
+//! What each protection of the granter is for: without it the search finds a history that
+//! breaks the rule, with it none in the same scope.
+
+mod common;
+
+use beamtray_grantsearch::{Faults, Promise, Scope};
+use beamtray_sharding::GranterGuards;
+use common::{assert_kept, find, plain_close, reset};
+
+/// The scope breaks without the guards that are off, and does not with all of them.
+fn assert_needed(scope: &Scope, depth: usize, guards: GranterGuards) {
+    let mut without = *scope;
+    without.timing.guards = guards;
+    find(&without, depth);
+    assert_kept(scope, depth);
+}
+
+const CUT: Faults = Faults {
+    cuts: 1,
+    messages: 0,
+    restarts_same_id: 0,
+    restarts_new_id: 0,
+    ends: 0,
+    freezes: 0,
+    store_outages: 0,
+};
+
+#[test]
+fn keys_of_a_silent_holder_must_wait_until_its_grants_ran_out() {
+    let guards = GranterGuards {
+        waits_for_lapse: false,
+        ..GranterGuards::default()
+    };
+    assert_needed(&reset().with(CUT), 8, guards);
+}
+
+#[test]
+fn a_grant_without_an_answer_must_count() {
+    let faults = Faults { messages: 1, ..CUT };
+    let guards = GranterGuards {
+        counts_unanswered: false,
+        ..GranterGuards::default()
+    };
+    assert_needed(&reset().with(faults), 9, guards);
+}
+
+#[test]
+fn a_successor_must_count_the_grants_of_the_one_before() {
+    let faults = Faults { ends: 1, ..CUT };
+    let guards = GranterGuards {
+        respects_predecessor: false,
+        ..GranterGuards::default()
+    };
+    assert_needed(&reset().with(faults), 8, guards);
+}
+
+#[test]
+fn keys_must_wait_until_no_standby_can_prolong_the_hold() {
+    let mut scope = reset().with(CUT);
+    scope.standby = true;
+    let guards = GranterGuards {
+        waits_for_standbys: false,
+        ..GranterGuards::default()
+    };
+    assert_needed(&scope, 10, guards);
+}
+
+#[test]
+fn a_record_must_be_durable_before_its_grants() {
+    let faults = Faults {
+        ends: 1,
+        store_outages: 1,
+        ..CUT
+    };
+    let guards = GranterGuards {
+        records_first: false,
+        ..GranterGuards::default()
+    };
+    assert_needed(&reset().with(faults), 12, guards);
+}
+
+/// Each sentence of the rule is checked by itself: the first two at the moment in which a
+/// grant is taken, the third when half a second has passed.
+#[test]
+fn each_sentence_of_the_rule_is_checked() {
+    let mut scope = plain_close().with(Faults { messages: 2, ..CUT });
+    scope.timing.guards.waits_for_lapse = false;
+    let promises = [
+        Promise::SoleOwner,
+        Promise::RisingTokens,
+        Promise::ShortOverlap,
+    ];
+    for promise in promises {
+        scope.only = Some(promise);
+        let case = find(&scope, 12);
+        assert_eq!(case.broken.promise, promise, "{case}");
+    }
+}
--- /dev/null
+++ b/crates/grantsearch/tests/kept.rs
@@ -0,0 +1,87 @@
+//! Scopes in which the rule is kept: connections are reset when a call is given up on.
+
+mod common;
+
+use beamtray_grantsearch::Faults;
+use common::{assert_kept, reset};
+use std::time::Duration;
+
+#[test]
+fn with_any_moment_of_a_cut() {
+    let mut scope = reset().with(Faults {
+        cuts: 1,
+        ..Faults::default()
+    });
+    scope.longest_pass = Duration::from_millis(100);
+    assert_kept(&scope, 100);
+}
+
+#[test]
+fn with_two_cuts_and_two_messages_held_up() {
+    let faults = Faults {
+        cuts: 2,
+        messages: 2,
+        ..Faults::default()
+    };
+    assert_kept(&reset().with(faults), 13);
+}
+
+#[test]
+fn with_a_granter_succeeded_twice() {
+    let faults = Faults {
+        cuts: 1,
+        messages: 1,
+        ends: 2,
+        ..Faults::default()
+    };
+    assert_kept(&reset().with(faults), 13);
+}
+
+#[test]
+fn with_an_upstream_that_has_another_id_after_a_restart() {
+    let faults = Faults {
+        cuts: 1,
+        messages: 1,
+        ends: 1,
+        restarts_new_id: 1,
+        ..Faults::default()
+    };
+    assert_kept(&reset().with(faults), 11);
+}
+
+#[test]
+fn with_an_upstream_that_restarts_under_its_id() {
+    let faults = Faults {
+        cuts: 1,
+        messages: 1,
+        ends: 1,
+        restarts_same_id: 1,
+        ..Faults::default()
+    };
+    assert_kept(&reset().with(faults), 11);
+}
+
+#[test]
+fn with_three_upstreams_and_two_ranges() {
+    let mut scope = reset().with(Faults {
+        cuts: 1,
+        messages: 1,
+        ends: 1,
+        ..Faults::default()
+    });
+    scope.upstreams = 3;
+    scope.ranges = 2;
+    assert_kept(&scope, 12);
+}
+
+#[test]
+fn with_a_standby() {
+    let mut scope = reset().with(Faults {
+        cuts: 1,
+        messages: 1,
+        ends: 1,
+        ..Faults::default()
+    });
+    scope.standby = true;
+    assert_kept(&scope, 11);
+}
--- /dev/null
+++ b/crates/grantsearch/tests/transport.rs
@@ -0,0 +1,53 @@
+//! How long a copy of an order may live for the protocol to hold: the granter counts
+//! `transit` after it gave an order up, and a successor `transit` after its own start, for
+//! it knows nothing of the orders that the one before had under way.
+
+mod common;
+
+use beamtray_grantsearch::{Faults, Scope, TICK, Transport};
+use common::{assert_kept, find, reset};
+use std::time::Duration;
+
+/// A little more than `transit`: the granter acts up to a tick late twice, when keys are
+/// free and when they are granted again.
+const SLACK: Duration = Duration::from_millis(3 * TICK.as_millis() as u64);
+
+fn with_life(after_give_up: Duration, after_end: Duration, faults: Faults) -> Scope {
+    let mut scope = reset().with(faults);
+    scope.transport = Transport {
+        after_give_up: Some(after_give_up),
+        after_end: Some(after_end),
+    };
+    scope.longest_pass = Duration::from_millis(500);
+    scope
+}
+
+#[test]
+fn copies_must_not_outlive_the_wait_of_a_successor() {
+    let faults = Faults {
+        cuts: 2,
+        ends: 1,
+        ..Faults::default()
+    };
+    let transit = reset().timing.transit;
+    assert_kept(&with_life(transit, transit, faults), 17);
+    find(&with_life(transit, transit + SLACK, faults), 17);
+}
+
+/// Seen only if grants count that arrive right after a path healed: a copy that outlives the
+/// wait by less than that is left out by the rule, yet two upstreams hold the keys.
+#[test]
+fn copies_must_not_outlive_the_wait_after_an_order_is_given_up_on() {
+    let faults = Faults {
+        cuts: 2,
+        ..Faults::default()
+    };
+    let transit = reset().timing.transit;
+    let scope = |life| Scope {
+        counts_excluded: true,
+        longest_pass: Duration::from_millis(200),
+        ..with_life(life, transit, faults)
+    };
+    assert_kept(&scope(transit), 27);
+    find(&scope(transit + SLACK), 27);
+}
