--- a/crates/grantsearch/src/check.rs
+++ b/crates/grantsearch/src/check.rs
@@ -13,6 +13,7 @@
 //! an old view would send them, so that any time in which two hold a key breaks the first
 //! sentence. Work that is still under way when keys are given on is not in this world.
 
+use crate::scope::Scope;
 use crate::upstream::Upstream;
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
@@ -54,22 +55,33 @@
     }
 }
 
+/// Who took a range.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Taker {
+    range: usize,
+    id: UpstreamId,
+    /// Always 0 where lives under one id are not told apart.
+    life: u32,
+}
+
 /// Follows who took which range under which token.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Judge {
     /// The highest token under which an upstream had a range, by its number.
-    had: BTreeMap<(usize, UpstreamId), u64>,
+    had: BTreeMap<Taker, u64>,
     /// Since when two hold a range.
     doubled: BTreeMap<usize, Time>,
     /// Looks at this promise alone, if at one.
     only: Option<Promise>,
+    tells_lives_apart: bool,
     pub broken: Option<Broken>,
 }
 
 impl Judge {
-    pub fn new(only: Option<Promise>) -> Self {
+    pub fn new(scope: &Scope) -> Self {
         Self {
-            only,
+            only: scope.only,
+            tells_lives_apart: scope.tells_lives_apart,
             ..Self::default()
         }
     }
@@ -84,14 +96,21 @@
     /// An upstream took a range under a token, by a grant that counts.
     pub fn taken(&mut self, now: Time, range: usize, token: u64, by: usize, all: &[Upstream]) {
         let taker = &all[by].id;
-        let others = self
-            .had
-            .iter()
-            .filter(|((of, id), _)| *of == range && id != taker);
-        let above = others.max_by_key(|(_, token)| **token);
-        let above = above.filter(|(_, highest)| **highest >= token);
-        if let Some(((_, other), highest)) = above {
-            let text = format!("{taker} takes range {range} under {token}, {other} had {highest}");
+        let key = Taker {
+            range,
+            id: taker.clone(),
+            life: if self.tells_lives_apart {
+                all[by].life
+            } else {
+                0
+            },
+        };
+        let others = self.had.iter();
+        let others = others.filter(|(other, _)| other.range == range && **other != key);
+        let highest = others.max_by_key(|(_, token)| **token);
+        if let Some((other, above)) = highest.filter(|(_, highest)| **highest >= token) {
+            let other = &other.id;
+            let text = format!("{taker} takes range {range} under {token}, {other} had {above}");
             self.object(Promise::RisingTokens, text);
         }
         let holder = holders(all, range, |held| held.counted_ends, now);
@@ -106,7 +125,7 @@
             );
             self.object(Promise::SoleOwner, text);
         }
-        let had = self.had.entry((range, taker.clone())).or_default();
+        let had = self.had.entry(key).or_default();
         *had = token.max(*had);
     }
 
--- a/crates/grantsearch/src/main.rs
+++ b/crates/grantsearch/src/main.rs
@@ -63,6 +63,16 @@
         no_short
     )]
     counts_excluded: bool,
+    #[options(
+        help = "copies don't reach an upstream that was started again",
+        no_short
+    )]
+    lost_by_restarts: bool,
+    #[options(
+        help = "an upstream that was started again under its id needs a higher token",
+        no_short
+    )]
+    tells_lives_apart: bool,
     #[options(
         help = "switch a guard of the granter off; may be given several times",
         no_short
@@ -79,14 +89,20 @@
         Transport {
             after_give_up: Some(life),
             after_end: Some(after_end.unwrap_or(life)),
+            reaches_next_process: true,
         }
     };
+    let transport = Transport {
+        reaches_next_process: !arguments.lost_by_restarts,
+        ..transport
+    };
     let mut scope = Scope::new(transport);
     scope.upstreams = arguments.upstreams.clamp(2, 3);
     scope.ranges = arguments.ranges.clamp(1, 2);
     scope.standby = arguments.standby;
     scope.owned_within = arguments.owned_within.map(Duration::from_millis);
     scope.longest_pass = Duration::from_millis(arguments.longest_pass);
+    scope.tells_lives_apart = arguments.tells_lives_apart;
     scope.counts_excluded = arguments.counts_excluded;
     scope.faults = Faults {
         cuts: arguments.cuts,
@@ -105,6 +121,7 @@
             "respects_predecessor" => &mut guards.respects_predecessor,
             "counts_unanswered" => &mut guards.counts_unanswered,
             "waits_for_standbys" => &mut guards.waits_for_standbys,
+            "fences_lost_holders" => &mut guards.fences_lost_holders,
             other => return Err(eyre!("there is no guard {other}")),
         };
         *guard = false;
--- a/crates/grantsearch/src/scope.rs
+++ b/crates/grantsearch/src/scope.rs
@@ -57,6 +57,9 @@
     /// Count also grants that the rule excludes since a path healed or their sender was
     /// continued just before.
     pub counts_excluded: bool,
+    /// Take an upstream that was started again under its id for another one: it needs a
+    /// higher token than it had before.
+    pub tells_lives_apart: bool,
     /// Within which time keys must have an owner, if that is to be checked: in each state
     /// all faults but cuts end, and an upstream that is not cut off is to have them.
     pub owned_within: Option<Duration>,
@@ -75,6 +78,7 @@
             longest_pass: LONGEST_PASS,
             only: None,
             counts_excluded: false,
+            tells_lives_apart: false,
             owned_within: None,
         }
     }
--- a/crates/grantsearch/src/transport.rs
+++ b/crates/grantsearch/src/transport.rs
@@ -13,6 +13,9 @@
     pub after_give_up: Option<Duration>,
     /// After the sender's process ended. None: no bound.
     pub after_end: Option<Duration>,
+    /// Whether a copy that was written to an upstream reaches the next process at its
+    /// address. A connection doesn't: its segments are answered with a reset.
+    pub reaches_next_process: bool,
 }
 
 impl Transport {
@@ -21,6 +24,7 @@
     pub const PLAIN_CLOSE: Transport = Transport {
         after_give_up: None,
         after_end: None,
+        reaches_next_process: true,
     };
 
     /// The connection is reset, also by the end of the process: nothing is sent any more,
@@ -29,6 +33,7 @@
         Transport {
             after_give_up: Some(transit),
             after_end: Some(transit),
+            reaches_next_process: true,
         }
     }
 }
--- a/crates/grantsearch/src/world/faults.rs
+++ b/crates/grantsearch/src/world/faults.rs
@@ -82,6 +82,9 @@
             Some(upstream_id(index, life))
         };
         let id = old.id.clone();
+        if !self.scope.transport.reaches_next_process {
+            self.copies.retain(|copy| copy.order.holder != id);
+        }
         self.note(|| format!("{id} ends and starts again"));
         self.upstreams[index] = Upstream::new(id, life, &self.ranges);
         self.paths[index].back_at = Some(self.now + RESTART);
--- a/crates/grantsearch/src/world/start.rs
+++ b/crates/grantsearch/src/world/start.rs
@@ -52,7 +52,7 @@
             undecided: VecDeque::new(),
             standby: scope.standby.then(Standby::default),
             continued: Vec::new(),
-            judge: Judge::new(scope.only),
+            judge: Judge::new(scope),
             lines: None,
         };
         world.elect();
--- a/crates/grantsearch/tests/guards.rs
+++ b/crates/grantsearch/tests/guards.rs
@@ -79,6 +79,19 @@
     assert_needed(&reset().with(faults), 12, guards);
 }
 
+/// Neither the end of all holds nor a reset is enough: a granter that stands still closes
+/// no connection.
+#[test]
+fn a_holder_that_lost_its_keys_must_be_told_until_it_answers() {
+    let guards = GranterGuards {
+        fences_lost_holders: false,
+        ..GranterGuards::default()
+    };
+    assert_needed(&plain_close().with(CUT), 12, guards);
+    let faults = Faults { freezes: 1, ..CUT };
+    assert_needed(&reset().with(faults), 12, guards);
+}
+
 /// Each sentence of the rule is checked by itself: the first two at the moment in which a
 /// grant is taken, the third when half a second has passed.
 #[test]
--- a/crates/grantsearch/tests/kept.rs
+++ b/crates/grantsearch/tests/kept.rs
@@ -37,6 +37,17 @@
     assert_kept(&reset().with(faults), 13);
 }
 
+#[test]
+fn with_a_granter_that_stands_still() {
+    let faults = Faults {
+        cuts: 1,
+        ends: 1,
+        freezes: 1,
+        ..Faults::default()
+    };
+    assert_kept(&reset().with(faults), 13);
+}
+
 #[test]
 fn with_an_upstream_that_has_another_id_after_a_restart() {
     let faults = Faults {
@@ -61,6 +72,19 @@
     assert_kept(&reset().with(faults), 11);
 }
 
+/// What is left of a connection is lost with the process that it led to.
+#[test]
+fn with_an_upstream_that_restarts_while_the_granter_stands_still() {
+    let mut scope = reset().with(Faults {
+        cuts: 1,
+        freezes: 1,
+        restarts_same_id: 1,
+        ..Faults::default()
+    });
+    scope.transport.reaches_next_process = false;
+    assert_kept(&scope, 12);
+}
+
 #[test]
 fn with_three_upstreams_and_two_ranges() {
     let mut scope = reset().with(Faults {
--- a/crates/grantsearch/tests/transport.rs
+++ b/crates/grantsearch/tests/transport.rs
@@ -17,6 +17,7 @@
     scope.transport = Transport {
         after_give_up: Some(after_give_up),
         after_end: Some(after_end),
+        reaches_next_process: true,
     };
     scope.longest_pass = Duration::from_millis(500);
     scope
