Entries of other writers: three tests that fail

Cause: a value that can't be decoded leaves the registration before it in force; any state but ready counts as draining; an entry of a service that no configuration names makes the granter ask the holder of its address. Ruled out: that the entries beside such a one are lost; they hold.

--- /dev/null
+++ b/crates/router/tests/foreign_entries.rs
@@ -0,0 +1,175 @@
+//! Entries of other writers in the metadata store: fields that are missing or of another
+//! type, states and services that nobody named, bytes that can't be read.
+
+use beamtray_adapter::{Platform, reverse};
+use beamtray_catalog::{
+    ClientLimits, Configuration, ConfigurationVersion, DirectoryPolicy, Route, ServiceConfig,
+    UpstreamId, UpstreamRecord, UpstreamState, WeightedBackend,
+};
+use beamtray_dialect::Dialect;
+use beamtray_metastore::{Item, Revision, StoreEvent, StoreOutcome};
+use beamtray_router::core::{ViewName, Views};
+use beamtray_types::Time;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SHOP: &str = "shop";
+const ELSEWHERE: &str = "elsewhere";
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+/// A configuration with one route to one service.
+fn configuration(version: u64, service: &str) -> Vec<u8> {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        repeatable: true,
+        timeout: Duration::from_millis(900),
+        target_latency: Duration::from_millis(300),
+        priority: 0,
+        max_attempts: 2,
+        backends: vec![WeightedBackend {
+            service: service.into(),
+            weight: 1,
+        }],
+    };
+    let service = ServiceConfig {
+        name: service.into(),
+        health_path: "/health".to_owned(),
+        max_connections: 9,
+        divided: false,
+        warm_up: Duration::ZERO,
+    };
+    reverse::write_configuration(&Configuration {
+        version: ConfigurationVersion(version),
+        routes: vec![route],
+        services: vec![service],
+        limits: ClientLimits::default(),
+    })
+}
+
+/// What an upstream that is ready writes.
+fn registration(service: &str, port: u16) -> Vec<u8> {
+    let record = UpstreamRecord {
+        id: UpstreamId(String::new()),
+        service: service.into(),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: "z".into(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        warm_up_left: Duration::ZERO,
+    };
+    reverse::write_upstream(&record, 1)
+}
+
+/// A registration with another state.
+fn in_state(service: &str, port: u16, state: &str) -> Vec<u8> {
+    let ready = registration(service, port);
+    let text = String::from_utf8(ready).expect("text");
+    text.replace("ready", state).into_bytes()
+}
+
+/// A node that knows what others wrote, in the order in which they wrote it.
+struct Node {
+    views: Views,
+    revision: u64,
+}
+
+impl Node {
+    /// A node that has read an empty store.
+    fn new() -> Self {
+        let policy = DirectoryPolicy {
+            distrust: Duration::from_millis(500),
+            patience: Duration::from_millis(1_600),
+        };
+        let mut views = Views::new(Rc::new(Platform), policy, Duration::from_secs(8));
+        for view in ViewName::ALL {
+            let empty = StoreOutcome::Page {
+                items: Vec::new(),
+                more: false,
+                at: Revision(1),
+            };
+            views.handle(at(1), view, 0, empty);
+        }
+        Self { views, revision: 1 }
+    }
+
+    /// A node with a configuration of the service `shop` and its upstream `i-1`.
+    fn serving() -> Self {
+        let mut node = Self::new();
+        node.configure(1, SHOP);
+        node.register("i-1", &registration(SHOP, 81));
+        node
+    }
+
+    fn write(&mut self, view: ViewName, key: &str, value: &[u8]) {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        let item = Item {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            revision,
+        };
+        let events = StoreOutcome::Events {
+            events: vec![StoreEvent::Put(item)],
+            at: revision,
+        };
+        self.views.handle(at(self.revision), view, 0, events);
+    }
+
+    fn configure(&mut self, version: u64, service: &str) {
+        let key = Platform.keys().configuration;
+        self.write(ViewName::Operator, key, &configuration(version, service));
+    }
+
+    fn register(&mut self, id: &str, value: &[u8]) {
+        let key = format!("{}{id}", Platform.keys().upstream_prefix);
+        self.write(ViewName::Upstreams, &key, value);
+    }
+
+    /// Upstreams that are known.
+    fn known(&self) -> Vec<String> {
+        let known = self.views.directory.iter();
+        known.map(|known| known.record.id.0.clone()).collect()
+    }
+}
+
+#[test]
+fn an_unreadable_rewrite_takes_the_registration_out_of_force() {
+    let whole = registration(SHOP, 81);
+    let cut = &whole[..whole.len() / 2];
+    for value in [b"".as_slice(), b"{", b"\0\x01", b"{}", b"[]", cut] {
+        let mut node = Node::serving();
+        node.register("i-2", &registration(SHOP, 82));
+        node.register("i-1", value);
+        assert_eq!(node.known(), ["i-2"], "after {value:?}");
+    }
+}
+
+#[test]
+fn an_upstream_that_writes_a_readable_entry_again_is_back() {
+    let mut node = Node::serving();
+    node.register("i-1", b"{");
+    node.register("i-1", &registration(SHOP, 81));
+    assert_eq!(node.known(), ["i-1"]);
+}
+
+#[test]
+fn an_unknown_state_names_no_upstream() {
+    let mut node = Node::serving();
+    node.register("i-2", &in_state(SHOP, 82, "paused"));
+    node.register("i-1", &in_state(SHOP, 81, "Ready"));
+    assert_eq!(node.known(), Vec::<String>::new());
+}
+
+#[test]
+fn an_entry_of_no_service_says_nothing_about_the_holder_of_its_address() {
+    let mut node = Node::serving();
+    node.register("i-2", &registration(ELSEWHERE, 81));
+    assert_eq!(node.known(), ["i-1"]);
+    let unknown = UpstreamId("i-2".to_owned());
+    assert!(node.views.directory.get(&unknown).is_none());
+}
