Entries that can't be used name no upstream, and cost one line

Cause: an undecodable rewrite left the registration before it in force; an entry of a service that no configuration names stood in the directory, made the granter ask the holder of its address again and again, and counted among those that vanish together; an unreadable entry cost a line at each write; an unreadable node, granter or speed record was passed over in silence. Ruled out: treating the unreadable entry as a lapsed lease (it would be used for 1.6 s more), or as proof that the upstream ended (it could not come back for 120 s).

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -181,6 +181,12 @@
         self.remove(id)
     }
 
+    /// Removes an upstream whose entry names it no more: that is no lapse of a lease, so
+    /// there is nothing to wait for, and no proof that it ended, so it may come back.
+    pub fn withdraw(&mut self, id: &UpstreamId) -> Option<DirectoryChange> {
+        self.remove(id)
+    }
+
     fn remove(&mut self, id: &UpstreamId) -> Option<DirectoryChange> {
         self.upstreams.remove(id)?;
         self.changes += 1;
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -22,5 +22,6 @@
 pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
 pub use standby::{KnownRecord, STANDBY_TERM, StandbyReport, StandbyState, StandbyWord};
 pub use views::{
-    Snapshot, StoreContact, ViewHeads, ViewName, ViewNotice, ViewRequest, Views, WantedView,
+    Snapshot, StoreContact, UnusableCounts, ViewHeads, ViewName, ViewNotice, ViewRequest, Views,
+    WantedView,
 };
--- a/crates/router/src/core/records.rs
+++ b/crates/router/src/core/records.rs
@@ -1,8 +1,10 @@
 //! Keys and values that the router keeps in the metadata store.
 
-use beamtray_sharding::Part;
+use beamtray_dispatch::SpeedRecord;
+use beamtray_sharding::{AssignmentPart, Part};
 use beamtray_types::ServiceName;
 use borsh::{BorshDeserialize, BorshSerialize};
+use std::io;
 use std::net::SocketAddr;
 
 /// Keys of the router's own records.
@@ -64,6 +66,78 @@
     Part(ServiceName, Part),
 }
 
+/// What a key of a record stands for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum OwnRecord {
+    /// The granter.
+    Granter,
+    /// The node of that name.
+    Node(String),
+    /// The head of a service's assignment.
+    Head(ServiceName),
+    /// One part of it.
+    Part(ServiceName, Part),
+    /// What was learned of the upstreams' speeds.
+    Speeds,
+    /// Requests that end upstreams.
+    Suspicions,
+}
+
+impl OwnRecord {
+    /// What that key stands for, if the router's views take it.
+    pub fn of(key: &str) -> Option<Self> {
+        if let Some(assignment) = OwnKeys::assignment_key(key) {
+            return Some(match assignment {
+                AssignmentKey::Head(service) => Self::Head(service),
+                AssignmentKey::Part(service, part) => Self::Part(service, part),
+            });
+        }
+        if let Some(name) = key.strip_prefix(OwnKeys::NODES) {
+            return Some(Self::Node(name.to_owned()));
+        }
+        match key {
+            OwnKeys::GRANTER => Some(Self::Granter),
+            OwnKeys::SPEEDS => Some(Self::Speeds),
+            OwnKeys::SUSPICIONS => Some(Self::Suspicions),
+            _ => None,
+        }
+    }
+}
+
+/// Reads one part of an assignment from the value of its key.
+///
+/// # Errors
+/// When the value is none, or is another part.
+pub(crate) fn decode_part(part: Part, value: &[u8]) -> io::Result<AssignmentPart> {
+    let decoded = AssignmentPart::try_from_slice(value)?;
+    if decoded.part != part {
+        return Err(invalid("this is another part"));
+    }
+    Ok(decoded)
+}
+
+/// Reads what was learned of speeds.
+///
+/// # Errors
+/// When the value is no such record, or a figure in it is no time: capacities are reckoned
+/// from them.
+pub(crate) fn decode_speeds(value: &[u8]) -> io::Result<SpeedRecord> {
+    let record = SpeedRecord::try_from_slice(value)?;
+    let slowness = record.upstreams.iter().map(|row| row.slowness);
+    let means = record.routes.iter().chain(&record.services);
+    let seconds = means.map(|row| row.seconds);
+    let is_time = |figure: f32| figure.is_finite() && figure >= 0.0;
+    if slowness.chain(seconds).all(is_time) {
+        Ok(record)
+    } else {
+        Err(invalid("a speed is no number above zero"))
+    }
+}
+
+fn invalid(cause: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, cause)
+}
+
 /// What a node tells of itself.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct NodeRecord {
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -6,8 +6,10 @@
 
 mod apply;
 mod exchange;
+mod unusable;
 
 pub use exchange::{Snapshot, StoreContact, ViewHeads, ViewRequest, WantedView};
+pub use unusable::UnusableCounts;
 
 use crate::core::records::{NodeRecord, OwnKeys};
 use crate::core::relays::RelaysHeard;
@@ -22,6 +24,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
+use unusable::{Strangers, UnreadableKeys};
 
 /// Pause after changes of a view in which few change together.
 const GATHER_FEW: Duration = Duration::from_millis(30);
@@ -78,13 +81,20 @@
         /// How many routes it has.
         routes: usize,
     },
-    /// A value in the store can't be read; the older one stays in force.
+    /// A value in the store can't be read. Told once for as long as it can't.
     Unreadable {
         /// Its key.
         key: String,
         /// What is wrong.
         cause: String,
     },
+    /// An upstream registered for a service that no configuration has named.
+    UnknownService {
+        /// Key of the entry.
+        key: String,
+        /// The service.
+        service: ServiceName,
+    },
     /// The directory changed.
     Directory(DirectoryChange),
     /// A new assignment of a service.
@@ -165,6 +175,8 @@
     nodes_changed: bool,
     /// The granter.
     pub granter: Option<GranterRecord>,
+    unreadable: UnreadableKeys,
+    strangers: Strangers,
     notices: Vec<ViewNotice>,
 }
 
@@ -196,6 +208,8 @@
             nodes: BTreeMap::new(),
             nodes_changed: true,
             granter: None,
+            unreadable: UnreadableKeys::default(),
+            strangers: Strangers::default(),
             notices: Vec::new(),
         }
     }
@@ -425,6 +439,18 @@
         std::mem::take(&mut self.assigned)
     }
 
+    /// Entries of a view that can't be used.
+    pub fn unusable(&self, view: ViewName) -> UnusableCounts {
+        let unknown_service = match view {
+            ViewName::Upstreams => self.strangers.count(),
+            _ => 0,
+        };
+        UnusableCounts {
+            unreadable: self.unreadable.count(self.replica(view).prefix()),
+            unknown_service,
+        }
+    }
+
     /// Beliefs that changed since the last call.
     pub fn take_notices(&mut self) -> Vec<ViewNotice> {
         std::mem::take(&mut self.notices)
--- a/crates/router/src/core/views/apply.rs
+++ b/crates/router/src/core/views/apply.rs
@@ -1,14 +1,14 @@
 //! Turns changes of the copies into what the node believes.
 
 use super::{ViewName, ViewNotice, Views};
-use crate::core::records::{AssignmentKey, NodeRecord, OwnKeys};
-use beamtray_catalog::{DirectoryChange, UpstreamId};
-use beamtray_dispatch::{SpeedRecord, SuspicionRecord};
+use crate::core::records::{NodeRecord, OwnKeys, OwnRecord, decode_part, decode_speeds};
+use beamtray_catalog::{Configuration, DirectoryChange, UpstreamId, UpstreamRecord};
+use beamtray_dispatch::SuspicionRecord;
 use beamtray_metastore::{GranterRecord, Item, MirrorChange, Revision};
 use beamtray_sharding::{AssignmentHead, AssignmentPart};
-use beamtray_types::Time;
+use beamtray_types::{ServiceName, Time};
 use borsh::BorshDeserialize;
-use std::io;
+use std::fmt;
 use std::rc::Rc;
 
 impl Views {
@@ -22,15 +22,19 @@
             self.vanish(now, &changes);
         }
         for change in changes {
+            if let MirrorChange::Absent(key) = &change {
+                self.unreadable.forget(key);
+                self.strangers.forget(key);
+            }
             match view {
-                ViewName::Operator => self.apply_operator(change),
+                ViewName::Operator => self.apply_operator(now, change),
                 ViewName::Upstreams => self.apply_upstream(now, change),
                 ViewName::Members | ViewName::State => self.apply_own(change),
             }
         }
     }
 
-    fn apply_operator(&mut self, change: MirrorChange) {
+    fn apply_operator(&mut self, now: Time, change: MirrorChange) {
         let MirrorChange::Present(item) = change else {
             return;
         };
@@ -38,13 +42,15 @@
             return;
         }
         let decoded = self.dialect.decode_configuration(&item.value);
-        let configuration = match decoded {
-            Ok(configuration) => configuration,
-            Err(error) => return self.unreadable(item.key, error.to_string()),
+        let checked = decoded.map_err(|error| error.to_string());
+        let checked = checked.and_then(|configuration| match configuration.check() {
+            Ok(()) => Ok(configuration),
+            Err(error) => Err(error.to_string()),
+        });
+        // One that can't be served leaves the one before it in force.
+        let Some(configuration) = self.readable(&item.key, checked) else {
+            return;
         };
-        if let Err(error) = configuration.check() {
-            return self.unreadable(item.key, error.to_string());
-        }
         let in_force = self.configuration.as_ref();
         if in_force.is_some_and(|known| known.version >= configuration.version) {
             return;
@@ -53,29 +59,76 @@
             version: configuration.version.0,
             routes: configuration.routes.len(),
         });
+        self.name_services(now, &configuration);
         self.configuration = Some(Rc::new(configuration));
     }
 
-    fn unreadable(&mut self, key: String, cause: String) {
-        self.notices.push(ViewNotice::Unreadable { key, cause });
+    /// Tells upstreams of services that a configuration named from all others.
+    fn name_services(&mut self, now: Time, configuration: &Configuration) {
+        for record in self.strangers.name(configuration) {
+            let changes = self.directory.register(now, record);
+            self.note_directory(changes);
+        }
+        // Those that registered before there was a configuration.
+        let registered = self.directory.iter().map(|known| &known.record);
+        let unnamed: Vec<Rc<UpstreamRecord>> = registered
+            .filter(|record| self.strangers.is_one(&record.service))
+            .cloned()
+            .collect();
+        let prefix = self.dialect.keys().upstream_prefix;
+        for record in unnamed {
+            let key = format!("{prefix}{}", record.id);
+            self.set_aside(key, Rc::unwrap_or_clone(record));
+        }
     }
 
-    fn apply_upstream(&mut self, now: Time, change: MirrorChange) {
-        match change {
-            MirrorChange::Present(item) => {
-                match self.dialect.decode_upstream(&item.key, &item.value) {
-                    Ok(record) => {
-                        let changes = self.directory.register(now, record);
-                        self.note_directory(changes);
-                    }
-                    Err(error) => self.unreadable(item.key, error.to_string()),
-                }
+    /// Keeps a registration that names no upstream to use.
+    fn set_aside(&mut self, key: String, record: UpstreamRecord) {
+        self.withdraw(&key);
+        self.notices.extend(self.strangers.keep(key, record));
+    }
+
+    /// What was decoded from the value of a key, if that worked.
+    fn readable<T>(&mut self, key: &str, decoded: Result<T, impl fmt::Display>) -> Option<T> {
+        match decoded {
+            Ok(value) => {
+                self.unreadable.forget(key);
+                Some(value)
+            }
+            Err(error) => {
+                let notice = self.unreadable.note(key.to_owned(), &error.to_string());
+                self.notices.extend(notice);
+                None
             }
-            // Taken together before.
-            MirrorChange::Absent(_) => {}
         }
     }
 
+    fn apply_upstream(&mut self, now: Time, change: MirrorChange) {
+        // Absent ones were taken together before.
+        let MirrorChange::Present(item) = change else {
+            return;
+        };
+        let decoded = self.dialect.decode_upstream(&item.key, &item.value);
+        let Some(record) = self.readable(&item.key, decoded) else {
+            self.strangers.forget(&item.key);
+            return self.withdraw(&item.key);
+        };
+        if self.strangers.is_one(&record.service) {
+            return self.set_aside(item.key, record);
+        }
+        self.strangers.forget(&item.key);
+        let changes = self.directory.register(now, record);
+        self.note_directory(changes);
+    }
+
+    /// Takes the registration out of force that a key had before.
+    fn withdraw(&mut self, key: &str) {
+        let prefix = self.dialect.keys().upstream_prefix;
+        let id = UpstreamId(key.strip_prefix(prefix).unwrap_or(key).to_owned());
+        let change = self.directory.withdraw(&id);
+        self.note_directory(change);
+    }
+
     fn vanish(&mut self, now: Time, changes: &[MirrorChange]) {
         let prefix = self.dialect.keys().upstream_prefix;
         let absent = changes.iter().filter_map(|change| match change {
@@ -99,8 +152,7 @@
             MirrorChange::Present(item) => self.apply_record(item),
             MirrorChange::Absent(key) => {
                 if key == OwnKeys::GRANTER {
-                    let epoch = self.granter.take().map_or(0, |granter| granter.epoch.0);
-                    self.notices.push(ViewNotice::Granter { node: None, epoch });
+                    self.granter_left();
                 } else if let Some(name) = key.strip_prefix(OwnKeys::NODES) {
                     self.nodes.remove(name);
                     self.nodes_changed = true;
@@ -109,57 +161,75 @@
         }
     }
 
+    fn granter_left(&mut self) {
+        let epoch = self.granter.take().map_or(0, |granter| granter.epoch.0);
+        self.notices.push(ViewNotice::Granter { node: None, epoch });
+    }
+
     fn apply_record(&mut self, item: Item) {
-        if let Some(key) = OwnKeys::assignment_key(&item.key) {
-            if let Err(error) = self.assigned(key, &item.value) {
-                self.unreadable(item.key, error.to_string());
+        let Item { key, value, .. } = item;
+        match OwnRecord::of(&key) {
+            Some(OwnRecord::Head(service)) => {
+                let head = self.readable(&key, AssignmentHead::try_from_slice(&value));
+                if let Some(head) = head {
+                    self.take_head(service, head);
+                }
             }
-        } else if let Some(name) = item.key.strip_prefix(OwnKeys::NODES) {
-            if let Ok(record) = NodeRecord::try_from_slice(&item.value) {
-                self.nodes.insert(name.to_owned(), record);
+            Some(OwnRecord::Part(service, part)) => {
+                let decoded = decode_part(part, &value);
+                if let Some(part) = self.readable(&key, decoded) {
+                    self.take_part(service, part);
+                }
+            }
+            Some(OwnRecord::Node(name)) => {
+                match self.readable(&key, NodeRecord::try_from_slice(&value)) {
+                    Some(record) => self.nodes.insert(name, record),
+                    None => self.nodes.remove(&name),
+                };
                 self.nodes_changed = true;
             }
-        } else if item.key == OwnKeys::SPEEDS {
-            self.speeds = SpeedRecord::try_from_slice(&item.value).ok();
-        } else if item.key == OwnKeys::SUSPICIONS {
-            match SuspicionRecord::try_from_slice(&item.value) {
-                Ok(record) => self.suspicions = Some(record),
-                Err(error) => self.unreadable(item.key, error.to_string()),
+            Some(OwnRecord::Speeds) => {
+                self.speeds = self.readable(&key, decode_speeds(&value));
+            }
+            Some(OwnRecord::Suspicions) => {
+                let record = self.readable(&key, SuspicionRecord::try_from_slice(&value));
+                self.suspicions = record.or(self.suspicions.take());
+            }
+            Some(OwnRecord::Granter) => {
+                match self.readable(&key, GranterRecord::try_from_slice(&value)) {
+                    Some(record) => self.granter_seen(record),
+                    None => self.granter_left(),
+                }
             }
-        } else if item.key == OwnKeys::GRANTER
-            && let Ok(record) = GranterRecord::try_from_slice(&item.value)
-        {
-            self.notices.push(ViewNotice::Granter {
-                node: Some(record.node.clone()),
-                epoch: record.epoch.0,
+            None => {}
+        }
+    }
+
+    fn granter_seen(&mut self, record: GranterRecord) {
+        self.notices.push(ViewNotice::Granter {
+            node: Some(record.node.clone()),
+            epoch: record.epoch.0,
+        });
+        self.granter = Some(record);
+    }
+
+    fn take_head(&mut self, service: ServiceName, head: AssignmentHead) {
+        let number = head.number;
+        let assignment = self.assignments.entry(service.clone()).or_default();
+        if Rc::make_mut(assignment).take_head(head) {
+            self.assigned.insert(service.clone());
+            self.notices.push(ViewNotice::Assigned {
+                service,
+                epoch: number.epoch.0,
+                sequence: number.sequence,
             });
-            self.granter = Some(record);
         }
     }
 
-    fn assigned(&mut self, key: AssignmentKey, value: &[u8]) -> io::Result<()> {
-        match key {
-            AssignmentKey::Head(service) => {
-                let head = AssignmentHead::try_from_slice(value)?;
-                let number = head.number;
-                let assignment = self.assignments.entry(service.clone()).or_default();
-                if Rc::make_mut(assignment).take_head(head) {
-                    self.assigned.insert(service.clone());
-                    self.notices.push(ViewNotice::Assigned {
-                        service,
-                        epoch: number.epoch.0,
-                        sequence: number.sequence,
-                    });
-                }
-            }
-            AssignmentKey::Part(service, _) => {
-                let part = AssignmentPart::try_from_slice(value)?;
-                let assignment = self.assignments.entry(service.clone()).or_default();
-                if Rc::make_mut(assignment).take_part(part) {
-                    self.assigned.insert(service);
-                }
-            }
+    fn take_part(&mut self, service: ServiceName, part: AssignmentPart) {
+        let assignment = self.assignments.entry(service.clone()).or_default();
+        if Rc::make_mut(assignment).take_part(part) {
+            self.assigned.insert(service);
         }
-        Ok(())
     }
 }
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms, as Prometheus text.
 
-use crate::core::{NodeCore, ViewName};
+use crate::core::{NodeCore, ViewName, Views};
 use crate::shell::log::dropped_lines;
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
@@ -114,6 +114,13 @@
     pub view: String,
 }
 
+/// Entries below a prefix of the store, and what is wrong with them.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct EntryLabel {
+    pub prefix: String,
+    pub cause: &'static str,
+}
+
 type Latencies<Label> = Family<Label, Histogram, fn() -> Histogram>;
 
 fn latency() -> Histogram {
@@ -160,6 +167,7 @@
     nodes: Gauge,
     follows_store: Gauge,
     view_age: Family<ViewLabel, Gauge>,
+    unusable_entries: Family<EntryLabel, Gauge>,
 }
 
 impl Metrics {
@@ -194,6 +202,7 @@
             nodes: Gauge::default(),
             follows_store: Gauge::default(),
             view_age: Family::default(),
+            unusable_entries: Family::default(),
         };
         metrics.register();
         metrics
@@ -313,6 +322,11 @@
             "Time since the store last answered for a view",
             self.view_age.clone(),
         );
+        registry.register(
+            "unusable_entries",
+            "Entries of the store that can't be used, by prefix and cause",
+            self.unusable_entries.clone(),
+        );
     }
 
     /// Counts a line that was left out.
@@ -394,10 +408,25 @@
                 view: format!("{view:?}"),
             };
             self.view_age.get_or_create(&label).set(age);
+            self.observe_unusable(views, view);
         }
         self.lines_dropped.set(dropped_lines() as i64);
     }
 
+    fn observe_unusable(&self, views: &Views, view: ViewName) {
+        let unusable = views.unusable(view);
+        for (cause, count) in [
+            ("unreadable", unusable.unreadable),
+            ("unknown_service", unusable.unknown_service),
+        ] {
+            let prefix = views.replica(view).prefix().to_owned();
+            let label = EntryLabel { prefix, cause };
+            self.unusable_entries
+                .get_or_create(&label)
+                .set(count as i64);
+        }
+    }
+
     /// Upstreams that are gone need not be told of for ever.
     fn forget_gone(&self, core: &NodeCore) {
         let directory = &core.inspect().0.directory;
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -101,7 +101,14 @@
                 info!(log, "configuration_in_force"; "version" => version, "routes" => routes);
             }
             ViewNotice::Unreadable { key, cause } => {
-                warn!(log, "value_unreadable"; "key" => key, "cause" => cause);
+                if let Some(left_out) = self.admit(LineKind::Entry) {
+                    warn!(log, "value_unreadable"; "key" => key, "cause" => cause, left_out);
+                }
+            }
+            ViewNotice::UnknownService { key, service } => {
+                if let Some(left_out) = self.admit(LineKind::Entry) {
+                    warn!(log, "service_unknown"; "key" => key, "service" => %service, left_out);
+                }
             }
             ViewNotice::Directory(change) => self.directory(change),
             ViewNotice::Assigned {
--- a/crates/router/src/shell/rate.rs
+++ b/crates/router/src/shell/rate.rs
@@ -13,6 +13,8 @@
     Failure,
     /// Calls and orders that failed.
     Dependency,
+    /// Entries of the store that can't be used.
+    Entry,
 }
 
 impl LineKind {
@@ -22,6 +24,8 @@
             LineKind::Step => 400,
             LineKind::Failure => 1_000,
             LineKind::Dependency => 300,
+            // Another writer decides how many there are and how often they change.
+            LineKind::Entry => 20,
         }
     }
 }
--- a/crates/router/tests/foreign_entries.rs
+++ b/crates/router/tests/foreign_entries.rs
@@ -8,7 +8,7 @@
 };
 use beamtray_dialect::Dialect;
 use beamtray_metastore::{Item, Revision, StoreEvent, StoreOutcome};
-use beamtray_router::core::{ViewName, Views};
+use beamtray_router::core::{UnusableCounts, ViewName, ViewNotice, Views};
 use beamtray_types::Time;
 use std::rc::Rc;
 use std::time::Duration;
@@ -135,6 +135,17 @@
         let known = self.views.directory.iter();
         known.map(|known| known.record.id.0.clone()).collect()
     }
+
+    fn unreadable_lines(&mut self) -> usize {
+        let notices = self.views.take_notices().into_iter();
+        notices
+            .filter(|notice| matches!(notice, ViewNotice::Unreadable { .. }))
+            .count()
+    }
+
+    fn unusable(&self) -> UnusableCounts {
+        self.views.unusable(ViewName::Upstreams)
+    }
 }
 
 #[test]
@@ -170,6 +181,34 @@
     let mut node = Node::serving();
     node.register("i-2", &registration(ELSEWHERE, 81));
     assert_eq!(node.known(), ["i-1"]);
-    let unknown = UpstreamId("i-2".to_owned());
-    assert!(node.views.directory.get(&unknown).is_none());
+    let counts = UnusableCounts {
+        unreadable: 0,
+        unknown_service: 1,
+    };
+    assert_eq!(node.unusable(), counts);
+}
+
+#[test]
+fn an_upstream_counts_once_a_configuration_names_its_service() {
+    let mut node = Node::new();
+    node.register("i-1", &registration(SHOP, 81));
+    node.register("i-2", &registration(ELSEWHERE, 81));
+    node.configure(1, SHOP);
+    assert_eq!(node.known(), ["i-1"]);
+    node.configure(2, ELSEWHERE);
+    // A service that was named once keeps its upstreams: its keys would have to move.
+    assert_eq!(node.known(), ["i-1", "i-2"]);
+}
+
+#[test]
+fn an_entry_that_stays_unreadable_costs_one_line() {
+    let mut node = Node::serving();
+    node.views.take_notices();
+    for _ in 0..100 {
+        node.register("i-2", b"{");
+    }
+    assert_eq!(node.unreadable_lines(), 1);
+    assert_eq!(node.unusable().unreadable, 1);
+    node.register("i-2", &registration(SHOP, 82));
+    assert_eq!(node.unusable(), UnusableCounts::default());
 }
