--- a/crates/router/tests/foreign_entries.rs
+++ b/crates/router/tests/foreign_entries.rs
@@ -212,3 +212,20 @@
     node.register("i-2", &registration(SHOP, 82));
     assert_eq!(node.unusable(), UnusableCounts::default());
 }
+
+#[test]
+fn the_cause_of_an_unreadable_entry_is_short() {
+    let mut node = Node::serving();
+    node.views.take_notices();
+    let long = "x".repeat(1 << 20);
+    node.register("i-2", &in_state(SHOP, 82, &long));
+    node.register("i-3", format!("[\"{long}\"]").as_bytes());
+    let notices = node.views.take_notices();
+    assert_eq!(notices.len(), 2);
+    for notice in notices {
+        let ViewNotice::Unreadable { cause, .. } = notice else {
+            panic!("not about an unreadable entry: {notice:?}");
+        };
+        assert!(cause.len() < 512, "{} bytes", cause.len());
+    }
+}
