Search of the grant protocol: upstreams that drain, times without an owner

Cause: keys that are asked for go on at once, which no scope had; the stated times without an owner were loose. Ruled out: that the fence suffices where copies live for ever (transport.rs).

--- a/crates/grantsearch/src/main.rs
+++ b/crates/grantsearch/src/main.rs
@@ -44,6 +44,8 @@
     same_id: u8,
     #[options(help = "most restarts under another id", default = "0", no_short)]
     new_id: u8,
+    #[options(help = "most upstreams that drain", default = "0", no_short)]
+    drains: u8,
     #[options(help = "most ends of a granter", default = "0", no_short)]
     ends: u8,
     #[options(help = "most granters that stand still", default = "0", no_short)]
@@ -109,6 +111,7 @@
         messages: arguments.messages,
         restarts_same_id: arguments.same_id,
         restarts_new_id: arguments.new_id,
+        drains: arguments.drains,
         ends: arguments.ends,
         freezes: arguments.freezes,
         store_outages: arguments.store_outages,
--- a/crates/grantsearch/src/scope.rs
+++ b/crates/grantsearch/src/scope.rs
@@ -24,6 +24,8 @@
     pub restarts_same_id: u8,
     /// Upstreams that start again under another id.
     pub restarts_new_id: u8,
+    /// Upstreams that are to be emptied: they are asked for their keys at once.
+    pub drains: u8,
     /// Granters that end and are succeeded at once.
     pub ends: u8,
     /// Granters that stand still.
--- a/crates/grantsearch/src/world.rs
+++ b/crates/grantsearch/src/world.rs
@@ -11,6 +11,7 @@
 use crate::standby::Standby;
 use crate::transport::{Call, HeldCopy, Term};
 use crate::upstream::Upstream;
+use beamtray_catalog::UpstreamId;
 use beamtray_sharding::{AssignmentRecord, GrantOrder, Granter, KeyRange};
 use beamtray_types::Time;
 use std::collections::VecDeque;
@@ -38,6 +39,8 @@
     RestartSameId(usize),
     /// An upstream ends and starts again under another id.
     RestartNewId(usize),
+    /// An upstream is to lose its keys.
+    Drain(usize),
     /// The granter ends, having given up its place.
     EndGranter,
     /// The granter stands still; what it wrote goes on.
@@ -85,7 +88,9 @@
     /// When the upstream is up again after a restart.
     back_at: Option<Time>,
     /// The id that it has then.
-    next_id: Option<beamtray_catalog::UpstreamId>,
+    next_id: Option<UpstreamId>,
+    /// The directory says that it is to lose its keys.
+    is_draining: bool,
 }
 
 impl Path {
@@ -211,6 +216,7 @@
             Step::Heal(upstream) => self.heal(upstream),
             Step::RestartSameId(upstream) => self.restart(upstream, true),
             Step::RestartNewId(upstream) => self.restart(upstream, false),
+            Step::Drain(upstream) => self.drain(upstream),
             Step::EndGranter => self.end_granter(),
             Step::FreezeGranter => self.freeze_granter(),
             Step::ContinueGranter => self.continue_granter(),
--- a/crates/grantsearch/src/world/faults.rs
+++ b/crates/grantsearch/src/world/faults.rs
@@ -23,6 +23,9 @@
                 steps.push(Step::Cut(index));
             }
             let is_up = path.back_at.is_none();
+            if is_up && !path.is_draining && self.left.drains > 0 {
+                steps.push(Step::Drain(index));
+            }
             if is_up && self.left.restarts_same_id > 0 {
                 steps.push(Step::RestartSameId(index));
             }
@@ -89,6 +92,16 @@
         self.upstreams[index] = Upstream::new(id, life, &self.ranges);
         self.paths[index].back_at = Some(self.now + RESTART);
         self.paths[index].next_id = next_id;
+        self.paths[index].is_draining = false;
+    }
+
+    /// An upstream says that it is to be emptied.
+    pub(super) fn drain(&mut self, index: usize) {
+        self.left.drains -= 1;
+        self.paths[index].is_draining = true;
+        let id = self.upstreams[index].id.clone();
+        self.note(|| format!("{id} drains"));
+        self.tell_candidates();
     }
 
     /// The granter's process ends with its connections; the next one is there at once.
--- a/crates/grantsearch/src/world/recovery.rs
+++ b/crates/grantsearch/src/world/recovery.rs
@@ -1,6 +1,6 @@
 //! Whether keys have an owner again in time.
 
-use super::World;
+use super::{Path, World};
 use crate::check::{Broken, Promise};
 use crate::scope::Faults;
 use beamtray_sharding::SliceState;
@@ -38,10 +38,13 @@
         while let Some(fate) = self.undecided.front().map(|_| super::Step::Arrives) {
             self.decide(fate);
         }
-        if self.paths.iter().all(|path| path.is_cut) {
+        let is_of_use = |path: &Path| !path.is_cut && !path.is_draining;
+        if !self.paths.iter().any(is_of_use) {
             for path in &mut self.paths {
                 path.is_cut = false;
+                path.is_draining = false;
             }
+            self.tell_candidates();
         }
     }
 
--- a/crates/grantsearch/src/world/start.rs
+++ b/crates/grantsearch/src/world/start.rs
@@ -87,18 +87,24 @@
 
     /// The directory tells the granter which upstreams there are.
     pub(super) fn tell_candidates(&mut self) {
-        let ids = self.upstreams.iter().map(|upstream| upstream.id.clone());
-        let candidates: Vec<Candidate> = ids.map(candidate).collect();
+        let registered = self.upstreams.iter().zip(&self.paths);
+        let candidates: Vec<Candidate> = registered
+            .map(|(upstream, path)| candidate(upstream.id.clone(), path.is_draining))
+            .collect();
         if let Some(process) = &mut self.process {
             process.granter.set_candidates(self.now, candidates);
         }
     }
 }
 
-fn candidate(id: UpstreamId) -> Candidate {
+fn candidate(id: UpstreamId, is_draining: bool) -> Candidate {
+    let standing = match is_draining {
+        true => Standing::Draining,
+        false => Standing::Ready,
+    };
     Candidate {
         id,
-        standing: Standing::Ready,
+        standing,
         capacity: CAPACITY,
         heard: None,
     }
@@ -111,7 +117,7 @@
     let mut granter = Granter::new(Time::ZERO, scope.timing, epoch, None);
     let all = upstreams
         .iter()
-        .map(|upstream| candidate(upstream.id.clone()));
+        .map(|upstream| candidate(upstream.id.clone(), false));
     granter.set_candidates(Time::ZERO, all);
     if scope.standby {
         granter.want_standbys(Time::ZERO, &[standby_id()]);
--- a/crates/grantsearch/tests/guards.rs
+++ b/crates/grantsearch/tests/guards.rs
@@ -20,6 +20,7 @@
     messages: 0,
     restarts_same_id: 0,
     restarts_new_id: 0,
+    drains: 0,
     ends: 0,
     freezes: 0,
     store_outages: 0,
--- a/crates/grantsearch/tests/kept.rs
+++ b/crates/grantsearch/tests/kept.rs
@@ -37,6 +37,19 @@
     assert_kept(&reset().with(faults), 13);
 }
 
+/// Keys that are asked for go on at once, not after a hold.
+#[test]
+fn with_upstreams_that_drain() {
+    let faults = Faults {
+        cuts: 1,
+        messages: 1,
+        drains: 2,
+        ends: 1,
+        ..Faults::default()
+    };
+    assert_kept(&reset().with(faults), 10);
+}
+
 #[test]
 fn with_a_granter_that_stands_still() {
     let faults = Faults {
--- a/crates/grantsearch/tests/owned_again.rs
+++ b/crates/grantsearch/tests/owned_again.rs
@@ -13,7 +13,8 @@
     }
 }
 
-/// A holder is missed, its grants run out, another one gets the keys.
+/// The last renewal is written into the cut (0.75 s after the one before) and given up on
+/// (0.5 s); it might have been taken as late as 0.3 s after that, for 3.06 s.
 #[test]
 fn keys_of_a_holder_that_is_cut_off_go_to_another() {
     let faults = Faults {
@@ -21,13 +22,12 @@
         messages: 1,
         ..Faults::default()
     };
-    assert_kept(&owned_within(5_000, faults), 9);
+    assert_kept(&owned_within(4_700, faults), 9);
 }
 
-/// With a granter that stands still, whose place must run out first (1.5 s), and a successor
-/// that waits for the grants of the one before (3.4 s). The other 1.6 s: a successor that
-/// finds the keys leaving knows nothing of the holder's silence, so it gives them to the same
-/// one again and misses it once more.
+/// The place of a granter that stands still runs out (1.5 s), and its successor waits for
+/// the grants of the one before (3.36 s). That it knows who owes an answer saves 1.6 s: it
+/// does not give keys that it finds leaving to the same holder again, to miss it once more.
 #[test]
 fn keys_go_to_another_also_by_a_successor() {
     let faults = Faults {
@@ -36,7 +36,32 @@
         freezes: 1,
         ..Faults::default()
     };
-    assert_kept(&owned_within(6_600, faults), 9);
+    assert_kept(&owned_within(4_950, faults), 9);
+}
+
+/// A standby that is cut off from the granter, and perhaps not from the holder, may prolong
+/// the hold until the granter's last word has run out (11.2 s).
+#[test]
+fn keys_wait_longer_for_a_standby_that_is_cut_off() {
+    let faults = Faults {
+        cuts: 1,
+        ends: 1,
+        ..Faults::default()
+    };
+    let mut scope = owned_within(15_600, faults);
+    scope.standby = true;
+    assert_kept(&scope, 7);
+}
+
+#[test]
+fn an_upstream_that_drains_and_one_that_is_cut_off() {
+    let faults = Faults {
+        cuts: 1,
+        drains: 1,
+        messages: 1,
+        ..Faults::default()
+    };
+    assert_kept(&owned_within(4_950, faults), 9);
 }
 
 #[test]
--- a/crates/grantsearch/tests/transport.rs
+++ b/crates/grantsearch/tests/transport.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use beamtray_grantsearch::{Faults, Scope, TICK, Transport};
-use common::{assert_kept, find, reset};
+use common::{assert_kept, find, plain_close, reset};
 use std::time::Duration;
 
 /// A little more than `transit`: the granter acts up to a tick late twice, when keys are
@@ -52,3 +52,16 @@
     assert_kept(&scope(transit), 27);
     find(&scope(transit + SLACK), 27);
 }
+
+/// That a holder hears of its loss after a cut is not enough without a reset: the release
+/// may be held up for a moment when the path heals.
+#[test]
+fn copies_must_not_live_for_ever_though_lost_holders_are_told() {
+    let faults = Faults {
+        cuts: 1,
+        messages: 1,
+        ..Faults::default()
+    };
+    assert_kept(&reset().with(faults), 12);
+    find(&plain_close().with(faults), 12);
+}
