Search of the grant protocol: orders that an upstream carries out late

Cause: an upstream may leave a grant unanswered and take it seconds later, after newer ones. Conclusion: what is to be done about it is open: the wait costs each cut-off key 12 s, unless the granter can tell that the order never arrived.

--- a/crates/grantsearch/src/lib.rs
+++ b/crates/grantsearch/src/lib.rs
@@ -34,6 +34,10 @@
 //!   before the rule counts the old grant. That holds against one such fault. Another one
 //!   at that very moment (the release held up, the successor standing still too) breaks it.
 //!
+//! - An upstream may carry out an order seconds after it came and leave it unanswered. No
+//!   reset takes that back, and who is cut off can't be told. Only a wait that outlasts it
+//!   keeps the rule then.
+//!
 //! Point 5 without the reset has the same weakness for every order.
 //!
 //! # The search
--- a/crates/grantsearch/src/main.rs
+++ b/crates/grantsearch/src/main.rs
@@ -29,6 +29,12 @@
         no_short
     )]
     copy_life: u64,
+    #[options(
+        help = "how long the granter counts with an order after it gave it up, in ms",
+        default = "300",
+        no_short
+    )]
+    transit: u64,
     #[options(
         help = "how long they live after the end of their sender, in ms; as above if not given",
         no_short
@@ -40,6 +46,12 @@
     cuts: u8,
     #[options(help = "most orders held up without a cut", default = "0", no_short)]
     messages: u8,
+    #[options(
+        help = "most orders that an upstream carries out late, without an answer",
+        default = "0",
+        no_short
+    )]
+    late: u8,
     #[options(help = "most restarts under the same id", default = "0", no_short)]
     same_id: u8,
     #[options(help = "most restarts under another id", default = "0", no_short)]
@@ -99,6 +111,7 @@
         ..transport
     };
     let mut scope = Scope::new(transport);
+    scope.timing.transit = Duration::from_millis(arguments.transit);
     scope.upstreams = arguments.upstreams.clamp(2, 3);
     scope.ranges = arguments.ranges.clamp(1, 2);
     scope.standby = arguments.standby;
@@ -109,6 +122,7 @@
     scope.faults = Faults {
         cuts: arguments.cuts,
         messages: arguments.messages,
+        late: arguments.late,
         restarts_same_id: arguments.same_id,
         restarts_new_id: arguments.new_id,
         drains: arguments.drains,
--- a/crates/grantsearch/src/scope.rs
+++ b/crates/grantsearch/src/scope.rs
@@ -20,6 +20,9 @@
     /// Orders that are held up on their way, or arrive twice, or lose their answer, without
     /// a cut.
     pub messages: u8,
+    /// Orders that an upstream leaves unanswered and carries out later, whatever becomes of
+    /// the path and of the sender.
+    pub late: u8,
     /// Upstreams that start again under their id.
     pub restarts_same_id: u8,
     /// Upstreams that start again under another id.
--- a/crates/grantsearch/src/transport.rs
+++ b/crates/grantsearch/src/transport.rs
@@ -49,6 +49,16 @@
     pub sender: Term,
     /// The last moment at which it may arrive; none while that is not bounded.
     pub until: Option<Time>,
+    pub place: Place,
+}
+
+/// Where a copy is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// On its way: what becomes of path and sender concerns it.
+    Path,
+    /// At the upstream, which has not carried it out yet.
+    Upstream,
 }
 
 /// How a call ends if no answer comes.
--- a/crates/grantsearch/src/world.rs
+++ b/crates/grantsearch/src/world.rs
@@ -29,6 +29,8 @@
     HeldUp,
     /// It arrives, its answer is lost, and it may arrive once more.
     Twice,
+    /// The upstream has it, leaves it unanswered and may carry it out later.
+    Late,
     /// A copy that was held up arrives now; copies count in the order of their writing.
     CopyArrives(usize),
     /// The path between the granter and an upstream is cut.
@@ -210,7 +212,7 @@
     pub fn apply(&mut self, step: Step) {
         match step {
             Step::Pass => self.pass(),
-            Step::Arrives | Step::HeldUp | Step::Twice => self.decide(step),
+            Step::Arrives | Step::HeldUp | Step::Twice | Step::Late => self.decide(step),
             Step::CopyArrives(index) => self.copy_arrives(index),
             Step::Cut(upstream) => self.cut(upstream),
             Step::Heal(upstream) => self.heal(upstream),
--- a/crates/grantsearch/src/world/faults.rs
+++ b/crates/grantsearch/src/world/faults.rs
@@ -3,6 +3,7 @@
 use super::start::upstream_id;
 use super::{Continued, Step, World};
 use crate::scope::TICK;
+use crate::transport::{HeldCopy, Place};
 use crate::upstream::Upstream;
 use std::time::Duration;
 
@@ -88,6 +89,8 @@
         if !self.scope.transport.reaches_next_process {
             self.copies.retain(|copy| copy.order.holder != id);
         }
+        let is_lost = |copy: &HeldCopy| copy.place == Place::Upstream && copy.order.holder == id;
+        self.copies.retain(|copy| !is_lost(copy));
         self.note(|| format!("{id} ends and starts again"));
         self.upstreams[index] = Upstream::new(id, life, &self.ranges);
         self.paths[index].back_at = Some(self.now + RESTART);
--- a/crates/grantsearch/src/world/orders.rs
+++ b/crates/grantsearch/src/world/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{Process, Step, World};
 use crate::check::SOON;
-use crate::transport::{Call, HeldCopy, NoAnswer, Term};
+use crate::transport::{Call, HeldCopy, NoAnswer, Place, Term};
 use crate::upstream::Arrival;
 use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
 use std::time::Duration;
@@ -12,6 +12,9 @@
 /// How long the answer to a release is waited for.
 const RELEASE_WAIT: Duration = Duration::from_millis(3_000);
 
+/// How long after its arrival an upstream may carry an order out, if it did not answer it.
+const LATEST: Duration = Duration::from_secs(12);
+
 /// A prompt arrival.
 const PROMPT: Arrival = Arrival {
     is_late: false,
@@ -59,7 +62,7 @@
         }
         if path.is_cut && had_connection {
             self.note(|| format!("{} is written into the cut", words(&order)));
-            self.hold_up(order);
+            self.leave_unanswered(order, Place::Path);
             return true;
         }
         if path.is_cut {
@@ -67,7 +70,7 @@
             return false;
         }
         process.connected[index] = true;
-        if self.left.messages > 0 {
+        if self.left.messages > 0 || self.left.late > 0 {
             self.undecided.push_back(order);
             return true;
         }
@@ -76,10 +79,14 @@
 
     /// What may become of the order that was written first.
     pub(super) fn fates(&self) -> Vec<Step> {
-        if self.left.messages == 0 {
-            return vec![Step::Arrives];
+        let mut fates = vec![Step::Arrives];
+        if self.left.messages > 0 {
+            fates.extend([Step::HeldUp, Step::Twice]);
         }
-        vec![Step::Arrives, Step::HeldUp, Step::Twice]
+        if self.left.late > 0 {
+            fates.push(Step::Late);
+        }
+        fates
     }
 
     pub(super) fn decide(&mut self, fate: Step) {
@@ -90,6 +97,12 @@
             self.arrive_promptly(&order);
             return;
         }
+        if fate == Step::Late {
+            self.left.late -= 1;
+            self.note(|| format!("{} is kept by the upstream", words(&order)));
+            self.leave_unanswered(order, Place::Upstream);
+            return;
+        }
         self.left.messages -= 1;
         if fate == Step::Twice {
             self.note(|| format!("{}: its answer is lost", words(&order)));
@@ -104,18 +117,19 @@
         } else {
             self.note(|| format!("{} is held up", words(&order)));
         }
-        self.hold_up(order);
+        self.leave_unanswered(order, Place::Path);
     }
 
-    /// A copy is on its way; its sender waits for the answer.
-    fn hold_up(&mut self, order: GrantOrder) {
+    /// A copy is left; its sender waits for the answer.
+    fn leave_unanswered(&mut self, order: GrantOrder, place: Place) {
         let Some(term) = self.process.as_ref().map(|process| process.term) else {
             return;
         };
         self.copies.push(HeldCopy {
             order: order.clone(),
             sender: term,
-            until: None,
+            until: (place == Place::Upstream).then_some(self.now + LATEST),
+            place,
         });
         let wait = match order.kind {
             OrderKind::Grant { .. } => self.scope.timing.order_wait,
@@ -203,19 +217,27 @@
 
     /// Whether a copy may arrive now.
     pub(super) fn may_arrive(&self, copy: &HeldCopy) -> bool {
-        self.paths[self.index_of(&copy.order)].is_open()
+        let path = &self.paths[self.index_of(&copy.order)];
+        match copy.place {
+            Place::Path => path.is_open(),
+            Place::Upstream => path.back_at.is_none(),
+        }
     }
 
     /// A copy arrives; it is answered if its sender still waits.
     pub(super) fn copy_arrives(&mut self, index: usize) {
         let copy = self.copies.remove(index);
-        let is_excluded = self.is_excluded(&copy.order, Some(copy.sender));
+        let on_way = copy.place == Place::Path;
+        let is_excluded = on_way && self.is_excluded(&copy.order, Some(copy.sender));
         self.note(|| format!("a copy of {}", words(&copy.order)));
         let arrival = Arrival {
             is_late: true,
             is_excluded,
         };
         let reply = self.take(&copy.order, arrival);
+        if !on_way {
+            return;
+        }
         let Some(process) = &mut self.process else {
             return;
         };
@@ -278,7 +300,9 @@
             return;
         };
         let end = self.now + life;
-        let of_sender = self.copies.iter_mut().filter(|copy| copy.sender == sender);
+        let on_way = self.copies.iter_mut();
+        let on_way = on_way.filter(|copy| copy.place == Place::Path);
+        let of_sender = on_way.filter(|copy| copy.sender == sender);
         let concerned =
             of_sender.filter(|copy| call.is_none_or(|call| call.order.call == copy.order.call));
         for copy in concerned {
--- a/crates/grantsearch/tests/guards.rs
+++ b/crates/grantsearch/tests/guards.rs
@@ -18,6 +18,7 @@
 const CUT: Faults = Faults {
     cuts: 1,
     messages: 0,
+    late: 0,
     restarts_same_id: 0,
     restarts_new_id: 0,
     drains: 0,
--- a/crates/grantsearch/tests/old_grants.rs
+++ b/crates/grantsearch/tests/old_grants.rs
@@ -1,5 +1,5 @@
-//! Old grants: a copy of an order that outlives the call, in a world where connections are
-//! closed in the ordinary way, so that a copy may arrive at any later time.
+//! Old grants: a copy of an order that outlives the call, since connections are closed in the
+//! ordinary way, or stay open, or since its upstream carries it out late.
 
 mod common;
 
@@ -38,3 +38,15 @@
     };
     assert_kept(&reset().with(faults), DEPTH);
 }
+
+/// The upstream itself keeps the order, so that no reset takes it back; and it is cut off
+/// before it can hear that it lost the keys.
+#[test]
+fn nor_is_one_that_its_upstream_carries_out_late() {
+    let faults = Faults {
+        cuts: 1,
+        late: 1,
+        ..Faults::default()
+    };
+    assert_kept(&reset().with(faults), DEPTH);
+}
--- a/crates/grantsearch/tests/transport.rs
+++ b/crates/grantsearch/tests/transport.rs
@@ -65,3 +65,21 @@
     assert_kept(&reset().with(faults), 12);
     find(&plain_close().with(faults), 12);
 }
+
+/// An upstream may carry out an order seconds after it came, 12 s here: a granter that counts
+/// with that, less the time for which it waits for the answer, keeps the rule.
+#[test]
+fn orders_that_upstreams_carry_out_late_are_to_be_counted_with() {
+    let faults = Faults {
+        cuts: 1,
+        ends: 1,
+        late: 2,
+        ..Faults::default()
+    };
+    let mut scope = reset().with(faults);
+    let latest = Duration::from_secs(12);
+    scope.timing.transit = latest;
+    assert_kept(&scope, 14);
+    scope.timing.transit = latest - scope.timing.order_wait - SLACK;
+    find(&scope, 14);
+}
