Upstreams are known by name and birth: a restart under the same name is another incarnation

Cause: everything that is remembered of an upstream was by its name, so a restart under it inherited the health, the speed, the grants and the end of the one before. Whatever is keyed by it (grants, health, speeds, suspicions, word among the nodes) is of one incarnation by construction; requests and orders carry the name. The directory takes the order in which entries appear for the order of incarnations, since births may step back: an unseen one replaces the one before, and a replaced one counts again only if its entry stands for longer than a dead writer's can. Ruled out: the order of births (a clock that steps back would keep a restart out), and freeing the keys of the one before at once: the granter takes them back by a release under a fresh token, which the new one answers.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -10,9 +10,11 @@
 //! The doubt must be short. A node that was cut off alone sees the same, and
 //! must not send to upstreams that left meanwhile once it counts as connected.
 
-use crate::upstream::{UpstreamId, UpstreamRecord, UpstreamState};
+use crate::incarnations::{Appearance, Incarnations};
+use crate::upstream::{UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
 use beamtray_types::{ServiceName, Time};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -56,6 +58,15 @@
     Removed(UpstreamId),
     /// A registration is missing, which proves nothing now.
     Unconfirmed(UpstreamId),
+    /// An upstream started again under its name: the incarnation before has ended.
+    Restarted {
+        /// The incarnation before.
+        earlier: UpstreamId,
+        /// The one that counts now.
+        later: UpstreamId,
+        /// Where the earlier one listened, or the later one if that is not known.
+        address: SocketAddr,
+    },
 }
 
 /// A node's view of the registered upstreams.
@@ -74,6 +85,8 @@
     store_sound: Option<Time>,
     /// Upstreams that were found gone, and when.
     gone: BTreeMap<UpstreamId, Time>,
+    /// Which incarnation counts where an upstream started again under its name.
+    incarnations: Incarnations,
 }
 
 impl Directory {
@@ -88,6 +101,7 @@
             store_trouble: None,
             store_sound: None,
             gone: BTreeMap::new(),
+            incarnations: Incarnations::default(),
         }
     }
 
@@ -114,8 +128,8 @@
         self.store_sound = self.store_sound.max(Some(at));
     }
 
-    /// Takes a registration. One of an upstream that was found gone is a late
-    /// write of that upstream and changes nothing.
+    /// Takes a registration. One of an upstream that was found gone, or that has started
+    /// again since, is a late write of that upstream and changes nothing.
     ///
     /// Two upstreams may claim one address for a while, the one that ended and
     /// the one that has the address now, and either may be the newer entry: a
@@ -124,6 +138,35 @@
         if self.gone.contains_key(&record.id) {
             return Vec::new();
         }
+        match self.incarnations.appears(now, &record) {
+            Appearance::Current => self.admit(now, record).into_iter().collect(),
+            Appearance::RestartOf(earlier) => self.restarted(now, earlier, record),
+            Appearance::Replaced => Vec::new(),
+        }
+    }
+
+    /// Lets an incarnation take the place of the one before.
+    fn restarted(
+        &mut self,
+        now: Time,
+        earlier: UpstreamId,
+        record: UpstreamRecord,
+    ) -> Vec<DirectoryChange> {
+        let known = self.upstreams.get(&earlier);
+        let address = known.map_or(record.address, |known| known.record.address);
+        let later = record.id.clone();
+        let removed = self.remove(&earlier);
+        let restarted = DirectoryChange::Restarted {
+            earlier,
+            later,
+            address,
+        };
+        let admitted = self.admit(now, record);
+        let changes = [removed, Some(restarted), admitted].into_iter();
+        changes.flatten().collect()
+    }
+
+    fn admit(&mut self, now: Time, record: UpstreamRecord) -> Option<DirectoryChange> {
         let warm_at = now + record.warm_up_left;
         let known = self.upstreams.get(&record.id);
         let changed = known.is_none_or(|known| known.record.state != record.state);
@@ -138,18 +181,22 @@
                 record: Rc::new(record),
             },
         );
-        changed.then_some(change).into_iter().collect()
+        changed.then_some(change)
     }
 
     /// Takes the absence of registrations that vanished together.
-    pub fn vanish(&mut self, now: Time, ids: &[UpstreamId]) -> Vec<DirectoryChange> {
+    pub fn vanish(&mut self, now: Time, names: &[UpstreamName]) -> Vec<DirectoryChange> {
+        for name in names {
+            self.incarnations.vanishes(now, name);
+        }
+        let registered = names.iter().filter_map(|name| self.registered(name));
+        let ids: Vec<UpstreamId> = registered.map(|one| one.record.id.clone()).collect();
         let distrusted = self
             .store_trouble
             .is_some_and(|trouble| now.since(trouble) < self.policy.distrust)
             && self.store_sound != Some(now);
-        let known = ids.iter().filter(|id| self.upstreams.contains_key(*id));
-        let many = known.count() * 100 > self.upstreams.len() * MANY_PERCENT;
-        let many = many && ids.len() > 1;
+        let many = ids.len() * 100 > self.upstreams.len() * MANY_PERCENT;
+        let many = many && names.len() > 1;
         ids.iter()
             .filter_map(|id| self.vanish_one(now, id, distrusted || many))
             .collect()
@@ -190,10 +237,14 @@
 
     /// Removes unconfirmed upstreams that had enough time.
     pub fn expire(&mut self, now: Time) -> Vec<DirectoryChange> {
+        let mut changes = Vec::new();
         if now >= self.forget_at {
             self.forget_at = now + FORGET_PAUSE;
             self.gone
                 .retain(|_, since| now.since(*since) < REMEMBER_GONE);
+            for (earlier, record) in self.take_believed(now) {
+                changes.extend(self.restarted(now, earlier, record));
+            }
         }
         let patience = self.policy.patience;
         let is_over = |id: &&UpstreamId| {
@@ -202,10 +253,25 @@
             since.is_some_and(|since| now.since(since) >= patience)
         };
         let expired: Vec<UpstreamId> = self.unconfirmed.iter().filter(is_over).cloned().collect();
-        expired
-            .into_iter()
-            .filter_map(|id| self.remove(&id))
-            .collect()
+        changes.extend(expired.into_iter().filter_map(|id| self.remove(&id)));
+        changes
+    }
+
+    fn take_believed(&mut self, now: Time) -> Vec<(UpstreamId, UpstreamRecord)> {
+        let upstreams = &self.upstreams;
+        let is_registered = |name: &UpstreamName| registered(upstreams, name).is_some();
+        self.incarnations.expire(now, is_registered)
+    }
+
+    /// Whether an upstream has started again under its name, so that this incarnation
+    /// has ended.
+    pub fn is_replaced(&self, id: &UpstreamId) -> bool {
+        self.incarnations.is_replaced(id)
+    }
+
+    /// The incarnation of that name that counts.
+    pub fn registered(&self, name: &UpstreamName) -> Option<&Registration> {
+        registered(&self.upstreams, name)
     }
 
     /// The upstream of that id.
@@ -229,3 +295,16 @@
         })
     }
 }
+
+/// The registration of a name: there is one at most.
+fn registered<'a>(
+    upstreams: &'a BTreeMap<UpstreamId, Registration>,
+    name: &UpstreamName,
+) -> Option<&'a Registration> {
+    let first = UpstreamId {
+        name: name.clone(),
+        born: None,
+    };
+    let (id, registration) = upstreams.range(first..).next()?;
+    (id.name == *name).then_some(registration)
+}
--- /dev/null
+++ b/crates/catalog/src/incarnations.rs
@@ -0,0 +1,153 @@
+//! Which incarnation of each upstream counts.
+//!
+//! Births tell incarnations apart and don't order them, so the order in which their
+//! entries appeared does: one that was not seen before has replaced the one that was. The
+//! replaced one does not come back by a late write, which the store may carry out seconds
+//! after its writer ended. The living one writes over it with its next heartbeat.
+//!
+//! A node that knows neither of two incarnations may see a late write of the dead one
+//! after the living one's entry, and take it for a restart. Then the living one's entry
+//! stands again soon and stays, which only a writer that lives can bring about: after
+//! [`CLAIM_STANDS`] it counts again. Meanwhile requests and orders reach it all the same
+//! where its address is the same, since they carry the name only.
+
+use crate::upstream::{Birth, UpstreamId, UpstreamName, UpstreamRecord};
+use beamtray_types::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How long the entry of a replaced incarnation must stand in the store before it is
+/// believed. An entry goes after three heartbeats without a write, and heartbeats of up to
+/// 3 s are known; a late write is written over within one.
+pub const CLAIM_STANDS: Duration = Duration::from_secs(10);
+/// How long a replaced incarnation is remembered: its last write may be that late.
+const REMEMBER_REPLACED: Duration = Duration::from_secs(120);
+
+/// What an entry says of its writer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Appearance {
+    /// It is the incarnation that counts, as before, or the first one of its name.
+    Current,
+    /// It counts from now on in place of that one, which has ended.
+    RestartOf(UpstreamId),
+    /// It was replaced by another; the entry came late.
+    Replaced,
+}
+
+#[derive(Clone, Debug)]
+struct Replaced {
+    since: Time,
+    /// Its entry, if that is what stands in the store, and since when.
+    claim: Option<(Time, UpstreamRecord)>,
+}
+
+#[derive(Clone, Debug)]
+struct Succession {
+    current: Option<Birth>,
+    seen_at: Time,
+    replaced: BTreeMap<Option<Birth>, Replaced>,
+}
+
+/// The incarnations of each name that were seen of late.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Incarnations {
+    by_name: BTreeMap<UpstreamName, Succession>,
+}
+
+impl Incarnations {
+    /// Notes that an entry stands in the store.
+    pub fn appears(&mut self, now: Time, record: &UpstreamRecord) -> Appearance {
+        let id = &record.id;
+        let Some(succession) = self.by_name.get_mut(&id.name) else {
+            let succession = Succession {
+                current: id.born,
+                seen_at: now,
+                replaced: BTreeMap::new(),
+            };
+            self.by_name.insert(id.name.clone(), succession);
+            return Appearance::Current;
+        };
+        if succession.current == id.born {
+            succession.seen_at = now;
+            succession.drop_claims();
+            return Appearance::Current;
+        }
+        if let Some(replaced) = succession.replaced.get_mut(&id.born) {
+            let since = replaced.claim.as_ref().map_or(now, |(since, _)| *since);
+            replaced.claim = Some((since, record.clone()));
+            return Appearance::Replaced;
+        }
+        Appearance::RestartOf(UpstreamId {
+            name: id.name.clone(),
+            born: succession.replace(now, id.born),
+        })
+    }
+
+    /// Notes that no entry of a name stands in the store.
+    pub fn vanishes(&mut self, now: Time, name: &UpstreamName) {
+        if let Some(succession) = self.by_name.get_mut(name) {
+            succession.seen_at = now;
+            succession.drop_claims();
+        }
+    }
+
+    /// Whether another incarnation has replaced this one.
+    pub fn is_replaced(&self, id: &UpstreamId) -> bool {
+        let succession = self.by_name.get(&id.name);
+        succession.is_some_and(|succession| succession.replaced.contains_key(&id.born))
+    }
+
+    /// Forgets what is no longer of use; the entries of replaced incarnations that have
+    /// stood for long enough, each with the one that counted in its place.
+    pub fn expire(
+        &mut self,
+        now: Time,
+        is_registered: impl Fn(&UpstreamName) -> bool,
+    ) -> Vec<(UpstreamId, UpstreamRecord)> {
+        let mut believed = Vec::new();
+        for (name, succession) in &mut self.by_name {
+            if let Some(record) = succession.take_standing(now) {
+                let born = succession.replace(now, record.id.born);
+                let name = name.clone();
+                believed.push((UpstreamId { name, born }, record));
+            }
+            succession.replaced.retain(|_, replaced| {
+                replaced.claim.is_some() || now.since(replaced.since) < REMEMBER_REPLACED
+            });
+        }
+        self.by_name.retain(|name, succession| {
+            now.since(succession.seen_at) < REMEMBER_REPLACED || is_registered(name)
+        });
+        believed
+    }
+}
+
+impl Succession {
+    /// Lets another incarnation count; the one that did.
+    fn replace(&mut self, now: Time, born: Option<Birth>) -> Option<Birth> {
+        let before = std::mem::replace(&mut self.current, born);
+        self.seen_at = now;
+        self.replaced.remove(&born);
+        self.drop_claims();
+        let replaced = Replaced {
+            since: now,
+            claim: None,
+        };
+        self.replaced.insert(before, replaced);
+        before
+    }
+
+    fn drop_claims(&mut self) {
+        for replaced in self.replaced.values_mut() {
+            replaced.claim = None;
+        }
+    }
+
+    /// The entry of a replaced incarnation that has stood for long enough.
+    fn take_standing(&mut self, now: Time) -> Option<UpstreamRecord> {
+        let stands = |(since, _): &(Time, UpstreamRecord)| now.since(*since) >= CLAIM_STANDS;
+        let mut replaced = self.replaced.values_mut();
+        let claim = replaced.find_map(|replaced| replaced.claim.take_if(|claim| stands(claim)))?;
+        Some(claim.1)
+    }
+}
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod configuration;
 mod directory;
+mod incarnations;
 mod route_table;
 mod upstream;
 
@@ -14,5 +15,6 @@
     WeightedBackend,
 };
 pub use directory::{Directory, DirectoryChange, DirectoryPolicy, Registration};
+pub use incarnations::CLAIM_STANDS;
 pub use route_table::RouteTable;
-pub use upstream::{UpstreamId, UpstreamRecord, UpstreamState};
+pub use upstream::{Birth, UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
--- a/crates/catalog/src/upstream.rs
+++ b/crates/catalog/src/upstream.rs
@@ -6,16 +6,75 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// One incarnation of an upstream; a restart has another.
+/// Name of an upstream, which requests and orders to it carry. A restart may keep it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
-pub struct UpstreamId(pub String);
+pub struct UpstreamName(pub String);
 
-impl fmt::Display for UpstreamId {
+impl fmt::Display for UpstreamName {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(formatter)
     }
 }
 
+/// When an upstream says that it started, in Unix milliseconds by its own time of day.
+///
+/// That clock may step, so births tell incarnations apart; which of two is the later one
+/// they don't tell.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
+)]
+pub struct Birth(pub u64);
+
+/// One incarnation of an upstream. A restart has another name, or another birth under the
+/// same one. What is remembered of an upstream is remembered of its incarnation, so that a
+/// restart begins with nothing.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
+pub struct UpstreamId {
+    /// Its name.
+    pub name: UpstreamName,
+    /// Its birth. Upstreams that don't tell it have one incarnation for each name.
+    pub born: Option<Birth>,
+}
+
+impl UpstreamId {
+    /// The incarnation of that name with that birth.
+    pub fn born_at(name: impl Into<String>, birth: Birth) -> Self {
+        Self {
+            name: UpstreamName(name.into()),
+            born: Some(birth),
+        }
+    }
+
+    /// Whether `other` is another incarnation of the same name.
+    pub fn is_restart_of(&self, other: &UpstreamId) -> bool {
+        self.name == other.name && self.born != other.born
+    }
+}
+
+impl From<String> for UpstreamId {
+    fn from(name: String) -> Self {
+        Self {
+            name: UpstreamName(name),
+            born: None,
+        }
+    }
+}
+
+impl From<&str> for UpstreamId {
+    fn from(name: &str) -> Self {
+        Self::from(name.to_owned())
+    }
+}
+
+impl fmt::Display for UpstreamId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Some(birth) => write!(formatter, "{}@{}", self.name, birth.0),
+            None => self.name.fmt(formatter),
+        }
+    }
+}
+
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamState {
--- a/crates/catalog/tests/directory.rs
+++ b/crates/catalog/tests/directory.rs
@@ -1,7 +1,8 @@
 //! What a missing registration proves.
 
 use beamtray_catalog::{
-    Directory, DirectoryChange, DirectoryPolicy, UpstreamId, UpstreamRecord, UpstreamState,
+    Directory, DirectoryChange, DirectoryPolicy, UpstreamId, UpstreamName, UpstreamRecord,
+    UpstreamState,
 };
 use beamtray_types::Time;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 };
 
 fn id(number: u16) -> UpstreamId {
-    UpstreamId(format!("u{number}"))
+    UpstreamId::from(format!("u{number}"))
 }
 
 fn record(number: u16, port: u16) -> UpstreamRecord {
@@ -42,7 +43,7 @@
 #[test]
 fn one_that_vanishes_from_a_sound_store_is_gone() {
     let mut directory = directory(10);
-    let changes = directory.vanish(at(10_000), &[id(3)]);
+    let changes = directory.vanish(at(10_000), &[id(3).name]);
     assert_eq!(changes, [DirectoryChange::Removed(id(3))]);
     assert!(directory.get(&id(3)).is_none());
 }
@@ -50,8 +51,8 @@
 #[test]
 fn many_that_vanish_together_are_kept_for_a_while() {
     let mut directory = directory(10);
-    let ids: Vec<UpstreamId> = (0..8).map(id).collect();
-    directory.vanish(at(10_000), &ids);
+    let names: Vec<UpstreamName> = (0..8).map(|number| id(number).name).collect();
+    directory.vanish(at(10_000), &names);
     assert_eq!(directory.iter().count(), 10);
     directory.register(at(11_000), record(0, 8_000));
     directory.expire(at(11_599));
@@ -64,7 +65,7 @@
 fn right_after_trouble_one_that_vanishes_is_kept_for_a_while() {
     let mut directory = directory(10);
     directory.store_troubled(at(10_000));
-    let changes = directory.vanish(at(10_400), &[id(3)]);
+    let changes = directory.vanish(at(10_400), &[id(3).name]);
     assert_eq!(changes, [DirectoryChange::Unconfirmed(id(3))]);
     directory.expire(at(12_000));
     assert!(directory.get(&id(3)).is_none());
@@ -80,7 +81,7 @@
     let outage_end = at(10_000);
     directory.store_troubled(outage_end + noticed_late);
     let last_doubt = outage_end + noticed_late + POLICY.distrust - Duration::from_millis(1);
-    directory.vanish(last_doubt, &[id(3)]);
+    directory.vanish(last_doubt, &[id(3).name]);
     directory.expire(outage_end + contact);
     assert!(directory.get(&id(3)).is_none());
 }
@@ -92,7 +93,7 @@
     draining.state = UpstreamState::Draining;
     directory.register(at(1_000), draining);
     directory.store_troubled(at(10_000));
-    let changes = directory.vanish(at(10_100), &[id(3)]);
+    let changes = directory.vanish(at(10_100), &[id(3).name]);
     assert_eq!(changes, [DirectoryChange::Removed(id(3))]);
 }
 
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -8,7 +8,7 @@
 use beamtray_sharding::ShardKey;
 use beamtray_types::ServiceName;
 use borsh::{BorshDeserialize, BorshSerialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Short name of an upstream in reports.
 #[derive(
@@ -17,9 +17,10 @@
 pub struct UpstreamHash(pub u32);
 
 impl UpstreamHash {
-    /// The short name of an upstream.
+    /// The short name of an upstream, which another incarnation does not share.
     pub fn of(id: &UpstreamId) -> Self {
-        Self(xxh3_64(id.0.as_bytes()) as u32)
+        let birth = id.born.map_or(0, |birth| birth.0);
+        Self(xxh3_64_with_seed(id.name.0.as_bytes(), birth) as u32)
     }
 }
 
--- a/crates/dispatch/tests/absences.rs
+++ b/crates/dispatch/tests/absences.rs
@@ -11,7 +11,7 @@
 
 fn leaving() -> SliceState {
     SliceState::Leaving {
-        holder: UpstreamId("holder".to_owned()),
+        holder: UpstreamId::from("holder".to_owned()),
         token: FencingToken(1),
     }
 }
@@ -63,7 +63,7 @@
     assert_eq!(refused(&mut dispatcher, &directory, 21_000), None);
     assign_at(&mut dispatcher, 21_058, 31, held());
     let forward = forwarded(dispatcher.poll(at(21_058), &directory)).expect("sent");
-    assert_eq!(forward.upstream.0, "holder");
+    assert_eq!(forward.upstream.name.0, "holder");
 }
 
 /// A key that has been without a holder for longer than any that moved is expected back
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -71,7 +71,7 @@
 
 pub fn record(id: &str, service: &str, zone: &str, port: u16) -> UpstreamRecord {
     UpstreamRecord {
-        id: UpstreamId(id.to_owned()),
+        id: UpstreamId::from(id.to_owned()),
         service: service.into(),
         address: ([127, 0, 0, 1], port).into(),
         zone: zone.into(),
@@ -177,7 +177,7 @@
 /// The usual holder has them.
 pub fn held() -> SliceState {
     SliceState::Held {
-        holder: UpstreamId("holder".to_owned()),
+        holder: UpstreamId::from("holder".to_owned()),
         token: FencingToken(1),
     }
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -17,7 +17,7 @@
         run: 1,
         sequence,
         in_flight: vec![InFlight {
-            upstream: UpstreamHash::of(&UpstreamId(upstream.to_owned())),
+            upstream: UpstreamHash::of(&UpstreamId::from(upstream.to_owned())),
             requests,
         }],
         answers: Vec::new(),
@@ -45,7 +45,7 @@
             .admit(at(1), Ticket(ticket), &head("/read/1", None))
             .expect("admitted");
         let forward = forwarded(dispatcher.poll(at(1), &directory)).expect("sent");
-        zones.push(forward.upstream.0);
+        zones.push(forward.upstream.name.0);
     }
     assert_eq!(zones[..2], ["near", "near"]);
     assert!(zones[2..].contains(&"far".to_owned()));
@@ -59,13 +59,13 @@
         .admit(at(2), Ticket(1), &head("/read/1", None))
         .expect("admitted");
     let forward = forwarded(dispatcher.poll(at(2), &directory)).expect("sent");
-    assert_eq!(forward.upstream.0, "far");
+    assert_eq!(forward.upstream.name.0, "far");
     // An older report that comes late changes nothing.
     dispatcher.report(at(3), &others("near", 0, 1));
     assert_eq!(
         dispatcher
             .occupancy()
-            .total(UpstreamHash::of(&UpstreamId("near".into()))),
+            .total(UpstreamHash::of(&UpstreamId::from("near"))),
         3
     );
     // A node that fell silent is forgotten.
@@ -73,7 +73,7 @@
     assert_eq!(
         dispatcher
             .occupancy()
-            .total(UpstreamHash::of(&UpstreamId("near".into()))),
+            .total(UpstreamHash::of(&UpstreamId::from("near"))),
         0
     );
 }
@@ -144,7 +144,7 @@
         .admit(at(0), Ticket(1), &head("/keyed/1", Some(5)))
         .expect("admitted");
     let forward = forwarded(dispatcher.poll(at(0), &directory)).expect("sent");
-    assert_eq!(forward.upstream.0, "holder");
+    assert_eq!(forward.upstream.name.0, "holder");
     let assignment = forward.assignment.expect("an assignment");
     assert_eq!((assignment.epoch, assignment.sequence), (1, 1));
 }
@@ -198,7 +198,7 @@
             .admit(now, Ticket(ticket), &head("/shared/1", None))
             .expect("admitted");
         let forward = forwarded(dispatcher.poll(now, &directory)).expect("sent");
-        other += u32::from(forward.upstream.0 == "other");
+        other += u32::from(forward.upstream.name.0 == "other");
         dispatcher.ended(
             now,
             Ticket(ticket),
@@ -215,11 +215,11 @@
         .admit(at(0), Ticket(1), &head("/order/1", None))
         .expect("admitted");
     let first = forwarded(dispatcher.poll(at(0), &directory)).expect("sent");
-    assert_eq!(first.upstream.0, "near");
+    assert_eq!(first.upstream.name.0, "near");
     let unconnected = AttemptOutcome::Untouched(Untouched::Unconnected);
     assert!(dispatcher.ended(at(10), Ticket(1), unconnected).is_none());
     let second = forwarded(dispatcher.poll(at(10), &directory)).expect("sent again");
-    assert_eq!(second.upstream.0, "far");
+    assert_eq!(second.upstream.name.0, "far");
     // It never arrived, so this is still the first arrival.
     assert_eq!(second.attempt, 1);
 }
@@ -239,12 +239,12 @@
     assert!(dispatcher.ended(at(5), Ticket(1), denied).is_none());
     assert!(forwarded(dispatcher.poll(at(60), &directory)).is_none());
     let newer = SliceState::Held {
-        holder: UpstreamId("heir".to_owned()),
+        holder: UpstreamId::from("heir".to_owned()),
         token: FencingToken(2),
     };
     assign(&mut dispatcher, 2, newer);
     let forward = forwarded(dispatcher.poll(at(61), &directory)).expect("sent again");
-    assert_eq!(forward.upstream.0, "heir");
+    assert_eq!(forward.upstream.name.0, "heir");
 }
 
 /// A relay that sums what its zone has under way, and a node that reports to it.
--- a/crates/dispatch/tests/faults.rs
+++ b/crates/dispatch/tests/faults.rs
@@ -10,10 +10,10 @@
     node.admit(at(time), Ticket(ticket), &head("/order/1", None))
         .expect("it is admitted");
     let forward = forwarded(node.poll(at(time), &directory())).expect("it is sent");
-    let fails = near_fails && forward.upstream.0 == "near";
+    let fails = near_fails && forward.upstream.name.0 == "near";
     let outcome = AttemptOutcome::Answered { success: !fails };
     node.ended(at(time + 10), Ticket(ticket), outcome);
-    forward.upstream.0
+    forward.upstream.name.0
 }
 
 /// An upstream that fails fast is always idle. It got every request of its zone.
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -41,11 +41,11 @@
 impl Deployment {
     fn new() -> Self {
         let mut directory = directory();
-        directory.proved_gone(at(0), &UpstreamId("near".to_owned()));
+        directory.proved_gone(at(0), &UpstreamId::from("near".to_owned()));
         Self {
             node: dispatcher(),
             directory,
-            upstream: UpstreamId("far".to_owned()),
+            upstream: UpstreamId::from("far".to_owned()),
         }
     }
 
@@ -54,7 +54,7 @@
         let id = format!("life-{millis}");
         let record = record(&id, "pool", "here", 9_000);
         self.directory.register(at(millis), record);
-        self.upstream = UpstreamId(id);
+        self.upstream = UpstreamId::from(id);
     }
 
     /// What becomes of a request that comes.
--- a/crates/dispatch/tests/slots.rs
+++ b/crates/dispatch/tests/slots.rs
@@ -10,7 +10,7 @@
 use common::*;
 
 fn hash(id: &str) -> UpstreamHash {
-    UpstreamHash::of(&UpstreamId(id.to_owned()))
+    UpstreamHash::of(&UpstreamId::from(id.to_owned()))
 }
 
 /// A node that asks a relay, with one request.
@@ -42,7 +42,7 @@
     let (mut node, request) = asking();
     node.slot_given(at(2), reply(request.ticket, Some("far")));
     let forward = forwarded(node.poll(at(2), &directory())).expect("it is sent");
-    assert_eq!(forward.upstream.0, "far");
+    assert_eq!(forward.upstream.name.0, "far");
 }
 
 #[test]
@@ -75,7 +75,7 @@
     let forward = forwarded(node.poll(at(40), &directory())).expect("it is sent");
     node.slot_given(at(41), reply(request.ticket, Some("far")));
     assert!(node.poll(at(41), &directory()).is_empty());
-    assert_eq!(forward.upstream.0, "near");
+    assert_eq!(forward.upstream.name.0, "near");
 }
 
 /// Nodes that choose by sums of a while ago all choose the same upstream.
--- a/crates/emulator/src/upstream.rs
+++ b/crates/emulator/src/upstream.rs
@@ -167,7 +167,7 @@
     }
 
     fn carry_out(&mut self, now: Time, order: &GrantOrder, is_late: bool) -> Option<GrantReply> {
-        if order.holder != self.config.id {
+        if order.holder.name != self.config.id.name {
             return Some(GrantReply::Replaced);
         }
         match &order.kind {
@@ -261,7 +261,7 @@
 
     /// Takes a request.
     pub fn arrive(&mut self, now: Time, request: WorkRequest) -> Arrival {
-        if request.target != self.config.id || !self.may_run(now, &request) {
+        if request.target.name != self.config.id.name || !self.may_run(now, &request) {
             return Arrival::Misdirected;
         }
         if self.running.len() < self.config.slots {
--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 
 /// Events that change what a node believes.
-const BELIEFS: [&str; 13] = [
+const BELIEFS: [&str; 14] = [
     "start",
     "stopping",
     "reload",
@@ -19,6 +19,7 @@
     "upstream_registered",
     "upstream_removed",
     "upstream_unconfirmed",
+    "upstream_restarted",
 ];
 
 /// One line of a story, with what the node believed when it wrote it.
@@ -105,7 +106,10 @@
 fn subject(line: &Line) -> String {
     let kind = match line.event.as_str() {
         "store_lost" | "store_regained" => "store",
-        "upstream_registered" | "upstream_removed" | "upstream_unconfirmed" => "upstream",
+        "upstream_registered"
+        | "upstream_removed"
+        | "upstream_unconfirmed"
+        | "upstream_restarted" => "upstream",
         "granter_here" | "granter_ended" => "granter_here",
         "start" | "stopping" | "reload" => "process",
         other => other,
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -257,6 +257,7 @@
         if notices.is_empty() {
             return;
         }
+        self.note_restarts(now, &notices);
         if let Some(configuration) = &self.views.configuration
             && configuration.version.0 != self.configured
         {
--- a/crates/router/src/core/node/quarantine.rs
+++ b/crates/router/src/core/node/quarantine.rs
@@ -9,7 +9,8 @@
 use super::NodeCore;
 use crate::core::membership::Audience;
 use crate::core::message::{Datagram, Liveness, Output};
-use beamtray_catalog::UpstreamId;
+use crate::core::views::ViewNotice;
+use beamtray_catalog::{DirectoryChange, UpstreamId};
 use beamtray_dispatch::{QuarantineNotice, Suspicion, UPSTREAMS_ENDED, UpstreamHash};
 use beamtray_types::Time;
 use std::collections::VecDeque;
@@ -105,6 +106,16 @@
         self.dispatcher.quarantine_mut().upstream_ended(now, hash);
     }
 
+    /// Takes restarts of upstreams under their names as proof that the incarnations before
+    /// have ended.
+    pub(super) fn note_restarts(&mut self, now: Time, notices: &[ViewNotice]) {
+        for notice in notices {
+            if let ViewNotice::Directory(DirectoryChange::Restarted { earlier, .. }) = notice {
+                self.upstream_ended(now, earlier);
+            }
+        }
+    }
+
     /// Asks for proof where connections broke off, and passes on what became known.
     pub(super) fn follow_quarantine(&mut self, now: Time) {
         for doubted in self.dispatcher.take_doubted() {
--- a/crates/router/src/core/views/apply.rs
+++ b/crates/router/src/core/views/apply.rs
@@ -2,7 +2,7 @@
 
 use super::{ViewName, ViewNotice, Views};
 use crate::core::records::{AssignmentKey, NodeRecord, OwnKeys};
-use beamtray_catalog::{DirectoryChange, UpstreamId};
+use beamtray_catalog::{DirectoryChange, UpstreamName};
 use beamtray_dispatch::{SpeedRecord, SuspicionRecord};
 use beamtray_metastore::{GranterRecord, Item, MirrorChange, Revision};
 use beamtray_sharding::{AssignmentHead, AssignmentPart};
@@ -82,9 +82,9 @@
             MirrorChange::Absent(key) => key.strip_prefix(prefix),
             MirrorChange::Present(_) => None,
         });
-        let ids: Vec<UpstreamId> = absent.map(|id| UpstreamId(id.to_owned())).collect();
-        if !ids.is_empty() {
-            let changes = self.directory.vanish(now, &ids);
+        let names: Vec<UpstreamName> = absent.map(|name| UpstreamName(name.to_owned())).collect();
+        if !names.is_empty() {
+            let changes = self.directory.vanish(now, &names);
             self.note_directory(changes);
         }
     }
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -4,7 +4,6 @@
 use crate::shell::answer::strip_connection_headers;
 use crate::shell::connections::{Answer, CallFailure, CallProgress};
 use crate::shell::handle::{AnswerBody, Shared, Step};
-use beamtray_catalog::UpstreamId;
 use beamtray_dispatch::{AttemptOutcome, Fingerprints, Forward, Ticket, UnknownCause, Untouched};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -31,7 +30,7 @@
 struct Result {
     outcome: AttemptOutcome,
     response: Option<Response<AnswerBody>>,
-    /// Set when another incarnation answered at the upstream's address.
+    /// Set when an upstream of another name answered at the upstream's address.
     replaced: bool,
 }
 
@@ -134,7 +133,7 @@
     let mut headers = request.headers.clone();
     let left = HeaderValue::from_str(&left.to_string()).ok()?;
     headers.insert(names.deadline_ms, left);
-    let target = HeaderValue::from_str(&forward.upstream.0).ok()?;
+    let target = HeaderValue::from_str(&forward.upstream.name.0).ok()?;
     headers.insert(names.target_upstream, target);
     *outgoing.headers_mut() = headers;
     Some(outgoing)
@@ -149,8 +148,8 @@
     let status = answer.head.status;
     let not_executed = headers.contains_key(names.not_executed);
     if !foreign && (not_executed || status == StatusCode::MISDIRECTED_REQUEST) {
-        let answering = text(names.answering_upstream).map(|id| UpstreamId(id.to_owned()));
-        let replaced = answering.is_some_and(|id| id != forward.upstream);
+        let answering = text(names.answering_upstream);
+        let replaced = answering.is_some_and(|name| name != forward.upstream.name.0);
         let proof = match status {
             StatusCode::MISDIRECTED_REQUEST => Untouched::Misdirected,
             _ => Untouched::Full,
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::core::{NodeCore, ViewName};
 use crate::shell::log::dropped_lines;
-use beamtray_catalog::UpstreamId;
+use beamtray_catalog::UpstreamName;
 use beamtray_types::Time;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -341,7 +341,7 @@
         for registration in views.directory.iter() {
             let id = &registration.record.id;
             let label = UpstreamLabel {
-                upstream: id.0.clone(),
+                upstream: id.name.0.clone(),
             };
             let hash = beamtray_dispatch::UpstreamHash::of(id);
             let total = dispatcher.occupancy().total(hash);
@@ -401,7 +401,7 @@
     /// Upstreams that are gone need not be told of for ever.
     fn forget_gone(&self, core: &NodeCore) {
         let directory = &core.inspect().0.directory;
-        let known = |id: &String| directory.get(&UpstreamId(id.clone())).is_some();
+        let known = |name: &String| directory.registered(&UpstreamName(name.clone())).is_some();
         self.timed.borrow_mut().retain(|id| {
             let keep = known(id);
             if !keep {
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -148,6 +148,9 @@
             DirectoryChange::Unconfirmed(id) => {
                 info!(log, "upstream_unconfirmed"; "upstream" => %id);
             }
+            DirectoryChange::Restarted { earlier, later, .. } => {
+                info!(log, "upstream_restarted"; "upstream" => %earlier, "later" => %later);
+            }
         }
     }
 
@@ -269,7 +272,7 @@
         self.metrics.attempts.get_or_create(&labels).inc();
         let kind = match outcome {
             AttemptOutcome::Answered { .. } => {
-                self.metrics.answered(&forward.upstream.0, took);
+                self.metrics.answered(&forward.upstream.name.0, took);
                 LineKind::Step
             }
             _ => LineKind::Failure,
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -1,8 +1,9 @@
 //! Does what the core asks for.
 
-use crate::core::Output;
+use crate::core::{Output, ViewNotice};
 use crate::shell::handle::{Shared, Step};
 use crate::shell::{calls, peers, probe};
+use beamtray_catalog::DirectoryChange;
 use std::rc::Rc;
 
 /// Does what the core asks for.
@@ -20,7 +21,10 @@
         Output::Probe(doubted) => probe::listens(shared, doubted),
         Output::Quarantine(notice) => shared.observer.quarantine(notice),
         Output::Limits(limits) => shared.limits.set(limits),
-        Output::Notice(notice) => shared.observer.notice(&notice),
+        Output::Notice(notice) => {
+            shared.observer.notice(&notice);
+            forget_ended(shared, &notice);
+        }
         Output::Granter(epoch) => {
             shared.connections.set_gives_orders(epoch.is_some());
             shared.observer.granter(epoch);
@@ -29,3 +33,11 @@
         Output::Standby(state) => shared.observer.standby(state),
     }
 }
+
+/// Closes the resting connections to an upstream that has started again: behind a cut they
+/// would take a request each before they show that their other side has ended.
+fn forget_ended(shared: &Shared, notice: &ViewNotice) {
+    if let ViewNotice::Directory(DirectoryChange::Restarted { address, .. }) = notice {
+        shared.connections.forget(*address);
+    }
+}
--- a/crates/router/tests/node.rs
+++ b/crates/router/tests/node.rs
@@ -47,7 +47,7 @@
 fn the_proof_that_an_upstream_is_gone_is_told_once() {
     let dialect = Rc::new(SimDialect::default());
     let mut core = core_with(dialect.clone());
-    let upstream = UpstreamId("u-1".to_owned());
+    let upstream = UpstreamId::from("u-1".to_owned());
     let record = UpstreamRecord {
         id: upstream.clone(),
         service: "keyed".into(),
--- a/crates/router/tests/takeover.rs
+++ b/crates/router/tests/takeover.rs
@@ -108,7 +108,7 @@
 fn a_granter_that_knows_no_upstream_yet_takes_nothing_back() {
     let dialect = Rc::new(SimDialect::default());
     let held = SliceState::Held {
-        holder: UpstreamId("one".to_owned()),
+        holder: UpstreamId::from("one".to_owned()),
         token: FencingToken(5),
     };
     let store = store(&dialect, &held);
--- a/crates/routersim/benches/core_cost.rs
+++ b/crates/routersim/benches/core_cost.rs
@@ -100,7 +100,7 @@
         for index in 0..upstreams {
             let id = format!("upstream-{index:05}");
             let record = UpstreamRecord {
-                id: UpstreamId(id.clone()),
+                id: UpstreamId::from(id.clone()),
                 service: if index % 5 < 3 { "keyed" } else { "pool" }.into(),
                 address: address(2, index),
                 zone: zone(index).as_str().into(),
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -93,7 +93,7 @@
         let divided = index < self.config.keyed;
         let slowness_percent = [70, 100, 160][self.random.random_range(0..3)];
         self.upstreams[index] = Some(UpstreamEmulator::new(UpstreamConfig {
-            id: UpstreamId(format!("u{index}-{incarnation}")),
+            id: UpstreamId::from(format!("u{index}-{incarnation}")),
             service: ServiceName::from(if divided { KEYED } else { POOL }),
             address: address(index),
             zone: ["a", "b", "c"][index % 3].into(),
--- a/crates/sharding/tests/balance.rs
+++ b/crates/sharding/tests/balance.rs
@@ -43,7 +43,7 @@
         slice.range.last >= ShardKey(keys.start) && slice.range.first < ShardKey(keys.end)
     });
     let holders = held.filter_map(|slice| match &slice.state {
-        SliceState::Held { holder, .. } => Some(holder.0.clone()),
+        SliceState::Held { holder, .. } => Some(holder.name.0.clone()),
         _ => None,
     });
     holders.collect()
--- a/crates/sharding/tests/common/mod.rs
+++ b/crates/sharding/tests/common/mod.rs
@@ -35,7 +35,7 @@
 }
 
 pub fn id(name: &str) -> UpstreamId {
-    UpstreamId(name.to_owned())
+    UpstreamId::from(name.to_owned())
 }
 
 /// An upstream that takes keys and was last heard then.
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -46,7 +46,7 @@
 }
 
 fn id(name: &str) -> UpstreamId {
-    UpstreamId(name.to_owned())
+    UpstreamId::from(name.to_owned())
 }
 
 fn ready(name: &str, capacity: f64) -> Candidate {
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -92,7 +92,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let (reporter, mut commands) = connect(settings.driver, &settings.id).await?;
     let emulator = UpstreamEmulator::new(UpstreamConfig {
-        id: UpstreamId(settings.id.clone()),
+        id: UpstreamId::from(settings.id.clone()),
         service: settings.service.as_str().into(),
         address: settings.advertised,
         zone: settings.zone.as_str().into(),
@@ -164,7 +164,7 @@
     }
     let call = CallId(upstream.calls.get());
     upstream.calls.set(call.0 + 1);
-    let holder = UpstreamId(upstream.settings.id.clone());
+    let holder = UpstreamId::from(upstream.settings.id.clone());
     if let Some(order) = reverse::read_order(&path, &body, holder, call) {
         return Ok(upstream.order(order).await);
     }
@@ -291,7 +291,7 @@
         let request = WorkRequest {
             id: id.clone(),
             key: key.map(ShardKey),
-            target: UpstreamId(self.settings.id.clone()),
+            target: UpstreamId::from(self.settings.id.clone()),
             work: work(path),
         };
         let arrival = self.emulator.borrow_mut().arrive(clock::now(), request);
