--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod poison;
 mod registrations;
+mod restarts;
 mod stores;
 mod upstreams;
 
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -76,6 +76,9 @@
                 self.store_state.disturbed = Some(self.now + DEAF);
             }
             Trouble::UpstreamCrash { upstream, dark } => self.crash(*upstream, *dark, lasts),
+            Trouble::UpstreamRestart { upstream, dark } => {
+                self.restart_upstream(*upstream, *dark, lasts);
+            }
             Trouble::UpstreamDrain { upstream, abrupt } => self.drain(*upstream, *abrupt),
             Trouble::UpstreamCut { upstream } => {
                 self.upstream_state[*upstream].cut_since = Some(self.now);
@@ -195,6 +198,7 @@
             | Trouble::NodeFreeze { .. }
             | Trouble::NodeSuspend { .. }
             | Trouble::UpstreamCrash { .. }
+            | Trouble::UpstreamRestart { .. }
             | Trouble::UpstreamDrain { .. }
             | Trouble::PoisonRequest { .. }
             | Trouble::Configure => {}
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -107,7 +107,7 @@
         record: UpstreamRecord,
     },
     StaleRegistrationEnds {
-        key: String,
+        id: UpstreamId,
     },
     UpstreamEnd {
         index: usize,
@@ -262,7 +262,7 @@
             Event::Deliver { node, run, input } => self.input(node, run, (*input).into()),
             Event::UpstreamStart { index } => self.start_upstream(index),
             Event::LateRegistration { record } => self.late_registration(record),
-            Event::StaleRegistrationEnds { key } => self.store.delete(self.now, &key),
+            Event::StaleRegistrationEnds { id } => self.remove_registration(&id),
             Event::UpstreamEnd {
                 index,
                 incarnation,
--- a/crates/routersim/src/world/registrations.rs
+++ b/crates/routersim/src/world/registrations.rs
@@ -3,7 +3,8 @@
 use super::network::Event;
 use super::upstreams::{MISSED, key_of};
 use super::{HEARTBEAT, World};
-use beamtray_catalog::UpstreamRecord;
+use beamtray_catalog::{UpstreamId, UpstreamRecord};
+use beamtray_dialect::Dialect;
 use rand::RngExt;
 
 impl World {
@@ -33,12 +34,28 @@
             return;
         }
         state.next_heartbeat = now + HEARTBEAT;
-        if self.store.get(&key).is_none() {
+        if self.registered_as(&key).as_ref() != Some(&record.id) {
             let value = self.dialect.encode_upstream(record);
             self.store.put(now, &key, value);
         }
     }
 
+    /// Whose entry stands under a key.
+    fn registered_as(&self, key: &str) -> Option<UpstreamId> {
+        let item = self.store.get(key)?;
+        let record = self.dialect.decode_upstream(key, &item.value);
+        Some(record.expect("the world wrote it").id)
+    }
+
+    /// The store removes the entry of an upstream that has ended, unless another
+    /// incarnation has written its own under the same key.
+    pub(super) fn remove_registration(&mut self, id: &UpstreamId) {
+        let key = key_of(id);
+        if self.registered_as(&key).as_ref() == Some(id) {
+            self.store.delete(self.now, &key);
+        }
+    }
+
     /// Registrations vanish in an outage in which leases run out.
     pub(super) fn lapse_registrations(&mut self) {
         for index in 0..self.upstreams.len() {
@@ -57,10 +74,10 @@
         if self.store_state.down {
             return;
         }
-        let key = key_of(&record.id);
+        let id = record.id.clone();
         let value = self.dialect.encode_upstream(record);
-        self.store.put(self.now, &key, value);
+        self.store.put(self.now, &key_of(&id), value);
         let vanishes = HEARTBEAT * MISSED;
-        self.schedule(vanishes, Event::StaleRegistrationEnds { key });
+        self.schedule(vanishes, Event::StaleRegistrationEnds { id });
     }
 }
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -1,9 +1,10 @@
 //! Upstreams: registrations, orders and requests.
 
 use super::network::{Event, Run};
+use super::restarts::tells_birth;
 use super::{KEYED, POOL, World};
 use crate::check::OtherHolder;
-use beamtray_catalog::{UpstreamId, UpstreamState as Announced};
+use beamtray_catalog::{Birth, UpstreamId, UpstreamState as Announced};
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
 use beamtray_emulator::{
     Arrival, FullPolicy, Run as WorkRun, RunId, UpstreamConfig, UpstreamEmulator, WorkRequest,
@@ -21,7 +22,7 @@
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Part of the crashes after which an old write of the dead upstream comes
 /// late, in percent.
-const LATE_REGISTRATION: u32 = 50;
+pub(super) const LATE_REGISTRATION: u32 = 50;
 /// How long an upstream works on a request that ends it.
 const POISON_WORK: Duration = Duration::from_millis(20);
 /// Heartbeats without a write after which a registration vanishes.
@@ -52,6 +53,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UpstreamState {
     pub incarnation: u64,
+    /// The incarnation that first had its name.
+    named: u64,
+    /// Whether the next incarnation keeps the name.
+    pub keeps_name: bool,
     /// Whether the address answers nothing at all.
     pub dark: bool,
     /// Since when the store is out of reach.
@@ -79,21 +84,28 @@
 }
 
 pub(super) fn key_of(id: &UpstreamId) -> String {
-    format!("upstreams/{id}")
+    format!("upstreams/{}", id.name)
 }
 
 impl World {
     pub(super) fn start_upstream(&mut self, index: usize) {
         let state = &mut self.upstream_state[index];
         let incarnation = state.incarnation + 1;
+        let named = match state.keeps_name {
+            true => state.named,
+            false => incarnation,
+        };
         *state = UpstreamState {
             incarnation,
+            named,
             ..UpstreamState::default()
         };
+        let mut id = UpstreamId::from(format!("u{index}-{named}"));
+        id.born = tells_birth(index).then_some(Birth(self.now.0 / 1_000));
         let divided = index < self.config.keyed;
         let slowness_percent = [70, 100, 160][self.random.random_range(0..3)];
         self.upstreams[index] = Some(UpstreamEmulator::new(UpstreamConfig {
-            id: UpstreamId::from(format!("u{index}-{incarnation}")),
+            id,
             service: ServiceName::from(if divided { KEYED } else { POOL }),
             address: address(index),
             zone: ["a", "b", "c"][index % 3].into(),
@@ -160,7 +172,7 @@
     }
 
     /// Connections of an upstream end.
-    fn break_off(&mut self, index: usize) {
+    pub(super) fn break_off(&mut self, index: usize) {
         let dark = self.upstream_state[index].dark;
         let taken = std::mem::take(&mut self.upstream_state[index].taken);
         if dark {
@@ -285,7 +297,7 @@
             self.check_poison(&asked);
         }
         let present = self.upstreams[index].as_ref().map(|u| u.config.id.clone());
-        if present.is_some_and(|id| id != forward.upstream) {
+        if present.is_some_and(|id| id.name != forward.upstream.name) {
             let upstream = forward.upstream.clone();
             self.input(node, run, Input::Replaced { upstream });
         }
