--- /dev/null
+++ b/crates/dispatch/tests/restarts.rs
@@ -0,0 +1,113 @@
+//! What a node knows of an upstream that starts again under its name.
+
+mod common;
+
+use beamtray_catalog::{Birth, Directory, DirectoryPolicy, UpstreamId, UpstreamRecord};
+use beamtray_dispatch::{
+    AttemptOutcome, Conclusion, Dispatcher, Fingerprint, Quarantine, SpeedRecord, Suspicion,
+    Ticket, UnknownCause, Untouched, UpstreamHash, UpstreamSpeed,
+};
+use common::*;
+use std::time::Duration;
+
+fn born(birth: u64) -> UpstreamId {
+    UpstreamId::born_at("only", Birth(birth))
+}
+
+fn registration(birth: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        id: born(birth),
+        warm_up_left: Duration::from_secs(3),
+        ..record("only", "pool", "here", 8_000)
+    }
+}
+
+/// A service with one upstream.
+fn directory() -> Directory {
+    let mut directory = Directory::new(DirectoryPolicy {
+        distrust: Duration::from_millis(500),
+        patience: Duration::from_millis(1_600),
+    });
+    directory.register(at(0), registration(1));
+    directory
+}
+
+fn send(node: &mut Dispatcher, directory: &Directory, millis: u64) -> Option<UpstreamId> {
+    node.follow(at(millis), directory);
+    let admitted = node.admit(at(millis), Ticket(millis), &head("/order/1", None));
+    admitted.expect("it is admitted");
+    forwarded(node.poll(at(millis), directory)).map(|forward| forward.upstream)
+}
+
+#[test]
+fn a_restart_is_not_paused_for_what_failed_before() {
+    let mut directory = directory();
+    let mut node = dispatcher();
+    for millis in [100, 101, 102] {
+        if send(&mut node, &directory, millis).is_some() {
+            let refused = AttemptOutcome::Untouched(Untouched::ConnectionRefused);
+            node.ended(at(millis), Ticket(millis), refused);
+        }
+    }
+    assert_eq!(send(&mut node, &directory, 103), None, "it is paused");
+    directory.register(at(104), registration(2));
+    assert_eq!(send(&mut node, &directory, 105), Some(born(2)));
+}
+
+#[test]
+fn a_restart_warms_up_again_and_its_speed_is_unknown() {
+    let mut directory = directory();
+    let mut node = dispatcher();
+    let (first, second) = (UpstreamHash::of(&born(1)), UpstreamHash::of(&born(2)));
+    node.adopt_speeds(&SpeedRecord {
+        upstreams: vec![UpstreamSpeed {
+            upstream: first,
+            slowness: 3.0,
+        }],
+        ..SpeedRecord::default()
+    });
+    node.follow(at(10), &directory);
+    assert_eq!(node.speeds().slowness(first), 3.0);
+    directory.register(at(9_000), registration(2));
+    node.follow(at(9_001), &directory);
+    assert_eq!(node.speeds().slowness(first), 1.0);
+    assert_eq!(node.speeds().slowness(second), 1.0);
+    let restarted = directory.get(&born(2)).expect("it is registered");
+    assert_eq!(restarted.warm_at, at(12_000));
+}
+
+/// A connection that breaks off leaves open whether the request ran, also when the upstream
+/// is there again by then.
+#[test]
+fn a_request_under_way_at_the_one_before_may_have_run() {
+    let mut directory = directory();
+    let mut node = dispatcher();
+    assert_eq!(send(&mut node, &directory, 100), Some(born(1)));
+    directory.register(at(110), registration(2));
+    node.follow(at(110), &directory);
+    let broken = AttemptOutcome::Unknown(UnknownCause::BrokenOff);
+    let ending = node.ended(at(120), Ticket(100), broken);
+    let repeated = forwarded(node.poll(at(121), &directory));
+    assert!(
+        ending.is_some() || repeated.is_none(),
+        "it may not be repeated"
+    );
+}
+
+/// Each end counts once for each incarnation.
+#[test]
+fn a_request_is_suspected_of_the_end_of_each_incarnation() {
+    let mut quarantine = Quarantine::default();
+    let fingerprint = Fingerprint(7);
+    for birth in 1..=3 {
+        quarantine.learn(
+            at(birth),
+            Suspicion {
+                fingerprint,
+                upstream: UpstreamHash::of(&born(birth)),
+                is_cleared: false,
+            },
+        );
+    }
+    assert_eq!(quarantine.known_of(fingerprint).len(), 3);
+}
--- a/crates/router/src/core/node/quarantine.rs
+++ b/crates/router/src/core/node/quarantine.rs
@@ -91,6 +91,8 @@
     pub(super) fn probed(&mut self, now: Time, upstream: &UpstreamId, liveness: Liveness) {
         match liveness {
             Liveness::Ended => self.upstream_ended(now, upstream),
+            // What listens may be its restart, which its registration tells soon.
+            Liveness::Listens if upstream.born.is_some() => {}
             Liveness::Listens => {
                 let hash = UpstreamHash::of(upstream);
                 self.dispatcher.quarantine_mut().upstream_lives(hash);
--- /dev/null
+++ b/crates/router/tests/restarts.rs
@@ -0,0 +1,176 @@
+//! What a node does when an upstream starts again under its name.
+
+use beamtray_catalog::{Birth, UpstreamId, UpstreamRecord, UpstreamState};
+use beamtray_dialect::Dialect;
+use beamtray_dispatch::{
+    AttemptOutcome, Fingerprint, Fingerprints, QuarantineNotice, RequestHead, Ticket, UnknownCause,
+    UpstreamHash,
+};
+use beamtray_metastore::{Item, Revision};
+use beamtray_router::core::{Input, Liveness, NodeCore, Output, Snapshot, ViewName};
+use beamtray_routersim::{SimDialect, World, usual_settings};
+use beamtray_types::Time;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SUSPECT: Fingerprint = Fingerprint(77);
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn born(birth: u64) -> UpstreamId {
+    UpstreamId::born_at("u-1", Birth(birth))
+}
+
+struct Node {
+    core: NodeCore,
+    dialect: Rc<SimDialect>,
+    revision: u64,
+}
+
+impl Node {
+    /// A node that knows a configuration and the first incarnation.
+    fn new() -> Self {
+        let dialect = Rc::new(SimDialect::default());
+        let config = usual_settings(0).core_config(3);
+        let mut node = Self {
+            core: NodeCore::new(config, dialect.clone()),
+            dialect,
+            revision: 1,
+        };
+        let configuration = World::usual_configuration();
+        let value = node.dialect.encode_configuration(configuration);
+        let key = node.dialect.keys().configuration;
+        node.adopt(0, ViewName::Operator, key.to_owned(), value);
+        node.registers(1, born(1));
+        node
+    }
+
+    fn adopt(&mut self, millis: u64, view: ViewName, key: String, value: Vec<u8>) -> Vec<Output> {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        let snapshot = Snapshot {
+            view,
+            at: revision,
+            items: vec![Item {
+                key,
+                value,
+                revision,
+            }],
+            removals: Vec::new(),
+            is_whole: true,
+        };
+        let snapshots = Input::Snapshots(address(2), vec![snapshot]);
+        self.core.handle(at(millis), snapshots)
+    }
+
+    fn registers(&mut self, millis: u64, id: UpstreamId) -> Vec<Output> {
+        let key = format!("{}{}", self.dialect.keys().upstream_prefix, id.name);
+        let value = self.dialect.encode_upstream(UpstreamRecord {
+            id,
+            service: "pool".into(),
+            address: address(9),
+            zone: "a".into(),
+            slots: 2,
+            state: UpstreamState::Ready,
+            warm_up_left: Duration::ZERO,
+        });
+        self.adopt(millis, ViewName::Upstreams, key, value)
+    }
+
+    /// Sends a request that may not be repeated; to whom.
+    fn send(&mut self, millis: u64) -> Option<UpstreamId> {
+        let route = &World::usual_configuration().routes[1];
+        let head = RequestHead {
+            id: "id".to_owned(),
+            host: route.host.clone(),
+            path: format!("{}1", route.path_prefix),
+            patience: Some(Duration::from_secs(1)),
+            key: None,
+            fingerprints: Fingerprints {
+                content: SUSPECT,
+                ..Fingerprints::default()
+            },
+        };
+        let ticket = Ticket(millis);
+        let outputs = self
+            .core
+            .handle(at(millis), Input::Request { ticket, head });
+        outputs.into_iter().find_map(|output| match output {
+            Output::Forward(_, forward) => Some(forward.upstream),
+            _ => None,
+        })
+    }
+
+    fn breaks_off(&mut self, millis: u64, ticket: u64) {
+        let ticket = Ticket(ticket);
+        let outcome = AttemptOutcome::Unknown(UnknownCause::BrokenOff);
+        self.core
+            .handle(at(millis), Input::Ended { ticket, outcome });
+    }
+}
+
+/// Upstreams under whose ends the request is suspected by these outputs.
+fn suspected(outputs: &[Output]) -> Vec<UpstreamHash> {
+    let suspected = outputs.iter().filter_map(|output| match output {
+        Output::Quarantine(QuarantineNotice::Suspected {
+            fingerprint,
+            upstream,
+            ..
+        }) if *fingerprint == SUSPECT => Some(*upstream),
+        _ => None,
+    });
+    suspected.collect()
+}
+
+#[test]
+fn requests_go_to_the_restart_at_once() {
+    let mut node = Node::new();
+    assert_eq!(node.send(10), Some(born(1)));
+    node.registers(20, born(2));
+    assert_eq!(node.send(21), Some(born(2)));
+}
+
+#[test]
+fn a_restart_proves_the_end_of_the_one_before() {
+    let mut node = Node::new();
+    node.send(10);
+    node.breaks_off(30, 10);
+    let outputs = node.registers(2_000, born(2));
+    assert_eq!(suspected(&outputs), [UpstreamHash::of(&born(1))]);
+    let again = node.registers(2_010, born(2));
+    assert_eq!(suspected(&again), []);
+}
+
+/// A restart may listen before it is registered: that something answers at the address
+/// does not show that it is the one before.
+#[test]
+fn an_end_is_proved_also_where_the_restart_listens_already() {
+    let mut node = Node::new();
+    node.send(10);
+    node.breaks_off(30, 10);
+    let listens = Input::Probed {
+        upstream: born(1),
+        liveness: Liveness::Listens,
+    };
+    node.core.handle(at(60), listens);
+    let outputs = node.registers(400, born(2));
+    assert_eq!(suspected(&outputs), [UpstreamHash::of(&born(1))]);
+}
+
+/// Another node's word of the end of the one before comes after the restart.
+#[test]
+fn late_word_of_the_one_before_does_not_touch_the_restart() {
+    let mut node = Node::new();
+    node.registers(20, born(2));
+    let upstream = born(1);
+    node.core.handle(at(30), Input::Replaced { upstream });
+    node.registers(40, born(1));
+    assert_eq!(node.send(50), Some(born(2)));
+}
--- /dev/null
+++ b/crates/sharding/tests/restarts.rs
@@ -0,0 +1,153 @@
+//! Keys of an upstream that starts again under its name.
+
+mod common;
+
+use beamtray_catalog::{Birth, UpstreamId};
+use beamtray_metastore::Epoch;
+use beamtray_sharding::{
+    AssignmentRecord, Candidate, FencingToken, GrantOrder, GrantReply, Granter, OrderKind,
+    SliceState,
+};
+use common::*;
+use std::time::Duration;
+
+fn born(birth: u64) -> UpstreamId {
+    UpstreamId::born_at("restarts", Birth(birth))
+}
+
+fn candidate(id: UpstreamId) -> Candidate {
+    Candidate {
+        id,
+        ..ready("", None)
+    }
+}
+
+/// All keys granted to the first incarnation and to another upstream; the highest token.
+fn granted() -> (Granter, FencingToken) {
+    let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
+    granter.set_candidates(at(0), [candidate(born(1)), ready("other", None)]);
+    granter.poll(at(1_500));
+    write_record(&mut granter, at(1_510)).expect("the keys were divided");
+    let mut highest = FencingToken::default();
+    loop {
+        let orders = granter.poll(at(2_000));
+        if orders.is_empty() {
+            return (granter, highest);
+        }
+        for order in &orders {
+            highest = highest.max(order.token);
+            answer(&mut granter, at(2_000), order);
+        }
+    }
+}
+
+fn is_held_by(record: &AssignmentRecord, id: &UpstreamId) -> bool {
+    let mut slices = record.slices.iter();
+    slices.any(|slice| matches!(&slice.state, SliceState::Held { holder, .. } if holder == id))
+}
+
+fn is_grant(order: &GrantOrder) -> bool {
+    matches!(order.kind, OrderKind::Grant { .. })
+}
+
+/// The second incarnation has forgotten all tokens, so an order on its way to the first
+/// one may still be taken by it: until it has answered under a fresh token its keys are
+/// nobody else's, and none of them is renewed.
+#[test]
+fn keys_of_a_restart_are_taken_back_under_a_fresh_token_first() {
+    let (mut granter, highest) = granted();
+    let now = at(2_100);
+    granter.set_candidates(now, [candidate(born(2)), ready("other", None)]);
+    assert_eq!(granter.poll(now).iter().filter(|o| is_grant(o)).count(), 0);
+    let record = write_record(&mut granter, now).expect("keys are leaving");
+    assert!(!is_held_by(&record, &born(1)));
+    let releases = granter.poll(at(2_120));
+    assert!(!releases.is_empty());
+    for release in &releases {
+        assert_eq!(release.holder, born(1));
+        assert_eq!(release.kind, OrderKind::Release);
+        assert!(release.token > highest);
+    }
+    let unanswered = write_record(&mut granter, at(2_130));
+    assert!(unanswered.is_none(), "no key goes to another before");
+}
+
+#[test]
+fn a_restart_gets_keys_again_under_higher_tokens_as_soon_as_it_answers() {
+    let (mut granter, highest) = granted();
+    granter.set_candidates(at(2_100), [candidate(born(2)), ready("other", None)]);
+    granter.poll(at(2_100));
+    write_record(&mut granter, at(2_100)).expect("keys are leaving");
+    let mut granted = 0;
+    for millis in (2_110..2_400).step_by(10) {
+        for order in granter.poll(at(millis)) {
+            if is_grant(&order) && order.holder == born(2) {
+                assert!(order.token > highest);
+                granted += 1;
+            }
+            answer(&mut granter, at(millis), &order);
+        }
+        write_record(&mut granter, at(millis));
+    }
+    assert!(granted > 0, "served again within 0.3 s");
+}
+
+/// Nobody answers at the address of the one before: its last grant is waited for.
+#[test]
+fn keys_of_a_restart_that_does_not_answer_wait_for_the_last_grant() {
+    let (mut granter, _) = granted();
+    granter.set_candidates(at(2_100), [candidate(born(2)), ready("other", None)]);
+    let lapses = at(2_000) + HOLD;
+    for millis in (2_100..8_000).step_by(100) {
+        for order in granter.poll(at(millis)) {
+            if order.holder == born(1) {
+                granter.handle(at(millis), order.call, GrantReply::Undelivered);
+            } else {
+                answer(&mut granter, at(millis), &order);
+            }
+        }
+        let Some(record) = write_record(&mut granter, at(millis)) else {
+            continue;
+        };
+        let is_early = at(millis) < lapses;
+        let of_first = slices_of_id(&record, &born(1));
+        assert!(!is_early || of_first > 0, "{millis}");
+    }
+    assert_eq!(granter.held_count(at(8_000)), granter.slice_count());
+}
+
+fn slices_of_id(record: &AssignmentRecord, id: &UpstreamId) -> usize {
+    let of_it = record.slices.iter().filter(|slice| match &slice.state {
+        SliceState::Held { holder, .. } | SliceState::Leaving { holder, .. } => holder == id,
+        SliceState::Free => false,
+    });
+    of_it.count()
+}
+
+/// What was learned of the silence of the one before does not keep keys from the next.
+#[test]
+fn a_restart_is_not_avoided_for_the_silence_of_the_one_before() {
+    let (mut granter, _) = granted();
+    let mut now = at(2_000);
+    while now < at(8_000) {
+        now = now + Duration::from_millis(50);
+        for order in granter.poll(now) {
+            if order.holder == born(1) {
+                granter.handle(now, order.call, GrantReply::Unanswered);
+            } else {
+                answer(&mut granter, now, &order);
+            }
+        }
+        write_record(&mut granter, now);
+    }
+    granter.set_candidates(now, [candidate(born(2)), ready("other", None)]);
+    granter.proved_dead(&id("other"));
+    for _ in 0..10 {
+        now = now + Duration::from_millis(20);
+        for order in granter.poll(now) {
+            answer(&mut granter, now, &order);
+        }
+        write_record(&mut granter, now);
+    }
+    assert_eq!(granter.held_count(now), granter.slice_count());
+}
