--- /dev/null
+++ b/crates/routersim/tests/restarts.rs
@@ -0,0 +1,96 @@
+//! Upstreams start again under their names, which their callers tell from the births only.
+
+use beamtray_routersim::{Fault, FaultPlan, Outcome, Trouble, WorldConfig, play};
+use beamtray_types::Time;
+use std::time::Duration;
+
+const SEEDS: u64 = 24;
+
+/// Two keyed upstreams that tell their births.
+const RESTARTING: [usize; 2] = [0, 1];
+
+fn config(seed: u64) -> WorldConfig {
+    WorldConfig {
+        nodes: 3,
+        keyed: 4,
+        pool: 3,
+        ..WorldConfig::drawn(seed)
+    }
+}
+
+fn fault(millis: u64, lasts: u64, trouble: Trouble) -> Fault {
+    Fault {
+        at: Time(millis * 1_000),
+        lasts: Duration::from_millis(lasts),
+        trouble,
+    }
+}
+
+/// Each restarts four times, down for less than the holds last and for longer.
+fn restarts(seed: u64) -> Vec<Fault> {
+    let downtimes = [150, 900, 2_500, 5_500];
+    let upstreams = RESTARTING.into_iter();
+    upstreams
+        .flat_map(|upstream| {
+            let begins = 8_000 + upstream as u64 * 700 + seed * 37;
+            downtimes
+                .into_iter()
+                .enumerate()
+                .map(move |(index, lasts)| {
+                    let dark = (seed + index as u64).is_multiple_of(2);
+                    let restart = Trouble::UpstreamRestart { upstream, dark };
+                    fault(begins + index as u64 * 4_000, lasts, restart)
+                })
+        })
+        .collect()
+}
+
+fn broken(outcome: &Outcome) -> Vec<String> {
+    let violations = outcome.violations.iter();
+    violations.map(|one| one.to_string()).collect()
+}
+
+fn keeps_every_promise(with: impl Fn(u64) -> Vec<Fault>) {
+    let mut all = Vec::new();
+    for seed in 0..SEEDS {
+        let faults = restarts(seed).into_iter().chain(with(seed)).collect();
+        let outcome = play(config(seed), FaultPlan { faults }, None);
+        all.extend(
+            broken(&outcome)
+                .into_iter()
+                .map(|one| format!("seed {seed}: {one}")),
+        );
+    }
+    assert!(all.is_empty(), "{}", all.join("\n"));
+}
+
+#[test]
+fn restarts_in_series_keep_every_promise() {
+    keeps_every_promise(|_| Vec::new());
+}
+
+/// A restart has forgotten every token and may take an order that was meant for the one
+/// before.
+#[test]
+fn restarts_under_late_orders_keep_every_promise() {
+    keeps_every_promise(|_| vec![fault(6_000, 20_000, Trouble::OrdersLate { percent: 40 })]);
+}
+
+/// The new granter reads a record that names incarnations which have ended.
+#[test]
+fn restarts_while_the_granter_is_lost_keep_every_promise() {
+    keeps_every_promise(|seed| {
+        let kill = |millis| fault(millis + seed * 53, 1_500, Trouble::NodeKill { node: None });
+        vec![kill(8_300), kill(12_600), kill(16_900)]
+    });
+}
+
+/// Orders come late, and the store does writes seconds after they were given up on.
+#[test]
+fn restarts_with_a_lossy_store_keep_every_promise() {
+    let lost = Trouble::StoreLost {
+        percent: 40,
+        late: true,
+    };
+    keeps_every_promise(|_| vec![fault(7_000, 15_000, lost.clone())]);
+}
