A restart under the same name gets no keys before it has answered for all

Cause: a restart has forgotten all tokens, so it takes an old order that still comes to its address under its name, also of keys that the one before had given back and that another upstream holds. Change: where a candidate is another incarnation of one that is known (candidate, holder, contact, fence), it is fenced for all keys; its answer ends what those before it owe. Ruled out: taking the restart as proof that the one before is dead, which frees its keys at once, before anything at the address refuses the old orders.

--- a/crates/sharding/src/fence.rs
+++ b/crates/sharding/src/fence.rs
@@ -135,6 +135,16 @@
         self.fences.remove(upstream);
     }
 
+    /// Notes that upstreams have ended.
+    pub fn end(&mut self, has_ended: impl Fn(&UpstreamId) -> bool) {
+        self.fences.retain(|upstream, _| !has_ended(upstream));
+    }
+
+    /// All that still owe an answer.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.fences.keys()
+    }
+
     /// States whether upstreams are registered.
     pub fn set_registered(&mut self, now: Time, is_registered: impl Fn(&UpstreamId) -> bool) {
         for (upstream, fence) in &mut self.fences {
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -18,6 +18,7 @@
 mod moves;
 mod orders;
 mod replies;
+mod restarts;
 mod standbys;
 
 use crate::fence::Fences;
@@ -300,6 +301,7 @@
         }
         self.knows_candidates = true;
         self.fences.set_registered(now, |id| next.contains_key(id));
+        self.fence_restarts(now, &next);
         let same = next.keys().eq(self.candidates.keys());
         self.candidates = next;
         if !same {
--- a/crates/sharding/src/granter/fences.rs
+++ b/crates/sharding/src/granter/fences.rs
@@ -78,7 +78,11 @@
             return;
         }
         let is_fenced = self.fences.handle(now, &upstream, call, reply);
-        if is_fenced && let Some(contact) = self.contacts.get_mut(&upstream) {
+        if !is_fenced {
+            return;
+        }
+        self.end_earlier_fences(&upstream);
+        if let Some(contact) = self.contacts.get_mut(&upstream) {
             contact.forgive();
         }
     }
--- a/crates/sharding/tests/restarts.rs
+++ b/crates/sharding/tests/restarts.rs
@@ -5,8 +5,8 @@
 use beamtray_catalog::{Birth, UpstreamId};
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
-    AssignmentRecord, Candidate, FencingToken, GrantOrder, GrantReply, Granter, OrderKind,
-    SliceState,
+    AssignmentRecord, Candidate, FencingToken, GrantOrder, GrantReply, Granter, KeyRange,
+    OrderKind, SliceState,
 };
 use common::*;
 use std::time::Duration;
@@ -76,10 +76,8 @@
 fn a_restart_gets_keys_again_under_higher_tokens_as_soon_as_it_answers() {
     let (mut granter, highest) = granted();
     granter.set_candidates(at(2_100), [candidate(born(2)), ready("other", None)]);
-    granter.poll(at(2_100));
-    write_record(&mut granter, at(2_100)).expect("keys are leaving");
     let mut granted = 0;
-    for millis in (2_110..2_400).step_by(10) {
+    for millis in (2_100..2_400).step_by(10) {
         for order in granter.poll(at(millis)) {
             if is_grant(&order) && order.holder == born(2) {
                 assert!(order.token > highest);
@@ -92,6 +90,70 @@
     assert!(granted > 0, "served again within 0.3 s");
 }
 
+/// An old order of keys that the one before had given back may still come: nothing else
+/// would make the restart refuse it.
+#[test]
+fn a_restart_gets_no_keys_before_it_has_answered_for_all() {
+    let (mut granter, _) = granted();
+    granter.set_candidates(at(2_100), [candidate(born(2)), ready("other", None)]);
+    assert_eq!(granter.unfenced_count(), 1);
+    let mut asked = 0;
+    for millis in (2_100..4_000).step_by(20) {
+        for order in granter.poll(at(millis)) {
+            assert!(order.holder != born(2) || order.kind == OrderKind::Release);
+            if order.holder == born(2) {
+                assert_eq!(order.range, KeyRange::ALL);
+                asked += 1;
+                granter.handle(at(millis), order.call, GrantReply::Undelivered);
+            } else {
+                answer(&mut granter, at(millis), &order);
+            }
+        }
+        write_record(&mut granter, at(millis));
+    }
+    assert!(asked > 5, "it is asked until it answers");
+    assert_eq!(granter.held_count(at(4_000)), granter.slice_count());
+}
+
+#[test]
+fn the_answer_of_a_restart_ends_what_the_one_before_owes() {
+    let (mut granter, _) = granted();
+    let mut now = at(2_000);
+    while granter.unfenced_count() == 0 {
+        now = now + Duration::from_millis(50);
+        for order in granter.poll(now) {
+            if order.holder == born(1) {
+                granter.handle(now, order.call, GrantReply::Undelivered);
+            } else {
+                answer(&mut granter, now, &order);
+            }
+        }
+        write_record(&mut granter, now);
+        assert!(now < at(20_000), "it lost its keys without an answer");
+    }
+    granter.set_candidates(now, [candidate(born(2)), ready("other", None)]);
+    assert_eq!(granter.unfenced_count(), 2);
+    let orders = granter.poll(now).into_iter();
+    for order in orders.filter(|order| order.holder == born(2)) {
+        answer(&mut granter, now, &order);
+    }
+    assert_eq!(granter.unfenced_count(), 0);
+}
+
+/// A successor knows the one before from the record only.
+#[test]
+fn a_successor_fences_a_restart_too() {
+    let (mut granter, _) = granted();
+    granter.not_written();
+    let record = granter.record().expect("it is due");
+    let mut successor = Granter::new(at(3_000), timing(), Epoch(2), Some(&record));
+    successor.set_candidates(at(3_000), [candidate(born(2)), ready("other", None)]);
+    let orders = successor.poll(at(3_000));
+    let releases = orders.iter().filter(|order| order.holder == born(2));
+    let kinds: Vec<&OrderKind> = releases.map(|order| &order.kind).collect();
+    assert_eq!(kinds, [&OrderKind::Release]);
+}
+
 /// Nobody answers at the address of the one before: its last grant is waited for.
 #[test]
 fn keys_of_a_restart_that_does_not_answer_wait_for_the_last_grant() {
