--- a/crates/grantsearch/src/check.rs
+++ b/crates/grantsearch/src/check.rs
@@ -116,7 +116,7 @@
         let holder = holders(all, range, |held| held.counted_ends, now);
         let others: Vec<&str> = holder
             .filter(|id| *id != taker)
-            .map(|id| id.0.as_str())
+            .map(|id| id.name.0.as_str())
             .collect();
         if !others.is_empty() {
             let text = format!(
--- a/crates/grantsearch/src/world/orders.rs
+++ b/crates/grantsearch/src/world/orders.rs
@@ -40,7 +40,7 @@
 impl World {
     /// The index of the upstream at whose address an order goes: the first letter tells it.
     fn index_of(&self, order: &GrantOrder) -> usize {
-        let letter = order.holder.0.bytes().next().unwrap_or(b'a');
+        let letter = order.holder.name.0.bytes().next().unwrap_or(b'a');
         usize::from(letter - b'a')
     }
 
--- a/crates/grantsearch/src/world/start.rs
+++ b/crates/grantsearch/src/world/start.rs
@@ -25,7 +25,7 @@
 /// The id of an upstream, by its index and how often it had another.
 pub(super) fn upstream_id(index: usize, number: u32) -> UpstreamId {
     let letter = char::from(b'a' + index as u8);
-    UpstreamId(format!("{letter}{number}"))
+    UpstreamId::from(format!("{letter}{number}"))
 }
 
 impl World {
--- a/crates/grantsearch/tests/upstream.rs
+++ b/crates/grantsearch/tests/upstream.rs
@@ -38,7 +38,7 @@
 const COUNTED: Duration = Duration::from_millis(3_060);
 
 fn id(name: &str) -> UpstreamId {
-    UpstreamId(name.to_owned())
+    UpstreamId::from(name.to_owned())
 }
 
 fn emulator() -> UpstreamEmulator {
--- a/crates/router/src/core/views/apply.rs
+++ b/crates/router/src/core/views/apply.rs
@@ -2,7 +2,7 @@
 
 use super::{ViewName, ViewNotice, Views};
 use crate::core::records::{NodeRecord, OwnKeys, OwnRecord, decode_part, decode_speeds};
-use beamtray_catalog::{Configuration, DirectoryChange, UpstreamId, UpstreamRecord};
+use beamtray_catalog::{Configuration, DirectoryChange, UpstreamName, UpstreamRecord};
 use beamtray_dispatch::SuspicionRecord;
 use beamtray_metastore::{GranterRecord, Item, MirrorChange, Revision};
 use beamtray_sharding::{AssignmentHead, AssignmentPart};
@@ -77,14 +77,14 @@
             .collect();
         let prefix = self.dialect.keys().upstream_prefix;
         for record in unnamed {
-            let key = format!("{prefix}{}", record.id);
-            self.set_aside(key, Rc::unwrap_or_clone(record));
+            let key = format!("{prefix}{}", record.id.name);
+            self.set_aside(now, key, Rc::unwrap_or_clone(record));
         }
     }
 
     /// Keeps a registration that names no upstream to use.
-    fn set_aside(&mut self, key: String, record: UpstreamRecord) {
-        self.withdraw(&key);
+    fn set_aside(&mut self, now: Time, key: String, record: UpstreamRecord) {
+        self.withdraw(now, &key);
         self.notices.extend(self.strangers.keep(key, record));
     }
 
@@ -111,10 +111,10 @@
         let decoded = self.dialect.decode_upstream(&item.key, &item.value);
         let Some(record) = self.readable(&item.key, decoded) else {
             self.strangers.forget(&item.key);
-            return self.withdraw(&item.key);
+            return self.withdraw(now, &item.key);
         };
         if self.strangers.is_one(&record.service) {
-            return self.set_aside(item.key, record);
+            return self.set_aside(now, item.key, record);
         }
         self.strangers.forget(&item.key);
         let changes = self.directory.register(now, record);
@@ -122,10 +122,10 @@
     }
 
     /// Takes the registration out of force that a key had before.
-    fn withdraw(&mut self, key: &str) {
+    fn withdraw(&mut self, now: Time, key: &str) {
         let prefix = self.dialect.keys().upstream_prefix;
-        let id = UpstreamId(key.strip_prefix(prefix).unwrap_or(key).to_owned());
-        let change = self.directory.withdraw(&id);
+        let name = UpstreamName(key.strip_prefix(prefix).unwrap_or(key).to_owned());
+        let change = self.directory.withdraw(now, &name);
         self.note_directory(change);
     }
 
@@ -135,9 +135,9 @@
             MirrorChange::Absent(key) => key.strip_prefix(prefix),
             MirrorChange::Present(_) => None,
         });
-        let ids: Vec<UpstreamId> = absent.map(|id| UpstreamId(id.to_owned())).collect();
-        if !ids.is_empty() {
-            let changes = self.directory.vanish(now, &ids);
+        let names: Vec<UpstreamName> = absent.map(|name| UpstreamName(name.to_owned())).collect();
+        if !names.is_empty() {
+            let changes = self.directory.vanish(now, &names);
             self.note_directory(changes);
         }
     }
--- a/crates/router/tests/foreign_records.rs
+++ b/crates/router/tests/foreign_records.rs
@@ -30,7 +30,7 @@
 
 fn upstream(name: &str, port: u16) -> UpstreamRecord {
     UpstreamRecord {
-        id: UpstreamId(name.to_owned()),
+        id: UpstreamId::from(name.to_owned()),
         service: KEYED.into(),
         address: address(port),
         zone: "a".into(),
@@ -53,7 +53,7 @@
     let slices = Part::all().map(|part| SliceRecord {
         range: part.range(),
         state: SliceState::Held {
-            holder: UpstreamId("one".to_owned()),
+            holder: UpstreamId::from("one".to_owned()),
             token: FencingToken(5),
         },
     });
@@ -61,6 +61,7 @@
         epoch: Epoch(1),
         sequence: 1,
         standbys: Vec::new(),
+        unfenced: Vec::new(),
         slices: slices.collect(),
     };
     let service = ServiceName::from(KEYED);
@@ -114,7 +115,7 @@
     let orders = orders(&mut store, dialect, WITHIN_HOLD);
     let other = |order: &&GrantOrder| {
         let is_grant = matches!(order.kind, OrderKind::Grant { .. });
-        is_grant && order.range.overlaps(part.range()) && order.holder.0 != "one"
+        is_grant && order.range.overlaps(part.range()) && order.holder.name.0 != "one"
     };
     assert!(!orders.is_empty(), "the granter did nothing");
     assert_eq!(orders.iter().find(other), None);
@@ -291,7 +292,7 @@
         let slices = Part::all().map(|part| SliceRecord {
             range: part.range(),
             state: SliceState::Held {
-                holder: UpstreamId("one".to_owned()),
+                holder: UpstreamId::from("one".to_owned()),
                 token: FencingToken(5),
             },
         });
@@ -299,6 +300,7 @@
             epoch: Epoch(1),
             sequence: 1,
             standbys: Vec::new(),
+            unfenced: Vec::new(),
             slices: slices.collect(),
         };
         let mut views = views();
