Records that can't be read: their keys wait, and tokens rise all the same

Cause: a successor took a part that it couldn't read as one without holders and granted its keys at once, beside the grants of the term before; an epoch that couldn't be read counted as 0, so tokens fell, and the highest number overflowed and ended the process. Ruled out: leaving the whole service without a granter until its grants have run out (all keys instead of a thirty-second part would wait); a made-up holder in the record (it would be told of for ever). Change: Granter::withhold: keys of an unreadable part go to nobody until the longest grant, and standbys that know the record, have run out. An epoch that is unreadable or beyond 2^39 is replaced by the revision of its value, which is above all epochs before it, as each takes a write of its own. A granter's place that another writer overwrote still blocks the election until the key is removed.

--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -23,6 +23,10 @@
 )]
 pub struct Epoch(pub u64);
 
+/// Highest number of a term that is believed: tokens carry it in 40 bits, and terms
+/// that are counted from here on must fit, too.
+const HIGHEST_EPOCH: Epoch = Epoch((1 << 39) - 1);
+
 /// What the granter's key holds.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct GranterRecord {
@@ -230,10 +234,7 @@
     }
 
     fn take(&mut self, lease: LeaseId, epoch: Option<&Item>) -> StoreCall {
-        let last = epoch
-            .and_then(|item| Epoch::try_from_slice(&item.value).ok())
-            .unwrap_or_default();
-        let next = Epoch(last.0 + 1);
+        let next = Epoch(last_epoch(epoch).0 + 1);
         self.attempted = Some(next);
         let record = GranterRecord {
             node: self.config.node.clone(),
@@ -307,6 +308,18 @@
     }
 }
 
+/// The highest epoch so far. Each epoch rises by one in a write of its own, so none is above
+/// the revision of the write in which it began: where the number can't be read, or is out
+/// of range, the revision of that value is above all before it.
+fn last_epoch(item: Option<&Item>) -> Epoch {
+    let Some(item) = item else {
+        return Epoch::default();
+    };
+    let read = Epoch::try_from_slice(&item.value).ok();
+    let read = read.filter(|epoch| *epoch <= HIGHEST_EPOCH);
+    read.unwrap_or(Epoch(item.revision.0))
+}
+
 fn encode(value: &impl BorshSerialize) -> Vec<u8> {
     // Writing borsh to memory can't fail.
     borsh::to_vec(value).unwrap_or_default()
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -1,6 +1,6 @@
 //! The grants of one service, and their record in the store.
 
-use crate::core::records::{AssignmentKey, OwnKeys};
+use crate::core::records::{AssignmentKey, OwnKeys, decode_part};
 use crate::core::views::Views;
 use beamtray_catalog::{UpstreamId, UpstreamState};
 use beamtray_dispatch::{Dispatcher, UpstreamHash};
@@ -224,6 +224,8 @@
     assignment: Assignment,
     head_revision: Revision,
     stored: BTreeMap<Part, StoredPart>,
+    /// Parts that can't be read.
+    unreadable: Vec<Part>,
 }
 
 /// Continues the grants that were read from the store; keys of items that can't be
@@ -251,8 +253,11 @@
                     slices: None,
                 };
                 read.stored.insert(part, stored);
-                if let Ok(part) = AssignmentPart::try_from_slice(&item.value) {
-                    read.assignment.take_part(part);
+                match decode_part(part, &item.value) {
+                    Ok(part) => {
+                        read.assignment.take_part(part);
+                    }
+                    Err(_) => read.unreadable.push(part),
                 }
             }
             None => {}
@@ -262,6 +267,9 @@
     read.map(|(service, read)| {
         let record = read.assignment.whole();
         let mut granter = Granter::new(now, timing, epoch, record.as_ref());
+        for part in &read.unreadable {
+            granter.withhold(now, part.range());
+        }
         granter.not_written();
         let grants = Grants {
             granter,
--- a/crates/router/tests/foreign_records.rs
+++ b/crates/router/tests/foreign_records.rs
@@ -19,6 +19,8 @@
 const KEYED: &str = "keyed";
 /// Well within the hold of a grant.
 const WITHIN_HOLD: u64 = 1_500;
+/// Longer than any grant of the granter before may last.
+const AFTER_HOLD: u64 = 9_000;
 
 fn at(millis: u64) -> Time {
     Time(millis * 1_000)
@@ -104,14 +106,19 @@
     orders
 }
 
-#[test]
-fn keys_of_an_unreadable_part_go_to_nobody_before_their_grants_have_run_out() {
+/// Orders of a granter that takes over a record of which one part can't be read.
+fn orders_with_unreadable(part: Part, until: u64) -> Vec<GrantOrder> {
     let dialect = SimDialect::default();
     let mut store = store(&dialect);
-    let part = Part::numbered(3).expect("a part");
     let key = OwnKeys::assignment_part(&KEYED.into(), part);
     store.put(at(0), &key, b"not a part".to_vec());
-    let orders = orders(&mut store, dialect, WITHIN_HOLD);
+    orders(&mut store, dialect, until)
+}
+
+#[test]
+fn keys_of_an_unreadable_part_go_to_nobody_before_their_grants_have_run_out() {
+    let part = Part::numbered(3).expect("a part");
+    let orders = orders_with_unreadable(part, WITHIN_HOLD);
     let other = |order: &&GrantOrder| {
         let is_grant = matches!(order.kind, OrderKind::Grant { .. });
         is_grant && order.range.overlaps(part.range()) && order.holder.0 != "one"
@@ -120,6 +127,16 @@
     assert_eq!(orders.iter().find(other), None);
 }
 
+#[test]
+fn keys_of_an_unreadable_part_are_granted_once_their_grants_have_run_out() {
+    let part = Part::numbered(3).expect("a part");
+    let orders = orders_with_unreadable(part, AFTER_HOLD);
+    let is_granted = |order: &GrantOrder| {
+        matches!(order.kind, OrderKind::Grant { .. }) && order.range.overlaps(part.range())
+    };
+    assert!(orders.iter().any(is_granted));
+}
+
 /// Tokens count upwards with the epoch: one that fell would let two upstreams hold a key.
 #[test]
 fn tokens_rise_although_the_epoch_is_unreadable() {
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod replies;
 mod standbys;
+mod withheld;
 
 use crate::load::LoadMap;
 use crate::order::CallId;
@@ -30,6 +31,7 @@
 use orders::OrderWindow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use withheld::WithheldKeys;
 
 /// How long an upstream that lost keys for its silence gets none.
 const AVOID: Duration = Duration::from_secs(4);
@@ -170,6 +172,7 @@
     /// that is not among them has not left.
     knows_candidates: bool,
     dead: Vec<UpstreamId>,
+    withheld: Vec<WithheldKeys>,
     /// When holders whose address is contested were last asked.
     probed: BTreeMap<UpstreamId, Time>,
     /// Upstreams that lost keys for their silence, until when they get none.
@@ -209,6 +212,7 @@
             candidates: BTreeMap::new(),
             knows_candidates: false,
             dead: Vec::new(),
+            withheld: Vec::new(),
             probed: BTreeMap::new(),
             avoided: BTreeMap::new(),
             calls: BTreeMap::new(),
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -205,10 +205,12 @@
 
     /// Chooses holders for free slices, the least loaded upstream first.
     pub(super) fn assign_free(&mut self, now: Time) {
+        self.end_withholding(now);
         let free: Vec<ShardKey> = self
             .slices
             .values()
             .filter(|slice| matches!(slice.phase, Phase::Free { .. }))
+            .filter(|slice| !self.is_withheld(slice.range))
             .map(|slice| slice.range.first)
             .collect();
         if free.is_empty() {
