--- a/crates/router/tests/foreign_records.rs
+++ b/crates/router/tests/foreign_records.rs
@@ -63,6 +63,7 @@
         epoch: Epoch(1),
         sequence: 1,
         standbys: Vec::new(),
+        unfenced: Vec::new(),
         slices: slices.collect(),
     };
     let service = ServiceName::from(KEYED);
@@ -316,6 +317,7 @@
             epoch: Epoch(1),
             sequence: 1,
             standbys: Vec::new(),
+            unfenced: Vec::new(),
             slices: slices.collect(),
         };
         let mut views = views();
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -40,6 +40,10 @@
     suspended_at: Option<Time>,
     /// Inputs that came while the process stood still.
     backlog: Vec<Input>,
+    /// When its process last ran again after it had stood still.
+    pub thawed_at: Option<Time>,
+    /// Starts of its machine.
+    pub boot: u64,
     /// When the node was last disturbed.
     pub disturbed: Time,
     pub next_ticket: u64,
@@ -111,6 +115,7 @@
         respects_predecessor: off != Some(Guard::PredecessorWait),
         counts_unanswered: off != Some(Guard::UnansweredCounts),
         waits_for_standbys: off != Some(Guard::StandbyWait),
+        fences_lost_holders: off != Some(Guard::LostHolderFence),
     };
     if off == Some(Guard::ShortDoubt) {
         config.directory.patience = CONTACT * 3;
@@ -128,6 +133,13 @@
     }
 }
 
+impl NodeSlot {
+    /// Whether its machine is suspended.
+    pub fn is_suspended(&self) -> bool {
+        self.suspended_at.is_some()
+    }
+}
+
 impl World {
     pub(super) fn start_node(&mut self, node: usize) {
         let dialect = Rc::new(self.dialect.clone());
@@ -198,6 +210,7 @@
             return;
         }
         slot.frozen = false;
+        slot.thawed_at = Some(now);
         slot.disturbed = now;
         let backlog = std::mem::take(&mut slot.backlog);
         if let Some(since) = slot.suspended_at.take() {
@@ -283,7 +296,7 @@
             | Output::Quarantine(_)
             | Output::Notice(_)
             | Output::Granter(_)
-            | Output::OwnedAgain(..)
+            | Output::Ownership(..)
             | Output::Standby(_) => {}
         }
     }
