--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -77,9 +77,15 @@
         OrderKind::Release => RELEASE_TIMEOUT,
     };
     let call = shared.dialect.encode_order(&task.order);
-    let progress = CallProgress::repeatable().before(shared.clock.clone(), task.until);
+    let progress = CallProgress::repeatable()
+        .of_one_process()
+        .before(shared.clock.clone(), task.until);
     match timeout(limit, send(shared, address, call, &progress)).await {
         Ok(Ok(answer)) => shared.dialect.decode_order(&task.order.kind, &answer),
+        Ok(Err(CallFailure::BrokenOff)) => {
+            shared.connections.forget(address);
+            GrantReply::BrokenOff
+        }
         Ok(Err(_)) | Err(_) if progress.may_be_written() => {
             // Other connections may be as dead: on a new one it shows that an
             // order can't have arrived.
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -79,6 +79,8 @@
 pub(crate) struct CallProgress {
     /// Longest rest of a connection that is used.
     longest_rest: Duration,
+    /// Whether the end of a resting connection ends the call.
+    ends_with_connection: bool,
     /// The request is not written after this.
     write_before: Option<WriteBefore>,
     /// Whether the request may have been written.
@@ -93,6 +95,7 @@
     pub fn repeatable() -> Self {
         Self {
             longest_rest: Duration::MAX,
+            ends_with_connection: false,
             write_before: None,
             written: Cell::new(false),
             rested: Cell::new(false),
@@ -104,6 +107,7 @@
     pub fn unrepeatable() -> Self {
         Self {
             longest_rest: SAFE_REST,
+            ends_with_connection: false,
             write_before: None,
             written: Cell::new(false),
             rested: Cell::new(false),
@@ -119,6 +123,15 @@
         }
     }
 
+    /// The same call, which is not made on a new connection if the one that rested has
+    /// ended meanwhile: another process may listen at the address.
+    pub fn of_one_process(self) -> Self {
+        Self {
+            ends_with_connection: true,
+            ..self
+        }
+    }
+
     fn is_too_late(&self) -> bool {
         let before = self.write_before.as_ref();
         before.is_some_and(|before| before.clock.now() >= before.end)
@@ -158,6 +171,14 @@
     }
 }
 
+/// What was found among the connections that rest.
+enum Resting {
+    Usable(Connection),
+    /// None but some that the other side ended before their time.
+    Ended,
+    None,
+}
+
 /// Connections that rest.
 #[derive(Default)]
 pub(crate) struct Connections {
@@ -192,8 +213,11 @@
             .is_some_and(|length| length <= SMALL_BODY as u64);
         loop {
             let (mut connection, rested) = match self.take(address, progress.longest_rest) {
-                Some(connection) => (connection, true),
-                None => (connect(address).await?, false),
+                Resting::Usable(connection) => (connection, true),
+                Resting::Ended if progress.ends_with_connection => {
+                    return Err(CallFailure::Unsent);
+                }
+                Resting::Ended | Resting::None => (connect(address).await?, false),
             };
             if progress.is_too_late() {
                 return Err(CallFailure::Unsent);
@@ -204,32 +228,43 @@
                 Ok(response) => return read(connection, response, small).await,
                 Err(mut error) => match error.take_message() {
                     // A connection that ended while it rested.
-                    Some(unsent) if rested => {
+                    Some(unsent) if rested && !progress.ends_with_connection => {
                         progress.written.set(false);
                         request = unsent;
                     }
-                    Some(_) => return Err(CallFailure::Unsent),
+                    Some(_) => {
+                        progress.written.set(false);
+                        return Err(CallFailure::Unsent);
+                    }
                     None => return Err(CallFailure::BrokenOff),
                 },
             }
         }
     }
 
-    fn take(&self, address: SocketAddr, longest_rest: Duration) -> Option<Connection> {
+    fn take(&self, address: SocketAddr, longest_rest: Duration) -> Resting {
         let mut resting = self.resting.borrow_mut();
-        let kept = resting.get_mut(&address)?;
+        let Some(kept) = resting.get_mut(&address) else {
+            return Resting::None;
+        };
         let now = Instant::now();
         // The last one has rested the shortest time.
-        let rested = now.saturating_duration_since(kept.last()?.rests_since);
-        if rested > longest_rest {
-            return None;
+        let rested = kept.last().map(|last| last.rests_since);
+        let rested = rested.map(|since| now.saturating_duration_since(since));
+        if rested.is_none_or(|rested| rested > longest_rest) {
+            return Resting::None;
         }
+        let mut found = Resting::None;
         while let Some(connection) = kept.pop() {
-            if connection.usable_until > now && connection.sender.is_ready() {
-                return Some(connection);
+            if connection.usable_until <= now {
+                continue;
+            }
+            if connection.sender.is_ready() {
+                return Resting::Usable(connection);
             }
+            found = Resting::Ended;
         }
-        None
+        found
     }
 
     /// Keeps the connection of an answer that was in order.
--- a/crates/routersim/src/world/links.rs
+++ b/crates/routersim/src/world/links.rs
@@ -139,6 +139,22 @@
         self.links.keep(now + Duration::from_millis(2), link);
     }
 
+    /// Whether a connection rests whose other end was an earlier incarnation: it ended with
+    /// that, as far as the node can hear of it. It is forgotten.
+    pub(super) fn connection_has_ended(&mut self, node: usize, run: Run, index: usize) -> bool {
+        let now = self.now;
+        let link = self.link(node, run, index);
+        let is_reached = self.reaches(node, index);
+        let mut has_ended = false;
+        self.links.resting.retain(|other, resting| {
+            let is_same = (other.node, other.run, other.index) == (node, run, index);
+            let is_earlier = is_same && other.incarnation < link.incarnation && is_reached;
+            has_ended |= is_earlier && resting.iter().any(|one| now < one.until);
+            !is_earlier
+        });
+        has_ended
+    }
+
     /// The answer to an order doesn't come: the other connections may be as dead.
     pub(super) fn forget_connections(&mut self, node: usize, run: Run, index: usize) {
         let link = self.link(node, run, index);
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -116,6 +116,7 @@
         counts_unanswered: off != Some(Guard::UnansweredCounts),
         waits_for_standbys: off != Some(Guard::StandbyWait),
         fences_lost_holders: off != Some(Guard::LostHolderFence),
+        renews_tokens: off != Some(Guard::TokenRenewal),
     };
     if off == Some(Guard::ShortDoubt) {
         config.directory.patience = CONTACT * 3;
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -13,17 +13,18 @@
 //!   instant; the granter itself knows nothing of leases.
 
 mod contact;
-mod fences;
 mod holders;
+mod lost_holders;
 mod moves;
 mod orders;
 mod replies;
 mod restarts;
 mod standbys;
+mod tokens;
 mod withheld;
 
-use crate::fence::Fences;
 use crate::load::LoadMap;
+use crate::lost_holders::LostHolders;
 use crate::order::CallId;
 use crate::range::{KeyRange, ShardKey};
 use crate::record::{AssignmentRecord, FencingToken, SliceState};
@@ -145,6 +146,8 @@
     /// An upstream that lost keys without an answer is told of it until it answers, and
     /// gets none before.
     pub fences_lost_holders: bool,
+    /// A holder whose connection was lost is renewed under fresh tokens.
+    pub renews_tokens: bool,
 }
 
 impl Default for GranterGuards {
@@ -156,6 +159,7 @@
             counts_unanswered: true,
             waits_for_standbys: true,
             fences_lost_holders: true,
+            renews_tokens: true,
         }
     }
 }
@@ -191,7 +195,7 @@
     contacts: BTreeMap<UpstreamId, Contact>,
     unanswered_grants: UnansweredGrants,
     standbys: Standbys,
-    fences: Fences,
+    lost_holders: LostHolders,
     owned_again: Vec<OwnedAgain>,
     next_call: u64,
     /// Sequence of the next record.
@@ -233,7 +237,7 @@
                 hold: timing.longest_bound(),
                 transit: timing.transit + timing.order_wait,
             }),
-            fences: Fences::default(),
+            lost_holders: LostHolders::default(),
             owned_again: Vec::new(),
             next_call: 0,
             next_sequence: 1,
@@ -304,7 +308,8 @@
             self.last_seen = now;
         }
         self.knows_candidates = true;
-        self.fences.set_registered(now, |id| next.contains_key(id));
+        self.lost_holders
+            .set_registered(now, |id| next.contains_key(id));
         self.fence_restarts(now, &next);
         let same = next.keys().eq(self.candidates.keys());
         self.candidates = next;
@@ -327,7 +332,7 @@
         if !self.dead.contains(id) {
             self.dead.push(id.clone());
         }
-        self.fences.ended(id);
+        self.lost_holders.ended(id);
     }
 
     /// Lets one grant of a holder be due soon, to see whether it still has its
@@ -408,6 +413,8 @@
         range,
         phase,
         told_in: 0,
+        // That of a record may have been granted by the granter before.
+        token_is_out: true,
         lapses,
         call: None,
         due: now,
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -54,7 +54,7 @@
         self.candidates
             .values()
             .filter(|one| one.standing == Standing::Ready && !self.dead.contains(&one.id))
-            .filter(|one| !self.fences.is_unfenced(&one.id))
+            .filter(|one| !self.lost_holders.is_unfenced(&one.id))
     }
 
     /// Upstreams that may get keys: those that are ready and answer, or all
@@ -145,12 +145,13 @@
         let Phase::Held { holder, token, .. } = &slice.phase else {
             return;
         };
-        slice.phase = Phase::Leaving {
+        let phase = Phase::Leaving {
             holder: holder.clone(),
             token: *token,
             release,
             next,
         };
+        slice.set_phase(phase);
         slice.told_in = told_in;
         slice.due = now;
         slice.settled_at = now;
@@ -166,6 +167,7 @@
         let epoch = self.epoch;
         let standbys = &self.standbys;
         let waits_for_standbys = self.timing.guards.waits_for_standbys;
+        let mut lost = Vec::new();
         for slice in self.slices.values_mut() {
             let Phase::Leaving { holder, .. } = &slice.phase else {
                 continue;
@@ -182,7 +184,7 @@
             let lapsed = lapsed && !grant_under_way && slice.told_in <= durable;
             let has_ended = self.dead.contains(holder);
             if !has_ended && lapsed && self.timing.guards.fences_lost_holders {
-                self.fences.add(now, holder, slice.range);
+                lost.push((holder.clone(), slice.range));
             }
             if lapsed || has_ended {
                 slice.phase = Phase::Free { handover: None };
@@ -190,6 +192,10 @@
                 slice.lapses = now;
             }
         }
+        for (holder, range) in lost {
+            let token = self.next_token();
+            self.lost_holders.add(now, &holder, range, token);
+        }
     }
 
     /// When the slices of each leaving holder have lapsed that lapse about now:
@@ -244,11 +250,12 @@
         if let Some(contact) = self.contacts.get_mut(&holder) {
             contact.forgive();
         }
-        slice.phase = Phase::Held {
+        let handover = handover.clone();
+        slice.set_phase(Phase::Held {
             holder,
             token,
-            handover: handover.clone(),
-        };
+            handover,
+        });
         slice.told_in = told_in;
         slice.due = now;
         slice.settled_at = now;
--- a/crates/sharding/src/granter/fences.rs
+++ b/crates/sharding/src/granter/lost_holders.rs
@@ -1,7 +1,7 @@
 //! The granter's dealings with upstreams that lost keys without an answer.
 
 use super::Granter;
-use crate::fence::{FenceNotice, UnfencedUpstream};
+use crate::lost_holders::{FenceNotice, UnfencedUpstream};
 use crate::order::{CallId, GrantOrder, GrantReply, OrderKind};
 use crate::range::KeyRange;
 use crate::slice::Phase;
@@ -11,15 +11,17 @@
 
 impl Granter {
     /// Takes over whom the record names. Keys that the same upstream holds by that record
-    /// were given to it after it had answered.
+    /// were given to it after it had answered, and those that it is asked for wait for its
+    /// answer to that.
     pub(super) fn adopt_unfenced(&mut self, now: Time, unfenced: &[UnfencedUpstream]) {
         for UnfencedUpstream { upstream, ranges } in unfenced {
             for range in ranges {
                 let mut slices = self.slices.values();
-                let holds = slices
-                    .any(|slice| slice.holder() == Some(upstream) && slice.range.overlaps(*range));
-                if !holds {
-                    self.fences.add(now, upstream, *range);
+                let has = slices
+                    .any(|slice| slice.current() == Some(upstream) && slice.range.overlaps(*range));
+                if !has {
+                    let token = self.next_token();
+                    self.lost_holders.add(now, upstream, *range, token);
                 }
             }
         }
@@ -28,7 +30,7 @@
     /// Whom the next record names: also those that are asked for keys, since a successor
     /// may find this record and parts of the next one, by which the keys have gone on.
     pub(super) fn unfenced_record(&self) -> Vec<UnfencedUpstream> {
-        let named = self.fences.record().into_iter();
+        let named = self.lost_holders.record().into_iter();
         let mut named: BTreeMap<UpstreamId, Vec<KeyRange>> = named
             .map(|unfenced| (unfenced.upstream, unfenced.ranges))
             .collect();
@@ -45,21 +47,21 @@
 
     /// Releases that are due to upstreams that lost keys without an answer.
     pub(super) fn fence_orders(&mut self, now: Time) -> Vec<GrantOrder> {
-        self.fences.forget(now);
-        if self.fences.count() == 0 {
+        self.settle_lost_holders(now);
+        if self.lost_holders.count() == 0 {
             return Vec::new();
         }
         let slices = &self.slices;
         let holds = |id: &UpstreamId| slices.values().any(|slice| slice.holder() == Some(id));
-        let due = self.fences.due(now, holds);
+        let due = self.lost_holders.due(now, holds);
         let mut orders = Vec::new();
         for release in due {
             let call = CallId(self.next_call);
             self.next_call += 1;
-            self.fences.sent(now, call, &release);
+            self.lost_holders.sent(now, call, &release);
             orders.push(GrantOrder {
                 call,
-                token: self.next_token(),
+                token: release.token,
                 holder: release.upstream,
                 range: release.range,
                 kind: OrderKind::Release,
@@ -70,30 +72,34 @@
 
     /// Takes the answer to a release of that kind.
     pub(super) fn fence_answered(&mut self, now: Time, call: CallId, reply: &GrantReply) {
-        let Some(upstream) = self.fences.asked(call) else {
+        let Some(upstream) = self.lost_holders.asked(call) else {
             return;
         };
         if *reply == GrantReply::Replaced {
             self.proved_dead(&upstream);
             return;
         }
-        let is_fenced = self.fences.handle(now, &upstream, call, reply);
-        if !is_fenced {
-            return;
-        }
-        self.end_earlier_fences(&upstream);
-        if let Some(contact) = self.contacts.get_mut(&upstream) {
-            contact.forgive();
+        self.lost_holders.handle(now, &upstream, call, reply);
+        self.settle_lost_holders(now);
+    }
+
+    /// Upstreams that have answered may get keys again.
+    fn settle_lost_holders(&mut self, now: Time) {
+        for upstream in self.lost_holders.settle(now) {
+            self.end_earlier_fences(&upstream);
+            if let Some(contact) = self.contacts.get_mut(&upstream) {
+                contact.forgive();
+            }
         }
     }
 
     /// What became of upstreams that lost keys without an answer, since the last call.
     pub fn take_fence_notices(&mut self) -> Vec<FenceNotice> {
-        self.fences.take_notices()
+        self.lost_holders.take_notices()
     }
 
     /// How many upstreams lost keys and have not answered yet.
     pub fn unfenced_count(&self) -> usize {
-        self.fences.count()
+        self.lost_holders.count()
     }
 }
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -34,6 +34,10 @@
             let answered = matches!(reply, GrantReply::Granted | GrantReply::Outdated);
             self.follow_answer(now, answered, !was_silent);
             self.note_contact(now, call, &sent.holder, &reply);
+            self.note_token(sent.first, &sent.holder, &reply);
+        }
+        if matches!(reply, GrantReply::Undelivered | GrantReply::BrokenOff) {
+            self.renew_tokens(&sent.holder);
         }
         let Some(slice) = self.slices.get_mut(&sent.first) else {
             return;
@@ -48,12 +52,22 @@
         }
     }
 
+    /// Notes that the holder may have seen the token of a slice.
+    fn note_token(&mut self, first: ShardKey, holder: &UpstreamId, reply: &GrantReply) {
+        if let Some(slice) = self.slices.get_mut(&first)
+            && slice.holder() == Some(holder)
+        {
+            slice.token_is_out |= *reply != GrantReply::Undelivered;
+        }
+    }
+
     fn note_contact(&mut self, now: Time, call: CallId, holder: &UpstreamId, reply: &GrantReply) {
         let heard = self.candidates.get(holder).and_then(|one| one.heard);
         let contact = self.contacts.entry(holder.clone()).or_default();
         match reply {
             GrantReply::Granted | GrantReply::Outdated => contact.answered(call),
             GrantReply::Unanswered
+            | GrantReply::BrokenOff
             | GrantReply::Undelivered
             | GrantReply::Rejected
             | GrantReply::Replaced
@@ -93,7 +107,7 @@
                     self.owned_again.extend(owned_again);
                 }
             }
-            GrantReply::Unanswered => {
+            GrantReply::Unanswered | GrantReply::BrokenOff => {
                 if timing.guards.counts_unanswered {
                     let lapses = now + timing.transit + timing.bound(hold);
                     slice.lapses = slice.lapses.max(lapses);
@@ -123,8 +137,8 @@
         let Some(slice) = self.slices.get_mut(&first) else {
             return;
         };
-        if let Phase::Held { token, .. } = &mut slice.phase {
-            *token = fresh;
+        if slice.holder().is_some() {
+            slice.set_token(fresh);
             slice.told_in = told_in;
             slice.due = now;
             self.dirty = true;
@@ -159,6 +173,7 @@
             GrantReply::Granted
             | GrantReply::Rejected
             | GrantReply::Undelivered
+            | GrantReply::BrokenOff
             | GrantReply::Unanswered => {
                 slice.due = now + RETRY;
                 // It is as silent as when it lost the keys.
@@ -185,7 +200,7 @@
             self.candidates
                 .get(id)
                 .is_some_and(|candidate| candidate.standing == Standing::Ready)
-                && !self.fences.is_unfenced(id)
+                && !self.lost_holders.is_unfenced(id)
         };
         if let Some(next) = next.filter(ready) {
             self.give(now, first, next);
--- a/crates/sharding/src/granter/restarts.rs
+++ b/crates/sharding/src/granter/restarts.rs
@@ -29,7 +29,9 @@
         let restarted = new.into_iter().filter(is_restart);
         let restarted: Vec<UpstreamId> = restarted.cloned().collect();
         for id in restarted {
-            self.fences.add(now, &id, KeyRange::ALL);
+            let token = self.next_token();
+            self.lost_holders.add(now, &id, KeyRange::ALL, token);
+            self.dirty = true;
         }
     }
 
@@ -37,7 +39,7 @@
     fn known_by_name(&self) -> BTreeMap<&UpstreamName, Vec<&UpstreamId>> {
         let holders = self.slices.values().filter_map(Slice::current);
         let known = self.candidates.keys().chain(self.contacts.keys());
-        let known = known.chain(holders).chain(self.fences.upstreams());
+        let known = known.chain(holders).chain(self.lost_holders.upstreams());
         let mut by_name: BTreeMap<&UpstreamName, Vec<&UpstreamId>> = BTreeMap::new();
         for id in known {
             by_name.entry(&id.name).or_default().push(id);
@@ -48,7 +50,7 @@
     /// Ends the fences of the incarnations before one that has answered for all keys.
     pub(super) fn end_earlier_fences(&mut self, fenced: &UpstreamId) {
         let candidates = &self.candidates;
-        self.fences
+        self.lost_holders
             .end(|id| fenced.is_restart_of(id) && !candidates.contains_key(id));
     }
 }
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -6,9 +6,9 @@
 //! to move. All pure.
 
 mod balance;
-mod fence;
 mod granter;
 mod load;
+mod lost_holders;
 mod order;
 mod part;
 mod range;
@@ -17,12 +17,12 @@
 mod standby;
 
 pub use balance::{BalanceLimits, Holding, MoveRoom, MoveStep, Seat, plan_moves};
-pub use fence::{FenceNotice, UnfencedUpstream};
 pub use granter::{
     Candidate, Contact, GrantPace, Granter, GranterGuards, GranterTiming, Standing,
     UnansweredGrants,
 };
 pub use load::LoadMap;
+pub use lost_holders::{FenceNotice, UnfencedUpstream};
 pub use order::{CallId, GrantOrder, GrantReply, Handover, OrderKind};
 pub use part::{Assignment, AssignmentHead, AssignmentPart, Part};
 pub use range::{KeyRange, ShardKey};
--- a/crates/sharding/src/order.rs
+++ b/crates/sharding/src/order.rs
@@ -60,4 +60,6 @@
     Undelivered,
     /// No answer came; the order may have been taken, or be taken later.
     Unanswered,
+    /// The same, and its connection ended: the upstream may have restarted.
+    BrokenOff,
 }
--- a/crates/sharding/src/part.rs
+++ b/crates/sharding/src/part.rs
@@ -10,7 +10,7 @@
 //! written loses nothing: nothing is granted by a record before its head is durable,
 //! and parts of it name nobody who is not known to the granter that wrote them.
 
-use crate::fence::UnfencedUpstream;
+use crate::lost_holders::UnfencedUpstream;
 use crate::range::{KeyRange, ShardKey};
 use crate::record::{AssignmentRecord, FencingToken, RecordNumber, SliceRecord, SliceState};
 use crate::standby::StandbyId;
--- a/crates/sharding/src/record.rs
+++ b/crates/sharding/src/record.rs
@@ -1,6 +1,6 @@
 //! Who holds the keys of one divided service.
 
-use crate::fence::UnfencedUpstream;
+use crate::lost_holders::UnfencedUpstream;
 use crate::range::{KeyRange, ShardKey};
 use crate::standby::StandbyId;
 use beamtray_catalog::UpstreamId;
--- a/crates/sharding/src/slice.rs
+++ b/crates/sharding/src/slice.rs
@@ -69,6 +69,8 @@
     pub phase: Phase,
     /// Sequence of the record that first tells this phase.
     pub told_in: u64,
+    /// Whether the holder may have seen its token.
+    pub token_is_out: bool,
     /// After this no grant that was answered, or could have been, is in force.
     pub lapses: Time,
     /// Order under way.
@@ -100,6 +102,20 @@
         }
     }
 
+    /// Puts another token in force that its holder has not seen.
+    pub fn set_token(&mut self, fresh: FencingToken) {
+        if let Phase::Held { token, .. } = &mut self.phase {
+            *token = fresh;
+            self.token_is_out = false;
+        }
+    }
+
+    /// Puts it in another phase.
+    pub fn set_phase(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.token_is_out = false;
+    }
+
     /// Who holds it, is to hold it, or is to give it back.
     pub fn current(&self) -> Option<&UpstreamId> {
         match &self.phase {
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -29,6 +29,7 @@
         counts_unanswered: true,
         waits_for_standbys: true,
         fences_lost_holders: true,
+        renews_tokens: true,
     },
 };
 const LIMITS: BalanceLimits = BalanceLimits {
