Soak: links that keep what was written over a cut, three checks of owners

Cause: the soak never saw an old grant. Its proxy let connections come up during a cut, so the releases that a router sent on them came right behind the old renewals as the cut ended, and took the keys back within milliseconds; it passed on what it had kept at the very end of the cut, when grants don't count; an upstream dropped an order whose sender had closed, as its server cancels what it works on when the connection ends; cuts lasted 0.5 to 5 s, one fault in 26, of which few outlast a hold and its transit; and no check compared tokens.

Change: the proxy keeps bytes over a silence and sends them again 0.2 s after they were written and then at doubling pauses, also after an ordinary close, whose word passes no cut either; a reset drops them. New connections neither come up in a cut nor are refused: the listener's queue is kept full. Orders that have come are carried out. A third of the runs cut an upstream that holds keys off from routers and store for 5 to 10 s, half of them with a router killed within 0.4 s, from a generator of its own. Checks: tokens rise; no key is given away under its holder's work; two owners without grants that came right after a thaw or a healed link; overlaps without what was held up on its way, as the platform's rule has it. socket2, which the router uses already, sets the queue's length.

Ruled out: refusing connections in a cut (a refusal tells that a process ended).

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -4,8 +4,9 @@
 mod load;
 mod owners;
 mod requests;
+mod tokens;
 
-pub use history::{Disturbance, Disturbed, History, PlannedStop, UpstreamEnd};
+pub use history::{Disturbance, Disturbed, Healed, HeldUp, History, PlannedStop, UpstreamEnd};
 
 use crate::config::CONTACT;
 use crate::message::{CallerEnd, Observation, Report};
@@ -144,12 +145,27 @@
     last: u16,
     since: Time,
     ends: Time,
+    /// When the grant was taken.
+    taken: Time,
+    /// When it would have run out if it had not been given back.
+    lease_ends: Time,
+}
+
+/// A grant as an upstream took it.
+#[derive(Clone, Debug)]
+struct Taking {
+    at: Time,
+    upstream: String,
+    first: u16,
+    last: u16,
+    token: u64,
 }
 
 struct Checker<'a> {
     history: &'a History,
     requests: HashMap<String, Request>,
     holdings: Vec<Holding>,
+    takings: Vec<Taking>,
     left: HashMap<String, Time>,
     configured: Vec<(Time, u64)>,
     verdict: Verdict,
@@ -163,6 +179,7 @@
         history: &history,
         requests: HashMap::new(),
         holdings: Vec::new(),
+        takings: Vec::new(),
         left: HashMap::new(),
         configured: Vec::new(),
         verdict: Verdict::default(),
@@ -173,6 +190,8 @@
     checker.end_holdings();
     checker.judge_requests();
     checker.judge_owners();
+    checker.judge_tokens();
+    checker.judge_work();
     checker.judge_budget();
     checker.judge_leavers();
     checker.judge_recovery();
@@ -236,6 +255,15 @@
                 last: *last,
                 since: *since,
                 ends: *ends,
+                taken: at,
+                lease_ends: *ends,
+            }),
+            Observation::Taken { first, last, token } => self.takings.push(Taking {
+                at,
+                upstream: from,
+                first: *first,
+                last: *last,
+                token: *token,
             }),
             Observation::Released { first, last } => self.release(at, &from, *first, *last),
             Observation::Left { upstream } => {
--- a/crates/soak/src/checker/history.rs
+++ b/crates/soak/src/checker/history.rs
@@ -45,6 +45,25 @@
     pub at: Time,
 }
 
+/// The end of a trouble after which a grant may come that its sender would not send any
+/// more: a router ran again, or an upstream's link was whole again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Healed {
+    /// The incarnation of the upstream; any for none.
+    pub upstream: Option<String>,
+    /// When.
+    pub at: Time,
+}
+
+/// Bytes came to an upstream that had been held up on their way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldUp {
+    /// The incarnation.
+    pub upstream: String,
+    /// When.
+    pub at: Time,
+}
+
 /// All that a run showed.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -56,6 +75,10 @@
     pub stops: Vec<PlannedStop>,
     /// Upstreams that ended.
     pub upstream_ends: Vec<UpstreamEnd>,
+    /// Ends of troubles.
+    pub healed: Vec<Healed>,
+    /// What was held up on its way.
+    pub held_up: Vec<HeldUp>,
     /// From when on requests must be served again.
     pub recovered: Time,
 }
--- a/crates/soak/src/checker/owners.rs
+++ b/crates/soak/src/checker/owners.rs
@@ -9,8 +9,24 @@
 const OVERLAP: Duration = Duration::from_millis(500);
 
 impl Checker<'_> {
-    /// Two upstreams must not both begin requests on a key while both hold it.
+    /// Two upstreams must not both begin requests on a key while both hold it. Grants right
+    /// after trouble don't count: their sender could not know better.
     pub(super) fn judge_owners(&mut self) {
+        let all = self.holdings.clone();
+        let mut holdings = all.clone();
+        holdings.retain(|holding| !self.is_after_trouble(&holding.upstream, holding.taken));
+        for holding in &mut holdings {
+            if self.is_after_trouble(&holding.upstream, holding.since) {
+                holding.since = holding.taken;
+            }
+        }
+        self.holdings = holdings;
+        self.judge_beginnings();
+        self.holdings = all;
+        self.judge_overlaps();
+    }
+
+    fn judge_beginnings(&mut self) {
         let mut begun: Vec<(u16, Begun)> = self
             .requests
             .values()
@@ -20,16 +36,18 @@
         begun.sort_by_key(|(_, begun)| begun.at);
         let mut last: HashMap<(u16, String), Time> = HashMap::new();
         for (key, begun) in begun {
+            let own_since = self.counted_since(&begun, key);
             let other = self.holdings.iter().find(|holding| {
                 let holds = holding.first <= key
                     && key <= holding.last
                     && holding.since <= begun.at
                     && begun.at < holding.ends;
-                let both_since = holding.since.max(begun.held_since);
+                let both_since = own_since.map(|own| holding.since.max(own));
                 let began = last.get(&(key, holding.upstream.clone()));
+                let both_began = both_since.zip(began);
                 holds
                     && holding.upstream != begun.upstream
-                    && began.is_some_and(|began| *began >= both_since)
+                    && both_began.is_some_and(|(both_since, began)| *began >= both_since)
             });
             let other = other.map(|holding| holding.upstream.clone());
             self.verdict
@@ -39,11 +57,29 @@
                 });
             last.insert((key, begun.upstream), begun.at);
         }
-        self.judge_overlaps();
     }
 
+    /// Since when the upstream of a run has held its key under grants that count.
+    fn counted_since(&self, begun: &Begun, key: u16) -> Option<Time> {
+        if !self.is_after_trouble(&begun.upstream, begun.held_since) {
+            return Some(begun.held_since);
+        }
+        let own = self.holdings.iter().filter(|holding| {
+            holding.upstream == begun.upstream
+                && (holding.first..=holding.last).contains(&key)
+                && begun.held_since <= holding.taken
+                && holding.taken <= begun.at
+        });
+        own.map(|holding| holding.taken).min()
+    }
+
+    /// Two upstreams must not hold the same keys for long, with requests or without. What
+    /// was held up on its way does not count: it lasts from its arrival, later than its
+    /// sender can know by any clock.
     fn judge_overlaps(&mut self) {
-        let holdings = std::mem::take(&mut self.holdings);
+        let all = std::mem::take(&mut self.holdings);
+        let mut holdings = all.clone();
+        holdings.retain(|holding| !self.is_held_up(&holding.upstream, holding.taken));
         for (index, one) in holdings.iter().enumerate() {
             let other = holdings[index + 1..].iter().find(|other| {
                 let from = one.since.max(other.since);
@@ -63,6 +99,6 @@
                     )
                 });
         }
-        self.holdings = holdings;
+        self.holdings = all;
     }
 }
--- /dev/null
+++ b/crates/soak/src/checker/tokens.rs
@@ -0,0 +1,165 @@
+//! The promises that tokens rise, and that no key is given away under its holder's work.
+
+use super::{Checker, Promise, Taking};
+use beamtray_types::Time;
+use std::time::Duration;
+
+/// For so long after its sender ran again or its link was whole again, a grant that arrives
+/// does not tell against the router: it could not know better.
+const AFTER_TROUBLE: Duration = Duration::from_millis(300);
+/// How long after bytes that were held up have passed a grant may be one of them.
+const HELD_UP_TAKES: Duration = Duration::from_millis(100);
+
+/// Tokens under which upstreams had one key.
+#[derive(Clone, Debug, Default)]
+struct KeyTokens<'a> {
+    highest: u64,
+    holder: &'a str,
+    /// The highest of all but that holder.
+    of_others: u64,
+}
+
+impl<'a> KeyTokens<'a> {
+    fn highest_of_others(&self, upstream: &str) -> u64 {
+        if self.holder == upstream {
+            self.of_others
+        } else {
+            self.highest
+        }
+    }
+
+    fn note(&mut self, upstream: &'a str, token: u64) {
+        if self.holder == upstream {
+            self.highest = self.highest.max(token);
+        } else if token > self.highest {
+            self.of_others = self.highest;
+            self.highest = token;
+            self.holder = upstream;
+        } else {
+            self.of_others = self.of_others.max(token);
+        }
+    }
+}
+
+fn is_within(at: Time, since: Time, time: Duration) -> bool {
+    since <= at && at.since(since) < time
+}
+
+impl Checker<'_> {
+    /// Whether a grant came to an upstream right after trouble: it does not count.
+    pub(super) fn is_after_trouble(&self, upstream: &str, at: Time) -> bool {
+        self.history.healed.iter().any(|healed| {
+            let concerns = healed.upstream.as_ref().is_none_or(|one| one == upstream);
+            concerns && is_within(at, healed.at, AFTER_TROUBLE)
+        })
+    }
+
+    /// Whether a grant that came to an upstream may have been held up on its way.
+    pub(super) fn is_held_up(&self, upstream: &str, at: Time) -> bool {
+        self.history
+            .held_up
+            .iter()
+            .any(|held_up| held_up.upstream == upstream && is_within(at, held_up.at, HELD_UP_TAKES))
+    }
+
+    /// An upstream takes a key only under a token above all those under which others had
+    /// it. A grant that was held up counts too: its token tells how old it is.
+    pub(super) fn judge_tokens(&mut self) {
+        let takings = std::mem::take(&mut self.takings);
+        let mut keys = vec![KeyTokens::default(); usize::from(u16::MAX) + 1];
+        for taking in &takings {
+            let mut others = 0;
+            for tokens in &mut keys[usize::from(taking.first)..=usize::from(taking.last)] {
+                others = others.max(tokens.highest_of_others(&taking.upstream));
+                tokens.note(&taking.upstream, taking.token);
+            }
+            let counts = !self.is_after_trouble(&taking.upstream, taking.at);
+            let holds = others < taking.token || !counts;
+            self.verdict
+                .test(Promise::Owner, holds, taking.at, || too_low(taking, others));
+        }
+        self.takings = takings;
+    }
+
+    /// No key is given to an upstream while another one works on it, before the lease of
+    /// that one would have run out. What was held up does not count: it lasts from its
+    /// arrival, later than its sender can know by any clock.
+    pub(super) fn judge_work(&mut self) {
+        let runs = self.runs();
+        let takings = std::mem::take(&mut self.takings);
+        for taking in &takings {
+            if self.is_held_up(&taking.upstream, taking.at) {
+                continue;
+            }
+            let works = runs.iter().find(|run| {
+                run.upstream != taking.upstream
+                    && (taking.first..=taking.last).contains(&run.key)
+                    && run.begun <= taking.at
+                    && taking.at < run.ends
+                    && self.is_leased(run, taking.at)
+            });
+            self.verdict
+                .test(Promise::Owner, works.is_none(), taking.at, || {
+                    let other = works.map_or("", |run| run.upstream.as_str());
+                    let (first, last) = (taking.first, taking.last);
+                    let upstream = &taking.upstream;
+                    format!("{upstream} takes {first} to {last}, on which {other} works")
+                });
+        }
+        self.takings = takings;
+    }
+
+    fn is_leased(&self, run: &KeyRun, at: Time) -> bool {
+        self.holdings.iter().any(|holding| {
+            holding.upstream == run.upstream
+                && (holding.first..=holding.last).contains(&run.key)
+                && holding.taken <= at
+                && at < holding.lease_ends
+                && !self.is_held_up(&holding.upstream, holding.taken)
+        })
+    }
+
+    /// Work on keys; what was never told to have ended ends with its upstream.
+    fn runs(&self) -> Vec<KeyRun> {
+        let mut runs = Vec::new();
+        for request in self.requests.values() {
+            for begun in &request.begun {
+                let Some(key) = begun.key else { continue };
+                let own = request
+                    .finished
+                    .iter()
+                    .filter(|(at, upstream)| *upstream == begun.upstream && *at >= begun.at);
+                let finished = own.map(|(at, _)| *at).min();
+                let ended = self.history.upstream_ends.iter();
+                let ended = ended.filter(|end| end.upstream == begun.upstream);
+                let ended = ended.map(|end| end.at).min();
+                runs.push(KeyRun {
+                    upstream: begun.upstream.clone(),
+                    key,
+                    begun: begun.at,
+                    ends: finished.or(ended).unwrap_or(begun.at),
+                });
+            }
+        }
+        runs
+    }
+}
+
+/// Work of an upstream on a key.
+struct KeyRun {
+    upstream: String,
+    key: u16,
+    begun: Time,
+    ends: Time,
+}
+
+fn too_low(taking: &Taking, others: u64) -> String {
+    let Taking {
+        upstream,
+        first,
+        last,
+        token,
+        ..
+    } = taking;
+    format!("{upstream} takes {first} to {last} under {token}, another had keys under {others}")
+}
--- a/crates/soak/src/clock.rs
+++ b/crates/soak/src/clock.rs
@@ -4,7 +4,7 @@
 use nix::time::{ClockId, clock_gettime};
 
 /// The time now; zero if the system has no such clock.
-pub(crate) fn now() -> Time {
+pub fn now() -> Time {
     let reading = clock_gettime(ClockId::CLOCK_MONOTONIC);
     reading.map_or(Time::ZERO, |reading| {
         let micros = reading.tv_sec() as u64 * 1_000_000 + reading.tv_nsec() as u64 / 1_000;
--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -4,7 +4,7 @@
 use super::faults::{ActiveFault, Target};
 use super::ports::Ports;
 use crate::channel::MessageReader;
-use crate::checker::{Disturbance, Disturbed, History, PlannedStop, UpstreamEnd};
+use crate::checker::{Disturbance, Disturbed, Healed, HeldUp, History, PlannedStop, UpstreamEnd};
 use crate::children::{Process, router_program};
 use crate::clock;
 use crate::config::{
@@ -47,10 +47,12 @@
     pub stopping: Option<Time>,
 }
 
-/// An upstream's place: its address and the proxy before it.
+/// An upstream's place: its address, the proxy before it and the one on its way to the
+/// store.
 pub(super) struct UpstreamSlot {
     pub process: Option<Process>,
     pub proxy: Proxy,
+    pub store_proxy: Proxy,
     listen: SocketAddr,
     generation: u32,
 }
@@ -61,7 +63,6 @@
     pub upstreams: Vec<UpstreamSlot>,
     _store: Process,
     _caller: Process,
-    store_address: SocketAddr,
     driver: SocketAddr,
     folder: PathBuf,
     commands: Commands,
@@ -72,6 +73,8 @@
     pub disturbances: Vec<Disturbance>,
     pub stops: Vec<PlannedStop>,
     pub upstream_ends: Vec<UpstreamEnd>,
+    pub healed: Vec<Healed>,
+    pub held_up: Vec<HeldUp>,
 }
 
 impl Cluster {
@@ -112,6 +115,7 @@
             upstreams.push(UpstreamSlot {
                 process: None,
                 proxy: Proxy::start(listen).await?,
+                store_proxy: Proxy::start(store_address).await?,
                 listen,
                 generation: 0,
             });
@@ -121,7 +125,6 @@
             upstreams,
             _store: store,
             _caller: caller,
-            store_address,
             driver,
             folder,
             commands,
@@ -132,6 +135,8 @@
             disturbances: Vec::new(),
             stops: Vec::new(),
             upstream_ends: Vec::new(),
+            healed: Vec::new(),
+            held_up: Vec::new(),
         };
         for index in 0..size.upstreams() {
             cluster.start_upstream(index)?;
@@ -207,7 +212,7 @@
             format!("--zone={}", ZONES[index % ZONES.len()]),
             format!("--listen={}", slot.listen),
             format!("--advertised={}", slot.proxy.address),
-            format!("--store={}", self.store_address),
+            format!("--store={}", slot.store_proxy.address),
             format!("--driver={}", self.driver),
             format!("--clock-percent={clock}"),
         ];
@@ -254,12 +259,15 @@
     }
 
     /// What was seen so far.
-    pub fn history(&self, recovered: Time) -> History {
+    pub fn history(&mut self, recovered: Time) -> History {
+        self.follow_links();
         History {
             reports: self.reports.borrow().clone(),
             disturbances: self.disturbances.clone(),
             stops: self.stops.clone(),
             upstream_ends: self.upstream_ends.clone(),
+            healed: self.healed.clone(),
+            held_up: self.held_up.clone(),
             recovered,
         }
     }
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -1,7 +1,7 @@
 //! Carries faults out and ends them.
 
 use super::cluster::{Cluster, now};
-use crate::checker::{Disturbed, PlannedStop};
+use crate::checker::{Disturbed, Healed, HeldUp, PlannedStop};
 use crate::message::{Command, StoreFaults};
 use crate::plan::{PlannedFault, SoakFault};
 use crate::proxy::LinkHarm;
@@ -57,6 +57,7 @@
         SoakFault::UpstreamKill(_)
         | SoakFault::UpstreamPause(_)
         | SoakFault::UpstreamCut(_)
+        | SoakFault::UpstreamUnreachable(_)
         | SoakFault::UpstreamReset(_)
         | SoakFault::UpstreamDelay(_)
         | SoakFault::AnswersLost(_) => Target::Some(Disturbed::Upstream),
@@ -190,7 +191,9 @@
         }
         for fault in over {
             self.disturbed(&fault, now());
+            self.healed(fault.fault);
         }
+        self.follow_links();
         self.follow_stops(at)
     }
 
@@ -230,6 +233,35 @@
         Ok(())
     }
 
+    /// Notes the end of a trouble after which a grant may come that its sender would not
+    /// send any more.
+    fn healed(&mut self, fault: SoakFault) {
+        let upstream = match fault {
+            SoakFault::RouterPause(_) => None,
+            SoakFault::UpstreamCut(index) | SoakFault::UpstreamUnreachable(index) => {
+                Some(self.upstream_name(index))
+            }
+            _ => return,
+        };
+        self.healed.push(Healed {
+            upstream,
+            at: now(),
+        });
+    }
+
+    /// Notes what came to upstreams that had been held up.
+    pub fn follow_links(&mut self) {
+        for index in 0..self.upstreams.len() {
+            let upstream = self.upstream_name(index);
+            let times = self.upstreams[index].proxy.take_held_up().into_iter();
+            let held_up = times.map(|at| HeldUp {
+                upstream: upstream.clone(),
+                at,
+            });
+            self.held_up.extend(held_up);
+        }
+    }
+
     fn follow_stops(&mut self, at: Time) -> Result<()> {
         for node in 0..self.routers.len() {
             let slot = &mut self.routers[node];
@@ -288,7 +320,14 @@
             });
         }
         for (index, slot) in self.upstreams.iter().enumerate() {
-            slot.proxy.harm(if has(SoakFault::UpstreamCut(index)) {
+            let is_unreachable = has(SoakFault::UpstreamUnreachable(index));
+            slot.store_proxy.harm(if is_unreachable {
+                LinkHarm::cut()
+            } else {
+                LinkHarm::default()
+            });
+            let is_cut = is_unreachable || has(SoakFault::UpstreamCut(index));
+            slot.proxy.harm(if is_cut {
                 LinkHarm::cut()
             } else if has(SoakFault::UpstreamDelay(index)) {
                 LinkHarm::delayed(SLOW_LINK)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,7 +11,7 @@
 mod channel;
 mod checker;
 mod children;
-mod clock;
+pub mod clock;
 mod config;
 mod driver;
 mod message;
@@ -25,13 +25,14 @@
 
 pub use caller::{CallerSettings, run as run_caller};
 pub use checker::{
-    Count, Disturbance, Disturbed, Finding, History, PlannedStop, Promise, UpstreamEnd, Verdict,
-    check,
+    Count, Disturbance, Disturbed, Finding, Healed, HeldUp, History, PlannedStop, Promise,
+    UpstreamEnd, Verdict, check,
 };
 pub use config::{HOST, ORDER, PROBE};
 pub use driver::{RunSettings, play, shorten};
 pub use message::{CallerEnd, Command, Observation, Report};
 pub use plan::{Plan, PlannedFault, SoakFault};
+pub use proxy::{Harm, LinkHarm, Proxy};
 pub use regressions::{Regression, load as load_regressions};
 pub use size::Size;
 pub use store::{StoreSettings, run as run_store};
--- a/crates/soak/src/message.rs
+++ b/crates/soak/src/message.rs
@@ -80,6 +80,15 @@
         /// Until when, by the upstream's clock.
         ends: Time,
     },
+    /// An upstream took a grant.
+    Taken {
+        /// First key.
+        first: u16,
+        /// Last key.
+        last: u16,
+        /// The grant's token.
+        token: u64,
+    },
     /// An upstream gave keys back.
     Released {
         /// First key.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -55,6 +55,8 @@
     UpstreamDrain(usize),
     /// The way to an upstream is silent both ways.
     UpstreamCut(usize),
+    /// An upstream is out of reach of routers, and the store out of its reach.
+    UpstreamUnreachable(usize),
     /// Connections to an upstream are reset.
     UpstreamReset(usize),
     /// The way to an upstream takes longer.
@@ -103,6 +105,8 @@
             let series = draw_series(&mut random, begin, size);
             faults.extend(series.into_iter().filter(|fault| fault.at_ms < end));
         }
+        let unreachable = draw_unreachable(seed, end, size).into_iter();
+        faults.extend(unreachable.filter(|fault| fault.at_ms < end));
         faults.sort_by_key(|fault| fault.at_ms);
         Self { faults }
     }
@@ -121,6 +125,33 @@
     }
 }
 
+/// In one run of three, an upstream that holds keys is out of reach for longer than a hold
+/// and its transit, in half of these while a router is killed: from a generator of its own,
+/// so that the other faults of a seed stay what they were.
+fn draw_unreachable(seed: u64, end_ms: u64, size: Size) -> Vec<PlannedFault> {
+    const ONE_IN: u32 = 3;
+    /// Between the cut and the kill.
+    const AFTER_MS: u64 = 400;
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0xC07_0000);
+    if !random.random_ratio(1, ONE_IN) {
+        return Vec::new();
+    }
+    let at_ms = random.random_range(0..end_ms.max(1));
+    let unreachable = PlannedFault {
+        at_ms,
+        for_ms: random.random_range(5_000..10_000),
+        fault: SoakFault::UpstreamUnreachable(random.random_range(0..size.keyed)),
+    };
+    let killed = PlannedFault {
+        at_ms: at_ms + random.random_range(0..AFTER_MS),
+        for_ms: random.random_range(500..5_000),
+        fault: SoakFault::RouterKill(random.random_range(0..size.routers)),
+    };
+    let with_kill = random.random_bool(0.5);
+    let killed = with_kill.then_some(killed);
+    [unreachable].into_iter().chain(killed).collect()
+}
+
 /// Planned work in a series, one step a machine, as operators and platforms do it. It
 /// overlaps other series and faults.
 fn draw_series(random: &mut ChaCha8Rng, begin_ms: u64, size: Size) -> Vec<PlannedFault> {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,20 +1,29 @@
 //! A loopback proxy that harms what passes through it.
+//!
+//! Over a silence it does what kernels do on both sides of a cut: bytes that were written
+//! are kept and sent again at doubling pauses, also when their sender has closed its
+//! connection meanwhile; a sender's reset drops them; new connections don't come up. A proxy
+//! that let these come up would bring what a router sends on them right behind what it sent
+//! before the cut, and so hide what an old message does alone.
 
+mod gate;
+mod retransmit;
+
+use crate::clock;
+use beamtray_types::Time;
 use eyre::{Result, WrapErr};
-use std::cell::Cell;
+use gate::Gate;
+use retransmit::{CopyEnd, copy};
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-const CHUNK_BYTES: usize = 16 * 1024;
-
 /// What a proxy does to the bytes of one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Harm {
+pub struct Harm {
     /// Bytes wait until this is over.
     pub silent: bool,
     /// Time that bytes take longer.
@@ -23,8 +32,10 @@
 
 /// Harm in both directions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LinkHarm {
+pub struct LinkHarm {
+    /// Towards the target.
     pub towards: Harm,
+    /// Away from it.
     pub back: Harm,
 }
 
@@ -67,10 +78,21 @@
     harm: Cell<LinkHarm>,
     changed: Notify,
     reset: Notify,
+    /// When bytes came to the target that had been held up.
+    held_up: RefCell<Vec<Time>>,
+}
+
+impl Link {
+    /// Waits until a direction is not silent.
+    async fn heard(&self, side: impl Fn(LinkHarm) -> Harm) {
+        while side(self.harm.get()).silent {
+            self.changed.notified().await;
+        }
+    }
 }
 
 /// A proxy to one target.
-pub(crate) struct Proxy {
+pub struct Proxy {
     /// Where it listens.
     pub address: SocketAddr,
     link: Rc<Link>,
@@ -78,13 +100,14 @@
 
 impl Proxy {
     /// Starts a proxy to `target`.
+    ///
+    /// # Errors
+    /// When it can't listen.
     pub async fn start(target: SocketAddr) -> Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))
-            .await
-            .wrap_err("listen for a proxy")?;
-        let address = listener.local_addr()?;
+        let gate = Gate::new().await.wrap_err("listen for a proxy")?;
+        let address = gate.address()?;
         let link = Rc::new(Link::default());
-        tokio::task::spawn_local(accept(listener, target, link.clone()));
+        tokio::task::spawn_local(accept(gate, target, link.clone()));
         Ok(Self { address, link })
     }
 
@@ -98,11 +121,29 @@
     pub fn reset(&self) {
         self.link.reset.notify_waiters();
     }
+
+    /// When bytes came to the target that had been held up, since the last question.
+    pub fn take_held_up(&self) -> Vec<Time> {
+        self.link.held_up.take()
+    }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, link: Rc<Link>) {
-    while let Ok((client, _)) = listener.accept().await {
-        tokio::task::spawn_local(pass(client, target, link.clone()));
+/// Accepts connections while bytes pass towards the target.
+async fn accept(mut gate: Gate, target: SocketAddr, link: Rc<Link>) {
+    loop {
+        if link.harm.get().towards.silent {
+            gate.close().await;
+            link.heard(|harm| harm.towards).await;
+            gate.open();
+        }
+        tokio::select! {
+            client = gate.accept() => {
+                if let Some(client) = client {
+                    tokio::task::spawn_local(pass(client, target, link.clone()));
+                }
+            }
+            () = link.changed.notified() => {}
+        }
     }
 }
 
@@ -116,37 +157,31 @@
     let _ = server.set_nodelay(true);
     let (mut from_client, mut to_client) = client.into_split();
     let (mut from_server, mut to_server) = server.into_split();
-    let towards = copy(&mut from_client, &mut to_server, &link, |harm| harm.towards);
-    let back = copy(&mut from_server, &mut to_client, &link, |harm| harm.back);
-    let reset = tokio::select! {
-        () = towards => false,
-        () = back => false,
-        () = link.reset.notified() => true,
+    let held_up = || link.held_up.borrow_mut().push(clock::now());
+    let towards = copy(
+        &mut from_client,
+        &mut to_server,
+        &link,
+        |harm| harm.towards,
+        held_up,
+    );
+    let back = copy(
+        &mut from_server,
+        &mut to_client,
+        &link,
+        |harm| harm.back,
+        || {},
+    );
+    let end = tokio::select! {
+        end = towards => end,
+        end = back => end,
+        () = link.reset.notified() => CopyEnd::Reset,
     };
-    if reset {
+    // The word of an end does not pass a cut either.
+    link.heard(|harm| harm.towards).await;
+    link.heard(|harm| harm.back).await;
+    if end == CopyEnd::Reset {
         let _ = from_client.as_ref().set_zero_linger();
         let _ = from_server.as_ref().set_zero_linger();
     }
 }
-
-async fn copy(
-    from: &mut OwnedReadHalf,
-    to: &mut OwnedWriteHalf,
-    link: &Link,
-    side: impl Fn(LinkHarm) -> Harm,
-) {
-    let mut buffer = vec![0; CHUNK_BYTES];
-    loop {
-        let length = match from.read(&mut buffer).await {
-            Ok(length) if length > 0 => length,
-            _ => return,
-        };
-        while side(link.harm.get()).silent {
-            link.changed.notified().await;
-        }
-        tokio::time::sleep(side(link.harm.get()).delay).await;
-        if to.write_all(&buffer[..length]).await.is_err() {
-            return;
-        }
-    }
-}
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -166,7 +166,13 @@
     upstream.calls.set(call.0 + 1);
     let holder = UpstreamId(upstream.settings.id.clone());
     if let Some(order) = reverse::read_order(&path, &body, holder, call) {
-        return Ok(upstream.order(order).await);
+        // One that has come is carried out, also when its sender has left.
+        let task = tokio::task::spawn_local({
+            let upstream = upstream.clone();
+            async move { upstream.order(order).await }
+        });
+        let answer = task.await;
+        return Ok(answer.unwrap_or_else(|_| upstream.status(500)));
     }
     Ok(upstream.request(&head.headers, &path).await)
 }
@@ -259,6 +265,11 @@
     }
 
     fn tell_held(&self, order: &beamtray_sharding::GrantOrder) {
+        self.reporter.tell(Observation::Taken {
+            first: order.range.first.0,
+            last: order.range.last.0,
+            token: order.token.0,
+        });
         let emulator = self.emulator.borrow();
         if let Some(grant) = emulator.grant(clock::now(), order.range.first) {
             self.reporter.tell(Observation::Held {
--- /dev/null
+++ b/crates/soak/tests/common/links.rs
@@ -0,0 +1,82 @@
+//! The links of an upstream, which can be cut.
+
+use beamtray_soak::{LinkHarm, Proxy};
+use beamtray_types::Time;
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+use tokio::runtime::Builder;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::LocalSet;
+
+/// Between looks at what was held up.
+const STEP: Duration = Duration::from_millis(5);
+
+/// Proxies on the ways to some targets.
+pub struct Links {
+    /// Where each target is reached, in the order of the targets.
+    pub addresses: Vec<SocketAddr>,
+    harm: UnboundedSender<LinkHarm>,
+    held_up: Arc<Mutex<Vec<Time>>>,
+}
+
+impl Links {
+    pub fn start(targets: &[SocketAddr]) -> Self {
+        let (harm, commands) = unbounded_channel();
+        let (ready, started) = mpsc::channel();
+        let held_up = Arc::<Mutex<Vec<Time>>>::default();
+        let (targets, times) = (targets.to_vec(), held_up.clone());
+        thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.expect("a runtime");
+            let links = pass_on(targets, ready, commands, &times);
+            LocalSet::new().block_on(&runtime, links);
+        });
+        Self {
+            addresses: started.recv().expect("the proxies start"),
+            harm,
+            held_up,
+        }
+    }
+
+    pub fn cut(&self) {
+        self.harm.send(LinkHarm::cut()).expect("the proxies run");
+    }
+
+    pub fn heal(&self) {
+        let whole = LinkHarm::default();
+        self.harm.send(whole).expect("the proxies run");
+    }
+
+    /// When bytes came to a target that had been held up.
+    pub fn held_up(&self) -> Vec<Time> {
+        self.held_up.lock().expect("not poisoned").clone()
+    }
+}
+
+async fn pass_on(
+    targets: Vec<SocketAddr>,
+    ready: mpsc::Sender<Vec<SocketAddr>>,
+    mut commands: UnboundedReceiver<LinkHarm>,
+    held_up: &Mutex<Vec<Time>>,
+) {
+    let mut proxies = Vec::new();
+    for target in targets {
+        proxies.push(Proxy::start(target).await.expect("a free port"));
+    }
+    let addresses = proxies.iter().map(|proxy| proxy.address).collect();
+    ready.send(addresses).expect("the test waits");
+    loop {
+        tokio::select! {
+            harm = commands.recv() => match harm {
+                Some(harm) => proxies.iter().for_each(|proxy| proxy.harm(harm)),
+                None => return,
+            },
+            () = tokio::time::sleep(STEP) => {}
+        }
+        let times = proxies.iter().flat_map(Proxy::take_held_up);
+        held_up.lock().expect("not poisoned").extend(times);
+    }
+}
--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command as Program, Stdio};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -59,14 +60,24 @@
 
 /// Stands in for the soak's driver: it gives the store its configuration.
 pub fn drive(listener: TcpListener) {
+    // Nobody reads them; they end with the test's process.
+    let _ = drive_and_listen(listener);
+}
+
+/// The same; what the processes tell.
+pub fn drive_and_listen(listener: TcpListener) -> Arc<Mutex<Vec<Report>>> {
+    let told = Arc::<Mutex<Vec<Report>>>::default();
+    let reports = told.clone();
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            thread::spawn(move || hear(stream));
+            let reports = reports.clone();
+            thread::spawn(move || hear(stream, &reports));
         }
     });
+    told
 }
 
-fn hear(mut stream: TcpStream) {
+fn hear(mut stream: TcpStream, reports: &Mutex<Vec<Report>>) {
     let mut frames = FrameBuffer::default();
     let mut buffer = [0; 4_096];
     while let Ok(length @ 1..) = stream.read(&mut buffer) {
@@ -77,6 +88,7 @@
                 let frame = encode(&Command::Configure(1)).expect("plain data");
                 stream.write_all(&frame).expect("the store reads it");
             }
+            reports.lock().expect("not poisoned").push(report);
         }
     }
 }
@@ -125,7 +137,7 @@
     (store, process)
 }
 
-/// An upstream of the service that is not divided.
+/// An upstream; of the service that is not divided, if nothing else is said.
 pub struct Upstream<'a> {
     pub id: &'a str,
     /// Where it listens.
@@ -138,10 +150,15 @@
 
 impl Upstream<'_> {
     pub fn start(&self, folder: &Path) -> Process {
+        self.start_in("pool", folder)
+    }
+
+    /// The same in a service of that name.
+    pub fn start_in(&self, service: &str, folder: &Path) -> Process {
         let arguments = [
             "upstream".to_owned(),
             format!("--id={}", self.id),
-            "--service=pool".to_owned(),
+            format!("--service={service}"),
             "--zone=a".to_owned(),
             format!("--listen={}", self.listen),
             format!("--advertised={}", self.advertised),
--- /dev/null
+++ b/crates/soak/tests/proxy.rs
@@ -0,0 +1,145 @@
+//! The proxy carries bytes over a cut as kernels do.
+
+use beamtray_soak::{LinkHarm, Proxy};
+use std::io::ErrorKind;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, timeout};
+
+const CUT: Duration = Duration::from_millis(500);
+/// What is written as the cut begins is sent again after 0.2, 0.6 and 1.4 s.
+const SENT_AGAIN: Duration = Duration::from_millis(1_400);
+/// Time for bytes over loopback.
+const SOON: Duration = Duration::from_millis(100);
+const LONG: Duration = Duration::from_secs(5);
+
+struct Path {
+    proxy: Proxy,
+    listener: TcpListener,
+}
+
+impl Path {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let target = listener.local_addr().expect("an address");
+        let proxy = Proxy::start(target).await.expect("a port");
+        Self { proxy, listener }
+    }
+
+    /// Both ends of a connection that came up and was used.
+    async fn connection(&self) -> (TcpStream, TcpStream) {
+        let client = TcpStream::connect(self.proxy.address).await;
+        let mut client = client.expect("it comes up");
+        let (mut server, _) = self.listener.accept().await.expect("it comes up");
+        client.write_all(b"used").await.expect("it is written");
+        assert_eq!(read(&mut server, LONG).await, Some(b"used".to_vec()));
+        (client, server)
+    }
+
+    async fn cut(&self) {
+        self.proxy.harm(LinkHarm::cut());
+        // No connection comes up once the queue is full.
+        sleep(SOON).await;
+    }
+
+    fn heal(&self) {
+        self.proxy.harm(LinkHarm::default());
+    }
+}
+
+/// What comes within that time; nothing for an end.
+async fn read(stream: &mut TcpStream, within: Duration) -> Option<Vec<u8>> {
+    let mut buffer = vec![0; 1_024];
+    let read = timeout(within, stream.read(&mut buffer)).await.ok()?;
+    buffer.truncate(read.unwrap_or_default());
+    Some(buffer)
+}
+
+fn play(story: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    LocalSet::new().block_on(&runtime, story);
+}
+
+#[test]
+fn bytes_pass_a_cut_when_they_are_sent_again() {
+    play(async {
+        let path = Path::start().await;
+        let (mut client, mut server) = path.connection().await;
+        path.cut().await;
+        let written = Instant::now();
+        client.write_all(b"order").await.expect("it is written");
+        sleep(CUT).await;
+        path.heal();
+        // It was sent again after 0.2 s, in the cut, and is heard after 0.6 s.
+        assert_eq!(read(&mut server, LONG).await, Some(b"order".to_vec()));
+        let passed = written.elapsed();
+        let sent_again = passed > CUT && passed < SENT_AGAIN + SOON;
+        assert!(sent_again, "after {passed:?}");
+        assert_eq!(path.proxy.take_held_up().len(), 1);
+    });
+}
+
+#[test]
+fn an_ordinary_close_does_not_end_what_was_written() {
+    play(async {
+        let path = Path::start().await;
+        let (mut client, mut server) = path.connection().await;
+        path.cut().await;
+        client.write_all(b"order").await.expect("it is written");
+        drop(client);
+        assert_eq!(read(&mut server, CUT).await, None, "nothing passes a cut");
+        path.heal();
+        assert_eq!(read(&mut server, LONG).await, Some(b"order".to_vec()));
+        assert_eq!(read(&mut server, LONG).await, Some(Vec::new()), "its end");
+    });
+}
+
+#[test]
+fn a_reset_drops_what_was_written() {
+    play(async {
+        let path = Path::start().await;
+        let (mut client, mut server) = path.connection().await;
+        path.cut().await;
+        client.write_all(b"order").await.expect("it is written");
+        sleep(SOON).await;
+        client.set_zero_linger().expect("it can be reset");
+        drop(client);
+        assert_eq!(read(&mut server, CUT).await, None, "nothing passes a cut");
+        path.heal();
+        assert_eq!(read(&mut server, LONG).await, Some(Vec::new()), "its end");
+        assert!(path.proxy.take_held_up().is_empty());
+    });
+}
+
+#[test]
+fn no_connection_comes_up_in_a_cut_nor_is_one_refused() {
+    play(async {
+        let path = Path::start().await;
+        path.cut().await;
+        for _ in 0..3 {
+            let connected = timeout(SOON, TcpStream::connect(path.proxy.address)).await;
+            assert!(connected.is_err(), "{connected:?}");
+        }
+        path.heal();
+        sleep(SOON).await;
+        path.connection().await;
+    });
+}
+
+#[test]
+fn a_target_that_is_gone_resets() {
+    play(async {
+        let Path { proxy, listener } = Path::start().await;
+        drop(listener);
+        let client = TcpStream::connect(proxy.address).await;
+        let mut client = client.expect("the proxy is there");
+        let mut buffer = [0; 8];
+        let read = timeout(LONG, client.read(&mut buffer)).await;
+        let error = read.expect("at once").expect_err("it is reset");
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    });
+}
