--- a/crates/routersim/tests/old_grants.rs
+++ b/crates/routersim/tests/old_grants.rs
@@ -12,7 +12,7 @@
 //! below, where nothing else goes wrong, the promise breaks.
 
 use beamtray_routersim::{
-    CutFrom, Fault, FaultPlan, Promise, Trouble, Violation, WorldConfig, play,
+    CutFrom, Fault, FaultPlan, GiveUp, Promise, Trouble, Violation, WorldConfig, play,
 };
 use beamtray_types::Time;
 use std::time::Duration;
@@ -35,20 +35,28 @@
     }
 }
 
-fn owners_broken(seed: u64, faults: &[Fault]) -> Vec<Violation> {
+fn owners_broken(seed: u64, give_up: GiveUp, faults: &[Fault]) -> Vec<Violation> {
     let plan = FaultPlan {
         faults: faults.to_vec(),
     };
-    let mut violations = play(WorldConfig::drawn(seed), plan, None).violations;
+    let config = WorldConfig {
+        give_up,
+        ..WorldConfig::drawn(seed)
+    };
+    let mut violations = play(config, plan, None).violations;
     violations.retain(|one| matches!(one.promise, Promise::SoleOwner | Promise::RisingTokens));
     violations
 }
 
+/// However connections of orders that are given up are closed: the promise does not rest on
+/// a transport that drops what was written.
 fn keeps_sole_owners(faults: &[Fault]) {
     let mut broken = Vec::new();
-    for seed in 0..SEEDS {
-        let violations = owners_broken(seed, faults);
-        broken.extend(violations.iter().map(|one| format!("seed {seed}: {one}")));
+    for give_up in [GiveUp::Close, GiveUp::Reset] {
+        for seed in 0..SEEDS {
+            let violations = owners_broken(seed, give_up, faults).into_iter();
+            broken.extend(violations.map(|one| format!("{give_up:?}, seed {seed}: {one}")));
+        }
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
@@ -58,6 +66,17 @@
     keeps_sole_owners(&[unreachable(CUT)]);
 }
 
+/// A process that stands still gives nothing up, and its kernel goes on sending.
+#[test]
+fn old_grants_of_a_granter_that_stands_still_come_to_nothing() {
+    let stands_still = Fault {
+        at: Time(8_150_000),
+        lasts: Duration::from_secs(20),
+        trouble: Trouble::NodeFreeze { node: None },
+    };
+    keeps_sole_owners(&[unreachable(CUT_WITH_SUCCESSION), stands_still]);
+}
+
 /// Nobody is left to close the connection, or to know of the order.
 #[test]
 fn old_grants_of_a_killed_granter_come_to_nothing() {
