--- a/crates/soak/src/checker/tokens.rs
+++ b/crates/soak/src/checker/tokens.rs
@@ -10,33 +10,38 @@
 /// How long after bytes that were held up have passed a grant may be one of them.
 const HELD_UP_TAKES: Duration = Duration::from_millis(100);
 
+/// A token under which an upstream had a key; the order is that of tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Had<'a> {
+    token: u64,
+    upstream: &'a str,
+}
+
 /// Tokens under which upstreams had one key.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct KeyTokens<'a> {
-    highest: u64,
-    holder: &'a str,
+    highest: Had<'a>,
     /// The highest of all but that holder.
-    of_others: u64,
+    of_others: Had<'a>,
 }
 
 impl<'a> KeyTokens<'a> {
-    fn highest_of_others(&self, upstream: &str) -> u64 {
-        if self.holder == upstream {
+    fn highest_of_others(&self, upstream: &str) -> Had<'a> {
+        if self.highest.upstream == upstream {
             self.of_others
         } else {
             self.highest
         }
     }
 
-    fn note(&mut self, upstream: &'a str, token: u64) {
-        if self.holder == upstream {
-            self.highest = self.highest.max(token);
-        } else if token > self.highest {
+    fn note(&mut self, had: Had<'a>) {
+        if self.highest.upstream == had.upstream {
+            self.highest = self.highest.max(had);
+        } else if had.token > self.highest.token {
             self.of_others = self.highest;
-            self.highest = token;
-            self.holder = upstream;
+            self.highest = had;
         } else {
-            self.of_others = self.of_others.max(token);
+            self.of_others = self.of_others.max(had);
         }
     }
 }
@@ -68,13 +73,17 @@
         let takings = std::mem::take(&mut self.takings);
         let mut keys = vec![KeyTokens::default(); usize::from(u16::MAX) + 1];
         for taking in &takings {
-            let mut others = 0;
+            let own = Had {
+                token: taking.token,
+                upstream: &taking.upstream,
+            };
+            let mut others = Had::default();
             for tokens in &mut keys[usize::from(taking.first)..=usize::from(taking.last)] {
                 others = others.max(tokens.highest_of_others(&taking.upstream));
-                tokens.note(&taking.upstream, taking.token);
+                tokens.note(own);
             }
             let counts = !self.is_after_trouble(&taking.upstream, taking.at);
-            let holds = others < taking.token || !counts;
+            let holds = others.token < taking.token || !counts;
             self.verdict
                 .test(Promise::Owner, holds, taking.at, || too_low(taking, others));
         }
@@ -153,7 +162,7 @@
     ends: Time,
 }
 
-fn too_low(taking: &Taking, others: u64) -> String {
+fn too_low(taking: &Taking, other: Had<'_>) -> String {
     let Taking {
         upstream,
         first,
@@ -161,5 +170,6 @@
         token,
         ..
     } = taking;
-    format!("{upstream} takes {first} to {last} under {token}, another had keys under {others}")
+    let (other, had) = (other.upstream, other.token);
+    format!("{upstream} takes {first} to {last} under {token}, {other} had keys under {had}")
 }
