--- a/crates/emulator/tests/leases.rs
+++ b/crates/emulator/tests/leases.rs
@@ -17,7 +17,7 @@
 const RUN_OUT: Time = Time(4_000_000);
 
 fn id() -> UpstreamId {
-    UpstreamId("u".to_owned())
+    UpstreamId::from("u".to_owned())
 }
 
 fn upstream() -> UpstreamEmulator {
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -14,7 +14,9 @@
 mod views;
 
 pub use control::{Control, ControlConfig};
-pub use message::{Datagram, GRANT_TIMEOUT, Input, Liveness, OrderTask, Output, StoreTask, Timing};
+pub use message::{
+    Datagram, GRANT_TIMEOUT, Input, Liveness, OrderTask, Output, OwnershipNotice, StoreTask, Timing,
+};
 pub use node::{CoreConfig, NodeCore};
 pub use records::{AssignmentKey, NodeRecord, OwnKeys};
 pub use registration::Registrar;
@@ -22,5 +24,6 @@
 pub use replica::{Replica, ReplicaHealth, ReplicaTiming};
 pub use standby::{KnownRecord, STANDBY_TERM, StandbyReport, StandbyState, StandbyWord};
 pub use views::{
-    Snapshot, StoreContact, ViewHeads, ViewName, ViewNotice, ViewRequest, Views, WantedView,
+    Snapshot, StoreContact, UnusableCounts, ViewHeads, ViewName, ViewNotice, ViewRequest, Views,
+    WantedView,
 };
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -257,6 +257,7 @@
         if notices.is_empty() {
             return;
         }
+        self.note_restarts(now, &notices);
         if let Some(configuration) = &self.views.configuration
             && configuration.version.0 != self.configured
         {
@@ -336,9 +337,9 @@
             self.outputs.extend(orders);
         }
         self.poll_standbys(now);
-        let owned_again = self.control.take_owned_again().into_iter();
-        let owned_again = owned_again.map(|(service, owned)| Output::OwnedAgain(service, owned));
-        self.outputs.extend(owned_again);
+        let notices = self.control.take_ownership_notices().into_iter();
+        let notices = notices.map(|(service, notice)| Output::Ownership(service, notice));
+        self.outputs.extend(notices);
         let granter = self
             .control
             .epoch()
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms, as Prometheus text.
 
-use crate::core::{NodeCore, ViewName};
+use crate::core::{NodeCore, ViewName, Views};
 use crate::shell::log::dropped_lines;
-use beamtray_catalog::UpstreamId;
+use beamtray_catalog::UpstreamName;
 use beamtray_types::Time;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -114,6 +114,13 @@
     pub view: String,
 }
 
+/// Entries below a prefix of the store, and what is wrong with them.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct EntryLabel {
+    pub prefix: String,
+    pub cause: &'static str,
+}
+
 type Latencies<Label> = Family<Label, Histogram, fn() -> Histogram>;
 
 fn latency() -> Histogram {
@@ -134,6 +141,7 @@
     /// Seconds from the decision on an order to its end.
     pub order_latency: Latencies<OrderLabels>,
     unanswered_grants: Family<UnansweredLabel, Gauge>,
+    unfenced_holders: Gauge,
     keys_with_holder: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     pub route_latency: Latencies<RouteLabel>,
     /// Seconds from a whole request to its refusal.
@@ -160,6 +168,7 @@
     nodes: Gauge,
     follows_store: Gauge,
     view_age: Family<ViewLabel, Gauge>,
+    unusable_entries: Family<EntryLabel, Gauge>,
 }
 
 impl Metrics {
@@ -172,6 +181,7 @@
             orders: Family::default(),
             order_latency: Family::new_with_constructor(latency),
             unanswered_grants: Family::default(),
+            unfenced_holders: Gauge::default(),
             keys_with_holder: Family::default(),
             route_latency: Family::new_with_constructor(latency),
             refusal_latency: Family::new_with_constructor(latency),
@@ -194,6 +204,7 @@
             nodes: Gauge::default(),
             follows_store: Gauge::default(),
             view_age: Family::default(),
+            unusable_entries: Family::default(),
         };
         metrics.register();
         metrics
@@ -228,6 +239,11 @@
              meanwhile, or of silent ones",
             self.unanswered_grants.clone(),
         );
+        registry.register(
+            "unfenced_holders",
+            "Upstreams that lost keys without an answer and have not answered since",
+            self.unfenced_holders.clone(),
+        );
         registry.register(
             "keys_with_holder",
             "Share of the keys of a divided service whose holder this node knows",
@@ -313,6 +329,11 @@
             "Time since the store last answered for a view",
             self.view_age.clone(),
         );
+        registry.register(
+            "unusable_entries",
+            "Entries of the store that can't be used, by prefix and cause",
+            self.unusable_entries.clone(),
+        );
     }
 
     /// Counts a line that was left out.
@@ -341,7 +362,7 @@
         for registration in views.directory.iter() {
             let id = &registration.record.id;
             let label = UpstreamLabel {
-                upstream: id.0.clone(),
+                upstream: id.name.0.clone(),
             };
             let hash = beamtray_dispatch::UpstreamHash::of(id);
             let total = dispatcher.occupancy().total(hash);
@@ -365,6 +386,7 @@
         let (slices, held) = control.slice_counts(now);
         self.slices.set(slices as i64);
         self.slices_held.set(held as i64);
+        self.unfenced_holders.set(control.unfenced_count() as i64);
         let unanswered = control.unanswered_grants();
         for (holder, count) in [
             ("serves", unanswered.serving),
@@ -394,14 +416,29 @@
                 view: format!("{view:?}"),
             };
             self.view_age.get_or_create(&label).set(age);
+            self.observe_unusable(views, view);
         }
         self.lines_dropped.set(dropped_lines() as i64);
     }
 
+    fn observe_unusable(&self, views: &Views, view: ViewName) {
+        let unusable = views.unusable(view);
+        for (cause, count) in [
+            ("unreadable", unusable.unreadable),
+            ("unknown_service", unusable.unknown_service),
+        ] {
+            let prefix = views.replica(view).prefix().to_owned();
+            let label = EntryLabel { prefix, cause };
+            self.unusable_entries
+                .get_or_create(&label)
+                .set(count as i64);
+        }
+    }
+
     /// Upstreams that are gone need not be told of for ever.
     fn forget_gone(&self, core: &NodeCore) {
         let directory = &core.inspect().0.directory;
-        let known = |id: &String| directory.get(&UpstreamId(id.clone())).is_some();
+        let known = |name: &String| directory.registered(&UpstreamName(name.clone())).is_some();
         self.timed.borrow_mut().retain(|id| {
             let keep = known(id);
             if !keep {
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -1,13 +1,14 @@
 //! Tells what the process did and believed: a line and a count for each.
 
 mod names;
+mod ownership;
 mod quarantine;
 
 use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
 use crate::shell::attempt::ClientRequest;
 use crate::shell::metrics::{
-    AttemptLabels, LossLabel, Metrics, OrderLabels, OrderName, RefusalLabels, RequestLabels,
-    RouteLabel, StoreLabels,
+    AttemptLabels, Metrics, OrderLabels, OrderName, RefusalLabels, RequestLabels, RouteLabel,
+    StoreLabels,
 };
 use crate::shell::rate::{LineKind, LineRate};
 use beamtray_catalog::DirectoryChange;
@@ -16,9 +17,8 @@
     RefusalReason, UnknownCause,
 };
 use beamtray_metastore::StoreOutcome;
-use beamtray_sharding::{GrantReply, OrderKind, OwnedAgain, ShardKey};
-use beamtray_types::ServiceName;
-use names::{attempt_outcome, grant_reply, loss_cause, store_outcome, store_task};
+use beamtray_sharding::{GrantReply, OrderKind, ShardKey};
+use names::{attempt_outcome, grant_reply, store_outcome, store_task};
 use slog::{Logger, Record, debug, info, warn};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -101,7 +101,14 @@
                 info!(log, "configuration_in_force"; "version" => version, "routes" => routes);
             }
             ViewNotice::Unreadable { key, cause } => {
-                warn!(log, "value_unreadable"; "key" => key, "cause" => cause);
+                if let Some(left_out) = self.admit(LineKind::Entry) {
+                    warn!(log, "value_unreadable"; "key" => key, "cause" => cause, left_out);
+                }
+            }
+            ViewNotice::UnknownService { key, service } => {
+                if let Some(left_out) = self.admit(LineKind::Entry) {
+                    warn!(log, "service_unknown"; "key" => key, "service" => %service, left_out);
+                }
             }
             ViewNotice::Directory(change) => self.directory(change),
             ViewNotice::Assigned {
@@ -148,6 +155,9 @@
             DirectoryChange::Unconfirmed(id) => {
                 info!(log, "upstream_unconfirmed"; "upstream" => %id);
             }
+            DirectoryChange::Restarted { earlier, later, .. } => {
+                info!(log, "upstream_restarted"; "upstream" => %earlier, "later" => %later);
+            }
         }
     }
 
@@ -159,20 +169,6 @@
         }
     }
 
-    /// Keys have an owner again.
-    pub fn owned_again(&self, service: &ServiceName, owned: &OwnedAgain) {
-        let cause = loss_cause(owned.cause);
-        let label = LossLabel {
-            cause: cause.to_owned(),
-        };
-        let histogram = self.metrics.unowned.get_or_create(&label);
-        histogram.observe(owned.after.as_secs_f64());
-        if let Some(left_out) = self.admit(LineKind::Dependency) {
-            info!(self.log, "owned_again"; "service" => %service, "range" => %owned.range,
-                "cause" => cause, "after_ms" => owned.after.as_millis() as u64, left_out);
-        }
-    }
-
     /// What this node does as a standby changed.
     pub fn standby(&self, state: StandbyState) {
         info!(self.log, "standby"; "state" => ?state);
@@ -269,7 +265,7 @@
         self.metrics.attempts.get_or_create(&labels).inc();
         let kind = match outcome {
             AttemptOutcome::Answered { .. } => {
-                self.metrics.answered(&forward.upstream.0, took);
+                self.metrics.answered(&forward.upstream.name.0, took);
                 LineKind::Step
             }
             _ => LineKind::Failure,
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -1,8 +1,9 @@
 //! Does what the core asks for.
 
-use crate::core::Output;
+use crate::core::{Output, ViewNotice};
 use crate::shell::handle::{Shared, Step};
 use crate::shell::{calls, peers, probe};
+use beamtray_catalog::DirectoryChange;
 use std::rc::Rc;
 
 /// Does what the core asks for.
@@ -20,12 +21,23 @@
         Output::Probe(doubted) => probe::listens(shared, doubted),
         Output::Quarantine(notice) => shared.observer.quarantine(notice),
         Output::Limits(limits) => shared.limits.set(limits),
-        Output::Notice(notice) => shared.observer.notice(&notice),
+        Output::Notice(notice) => {
+            shared.observer.notice(&notice);
+            forget_ended(shared, &notice);
+        }
         Output::Granter(epoch) => {
             shared.connections.set_gives_orders(epoch.is_some());
             shared.observer.granter(epoch);
         }
-        Output::OwnedAgain(service, owned) => shared.observer.owned_again(&service, &owned),
+        Output::Ownership(service, notice) => shared.observer.ownership(&service, &notice),
         Output::Standby(state) => shared.observer.standby(state),
     }
 }
+
+/// Closes the resting connections to an upstream that has started again: behind a cut they
+/// would take a request each before they show that their other side has ended.
+fn forget_ended(shared: &Shared, notice: &ViewNotice) {
+    if let ViewNotice::Directory(DirectoryChange::Restarted { address, .. }) = notice {
+        shared.connections.forget(*address);
+    }
+}
--- a/crates/router/tests/takeover.rs
+++ b/crates/router/tests/takeover.rs
@@ -35,6 +35,7 @@
         epoch: Epoch(1),
         sequence: 1,
         standbys: Vec::new(),
+        unfenced: Vec::new(),
         slices: slices.collect(),
     };
     let head = borsh::to_vec(&record.head()).expect("in memory");
@@ -108,7 +109,7 @@
 fn a_granter_that_knows_no_upstream_yet_takes_nothing_back() {
     let dialect = Rc::new(SimDialect::default());
     let held = SliceState::Held {
-        holder: UpstreamId("one".to_owned()),
+        holder: UpstreamId::from("one".to_owned()),
         token: FencingToken(5),
     };
     let store = store(&dialect, &held);
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -9,6 +9,7 @@
 mod owners;
 mod poison;
 mod registrations;
+mod restarts;
 mod stores;
 mod upstreams;
 
--- a/crates/routersim/tests/checkers.rs
+++ b/crates/routersim/tests/checkers.rs
@@ -21,7 +21,7 @@
 const END: Time = Time(10_000_000);
 
 fn upstream(index: usize) -> UpstreamId {
-    UpstreamId(format!("u{index}"))
+    UpstreamId::from(format!("u{index}"))
 }
 
 fn holder(index: usize, incarnation: u64) -> Holder {
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -28,6 +28,7 @@
         respects_predecessor: true,
         counts_unanswered: true,
         waits_for_standbys: true,
+        fences_lost_holders: true,
     },
 };
 const LIMITS: BalanceLimits = BalanceLimits {
@@ -46,7 +47,7 @@
 }
 
 fn id(name: &str) -> UpstreamId {
-    UpstreamId(name.to_owned())
+    UpstreamId::from(name.to_owned())
 }
 
 fn ready(name: &str, capacity: f64) -> Candidate {
