Simulator: an upstream that starts again under its name is no other holder

Cause: the check of tokens took each incarnation for a holder of its own. That came to the same while each had a name of its own; with restarts under a name it asked more than the rule's sentence, which speaks of other upstreams.

Change: holders are told apart by their names.

--- a/crates/routersim/src/check/tokens.rs
+++ b/crates/routersim/src/check/tokens.rs
@@ -4,13 +4,14 @@
 use beamtray_sharding::KeyRange;
 use std::fmt;
 
-/// One incarnation of an upstream.
+/// An upstream. One that starts again under its name is the same one: what is asked of
+/// tokens concerns others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
     /// Its number.
     pub index: usize,
-    /// Its incarnation.
-    pub incarnation: u64,
+    /// The incarnation that first had its name.
+    pub named: u64,
     /// Its name.
     pub id: UpstreamId,
 }
@@ -31,12 +32,12 @@
 struct Had {
     token: u64,
     index: usize,
-    incarnation: u64,
+    named: u64,
 }
 
 impl Had {
     fn is_by(&self, holder: &Holder) -> bool {
-        (self.index, self.incarnation) == (holder.index, holder.incarnation)
+        (self.index, self.named) == (holder.index, holder.named)
     }
 }
 
@@ -64,7 +65,7 @@
             self.highest = Had {
                 token,
                 index: holder.index,
-                incarnation: holder.incarnation,
+                named: holder.named,
             };
         } else {
             self.of_others = self.of_others.max(token);
--- a/crates/routersim/src/world/owners.rs
+++ b/crates/routersim/src/world/owners.rs
@@ -9,7 +9,7 @@
     fn holder(&self, index: usize, upstream: &UpstreamEmulator) -> Holder {
         Holder {
             index,
-            incarnation: self.upstream_state[index].incarnation,
+            named: self.upstream_state[index].named,
             id: upstream.config.id.clone(),
         }
     }
