Soak: a run's links end with it

The proxies of a run outlived it. What its last routers had written to connections that were not yet accepted was passed on once the next run's processes were started, to upstreams of the same names and addresses. It was so before too; the grants ended before the overlap was long enough to be seen.

Change: a proxy that is dropped accepts nothing more and drops its connections. Test: nothing_passes_after_the_end_of_a_proxy.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 
 /// What a proxy does to the bytes of one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -78,24 +79,37 @@
     harm: Cell<LinkHarm>,
     changed: Notify,
     reset: Notify,
+    /// Whether nobody owns the proxy any more.
+    is_over: Cell<bool>,
     /// When bytes came to the target that had been held up.
     held_up: RefCell<Vec<Time>>,
 }
 
 impl Link {
-    /// Waits until a direction is not silent.
+    /// Waits until a direction is not silent, or the proxy is over.
     async fn heard(&self, side: impl Fn(LinkHarm) -> Harm) {
-        while side(self.harm.get()).silent {
+        while side(self.harm.get()).silent && !self.is_over.get() {
             self.changed.notified().await;
         }
     }
 }
 
-/// A proxy to one target.
+/// A proxy to one target. Its connections end with it: what routers of one run have written
+/// must not come to the upstreams of the next, which have the same names and addresses.
 pub struct Proxy {
     /// Where it listens.
     pub address: SocketAddr,
     link: Rc<Link>,
+    accepting: AbortHandle,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.link.is_over.set(true);
+        self.link.reset.notify_waiters();
+        self.link.changed.notify_waiters();
+    }
 }
 
 impl Proxy {
@@ -107,8 +121,12 @@
         let gate = Gate::new().await.wrap_err("listen for a proxy")?;
         let address = gate.address()?;
         let link = Rc::new(Link::default());
-        tokio::task::spawn_local(accept(gate, target, link.clone()));
-        Ok(Self { address, link })
+        let accepting = tokio::task::spawn_local(accept(gate, target, link.clone()));
+        Ok(Self {
+            address,
+            link,
+            accepting: accepting.abort_handle(),
+        })
     }
 
     /// Harms the link from now on.
@@ -153,6 +171,9 @@
         let _ = client.set_zero_linger();
         return;
     };
+    if link.is_over.get() {
+        return;
+    }
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
     let (mut from_client, mut to_client) = client.into_split();
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -130,6 +130,25 @@
     });
 }
 
+/// Neither what waits to be accepted nor what is open passes on anything later.
+#[test]
+fn nothing_passes_after_the_end_of_a_proxy() {
+    play(async {
+        let path = Path::start().await;
+        let (client, mut server) = path.connection().await;
+        let Path { proxy, listener } = path;
+        // Both are read by the proxy's tasks, which have not run since.
+        let mut waiting = std::net::TcpStream::connect(proxy.address).expect("it comes up");
+        std::io::Write::write_all(&mut waiting, b"order").expect("it is written");
+        client.try_write(b"order").expect("it is written");
+        drop(proxy);
+        let end = read(&mut server, LONG).await;
+        assert_eq!(end, Some(Vec::new()), "its end");
+        let accepted = timeout(SOON, listener.accept()).await;
+        assert!(accepted.is_err(), "{accepted:?}");
+    });
+}
+
 #[test]
 fn a_target_that_is_gone_resets() {
     play(async {
