Simulator: what the fence of lost holders is for; docs

The guard had no history. With it switched off the cut alone breaks the promise that tokens rise, so that is its promise; a reset does not hide it, as the world closes connections in the ordinary way by default.

--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -53,8 +53,8 @@
             | Guard::PredecessorWait
             | Guard::UnansweredCounts
             | Guard::StandbyWait
-            | Guard::LostHolderFence
             | Guard::BootClock => Promise::SoleOwner,
+            Guard::LostHolderFence => Promise::RisingTokens,
             Guard::ProofBeforeRepeat => Promise::AtMostOnce,
             Guard::ShortDoubt => Promise::Drain,
             Guard::SuspicionsTold | Guard::SuspicionsKept => Promise::PoisonKeptOff,
--- a/crates/routersim/tests/guards.rs
+++ b/crates/routersim/tests/guards.rs
@@ -1,7 +1,7 @@
 //! Without any one protection a history breaks its promise, which it keeps
 //! with all of them.
 
-use beamtray_routersim::{Fault, FaultPlan, Guard, Promise, Trouble, WorldConfig, play};
+use beamtray_routersim::{CutFrom, Fault, FaultPlan, Guard, Promise, Trouble, WorldConfig, play};
 use beamtray_types::Time;
 use std::ops::Range;
 use std::time::Duration;
@@ -92,6 +92,16 @@
     matters(Guard::StandbyWait, &[upstream(0)]);
 }
 
+#[test]
+fn lost_holder_fence() {
+    // What was written to a holder as it was cut off comes when its keys are another's.
+    let unreachable = Trouble::UpstreamUnreachable {
+        upstream: 0,
+        from: CutFrom::Everything,
+    };
+    matters(Guard::LostHolderFence, &[fault(8_000, 5_000, unreachable)]);
+}
+
 #[test]
 fn proof_before_repeat() {
     let faults = [fault(8_000, 5_000, Trouble::AnswersLost { percent: 40 })];
