--- a/crates/grantsearch/src/upstream.rs
+++ b/crates/grantsearch/src/upstream.rs
@@ -68,7 +68,7 @@
     /// Takes an order. An order covers whole ranges; no work is under way, so that a
     /// release is answered at once.
     pub fn order(&mut self, now: Time, order: &GrantOrder, arrival: Arrival) -> GrantReply {
-        if order.holder != self.id {
+        if order.holder.name != self.id.name {
             return GrantReply::Replaced;
         }
         let concerned = self.holdings.iter_mut();
--- a/crates/grantsearch/src/world/faults.rs
+++ b/crates/grantsearch/src/world/faults.rs
@@ -4,6 +4,7 @@
 use super::{Continued, Step, World};
 use crate::scope::TICK;
 use crate::upstream::Upstream;
+use beamtray_catalog::{Birth, UpstreamId};
 use std::time::Duration;
 
 /// How long an upstream that ended takes to be up again.
@@ -76,7 +77,9 @@
         let life = old.life + 1;
         let next_id = if same_id {
             self.left.restarts_same_id -= 1;
-            None
+            let name = old.id.name.clone();
+            let born = Some(Birth(life.into()));
+            Some(UpstreamId { name, born })
         } else {
             self.left.restarts_new_id -= 1;
             Some(upstream_id(index, life))
