--- a/crates/grantsearch/src/main.rs
+++ b/crates/grantsearch/src/main.rs
@@ -29,6 +29,12 @@
         no_short
     )]
     copy_life: u64,
+    #[options(
+        help = "how long the granter counts with an order after it gave it up, in ms",
+        default = "300",
+        no_short
+    )]
+    transit: u64,
     #[options(
         help = "how long they live after the end of their sender, in ms; as above if not given",
         no_short
@@ -40,10 +46,18 @@
     cuts: u8,
     #[options(help = "most orders held up without a cut", default = "0", no_short)]
     messages: u8,
+    #[options(
+        help = "most orders that an upstream carries out late, without an answer",
+        default = "0",
+        no_short
+    )]
+    late: u8,
     #[options(help = "most restarts under the same id", default = "0", no_short)]
     same_id: u8,
     #[options(help = "most restarts under another id", default = "0", no_short)]
     new_id: u8,
+    #[options(help = "most upstreams that drain", default = "0", no_short)]
+    drains: u8,
     #[options(help = "most ends of a granter", default = "0", no_short)]
     ends: u8,
     #[options(help = "most granters that stand still", default = "0", no_short)]
@@ -97,6 +111,7 @@
         ..transport
     };
     let mut scope = Scope::new(transport);
+    scope.timing.transit = Duration::from_millis(arguments.transit);
     scope.upstreams = arguments.upstreams.clamp(2, 3);
     scope.ranges = arguments.ranges.clamp(1, 2);
     scope.standby = arguments.standby;
@@ -107,8 +122,10 @@
     scope.faults = Faults {
         cuts: arguments.cuts,
         messages: arguments.messages,
+        late: arguments.late,
         restarts_same_id: arguments.same_id,
         restarts_new_id: arguments.new_id,
+        drains: arguments.drains,
         ends: arguments.ends,
         freezes: arguments.freezes,
         store_outages: arguments.store_outages,
