Show that a request many send at once ends more upstreams than it may

Cause, suspected: the quarantine counts upstreams that ended, not runs that ended with them, and until the third upstream has ended any number of nodes send such a request at once. Ruled out: a single caller (the histories with one keep their promise). Change: poison requests of the simulator come from several callers at the same moment, each at an address of its own and at any node; the checker counts each run that ended with its upstream, where it counted the upstream once however many such runs it had begun: stricter than before.

--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -118,6 +118,15 @@
     assert!(forwarded(deployment.come(1_001, "other")).is_some());
 }
 
+/// From the first end on one request at a time shows whether it ends another upstream.
+#[test]
+fn a_suspected_request_is_not_sent_by_two_at_a_time() {
+    let mut deployment = Deployment::new();
+    deployment.end_under(100, "bad");
+    let sent = [1_000, 1_001, 1_002].map(|millis| forwarded(deployment.come(millis, "bad")));
+    assert!(sent.into_iter().flatten().count() <= 1);
+}
+
 /// One that waits for a slot while others that say the same end upstreams is not sent.
 #[test]
 fn a_request_that_waits_is_refused_when_it_becomes_known() {
--- a/crates/routersim/src/check.rs
+++ b/crates/routersim/src/check.rs
@@ -22,8 +22,8 @@
     Drain,
     /// Connected nodes act by the newest configuration in time.
     Configuration,
-    /// A request that ended three upstreams comes to no more than three others from
-    /// nodes that had the time to hear of it.
+    /// A request that ended three times with the upstream that ran it comes to upstreams
+    /// no more than three times more from nodes that had the time to hear of it.
     PoisonKeptOff,
     /// After the troubles most requests are served again.
     Recovery,
@@ -69,7 +69,7 @@
 /// Least part of the requests served after the troubles, in percent.
 pub const LEAST_SERVED_PERCENT: usize = 90;
 
-/// Upstreams that a request has ended when it counts as poison.
+/// Runs of a request that ended with their upstreams when it counts as poison.
 const POISON_AFTER: usize = 3;
 /// Most attempts with it that may still come to upstreams once all nodes had the time
 /// to hear of that.
@@ -152,7 +152,8 @@
         }
     }
 
-    /// A request with that content ended the upstream that ran it.
+    /// A run of a request with that content ended with its upstream. Runs that ended with
+    /// the same upstream count each.
     pub fn poison_ends(&mut self, at: Time, content: &str) {
         let poison = self.poison.entry(content.to_owned()).or_default();
         poison.ended += 1;
@@ -173,7 +174,10 @@
         }
         poison.let_through += 1;
         if poison.let_through == POISON_LET_THROUGH + 1 {
-            let text = format!("{content} ended {} upstreams so far", poison.ended);
+            let text = format!(
+                "{content} ended with its upstream {} times so far",
+                poison.ended
+            );
             self.object(Promise::PoisonKeptOff, sent, text);
         }
     }
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -102,13 +102,15 @@
         /// The upstream's number.
         upstream: usize,
     },
-    /// A client sends one request again and again, to any node, that ends each upstream
-    /// which begins to run it.
+    /// Callers send one request again and again, all at the same moment and each to any
+    /// node, that ends each upstream which begins to run it.
     PoisonRequest {
         /// Whether it is a read by key, which may be repeated, or an order.
         is_read: bool,
         /// Milliseconds between two sendings.
         pause_ms: u64,
+        /// How many they are, each at an address of its own.
+        callers: u8,
     },
     /// One key gets much of the traffic.
     HotKey,
@@ -171,6 +173,7 @@
         trouble: Trouble::PoisonRequest {
             is_read: random.random(),
             pause_ms: random.random_range(400..4_000),
+            callers: random.random_range(1..=6),
         },
     })
 }
--- a/crates/routersim/src/world/clients.rs
+++ b/crates/routersim/src/world/clients.rs
@@ -13,13 +13,18 @@
 const READS: u32 = 65;
 /// Part of the reads that are of the hot key while there is one, in percent.
 const HOT: u32 = 40;
-/// Where all clients call from.
-const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 2, 0, 1));
+/// Where all clients call from whose address does not matter.
+pub(super) const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 2, 0, 1));
 /// How long a client waits.
 pub(super) const PATIENCE: Duration = Duration::from_millis(1_500);
 
 /// What a client's request says.
-pub(super) fn request_head(id: &str, path: String, key: Option<ShardKey>) -> RequestHead {
+pub(super) fn request_head(
+    id: &str,
+    path: String,
+    key: Option<ShardKey>,
+    caller: IpAddr,
+) -> RequestHead {
     let content = RequestContent {
         method: "GET",
         host: HOST,
@@ -30,7 +35,7 @@
     RequestHead {
         id: id.to_owned(),
         host: HOST.to_owned(),
-        fingerprints: Fingerprints::of(&content, CALLER),
+        fingerprints: Fingerprints::of(&content, caller),
         path,
         patience: Some(PATIENCE),
         key,
@@ -58,7 +63,7 @@
         let ticket = Ticket(slot.next_ticket);
         let id = format!("request-{number}");
         let prefix = if is_read { READ } else { ORDER };
-        let head = request_head(&id, format!("{prefix}{number}"), key);
+        let head = request_head(&id, format!("{prefix}{number}"), key, CALLER);
         let asked = Asked {
             id,
             node,
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -95,7 +95,7 @@
             Trouble::OrdersLate { percent } => self.orders_late_percent = *percent,
             Trouble::AnswersLost { percent } => self.answers_lost_percent = *percent,
             Trouble::PoisonRequest { .. } => {
-                self.schedule(Duration::ZERO, Event::PoisonClient { fault: index });
+                self.schedule(Duration::ZERO, Event::PoisonClients { fault: index });
             }
             Trouble::HotKey => self.hot_key = Some(ShardKey(self.random.random())),
             Trouble::Configure => {
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -115,15 +115,14 @@
         back: bool,
     },
     Client,
-    /// A client sends the request of that fault.
-    PoisonClient {
+    /// Callers send the request of that fault.
+    PoisonClients {
         fault: usize,
     },
     /// A request ends the upstream that runs it.
     PoisonEnds {
         index: usize,
         incarnation: u64,
-        content: String,
     },
     Housekeeping,
     Fault {
@@ -269,12 +268,8 @@
                 back,
             } => self.end_upstream(index, incarnation, back),
             Event::Client => self.client(),
-            Event::PoisonClient { fault } => self.poison_client(fault),
-            Event::PoisonEnds {
-                index,
-                incarnation,
-                content,
-            } => self.poison_ends(index, incarnation, &content),
+            Event::PoisonClients { fault } => self.poison_clients(fault),
+            Event::PoisonEnds { index, incarnation } => self.poison_ends(index, incarnation),
             Event::Housekeeping => self.housekeeping(),
             Event::Fault { index } => self.fault(index),
             Event::FaultEnds { trouble, node } => self.fault_ends(&trouble, node),
--- a/crates/routersim/src/world/poison.rs
+++ b/crates/routersim/src/world/poison.rs
@@ -9,23 +9,36 @@
 use beamtray_router::core::{Input, Liveness};
 use beamtray_sharding::ShardKey;
 use rand::RngExt;
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 /// Time after which an upstream that was ended is back.
 const BACK_AFTER: Duration = Duration::from_secs(2);
 
 impl World {
-    /// Sends the request of a fault to some node, and again after its pause.
-    pub(super) fn poison_client(&mut self, fault: usize) {
+    /// Has each caller of a fault send its request to some node, and again after its pause.
+    pub(super) fn poison_clients(&mut self, fault: usize) {
         let (begun, lasts) = (self.faults[fault].at, self.faults[fault].lasts);
-        let Trouble::PoisonRequest { is_read, pause_ms } = self.faults[fault].trouble else {
+        let Trouble::PoisonRequest {
+            is_read,
+            pause_ms,
+            callers,
+        } = self.faults[fault].trouble
+        else {
             return;
         };
         if self.now >= begun + lasts {
             return;
         }
         let pause = Duration::from_millis(pause_ms);
-        self.schedule(pause, Event::PoisonClient { fault });
+        self.schedule(pause, Event::PoisonClients { fault });
+        for caller in 1..=callers {
+            let address = IpAddr::V4(Ipv4Addr::new(10, 2, 1, caller));
+            self.poison_client(fault, is_read, address);
+        }
+    }
+
+    fn poison_client(&mut self, fault: usize, is_read: bool, caller: IpAddr) {
         let node = self.random.random_range(0..self.nodes.len());
         let number = self.request_number();
         let slot = &mut self.nodes[node];
@@ -38,7 +51,7 @@
         let content = format!("{prefix}poison-{fault}");
         let id = format!("poison-{number}");
         let key = is_read.then(|| ShardKey(7_919 * (fault as u16 + 1)));
-        let head = request_head(&id, content.clone(), key);
+        let head = request_head(&id, content.clone(), key, caller);
         let asked = Asked {
             id,
             node,
@@ -52,13 +65,16 @@
         self.input(node, run, Input::Request { ticket, head });
     }
 
-    /// An upstream ends under a request that it runs.
-    pub(super) fn poison_ends(&mut self, index: usize, incarnation: u64, content: &str) {
+    /// An upstream ends under a request that it runs. Each such request that it runs at
+    /// that moment ends with it, and counts.
+    pub(super) fn poison_ends(&mut self, index: usize, incarnation: u64) {
         let is_there = self.upstreams[index].is_some();
         if !is_there || self.upstream_state[index].incarnation != incarnation {
             return;
         }
-        self.checkers.poison_ends(self.now, content);
+        for content in self.upstream_state[index].poison_under_way() {
+            self.checkers.poison_ends(self.now, &content);
+        }
         self.crash(index, false, BACK_AFTER);
     }
 
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -36,6 +36,8 @@
     attempt: u32,
     repeatable: bool,
     poison: Option<String>,
+    /// Whether the upstream began to run it.
+    begun: bool,
 }
 
 /// A release that waits for work to end.
@@ -65,6 +67,15 @@
     pub releases: BTreeMap<u64, PendingRelease>,
 }
 
+impl UpstreamState {
+    /// What the requests say that end upstreams and that this one has begun to run, once
+    /// for each.
+    pub(super) fn poison_under_way(&self) -> Vec<String> {
+        let begun = self.taken.values().filter(|taken| taken.begun);
+        begun.filter_map(|taken| taken.poison.clone()).collect()
+    }
+}
+
 fn address(index: usize) -> SocketAddr {
     let [high, low] = (index as u16 + 1).to_be_bytes();
     SocketAddr::from((Ipv4Addr::new(10, 1, high, low), PORT))
@@ -267,6 +278,7 @@
             attempt: forward.attempt,
             repeatable: asked.repeatable,
             poison: asked.poison.clone(),
+            begun: false,
         };
         if self.upstreams[index].is_none() {
             let (after, proof) = if self.upstream_state[index].dark {
@@ -339,17 +351,15 @@
         if let Some(key) = run.request.key {
             self.check_owner(index, key);
         }
-        let taken = self.upstream_state[index].taken.get(&run.request.id);
-        if let Some(content) = taken.and_then(|taken| taken.poison.clone()) {
-            let event = Event::PoisonEnds {
-                index,
-                incarnation,
-                content,
-            };
-            self.schedule(POISON_WORK, event);
+        let Some(taken) = self.upstream_state[index].taken.get_mut(&run.request.id) else {
+            return;
+        };
+        taken.begun = true;
+        let (is_poison, repeatable) = (taken.poison.is_some(), taken.repeatable);
+        if is_poison {
+            self.schedule(POISON_WORK, Event::PoisonEnds { index, incarnation });
         }
-        let taken = self.upstream_state[index].taken.get(&run.request.id);
-        if taken.is_some_and(|taken| !taken.repeatable) {
+        if !repeatable {
             self.checkers.unrepeatable_begins(self.now, &run.request.id);
         }
     }
--- a/crates/routersim/tests/poison_request.rs
+++ b/crates/routersim/tests/poison_request.rs
@@ -14,10 +14,19 @@
 const SEEDS: u64 = 6;
 
 fn poison(is_read: bool, pause_ms: u64) -> Fault {
+    poison_of(is_read, pause_ms, 1)
+}
+
+/// The same from several callers at the same moment.
+fn poison_of(is_read: bool, pause_ms: u64, callers: u8) -> Fault {
     Fault {
         at: Time(7_000_000),
         lasts: Duration::from_secs(50),
-        trouble: Trouble::PoisonRequest { is_read, pause_ms },
+        trouble: Trouble::PoisonRequest {
+            is_read,
+            pause_ms,
+            callers,
+        },
     }
 }
 
@@ -82,6 +91,26 @@
     keeps_it_off(6, &faults);
 }
 
+/// Seen: three requests that say the same ended with one upstream, three with the next
+/// and four with a third one. How: several callers sent it at the same moment to several
+/// nodes. Cause: upstreams that ended were counted, not runs that ended with them, and
+/// until the third upstream had ended any number of nodes sent it at once.
+#[test]
+fn a_read_that_many_send_at_once_is_kept_off() {
+    keeps_it_off(8, &[poison_of(true, 900, 6)]);
+}
+
+#[test]
+fn an_order_that_many_send_at_once_is_kept_off() {
+    keeps_it_off(8, &[poison_of(false, 2_500, 6)]);
+}
+
+/// They tell each other through relays.
+#[test]
+fn what_many_send_at_once_is_kept_off_by_many_nodes() {
+    keeps_it_off(24, &[poison_of(true, 900, 6), poison_of(false, 2_500, 6)]);
+}
+
 /// Each node counts for itself what it saw.
 #[test]
 fn nodes_that_do_not_tell_each_other_let_it_through() {
