Try a suspected request by one run at a time among all nodes

Cause: upstreams that ended were counted, not the runs that ended with them, and between the ends a suspect was let through freely, so that several nodes sent it at once. Ruled out: knowledge that comes late (in the histories that broke, all nodes knew of the first two upstreams before they sent it again). Change: each run that ended with its upstream is known by its own short name. From the first one on a node needs a permit, which the one node that a hash of the request picks from the registered ones lends, to one node at a time; the outcome is told before the next is lent, and one that stays unknown counts as no success. A success clears at once, three answers of another kind clear as well.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,9 +10,9 @@
 mod slots;
 
 use crate::budget::{BudgetConfig, RetryBudget};
-use crate::fingerprint::Fingerprints;
+use crate::fingerprint::{Fingerprint, Fingerprints};
 use crate::occupancy::Occupancy;
-use crate::quarantine::Quarantine;
+use crate::quarantine::{Quarantine, RunHash};
 use crate::report::UpstreamHash;
 use crate::request::{Admission, AssignmentNumber, RequestHead, Ticket, UnknownCause};
 use crate::speed::SpeedTable;
@@ -23,7 +23,7 @@
 use beamtray_types::{ServiceName, Time, Zone};
 use faults::Faults;
 use pools::Pools;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 pub use slots::{SlotCounts, SlotReply, SlotRequest};
 use slots::{SlotState, SlotTracker};
@@ -72,6 +72,9 @@
     sent: Time,
     /// Whether the upstream had a free slot then, as far as known.
     unqueued: bool,
+    run: RunHash,
+    /// The fingerprint of whose permit it was sent, if it needed one.
+    permit: Option<Fingerprint>,
 }
 
 #[derive(Clone, Debug)]
@@ -161,6 +164,8 @@
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
     nodes: usize,
     sequence: u32,
+    /// Attempts that were begun.
+    attempts: u32,
     random: ChaCha8Rng,
 }
 
@@ -189,13 +194,14 @@
             slots: SlotTracker::default(),
             faults: Faults::default(),
             speeds: SpeedTable::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::numbered_from(random.clone().random()),
             doubted: Vec::new(),
             doubted_at: HashMap::new(),
             heard: HashMap::new(),
             key_loads: HashMap::new(),
             nodes: 1,
             sequence: 0,
+            attempts: 0,
             random,
         }
     }
--- a/crates/dispatch/src/dispatcher/decide.rs
+++ b/crates/dispatch/src/dispatcher/decide.rs
@@ -3,6 +3,9 @@
 use super::choice::Choice;
 use super::slots::SlotState;
 use super::{Dispatcher, Request};
+use crate::fingerprint::Fingerprint;
+use crate::quarantine::{Standing, TrialRequest, TrialStep};
+use crate::report::NodeHash;
 use crate::request::{Conclusion, Decision, Ending, RefusalReason, Ticket};
 use beamtray_catalog::Directory;
 use beamtray_types::Time;
@@ -36,7 +39,7 @@
             };
             let decision = self.decide(now, directory, ticket, &mut request);
             let (waits, ended) = match &decision {
-                None | Some(Decision::Ask(_)) => (true, false),
+                None | Some(Decision::Ask(_) | Decision::AskTrial(_)) => (true, false),
                 Some(Decision::Forward(..)) => (false, false),
                 Some(Decision::Conclude(..)) => (false, true),
             };
@@ -65,14 +68,22 @@
         }
         // Here, not at admission alone: a request may wait while others that say the same
         // end upstreams.
-        if self
-            .quarantine
-            .remaining(now, request.fingerprints)
-            .is_some()
-        {
-            let ending = self.conclude(now, request, RefusalReason::Quarantined);
-            return Some(Decision::Conclude(ticket, ending));
-        }
+        let permit = match self.quarantine.standing(now, request.fingerprints) {
+            Standing::Free => None,
+            Standing::KeptOff(_) => {
+                let ending = self.conclude(now, request, RefusalReason::Quarantined);
+                return Some(Decision::Conclude(ticket, ending));
+            }
+            Standing::Doubted => return self.await_trial(now, ticket, request),
+            Standing::OnTrial(fingerprint) => match self.quarantine.trial_step(now, fingerprint) {
+                TrialStep::Send => Some(fingerprint),
+                TrialStep::Wait => return self.await_trial(now, ticket, request),
+                TrialStep::Ask(number) => {
+                    let asked = self.trial_request(request, fingerprint, number);
+                    return Some(Decision::AskTrial(asked));
+                }
+            },
+        };
         let wanted = if now < request.not_before {
             Err(RefusalReason::Busy)
         } else {
@@ -80,7 +91,7 @@
         };
         match wanted {
             Ok(Choice::Send(registration)) => {
-                let forward = self.forward(now, request, &registration);
+                let forward = self.forward(now, ticket, request, &registration, permit);
                 Some(Decision::Forward(ticket, forward))
             }
             Ok(Choice::Ask) => Some(Decision::Ask(self.slot_request(now, ticket, request))),
@@ -93,6 +104,28 @@
         }
     }
 
+    /// A request that is under suspicion waits for its trial, or for that of another that
+    /// says the same, as long as others wait for a slot: mostly the outcome is there before.
+    fn await_trial(&mut self, now: Time, ticket: Ticket, request: &Request) -> Option<Decision> {
+        if now < request.wait_until {
+            return None;
+        }
+        let ending = self.conclude(now, request, RefusalReason::Quarantined);
+        Some(Decision::Conclude(ticket, ending))
+    }
+
+    fn trial_request(
+        &self,
+        request: &Request,
+        fingerprint: Fingerprint,
+        number: u32,
+    ) -> TrialRequest {
+        let node = NodeHash::of(&self.config.node);
+        let lasts = request.route.timeout;
+        self.quarantine
+            .trial_request(fingerprint, node, number, lasts)
+    }
+
     /// Whether waiting is of no use: the key will not have a holder in time. One that a
     /// holder denied waits for the assignment that names the next, which may be on its
     /// way.
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -2,7 +2,8 @@
 
 use super::slots::SlotState;
 use super::{Attempt, Denial, Dispatcher, DoubtedUpstream, Request};
-use crate::quarantine::Quarantine;
+use crate::fingerprint::Fingerprint;
+use crate::quarantine::{Quarantine, RunHash, RunOfRequest, TrialOutcome};
 use crate::report::UpstreamHash;
 use crate::request::{
     AttemptOutcome, Ending, Forward, RefusalReason, Ticket, UnknownCause, Untouched,
@@ -22,6 +23,9 @@
 /// opened, which takes one of its slots for a moment, and where it is only full there are
 /// many such requests.
 const SILENCE_PAUSE: Duration = Duration::from_secs(1);
+/// How long a request whose connection broke off may wait to be tried again: until it is
+/// known whether its upstream ended, and for a permit if it did.
+const PROOF_TIME: Duration = Duration::from_millis(200);
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 
@@ -29,8 +33,10 @@
     pub(super) fn forward(
         &mut self,
         now: Time,
+        ticket: Ticket,
         request: &mut Request,
         registration: &Registration,
+        permit: Option<Fingerprint>,
     ) -> Forward {
         let record = &registration.record;
         let hash = UpstreamHash::of(&record.id);
@@ -41,12 +47,19 @@
             budget.repeat(&self.config.budget, now);
         }
         request.arrivals += 1;
+        if let Some(permit) = permit {
+            self.quarantine.begin_trial(permit, request.deadline);
+        }
+        self.attempts += 1;
+        let (node, process) = (&self.config.node, self.config.run);
         request.attempt = Some(Attempt {
             upstream: record.id.clone(),
             address: record.address,
             hash,
             sent: now,
             unqueued: occupied < record.slots && now >= registration.warm_at,
+            run: RunHash::of(node, process, ticket, self.attempts),
+            permit,
         });
         Forward {
             upstream: record.id.clone(),
@@ -76,6 +89,10 @@
             AttemptOutcome::Unknown(cause) => {
                 request.unknown = Some(cause);
                 request.tried.push(attempt.hash);
+                if cause == UnknownCause::BrokenOff {
+                    let proved = now + PROOF_TIME;
+                    request.wait_until = request.wait_until.max(proved).min(request.deadline);
+                }
             }
         }
         request.slot = SlotState::default();
@@ -133,29 +150,39 @@
         attempt: &Attempt,
         outcome: AttemptOutcome,
     ) {
+        let permit = attempt.permit;
         match outcome {
-            AttemptOutcome::Answered { success: true } => {
-                self.quarantine.succeeded(now, request.fingerprints);
+            AttemptOutcome::Answered { success } => {
+                if success {
+                    self.quarantine.succeeded(now, request.fingerprints);
+                }
+                self.quarantine.end_trial(permit, TrialOutcome::Answered);
+            }
+            AttemptOutcome::Untouched(_) => {
+                self.quarantine.end_trial(permit, TrialOutcome::Unused);
             }
             AttemptOutcome::Unknown(UnknownCause::BrokenOff) => {
-                self.doubt(now, request, attempt);
+                let run = self.doubt(now, request, attempt);
+                self.quarantine.broke_off(now, run);
             }
             // The end of a connection may get lost on the way, and shows as silence then.
             AttemptOutcome::Unknown(UnknownCause::TimedOut) => {
                 let last = self.doubted_at.get(&attempt.hash);
-                if last.is_none_or(|last| now.since(*last) >= SILENCE_PAUSE) {
-                    self.doubt(now, request, attempt);
+                let is_due = last.is_none_or(|last| now.since(*last) >= SILENCE_PAUSE);
+                if is_due || permit.is_some() {
+                    let run = self.doubt(now, request, attempt);
+                    self.quarantine.fell_silent(now, run);
                 }
             }
-            _ => {}
+            AttemptOutcome::Unknown(UnknownCause::WrongAnswer) => {
+                self.quarantine.end_trial(permit, TrialOutcome::Unknown);
+            }
         }
     }
 
-    /// Notes that the upstream of an attempt may have ended.
-    fn doubt(&mut self, now: Time, request: &Request, attempt: &Attempt) {
+    /// Notes that the upstream of an attempt may have ended, to be tried.
+    fn doubt(&mut self, now: Time, request: &Request, attempt: &Attempt) -> RunOfRequest {
         self.doubted_at.insert(attempt.hash, now);
-        let fingerprints = request.fingerprints;
-        self.quarantine.broke_off(now, attempt.hash, fingerprints);
         let doubted = DoubtedUpstream {
             upstream: attempt.upstream.clone(),
             address: attempt.address,
@@ -163,6 +190,12 @@
         if !self.doubted.contains(&doubted) {
             self.doubted.push(doubted);
         }
+        RunOfRequest {
+            upstream: attempt.hash,
+            run: attempt.run,
+            fingerprints: request.fingerprints,
+            permit: attempt.permit,
+        }
     }
 
     /// Upstreams to which connections broke off, or fell silent, since the last call.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,7 +20,10 @@
 };
 pub use fingerprint::{Fingerprint, Fingerprints, RequestContent};
 pub use occupancy::{Occupancy, SumSource};
-pub use quarantine::{Quarantine, QuarantineNotice, Suspicion, SuspicionRecord, UPSTREAMS_ENDED};
+pub use quarantine::{
+    Quarantine, QuarantineNotice, RunHash, Suspicion, SuspicionRecord, TrialOutcome, TrialReply,
+    TrialReport, TrialRequest, UPSTREAMS_ENDED,
+};
 pub use report::{
     Answers, Contained, InFlight, KeyLoad, KeyReport, LoadReport, LoadSum, NodeHash, UpstreamHash,
 };
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -1,58 +1,48 @@
 //! Requests that end the upstreams which run them are kept off.
 //!
 //! An upstream that ends takes all requests with it that it runs, so each of them is
-//! suspected and none is blamed. A request that was under way at upstreams each time that
-//! three of them ended, and got no answer between, is taken for the cause: it is refused
-//! for a while, by every node, and an upstream is risked for it again only after that. One
-//! that was merely beside it is cleared by its next success.
+//! suspected and none is blamed. From the first such end on a request is tried by one run at
+//! a time among all nodes, as in a circuit breaker that is half open: [`lender`] says by
+//! whom. One that was merely beside the cause is cleared by its next success. One whose
+//! trials end upstreams too is taken for the cause: it is refused for a while, by every
+//! node, and an upstream is risked for it again only after that.
 //!
-//! What is known of a fingerprint is a set of upstreams, each marked as cleared or not.
-//! Sets of different nodes are joined: the order in which nodes hear of things, or hear
-//! them twice, makes no difference.
+//! What is known of a fingerprint is a set of runs, each with its upstream and marked as
+//! cleared or not. Sets of different nodes are joined: the order in which nodes hear of
+//! things, or hear them twice, makes no difference.
+
+mod lender;
+mod suspect;
+mod trials;
 
 use crate::fingerprint::{Fingerprint, Fingerprints};
-use crate::report::UpstreamHash;
+use crate::report::{NodeHash, UpstreamHash};
 use beamtray_types::Time;
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::collections::{BTreeMap, HashMap};
+use lender::Lender;
+pub use lender::{TrialOutcome, TrialReply, TrialReport, TrialRequest};
+use std::collections::HashMap;
 use std::time::Duration;
+use suspect::{Learned, Suspect};
+pub use suspect::{RunHash, Suspicion, UPSTREAMS_ENDED};
+pub(crate) use trials::TrialStep;
+use trials::{OwnTrials, USE_WITHIN};
 
-/// Upstreams that end under a request before it is kept off. Two of them end together by
-/// chance where a zone or a rack is lost while a client repeats; a third one that got the
-/// request later hardly does.
-pub const UPSTREAMS_ENDED: usize = 3;
-/// For how long a request is kept off at first. Each further upstream that it ends doubles
-/// it: a request that stays as it is costs one upstream in 2, 4, 8 minutes and so on
-/// instead of one each time that it comes.
-const FIRST_HOLD_OFF: Duration = Duration::from_secs(120);
-/// Longest time for which a request is kept off.
-const LONGEST_HOLD_OFF: Duration = Duration::from_secs(30 * 60);
-/// How long a suspicion is remembered beyond that.
-const REMEMBERED: Duration = Duration::from_secs(30 * 60);
-/// Most fingerprints that are remembered, some 200 bytes each. The least suspected ones
+/// Most fingerprints that are remembered, some 300 bytes each. The least suspected ones
 /// give way.
 const MOST_SUSPECTS: usize = 4_096;
-/// Upstreams that are remembered for one fingerprint: enough for the longest hold-off.
-const MOST_UPSTREAMS: usize = 8;
-/// Suspects that are kept in the store have ended so many upstreams. What one end tells is
-/// lost with the processes that saw it, and most of what it tells is of bystanders.
+/// Suspects that are kept in the store have ended with their upstreams so often. What one
+/// end tells is lost with the processes that saw it, and most of what it tells is of
+/// bystanders.
 const RECORDED_FROM: usize = 2;
 /// Most suspects in the store's record.
 const MOST_RECORDED: usize = 256;
 /// How long it may take to learn whether an upstream ended when a connection to it broke
 /// off: the time after which its registration lapses at the latest.
 const PROOF_WAIT: Duration = Duration::from_secs(10);
-
-/// One upstream ended while it ran a request, as nodes tell each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
-pub struct Suspicion {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// The upstream.
-    pub upstream: UpstreamHash,
-    /// Whether the request was answered since, so that it was not the cause.
-    pub is_cleared: bool,
-}
+/// How long requests that say the same as one whose connection broke off wait to learn
+/// whether its upstream ended. Where somebody listens the answer is there in a way or two.
+const DOUBT_WAIT: Duration = Duration::from_millis(100);
 
 /// Suspicions as they outlive the processes that found them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -70,14 +60,16 @@
         fingerprint: Fingerprint,
         /// The upstream, by its short name.
         upstream: UpstreamHash,
-        /// Upstreams that ended under it so far.
+        /// Its runs that ended with their upstreams so far.
         ended: usize,
+        /// Whether this one was a trial.
+        is_trial: bool,
     },
     /// The request is kept off.
     KeptOff {
         /// The request.
         fingerprint: Fingerprint,
-        /// Upstreams that ended under it so far.
+        /// Its runs that ended with their upstreams so far.
         ended: usize,
         /// For how long.
         lasts: Duration,
@@ -89,39 +81,45 @@
     },
 }
 
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// Whether it was cleared of each upstream's end.
-    upstreams: BTreeMap<UpstreamHash, bool>,
-    /// When the last one became known.
-    since: Time,
+/// What a request may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// It is sent as any other.
+    Free,
+    /// A connection of one that says the same broke off; whether its upstream ended will
+    /// be known soon.
+    Doubted,
+    /// It needs a permit for this fingerprint.
+    OnTrial(Fingerprint),
+    /// It is refused for that long.
+    KeptOff(Duration),
 }
 
-impl Suspect {
-    fn ended(&self) -> usize {
-        let ends = self.upstreams.values();
-        ends.filter(|is_cleared| !**is_cleared).count()
-    }
-
-    /// For how long it is kept off from when its last end became known; zero if it is not.
-    fn hold_off(&self) -> Duration {
-        let Some(beyond) = self.ended().checked_sub(UPSTREAMS_ENDED) else {
-            return Duration::ZERO;
-        };
-        let doubled = FIRST_HOLD_OFF * 2u32.saturating_pow(beyond as u32);
-        doubled.min(LONGEST_HOLD_OFF)
-    }
+/// One attempt, as far as it matters here.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunOfRequest {
+    pub upstream: UpstreamHash,
+    pub run: RunHash,
+    pub fingerprints: Fingerprints,
+    /// The fingerprint of whose permit it was sent.
+    pub permit: Option<Fingerprint>,
+}
 
-    fn is_forgotten(&self, now: Time) -> bool {
-        now.since(self.since) >= self.hold_off() + REMEMBERED
+impl RunOfRequest {
+    /// Whether no other run of that fingerprint was under way. One that is alone with its
+    /// content is alone with its caller, too.
+    fn is_trial_of(&self, fingerprint: Fingerprint) -> bool {
+        let permit = self.permit;
+        permit == Some(fingerprint) || permit == Some(self.fingerprints.content)
     }
 }
 
 /// A connection broke off; whether its upstream ended is not known yet.
 #[derive(Clone, Copy, Debug)]
 struct Unproved {
-    upstream: UpstreamHash,
-    fingerprints: Fingerprints,
+    run: RunOfRequest,
+    /// Until when requests that say the same wait for the proof.
+    awaited_until: Time,
     at: Time,
 }
 
@@ -131,123 +129,113 @@
     suspects: HashMap<Fingerprint, Suspect>,
     /// The oldest first.
     unproved: Vec<Unproved>,
+    trials: OwnTrials,
+    lender: Lender,
     untold: Vec<Suspicion>,
+    /// All that was news here, whoever found it.
+    news: Vec<Suspicion>,
     notices: Vec<QuarantineNotice>,
 }
 
 impl Quarantine {
-    /// The connection of a request to an upstream broke off, or fell silent.
-    pub(crate) fn broke_off(
-        &mut self,
-        now: Time,
-        upstream: UpstreamHash,
-        fingerprints: Fingerprints,
-    ) {
+    /// A quarantine that knows nothing. Questions of different processes of one node are
+    /// told apart by numbers that go on from different ones.
+    pub(crate) fn numbered_from(number: u32) -> Self {
+        let mut quarantine = Self::default();
+        quarantine.trials.begin_after(number);
+        quarantine
+    }
+
+    /// The connection of a request to an upstream broke off.
+    pub(crate) fn broke_off(&mut self, now: Time, run: RunOfRequest) {
+        self.doubt(now, run, now + DOUBT_WAIT);
+    }
+
+    /// The connection of a request to an upstream fell silent. Mostly the upstream is only
+    /// full, so nothing waits for the proof.
+    pub(crate) fn fell_silent(&mut self, now: Time, run: RunOfRequest) {
+        self.doubt(now, run, now);
+    }
+
+    fn doubt(&mut self, now: Time, run: RunOfRequest, awaited_until: Time) {
         if self.unproved.len() >= MOST_SUSPECTS {
             self.unproved.remove(0);
         }
         self.unproved.push(Unproved {
-            upstream,
-            fingerprints,
+            run,
+            awaited_until,
             at: now,
         });
     }
 
     /// An upstream has ended. Requests whose connections to it broke off are suspected.
     pub fn upstream_ended(&mut self, now: Time, upstream: UpstreamHash) {
-        for unproved in self.take_unproved(upstream) {
-            for fingerprint in unproved.fingerprints.both() {
+        for run in self.take_unproved(upstream) {
+            for fingerprint in run.fingerprints.both() {
                 let suspicion = Suspicion {
                     fingerprint,
                     upstream,
+                    run: run.run,
+                    is_trial: run.is_trial_of(fingerprint),
                     is_cleared: false,
                 };
                 if self.learn(now, suspicion) {
                     self.untold.push(suspicion);
                 }
             }
+            self.end_trial(run.permit, TrialOutcome::Ended);
         }
     }
 
     /// An upstream lives: connections to it broke off for another reason.
     pub fn upstream_lives(&mut self, upstream: UpstreamHash) {
-        self.take_unproved(upstream);
+        for run in self.take_unproved(upstream) {
+            self.end_trial(run.permit, TrialOutcome::Unknown);
+        }
     }
 
-    fn take_unproved(&mut self, upstream: UpstreamHash) -> Vec<Unproved> {
-        let mut taken = Vec::new();
-        self.unproved.retain(|unproved| {
-            let is_meant = unproved.upstream == upstream;
-            if is_meant {
-                taken.push(*unproved);
-            }
-            !is_meant
-        });
-        taken
+    fn take_unproved(&mut self, upstream: UpstreamHash) -> Vec<RunOfRequest> {
+        let is_meant = |unproved: &mut Unproved| unproved.run.upstream == upstream;
+        let taken = self.unproved.extract_if(.., is_meant);
+        taken.map(|unproved| unproved.run).collect()
     }
 
     /// An upstream ran a request to a good end: it is no cause of ends.
     pub(crate) fn succeeded(&mut self, now: Time, fingerprints: Fingerprints) {
         for fingerprint in fingerprints.both() {
-            let Some(suspect) = self.suspects.get(&fingerprint) else {
-                continue;
+            self.clear(now, fingerprint);
+        }
+    }
+
+    fn clear(&mut self, now: Time, fingerprint: Fingerprint) {
+        for suspicion in self.known_of(fingerprint) {
+            let cleared = Suspicion {
+                is_cleared: true,
+                ..suspicion
             };
-            let upstreams: Vec<UpstreamHash> = suspect.upstreams.keys().copied().collect();
-            for upstream in upstreams {
-                let suspicion = Suspicion {
-                    fingerprint,
-                    upstream,
-                    is_cleared: true,
-                };
-                if self.learn(now, suspicion) {
-                    self.untold.push(suspicion);
-                }
+            if self.learn(now, cleared) {
+                self.untold.push(cleared);
             }
         }
     }
 
     /// Joins what another node, or the store, tells; whether it was news.
     pub fn learn(&mut self, now: Time, suspicion: Suspicion) -> bool {
-        let Suspicion {
-            fingerprint,
-            upstream,
-            is_cleared,
-        } = suspicion;
+        let fingerprint = suspicion.fingerprint;
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room();
         }
         let suspect = self.suspects.entry(fingerprint).or_default();
-        let was_cleared = suspect.upstreams.get(&upstream).copied();
-        let is_full = suspect.upstreams.len() >= MOST_UPSTREAMS;
-        if was_cleared == Some(true) || was_cleared == Some(is_cleared) {
-            return false;
-        }
-        if was_cleared.is_none() && is_full {
-            return false;
-        }
-        suspect.upstreams.insert(upstream, is_cleared);
-        let ended = suspect.ended();
-        if is_cleared {
-            if was_cleared.is_some() && ended == 0 {
-                self.notices.push(QuarantineNotice::Cleared { fingerprint });
-            }
-            return true;
-        }
-        suspect.since = now;
-        let lasts = suspect.hold_off();
-        self.notices.push(if lasts.is_zero() {
-            QuarantineNotice::Suspected {
-                fingerprint,
-                upstream,
-                ended,
-            }
-        } else {
-            QuarantineNotice::KeptOff {
-                fingerprint,
-                ended,
-                lasts,
+        let learned = suspect.learn(now, &suspicion);
+        let notice = match learned {
+            Learned::Nothing => return false,
+            Learned::Ended => Some(suspect.notice(&suspicion)),
+            Learned::Cleared { is_wholly } => {
+                is_wholly.then_some(QuarantineNotice::Cleared { fingerprint })
             }
-        });
+        };
+        self.notices.extend(notice);
+        self.news.push(suspicion);
         true
     }
 
@@ -258,7 +246,7 @@
             return;
         }
         let suspects = self.suspects.iter();
-        let least = suspects.min_by_key(|(_, suspect)| (suspect.ended(), suspect.since));
+        let least = suspects.min_by_key(|(_, suspect)| (suspect.runs(), suspect.since));
         if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
             self.suspects.remove(&fingerprint);
         }
@@ -269,32 +257,144 @@
         if self.suspects.is_empty() {
             return None;
         }
-        let remaining = fingerprints.both().into_iter().filter_map(|fingerprint| {
-            let suspect = self.suspects.get(&fingerprint)?;
-            let left = suspect.hold_off().checked_sub(now.since(suspect.since))?;
-            (!left.is_zero()).then_some(left)
-        });
-        remaining.max()
+        let suspects = fingerprints.both().into_iter();
+        let suspects = suspects.filter_map(|fingerprint| self.suspects.get(&fingerprint));
+        suspects.filter_map(|suspect| suspect.remaining(now)).max()
     }
 
-    /// All that is known of a fingerprint.
-    pub fn known_of(&self, fingerprint: Fingerprint) -> Vec<Suspicion> {
+    /// What a request may do now.
+    pub(crate) fn standing(&self, now: Time, fingerprints: Fingerprints) -> Standing {
+        if let Some(remaining) = self.remaining(now, fingerprints) {
+            return Standing::KeptOff(remaining);
+        }
+        if self.is_doubted(now, fingerprints) {
+            return Standing::Doubted;
+        }
+        let is_suspected = |fingerprint: &Fingerprint| {
+            let suspect = self.suspects.get(fingerprint);
+            suspect.is_some_and(|suspect| suspect.runs() > 0)
+        };
+        let suspected = fingerprints.both().into_iter().find(is_suspected);
+        suspected.map_or(Standing::Free, Standing::OnTrial)
+    }
+
+    fn is_doubted(&self, now: Time, fingerprints: Fingerprints) -> bool {
+        let newest = self.unproved.iter().rev();
+        let mut recent = newest.take_while(|unproved| now.since(unproved.at) < DOUBT_WAIT);
+        recent.any(|unproved| {
+            let says_the_same = unproved.run.fingerprints.content == fingerprints.content;
+            says_the_same && now < unproved.awaited_until
+        })
+    }
+
+    /// What a request that is on trial has to do now.
+    pub(crate) fn trial_step(&mut self, now: Time, fingerprint: Fingerprint) -> TrialStep {
+        self.trials.step(now, fingerprint)
+    }
+
+    /// The question to the lender. The request takes no longer than `lasts` from when it is
+    /// sent.
+    pub(crate) fn trial_request(
+        &self,
+        fingerprint: Fingerprint,
+        node: NodeHash,
+        number: u32,
+        lasts: Duration,
+    ) -> TrialRequest {
+        TrialRequest {
+            fingerprint,
+            node,
+            number,
+            lasts_ms: (lasts + USE_WITHIN).as_millis() as u32,
+            known: self.known_of(fingerprint),
+        }
+    }
+
+    /// As the lender: answers a question.
+    pub fn lend(&mut self, now: Time, request: &TrialRequest) -> TrialReply {
+        let fingerprint = request.fingerprint;
+        for suspicion in &request.known {
+            self.learn(now, *suspicion);
+        }
         let suspect = self.suspects.get(&fingerprint);
-        let upstreams = suspect.into_iter().flat_map(|suspect| &suspect.upstreams);
-        upstreams
-            .map(|(upstream, is_cleared)| Suspicion {
-                fingerprint,
-                upstream: *upstream,
-                is_cleared: *is_cleared,
+        let is_on_trial =
+            suspect.is_some_and(|suspect| suspect.runs() > 0 && suspect.remaining(now).is_none());
+        TrialReply {
+            fingerprint,
+            number: request.number,
+            is_lent: is_on_trial && self.lender.lend(now, request),
+            known: self.known_of(fingerprint),
+        }
+    }
+
+    /// Takes the lender's answer.
+    pub fn trial_answered(&mut self, now: Time, reply: &TrialReply) {
+        for suspicion in &reply.known {
+            self.learn(now, *suspicion);
+        }
+        let TrialReply {
+            fingerprint,
+            number,
+            is_lent,
+            ..
+        } = *reply;
+        self.trials.answered(now, fingerprint, number, is_lent);
+    }
+
+    /// A request is sent by a permit; it has its end by that time.
+    pub(crate) fn begin_trial(&mut self, permit: Fingerprint, ends: Time) {
+        self.trials.begin(permit, ends);
+    }
+
+    /// A trial ended, if an attempt was one.
+    pub(crate) fn end_trial(&mut self, permit: Option<Fingerprint>, outcome: TrialOutcome) {
+        if let Some(permit) = permit {
+            self.trials.end(permit, outcome);
+        }
+    }
+
+    /// Reports to the lender since the last call, of this node.
+    pub fn take_trial_reports(&mut self, node: &str) -> Vec<TrialReport> {
+        let ended = self.trials.take_ended().into_iter();
+        ended
+            .map(|ended| TrialReport {
+                fingerprint: ended.fingerprint,
+                node: NodeHash::of(node),
+                number: ended.number,
+                outcome: ended.outcome,
+                known: self.known_of(ended.fingerprint),
             })
             .collect()
     }
 
+    /// As the lender: takes the outcome of a trial.
+    pub fn take_trial_report(&mut self, now: Time, report: &TrialReport) {
+        for suspicion in &report.known {
+            self.learn(now, *suspicion);
+        }
+        if self.lender.take(now, report) {
+            self.clear(now, report.fingerprint);
+        }
+    }
+
+    /// All that is known of a fingerprint.
+    pub fn known_of(&self, fingerprint: Fingerprint) -> Vec<Suspicion> {
+        let suspect = self.suspects.get(&fingerprint).into_iter();
+        suspect
+            .flat_map(|suspect| suspect.suspicions(fingerprint))
+            .collect()
+    }
+
     /// What this node found since the last call.
     pub fn take_untold(&mut self) -> Vec<Suspicion> {
         std::mem::take(&mut self.untold)
     }
 
+    /// What was news here since the last call, whoever found it.
+    pub fn take_news(&mut self) -> Vec<Suspicion> {
+        std::mem::take(&mut self.news)
+    }
+
     /// What became known since the last call.
     pub fn take_notices(&mut self) -> Vec<QuarantineNotice> {
         std::mem::take(&mut self.notices)
@@ -306,6 +406,8 @@
             .retain(|unproved| now.since(unproved.at) < PROOF_WAIT);
         self.suspects
             .retain(|_, suspect| !suspect.is_forgotten(now));
+        self.trials.expire(now);
+        self.lender.expire(now);
     }
 
     /// Joins the store's record.
@@ -319,7 +421,7 @@
     pub fn record(&self) -> SuspicionRecord {
         let suspects = self.suspects.iter();
         let mut worth: Vec<(usize, Fingerprint)> = suspects
-            .map(|(fingerprint, suspect)| (suspect.ended(), *fingerprint))
+            .map(|(fingerprint, suspect)| (suspect.runs(), *fingerprint))
             .filter(|(ended, _)| *ended >= RECORDED_FROM)
             .collect();
         worth.sort_by_key(|(ended, fingerprint)| (std::cmp::Reverse(*ended), *fingerprint));
@@ -335,8 +437,8 @@
     /// Fingerprints that are suspected, and those that are kept off.
     pub fn counts(&self, now: Time) -> (usize, usize) {
         let suspects = self.suspects.values();
-        let suspected = suspects.clone().filter(|suspect| suspect.ended() > 0);
-        let kept_off = suspects.filter(|suspect| now.since(suspect.since) < suspect.hold_off());
+        let suspected = suspects.clone().filter(|suspect| suspect.runs() > 0);
+        let kept_off = suspects.filter(|suspect| suspect.remaining(now).is_some());
         (suspected.count(), kept_off.count())
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/quarantine/suspect.rs
@@ -0,0 +1,225 @@
+//! What is known of one request: which of its runs ended with their upstreams.
+
+use super::QuarantineNotice;
+use crate::fingerprint::Fingerprint;
+use crate::report::UpstreamHash;
+use crate::request::Ticket;
+use beamtray_types::Time;
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Upstreams that end under a request before it is kept off. Two of them end together by
+/// chance where a zone or a rack is lost while a client repeats; a third one that got the
+/// request later hardly does.
+pub const UPSTREAMS_ENDED: usize = 3;
+/// Runs of a request that end with their upstreams before it is kept off, where the last of
+/// them was a trial. A trial is the only run of its content anywhere and lasts as long as
+/// one request: that its upstream ends meanwhile for another reason is far less likely than
+/// that it does so while any of many runs is under way.
+const RUNS_ENDED: usize = 3;
+/// For how long a request is kept off: at first, after one more end, and from the next one
+/// on. One that stays as it is then costs no more than three upstreams in its first day
+/// after it is known.
+const HOLD_OFFS: [Duration; 3] = [
+    Duration::from_secs(2 * 60),
+    Duration::from_secs(30 * 60),
+    Duration::from_secs(24 * 60 * 60),
+];
+/// How long a suspicion is remembered beyond that.
+const REMEMBERED: Duration = Duration::from_secs(30 * 60);
+/// How long it is remembered of what a request was cleared: longer than word of its ends is
+/// on its way, through the store too.
+const CLEARED_REMEMBERED: Duration = Duration::from_secs(60);
+/// Runs that are remembered of one upstream: more would change nothing.
+const MOST_RUNS: usize = RUNS_ENDED;
+/// Ends that are remembered of one request, 18 bytes each where nodes tell each other.
+pub(super) const MOST_ENDS: usize = 24;
+
+/// Short name of one run of a request at an upstream.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
+)]
+pub struct RunHash(pub u32);
+
+impl RunHash {
+    /// The short name of an attempt of a request of a node's process.
+    pub fn of(node: &str, process: u64, ticket: Ticket, attempt: u32) -> Self {
+        let mut hasher = Xxh3::new();
+        hasher.update(node.as_bytes());
+        hasher.update(&process.to_be_bytes());
+        hasher.update(&ticket.0.to_be_bytes());
+        hasher.update(&attempt.to_be_bytes());
+        Self(hasher.digest() as u32)
+    }
+}
+
+/// A run of a request ended with its upstream, as nodes tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub struct Suspicion {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The upstream.
+    pub upstream: UpstreamHash,
+    /// The run.
+    pub run: RunHash,
+    /// Whether it was the only run of that request anywhere, by a permit.
+    pub is_trial: bool,
+    /// Whether the request was answered since, so that it was not the cause.
+    pub is_cleared: bool,
+}
+
+/// One run that ended with its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct End {
+    upstream: UpstreamHash,
+    is_trial: bool,
+    run: RunHash,
+}
+
+/// Whether a suspicion told something new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Learned {
+    /// It did not.
+    Nothing,
+    /// A further run ended with its upstream.
+    Ended,
+    /// The request was not the cause of an end; whether it is under no suspicion now.
+    Cleared {
+        /// No end is left.
+        is_wholly: bool,
+    },
+}
+
+/// All that is known of one request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Suspect {
+    /// Whether it was cleared of each end.
+    ends: BTreeMap<End, bool>,
+    /// When something last became known.
+    pub since: Time,
+}
+
+impl Suspect {
+    /// Joins one suspicion.
+    pub fn learn(&mut self, now: Time, suspicion: &Suspicion) -> Learned {
+        let end = End {
+            upstream: suspicion.upstream,
+            is_trial: suspicion.is_trial,
+            run: suspicion.run,
+        };
+        let was_cleared = self.ends.get(&end).copied();
+        if was_cleared == Some(true) || was_cleared == Some(suspicion.is_cleared) {
+            return Learned::Nothing;
+        }
+        self.ends.insert(end, suspicion.is_cleared);
+        if self.gave_way(end) {
+            return Learned::Nothing;
+        }
+        if !suspicion.is_cleared {
+            self.since = now;
+            return Learned::Ended;
+        }
+        let is_wholly = was_cleared.is_some() && self.runs() == 0;
+        if is_wholly {
+            self.since = now;
+        }
+        Learned::Cleared { is_wholly }
+    }
+
+    /// Keeps the set within its bounds; whether that end was dropped. Of one upstream's
+    /// runs those with the least names stay, so that all nodes keep the same ones.
+    fn gave_way(&mut self, added: End) -> bool {
+        let others = self.ends.keys();
+        let alike = others.filter(|end| end.upstream == added.upstream && !end.is_trial);
+        let surplus = alike.copied().nth(MOST_RUNS);
+        let last = (self.ends.len() > MOST_ENDS).then_some(added);
+        let Some(dropped) = surplus.or(last) else {
+            return false;
+        };
+        self.ends.remove(&dropped);
+        dropped == added
+    }
+
+    fn under_suspicion(&self) -> impl Iterator<Item = &End> {
+        let ends = self.ends.iter();
+        ends.filter(|(_, is_cleared)| !**is_cleared)
+            .map(|(end, _)| end)
+    }
+
+    /// Runs that ended with their upstreams, of which it was not cleared.
+    pub fn runs(&self) -> usize {
+        self.under_suspicion().count()
+    }
+
+    /// Upstreams that these ended with.
+    pub fn upstreams(&self) -> usize {
+        let mut upstreams: Vec<_> = self.under_suspicion().map(|end| end.upstream).collect();
+        upstreams.dedup();
+        upstreams.len()
+    }
+
+    fn trials(&self) -> usize {
+        self.under_suspicion().filter(|end| end.is_trial).count()
+    }
+
+    /// For how long it is kept off from when its last end became known; zero if it is not.
+    pub fn hold_off(&self) -> Duration {
+        let (upstreams, trials) = (self.upstreams(), self.trials());
+        let is_proved = self.runs() >= RUNS_ENDED && trials > 0;
+        if !is_proved && upstreams < UPSTREAMS_ENDED {
+            return Duration::ZERO;
+        }
+        let further = upstreams.saturating_sub(UPSTREAMS_ENDED);
+        let further = further.max(trials.saturating_sub(1));
+        HOLD_OFFS[further.min(HOLD_OFFS.len() - 1)]
+    }
+
+    /// For how much longer it is kept off.
+    pub fn remaining(&self, now: Time) -> Option<Duration> {
+        let left = self.hold_off().checked_sub(now.since(self.since))?;
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// What is told of a further end.
+    pub fn notice(&self, suspicion: &Suspicion) -> QuarantineNotice {
+        let (ended, lasts) = (self.runs(), self.hold_off());
+        let fingerprint = suspicion.fingerprint;
+        if lasts.is_zero() {
+            QuarantineNotice::Suspected {
+                fingerprint,
+                upstream: suspicion.upstream,
+                ended,
+                is_trial: suspicion.is_trial,
+            }
+        } else {
+            QuarantineNotice::KeptOff {
+                fingerprint,
+                ended,
+                lasts,
+            }
+        }
+    }
+
+    /// Whether nothing is worth remembering of it any more.
+    pub fn is_forgotten(&self, now: Time) -> bool {
+        let remembered = if self.runs() == 0 {
+            CLEARED_REMEMBERED
+        } else {
+            self.hold_off() + REMEMBERED
+        };
+        now.since(self.since) >= remembered
+    }
+
+    /// All that is known, as nodes tell each other.
+    pub fn suspicions(&self, fingerprint: Fingerprint) -> impl Iterator<Item = Suspicion> + '_ {
+        self.ends.iter().map(move |(end, is_cleared)| Suspicion {
+            fingerprint,
+            upstream: end.upstream,
+            run: end.run,
+            is_trial: end.is_trial,
+            is_cleared: *is_cleared,
+        })
+    }
+}
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::dispatcher::SlotRequest;
 use crate::fingerprint::Fingerprints;
+use crate::quarantine::TrialRequest;
 use beamtray_catalog::{Route, UpstreamId};
 use beamtray_sharding::ShardKey;
 use beamtray_types::{ServiceName, Time};
@@ -181,4 +182,6 @@
     Conclude(Ticket, Ending),
     /// Ask the relay where to send it.
     Ask(SlotRequest),
+    /// Ask the lender for a permit to send it, since it is under suspicion.
+    AskTrial(TrialRequest),
 }
--- a/crates/router/src/core/membership.rs
+++ b/crates/router/src/core/membership.rs
@@ -6,10 +6,12 @@
 
 use crate::core::records::NodeRecord;
 use crate::core::relays::Relays;
+use beamtray_dispatch::Fingerprint;
 use beamtray_types::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
+use xxhash_rust::xxh3::Xxh3;
 
 /// How long a node without an entry counts as there since it was heard: as long
 /// as a node that lost the store may serve by what others tell it.
@@ -50,6 +52,12 @@
     forget_at: Time,
 }
 
+fn rendezvous_weight(fingerprint: Fingerprint, address: &SocketAddr) -> u64 {
+    let mut hasher = Xxh3::with_seed(fingerprint.0);
+    hasher.update(address.to_string().as_bytes());
+    hasher.digest()
+}
+
 impl Membership {
     /// Knows no other node yet; `own` is this one.
     pub fn new(own: &NodeRecord) -> Self {
@@ -134,6 +142,14 @@
         &self.relays
     }
 
+    /// The node that lends permits for a request: the one of those with an entry, this
+    /// one included, that a hash of both picks. Nodes that come and go move no more
+    /// requests than they lend for.
+    pub fn lender(&self, fingerprint: Fingerprint) -> Option<SocketAddr> {
+        let weight = |address: &&SocketAddr| (rendezvous_weight(fingerprint, address), **address);
+        self.entries.iter().max_by_key(weight).copied()
+    }
+
     /// Whether this node is a relay.
     pub fn is_relay(&self) -> bool {
         self.is_relay
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -6,7 +6,8 @@
 use beamtray_catalog::{ClientLimits, UpstreamId};
 use beamtray_dispatch::{
     Admission, Answers, AttemptOutcome, DoubtedUpstream, Ending, Forward, KeyReport, LoadReport,
-    LoadSum, QuarantineNotice, RequestHead, SlotReply, SlotRequest, Suspicion, Ticket,
+    LoadSum, QuarantineNotice, RequestHead, SlotReply, SlotRequest, Suspicion, Ticket, TrialReply,
+    TrialReport, TrialRequest,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply, OwnedAgain};
@@ -140,6 +141,12 @@
     StandbyWord(StandbyWord),
     /// From a standby to the granter.
     StandbyReport(StandbyReport),
+    /// Asks for a permit to send a request that is under suspicion.
+    TrialRequest(TrialRequest),
+    /// The lender's answer.
+    TrialReply(TrialReply),
+    /// How such a trial ended.
+    TrialReport(TrialReport),
 }
 
 /// What the try to connect to an upstream showed.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -7,6 +7,7 @@
 mod standby;
 mod store_path;
 mod talk;
+mod trials;
 mod zone_load;
 
 use crate::core::control::{Control, ControlConfig};
@@ -190,6 +191,7 @@
         if may_decide {
             self.dispatch(now);
         }
+        self.report_trials(now);
         std::mem::take(&mut self.outputs)
     }
 
@@ -211,6 +213,9 @@
             }
             Datagram::SlotRequest(request) => self.give_slot(now, from, request),
             Datagram::SlotReply(reply) => self.dispatcher.slot_given(now, *reply),
+            Datagram::TrialRequest(request) => self.lend_trial(now, from, request),
+            Datagram::TrialReply(reply) => self.trial_answered(now, reply),
+            Datagram::TrialReport(report) => self.trial_reported(now, report),
             Datagram::Suspicions(suspicions) => self.take_suspicions(now, suspicions),
             Datagram::Keys(report) => self.control.report(report),
             Datagram::StandbyWord(word) => self.standby.hear(now, word),
@@ -376,14 +381,20 @@
         let relay = self.slot_relay(now);
         self.dispatcher.set_slot_relay(relay.is_some());
         for decision in self.dispatcher.poll(now, &self.views.directory) {
-            self.outputs.push(match decision {
-                Decision::Forward(ticket, forward) => Output::Forward(ticket, forward),
-                Decision::Conclude(ticket, ending) => Output::Conclude(ticket, ending),
+            match decision {
+                Decision::Forward(ticket, forward) => {
+                    self.outputs.push(Output::Forward(ticket, forward));
+                }
+                Decision::Conclude(ticket, ending) => {
+                    self.outputs.push(Output::Conclude(ticket, ending));
+                }
                 Decision::Ask(request) => {
                     let datagram = Datagram::SlotRequest(request);
-                    Output::Send(datagram, relay.into_iter().collect())
+                    let relay = relay.into_iter().collect();
+                    self.outputs.push(Output::Send(datagram, relay));
                 }
-            });
+                Decision::AskTrial(request) => self.ask_trial(now, request),
+            }
         }
     }
 
@@ -456,6 +467,7 @@
             Datagram::Load(_)
                 | Datagram::Heads(_)
                 | Datagram::SlotRequest(_)
+                | Datagram::TrialRequest(_)
                 | Datagram::Keys(_)
                 | Datagram::Answers(_)
                 | Datagram::StandbyReport(_)
--- a/crates/router/src/core/node/quarantine.rs
+++ b/crates/router/src/core/node/quarantine.rs
@@ -1,16 +1,16 @@
 //! What nodes tell one another of requests that end upstreams.
 //!
 //! A client that comes again meets another node, so each node sees one end or two. All
-//! have to know of the third within the time in which nodes in touch hear of things.
+//! have to know of each within the time in which nodes in touch hear of things.
 //! Where there are few nodes each tells all. Where there are many each tells the relays,
-//! and these tell the nodes of their zones of what is kept off; the granter, which is one
+//! and these tell the nodes of their zones; the granter, which is one
 //! of them, writes it into the store, where those find it that missed the word.
 
 use super::NodeCore;
 use crate::core::membership::Audience;
 use crate::core::message::{Datagram, Liveness, Output};
 use beamtray_catalog::UpstreamId;
-use beamtray_dispatch::{QuarantineNotice, Suspicion, UPSTREAMS_ENDED, UpstreamHash};
+use beamtray_dispatch::{Suspicion, UpstreamHash};
 use beamtray_types::Time;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -21,12 +21,12 @@
 const TOLD: u32 = 4;
 /// Between two tellings. All are told well within a second.
 const PAUSE: Duration = Duration::from_millis(150);
-/// Suspicions in one datagram, 13 bytes each.
-const SUSPICIONS_A_DATAGRAM: usize = 80;
+/// Suspicions in one datagram, 18 bytes each.
+const SUSPICIONS_A_DATAGRAM: usize = 60;
 /// Most suspicions that are still to be told; a zone that is lost leaves thousands, nearly
 /// all of bystanders. What was told least urgently gives way.
 const MOST_NEWS: usize = 2_000;
-/// Suspicions of a request under which so many upstreams ended are told before others.
+/// Suspicions of a request of which so many are known are told before others.
 const URGENT_FROM: usize = 2;
 
 /// Whom a suspicion is for.
@@ -110,6 +110,7 @@
         for doubted in self.dispatcher.take_doubted() {
             self.outputs.push(Output::Probe(doubted));
         }
+        self.pass_on_news(now);
         let found = self.dispatcher.quarantine_mut().take_untold();
         if !found.is_empty() {
             self.suspicion_news.due = now;
@@ -121,30 +122,22 @@
             self.suspicion_news.add(suspicion, audience, is_urgent);
         }
         let notices = self.dispatcher.quarantine_mut().take_notices();
-        for notice in &notices {
-            self.pass_on_notice(now, *notice);
-        }
         let notices = notices.into_iter().map(Output::Quarantine);
         self.outputs.extend(notices);
     }
 
-    /// A relay tells its zone of requests that are kept off, or are not any more.
-    fn pass_on_notice(&mut self, now: Time, notice: QuarantineNotice) {
-        let fingerprint = match notice {
-            QuarantineNotice::KeptOff { fingerprint, .. }
-            | QuarantineNotice::Cleared { fingerprint } => fingerprint,
-            QuarantineNotice::Suspected { .. } => return,
-        };
-        if self.are_few() || !self.is_relay() {
-            return;
-        }
-        let known = self.dispatcher.quarantine().known_of(fingerprint);
-        if known.len() < UPSTREAMS_ENDED {
+    /// A relay tells its zone of all that is news to it, of the first end as well: a node
+    /// that has not heard of that would send such a request without a permit.
+    fn pass_on_news(&mut self, now: Time) {
+        let news = self.dispatcher.quarantine_mut().take_news();
+        if news.is_empty() || self.are_few() || !self.is_relay() {
             return;
         }
-        for suspicion in known {
+        for suspicion in news {
+            let known = self.dispatcher.quarantine().known_of(suspicion.fingerprint);
+            let is_urgent = known.len() >= URGENT_FROM;
             let audience = NewsAudience::Zone;
-            self.suspicion_news.add(suspicion, audience, true);
+            self.suspicion_news.add(suspicion, audience, is_urgent);
         }
         self.suspicion_news.due = now;
     }
--- a/crates/router/src/shell/observer/quarantine.rs
+++ b/crates/router/src/shell/observer/quarantine.rs
@@ -34,9 +34,10 @@
                 fingerprint,
                 upstream,
                 ended,
+                is_trial,
             } => {
                 info!(log, "request_suspected"; "fingerprint" => %fingerprint,
-                    "short" => upstream.0, "ended" => ended, left_out);
+                    "short" => upstream.0, "ended" => ended, "is_trial" => is_trial, left_out);
             }
             QuarantineNotice::KeptOff {
                 fingerprint,
--- a/crates/routersim/tests/poison_request.rs
+++ b/crates/routersim/tests/poison_request.rs
@@ -111,6 +111,26 @@
     keeps_it_off(24, &[poison_of(true, 900, 6), poison_of(false, 2_500, 6)]);
 }
 
+/// What the first ends told is lost with the processes, but for the store's record.
+#[test]
+fn what_many_send_at_once_is_kept_off_by_nodes_that_lost_all_they_knew() {
+    let faults = [poison_of(true, 900, 6), kill_all(14_000), kill_all(21_000)];
+    keeps_it_off(6, &faults);
+}
+
+/// Some of them can't reach the node that lends permits, and send nothing of the kind.
+#[test]
+fn what_many_send_at_once_is_kept_off_while_nodes_are_cut_off_from_each_other() {
+    let cut = |node, at_ms: u64| Fault {
+        at: Time(at_ms * 1_000),
+        lasts: Duration::from_secs(8),
+        trouble: Trouble::PeerCut { node },
+    };
+    let mut faults = vec![poison_of(true, 900, 6), poison_of(false, 2_500, 6)];
+    faults.extend((0..4).map(|node| cut(node, 6_500 + 1_000 * node as u64)));
+    keeps_it_off(8, &faults);
+}
+
 /// Each node counts for itself what it saw.
 #[test]
 fn nodes_that_do_not_tell_each_other_let_it_through() {
