Tell how trials of suspected requests ended

Change: the line request_tried and the counter beamtray_trials_total by outcome, which explain tells with the others; the trials' part of the quarantine has a file of its own. Tests changed: the story of a request that is kept off has the new line in it. Conclusion: what the trials do can be followed from outside.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -12,21 +12,23 @@
 //! things, or hear them twice, makes no difference.
 
 mod lender;
+mod standing;
 mod suspect;
 mod trials;
 
 use crate::fingerprint::{Fingerprint, Fingerprints};
-use crate::report::{NodeHash, UpstreamHash};
+use crate::report::UpstreamHash;
 use beamtray_types::Time;
 use borsh::{BorshDeserialize, BorshSerialize};
 use lender::Lender;
 pub use lender::{TrialOutcome, TrialReply, TrialReport, TrialRequest};
+pub(crate) use standing::Standing;
 use std::collections::HashMap;
 use std::time::Duration;
 use suspect::{Learned, Suspect};
 pub use suspect::{RunHash, Suspicion, UPSTREAMS_ENDED};
+use trials::OwnTrials;
 pub(crate) use trials::TrialStep;
-use trials::{OwnTrials, USE_WITHIN};
 
 /// Most fingerprints that are remembered, some 300 bytes each. The least suspected ones
 /// give way.
@@ -74,6 +76,13 @@
         /// For how long.
         lasts: Duration,
     },
+    /// A trial of it ended at this node.
+    Tried {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// How.
+        outcome: TrialOutcome,
+    },
     /// The request was answered, so it is not the cause.
     Cleared {
         /// The request.
@@ -81,20 +90,6 @@
     },
 }
 
-/// What a request may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Standing {
-    /// It is sent as any other.
-    Free,
-    /// A connection of one that says the same broke off; whether its upstream ended will
-    /// be known soon.
-    Doubted,
-    /// It needs a permit for this fingerprint.
-    OnTrial(Fingerprint),
-    /// It is refused for that long.
-    KeptOff(Duration),
-}
-
 /// One attempt, as far as it matters here.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunOfRequest {
@@ -262,121 +257,6 @@
         suspects.filter_map(|suspect| suspect.remaining(now)).max()
     }
 
-    /// What a request may do now.
-    pub(crate) fn standing(&self, now: Time, fingerprints: Fingerprints) -> Standing {
-        if let Some(remaining) = self.remaining(now, fingerprints) {
-            return Standing::KeptOff(remaining);
-        }
-        if self.is_doubted(now, fingerprints) {
-            return Standing::Doubted;
-        }
-        let is_suspected = |fingerprint: &Fingerprint| {
-            let suspect = self.suspects.get(fingerprint);
-            suspect.is_some_and(|suspect| suspect.runs() > 0)
-        };
-        let suspected = fingerprints.both().into_iter().find(is_suspected);
-        suspected.map_or(Standing::Free, Standing::OnTrial)
-    }
-
-    fn is_doubted(&self, now: Time, fingerprints: Fingerprints) -> bool {
-        let newest = self.unproved.iter().rev();
-        let mut recent = newest.take_while(|unproved| now.since(unproved.at) < DOUBT_WAIT);
-        recent.any(|unproved| {
-            let says_the_same = unproved.run.fingerprints.content == fingerprints.content;
-            says_the_same && now < unproved.awaited_until
-        })
-    }
-
-    /// What a request that is on trial has to do now.
-    pub(crate) fn trial_step(&mut self, now: Time, fingerprint: Fingerprint) -> TrialStep {
-        self.trials.step(now, fingerprint)
-    }
-
-    /// The question to the lender. The request takes no longer than `lasts` from when it is
-    /// sent.
-    pub(crate) fn trial_request(
-        &self,
-        fingerprint: Fingerprint,
-        node: NodeHash,
-        number: u32,
-        lasts: Duration,
-    ) -> TrialRequest {
-        TrialRequest {
-            fingerprint,
-            node,
-            number,
-            lasts_ms: (lasts + USE_WITHIN).as_millis() as u32,
-            known: self.known_of(fingerprint),
-        }
-    }
-
-    /// As the lender: answers a question.
-    pub fn lend(&mut self, now: Time, request: &TrialRequest) -> TrialReply {
-        let fingerprint = request.fingerprint;
-        for suspicion in &request.known {
-            self.learn(now, *suspicion);
-        }
-        let suspect = self.suspects.get(&fingerprint);
-        let is_on_trial =
-            suspect.is_some_and(|suspect| suspect.runs() > 0 && suspect.remaining(now).is_none());
-        TrialReply {
-            fingerprint,
-            number: request.number,
-            is_lent: is_on_trial && self.lender.lend(now, request),
-            known: self.known_of(fingerprint),
-        }
-    }
-
-    /// Takes the lender's answer.
-    pub fn trial_answered(&mut self, now: Time, reply: &TrialReply) {
-        for suspicion in &reply.known {
-            self.learn(now, *suspicion);
-        }
-        let TrialReply {
-            fingerprint,
-            number,
-            is_lent,
-            ..
-        } = *reply;
-        self.trials.answered(now, fingerprint, number, is_lent);
-    }
-
-    /// A request is sent by a permit; it has its end by that time.
-    pub(crate) fn begin_trial(&mut self, permit: Fingerprint, ends: Time) {
-        self.trials.begin(permit, ends);
-    }
-
-    /// A trial ended, if an attempt was one.
-    pub(crate) fn end_trial(&mut self, permit: Option<Fingerprint>, outcome: TrialOutcome) {
-        if let Some(permit) = permit {
-            self.trials.end(permit, outcome);
-        }
-    }
-
-    /// Reports to the lender since the last call, of this node.
-    pub fn take_trial_reports(&mut self, node: &str) -> Vec<TrialReport> {
-        let ended = self.trials.take_ended().into_iter();
-        ended
-            .map(|ended| TrialReport {
-                fingerprint: ended.fingerprint,
-                node: NodeHash::of(node),
-                number: ended.number,
-                outcome: ended.outcome,
-                known: self.known_of(ended.fingerprint),
-            })
-            .collect()
-    }
-
-    /// As the lender: takes the outcome of a trial.
-    pub fn take_trial_report(&mut self, now: Time, report: &TrialReport) {
-        for suspicion in &report.known {
-            self.learn(now, *suspicion);
-        }
-        if self.lender.take(now, report) {
-            self.clear(now, report.fingerprint);
-        }
-    }
-
     /// All that is known of a fingerprint.
     pub fn known_of(&self, fingerprint: Fingerprint) -> Vec<Suspicion> {
         let suspect = self.suspects.get(&fingerprint).into_iter();
--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -180,7 +180,12 @@
 
     /// Whether a line tells what such a node knew of requests that say the same.
     fn are_told_of(&self, line: &Line) -> bool {
-        const EVENTS: [&str; 3] = ["request_suspected", "request_kept_off", "request_cleared"];
+        const EVENTS: [&str; 4] = [
+            "request_suspected",
+            "request_tried",
+            "request_kept_off",
+            "request_cleared",
+        ];
         let fingerprint = line.get("fingerprint");
         EVENTS.contains(&line.event.as_str())
             && fingerprint.is_some_and(|one| self.fingerprints.contains(&one))
--- a/crates/explain/tests/stories.rs
+++ b/crates/explain/tests/stories.rs
@@ -80,6 +80,8 @@
  0.1 node-1 time=1000 level=INFO msg=request_suspected ended=1 short=7 fingerprint=aa
  0.1 node-2 time=1001 level=INFO msg=request_suspected ended=1 short=7 fingerprint=aa
  0.2 node-1 time=2000 level=INFO msg=request_suspected ended=2 short=8 fingerprint=bb
+ 0.25 node-1 time=2500 level=INFO msg=request_tried outcome=ended fingerprint=aa
+ 0.26 node-1 time=2600 level=INFO msg=request_tried outcome=ended fingerprint=bb
  0.3 node-1 time=3000 level=WARN msg=request_kept_off for_s=120 ended=3 fingerprint=aa
  0.4 node-1 time=4000 level=INFO msg=concluded content=aa from_caller=cc outcome=refused reason=Quarantined service=pool request=late
 "#;
@@ -93,5 +95,5 @@
         .collect();
     let story = request_story(&lines, "late");
     let times: Vec<u64> = story.iter().map(|entry| entry.line.time_ms).collect();
-    assert_eq!(times, [1000, 3000, 4000]);
+    assert_eq!(times, [1000, 2500, 3000, 4000]);
 }
--- a/crates/router/src/core/membership.rs
+++ b/crates/router/src/core/membership.rs
@@ -9,7 +9,7 @@
 use beamtray_dispatch::Fingerprint;
 use beamtray_types::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -54,7 +54,11 @@
 
 fn rendezvous_weight(fingerprint: Fingerprint, address: &SocketAddr) -> u64 {
     let mut hasher = Xxh3::with_seed(fingerprint.0);
-    hasher.update(address.to_string().as_bytes());
+    match address.ip() {
+        IpAddr::V4(ip) => hasher.update(&ip.octets()),
+        IpAddr::V6(ip) => hasher.update(&ip.octets()),
+    }
+    hasher.update(&address.port().to_be_bytes());
     hasher.digest()
 }
 
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -102,6 +102,12 @@
     pub state: &'static str,
 }
 
+/// How a trial of a request ended under which upstreams had ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct TrialLabel {
+    pub outcome: &'static str,
+}
+
 /// A service.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct ServiceLabel {
@@ -152,6 +158,7 @@
     slots_in_use: Family<UpstreamLabel, Gauge>,
     slots: Family<SlotLabel, Gauge>,
     suspects: Family<SuspectLabel, Gauge>,
+    pub trials: Family<TrialLabel, Counter>,
     slices: Gauge,
     slices_held: Gauge,
     is_granter: Gauge,
@@ -186,6 +193,7 @@
             slots_in_use: Family::default(),
             slots: Family::default(),
             suspects: Family::default(),
+            trials: Family::default(),
             slices: Gauge::default(),
             slices_held: Gauge::default(),
             is_granter: Gauge::default(),
@@ -289,6 +297,11 @@
             "Fingerprints of requests under which upstreams ended, and of those kept off",
             self.suspects.clone(),
         );
+        registry.register(
+            "trials",
+            "Trials of requests under which upstreams ended, by outcome",
+            self.trials.clone(),
+        );
         registry.register("slices", "Slices, at the granter", self.slices.clone());
         registry.register(
             "slices_held",
--- a/crates/router/src/shell/observer/quarantine.rs
+++ b/crates/router/src/shell/observer/quarantine.rs
@@ -2,9 +2,10 @@
 
 use super::Observer;
 use crate::core::Liveness;
+use crate::shell::metrics::TrialLabel;
 use crate::shell::rate::LineKind;
 use beamtray_catalog::UpstreamId;
-use beamtray_dispatch::{QuarantineNotice, UpstreamHash};
+use beamtray_dispatch::{QuarantineNotice, TrialOutcome, UpstreamHash};
 use slog::{info, warn};
 use std::time::Duration;
 
@@ -25,6 +26,12 @@
 
     /// What is known of requests that end upstreams changed.
     pub fn quarantine(&self, notice: QuarantineNotice) {
+        if let QuarantineNotice::Tried { outcome, .. } = notice {
+            let label = TrialLabel {
+                outcome: trial_outcome(outcome),
+            };
+            self.metrics.trials.get_or_create(&label).inc();
+        }
         let Some(left_out) = self.admit(LineKind::Failure) else {
             return;
         };
@@ -47,9 +54,25 @@
                 warn!(log, "request_kept_off"; "fingerprint" => %fingerprint,
                     "ended" => ended, "for_s" => lasts.as_secs(), left_out);
             }
+            QuarantineNotice::Tried {
+                fingerprint,
+                outcome,
+            } => {
+                info!(log, "request_tried"; "fingerprint" => %fingerprint,
+                    "outcome" => trial_outcome(outcome), left_out);
+            }
             QuarantineNotice::Cleared { fingerprint } => {
                 info!(log, "request_cleared"; "fingerprint" => %fingerprint, left_out);
             }
         }
     }
 }
+
+fn trial_outcome(outcome: TrialOutcome) -> &'static str {
+    match outcome {
+        TrialOutcome::Answered => "answered",
+        TrialOutcome::Unused => "unused",
+        TrialOutcome::Ended => "ended",
+        TrialOutcome::Unknown => "unknown",
+    }
+}
