Count sends of nodes cut off from each other in the poison check

Cause: the simulator counted a node that other nodes don't reach as out of touch, so that the worst case of a request that ends upstreams was not checked. A router is in touch as long as it reaches the store. Change: poison_arrives counts sends of such nodes too: stricter than before. The other checks are as they were.

--- a/crates/routersim/src/check.rs
+++ b/crates/routersim/src/check.rs
@@ -162,8 +162,8 @@
         }
     }
 
-    /// A request with that content, sent by a connected node at `sent`, comes to an
-    /// upstream.
+    /// A request with that content, sent at `sent` by a node that reaches the store, if not
+    /// the other nodes, comes to an upstream.
     pub fn poison_arrives(&mut self, sent: Time, contact: Duration, content: &str) {
         let Some(poison) = self.poison.get_mut(content) else {
             return;
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -53,7 +53,6 @@
             }
             Trouble::PeerCut { node } => {
                 self.nodes[*node].peer_cut = true;
-                self.nodes[*node].disturbed = self.now;
             }
             Trouble::Stop { node } => {
                 if self.nodes[*node].core.is_some() {
@@ -151,7 +150,7 @@
             }
             Trouble::PeerCut { node } => {
                 self.nodes[*node].peer_cut = false;
-                self.nodes[*node].disturbed = self.now;
+                self.nodes[*node].peers_regained = self.now;
             }
             Trouble::Stop { node } => {
                 if self.nodes[*node].core.is_some() {
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -42,6 +42,8 @@
     backlog: Vec<Input>,
     /// When the node was last disturbed.
     pub disturbed: Time,
+    /// When it last came to reach the other nodes again.
+    pub peers_regained: Time,
     pub next_ticket: u64,
 }
 
@@ -387,8 +389,15 @@
 
     /// Whether promises with a time bound hold for the node.
     pub(super) fn is_connected(&self, node: usize) -> bool {
+        let slot = &self.nodes[node];
+        let has_peers = !slot.peer_cut && self.now.since(slot.peers_regained) >= CONTACT;
+        has_peers && self.reaches_store(node)
+    }
+
+    /// The same for promises that hold for nodes cut off from each other, too.
+    pub(super) fn reaches_store(&self, node: usize) -> bool {
         let slot = &self.nodes[node];
         let undisturbed = self.now.since(slot.disturbed) >= CONTACT;
-        undisturbed && slot.core.is_some() && !slot.frozen && !slot.store_cut && !slot.peer_cut
+        undisturbed && slot.core.is_some() && !slot.frozen && !slot.store_cut
     }
 }
--- a/crates/routersim/src/world/poison.rs
+++ b/crates/routersim/src/world/poison.rs
@@ -78,7 +78,7 @@
         self.crash(index, false, BACK_AFTER);
     }
 
-    /// A request from a connected node comes to an upstream.
+    /// A request from a node that reaches the store comes to an upstream.
     pub(super) fn check_poison(&mut self, asked: &Asked) {
         if let Some(content) = asked.poison.as_deref().filter(|_| self.is_store_stable()) {
             self.checkers.poison_arrives(self.now, CONTACT, content);
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -294,6 +294,8 @@
         }
         if self.is_connected(node) {
             self.checkers.arrives(self.now, &forward.upstream);
+        }
+        if self.reaches_store(node) {
             self.check_poison(&asked);
         }
         let present = self.upstreams[index].as_ref().map(|u| u.config.id.clone());
