Show what a popular request pays when upstreams end under it

Change: a request of the simulator that many clients make and that harms nobody, all saying the same or each something else of the same key.

--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -112,6 +112,16 @@
         /// How many they are, each at an address of its own.
         callers: u8,
     },
+    /// Clients ask for one thing again and again, each time at any node; it harms nobody.
+    PopularRequest {
+        /// Whether it is a read by key, which may be repeated, or an order.
+        is_read: bool,
+        /// Milliseconds between two sendings.
+        pause_ms: u64,
+        /// Whether all requests say the same; else each says something else of the same
+        /// key, to compare with.
+        says_the_same: bool,
+    },
     /// One key gets much of the traffic.
     HotKey,
     /// A new configuration.
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -6,6 +6,7 @@
 mod nodes;
 mod orders;
 mod poison;
+mod popular;
 mod registrations;
 mod stores;
 mod upstreams;
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -96,6 +96,9 @@
             Trouble::PoisonRequest { .. } => {
                 self.schedule(Duration::ZERO, Event::PoisonClients { fault: index });
             }
+            Trouble::PopularRequest { .. } => {
+                self.schedule(Duration::ZERO, Event::PopularClient { fault: index });
+            }
             Trouble::HotKey => self.hot_key = Some(ShardKey(self.random.random())),
             Trouble::Configure => {
                 if !self.store_state.down {
@@ -196,6 +199,7 @@
             | Trouble::UpstreamCrash { .. }
             | Trouble::UpstreamDrain { .. }
             | Trouble::PoisonRequest { .. }
+            | Trouble::PopularRequest { .. }
             | Trouble::Configure => {}
         }
     }
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -119,6 +119,10 @@
     PoisonClients {
         fault: usize,
     },
+    /// A client sends the request of that fault.
+    PopularClient {
+        fault: usize,
+    },
     /// A request ends the upstream that runs it.
     PoisonEnds {
         index: usize,
@@ -269,6 +273,7 @@
             } => self.end_upstream(index, incarnation, back),
             Event::Client => self.client(),
             Event::PoisonClients { fault } => self.poison_clients(fault),
+            Event::PopularClient { fault } => self.popular_client(fault),
             Event::PoisonEnds { index, incarnation } => self.poison_ends(index, incarnation),
             Event::Housekeeping => self.housekeeping(),
             Event::Fault { index } => self.fault(index),
--- /dev/null
+++ b/crates/routersim/tests/popular_request.rs
@@ -0,0 +1,82 @@
+//! What it costs a request that many make when upstreams end under it.
+//!
+//! It was merely there when they ended. From then on it is tried by one run at a time, so
+//! those that say the same wait for that one; requests for the same key that all say
+//! something else do not, and show what the ends themselves cost.
+
+use beamtray_routersim::{Fault, FaultPlan, Trouble, WorldConfig, play};
+use beamtray_types::Time;
+use std::time::Duration;
+
+const SEEDS: u64 = 6;
+/// Between two requests: less than one takes, so that one or two are under way at any
+/// moment, and no more than one upstream can run.
+const PAUSE_MS: u64 = 25;
+/// Upstreams that end.
+const ENDS: usize = 5;
+/// Most that may be lost, as a part of all, in percent.
+const MOST_LOST_PERCENT: f64 = 1.0;
+
+/// The upstreams end one after the other, each once.
+fn plan(config: &WorldConfig, is_read: bool, says_the_same: bool) -> FaultPlan {
+    let popular = Fault {
+        at: Time(7_000_000),
+        lasts: Duration::from_secs(30),
+        trouble: Trouble::PopularRequest {
+            is_read,
+            pause_ms: PAUSE_MS,
+            says_the_same,
+        },
+    };
+    let ends = (0..config.upstreams().min(ENDS)).map(|upstream| Fault {
+        at: Time(8_000_000 + 2_500_000 * upstream as u64),
+        lasts: Duration::from_secs(2),
+        trouble: Trouble::UpstreamCrash {
+            upstream,
+            dark: false,
+        },
+    });
+    FaultPlan {
+        faults: std::iter::once(popular).chain(ends).collect(),
+    }
+}
+
+/// Percent of the requests that were answered, over all histories.
+fn answered_percent(nodes: usize, is_read: bool, says_the_same: bool) -> f64 {
+    let (mut asked, mut served) = (0, 0);
+    for seed in 0..SEEDS {
+        let config = WorldConfig {
+            nodes,
+            rate: 20,
+            ..WorldConfig::drawn(seed)
+        };
+        let plan = plan(&config, is_read, says_the_same);
+        let outcome = play(config, plan, None);
+        assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
+        asked += outcome.asked;
+        served += outcome.served;
+    }
+    100.0 * served as f64 / asked as f64
+}
+
+fn costs_little(nodes: usize, is_read: bool) {
+    let same = answered_percent(nodes, is_read, true);
+    let different = answered_percent(nodes, is_read, false);
+    println!("{nodes} nodes: {same:.2} of what says the same, {different:.2} of the others");
+    assert!(same >= different - MOST_LOST_PERCENT, "{same} {different}");
+}
+
+#[test]
+fn a_popular_read_is_served_again_at_once() {
+    costs_little(8, true);
+}
+
+#[test]
+fn a_popular_order_is_served_again_at_once() {
+    costs_little(8, false);
+}
+
+#[test]
+fn a_popular_read_is_served_again_at_once_by_many_nodes() {
+    costs_little(24, true);
+}
