Ask for a permit only when the request could be sent

Cause: a permit was asked for before it was known whether anybody could take the request. While nobody held the key, permits went round unused for up to 0.3 s each, and others that said the same were refused on suspicion, with the wrong time to come back. Change: the choice of the upstream comes first, then the permit.

--- a/crates/dispatch/src/dispatcher/decide.rs
+++ b/crates/dispatch/src/dispatcher/decide.rs
@@ -7,7 +7,7 @@
 use crate::quarantine::{Standing, TrialRequest, TrialStep};
 use crate::report::NodeHash;
 use crate::request::{Conclusion, Decision, Ending, RefusalReason, Ticket};
-use beamtray_catalog::Directory;
+use beamtray_catalog::{Directory, Registration};
 use beamtray_types::Time;
 use rand::RngExt;
 use std::time::Duration;
@@ -68,22 +68,11 @@
         }
         // Here, not at admission alone: a request may wait while others that say the same
         // end upstreams.
-        let permit = match self.quarantine.standing(now, request.fingerprints) {
-            Standing::Free => None,
-            Standing::KeptOff(_) => {
-                let ending = self.conclude(now, request, RefusalReason::Quarantined);
-                return Some(Decision::Conclude(ticket, ending));
-            }
-            Standing::Doubted => return self.await_trial(now, ticket, request),
-            Standing::OnTrial(fingerprint) => match self.quarantine.trial_step(now, fingerprint) {
-                TrialStep::Send => Some(fingerprint),
-                TrialStep::Wait => return self.await_trial(now, ticket, request),
-                TrialStep::Ask(number) => {
-                    let asked = self.trial_request(request, fingerprint, number);
-                    return Some(Decision::AskTrial(asked));
-                }
-            },
-        };
+        let standing = self.quarantine.standing(now, request.fingerprints);
+        if matches!(standing, Standing::KeptOff(_)) {
+            let ending = self.conclude(now, request, RefusalReason::Quarantined);
+            return Some(Decision::Conclude(ticket, ending));
+        }
         let wanted = if now < request.not_before {
             Err(RefusalReason::Busy)
         } else {
@@ -91,8 +80,11 @@
         };
         match wanted {
             Ok(Choice::Send(registration)) => {
-                let forward = self.forward(now, ticket, request, &registration, permit);
-                Some(Decision::Forward(ticket, forward))
+                let Standing::OnTrial(fingerprint) = standing else {
+                    let forward = self.forward(now, ticket, request, &registration, None);
+                    return Some(Decision::Forward(ticket, forward));
+                };
+                self.try_alone(now, ticket, request, &registration, fingerprint)
             }
             Ok(Choice::Ask) => Some(Decision::Ask(self.slot_request(now, ticket, request))),
             Ok(Choice::Wait) => None,
@@ -104,14 +96,35 @@
         }
     }
 
-    /// A request that is under suspicion waits for its trial, or for that of another that
-    /// says the same, as long as others wait for a slot: mostly the outcome is there before.
-    fn await_trial(&mut self, now: Time, ticket: Ticket, request: &Request) -> Option<Decision> {
-        if now < request.wait_until {
-            return None;
+    /// What is to happen with a request that is under suspicion and could be sent now: a
+    /// permit that is held while nobody could take the request would keep others waiting.
+    ///
+    /// It waits for its trial, or for that of another that says the same, as long as others
+    /// wait for a slot: mostly the outcome is there before.
+    fn try_alone(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: &mut Request,
+        registration: &Registration,
+        fingerprint: Fingerprint,
+    ) -> Option<Decision> {
+        match self.quarantine.trial_step(now, fingerprint) {
+            TrialStep::Send => {
+                let permit = Some(fingerprint);
+                let forward = self.forward(now, ticket, request, registration, permit);
+                Some(Decision::Forward(ticket, forward))
+            }
+            TrialStep::Ask(number) => {
+                let asked = self.trial_request(request, fingerprint, number);
+                Some(Decision::AskTrial(asked))
+            }
+            TrialStep::Wait if now < request.wait_until => None,
+            TrialStep::Wait => {
+                let ending = self.conclude(now, request, RefusalReason::Quarantined);
+                Some(Decision::Conclude(ticket, ending))
+            }
         }
-        let ending = self.conclude(now, request, RefusalReason::Quarantined);
-        Some(Decision::Conclude(ticket, ending))
     }
 
     fn trial_request(
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -23,9 +23,6 @@
 /// opened, which takes one of its slots for a moment, and where it is only full there are
 /// many such requests.
 const SILENCE_PAUSE: Duration = Duration::from_secs(1);
-/// How long a request whose connection broke off may wait to be tried again: until it is
-/// known whether its upstream ended, and for a permit if it did.
-const PROOF_TIME: Duration = Duration::from_millis(200);
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 
@@ -89,10 +86,6 @@
             AttemptOutcome::Unknown(cause) => {
                 request.unknown = Some(cause);
                 request.tried.push(attempt.hash);
-                if cause == UnknownCause::BrokenOff {
-                    let proved = now + PROOF_TIME;
-                    request.wait_until = request.wait_until.max(proved).min(request.deadline);
-                }
             }
         }
         request.slot = SlotState::default();
@@ -162,16 +155,14 @@
                 self.quarantine.end_trial(permit, TrialOutcome::Unused);
             }
             AttemptOutcome::Unknown(UnknownCause::BrokenOff) => {
-                let run = self.doubt(now, request, attempt);
-                self.quarantine.broke_off(now, run);
+                self.doubt(now, request, attempt);
             }
             // The end of a connection may get lost on the way, and shows as silence then.
             AttemptOutcome::Unknown(UnknownCause::TimedOut) => {
                 let last = self.doubted_at.get(&attempt.hash);
                 let is_due = last.is_none_or(|last| now.since(*last) >= SILENCE_PAUSE);
                 if is_due || permit.is_some() {
-                    let run = self.doubt(now, request, attempt);
-                    self.quarantine.fell_silent(now, run);
+                    self.doubt(now, request, attempt);
                 }
             }
             AttemptOutcome::Unknown(UnknownCause::WrongAnswer) => {
@@ -180,9 +171,16 @@
         }
     }
 
-    /// Notes that the upstream of an attempt may have ended, to be tried.
-    fn doubt(&mut self, now: Time, request: &Request, attempt: &Attempt) -> RunOfRequest {
+    /// Notes that the upstream of an attempt may have ended.
+    fn doubt(&mut self, now: Time, request: &Request, attempt: &Attempt) {
         self.doubted_at.insert(attempt.hash, now);
+        let run = RunOfRequest {
+            upstream: attempt.hash,
+            run: attempt.run,
+            fingerprints: request.fingerprints,
+            permit: attempt.permit,
+        };
+        self.quarantine.broke_off(now, run);
         let doubted = DoubtedUpstream {
             upstream: attempt.upstream.clone(),
             address: attempt.address,
@@ -190,12 +188,6 @@
         if !self.doubted.contains(&doubted) {
             self.doubted.push(doubted);
         }
-        RunOfRequest {
-            upstream: attempt.hash,
-            run: attempt.run,
-            fingerprints: request.fingerprints,
-            permit: attempt.permit,
-        }
     }
 
     /// Upstreams to which connections broke off, or fell silent, since the last call.
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -42,10 +42,6 @@
 /// How long it may take to learn whether an upstream ended when a connection to it broke
 /// off: the time after which its registration lapses at the latest.
 const PROOF_WAIT: Duration = Duration::from_secs(10);
-/// How long requests that say the same as one whose connection broke off wait to learn
-/// whether its upstream ended. Where somebody listens the answer is there in a way or two.
-const DOUBT_WAIT: Duration = Duration::from_millis(100);
-
 /// Suspicions as they outlive the processes that found them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct SuspicionRecord {
@@ -113,8 +109,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Unproved {
     run: RunOfRequest,
-    /// Until when requests that say the same wait for the proof.
-    awaited_until: Time,
     at: Time,
 }
 
@@ -141,26 +135,12 @@
         quarantine
     }
 
-    /// The connection of a request to an upstream broke off.
+    /// The connection of a request to an upstream broke off, or fell silent.
     pub(crate) fn broke_off(&mut self, now: Time, run: RunOfRequest) {
-        self.doubt(now, run, now + DOUBT_WAIT);
-    }
-
-    /// The connection of a request to an upstream fell silent. Mostly the upstream is only
-    /// full, so nothing waits for the proof.
-    pub(crate) fn fell_silent(&mut self, now: Time, run: RunOfRequest) {
-        self.doubt(now, run, now);
-    }
-
-    fn doubt(&mut self, now: Time, run: RunOfRequest, awaited_until: Time) {
         if self.unproved.len() >= MOST_SUSPECTS {
             self.unproved.remove(0);
         }
-        self.unproved.push(Unproved {
-            run,
-            awaited_until,
-            at: now,
-        });
+        self.unproved.push(Unproved { run, at: now });
     }
 
     /// An upstream has ended. Requests whose connections to it broke off are suspected.
--- a/crates/router/src/core/node/trials.rs
+++ b/crates/router/src/core/node/trials.rs
@@ -46,8 +46,8 @@
 
     /// Tells the lenders how trials ended.
     pub(super) fn report_trials(&mut self, now: Time) {
-        let node = self.config.dispatch.node.clone();
-        let reports = self.dispatcher.quarantine_mut().take_trial_reports(&node);
+        let node = &self.config.dispatch.node;
+        let reports = self.dispatcher.quarantine_mut().take_trial_reports(node);
         for report in reports {
             match self.lender_besides(report.fingerprint) {
                 Some(lender) => self.send_to(Datagram::TrialReport(report), lender),
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -191,6 +191,8 @@
     pub asked: usize,
     /// Requests that were answered by an upstream.
     pub served: usize,
+    /// Requests that were refused since upstreams ended under others that say the same.
+    pub quarantined: usize,
     /// Slices that moved, as the upstreams saw it.
     pub releases: usize,
     /// Faults of the history.
@@ -236,6 +238,7 @@
     pub(crate) checkers: Checkers,
     pub(crate) asked_count: usize,
     pub(crate) served_count: usize,
+    pub(crate) quarantined_count: usize,
     pub(crate) release_count: usize,
     next_request: u64,
 }
@@ -266,6 +269,7 @@
             checkers: Checkers::default(),
             asked_count: 0,
             served_count: 0,
+            quarantined_count: 0,
             release_count: 0,
             next_request: 0,
             config,
@@ -349,6 +353,7 @@
             violations: self.checkers.finish(self.now),
             asked: self.asked_count,
             served: self.served_count,
+            quarantined: self.quarantined_count,
             releases: self.release_count,
             plan: FaultPlan {
                 faults: self.faults,
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -4,7 +4,7 @@
 use super::{CONTACT, HEARTBEAT, TICK, World};
 use crate::check::DRAIN_TIME;
 use crate::guard::Guard;
-use beamtray_dispatch::{Admission, Conclusion};
+use beamtray_dispatch::{Admission, Conclusion, RefusalReason};
 use beamtray_router::core::{
     CoreConfig, Datagram, GRANT_TIMEOUT, Input, NodeCore, OrderTask, Output,
 };
@@ -249,6 +249,14 @@
             Output::Conclude(ticket, ending) => {
                 let refused = matches!(ending.conclusion, Conclusion::Refused { .. });
                 self.concluded(node, run, ticket, refused);
+                let is_quarantined = matches!(
+                    ending.conclusion,
+                    Conclusion::Refused {
+                        reason: RefusalReason::Quarantined,
+                        ..
+                    }
+                );
+                self.quarantined_count += usize::from(is_quarantined);
             }
             Output::Store(task, call) => {
                 let delay = self.millis(1, 3);
