--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -2,7 +2,8 @@
 
 use super::slots::SlotState;
 use super::{Attempt, Denial, Dispatcher, DoubtedUpstream, Request};
-use crate::quarantine::Quarantine;
+use crate::fingerprint::Fingerprint;
+use crate::quarantine::{Quarantine, RunHash, RunOfRequest, TrialOutcome};
 use crate::report::UpstreamHash;
 use crate::request::{
     AttemptOutcome, Ending, Forward, RefusalReason, Ticket, UnknownCause, Untouched,
@@ -29,8 +30,10 @@
     pub(super) fn forward(
         &mut self,
         now: Time,
+        ticket: Ticket,
         request: &mut Request,
         registration: &Registration,
+        permit: Option<Fingerprint>,
     ) -> Forward {
         let record = &registration.record;
         let hash = UpstreamHash::of(&record.id);
@@ -41,12 +44,19 @@
             budget.repeat(&self.config.budget, now);
         }
         request.arrivals += 1;
+        if let Some(permit) = permit {
+            self.quarantine.begin_trial(permit, request.deadline);
+        }
+        self.attempts += 1;
+        let (node, process) = (&self.config.node, self.config.run);
         request.attempt = Some(Attempt {
             upstream: record.id.clone(),
             address: record.address,
             hash,
             sent: now,
             unqueued: occupied < record.slots && now >= registration.warm_at,
+            run: RunHash::of(node, process, ticket, self.attempts),
+            permit,
         });
         Forward {
             upstream: record.id.clone(),
@@ -133,9 +143,16 @@
         attempt: &Attempt,
         outcome: AttemptOutcome,
     ) {
+        let permit = attempt.permit;
         match outcome {
-            AttemptOutcome::Answered { success: true } => {
-                self.quarantine.succeeded(now, request.fingerprints);
+            AttemptOutcome::Answered { success } => {
+                if success {
+                    self.quarantine.succeeded(now, request.fingerprints);
+                }
+                self.quarantine.end_trial(permit, TrialOutcome::Answered);
+            }
+            AttemptOutcome::Untouched(_) => {
+                self.quarantine.end_trial(permit, TrialOutcome::Unused);
             }
             AttemptOutcome::Unknown(UnknownCause::BrokenOff) => {
                 self.doubt(now, request, attempt);
@@ -143,19 +160,27 @@
             // The end of a connection may get lost on the way, and shows as silence then.
             AttemptOutcome::Unknown(UnknownCause::TimedOut) => {
                 let last = self.doubted_at.get(&attempt.hash);
-                if last.is_none_or(|last| now.since(*last) >= SILENCE_PAUSE) {
+                let is_due = last.is_none_or(|last| now.since(*last) >= SILENCE_PAUSE);
+                if is_due || permit.is_some() {
                     self.doubt(now, request, attempt);
                 }
             }
-            _ => {}
+            AttemptOutcome::Unknown(UnknownCause::WrongAnswer) => {
+                self.quarantine.end_trial(permit, TrialOutcome::Unknown);
+            }
         }
     }
 
     /// Notes that the upstream of an attempt may have ended.
     fn doubt(&mut self, now: Time, request: &Request, attempt: &Attempt) {
         self.doubted_at.insert(attempt.hash, now);
-        let fingerprints = request.fingerprints;
-        self.quarantine.broke_off(now, attempt.hash, fingerprints);
+        let run = RunOfRequest {
+            upstream: attempt.hash,
+            run: attempt.run,
+            fingerprints: request.fingerprints,
+            permit: attempt.permit,
+        };
+        self.quarantine.broke_off(now, run);
         let doubted = DoubtedUpstream {
             upstream: attempt.upstream.clone(),
             address: attempt.address,
