A head that can't be read: holders keep their keys while a standby may prolong them

Cause: a successor that can't read the head of an assignment took it as one without standbys, and passed keys of a holder that does not answer on after 3.3 s, while a standby may order it to hold on for 11 s more. Ruled out: withholding all keys, also those that a holder gives back. Change: Standbys::adopt_unknown, in force until the last word of any standby has run out, 15 s at most.

--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -226,6 +226,8 @@
     stored: BTreeMap<Part, StoredPart>,
     /// Parts that can't be read.
     unreadable: Vec<Part>,
+    /// Whether the head can't be read.
+    lacks_head: bool,
 }
 
 /// Continues the grants that were read from the store; keys of items that can't be
@@ -242,8 +244,11 @@
             Some(AssignmentKey::Head(service)) => {
                 let read = read.entry(service).or_default();
                 read.head_revision = item.revision;
-                if let Ok(head) = AssignmentHead::try_from_slice(&item.value) {
-                    read.assignment.take_head(head);
+                match AssignmentHead::try_from_slice(&item.value) {
+                    Ok(head) => {
+                        read.assignment.take_head(head);
+                    }
+                    Err(_) => read.lacks_head = true,
                 }
             }
             Some(AssignmentKey::Part(service, part)) => {
@@ -270,6 +275,9 @@
         for part in &read.unreadable {
             granter.withhold(now, part.range());
         }
+        if read.lacks_head {
+            granter.standbys_unknown(now);
+        }
         granter.not_written();
         let grants = Grants {
             granter,
--- a/crates/router/tests/foreign_records.rs
+++ b/crates/router/tests/foreign_records.rs
@@ -21,6 +21,10 @@
 const WITHIN_HOLD: u64 = 1_500;
 /// Longer than any grant of the granter before may last.
 const AFTER_HOLD: u64 = 9_000;
+/// Less than a standby's word and the last hold that it may order.
+const WITHIN_WORD: u64 = 11_000;
+/// More than that.
+const AFTER_WORD: u64 = 18_000;
 
 fn at(millis: u64) -> Time {
     Time(millis * 1_000)
@@ -138,6 +142,32 @@
     assert!(orders.iter().any(is_granted));
 }
 
+/// Whether keys of a holder that is no upstream any more, and does not answer, are granted
+/// to another before `until`.
+fn passes_keys_on(head: Option<&[u8]>, until: u64) -> bool {
+    let dialect = SimDialect::default();
+    let mut store = store(&dialect);
+    let entry = format!("{}one", dialect.keys().upstream_prefix);
+    store.put(at(0), &entry, Vec::new());
+    if let Some(value) = head {
+        let key = OwnKeys::assignment_head(&KEYED.into());
+        store.put(at(0), &key, value.to_vec());
+    }
+    let orders = orders(&mut store, dialect, until);
+    let is_other = |order: &GrantOrder| {
+        matches!(order.kind, OrderKind::Grant { .. }) && order.holder.0 != "one"
+    };
+    orders.iter().any(is_other)
+}
+
+/// The head names the standbys, which may prolong the holds for 11 s after their last word.
+#[test]
+fn without_a_readable_head_a_silent_holder_keeps_its_keys_while_a_standby_may_prolong_them() {
+    assert!(passes_keys_on(None, WITHIN_WORD));
+    assert!(!passes_keys_on(Some(b"no head"), WITHIN_WORD));
+    assert!(passes_keys_on(Some(b"no head"), AFTER_WORD));
+}
+
 /// Tokens count upwards with the epoch: one that fell would let two upstreams hold a key.
 #[test]
 fn tokens_rise_although_the_epoch_is_unreadable() {
--- a/crates/sharding/src/granter/withheld.rs
+++ b/crates/sharding/src/granter/withheld.rs
@@ -27,6 +27,15 @@
         self.withheld.push(WithheldKeys { range, until });
     }
 
+    /// Takes over at `now` keys whose standbys the record does not tell, since its head can't
+    /// be read: a holder that does not answer keeps its keys until the last word of any
+    /// standby has run out, 15 s at most.
+    pub fn standbys_unknown(&mut self, now: Time) {
+        if self.timing.guards.respects_predecessor {
+            self.standbys.adopt_unknown(now);
+        }
+    }
+
     /// Forgets keys that somebody may hold again.
     pub(super) fn end_withholding(&mut self, now: Time) {
         if self.withheld.is_empty() {
--- a/crates/sharding/src/standby.rs
+++ b/crates/sharding/src/standby.rs
@@ -80,6 +80,8 @@
 pub(crate) struct Standbys {
     bounds: StandbyBounds,
     named: BTreeMap<StandbyId, Standby>,
+    /// Until when keys may be held because of standbys that no record names.
+    unknown_until: Time,
 }
 
 impl Standbys {
@@ -87,6 +89,7 @@
         Self {
             bounds,
             named: BTreeMap::new(),
+            unknown_until: Time::ZERO,
         }
     }
 
@@ -108,6 +111,12 @@
         }
     }
 
+    /// Takes over standbys of another term that no record tells of: each of them may have
+    /// had a word until `now`.
+    pub fn adopt_unknown(&mut self, now: Time) {
+        self.unknown_until = self.last_order_end(self.word_end(now));
+    }
+
     /// The end of a word. The standby counts from before the answer of its own
     /// that the word echoes, so the way of neither of them matters.
     fn word_end(&self, sent: Time) -> Time {
@@ -198,10 +207,15 @@
             if standby.knows >= Some(record) {
                 standby.holds_until
             } else {
-                let last_order = standby.word_until + self.bounds.transit + self.bounds.hold;
+                let last_order = self.last_order_end(standby.word_until);
                 standby.holds_until.max(last_order)
             }
         });
-        ends.max().unwrap_or_default()
+        ends.max().unwrap_or_default().max(self.unknown_until)
+    }
+
+    /// The end of holds that a standby may have ordered at the end of its word.
+    fn last_order_end(&self, word_until: Time) -> Time {
+        word_until + self.bounds.transit + self.bounds.hold
     }
 }
