Keep no registration of a megabyte; notices of views in a file of their own

Cause: every node keeps every value below the registrations' prefix, and sends it to others; another writer's entries of a megabyte each would fill the 260 MB of a node at some two hundred. Ruled out: leaving the key out of the copy: what it said before would stay. Change: values over 64 KiB are kept as empty ones, which name no upstream.

--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -51,6 +51,8 @@
 pub struct Replica {
     prefix: String,
     timing: ReplicaTiming,
+    /// Longest value that is kept, in bytes.
+    longest_value: usize,
     /// Wait of the next watch.
     watch_wait: Duration,
     mirror: Mirror,
@@ -72,6 +74,7 @@
         Self {
             prefix: prefix.to_owned(),
             timing,
+            longest_value: usize::MAX,
             watch_wait: FIRST_WATCH.min(timing.wait),
             mirror: Mirror::default(),
             latest: Revision(0),
@@ -87,6 +90,34 @@
         }
     }
 
+    /// Keeps longer values than so many bytes as empty ones, which nothing can be read from:
+    /// another writer's would fill the memory of every node and the links between them.
+    pub fn with_longest_value(mut self, bytes: usize) -> Self {
+        self.longest_value = bytes;
+        self
+    }
+
+    fn bound_values(&self, mut outcome: StoreOutcome) -> StoreOutcome {
+        match &mut outcome {
+            StoreOutcome::Page { items, .. } => self.bound_items(items.iter_mut()),
+            StoreOutcome::Events { events, .. } => {
+                let items = events.iter_mut().filter_map(|event| match event {
+                    StoreEvent::Put(item) => Some(item),
+                    StoreEvent::Removed { .. } => None,
+                });
+                self.bound_items(items);
+            }
+            _ => {}
+        }
+        outcome
+    }
+
+    fn bound_items<'a>(&self, items: impl Iterator<Item = &'a mut Item>) {
+        for item in items.filter(|item| item.value.len() > self.longest_value) {
+            item.value = Vec::new();
+        }
+    }
+
     /// The copy.
     pub fn mirror(&self) -> &Mirror {
         &self.mirror
@@ -174,6 +205,7 @@
         generation: u32,
         outcome: StoreOutcome,
     ) -> (ReplicaHealth, Vec<MirrorChange>) {
+        let outcome = self.bound_values(outcome);
         if generation != self.generation {
             return (ReplicaHealth::Sound, self.take_late(outcome));
         }
@@ -305,7 +337,7 @@
     pub fn adopt(&mut self, snapshot: Snapshot) -> Vec<MirrorChange> {
         let Snapshot {
             at,
-            items,
+            mut items,
             removals,
             is_whole,
             ..
@@ -314,6 +346,7 @@
             return Vec::new();
         }
         self.phase = Phase::Watching;
+        self.bound_items(items.iter_mut());
         self.note_items(&items);
         if is_whole {
             return self.mirror.replace(at, items);
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -6,21 +6,22 @@
 
 mod apply;
 mod exchange;
+mod notice;
 mod unusable;
 
 pub use exchange::{Snapshot, StoreContact, ViewHeads, ViewRequest, WantedView};
+pub use notice::{ViewName, ViewNotice};
 pub use unusable::UnusableCounts;
 
 use crate::core::records::{NodeRecord, OwnKeys};
 use crate::core::relays::RelaysHeard;
 use crate::core::replica::{Replica, ReplicaHealth, ReplicaTiming};
-use beamtray_catalog::{Configuration, Directory, DirectoryChange, DirectoryPolicy, UpstreamId};
+use beamtray_catalog::{Configuration, Directory, DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{SpeedRecord, SuspicionRecord};
 use beamtray_metastore::{GranterRecord, Item, Revision, StoreCall, StoreOutcome};
 use beamtray_sharding::Assignment;
 use beamtray_types::{ServiceName, Time};
-use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,6 +31,8 @@
 const GATHER_FEW: Duration = Duration::from_millis(30);
 /// Pause after changes of a view in which many change together.
 const GATHER_MANY: Duration = Duration::from_millis(200);
+/// Longest registration that is kept, in bytes: some two hundred times an upstream's own.
+const LONGEST_REGISTRATION: usize = 64 * 1024;
 /// How long another node may know of a change before the watch that should
 /// have told of it counts as dead.
 const WATCH_DEAF_AFTER: Duration = Duration::from_millis(300);
@@ -48,92 +51,6 @@
 /// How long a node that has just started waits for the word of a relay.
 const RELAY_PATIENCE: Duration = Duration::from_millis(600);
 
-/// Which replica a call or a snapshot belongs to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub enum ViewName {
-    /// What operators write.
-    Operator,
-    /// Registrations of upstreams.
-    Upstreams,
-    /// Nodes and the granter.
-    Members,
-    /// What the granter writes.
-    State,
-}
-
-impl ViewName {
-    /// All views.
-    pub const ALL: [ViewName; 4] = [
-        ViewName::Operator,
-        ViewName::Upstreams,
-        ViewName::Members,
-        ViewName::State,
-    ];
-}
-
-/// A belief that changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ViewNotice {
-    /// A configuration is in force.
-    Configured {
-        /// Its version.
-        version: u64,
-        /// How many routes it has.
-        routes: usize,
-    },
-    /// A value in the store can't be read. Told once for as long as it can't.
-    Unreadable {
-        /// Its key.
-        key: String,
-        /// What is wrong.
-        cause: String,
-    },
-    /// An upstream registered for a service that no configuration has named.
-    UnknownService {
-        /// Key of the entry.
-        key: String,
-        /// The service.
-        service: ServiceName,
-    },
-    /// The directory changed.
-    Directory(DirectoryChange),
-    /// A new assignment of a service.
-    Assigned {
-        /// The service.
-        service: ServiceName,
-        /// Term of the granter that wrote it.
-        epoch: u64,
-        /// Its number in that term.
-        sequence: u64,
-    },
-    /// Another granter, or none.
-    Granter {
-        /// The node.
-        node: Option<String>,
-        /// Its term.
-        epoch: u64,
-    },
-    /// A watch was given up on, since others know more.
-    Restarted {
-        /// Prefix of the view.
-        prefix: String,
-    },
-    /// This node follows the store itself, or relies on relays.
-    Follows {
-        /// Whether it follows the store.
-        itself: bool,
-        /// Whether it is the relay that others rely on.
-        as_relay: bool,
-    },
-    /// A view is not kept up by the store any more, or is again.
-    Followed {
-        /// Prefix of the view.
-        prefix: String,
-        /// Whether the store answers.
-        sound: bool,
-    },
-}
-
 /// A change that another node knows of.
 #[derive(Clone, Copy, Debug)]
 struct Behind {
@@ -188,7 +105,8 @@
         Self {
             replicas: [
                 Replica::new(keys.operator_prefix, timing(GATHER_FEW)),
-                Replica::new(keys.upstream_prefix, timing(GATHER_MANY)),
+                Replica::new(keys.upstream_prefix, timing(GATHER_MANY))
+                    .with_longest_value(LONGEST_REGISTRATION),
                 Replica::new(OwnKeys::MEMBERS, timing(GATHER_FEW)),
                 Replica::new(OwnKeys::STATE, timing(GATHER_FEW)),
             ],
--- a/crates/router/tests/foreign_entries.rs
+++ b/crates/router/tests/foreign_entries.rs
@@ -229,3 +229,18 @@
         assert!(cause.len() < 512, "{} bytes", cause.len());
     }
 }
+
+/// Entries of a megabyte would take more memory than a node has, and the links to the
+/// nodes that have their copies from it.
+#[test]
+fn a_registration_of_a_megabyte_is_not_kept() {
+    let mut node = Node::serving();
+    let mut whole = registration(SHOP, 82);
+    whole.extend(std::iter::repeat_n(b' ', 1 << 20));
+    node.register("i-2", &whole);
+    assert_eq!(node.known(), ["i-1"]);
+    assert_eq!(node.unusable().unreadable, 1);
+    let items = node.views.replica(ViewName::Upstreams).mirror().items();
+    let kept: usize = items.map(|item| item.value.len()).sum();
+    assert!(kept < 1 << 16, "{kept} bytes");
+}
