--- a/crates/grantsearch/src/scope.rs
+++ b/crates/grantsearch/src/scope.rs
@@ -20,10 +20,15 @@
     /// Orders that are held up on their way, or arrive twice, or lose their answer, without
     /// a cut.
     pub messages: u8,
+    /// Orders that an upstream leaves unanswered and carries out later, whatever becomes of
+    /// the path and of the sender.
+    pub late: u8,
     /// Upstreams that start again under their id.
     pub restarts_same_id: u8,
     /// Upstreams that start again under another id.
     pub restarts_new_id: u8,
+    /// Upstreams that are to be emptied: they are asked for their keys at once.
+    pub drains: u8,
     /// Granters that end and are succeeded at once.
     pub ends: u8,
     /// Granters that stand still.
--- a/crates/grantsearch/src/world/faults.rs
+++ b/crates/grantsearch/src/world/faults.rs
@@ -3,6 +3,7 @@
 use super::start::upstream_id;
 use super::{Continued, Step, World};
 use crate::scope::TICK;
+use crate::transport::{HeldCopy, Place};
 use crate::upstream::Upstream;
 use std::time::Duration;
 
@@ -23,6 +24,9 @@
                 steps.push(Step::Cut(index));
             }
             let is_up = path.back_at.is_none();
+            if is_up && !path.is_draining && self.left.drains > 0 {
+                steps.push(Step::Drain(index));
+            }
             if is_up && self.left.restarts_same_id > 0 {
                 steps.push(Step::RestartSameId(index));
             }
@@ -85,10 +89,22 @@
         if !self.scope.transport.reaches_next_process {
             self.copies.retain(|copy| copy.order.holder != id);
         }
+        let is_lost = |copy: &HeldCopy| copy.place == Place::Upstream && copy.order.holder == id;
+        self.copies.retain(|copy| !is_lost(copy));
         self.note(|| format!("{id} ends and starts again"));
         self.upstreams[index] = Upstream::new(id, life, &self.ranges);
         self.paths[index].back_at = Some(self.now + RESTART);
         self.paths[index].next_id = next_id;
+        self.paths[index].is_draining = false;
+    }
+
+    /// An upstream says that it is to be emptied.
+    pub(super) fn drain(&mut self, index: usize) {
+        self.left.drains -= 1;
+        self.paths[index].is_draining = true;
+        let id = self.upstreams[index].id.clone();
+        self.note(|| format!("{id} drains"));
+        self.tell_candidates();
     }
 
     /// The granter's process ends with its connections; the next one is there at once.
--- a/crates/router/tests/foreign_entries.rs
+++ b/crates/router/tests/foreign_entries.rs
@@ -54,7 +54,7 @@
 /// What an upstream that is ready writes.
 fn registration(service: &str, port: u16) -> Vec<u8> {
     let record = UpstreamRecord {
-        id: UpstreamId(String::new()),
+        id: UpstreamId::from(String::new()),
         service: service.into(),
         address: ([10, 0, 0, 1], port).into(),
         zone: "z".into(),
@@ -133,7 +133,7 @@
     /// Upstreams that are known.
     fn known(&self) -> Vec<String> {
         let known = self.views.directory.iter();
-        known.map(|known| known.record.id.0.clone()).collect()
+        known.map(|known| known.record.id.name.0.clone()).collect()
     }
 
     fn unreadable_lines(&mut self) -> usize {
--- a/crates/router/tests/foreign_records.rs
+++ b/crates/router/tests/foreign_records.rs
@@ -36,7 +36,7 @@
 
 fn upstream(name: &str, port: u16) -> UpstreamRecord {
     UpstreamRecord {
-        id: UpstreamId(name.to_owned()),
+        id: UpstreamId::from(name.to_owned()),
         service: KEYED.into(),
         address: address(port),
         zone: "a".into(),
@@ -59,7 +59,7 @@
     let slices = Part::all().map(|part| SliceRecord {
         range: part.range(),
         state: SliceState::Held {
-            holder: UpstreamId("one".to_owned()),
+            holder: UpstreamId::from("one".to_owned()),
             token: FencingToken(5),
         },
     });
@@ -126,7 +126,7 @@
     let orders = orders_with_unreadable(part, WITHIN_HOLD);
     let other = |order: &&GrantOrder| {
         let is_grant = matches!(order.kind, OrderKind::Grant { .. });
-        is_grant && order.range.overlaps(part.range()) && order.holder.0 != "one"
+        is_grant && order.range.overlaps(part.range()) && order.holder.name.0 != "one"
     };
     assert!(!orders.is_empty(), "the granter did nothing");
     assert_eq!(orders.iter().find(other), None);
@@ -339,7 +339,7 @@
         let slices = Part::all().map(|part| SliceRecord {
             range: part.range(),
             state: SliceState::Held {
-                holder: UpstreamId("one".to_owned()),
+                holder: UpstreamId::from("one".to_owned()),
                 token: FencingToken(5),
             },
         });
