--- a/crates/router/tests/foreign_records.rs
+++ b/crates/router/tests/foreign_records.rs
@@ -155,7 +155,7 @@
     }
     let orders = orders(&mut store, dialect, until);
     let is_other = |order: &GrantOrder| {
-        matches!(order.kind, OrderKind::Grant { .. }) && order.holder.0 != "one"
+        matches!(order.kind, OrderKind::Grant { .. }) && order.holder.name.0 != "one"
     };
     orders.iter().any(is_other)
 }
