--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -271,12 +271,6 @@
         self.incarnations.expire(now, is_registered)
     }
 
-    /// Whether an upstream has started again under its name, so that this incarnation
-    /// has ended.
-    pub fn is_replaced(&self, id: &UpstreamId) -> bool {
-        self.incarnations.is_replaced(id)
-    }
-
     /// The incarnation of that name that counts.
     pub fn registered(&self, name: &UpstreamName) -> Option<&Registration> {
         registered(&self.upstreams, name)
--- a/crates/catalog/src/incarnations.rs
+++ b/crates/catalog/src/incarnations.rs
@@ -91,12 +91,6 @@
         }
     }
 
-    /// Whether another incarnation has replaced this one.
-    pub fn is_replaced(&self, id: &UpstreamId) -> bool {
-        let succession = self.by_name.get(&id.name);
-        succession.is_some_and(|succession| succession.replaced.contains_key(&id.born))
-    }
-
     /// Forgets what is no longer of use; the entries of replaced incarnations that have
     /// stood for long enough, each with the one that counted in its place.
     pub fn expire(
--- a/crates/router/src/core/node/standby.rs
+++ b/crates/router/src/core/node/standby.rs
@@ -1,11 +1,10 @@
 //! Standbys: their choice, words and reports, and what this node does as one.
 
 use super::NodeCore;
-use crate::core::message::{Datagram, OrderTask, Output};
+use crate::core::message::{Datagram, Output};
 use crate::core::records::NodeRecord;
 use crate::core::standby::STANDBY_TERM;
 use crate::core::standby_words::choose_standbys;
-use beamtray_catalog::Directory;
 use beamtray_sharding::StandbyId;
 use beamtray_types::Time;
 use std::time::Duration;
@@ -85,20 +84,9 @@
         let tasks = self
             .standby
             .poll(now, own_term, &self.views.assignments, addresses);
-        let directory = &self.views.directory;
-        let orders = tasks.into_iter().map(|task| {
-            let task = without_way_to_restarted(task, directory);
-            Output::Order(task, STANDBY_TERM)
-        });
+        let orders = tasks
+            .into_iter()
+            .map(|task| Output::Order(task, STANDBY_TERM));
         self.outputs.extend(orders);
     }
 }
-
-/// Keeps an order from an upstream that has started again: it would take under the old
-/// token what it does not hold, and only the granter gives fresh ones.
-fn without_way_to_restarted(mut task: OrderTask, directory: &Directory) -> OrderTask {
-    if directory.is_replaced(&task.order.holder) {
-        task.address = None;
-    }
-    task
-}
