Simulator: restarts count by name and by incarnation again

The key of a request that ends upstreams overflowed where nine faults or more are drawn, which stops a test that is not built for release.

--- a/crates/routersim/src/check/tokens.rs
+++ b/crates/routersim/src/check/tokens.rs
@@ -4,14 +4,13 @@
 use beamtray_sharding::KeyRange;
 use std::fmt;
 
-/// An upstream. One that starts again under its name is the same one: what is asked of
-/// tokens concerns others.
+/// One incarnation of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
     /// Its number.
     pub index: usize,
-    /// The incarnation that first had its name.
-    pub named: u64,
+    /// Its incarnation.
+    pub incarnation: u64,
     /// Its name.
     pub id: UpstreamId,
 }
@@ -32,12 +31,12 @@
 struct Had {
     token: u64,
     index: usize,
-    named: u64,
+    incarnation: u64,
 }
 
 impl Had {
     fn is_by(&self, holder: &Holder) -> bool {
-        (self.index, self.named) == (holder.index, holder.named)
+        (self.index, self.incarnation) == (holder.index, holder.incarnation)
     }
 }
 
@@ -65,7 +64,7 @@
             self.highest = Had {
                 token,
                 index: holder.index,
-                named: holder.named,
+                incarnation: holder.incarnation,
             };
         } else {
             self.of_others = self.of_others.max(token);
--- a/crates/routersim/src/world/owners.rs
+++ b/crates/routersim/src/world/owners.rs
@@ -9,7 +9,7 @@
     fn holder(&self, index: usize, upstream: &UpstreamEmulator) -> Holder {
         Holder {
             index,
-            named: self.upstream_state[index].named,
+            incarnation: self.upstream_state[index].incarnation,
             id: upstream.config.id.clone(),
         }
     }
--- a/crates/routersim/src/world/poison.rs
+++ b/crates/routersim/src/world/poison.rs
@@ -13,6 +13,8 @@
 
 /// Time after which an upstream that was ended is back.
 const BACK_AFTER: Duration = Duration::from_secs(2);
+/// Sets the keys of such requests apart.
+const KEY_SPREAD: u16 = 7_919;
 
 impl World {
     /// Sends the request of a fault to some node, and again after its pause.
@@ -37,7 +39,7 @@
         let prefix = if is_read { READ } else { ORDER };
         let content = format!("{prefix}poison-{fault}");
         let id = format!("poison-{number}");
-        let key = is_read.then(|| ShardKey(7_919 * (fault as u16 + 1)));
+        let key = is_read.then(|| ShardKey(KEY_SPREAD.wrapping_mul(fault as u16 + 1)));
         let head = request_head(&id, content.clone(), key);
         let asked = Asked {
             id,
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -54,7 +54,7 @@
 pub(crate) struct UpstreamState {
     pub incarnation: u64,
     /// The incarnation that first had its name.
-    pub named: u64,
+    named: u64,
     /// Whether the next incarnation keeps the name.
     pub keeps_name: bool,
     /// Whether the address answers nothing at all.
--- a/crates/routersim/tests/checkers.rs
+++ b/crates/routersim/tests/checkers.rs
@@ -24,10 +24,10 @@
     UpstreamId::from(format!("u{index}"))
 }
 
-fn holder(index: usize, named: u64) -> Holder {
+fn holder(index: usize, incarnation: u64) -> Holder {
     Holder {
         index,
-        named,
+        incarnation,
         id: upstream(index),
     }
 }
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn another_name_at_the_same_place_is_another_holder() {
+fn another_incarnation_is_another_holder() {
     let mut checkers = Checkers::default();
     checkers.takes(Time(1), &holder(0, 1), taking(LOWER, 5));
     checkers.takes(Time(2), &holder(0, 2), taking(LOWER, 5));
