--- a/crates/dispatch/src/dispatcher/decide.rs
+++ b/crates/dispatch/src/dispatcher/decide.rs
@@ -3,8 +3,11 @@
 use super::choice::Choice;
 use super::slots::SlotState;
 use super::{Dispatcher, Request};
+use crate::fingerprint::Fingerprint;
+use crate::quarantine::{Standing, TrialRequest, TrialStep};
+use crate::report::NodeHash;
 use crate::request::{Conclusion, Decision, Ending, RefusalReason, Ticket};
-use beamtray_catalog::Directory;
+use beamtray_catalog::{Directory, Registration};
 use beamtray_types::Time;
 use rand::RngExt;
 use std::time::Duration;
@@ -36,7 +39,7 @@
             };
             let decision = self.decide(now, directory, ticket, &mut request);
             let (waits, ended) = match &decision {
-                None | Some(Decision::Ask(_)) => (true, false),
+                None | Some(Decision::Ask(_) | Decision::AskTrial(_)) => (true, false),
                 Some(Decision::Forward(..)) => (false, false),
                 Some(Decision::Conclude(..)) => (false, true),
             };
@@ -65,11 +68,8 @@
         }
         // Here, not at admission alone: a request may wait while others that say the same
         // end upstreams.
-        if self
-            .quarantine
-            .remaining(now, request.fingerprints)
-            .is_some()
-        {
+        let standing = self.quarantine.standing(now, request.fingerprints);
+        if matches!(standing, Standing::KeptOff(_)) {
             let ending = self.conclude(now, request, RefusalReason::Quarantined);
             return Some(Decision::Conclude(ticket, ending));
         }
@@ -80,8 +80,11 @@
         };
         match wanted {
             Ok(Choice::Send(registration)) => {
-                let forward = self.forward(now, request, &registration);
-                Some(Decision::Forward(ticket, forward))
+                let Standing::OnTrial(fingerprint) = standing else {
+                    let forward = self.forward(now, ticket, request, &registration, None);
+                    return Some(Decision::Forward(ticket, forward));
+                };
+                self.try_alone(now, ticket, request, &registration, fingerprint)
             }
             Ok(Choice::Ask) => Some(Decision::Ask(self.slot_request(now, ticket, request))),
             Ok(Choice::Wait) => None,
@@ -93,6 +96,49 @@
         }
     }
 
+    /// What is to happen with a request that is under suspicion and could be sent now: a
+    /// permit that is held while nobody could take the request would keep others waiting.
+    ///
+    /// It waits for its trial, or for that of another that says the same, as long as others
+    /// wait for a slot: mostly the outcome is there before.
+    fn try_alone(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: &mut Request,
+        registration: &Registration,
+        fingerprint: Fingerprint,
+    ) -> Option<Decision> {
+        match self.quarantine.trial_step(now, fingerprint) {
+            TrialStep::Send => {
+                let permit = Some(fingerprint);
+                let forward = self.forward(now, ticket, request, registration, permit);
+                Some(Decision::Forward(ticket, forward))
+            }
+            TrialStep::Ask(number) => {
+                let asked = self.trial_request(request, fingerprint, number);
+                Some(Decision::AskTrial(asked))
+            }
+            TrialStep::Wait if now < request.wait_until => None,
+            TrialStep::Wait => {
+                let ending = self.conclude(now, request, RefusalReason::Quarantined);
+                Some(Decision::Conclude(ticket, ending))
+            }
+        }
+    }
+
+    fn trial_request(
+        &self,
+        request: &Request,
+        fingerprint: Fingerprint,
+        number: u32,
+    ) -> TrialRequest {
+        let node = NodeHash::of(&self.config.node);
+        let lasts = request.route.timeout;
+        self.quarantine
+            .trial_request(fingerprint, node, number, lasts)
+    }
+
     /// Whether waiting is of no use: the key will not have a holder in time. One that a
     /// holder denied waits for the assignment that names the next, which may be on its
     /// way.
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -4,8 +4,8 @@
 
 use beamtray_catalog::{Birth, Directory, DirectoryPolicy, UpstreamId, UpstreamRecord};
 use beamtray_dispatch::{
-    AttemptOutcome, Conclusion, Dispatcher, Fingerprint, Quarantine, SpeedRecord, Suspicion,
-    Ticket, UnknownCause, Untouched, UpstreamHash, UpstreamSpeed,
+    AttemptOutcome, Conclusion, Dispatcher, Fingerprint, Quarantine, RunHash, SpeedRecord,
+    Suspicion, Ticket, UnknownCause, Untouched, UpstreamHash, UpstreamSpeed,
 };
 use common::*;
 use std::time::Duration;
@@ -103,6 +103,8 @@
             Suspicion {
                 fingerprint,
                 upstream: UpstreamHash::of(&born(birth)),
+                run: RunHash(birth as u32),
+                is_trial: false,
                 is_cleared: false,
             },
         );
--- a/crates/routersim/src/check/tokens.rs
+++ b/crates/routersim/src/check/tokens.rs
@@ -4,7 +4,8 @@
 use beamtray_sharding::KeyRange;
 use std::fmt;
 
-/// One incarnation of an upstream.
+/// An upstream, in one of its lives or over all that have its name, by what stands for the
+/// incarnation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
     /// Its number.
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -53,7 +53,6 @@
             }
             Trouble::PeerCut { node } => {
                 self.nodes[*node].peer_cut = true;
-                self.nodes[*node].disturbed = self.now;
             }
             Trouble::Stop { node } => {
                 if self.nodes[*node].core.is_some() {
@@ -108,7 +107,10 @@
             Trouble::OrdersLate { percent } => self.orders_late_percent = *percent,
             Trouble::AnswersLost { percent } => self.answers_lost_percent = *percent,
             Trouble::PoisonRequest { .. } => {
-                self.schedule(Duration::ZERO, Event::PoisonClient { fault: index });
+                self.schedule(Duration::ZERO, Event::PoisonClients { fault: index });
+            }
+            Trouble::PopularRequest { .. } => {
+                self.schedule(Duration::ZERO, Event::PopularClient { fault: index });
             }
             Trouble::HotKey => self.hot_key = Some(ShardKey(self.random.random())),
             Trouble::Configure => {
@@ -172,7 +174,7 @@
             }
             Trouble::PeerCut { node } => {
                 self.nodes[*node].peer_cut = false;
-                self.nodes[*node].disturbed = self.now;
+                self.nodes[*node].peers_regained = self.now;
             }
             Trouble::Stop { node } => {
                 if self.nodes[*node].core.is_some() {
@@ -228,6 +230,7 @@
             | Trouble::UpstreamRestart { .. }
             | Trouble::UpstreamDrain { .. }
             | Trouble::PoisonRequest { .. }
+            | Trouble::PopularRequest { .. }
             | Trouble::Configure => {}
         }
     }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -4,7 +4,7 @@
 use super::{CONTACT, HEARTBEAT, TICK, World};
 use crate::check::DRAIN_TIME;
 use crate::guard::Guard;
-use beamtray_dispatch::{Admission, Conclusion};
+use beamtray_dispatch::{Admission, Conclusion, RefusalReason};
 use beamtray_router::core::{
     CoreConfig, Datagram, GRANT_TIMEOUT, Input, NodeCore, OrderTask, Output,
 };
@@ -46,6 +46,8 @@
     pub boot: u64,
     /// When the node was last disturbed.
     pub disturbed: Time,
+    /// When it last came to reach the other nodes again.
+    pub peers_regained: Time,
     pub next_ticket: u64,
 }
 
@@ -261,6 +263,14 @@
             Output::Conclude(ticket, ending) => {
                 let refused = matches!(ending.conclusion, Conclusion::Refused { .. });
                 self.concluded(node, run, ticket, refused);
+                let is_quarantined = matches!(
+                    ending.conclusion,
+                    Conclusion::Refused {
+                        reason: RefusalReason::Quarantined,
+                        ..
+                    }
+                );
+                self.quarantined_count += usize::from(is_quarantined);
             }
             Output::Store(task, call) => {
                 let delay = self.millis(1, 3);
@@ -401,8 +411,15 @@
 
     /// Whether promises with a time bound hold for the node.
     pub(super) fn is_connected(&self, node: usize) -> bool {
+        let slot = &self.nodes[node];
+        let has_peers = !slot.peer_cut && self.now.since(slot.peers_regained) >= CONTACT;
+        has_peers && self.reaches_store(node)
+    }
+
+    /// The same for promises that hold for nodes cut off from each other, too.
+    pub(super) fn reaches_store(&self, node: usize) -> bool {
         let slot = &self.nodes[node];
         let undisturbed = self.now.since(slot.disturbed) >= CONTACT;
-        undisturbed && slot.core.is_some() && !slot.frozen && !slot.store_cut && !slot.peer_cut
+        undisturbed && slot.core.is_some() && !slot.frozen && !slot.store_cut
     }
 }
