--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -1,6 +1,6 @@
 //! The grants of one service, and their record in the store.
 
-use crate::core::records::{AssignmentKey, OwnKeys};
+use crate::core::records::{AssignmentKey, OwnKeys, decode_part};
 use crate::core::views::Views;
 use beamtray_catalog::{UpstreamId, UpstreamState};
 use beamtray_dispatch::{Dispatcher, UpstreamHash};
@@ -224,6 +224,10 @@
     assignment: Assignment,
     head_revision: Revision,
     stored: BTreeMap<Part, StoredPart>,
+    /// Parts that can't be read.
+    unreadable: Vec<Part>,
+    /// Whether the head can't be read.
+    lacks_head: bool,
 }
 
 /// Continues the grants that were read from the store; keys of items that can't be
@@ -240,8 +244,11 @@
             Some(AssignmentKey::Head(service)) => {
                 let read = read.entry(service).or_default();
                 read.head_revision = item.revision;
-                if let Ok(head) = AssignmentHead::try_from_slice(&item.value) {
-                    read.assignment.take_head(head);
+                match AssignmentHead::try_from_slice(&item.value) {
+                    Ok(head) => {
+                        read.assignment.take_head(head);
+                    }
+                    Err(_) => read.lacks_head = true,
                 }
             }
             Some(AssignmentKey::Part(service, part)) => {
@@ -251,8 +258,11 @@
                     slices: None,
                 };
                 read.stored.insert(part, stored);
-                if let Ok(part) = AssignmentPart::try_from_slice(&item.value) {
-                    read.assignment.take_part(part);
+                match decode_part(part, &item.value) {
+                    Ok(part) => {
+                        read.assignment.take_part(part);
+                    }
+                    Err(_) => read.unreadable.push(part),
                 }
             }
             None => {}
@@ -262,6 +272,12 @@
     read.map(|(service, read)| {
         let record = read.assignment.whole();
         let mut granter = Granter::new(now, timing, epoch, record.as_ref());
+        for part in &read.unreadable {
+            granter.withhold(now, part.range());
+        }
+        if read.lacks_head {
+            granter.standbys_unknown(now);
+        }
         granter.not_written();
         let grants = Grants {
             granter,
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::core::{NodeCore, ViewName, Views};
 use crate::shell::log::dropped_lines;
-use beamtray_catalog::UpstreamId;
+use beamtray_catalog::UpstreamName;
 use beamtray_types::Time;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -102,6 +102,12 @@
     pub state: &'static str,
 }
 
+/// How a trial of a request ended under which upstreams had ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct TrialLabel {
+    pub outcome: &'static str,
+}
+
 /// A service.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct ServiceLabel {
@@ -160,6 +166,7 @@
     slots_in_use: Family<UpstreamLabel, Gauge>,
     slots: Family<SlotLabel, Gauge>,
     suspects: Family<SuspectLabel, Gauge>,
+    pub trials: Family<TrialLabel, Counter>,
     slices: Gauge,
     slices_held: Gauge,
     is_granter: Gauge,
@@ -196,6 +203,7 @@
             slots_in_use: Family::default(),
             slots: Family::default(),
             suspects: Family::default(),
+            trials: Family::default(),
             slices: Gauge::default(),
             slices_held: Gauge::default(),
             is_granter: Gauge::default(),
@@ -305,6 +313,11 @@
             "Fingerprints of requests under which upstreams ended, and of those kept off",
             self.suspects.clone(),
         );
+        registry.register(
+            "trials",
+            "Trials of requests under which upstreams ended, by outcome",
+            self.trials.clone(),
+        );
         registry.register("slices", "Slices, at the granter", self.slices.clone());
         registry.register(
             "slices_held",
@@ -362,7 +375,7 @@
         for registration in views.directory.iter() {
             let id = &registration.record.id;
             let label = UpstreamLabel {
-                upstream: id.0.clone(),
+                upstream: id.name.0.clone(),
             };
             let hash = beamtray_dispatch::UpstreamHash::of(id);
             let total = dispatcher.occupancy().total(hash);
@@ -438,7 +451,7 @@
     /// Upstreams that are gone need not be told of for ever.
     fn forget_gone(&self, core: &NodeCore) {
         let directory = &core.inspect().0.directory;
-        let known = |id: &String| directory.get(&UpstreamId(id.clone())).is_some();
+        let known = |name: &String| directory.registered(&UpstreamName(name.clone())).is_some();
         self.timed.borrow_mut().retain(|id| {
             let keep = known(id);
             if !keep {
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -69,6 +69,14 @@
         /// Whether its address falls silent instead of refusing.
         dark: bool,
     },
+    /// An upstream ends at once and starts again under its name, if it tells its birth;
+    /// else it comes back as another.
+    UpstreamRestart {
+        /// Its number.
+        upstream: usize,
+        /// Whether its address falls silent instead of refusing.
+        dark: bool,
+    },
     /// An upstream says that it leaves, serves on for a while and ends.
     UpstreamDrain {
         /// Its number.
@@ -115,13 +123,25 @@
         /// The upstream's number.
         upstream: usize,
     },
-    /// A client sends one request again and again, to any node, that ends each upstream
-    /// which begins to run it.
+    /// Callers send one request again and again, all at the same moment and each to any
+    /// node, that ends each upstream which begins to run it.
     PoisonRequest {
         /// Whether it is a read by key, which may be repeated, or an order.
         is_read: bool,
         /// Milliseconds between two sendings.
         pause_ms: u64,
+        /// How many they are, each at an address of its own.
+        callers: u8,
+    },
+    /// Clients ask for one thing again and again, each time at any node; it harms nobody.
+    PopularRequest {
+        /// Whether it is a read by key, which may be repeated, or an order.
+        is_read: bool,
+        /// Milliseconds between two sendings.
+        pause_ms: u64,
+        /// Whether all requests say the same; else each says something else of the same
+        /// key, to compare with.
+        says_the_same: bool,
     },
     /// One key gets much of the traffic.
     HotKey,
@@ -194,6 +214,7 @@
         trouble: Trouble::PoisonRequest {
             is_read: random.random(),
             pause_ms: random.random_range(400..4_000),
+            callers: random.random_range(1..=6),
         },
     })
 }
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -92,7 +92,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let (reporter, mut commands) = connect(settings.driver, &settings.id).await?;
     let emulator = UpstreamEmulator::new(UpstreamConfig {
-        id: UpstreamId(settings.id.clone()),
+        id: UpstreamId::from(settings.id.clone()),
         service: settings.service.as_str().into(),
         address: settings.advertised,
         zone: settings.zone.as_str().into(),
@@ -164,9 +164,15 @@
     }
     let call = CallId(upstream.calls.get());
     upstream.calls.set(call.0 + 1);
-    let holder = UpstreamId(upstream.settings.id.clone());
+    let holder = UpstreamId::from(upstream.settings.id.clone());
     if let Some(order) = reverse::read_order(&path, &body, holder, call) {
-        return Ok(upstream.order(order).await);
+        // One that has come is carried out, also when its sender has left.
+        let task = tokio::task::spawn_local({
+            let upstream = upstream.clone();
+            async move { upstream.order(order).await }
+        });
+        let answer = task.await;
+        return Ok(answer.unwrap_or_else(|_| upstream.status(500)));
     }
     Ok(upstream.request(&head.headers, &path).await)
 }
@@ -259,6 +265,11 @@
     }
 
     fn tell_held(&self, order: &beamtray_sharding::GrantOrder) {
+        self.reporter.tell(Observation::Taken {
+            first: order.range.first.0,
+            last: order.range.last.0,
+            token: order.token.0,
+        });
         let emulator = self.emulator.borrow();
         if let Some(grant) = emulator.grant(clock::now(), order.range.first) {
             self.reporter.tell(Observation::Held {
@@ -291,7 +302,7 @@
         let request = WorkRequest {
             id: id.clone(),
             key: key.map(ShardKey),
-            target: UpstreamId(self.settings.id.clone()),
+            target: UpstreamId::from(self.settings.id.clone()),
             work: work(path),
         };
         let arrival = self.emulator.borrow_mut().arrive(clock::now(), request);
