--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -1,7 +1,8 @@
 //! Connections that this node opens, kept for further calls.
 
-use beamtray_clock::BootClock;
-use beamtray_types::Time;
+mod progress;
+mod socket;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -10,22 +11,19 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+pub(crate) use progress::{CallFailure, CallProgress};
+pub(crate) use socket::prepare;
+use socket::reset_when_closed;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 /// How long a connection may take to come up.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// How long written bytes may stay unacknowledged before the connection ends.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-const PROBE_AFTER: Duration = Duration::from_secs(1);
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// After a connection came up, a reset by an upstream that has too many of them
 /// is waited for. A request written before it came could not be told from one
 /// that ran.
@@ -35,8 +33,6 @@
 const DEFAULT_REST: Duration = Duration::from_secs(3);
 /// Part of the rest that the other side allows.
 const REST_PERCENT: u32 = 50;
-/// Rest after which a request that can't be repeated takes a new connection.
-const SAFE_REST: Duration = Duration::from_millis(200);
 /// Connections kept to one address.
 const KEPT: usize = 4;
 /// Connections kept in all: each costs memory, and where there are many upstreams
@@ -53,101 +49,6 @@
 /// Bodies up to this length have left before any answer can come.
 const SMALL_BODY: usize = 8 * 1024;
 
-/// How a call failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CallFailure {
-    /// No connection came up in time.
-    Unconnected,
-    /// The connection was refused.
-    Refused,
-    /// The connection ended before anything was written.
-    Unsent,
-    /// It ended without a whole answer.
-    BrokenOff,
-}
-
-/// Until when a call may be written, looked at right before it is: the process may have
-/// stood still, or the machine have been suspended, while a connection came up.
-#[derive(Debug)]
-struct WriteBefore {
-    clock: Rc<BootClock>,
-    end: Time,
-}
-
-/// How a call may be made, and how far it came.
-#[derive(Debug)]
-pub(crate) struct CallProgress {
-    /// Longest rest of a connection that is used.
-    longest_rest: Duration,
-    /// Whether the end of a resting connection ends the call.
-    ends_with_connection: bool,
-    /// The request is not written after this.
-    write_before: Option<WriteBefore>,
-    /// Whether the request may have been written.
-    written: Cell<bool>,
-    /// Whether that was on a connection that had been used before.
-    rested: Cell<bool>,
-}
-
-impl CallProgress {
-    /// A call of what can be repeated: a connection that the other side forgot
-    /// costs a repeat.
-    pub fn repeatable() -> Self {
-        Self {
-            longest_rest: Duration::MAX,
-            ends_with_connection: false,
-            write_before: None,
-            written: Cell::new(false),
-            rested: Cell::new(false),
-        }
-    }
-
-    /// A call of what can't: the other side may forget a connection sooner than
-    /// it tells, and nobody knows then whether the request ran.
-    pub fn unrepeatable() -> Self {
-        Self {
-            longest_rest: SAFE_REST,
-            ends_with_connection: false,
-            write_before: None,
-            written: Cell::new(false),
-            rested: Cell::new(false),
-        }
-    }
-
-    /// The same call, which must not be written after that: to connect may take longer
-    /// than the right to say it lasts.
-    pub fn before(self, clock: Rc<BootClock>, end: Time) -> Self {
-        Self {
-            write_before: Some(WriteBefore { clock, end }),
-            ..self
-        }
-    }
-
-    /// The same call, which is not made on a new connection if the one that rested has
-    /// ended meanwhile: another process may listen at the address.
-    pub fn of_one_process(self) -> Self {
-        Self {
-            ends_with_connection: true,
-            ..self
-        }
-    }
-
-    fn is_too_late(&self) -> bool {
-        let before = self.write_before.as_ref();
-        before.is_some_and(|before| before.clock.now() >= before.end)
-    }
-
-    /// Whether the request was written on a connection that had been used before.
-    pub fn was_rested(&self) -> bool {
-        self.rested.get()
-    }
-
-    /// Whether the request may have been written.
-    pub fn may_be_written(&self) -> bool {
-        self.written.get()
-    }
-}
-
 /// A whole answer.
 pub(crate) struct Answer {
     pub head: Parts,
@@ -389,29 +290,6 @@
     })
 }
 
-/// Makes a dead path show within seconds.
-pub(crate) fn prepare(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(PROBE_AFTER)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(2);
-    // A socket without these options still works, only slower to notice.
-    let _ = socket.set_tcp_nodelay(true);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
-}
-
-/// Has the kernel drop what it has not sent when the connection is closed, also when the
-/// process is killed. After an ordinary close it goes on sending for as long as the path is
-/// cut: an upstream took an order 6.2 s after it was written, 5.7 s after it was given up on.
-/// Nothing that is wanted is lost by that: a connection is closed once the answer is read,
-/// or when nobody waits for it any more.
-fn reset_when_closed(stream: &TcpStream) {
-    // Without it the fence of holders that lost their keys is what is left.
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-}
-
 async fn read(
     connection: Connection,
     response: Response<Incoming>,
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -6,8 +6,8 @@
 //! - A slice goes to another holder only after the last one released it under
 //!   a token above all its grants, is known to have ended, or cannot hold an
 //!   unexpired grant. A grant without an answer counts as taken when it was
-//!   given up on.
-//! - An upstream that lost keys without an answer is told of it until it answers, and
+//!   given up on, which holds only if nothing of it comes later.
+//! - So an upstream that lost keys without an answer is told of it until it answers, and
 //!   gets none before ([`crate::FenceNotice`]).
 //! - Whoever calls [`Granter::poll`] must have the authority to grant at that
 //!   instant; the granter itself knows nothing of leases.
--- a/crates/soak/tests/given_up_calls.rs
+++ b/crates/soak/tests/given_up_calls.rs
@@ -93,14 +93,26 @@
     }
 }
 
-#[test]
-fn a_call_that_is_given_up_is_reset() {
-    let folder = folder("given-up-calls");
+/// A router that has served a read over the path, which is cut then; it, and what has to
+/// live as long.
+struct Served {
+    path: Path,
+    router: SocketAddr,
+    process: Process,
+    _others: Vec<Process>,
+}
+
+fn read(router: SocketAddr) -> Option<String> {
+    ask(router, "GET", &format!("{PROBE}1/1"), CLIENT_PATIENCE)
+}
+
+fn serve_and_cut(name: &str) -> Served {
+    let folder = folder(name);
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let driver = listener.local_addr().expect("an address");
     drive(listener);
-    let (store, _store) = store(&folder, driver);
-    let (router, _router) = router(&folder, 0, store);
+    let (store, store_process) = store(&folder, driver);
+    let (router, process) = router(&folder, 0, store);
     let listen = free_addresses(1)[0];
     let path = Path::start(listen);
     let upstream = Upstream {
@@ -110,15 +122,39 @@
         store,
         driver,
     };
-    let _upstream = upstream.start(&folder);
-    let read = || ask(router, "GET", &format!("{PROBE}1/1"), CLIENT_PATIENCE);
+    let others = vec![store_process, upstream.start(&folder)];
     let deadline = Instant::now() + PATIENCE;
-    while !is_served(&read()) {
+    while !is_served(&read(router)) {
         assert!(Instant::now() < deadline, "the router does not serve");
         thread::sleep(PAUSE);
     }
     path.cut();
-    assert!(!is_served(&read()));
-    let end = path.ends.recv_timeout(END_PATIENCE);
+    Served {
+        path,
+        router,
+        process,
+        _others: others,
+    }
+}
+
+#[test]
+fn a_call_that_is_given_up_is_reset() {
+    let served = serve_and_cut("given-up-calls");
+    assert!(!is_served(&read(served.router)));
+    let end = served.path.ends.recv_timeout(END_PATIENCE);
+    assert_eq!(end, Ok(End::Reset));
+}
+
+#[test]
+fn a_call_of_a_killed_process_is_reset() {
+    let served = serve_and_cut("calls-of-a-killed-process");
+    let router = served.router;
+    let reader = thread::spawn(move || read(router));
+    // The request is on its way to the upstream by then, and not given up yet.
+    thread::sleep(CLIENT_PATIENCE / 4);
+    drop(served.process);
+    let end = served.path.ends.recv_timeout(END_PATIENCE);
     assert_eq!(end, Ok(End::Reset));
+    let answer = reader.join().expect("it ends");
+    assert!(!is_served(&answer));
 }
