Soak: half of the drawn cuts last 5 to 6 s

Cause: of what was written as a longer cut began, the copy sent again after 6.2 s still meets the cut, and before the next one, 6.4 s later, the upstream has new grants.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -139,7 +139,13 @@
     let at_ms = random.random_range(0..end_ms.max(1));
     let unreachable = PlannedFault {
         at_ms,
-        for_ms: random.random_range(5_000..10_000),
+        // Half of them so short that what was written as the cut began is sent again, 6.2 s
+        // later, before the upstream can have new grants of the same keys.
+        for_ms: if random.random_bool(0.5) {
+            random.random_range(5_000..6_000)
+        } else {
+            random.random_range(6_000..10_000)
+        },
         fault: SoakFault::UpstreamUnreachable(random.random_range(0..size.keyed)),
     };
     let killed = PlannedFault {
