--- a/crates/routersim/tests/late_orders.rs
+++ b/crates/routersim/tests/late_orders.rs
@@ -5,7 +5,9 @@
 //! hold there too is an open question to the platform; that two holders never both run
 //! requests on a key is not.
 
-use beamtray_routersim::{Fault, FaultPlan, Promise, Trouble, WorldConfig, play};
+use beamtray_routersim::{
+    Fault, FaultPlan, Promise, Trouble, WorldConfig, WorldSize, explore, play,
+};
 use beamtray_types::Time;
 use std::time::Duration;
 
@@ -30,3 +32,11 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// A drawn history in which an upstream is cut off with an order that it left lying, and
+/// carries it out after its keys went to another.
+#[test]
+fn nor_is_one_that_its_upstream_carries_out_late_in_a_drawn_history() {
+    let outcome = explore(WorldSize::Many, 4);
+    assert_eq!(outcome.violations, []);
+}
