Evacuate zones: nothing is sent to their upstreams, and their keys go to others

Cause: operators' evacuations lie beside the configuration in the store, in a view that nodes follow already, and every key but the configuration's was passed over there.

Ruled out: a watch of its own (the view is there, with its bounds on age and its order of relays). Change: an entry below the prefix is an evacuation for as long as it is there, whatever its value; the directory knows the zones; upstreams there are in no pool, so that no choice, slot or second attempt names them; to the granter they are as those that leave, so keys move by release, record and grant; a holder whose keys have not moved after half of the bound gets nothing either and the requests are refused. After it the zone's upstreams count as cold for as long as a start lasts, whatever their entries say: one that was written before may be heard after.

--- a/crates/catalog/src/configuration.rs
+++ b/crates/catalog/src/configuration.rs
@@ -60,6 +60,17 @@
     pub divided: bool,
     /// How long keys are slow at an upstream that took them without handover.
     pub warm_up: Duration,
+    /// What an upstream takes while it is cold; none where that is not bounded.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What an upstream takes right after its start, while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long it stays cold.
+    pub lasts: Duration,
+    /// Requests a second that it handles meanwhile.
+    pub rate: f64,
 }
 
 /// Bounds on what a client may send.
--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -10,9 +10,10 @@
 //! The doubt must be short. A node that was cut off alone sees the same, and
 //! must not send to upstreams that left meanwhile once it counts as connected.
 
+use crate::evacuation::{Evacuations, ZoneWarmUp};
 use crate::incarnations::{Appearance, Incarnations};
 use crate::upstream::{UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
-use beamtray_types::{ServiceName, Time};
+use beamtray_types::{ServiceName, Time, Zone};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -45,6 +46,8 @@
     pub record: Rc<UpstreamRecord>,
     /// When its warm-up ends.
     pub warm_at: Time,
+    /// Until when it counts as cold whatever its entry says.
+    cold_until: Time,
     /// Since when its registration is missing without proof that it left.
     pub unconfirmed_since: Option<Time>,
 }
@@ -58,6 +61,10 @@
     Removed(UpstreamId),
     /// A registration is missing, which proves nothing now.
     Unconfirmed(UpstreamId),
+    /// The upstreams of a zone are to get nothing.
+    Evacuated(Zone),
+    /// They may get work again.
+    Readmitted(Zone),
     /// An upstream started again under its name: the incarnation before has ended.
     Restarted {
         /// The incarnation before.
@@ -85,6 +92,8 @@
     store_sound: Option<Time>,
     /// Upstreams that were found gone, and when.
     gone: BTreeMap<UpstreamId, Time>,
+    /// Zones whose upstreams are to get nothing.
+    evacuations: Evacuations,
     /// Which incarnation counts where an upstream started again under its name.
     incarnations: Incarnations,
 }
@@ -101,6 +110,7 @@
             store_trouble: None,
             store_sound: None,
             gone: BTreeMap::new(),
+            evacuations: Evacuations::default(),
             incarnations: Incarnations::default(),
         }
     }
@@ -167,8 +177,9 @@
     }
 
     fn admit(&mut self, now: Time, record: UpstreamRecord) -> Option<DirectoryChange> {
-        let warm_at = now + record.warm_up_left;
         let known = self.upstreams.get(&record.id);
+        let cold_until = known.map_or(Time::ZERO, |known| known.cold_until);
+        let warm_at = cold_until.max(now + record.warm_up_left);
         let changed = known.is_none_or(|known| known.record.state != record.state);
         let change = DirectoryChange::Registered(record.id.clone(), record.state);
         self.changes += 1;
@@ -177,6 +188,7 @@
             record.id.clone(),
             Registration {
                 warm_at,
+                cold_until,
                 unconfirmed_since: None,
                 record: Rc::new(record),
             },
@@ -184,6 +196,39 @@
         changed.then_some(change)
     }
 
+    /// Lets the upstreams of a zone get nothing from now on.
+    pub fn evacuate(&mut self, now: Time, zone: Zone) -> Option<DirectoryChange> {
+        if !self.evacuations.begin(now, zone.clone()) {
+            return None;
+        }
+        self.changes += 1;
+        Some(DirectoryChange::Evacuated(zone))
+    }
+
+    /// Ends the evacuation of a zone; `warm_up` tells for how long its upstreams may be cold.
+    pub fn readmit(
+        &mut self,
+        now: Time,
+        zone: Zone,
+        warm_up: &ZoneWarmUp<'_>,
+    ) -> Option<DirectoryChange> {
+        if !self.evacuations.end(&zone) {
+            return None;
+        }
+        let of_zone = self.upstreams.values_mut();
+        for registration in of_zone.filter(|one| one.record.zone == zone) {
+            registration.cold_until = now + warm_up(&registration.record.service);
+            registration.warm_at = registration.warm_at.max(registration.cold_until);
+        }
+        self.changes += 1;
+        Some(DirectoryChange::Readmitted(zone))
+    }
+
+    /// Since when an upstream is to get nothing, its zone being evacuated.
+    pub fn evacuated_since(&self, registration: &Registration) -> Option<Time> {
+        self.evacuations.since(&registration.record.zone)
+    }
+
     /// Takes the absence of registrations that vanished together.
     pub fn vanish(&mut self, now: Time, names: &[UpstreamName]) -> Vec<DirectoryChange> {
         for name in names {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -6,15 +6,17 @@
 
 mod configuration;
 mod directory;
+mod evacuation;
 mod incarnations;
 mod route_table;
 mod upstream;
 
 pub use configuration::{
-    ClientLimits, Configuration, ConfigurationError, ConfigurationVersion, Route, ServiceConfig,
-    WeightedBackend,
+    ClientLimits, ColdStart, Configuration, ConfigurationError, ConfigurationVersion, Route,
+    ServiceConfig, WeightedBackend,
 };
 pub use directory::{Directory, DirectoryChange, DirectoryPolicy, Registration};
+pub use evacuation::ZoneWarmUp;
 pub use incarnations::CLAIM_STANDS;
 pub use route_table::RouteTable;
 pub use upstream::{Birth, UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -93,6 +93,9 @@
     pub operator_prefix: &'static str,
     /// Key of the newest configuration.
     pub configuration: &'static str,
+    /// Prefix of the evacuations of zones: the zone's name follows, and the entry is there
+    /// for as long as the evacuation lasts, whatever its value.
+    pub evacuation_prefix: &'static str,
     /// Prefix of the upstreams' registrations.
     pub upstream_prefix: &'static str,
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -52,6 +52,9 @@
     pub zone_cost: Duration,
     /// How long a leaving holder of keys still gets requests.
     pub leaver_grace: Duration,
+    /// How long a holder of keys in a zone that is evacuated still gets requests: its keys
+    /// go to others meanwhile.
+    pub evacuation_grace: Duration,
     /// Whether what may not be repeated is sent again only on proof that it
     /// has not run. Only a test that shows why turns it off.
     pub proves_before_repeat: bool,
@@ -222,6 +225,7 @@
     pub fn set_bounds(&mut self, config: &DispatchConfig) {
         self.config.budget = config.budget;
         self.config.leaver_grace = config.leaver_grace;
+        self.config.evacuation_grace = config.evacuation_grace;
     }
 
     /// Takes the newest assignment of a divided service.
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -96,7 +96,10 @@
             .draining_since
             .get(holder)
             .is_some_and(|since| now.since(*since) >= self.config.leaver_grace);
-        if left {
+        let evacuated = directory
+            .evacuated_since(registration)
+            .is_some_and(|since| now.since(since) >= self.config.evacuation_grace);
+        if left || evacuated {
             return Err(RefusalReason::KeyUnheld);
         }
         if self.is_denied(now, request, holder) {
--- a/crates/dispatch/src/dispatcher/pools.rs
+++ b/crates/dispatch/src/dispatcher/pools.rs
@@ -32,7 +32,9 @@
         }
         self.made_of = Some(directory.changes());
         let mut members: HashMap<ServiceName, Vec<PoolMember>> = HashMap::new();
-        let ready = |one: &&Registration| one.record.state == UpstreamState::Ready;
+        let ready = |one: &&Registration| {
+            one.record.state == UpstreamState::Ready && directory.evacuated_since(one).is_none()
+        };
         for registration in directory.iter().filter(ready) {
             let record = &registration.record;
             let member = PoolMember {
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -51,6 +51,7 @@
         max_connections: 100,
         divided,
         warm_up: Duration::ZERO,
+        cold_start: None,
     };
     Configuration {
         version: ConfigurationVersion(1),
@@ -115,6 +116,7 @@
         most_queued: 6,
         zone_cost: Duration::from_millis(80),
         leaver_grace: Duration::from_millis(1_333),
+        evacuation_grace: Duration::from_millis(2_000),
         proves_before_repeat: true,
     })
 }
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -304,8 +304,8 @@
 ) -> Vec<Candidate> {
     let speeds = dispatcher.speeds();
     let work = speeds.service_mean(service).unwrap_or(UNKNOWN_WORK);
-    let of_service = views
-        .directory
+    let directory = &views.directory;
+    let of_service = directory
         .iter()
         .filter(|registration| registration.record.service == *service);
     of_service
@@ -316,6 +316,7 @@
             Candidate {
                 id: record.id.clone(),
                 standing: match record.state {
+                    _ if directory.evacuated_since(registration).is_some() => Standing::Draining,
                     UpstreamState::Ready => Standing::Ready,
                     UpstreamState::Draining => Standing::Draining,
                 },
--- a/crates/router/src/core/views/apply.rs
+++ b/crates/router/src/core/views/apply.rs
@@ -10,6 +10,7 @@
 use borsh::BorshDeserialize;
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
 
 impl Views {
     pub(super) fn apply(&mut self, now: Time, view: ViewName, mut changes: Vec<MirrorChange>) {
@@ -35,9 +36,37 @@
     }
 
     fn apply_operator(&mut self, now: Time, change: MirrorChange) {
-        let MirrorChange::Present(item) = change else {
-            return;
+        let prefix = self.dialect.keys().evacuation_prefix;
+        match change {
+            MirrorChange::Present(item) => match item.key.strip_prefix(prefix) {
+                Some(zone) => self.evacuate(now, zone),
+                None => self.apply_configuration(now, item),
+            },
+            MirrorChange::Absent(key) => {
+                if let Some(zone) = key.strip_prefix(prefix) {
+                    self.readmit(now, zone);
+                }
+            }
+        }
+    }
+
+    fn evacuate(&mut self, now: Time, zone: &str) {
+        let change = self.directory.evacuate(now, zone.into());
+        self.note_directory(change);
+    }
+
+    fn readmit(&mut self, now: Time, zone: &str) {
+        let configuration = self.configuration.as_deref();
+        let warm_up = |service: &ServiceName| {
+            let service = configuration.and_then(|known| known.service(service));
+            let cold_start = service.and_then(|service| service.cold_start);
+            cold_start.map_or(Duration::ZERO, |cold_start| cold_start.lasts)
         };
+        let change = self.directory.readmit(now, zone.into(), &warm_up);
+        self.note_directory(change);
+    }
+
+    fn apply_configuration(&mut self, now: Time, item: Item) {
         if item.key != self.dialect.keys().configuration {
             return;
         }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -85,6 +85,10 @@
     pub retry_allowance: f64,
     /// The window, in seconds.
     pub retry_window_s: f64,
+    /// How long after an evacuation was accepted upstreams of its zone may still get
+    /// requests, in milliseconds.
+    #[serde(default = "default_evacuate_ms")]
+    pub evacuate_ms: u64,
     /// Longest hold of a grant, in milliseconds; 0 where nothing is granted.
     #[serde(default)]
     pub longest_hold_ms: u64,
@@ -123,12 +127,18 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ChangeableSettings {
     drain_ms: u64,
+    evacuate_ms: u64,
     contact_ms: u64,
     retry_ratio: f64,
     retry_allowance: f64,
     retry_window_s: f64,
 }
 
+/// As long as upstreams that leave by themselves take at the least.
+fn default_evacuate_ms() -> u64 {
+    2_000
+}
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -298,6 +308,7 @@
         let bounds = &self.bounds;
         ChangeableSettings {
             drain_ms: bounds.drain_ms,
+            evacuate_ms: bounds.evacuate_ms,
             contact_ms: bounds.contact_ms,
             retry_ratio: bounds.retry_ratio,
             retry_allowance: bounds.retry_allowance,
@@ -309,6 +320,7 @@
     pub(crate) fn adopt(&mut self, next: &Self) {
         let (own, next) = (&mut self.bounds, &next.bounds);
         own.drain_ms = next.drain_ms;
+        own.evacuate_ms = next.evacuate_ms;
         own.contact_ms = next.contact_ms;
         own.retry_ratio = next.retry_ratio;
         own.retry_allowance = next.retry_allowance;
--- a/crates/router/src/settings/core_config.rs
+++ b/crates/router/src/settings/core_config.rs
@@ -92,6 +92,7 @@
             most_queued: 6,
             zone_cost: Duration::from_millis(80),
             leaver_grace: drain / 2,
+            evacuation_grace: Duration::from_millis(self.bounds.evacuate_ms) / 2,
             proves_before_repeat: true,
         }
     }
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -155,6 +155,12 @@
             DirectoryChange::Unconfirmed(id) => {
                 info!(log, "upstream_unconfirmed"; "upstream" => %id);
             }
+            DirectoryChange::Evacuated(zone) => {
+                info!(log, "zone_evacuated"; "zone" => %zone);
+            }
+            DirectoryChange::Readmitted(zone) => {
+                info!(log, "zone_readmitted"; "zone" => %zone);
+            }
             DirectoryChange::Restarted { earlier, later, .. } => {
                 info!(log, "upstream_restarted"; "upstream" => %earlier, "later" => %later);
             }
--- a/crates/router/tests/foreign_entries.rs
+++ b/crates/router/tests/foreign_entries.rs
@@ -42,6 +42,7 @@
         max_connections: 9,
         divided: false,
         warm_up: Duration::ZERO,
+        cold_start: None,
     };
     reverse::write_configuration(&Configuration {
         version: ConfigurationVersion(version),
--- a/crates/routersim/src/check.rs
+++ b/crates/routersim/src/check.rs
@@ -5,7 +5,7 @@
 
 use beamtray_catalog::{UpstreamId, UpstreamName};
 use beamtray_sharding::ShardKey;
-use beamtray_types::Time;
+use beamtray_types::{Time, Zone};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
@@ -30,6 +30,9 @@
     /// An upstream that leaves gets nothing from connected nodes once the
     /// drain time is over.
     Drain,
+    /// An upstream of a zone that is evacuated gets nothing from connected nodes once the
+    /// time for it is over.
+    Evacuation,
     /// Connected nodes act by the newest configuration in time.
     Configuration,
     /// A request that ended three times with the upstream that ran it comes to upstreams
@@ -74,6 +77,8 @@
 pub const OVERLAP: Duration = Duration::from_millis(500);
 /// How long a leaving upstream may get requests.
 pub const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+/// How long upstreams of a zone may get requests after its evacuation was accepted.
+pub const EVACUATION_TIME: Duration = Duration::from_millis(5_000);
 /// How long a configuration may take to be in force.
 pub const CONFIGURE_TIME: Duration = Duration::from_millis(2_000);
 /// Least part of the requests served after the troubles, in percent.
@@ -107,6 +112,7 @@
     once: BTreeSet<String>,
     refused: BTreeSet<String>,
     left: BTreeMap<UpstreamId, Time>,
+    evacuated: BTreeMap<Zone, Time>,
     poison: BTreeMap<String, Poison>,
     late_served: usize,
     late_asked: usize,
@@ -238,6 +244,29 @@
         self.left.remove(upstream);
     }
 
+    /// The sound store acknowledged that a zone is evacuated.
+    pub fn evacuated(&mut self, at: Time, zone: &str) {
+        self.evacuated.entry(zone.into()).or_insert(at);
+    }
+
+    /// The evacuation of a zone was taken back.
+    pub fn readmitted(&mut self, zone: &str) {
+        self.evacuated.remove(&Zone::from(zone));
+    }
+
+    /// A request of a connected node reaches an upstream of a zone.
+    pub fn arrives_in(&mut self, at: Time, zone: &Zone, upstream: &UpstreamId) {
+        let Some(evacuated) = self.evacuated.get(zone) else {
+            return;
+        };
+        let late = at.since(*evacuated);
+        if late > EVACUATION_TIME {
+            let late = late.as_millis();
+            let text = format!("{upstream} gets a request {late} ms after {zone} was evacuated");
+            self.object(Promise::Evacuation, at, text);
+        }
+    }
+
     /// A request of a connected node reaches an upstream.
     pub fn arrives(&mut self, at: Time, upstream: &UpstreamId) {
         let Some(left) = self.left.get(upstream).copied() else {
--- a/crates/routersim/src/dialect.rs
+++ b/crates/routersim/src/dialect.rs
@@ -24,6 +24,7 @@
 const KEYS: StoreKeys = StoreKeys {
     operator_prefix: "operator/",
     configuration: "operator/configuration",
+    evacuation_prefix: "operator/evacuation/",
     upstream_prefix: "upstreams/",
 };
 
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -102,6 +102,11 @@
         /// The node; the granter for none.
         node: Option<usize>,
     },
+    /// The operators evacuate a zone, and take that back after the time.
+    ZoneEvacuation {
+        /// The zone's name.
+        zone: &'static str,
+    },
     /// Orders to upstreams get no answer, and are taken 2 to 12 s later.
     OrdersLate {
         /// Part of the orders, in percent.
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -317,6 +317,18 @@
         self.configurations.push((self.now, version));
     }
 
+    /// Puts the evacuation of a zone into the store.
+    pub(crate) fn evacuate(&mut self, zone: &str) {
+        self.store.put(self.now, &evacuation_key(zone), Vec::new());
+        self.checkers.evacuated(self.now, zone);
+    }
+
+    /// Takes it back.
+    pub(crate) fn end_evacuation(&mut self, zone: &str) {
+        self.store.delete(self.now, &evacuation_key(zone));
+        self.checkers.readmitted(zone);
+    }
+
     pub(crate) fn schedule(&mut self, delay: Duration, event: Event) {
         self.scheduled += 1;
         self.events.push(Reverse(Scheduled {
@@ -372,6 +384,10 @@
     }
 }
 
+fn evacuation_key(zone: &str) -> String {
+    format!("operator/evacuation/{zone}")
+}
+
 /// A configuration whose versions differ in nothing else.
 fn configuration(version: u64) -> Configuration {
     let route = |name: &str, prefix: &str, service: &str, repeatable, priority| Route {
@@ -394,6 +410,7 @@
         max_connections: 100,
         divided,
         warm_up: Duration::from_secs(2),
+        cold_start: None,
     };
     Configuration {
         version: ConfigurationVersion(version),
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -104,6 +104,7 @@
                     self.cut_off(node, *upstream);
                 }
             }
+            Trouble::ZoneEvacuation { zone } => self.evacuate(zone),
             Trouble::OrdersLate { percent } => self.orders_late_percent = *percent,
             Trouble::AnswersLost { percent } => self.answers_lost_percent = *percent,
             Trouble::PoisonRequest { .. } => {
@@ -218,6 +219,7 @@
                 state.cut_since = None;
                 state.healed_at = Some(self.now);
             }
+            Trouble::ZoneEvacuation { zone } => self.end_evacuation(zone),
             Trouble::OrdersLate { .. } => self.orders_late_percent = 0,
             Trouble::AnswersLost { .. } => self.answers_lost_percent = 0,
             Trouble::HotKey => self.hot_key = None,
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -308,6 +308,10 @@
         }
         if self.is_connected(node) {
             self.checkers.arrives(self.now, &forward.upstream);
+            let zone = self.upstreams[index].as_ref().map(|one| &one.config.zone);
+            if let Some(zone) = zone {
+                self.checkers.arrives_in(self.now, zone, &forward.upstream);
+            }
         }
         if self.reaches_store(node) {
             self.check_poison(&asked);
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -70,6 +70,7 @@
         max_connections: 200,
         divided,
         warm_up: Duration::ZERO,
+        cold_start: None,
     };
     Configuration {
         version: ConfigurationVersion(version),
