Bound what a cold upstream is sent, over all nodes

Cause: that an upstream is cold made it count as twice as slow and nothing else, and its holder's keys brought all their requests along.

Change: an upstream that is cold is in no ordinary choice and no slot. Three nodes, picked by a hash of node and upstream among those with an entry, send to it, each with a pause of 0.45 s at 6.7 requests a second; so two different views of who there is come to 18 with an allowance of 18.05, and a node that becomes a sender waits a second. The invariant and its counter-case (three views at a time) stand in dispatcher/cold_starts.rs. A cold upstream keeps its keys and gets no others while one is ready; its capacity is what it takes.

Weighed: credit handed out by one node a zone (a second word to lose, and two such nodes at a time while one takes over); equal shares of all nodes (0.2 requests a second each, which spaces them by more than a start lasts).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod absences;
 mod choice;
+mod cold_starts;
 mod decide;
 mod faults;
 mod outcome;
@@ -13,14 +14,16 @@
 use crate::fingerprint::{Fingerprint, Fingerprints};
 use crate::occupancy::Occupancy;
 use crate::quarantine::{Quarantine, RunHash};
-use crate::report::UpstreamHash;
+use crate::report::{NodeHash, UpstreamHash};
 use crate::request::{Admission, AssignmentNumber, RequestHead, Ticket, UnknownCause};
 use crate::speed::SpeedTable;
 use absences::Absences;
+use beamtray_catalog::{ColdStart, UpstreamState, WeightedBackend};
 use beamtray_catalog::{Configuration, Directory, Route, RouteTable, UpstreamId};
-use beamtray_catalog::{UpstreamState, WeightedBackend};
 use beamtray_sharding::{Assignment, ShardKey};
 use beamtray_types::{ServiceName, Time, Zone};
+pub use cold_starts::ColdStartBound;
+use cold_starts::ColdStarts;
 use faults::Faults;
 use pools::Pools;
 use rand::{RngExt, SeedableRng};
@@ -55,6 +58,8 @@
     /// How long a holder of keys in a zone that is evacuated still gets requests: its keys
     /// go to others meanwhile.
     pub evacuation_grace: Duration,
+    /// What a cold upstream may be sent.
+    pub cold_start: ColdStartBound,
     /// Whether what may not be repeated is sent again only on proof that it
     /// has not run. Only a test that shows why turns it off.
     pub proves_before_repeat: bool,
@@ -139,6 +144,9 @@
     configured: bool,
     routes: RouteTable,
     divided: HashMap<ServiceName, bool>,
+    /// What cold upstreams of each service take, where that is bounded.
+    cold_rates: HashMap<ServiceName, ColdStart>,
+    cold_starts: ColdStarts,
     assignments: BTreeMap<ServiceName, Rc<Assignment>>,
     absences: Absences,
     requests: HashMap<Ticket, Request>,
@@ -176,11 +184,14 @@
     /// A dispatcher that knows no configuration yet.
     pub fn new(config: DispatchConfig) -> Self {
         let random = ChaCha8Rng::seed_from_u64(config.run);
+        let cold_starts = ColdStarts::new(NodeHash::of(&config.node), config.cold_start);
         Self {
             config,
             configured: false,
             routes: RouteTable::default(),
             divided: HashMap::new(),
+            cold_rates: HashMap::new(),
+            cold_starts,
             assignments: BTreeMap::new(),
             absences: Absences::default(),
             requests: HashMap::new(),
@@ -219,6 +230,10 @@
             .iter()
             .map(|service| (service.name.clone(), service.divided))
             .collect();
+        let services = configuration.services.iter();
+        let bounded =
+            services.filter_map(|service| Some((service.name.clone(), service.cold_start?)));
+        self.cold_rates = bounded.collect();
     }
 
     /// Puts other bounds in force: of repeats, and of leavers.
@@ -226,6 +241,7 @@
         self.config.budget = config.budget;
         self.config.leaver_grace = config.leaver_grace;
         self.config.evacuation_grace = config.evacuation_grace;
+        self.cold_starts.set_bound(config.cold_start);
     }
 
     /// Takes the newest assignment of a divided service.
@@ -234,6 +250,11 @@
         self.assignments.insert(service, assignment);
     }
 
+    /// States which nodes there are, this one included if it is registered.
+    pub fn set_members(&mut self, now: Time, members: Vec<NodeHash>) {
+        self.cold_starts.set_nodes(now, members);
+    }
+
     /// States how many nodes share the retry allowance.
     pub fn set_nodes(&mut self, nodes: usize) {
         self.nodes = nodes.max(1);
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -5,7 +5,7 @@
 use super::{Dispatcher, Request};
 use crate::report::UpstreamHash;
 use crate::request::{AssignmentNumber, RefusalReason};
-use beamtray_catalog::{Directory, Registration, UpstreamId};
+use beamtray_catalog::{ColdStart, Directory, Registration, UpstreamId};
 use beamtray_sharding::{ShardKey, SliceState};
 use beamtray_types::Time;
 use rand::RngExt;
@@ -52,6 +52,9 @@
             let holder = self.choose_holder(now, directory, request, key)?;
             return Ok(Choice::Send(holder.clone()));
         }
+        if let Some(cold) = self.choose_cold(now, request) {
+            return Ok(Choice::Send(cold));
+        }
         match self.slot_step(now, request) {
             SlotStep::Ask => Ok(Choice::Ask),
             SlotStep::Wait => Ok(Choice::Wait),
@@ -71,14 +74,53 @@
         let pool = self.pools.of(&request.service);
         let named = pool.iter().find(|member| member.hash == upstream);
         let is_usable = !self.is_paused(now, upstream) && !request.tried.contains(&upstream);
-        match named.filter(|_| is_usable) {
+        let is_warm = |member: &&PoolMember| self.cold_rate(now, &member.registration).is_none();
+        match named.filter(|_| is_usable).filter(is_warm) {
             Some(member) => Ok(Choice::Send(member.registration.clone())),
             None => self.choose_any(now, request),
         }
     }
 
+    /// What an upstream takes, if it is cold and that is bounded.
+    pub(super) fn cold_rate(&self, now: Time, registration: &Registration) -> Option<ColdStart> {
+        if now >= registration.warm_at {
+            return None;
+        }
+        self.cold_rates.get(&registration.record.service).copied()
+    }
+
+    /// A cold upstream that this node is to send a request to: the only use that is made of
+    /// cold upstreams. None queues there.
+    fn choose_cold(&mut self, now: Time, request: &Request) -> Option<Registration> {
+        let pool = self.pools.of(&request.service);
+        if now >= self.pools.warm_at(&request.service) {
+            return None;
+        }
+        let query = self.query(now, request);
+        for member in pool.iter() {
+            let registration = &member.registration;
+            let Some(cold_rate) = self.cold_rate(now, registration) else {
+                continue;
+            };
+            let is_free = self.occupancy.total(member.hash) < registration.record.slots;
+            let expected = self.expected(now, query.work, registration, member.hash);
+            let is_in_time = expected <= query.left * TARGET_SHARE;
+            let is_usable =
+                !self.is_paused(now, member.hash) && !query.tried.contains(&member.hash);
+            let until = registration.warm_at;
+            if is_free
+                && is_in_time
+                && is_usable
+                && self.cold_starts.takes(now, member.hash, &cold_rate, until)
+            {
+                return Some(registration.clone());
+            }
+        }
+        None
+    }
+
     fn choose_holder<'a>(
-        &self,
+        &mut self,
         now: Time,
         directory: &'a Directory,
         request: &Request,
@@ -109,6 +151,13 @@
         if self.is_paused(now, hash) {
             return Err(RefusalReason::Busy);
         }
+        if let Some(cold_rate) = self.cold_rate(now, registration)
+            && !self
+                .cold_starts
+                .takes(now, hash, &cold_rate, registration.warm_at)
+        {
+            return Err(RefusalReason::Busy);
+        }
         let query = self.query(now, request);
         let time = self.expected(now, query.work, registration, hash);
         let occupied = self.occupancy.total(hash);
@@ -166,6 +215,9 @@
         if self.is_paused(now, member.hash) || query.tried.contains(&member.hash) {
             return None;
         }
+        if self.cold_rate(now, &member.registration).is_some() {
+            return None;
+        }
         let occupied = self.occupancy.total(member.hash);
         let mut time = self.expected(now, query.work, &member.registration, member.hash);
         if occupied >= self.room(query, &member.registration, time) {
--- a/crates/dispatch/src/dispatcher/pools.rs
+++ b/crates/dispatch/src/dispatcher/pools.rs
@@ -5,7 +5,7 @@
 
 use crate::report::UpstreamHash;
 use beamtray_catalog::{Directory, Registration, UpstreamState};
-use beamtray_types::ServiceName;
+use beamtray_types::{ServiceName, Time};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -22,6 +22,8 @@
     /// State of the directory that this was made from.
     made_of: Option<u64>,
     members: HashMap<ServiceName, Rc<[PoolMember]>>,
+    /// When the last upstream of each service is warm.
+    warm_at: HashMap<ServiceName, Time>,
 }
 
 impl Pools {
@@ -32,6 +34,7 @@
         }
         self.made_of = Some(directory.changes());
         let mut members: HashMap<ServiceName, Vec<PoolMember>> = HashMap::new();
+        self.warm_at.clear();
         let ready = |one: &&Registration| {
             one.record.state == UpstreamState::Ready && directory.evacuated_since(one).is_none()
         };
@@ -41,6 +44,8 @@
                 hash: UpstreamHash::of(&record.id),
                 registration: registration.clone(),
             };
+            let warm_at = self.warm_at.entry(record.service.clone()).or_default();
+            *warm_at = registration.warm_at.max(*warm_at);
             let pool = members.entry(record.service.clone());
             pool.or_default().push(member);
         }
@@ -50,6 +55,11 @@
             .collect();
     }
 
+    /// When the last upstream of a service is warm.
+    pub fn warm_at(&self, service: &ServiceName) -> Time {
+        self.warm_at.get(service).copied().unwrap_or_default()
+    }
+
     /// The upstreams of a service that take new work, in the order of their ids.
     pub fn of(&self, service: &ServiceName) -> Rc<[PoolMember]> {
         self.members.get(service).cloned().unwrap_or_default()
--- a/crates/dispatch/src/dispatcher/reports.rs
+++ b/crates/dispatch/src/dispatcher/reports.rs
@@ -25,6 +25,7 @@
     pub fn expire(&mut self, now: Time) {
         self.quarantine.expire(now);
         self.occupancy.expire(now);
+        self.cold_starts.expire(now);
     }
 
     /// This node's requests under way, for other nodes. `answers` tells them
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use budget::{BudgetConfig, RetryBudget};
 pub use dispatcher::{
-    DispatchConfig, Dispatcher, DoubtedUpstream, SlotCounts, SlotReply, SlotRequest,
+    ColdStartBound, DispatchConfig, Dispatcher, DoubtedUpstream, SlotCounts, SlotReply, SlotRequest,
 };
 pub use fingerprint::{Fingerprint, Fingerprints, RequestContent};
 pub use occupancy::{Occupancy, SumSource};
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -7,8 +7,8 @@
     ServiceConfig, UpstreamId, UpstreamRecord, UpstreamState, WeightedBackend,
 };
 use beamtray_dispatch::{
-    BudgetConfig, Conclusion, Decision, DispatchConfig, Dispatcher, Fingerprints, Forward,
-    RequestHead,
+    BudgetConfig, ColdStartBound, Conclusion, Decision, DispatchConfig, Dispatcher, Fingerprints,
+    Forward, RequestHead,
 };
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
@@ -103,8 +103,13 @@
 
 /// A node that knows no configuration yet.
 pub fn unconfigured() -> Dispatcher {
+    unconfigured_as("node")
+}
+
+/// The same under that name.
+pub fn unconfigured_as(node: &str) -> Dispatcher {
     Dispatcher::new(DispatchConfig {
-        node: "node".to_owned(),
+        node: node.to_owned(),
         run: 9,
         zone: "here".into(),
         budget: BudgetConfig {
@@ -117,6 +122,10 @@
         zone_cost: Duration::from_millis(80),
         leaver_grace: Duration::from_millis(1_333),
         evacuation_grace: Duration::from_millis(2_000),
+        cold_start: ColdStartBound {
+            overage: 1.5,
+            slack: 8.0,
+        },
         proves_before_repeat: true,
     })
 }
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -240,7 +240,7 @@
         for (service, grants) in all.iter_mut() {
             let granter = &mut grants.granter;
             if refreshes {
-                granter.set_candidates(now, candidates(service, views, dispatcher));
+                granter.set_candidates(now, candidates(now, service, views, dispatcher));
                 probe_claimed(now, granter, views);
             }
             if rebalance {
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -298,10 +298,14 @@
 }
 
 pub(crate) fn candidates(
+    now: Time,
     service: &ServiceName,
     views: &Views,
     dispatcher: &Dispatcher,
 ) -> Vec<Candidate> {
+    let configuration = views.configuration.as_ref();
+    let config = configuration.and_then(|known| known.service(service));
+    let cold_start = config.and_then(|config| config.cold_start);
     let speeds = dispatcher.speeds();
     let work = speeds.service_mean(service).unwrap_or(UNKNOWN_WORK);
     let directory = &views.directory;
@@ -313,14 +317,18 @@
             let record = &registration.record;
             let hash = UpstreamHash::of(&record.id);
             let slowness = speeds.slowness(hash);
+            let capacity = f64::from(record.slots) / (work * slowness);
+            let is_cold = now < registration.warm_at;
+            let cold_rate = cold_start.filter(|_| is_cold).map(|cold| cold.rate);
             Candidate {
                 id: record.id.clone(),
                 standing: match record.state {
                     _ if directory.evacuated_since(registration).is_some() => Standing::Draining,
+                    UpstreamState::Ready if cold_rate.is_some() => Standing::Cold,
                     UpstreamState::Ready => Standing::Ready,
                     UpstreamState::Draining => Standing::Draining,
                 },
-                capacity: f64::from(record.slots) / (work * slowness),
+                capacity: cold_rate.map_or(capacity, |rate| capacity.min(rate)),
                 heard: dispatcher.heard(hash),
             }
         })
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -19,7 +19,7 @@
 use beamtray_catalog::{DirectoryPolicy, UpstreamId};
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{
-    AttemptOutcome, Decision, DispatchConfig, Dispatcher, SumSource, Untouched,
+    AttemptOutcome, Decision, DispatchConfig, Dispatcher, NodeHash, SumSource, Untouched,
 };
 use beamtray_sharding::{GrantReply, StandbyId};
 use beamtray_types::Time;
@@ -250,7 +250,7 @@
             self.dispatcher.quarantine_mut().adopt(now, &record);
         }
         if self.views.take_nodes_changed() {
-            self.choose_relays();
+            self.choose_relays(now);
             self.begin_with_relays(now);
         }
         for service in self.views.take_assigned() {
@@ -276,10 +276,12 @@
     }
 
     /// Follows changes among the nodes.
-    fn choose_relays(&mut self) {
+    fn choose_relays(&mut self, now: Time) {
         let own = &self.config.control.record;
         self.membership.registered(own, &self.views.nodes);
         self.dispatcher.set_nodes(self.node_count());
+        let members = self.views.nodes.keys().map(|name| NodeHash::of(name));
+        self.dispatcher.set_members(now, members.collect());
     }
 
     /// Whether this is the relay that its zone relies on: no relay before it can be
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -89,6 +89,13 @@
     /// requests, in milliseconds.
     #[serde(default = "default_evacuate_ms")]
     pub evacuate_ms: u64,
+    /// Requests a second that a cold upstream may get over all nodes, as a multiple of what
+    /// it says that it takes.
+    #[serde(default = "default_cold_overage")]
+    pub cold_overage: f64,
+    /// Requests a second beyond that.
+    #[serde(default)]
+    pub cold_slack: f64,
     /// Longest hold of a grant, in milliseconds; 0 where nothing is granted.
     #[serde(default)]
     pub longest_hold_ms: u64,
@@ -127,6 +134,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ChangeableSettings {
     drain_ms: u64,
+    cold_overage: f64,
+    cold_slack: f64,
     evacuate_ms: u64,
     contact_ms: u64,
     retry_ratio: f64,
@@ -139,6 +148,11 @@
     2_000
 }
 
+/// What upstreams say that they take.
+fn default_cold_overage() -> f64 {
+    1.0
+}
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -264,6 +278,18 @@
                 (1.0..=600.0).contains(&bounds.retry_window_s),
                 "1 to 600",
             ),
+            Check::new(
+                "bounds.cold_overage",
+                bounds.cold_overage,
+                (0.0..=1e6).contains(&bounds.cold_overage),
+                "0 to 1000000",
+            ),
+            Check::new(
+                "bounds.cold_slack",
+                bounds.cold_slack,
+                (0.0..=1e6).contains(&bounds.cold_slack),
+                "0 to 1000000",
+            ),
             Check::new(
                 "bounds.grace_s",
                 bounds.grace_s,
@@ -309,6 +335,8 @@
         ChangeableSettings {
             drain_ms: bounds.drain_ms,
             evacuate_ms: bounds.evacuate_ms,
+            cold_overage: bounds.cold_overage,
+            cold_slack: bounds.cold_slack,
             contact_ms: bounds.contact_ms,
             retry_ratio: bounds.retry_ratio,
             retry_allowance: bounds.retry_allowance,
@@ -321,6 +349,8 @@
         let (own, next) = (&mut self.bounds, &next.bounds);
         own.drain_ms = next.drain_ms;
         own.evacuate_ms = next.evacuate_ms;
+        own.cold_overage = next.cold_overage;
+        own.cold_slack = next.cold_slack;
         own.contact_ms = next.contact_ms;
         own.retry_ratio = next.retry_ratio;
         own.retry_allowance = next.retry_allowance;
--- a/crates/router/src/settings/core_config.rs
+++ b/crates/router/src/settings/core_config.rs
@@ -3,7 +3,7 @@
 use super::NodeSettings;
 use crate::core::{ControlConfig, CoreConfig, GRANT_TIMEOUT, NodeRecord, Timing};
 use beamtray_catalog::DirectoryPolicy;
-use beamtray_dispatch::{BudgetConfig, DispatchConfig};
+use beamtray_dispatch::{BudgetConfig, ColdStartBound, DispatchConfig};
 use beamtray_metastore::LeaseTiming;
 use beamtray_sharding::{BalanceLimits, GranterGuards, GranterTiming};
 use std::time::Duration;
@@ -92,6 +92,10 @@
             most_queued: 6,
             zone_cost: Duration::from_millis(80),
             leaver_grace: drain / 2,
+            cold_start: ColdStartBound {
+                overage: self.bounds.cold_overage,
+                slack: self.bounds.cold_slack,
+            },
             evacuation_grace: Duration::from_millis(self.bounds.evacuate_ms) / 2,
             proves_before_repeat: true,
         }
--- a/crates/routersim/src/check.rs
+++ b/crates/routersim/src/check.rs
@@ -6,7 +6,7 @@
 use beamtray_catalog::{UpstreamId, UpstreamName};
 use beamtray_sharding::ShardKey;
 use beamtray_types::{Time, Zone};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::time::Duration;
 use tokens::Tokens;
@@ -33,6 +33,8 @@
     /// An upstream of a zone that is evacuated gets nothing from connected nodes once the
     /// time for it is over.
     Evacuation,
+    /// All nodes together send an upstream that is cold no more than it may get.
+    ColdStart,
     /// Connected nodes act by the newest configuration in time.
     Configuration,
     /// A request that ended three times with the upstream that ran it comes to upstreams
@@ -79,6 +81,16 @@
 pub const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 /// How long upstreams of a zone may get requests after its evacuation was accepted.
 pub const EVACUATION_TIME: Duration = Duration::from_millis(5_000);
+/// How long an upstream is cold that has started during a history.
+pub const COLD_START: Duration = Duration::from_millis(3_000);
+/// Requests a second that it takes meanwhile.
+pub const COLD_RATE: f64 = 6.7;
+/// Requests a second that it may get over all nodes, as a multiple of that.
+pub const COLD_OVERAGE: f64 = 1.5;
+/// Requests a second beyond that.
+pub const COLD_SLACK: f64 = 8.0;
+/// Over which they are counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// How long a configuration may take to be in force.
 pub const CONFIGURE_TIME: Duration = Duration::from_millis(2_000);
 /// Least part of the requests served after the troubles, in percent.
@@ -113,6 +125,8 @@
     refused: BTreeSet<String>,
     left: BTreeMap<UpstreamId, Time>,
     evacuated: BTreeMap<Zone, Time>,
+    /// Requests that reached cold upstreams within the last second.
+    cold: BTreeMap<UpstreamId, VecDeque<Time>>,
     poison: BTreeMap<String, Poison>,
     late_served: usize,
     late_asked: usize,
@@ -267,6 +281,20 @@
         }
     }
 
+    /// A request of any node reaches an upstream that is cold.
+    pub fn arrives_cold(&mut self, at: Time, upstream: &UpstreamId) {
+        let arrivals = self.cold.entry(upstream.clone()).or_default();
+        arrivals.push_back(at);
+        while at.since(arrivals[0]) >= COLD_WINDOW {
+            arrivals.pop_front();
+        }
+        let count = arrivals.len();
+        if count as f64 > COLD_RATE * COLD_OVERAGE + COLD_SLACK {
+            let text = format!("{upstream} is cold and got {count} requests in a second");
+            self.object(Promise::ColdStart, at, text);
+        }
+    }
+
     /// A request of a connected node reaches an upstream.
     pub fn arrives(&mut self, at: Time, upstream: &UpstreamId) {
         let Some(left) = self.left.get(upstream).copied() else {
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -14,12 +14,14 @@
 mod stores;
 mod upstreams;
 
+use crate::check::{COLD_RATE, COLD_START};
 use crate::check::{Checkers, Violation};
 use crate::dialect::SimDialect;
 use crate::fault::{Fault, FaultPlan};
 use crate::guard::Guard;
 use beamtray_catalog::{
-    ClientLimits, Configuration, ConfigurationVersion, Route, ServiceConfig, WeightedBackend,
+    ClientLimits, ColdStart, Configuration, ConfigurationVersion, Route, ServiceConfig,
+    WeightedBackend,
 };
 use beamtray_dispatch::Ticket;
 use beamtray_emulator::{StoreEmulator, UpstreamEmulator};
@@ -410,7 +412,10 @@
         max_connections: 100,
         divided,
         warm_up: Duration::from_secs(2),
-        cold_start: None,
+        cold_start: Some(ColdStart {
+            lasts: COLD_START,
+            rate: COLD_RATE,
+        }),
     };
     Configuration {
         version: ConfigurationVersion(version),
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -2,7 +2,7 @@
 
 use super::network::{DeferredInput, Event, Question, Run};
 use super::{CONTACT, HEARTBEAT, TICK, World};
-use crate::check::{DRAIN_TIME, EVACUATION_TIME};
+use crate::check::{COLD_OVERAGE, COLD_SLACK, DRAIN_TIME, EVACUATION_TIME};
 use crate::guard::Guard;
 use beamtray_dispatch::{Admission, Conclusion, RefusalReason};
 use beamtray_router::core::{
@@ -94,6 +94,8 @@
             retry_allowance: 50.0,
             retry_window_s: 10.0,
             evacuate_ms: EVACUATION_TIME.as_millis() as u64,
+            cold_overage: COLD_OVERAGE,
+            cold_slack: COLD_SLACK,
             longest_hold_ms: 10_000,
             heartbeat_ms: HEARTBEAT.as_millis() as u64,
         },
--- a/crates/routersim/src/world/registrations.rs
+++ b/crates/routersim/src/world/registrations.rs
@@ -21,8 +21,9 @@
             return;
         };
         let key = key_of(&upstream.config.id);
-        let record = upstream.record();
+        let mut record = upstream.record();
         let state = &mut self.upstream_state[index];
+        record.warm_up_left = state.cold_until.since(now);
         if let Some(since) = state.cut_since {
             let missed = now.since(since) >= HEARTBEAT * MISSED;
             if missed && !self.store_state.down && self.store.get(&key).is_some() {
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -3,6 +3,7 @@
 use super::network::{Event, Run};
 use super::restarts::tells_birth;
 use super::{KEYED, POOL, World};
+use crate::check::COLD_START;
 use crate::fault::CutFrom;
 use beamtray_catalog::{Birth, UpstreamId, UpstreamState as Announced};
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
@@ -69,6 +70,8 @@
     pub unreached_from: Option<CutFrom>,
     /// When its links were whole again.
     pub healed_at: Option<Time>,
+    /// Until when it is cold.
+    pub cold_until: Time,
     /// Whether it took its registration back for good.
     pub withdrawn: bool,
     pub next_heartbeat: Time,
@@ -119,6 +122,9 @@
             healed_at: state.healed_at,
             ..UpstreamState::default()
         };
+        if self.now >= Time::ZERO + self.config.lead {
+            self.upstream_state[index].cold_until = self.now + COLD_START;
+        }
         let mut id = UpstreamId::from(format!("u{index}-{named}"));
         id.born = tells_birth(index).then_some(Birth(self.now.0 / 1_000));
         let divided = index < self.config.keyed;
@@ -306,6 +312,9 @@
             let outcome = AttemptOutcome::Untouched(Untouched::Unconnected);
             return self.end_attempt(CONNECT_TIMEOUT, &taken, outcome);
         }
+        if self.now < self.upstream_state[index].cold_until {
+            self.checkers.arrives_cold(self.now, &forward.upstream);
+        }
         if self.is_connected(node) {
             self.checkers.arrives(self.now, &forward.upstream);
             let zone = self.upstreams[index].as_ref().map(|one| &one.config.zone);
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -113,6 +113,9 @@
 pub enum Standing {
     /// It takes new keys.
     Ready,
+    /// It keeps its keys and gets no others while there are upstreams that are ready: it is
+    /// cold.
+    Cold,
     /// It is to lose its keys.
     Draining,
 }
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -50,10 +50,18 @@
             || now.since(first) >= self.timing.settle * LONGEST_SETTLE
     }
 
+    /// Upstreams that take keys: those that are ready, or all that stay when none is.
     pub(super) fn ready(&self) -> impl Iterator<Item = &Candidate> {
+        let standings = self.candidates.values().map(|one| one.standing);
+        let has_ready = standings.into_iter().any(|one| one == Standing::Ready);
+        let least = if has_ready {
+            Standing::Ready
+        } else {
+            Standing::Cold
+        };
         self.candidates
             .values()
-            .filter(|one| one.standing == Standing::Ready && !self.dead.contains(&one.id))
+            .filter(move |one| one.standing == least && !self.dead.contains(&one.id))
             .filter(|one| !self.lost_holders.is_unfenced(&one.id))
     }
 
@@ -84,11 +92,11 @@
                     return false;
                 };
                 let candidate = self.candidates.get(holder);
-                let ready = candidate.is_some_and(|one| one.standing == Standing::Ready);
+                let stays = candidate.is_some_and(|one| one.standing != Standing::Draining);
                 let heard = candidate.and_then(|one| one.heard);
                 let contact = self.contacts.get(holder);
                 let silent = contact.is_some_and(|one| one.is_silent(now, silence, heard));
-                !ready || silent || self.dead.contains(holder)
+                !stays || silent || self.dead.contains(holder)
             })
             .map(|slice| slice.range.first)
             .collect();
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -199,7 +199,7 @@
         let ready = |id: &UpstreamId| {
             self.candidates
                 .get(id)
-                .is_some_and(|candidate| candidate.standing == Standing::Ready)
+                .is_some_and(|candidate| candidate.standing != Standing::Draining)
                 && !self.lost_holders.is_unfenced(id)
         };
         if let Some(next) = next.filter(ready) {
