Learn the speed of upstreams from requests that queued, too

Cause: only requests that found a free slot taught how fast an upstream is.

Change: the time of a request that queued counts too, divided by the rounds of the slots that it is likely to have taken; the means of routes and services are not touched by it. Ruled out: judging by throughput (a node sees only its own requests).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -78,8 +78,10 @@
     address: SocketAddr,
     hash: UpstreamHash,
     sent: Time,
-    /// Whether the upstream had a free slot then, as far as known.
-    unqueued: bool,
+    /// Rounds of its slots up to its end, as far as known: one if there was a free slot.
+    rounds: f64,
+    /// Whether the upstream was warm then.
+    is_warm: bool,
     run: RunHash,
     /// The fingerprint of whose permit it was sent, if it needed one.
     permit: Option<Fingerprint>,
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -21,6 +21,11 @@
 /// How much slower an upstream counts that another node could not reach of late.
 const SUSPECT_SLOWNESS: f64 = 4.0;
 
+/// Rounds of an upstream's slots up to the end of a request that finds so many there.
+pub(super) fn rounds(occupied: u32, slots: u32) -> f64 {
+    (f64::from(occupied + 1) / f64::from(slots.max(1))).max(1.0)
+}
+
 /// What becomes of a request now.
 pub(super) enum Choice {
     /// It is sent there.
@@ -226,8 +231,7 @@
         if self.slots.is_suspect(now, member.hash) {
             time *= SUSPECT_SLOWNESS;
         }
-        let rounds = f64::from(occupied + 1) / f64::from(record.slots.max(1));
-        let mut cost = time * rounds.max(1.0);
+        let mut cost = time * rounds(occupied, record.slots);
         cost += self.faults.cost(now, member.hash, query.work);
         if record.zone != self.config.zone {
             cost += self.config.zone_cost.as_secs_f64();
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -1,5 +1,6 @@
 //! Attempts: how they begin, and what becomes of a request when one ends.
 
+use super::choice::rounds;
 use super::slots::SlotState;
 use super::{Attempt, Denial, Dispatcher, DoubtedUpstream, Request};
 use crate::fingerprint::Fingerprint;
@@ -55,7 +56,8 @@
             address: record.address,
             hash,
             sent: now,
-            unqueued: occupied < record.slots && now >= registration.warm_at,
+            rounds: rounds(occupied, record.slots),
+            is_warm: now >= registration.warm_at,
             run: RunHash::of(node, process, ticket, self.attempts),
             permit,
         });
@@ -115,11 +117,8 @@
                     self.faults.note(now, attempt.hash, 1);
                     self.speeds.fail(attempt.hash);
                 }
-                if success && attempt.unqueued {
-                    let seconds = now.since(attempt.sent).as_secs_f64();
-                    self.speeds
-                        .learn(attempt.hash, &request.route.name, seconds);
-                    self.speeds.learn_service(&request.service, seconds);
+                if success && attempt.is_warm {
+                    self.learn_speed(now, request, attempt);
                 }
             }
             AttemptOutcome::Untouched(Untouched::Full) => {
@@ -136,6 +135,21 @@
         }
     }
 
+    /// Learns from an answer how fast its upstream is. What queued there tells that as well,
+    /// less its time in the queue: a holder of a busy key has a queue whenever a request
+    /// comes, and would never be found slow.
+    fn learn_speed(&mut self, now: Time, request: &Request, attempt: &Attempt) {
+        let seconds = now.since(attempt.sent).as_secs_f64();
+        let route = &request.route.name;
+        if attempt.rounds > 1.0 {
+            let seconds = seconds / attempt.rounds;
+            self.speeds.learn_queued(attempt.hash, route, seconds);
+            return;
+        }
+        self.speeds.learn(attempt.hash, route, seconds);
+        self.speeds.learn_service(&request.service, seconds);
+    }
+
     /// Learns from an attempt whether its request ends upstreams.
     fn suspect(
         &mut self,
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -82,6 +82,21 @@
         };
         let ratio = (seconds / mean.max(1e-4)).min(LONGEST_SAMPLE);
         *mean += (seconds - *mean) * ROUTE_WEIGHT;
+        self.add_own(upstream, ratio);
+    }
+
+    /// The same of a request that queued, its time in the queue taken off as far as that is
+    /// known: it tells of the upstream, and nothing of the route's work.
+    pub fn learn_queued(&mut self, upstream: UpstreamHash, route: &str, seconds: f64) {
+        let Some(mean) = self.routes.get(route) else {
+            return;
+        };
+        let ratio = (seconds / mean.max(1e-4)).min(LONGEST_SAMPLE);
+        self.add_own(upstream, ratio);
+    }
+
+    /// Takes a sample of this node, to be told to others.
+    fn add_own(&mut self, upstream: UpstreamHash, ratio: f64) {
         self.add(upstream, 1.0, ratio);
         let untold = self.untold.entry(upstream).or_default();
         untold.count += 1;
