Bound what suspicion costs, whatever the load

Cause: where upstreams end under load, every request that was under way there is suspected, and nearly all are bystanders.

Change: who finds a suspicion writes the line, 20 a second at most; who hears of it writes only of what is kept off. News goes out at once or 30 ms after the last, together. A node remembers 1,024 fingerprints, the least suspected give way, and looks for what is too old once a second.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -31,8 +31,13 @@
 pub(crate) use trials::TrialStep;
 
 /// Most fingerprints that are remembered, some 300 bytes each. The least suspected ones
-/// give way.
-const MOST_SUSPECTS: usize = 4_096;
+/// give way: one that ends upstreams is told of again with each further end, and comes back
+/// with all of them as soon as a node that remembers it tells.
+const MOST_SUSPECTS: usize = 1_024;
+/// Between two looks for what is too old. Each goes through all suspects; at every tick of
+/// a node (30 ms) it took a tenth of a weak machine's processor time where there were some
+/// thousands.
+const EXPIRE_PAUSE: Duration = Duration::from_secs(1);
 /// Suspects that are kept in the store have ended with their upstreams so often. What one
 /// end tells is lost with the processes that saw it, and most of what it tells is of
 /// bystanders.
@@ -124,6 +129,7 @@
     /// All that was news here, whoever found it.
     news: Vec<Suspicion>,
     notices: Vec<QuarantineNotice>,
+    expire_at: Time,
 }
 
 impl Quarantine {
@@ -154,9 +160,7 @@
                     is_trial: run.is_trial_of(fingerprint),
                     is_cleared: false,
                 };
-                if self.learn(now, suspicion) {
-                    self.untold.push(suspicion);
-                }
+                self.find(now, suspicion);
             }
             self.end_trial(run.permit, TrialOutcome::Ended);
         }
@@ -188,14 +192,31 @@
                 is_cleared: true,
                 ..suspicion
             };
-            if self.learn(now, cleared) {
-                self.untold.push(cleared);
-            }
+            self.find(now, cleared);
         }
     }
 
-    /// Joins what another node, or the store, tells; whether it was news.
-    pub fn learn(&mut self, now: Time, suspicion: Suspicion) -> bool {
+    /// Joins what this node found itself, and has it told.
+    fn find(&mut self, now: Time, suspicion: Suspicion) {
+        let Some(notice) = self.join(now, suspicion) else {
+            return;
+        };
+        self.notices.extend(notice);
+        self.untold.push(suspicion);
+    }
+
+    /// Joins what another node, or the store, tells. Whoever found it wrote the line about
+    /// it: with one at each node that hears of it, the ends of one zone's upstreams filled
+    /// the log of every node.
+    pub fn learn(&mut self, now: Time, suspicion: Suspicion) {
+        let notice = self.join(now, suspicion).flatten();
+        let is_kept_off =
+            |notice: &QuarantineNotice| matches!(notice, QuarantineNotice::KeptOff { .. });
+        self.notices.extend(notice.filter(is_kept_off));
+    }
+
+    /// Joins a suspicion; if it was news, what is to be noted of it.
+    fn join(&mut self, now: Time, suspicion: Suspicion) -> Option<Option<QuarantineNotice>> {
         let fingerprint = suspicion.fingerprint;
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room();
@@ -203,15 +224,14 @@
         let suspect = self.suspects.entry(fingerprint).or_default();
         let learned = suspect.learn(now, &suspicion);
         let notice = match learned {
-            Learned::Nothing => return false,
+            Learned::Nothing => return None,
             Learned::Ended => Some(suspect.notice(&suspicion)),
             Learned::Cleared { is_wholly } => {
                 is_wholly.then_some(QuarantineNotice::Cleared { fingerprint })
             }
         };
-        self.notices.extend(notice);
         self.news.push(suspicion);
-        true
+        Some(notice)
     }
 
     /// Forgets the least suspected one, of these the one known longest, when there are too
@@ -262,11 +282,15 @@
 
     /// Forgets what is too old.
     pub(crate) fn expire(&mut self, now: Time) {
+        self.trials.expire(now);
+        if now < self.expire_at {
+            return;
+        }
+        self.expire_at = now + EXPIRE_PAUSE;
         self.unproved
             .retain(|unproved| now.since(unproved.at) < PROOF_WAIT);
         self.suspects
             .retain(|_, suspect| !suspect.is_forgotten(now));
-        self.trials.expire(now);
         self.lender.expire(now);
     }
 
--- a/crates/router/src/core/node/quarantine.rs
+++ b/crates/router/src/core/node/quarantine.rs
@@ -22,6 +22,10 @@
 const TOLD: u32 = 4;
 /// Between two tellings. All are told well within a second.
 const PAUSE: Duration = Duration::from_millis(150);
+/// The same while there is news: the first is told at once, and what comes soon after it
+/// goes together. Each in a datagram of its own, they were as many as the requests that
+/// were under way where upstreams ended.
+const NEWS_PAUSE: Duration = Duration::from_millis(30);
 /// Suspicions in one datagram, 18 bytes each.
 const SUSPICIONS_A_DATAGRAM: usize = 60;
 /// Most suspicions that are still to be told; a zone that is lost leaves thousands, nearly
@@ -51,6 +55,7 @@
 pub(super) struct SuspicionNews {
     news: VecDeque<News>,
     due: Time,
+    told_at: Option<Time>,
 }
 
 impl SuspicionNews {
@@ -72,6 +77,12 @@
         }
     }
 
+    /// There is news: it is told at once, or with what else comes up to then.
+    fn hurry(&mut self, now: Time) {
+        let next = self.told_at.map_or(now, |told| told + NEWS_PAUSE);
+        self.due = self.due.min(next.max(now));
+    }
+
     /// Those that are told next, and again later unless it was the last time.
     fn take_due(&mut self) -> Vec<News> {
         let count = self.news.len().min(SUSPICIONS_A_DATAGRAM);
@@ -126,7 +137,7 @@
         self.pass_on_news(now);
         let found = self.dispatcher.quarantine_mut().take_untold();
         if !found.is_empty() {
-            self.suspicion_news.due = now;
+            self.suspicion_news.hurry(now);
         }
         for suspicion in found {
             let known = self.dispatcher.quarantine().known_of(suspicion.fingerprint);
@@ -152,7 +163,7 @@
             let audience = NewsAudience::Zone;
             self.suspicion_news.add(suspicion, audience, is_urgent);
         }
-        self.suspicion_news.due = now;
+        self.suspicion_news.hurry(now);
     }
 
     /// Takes what another node saw.
@@ -169,6 +180,7 @@
         if !is_due || !self.config.tells_suspicions {
             return;
         }
+        self.suspicion_news.told_at = Some(now);
         self.suspicion_news.due = now + PAUSE;
         let told = self.suspicion_news.take_due();
         for audience in [NewsAudience::Collectors, NewsAudience::Zone] {
--- a/crates/router/src/shell/observer/quarantine.rs
+++ b/crates/router/src/shell/observer/quarantine.rs
@@ -32,7 +32,12 @@
             };
             self.metrics.trials.get_or_create(&label).inc();
         }
-        let Some(left_out) = self.admit(LineKind::Failure) else {
+        // A request that is kept off is the one to look for.
+        let kind = match notice {
+            QuarantineNotice::KeptOff { .. } => LineKind::Failure,
+            _ => LineKind::Suspicion,
+        };
+        let Some(left_out) = self.admit(kind) else {
             return;
         };
         let log = &self.log;
--- a/crates/router/src/shell/rate.rs
+++ b/crates/router/src/shell/rate.rs
@@ -13,6 +13,8 @@
     Failure,
     /// Calls and orders that failed.
     Dependency,
+    /// Requests that are suspected of ending upstreams.
+    Suspicion,
     /// Entries of the store that can't be used.
     Entry,
 }
@@ -24,6 +26,8 @@
             LineKind::Step => 400,
             LineKind::Failure => 1_000,
             LineKind::Dependency => 300,
+            // A zone that ends leaves as many as requests were under way there.
+            LineKind::Suspicion => 20,
             // Another writer decides how many there are and how often they change.
             LineKind::Entry => 20,
         }
--- a/crates/routersim/src/lib.rs
+++ b/crates/routersim/src/lib.rs
@@ -13,7 +13,7 @@
 pub use dialect::SimDialect;
 pub use fault::{CutFrom, Fault, FaultPlan, Trouble};
 pub use guard::Guard;
-pub use world::{GiveUp, Outcome, World, WorldConfig, WorldSize, usual_settings};
+pub use world::{GiveUp, Outcome, SuspicionCosts, World, WorldConfig, WorldSize, usual_settings};
 
 /// Runs the history of a seed in a world of that size.
 pub fn explore(size: WorldSize, seed: u64) -> Outcome {
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -192,6 +192,17 @@
     nodes::settings(node)
 }
 
+/// What nodes did about requests that were suspected of ending upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SuspicionCosts {
+    /// Lines that all nodes together would have written.
+    pub notices: usize,
+    /// Suspicions in datagrams that they sent, counted at each receiver.
+    pub told: usize,
+    /// Most fingerprints that one node remembered at a time.
+    pub remembered: usize,
+}
+
 /// How a history ended.
 #[derive(Clone, Debug)]
 pub struct Outcome {
@@ -203,6 +214,8 @@
     pub served: usize,
     /// Requests that were refused since upstreams ended under others that say the same.
     pub quarantined: usize,
+    /// What nodes did about requests that were suspected.
+    pub suspicion: SuspicionCosts,
     /// Slices that moved, as the upstreams saw it.
     pub releases: usize,
     /// Faults of the history.
@@ -250,6 +263,7 @@
     pub(crate) asked_count: usize,
     pub(crate) served_count: usize,
     pub(crate) quarantined_count: usize,
+    pub(crate) suspicion: SuspicionCosts,
     pub(crate) release_count: usize,
     next_request: u64,
 }
@@ -282,6 +296,7 @@
             asked_count: 0,
             served_count: 0,
             quarantined_count: 0,
+            suspicion: SuspicionCosts::default(),
             release_count: 0,
             next_request: 0,
             config,
@@ -378,6 +393,7 @@
             asked: self.asked_count,
             served: self.served_count,
             quarantined: self.quarantined_count,
+            suspicion: self.suspicion,
             releases: self.release_count,
             plan: FaultPlan {
                 faults: self.faults,
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -291,7 +291,13 @@
                 task.until = self.by_world(node, task.until);
                 self.give_order(node, run, task, epoch);
             }
-            Output::Send(datagram, addresses) => self.send(node, &datagram, &addresses),
+            Output::Send(datagram, addresses) => {
+                if let Datagram::Suspicions(suspicions) = &datagram {
+                    self.suspicion.told += suspicions.len() * addresses.len();
+                    self.note_remembered(node);
+                }
+                self.send(node, &datagram, &addresses);
+            }
             Output::Ask(address, request, wait) => {
                 if let Some(to) = node_at(address) {
                     let delay = self.millis(1, 4);
@@ -306,8 +312,11 @@
                 }
             }
             Output::Probe(doubted) => self.probe(node, run, doubted),
+            Output::Quarantine(_) => {
+                self.suspicion.notices += 1;
+                self.note_remembered(node);
+            }
             Output::Limits(_)
-            | Output::Quarantine(_)
             | Output::Notice(_)
             | Output::Granter(_)
             | Output::Ownership(..)
@@ -315,6 +324,17 @@
         }
     }
 
+    /// Notes how many suspected requests a node remembers.
+    fn note_remembered(&mut self, node: usize) {
+        let now = self.now;
+        let Some(core) = &self.nodes[node].core else {
+            return;
+        };
+        let (_, _, dispatcher) = core.inspect();
+        let (suspected, _) = dispatcher.quarantine().counts(now);
+        self.suspicion.remembered = self.suspicion.remembered.max(suspected);
+    }
+
     /// A reading of a node's clock as the world's time.
     fn by_world(&self, node: usize, time: Time) -> Time {
         time + clock_behind(self.nodes[node].asleep, self.config.off)
