Keep a small bound for cold upstreams when the nodes change

Found by reading the change: where a bound leaves room for fewer than three senders, a change among the nodes made three of them senders all the same (3 requests in a second where two views come to 2; test first). And an upstream that is ready but has ended no longer keeps the cold ones from getting keys that nobody else can take.

--- a/crates/dispatch/src/dispatcher/cold_starts.rs
+++ b/crates/dispatch/src/dispatcher/cold_starts.rs
@@ -72,6 +72,8 @@
 /// How this node stands with one cold upstream.
 #[derive(Clone, Copy, Debug)]
 struct Access {
+    /// How many senders the upstream has.
+    senders: usize,
     /// Since when it is among the senders.
     sender_since: Option<Time>,
     sent_at: Option<Time>,
@@ -115,7 +117,7 @@
         self.nodes_changed = now;
         let (own, nodes) = (self.own, &self.nodes);
         for (upstream, access) in &mut self.accesses {
-            let is_sender = is_sender(own, nodes, *upstream, MOST_SENDERS as usize);
+            let is_sender = is_sender(own, nodes, *upstream, access.senders);
             access.sender_since = is_sender.then(|| access.sender_since.unwrap_or(now));
         }
     }
@@ -133,6 +135,7 @@
         };
         let (own, nodes, since) = (self.own, &self.nodes, self.nodes_changed);
         let access = self.accesses.entry(upstream).or_insert_with(|| Access {
+            senders: share.senders,
             sender_since: is_sender(own, nodes, upstream, share.senders).then_some(since),
             sent_at: None,
             until,
--- a/crates/dispatch/tests/cold_starts.rs
+++ b/crates/dispatch/tests/cold_starts.rs
@@ -19,6 +19,8 @@
 const COLD: &str = "cold";
 /// What 18 requests a second come to: 6.7 x 1.5 + 8.
 const ALLOWED: usize = 18;
+/// Requests a second that a cold upstream handles.
+const RATE: f64 = 6.7;
 /// For so long the upstream is cold, from 2 s on.
 const LASTS: Duration = Duration::from_secs(3);
 const COLD_FROM: u64 = 2_000;
@@ -36,15 +38,15 @@
     nodes.map(|node| NodeHash::of(&name(node))).collect()
 }
 
-fn node(number: usize) -> Dispatcher {
+fn node(number: usize, rate: f64) -> Dispatcher {
     let mut configuration = configuration();
     for service in &mut configuration.services {
-        service.cold_start = Some(ColdStart {
-            lasts: LASTS,
-            rate: 6.7,
-        });
+        service.cold_start = Some(ColdStart { lasts: LASTS, rate });
     }
     let mut dispatcher = unconfigured_as(&name(number));
+    if rate < RATE {
+        dispatcher.set_bounds(&bounds_without_slack());
+    }
     dispatcher.configure(&configuration);
     dispatcher
 }
@@ -72,7 +74,11 @@
 
 impl Load {
     fn new(nodes: usize, path: &'static str, key: Option<u16>) -> Self {
-        let nodes: Vec<Dispatcher> = (0..nodes).map(node).collect();
+        Self::with_rate(nodes, path, key, RATE)
+    }
+
+    fn with_rate(nodes: usize, path: &'static str, key: Option<u16>, rate: f64) -> Self {
+        let nodes: Vec<Dispatcher> = (0..nodes).map(|number| node(number, rate)).collect();
         let mut load = Self {
             nodes,
             directory: directory(),
@@ -230,6 +236,22 @@
     assert!(load.most_in_a_second() <= ALLOWED);
 }
 
+/// 2 requests a second, 3 allowed: one sender for each view, also after the nodes changed.
+#[test]
+fn a_small_bound_has_fewer_senders() {
+    let mut load = Load::with_rate(79, "/read/1", None, 2.0);
+    load.run(0, COLD_FROM);
+    load.directory
+        .register(at(COLD_FROM), cold("pool", COLD_FROM));
+    load.run(COLD_FROM, COLD_FROM + 500);
+    for number in 1..79 {
+        load.know(COLD_FROM + 500, number, 1..79);
+    }
+    load.run(COLD_FROM + 500, COLD_UNTIL);
+    let most = load.most_in_a_second();
+    assert!((1..=2).contains(&most), "one in each view: {most}");
+}
+
 /// What could not be sent was not taken: nothing of it counts at the upstream.
 #[test]
 fn attempts_that_did_not_arrive_keep_the_pause_too() {
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -101,6 +101,18 @@
     directory
 }
 
+/// Bounds under which a cold upstream gets half more than it handles.
+pub fn bounds_without_slack() -> DispatchConfig {
+    let cold_start = ColdStartBound {
+        overage: 1.5,
+        slack: 0.0,
+    };
+    DispatchConfig {
+        cold_start,
+        ..config("node")
+    }
+}
+
 /// A node that knows no configuration yet.
 pub fn unconfigured() -> Dispatcher {
     unconfigured_as("node")
@@ -108,7 +120,11 @@
 
 /// The same under that name.
 pub fn unconfigured_as(node: &str) -> Dispatcher {
-    Dispatcher::new(DispatchConfig {
+    Dispatcher::new(config(node))
+}
+
+fn config(node: &str) -> DispatchConfig {
+    DispatchConfig {
         node: node.to_owned(),
         run: 9,
         zone: "here".into(),
@@ -127,7 +143,7 @@
             slack: 8.0,
         },
         proves_before_repeat: true,
-    })
+    }
 }
 
 pub fn dispatcher() -> Dispatcher {
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -50,18 +50,19 @@
             || now.since(first) >= self.timing.settle * LONGEST_SETTLE
     }
 
-    /// Upstreams that take keys: those that are ready, or all that stay when none is.
+    /// Upstreams that take keys: those that are ready, or the cold ones when none is.
     pub(super) fn ready(&self) -> impl Iterator<Item = &Candidate> {
-        let standings = self.candidates.values().map(|one| one.standing);
-        let has_ready = standings.into_iter().any(|one| one == Standing::Ready);
-        let least = if has_ready {
-            Standing::Ready
-        } else {
-            Standing::Cold
-        };
+        let has_ready = self.takers_of(Standing::Ready).next().is_some();
+        self.takers_of(match has_ready {
+            true => Standing::Ready,
+            false => Standing::Cold,
+        })
+    }
+
+    fn takers_of(&self, standing: Standing) -> impl Iterator<Item = &Candidate> {
         self.candidates
             .values()
-            .filter(move |one| one.standing == least && !self.dead.contains(&one.id))
+            .filter(move |one| one.standing == standing && !self.dead.contains(&one.id))
             .filter(|one| !self.lost_holders.is_unfenced(&one.id))
     }
 
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -425,3 +425,29 @@
     assert!(!early.is_empty(), "none is early");
     assert!(!late.is_empty(), "none is late");
 }
+
+/// A cold upstream takes few requests, and its keys bring all of theirs along.
+#[test]
+fn a_cold_upstream_gets_no_keys_while_another_is_ready() {
+    let mut granter = Granter::new(at(0), TIMING, Epoch(1), None);
+    let mut cold = ready("cold", 10.0);
+    cold.standing = Standing::Cold;
+    granter.set_candidates(at(0), [cold.clone(), ready("warm", 10.0)]);
+    granter.poll(at(1_500));
+    let record = granter.record().expect("the keys were divided");
+    let holders = |record: &AssignmentRecord| -> Vec<String> {
+        let held = record.slices.iter().filter_map(|slice| match &slice.state {
+            SliceState::Held { holder, .. } => Some(holder.name.0.clone()),
+            _ => None,
+        });
+        held.collect()
+    };
+    assert!(holders(&record).iter().all(|holder| holder == "warm"));
+    granter.proved_dead(&"warm".into());
+    granter.set_candidates(at(1_600), [cold, ready("warm", 10.0)]);
+    granter.poll(at(1_600));
+    let record = granter.record().expect("the keys are given away");
+    let holders = holders(&record);
+    assert!(!holders.is_empty());
+    assert!(holders.iter().all(|holder| holder == "cold"));
+}
