Read the change: a type for news, a function for standings, a figure taken out

No behaviour changes. The type of a callback for one call goes, an option of an option gets a name, and what an upstream is to the granter is a function of its own.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -10,7 +10,7 @@
 //! The doubt must be short. A node that was cut off alone sees the same, and
 //! must not send to upstreams that left meanwhile once it counts as connected.
 
-use crate::evacuation::{Evacuations, ZoneWarmUp};
+use crate::evacuation::Evacuations;
 use crate::incarnations::{Appearance, Incarnations};
 use crate::upstream::{UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
 use beamtray_types::{ServiceName, Time, Zone};
@@ -205,12 +205,13 @@
         Some(DirectoryChange::Evacuated(zone))
     }
 
-    /// Ends the evacuation of a zone; `warm_up` tells for how long its upstreams may be cold.
+    /// Ends the evacuation of a zone; `warm_up` tells for how long upstreams of a service may
+    /// be cold after it.
     pub fn readmit(
         &mut self,
         now: Time,
         zone: Zone,
-        warm_up: &ZoneWarmUp<'_>,
+        warm_up: impl Fn(&ServiceName) -> Duration,
     ) -> Option<DirectoryChange> {
         if !self.evacuations.end(&zone) {
             return None;
--- a/crates/catalog/src/evacuation.rs
+++ b/crates/catalog/src/evacuation.rs
@@ -4,12 +4,8 @@
 //! back. The upstreams may have gone cold meanwhile, and an entry that says otherwise may be
 //! older than that, so all of them count as cold for a while after it.
 
-use beamtray_types::{ServiceName, Time, Zone};
+use beamtray_types::{Time, Zone};
 use std::collections::BTreeMap;
-use std::time::Duration;
-
-/// How long upstreams of each service may stay cold after their zone's evacuation.
-pub type ZoneWarmUp<'a> = dyn Fn(&ServiceName) -> Duration + 'a;
 
 /// The evacuations that are in force.
 #[derive(Clone, Debug, Default)]
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -16,7 +16,6 @@
     ServiceConfig, WeightedBackend,
 };
 pub use directory::{Directory, DirectoryChange, DirectoryPolicy, Registration};
-pub use evacuation::ZoneWarmUp;
 pub use incarnations::CLAIM_STANDS;
 pub use route_table::RouteTable;
 pub use upstream::{Birth, UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
--- a/crates/catalog/tests/directory.rs
+++ b/crates/catalog/tests/directory.rs
@@ -122,12 +122,12 @@
 fn upstreams_of_a_readmitted_zone_count_as_cold_whatever_their_entries_say() {
     let mut directory = directory(2);
     let warm_up = |_: &_| Duration::from_millis(3_000);
-    assert_eq!(directory.readmit(at(900), "zone".into(), &warm_up), None);
+    assert_eq!(directory.readmit(at(900), "zone".into(), warm_up), None);
     directory.evacuate(at(1_000), "zone".into());
     assert_eq!(directory.evacuate(at(1_100), "zone".into()), None);
     let known = directory.get(&id(0)).expect("it is registered");
     assert_eq!(directory.evacuated_since(known), Some(at(1_000)));
-    let readmitted = directory.readmit(at(9_000), "zone".into(), &warm_up);
+    let readmitted = directory.readmit(at(9_000), "zone".into(), warm_up);
     assert_eq!(readmitted, Some(DirectoryChange::Readmitted("zone".into())));
     directory.register(at(9_100), record(0, 8_000));
     for number in 0..2 {
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -34,9 +34,9 @@
 /// give way: one that ends upstreams is told of again with each further end, and comes back
 /// with all of them as soon as a node that remembers it tells.
 const MOST_SUSPECTS: usize = 1_024;
-/// Between two looks for what is too old. Each goes through all suspects; at every tick of
-/// a node (30 ms) it took a tenth of a weak machine's processor time where there were some
-/// thousands.
+/// Between two looks for what is too old. Each goes through all suspects, which a node is not
+/// to do at every tick (30 ms) while there are many. What is remembered for a second more
+/// than its time harms nobody.
 const EXPIRE_PAUSE: Duration = Duration::from_secs(1);
 /// Suspects that are kept in the store have ended with their upstreams so often. What one
 /// end tells is lost with the processes that saw it, and most of what it tells is of
@@ -117,6 +117,12 @@
     at: Time,
 }
 
+/// A suspicion told something new.
+struct News {
+    /// What a line is written of, if of anything.
+    notice: Option<QuarantineNotice>,
+}
+
 /// What one node knows of requests that end upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -198,10 +204,10 @@
 
     /// Joins what this node found itself, and has it told.
     fn find(&mut self, now: Time, suspicion: Suspicion) {
-        let Some(notice) = self.join(now, suspicion) else {
+        let Some(news) = self.join(now, suspicion) else {
             return;
         };
-        self.notices.extend(notice);
+        self.notices.extend(news.notice);
         self.untold.push(suspicion);
     }
 
@@ -209,14 +215,16 @@
     /// it: with one at each node that hears of it, the ends of one zone's upstreams filled
     /// the log of every node.
     pub fn learn(&mut self, now: Time, suspicion: Suspicion) {
-        let notice = self.join(now, suspicion).flatten();
+        let Some(news) = self.join(now, suspicion) else {
+            return;
+        };
         let is_kept_off =
             |notice: &QuarantineNotice| matches!(notice, QuarantineNotice::KeptOff { .. });
-        self.notices.extend(notice.filter(is_kept_off));
+        self.notices.extend(news.notice.filter(is_kept_off));
     }
 
-    /// Joins a suspicion; if it was news, what is to be noted of it.
-    fn join(&mut self, now: Time, suspicion: Suspicion) -> Option<Option<QuarantineNotice>> {
+    /// Joins a suspicion; none if it told nothing new.
+    fn join(&mut self, now: Time, suspicion: Suspicion) -> Option<News> {
         let fingerprint = suspicion.fingerprint;
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room();
@@ -231,7 +239,7 @@
             }
         };
         self.news.push(suspicion);
-        Some(notice)
+        Some(News { notice })
     }
 
     /// Forgets the least suspected one, of these the one known longest, when there are too
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -2,7 +2,7 @@
 
 use crate::core::records::{AssignmentKey, OwnKeys, decode_part};
 use crate::core::views::Views;
-use beamtray_catalog::{UpstreamId, UpstreamState};
+use beamtray_catalog::{Directory, Registration, UpstreamId, UpstreamState};
 use beamtray_dispatch::{Dispatcher, UpstreamHash};
 use beamtray_metastore::{Condition, Epoch, Item, Revision, StoreCall, Transaction, Write};
 use beamtray_sharding::{
@@ -322,12 +322,7 @@
             let cold_rate = cold_start.filter(|_| is_cold).map(|cold| cold.rate);
             Candidate {
                 id: record.id.clone(),
-                standing: match record.state {
-                    _ if directory.evacuated_since(registration).is_some() => Standing::Draining,
-                    UpstreamState::Ready if cold_rate.is_some() => Standing::Cold,
-                    UpstreamState::Ready => Standing::Ready,
-                    UpstreamState::Draining => Standing::Draining,
-                },
+                standing: standing(directory, registration, cold_rate.is_some()),
                 capacity: cold_rate.map_or(capacity, |rate| capacity.min(rate)),
                 heard: dispatcher.heard(hash),
             }
@@ -335,6 +330,17 @@
         .collect()
 }
 
+/// What an upstream is to the granter. One whose zone is evacuated is to lose its keys.
+fn standing(directory: &Directory, registration: &Registration, is_cold: bool) -> Standing {
+    let is_evacuated = directory.evacuated_since(registration).is_some();
+    match registration.record.state {
+        _ if is_evacuated => Standing::Draining,
+        UpstreamState::Ready if is_cold => Standing::Cold,
+        UpstreamState::Ready => Standing::Ready,
+        UpstreamState::Draining => Standing::Draining,
+    }
+}
+
 /// Asks holders whose address another upstream claims too: whoever has the
 /// address tells.
 pub(crate) fn probe_claimed(now: Time, granter: &mut Granter, views: &Views) {
--- a/crates/router/src/core/views/apply.rs
+++ b/crates/router/src/core/views/apply.rs
@@ -62,7 +62,7 @@
             let cold_start = service.and_then(|service| service.cold_start);
             cold_start.map_or(Duration::ZERO, |cold_start| cold_start.lasts)
         };
-        let change = self.directory.readmit(now, zone.into(), &warm_up);
+        let change = self.directory.readmit(now, zone.into(), warm_up);
         self.note_directory(change);
     }
 
