An order without an answer is the last one under its token

Callers: an upstream that had left a renewal lying was cut off seconds later; its keys went to another, and it took the old renewal, so two held the same keys and routers cut off with the old one went on sending it requests.

Cause: the renewals after the unanswered one repeated its token, so the upstream never saw a higher one though it answered ten of them in seven seconds (orders of drawn history 4 of many nodes). Ruled out: that nothing could have told it.

Change: a grant that was given up on, or broken off, is followed by one under a fresh token; the next answer outdates what lies. It holds since an upstream refuses a token below the highest that it has seen on one of the keys.

The test of the drawn history passes, unchanged. The test that resets are missed in drawn history 823 asked that it break without them; it does not any more, so the test now asks that it is kept with both. That resets are missed stays shown by the search (tests/transport.rs). Left: drawn history 1312, the search's own.

--- a/crates/routersim/tests/late_orders.rs
+++ b/crates/routersim/tests/late_orders.rs
@@ -35,6 +35,13 @@
 
 /// A drawn history in which an upstream is cut off with an order that it left lying, and
 /// carries it out after its keys went to another.
+///
+/// Seen: two upstreams held the same keys for 1.4 s, one of them under a token 36 lower.
+/// How: a renewal was left lying at 8.88 s. From 9.60 s on the upstream answered ten more,
+/// all under the same token, so it never saw a higher one. It was cut off from 16.38 s to
+/// 21.09 s, its keys went to another at 19.34 s, and at 19.74 s it took the renewal from 10.9 s
+/// before. Cause: the granter used a token again under which an order had no answer. The
+/// orders that the simulator printed show it: eleven under 16777255, the first one unanswered.
 #[test]
 fn nor_is_one_that_its_upstream_carries_out_late_in_a_drawn_history() {
     let outcome = explore(WorldSize::Many, 4);
--- a/crates/routersim/tests/old_grants.rs
+++ b/crates/routersim/tests/old_grants.rs
@@ -89,13 +89,16 @@
 }
 
 /// A drawn history in which a slow granter stands still and is killed while the path to a
-/// lost holder is whole again, so that nobody tells it in time.
+/// lost holder is whole again, so that nobody tells it in time. Resets were missed here until
+/// an order without an answer was the last one under its token; that they are missed at all
+/// is shown by the search (`grantsearch/tests/transport.rs`), which takes every history of
+/// a small world.
 const GRANTER_LOST_AS_A_PATH_HEALS: u64 = 823;
 
 #[test]
-fn resets_are_missed_where_nobody_tells_a_lost_holder() {
+fn old_grants_come_to_nothing_where_nobody_tells_a_lost_holder() {
     let seed = GRANTER_LOST_AS_A_PATH_HEALS;
     let faults = FaultPlan::draw(seed, &WorldConfig::drawn(seed)).faults;
-    assert!(!owners_broken(seed, GiveUp::Close, &faults).is_empty());
+    assert_eq!(owners_broken(seed, GiveUp::Close, &faults), []);
     assert_eq!(owners_broken(seed, GiveUp::Reset, &faults), []);
 }
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -113,6 +113,7 @@
                     slice.lapses = slice.lapses.max(lapses);
                 }
                 slice.due = now + RETRY;
+                self.renew_token(first);
             }
             GrantReply::Outdated => self.raise_token(now, first),
             GrantReply::Undelivered
