No grant under a known token over a new connection once one has ended

Callers saw nothing. A restart took keys under the token of the process before, against the promise that another life has a higher one.

Change: a gate in front of the connections that orders take. Once a connection to an upstream ended, a grant opens no new one unless its token is above all that were written to that name before; the answer 'not sent' has it renewed under a fresh one. It holds whatever is queued between granter and connection, since it goes by the tokens and not by the order of events.

--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -114,7 +114,9 @@
             }
             CallFailure::Unconnected => AttemptOutcome::Untouched(Untouched::Unconnected),
             CallFailure::Refused => AttemptOutcome::Untouched(Untouched::ConnectionRefused),
-            CallFailure::Unsent => AttemptOutcome::Untouched(Untouched::Unsent),
+            CallFailure::Unsent | CallFailure::Ended => {
+                AttemptOutcome::Untouched(Untouched::Unsent)
+            }
         }),
     }
 }
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -51,7 +51,7 @@
     let decided = shared.now();
     tokio::task::spawn_local(async move {
         let reply = match task.address {
-            Some(address) => give(&shared, address, &task).await,
+            Some(address) => give(&shared, address, &task, epoch).await,
             None => GrantReply::Undelivered,
         };
         let took = shared.now().since(decided);
@@ -65,13 +65,22 @@
     });
 }
 
-async fn give(shared: &Shared, address: SocketAddr, task: &OrderTask) -> GrantReply {
+async fn give(shared: &Shared, address: SocketAddr, task: &OrderTask, term: u64) -> GrantReply {
     // The right to grant is looked at right before the order is written: the process may
     // have stood still since it was decided on, and a connection may take long.
     let right_left = task.until.since(shared.now());
     if right_left.is_zero() {
         return GrantReply::Undelivered;
     }
+    // Nothing is waited for between this look and the choice of a connection.
+    let may_connect = shared.order_gate.borrow().may_connect(&task.order, term);
+    if !may_connect && !shared.connections.has_resting(address) {
+        return GrantReply::Undelivered;
+    }
+    shared
+        .order_gate
+        .borrow_mut()
+        .written(shared.now(), &task.order);
     let limit = match task.order.kind {
         OrderKind::Grant { .. } => GRANT_TIMEOUT,
         OrderKind::Release => RELEASE_TIMEOUT,
@@ -82,9 +91,14 @@
         .before(shared.clock.clone(), task.until);
     match timeout(limit, send(shared, address, call, &progress)).await {
         Ok(Ok(answer)) => shared.dialect.decode_order(&task.order.kind, &answer),
-        Ok(Err(CallFailure::BrokenOff)) => {
+        Ok(Err(failure @ (CallFailure::Ended | CallFailure::BrokenOff))) => {
+            let upstream = &task.order.holder.name;
+            shared.order_gate.borrow_mut().connection_ended(upstream);
             shared.connections.forget(address);
-            GrantReply::BrokenOff
+            match failure {
+                CallFailure::BrokenOff => GrantReply::BrokenOff,
+                _ => GrantReply::Undelivered,
+            }
         }
         Ok(Err(_)) | Err(_) if progress.may_be_written() => {
             // Other connections may be as dead: on a new one it shows that an
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -116,7 +116,7 @@
             let (mut connection, rested) = match self.take(address, progress.longest_rest) {
                 Resting::Usable(connection) => (connection, true),
                 Resting::Ended if progress.ends_with_connection => {
-                    return Err(CallFailure::Unsent);
+                    return Err(CallFailure::Ended);
                 }
                 Resting::Ended | Resting::None => (connect(address).await?, false),
             };
@@ -135,7 +135,11 @@
                     }
                     Some(_) => {
                         progress.written.set(false);
-                        return Err(CallFailure::Unsent);
+                        return Err(if rested {
+                            CallFailure::Ended
+                        } else {
+                            CallFailure::Unsent
+                        });
                     }
                     None => return Err(CallFailure::BrokenOff),
                 },
@@ -143,6 +147,14 @@
         }
     }
 
+    /// Whether a connection to an address rests, ended or not.
+    pub fn has_resting(&self, address: SocketAddr) -> bool {
+        let now = Instant::now();
+        let resting = self.resting.borrow();
+        let mut kept = resting.get(&address).into_iter().flatten();
+        kept.any(|connection| connection.usable_until > now)
+    }
+
     fn take(&self, address: SocketAddr, longest_rest: Duration) -> Resting {
         let mut resting = self.resting.borrow_mut();
         let Some(kept) = resting.get_mut(&address) else {
--- a/crates/router/src/shell/connections/progress.rs
+++ b/crates/router/src/shell/connections/progress.rs
@@ -18,6 +18,8 @@
     Refused,
     /// The connection ended before anything was written.
     Unsent,
+    /// The same, and it had been used before: another process may listen there now.
+    Ended,
     /// It ended without a whole answer.
     BrokenOff,
 }
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -1,6 +1,6 @@
 //! What every task of the process shares.
 
-use crate::core::{Input, NodeCore};
+use crate::core::{Input, NodeCore, OrderGate};
 use crate::shell::actor::RouterActor;
 use crate::shell::connections::Connections;
 use crate::shell::observer::Observer;
@@ -41,6 +41,8 @@
 pub(crate) struct Shared {
     pub dialect: Rc<dyn Dialect>,
     pub connections: Connections,
+    /// Which orders may open one of them.
+    pub order_gate: RefCell<OrderGate>,
     pub clients: RefCell<HashMap<Ticket, UnboundedSender<Step>>>,
     pub actor: RefCell<Option<ActorOwn<RouterActor>>>,
     pub wake: Notify,
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -124,6 +124,7 @@
     let shared = Rc::new(Shared {
         dialect,
         connections: Connections::default(),
+        order_gate: RefCell::default(),
         clients: RefCell::new(HashMap::new()),
         actor: RefCell::new(None),
         wake: Notify::new(),
--- a/crates/routersim/tests/restarts.rs
+++ b/crates/routersim/tests/restarts.rs
@@ -65,6 +65,13 @@
 }
 
 /// Renewals go on under the token of the one before until somebody knows of the restart.
+///
+/// Seen (history 12): a restart took three ranges 7 ms after its start, under the tokens of
+/// the process before. How: the granter gave four renewals in one moment. The first found
+/// that its connection had ended and was not sent, and the granter took fresh tokens; the
+/// other three, given before it knew, found no connection, opened new ones and came to the
+/// restart. Cause: what a connection tells of a restart was used up by the first order that
+/// met it. The simulator's lines show it: `Undelivered after 0ns` for one of the four.
 #[test]
 fn restarts_take_keys_under_higher_tokens_than_those_before_had() {
     let of_restarts = |promise| promise == Promise::RisingTokensOfRestarts;
