Remember who was registered for as long as old orders may come

Callers: an upstream that was up again under its name took a grant from ten seconds before, after its keys went to others; two held them.

Ruled out: that the release was lost; none was given.

Change: who leaves the directory is remembered for a minute, the time for which a lost holder is told; a restart of it is told of a token first. It holds since every restart within that time is among the known. The test failed first (0 fenced instead of 1).

--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -199,6 +199,8 @@
     unanswered_grants: UnansweredGrants,
     standbys: Standbys,
     lost_holders: LostHolders,
+    /// Upstreams that are not registered any more, by when they were last.
+    departed: BTreeMap<UpstreamId, Time>,
     owned_again: Vec<OwnedAgain>,
     next_call: u64,
     /// Sequence of the next record.
@@ -241,6 +243,7 @@
                 transit: timing.transit + timing.order_wait,
             }),
             lost_holders: LostHolders::default(),
+            departed: BTreeMap::new(),
             owned_again: Vec::new(),
             next_call: 0,
             next_sequence: 1,
@@ -313,6 +316,7 @@
         self.knows_candidates = true;
         self.lost_holders
             .set_registered(now, |id| next.contains_key(id));
+        self.note_departed(now, &next);
         self.fence_restarts(now, &next);
         let same = next.keys().eq(self.candidates.keys());
         self.candidates = next;
--- a/crates/sharding/src/granter/restarts.rs
+++ b/crates/sharding/src/granter/restarts.rs
@@ -5,8 +5,13 @@
 //! it gets no keys before it has answered a release of all of them under a fresh token.
 //! Keys that the one before held are taken back from it as from any upstream that left:
 //! who answers at its address is the restart, and it answers at once.
+//!
+//! So whoever was registered is remembered for as long as something of it may still come.
+//! Counter-case: an upstream gave its keys back, vanished and was up again a second later;
+//! nothing named the one before, so nobody told the restart of a token for three seconds.
 
 use super::{Candidate, Granter};
+use crate::lost_holders::FORGOTTEN_AFTER;
 use crate::range::KeyRange;
 use crate::slice::Slice;
 use beamtray_catalog::{UpstreamId, UpstreamName};
@@ -14,6 +19,14 @@
 use std::collections::BTreeMap;
 
 impl Granter {
+    /// Remembers those that are not among the next candidates.
+    pub(super) fn note_departed(&mut self, now: Time, next: &BTreeMap<UpstreamId, Candidate>) {
+        self.departed
+            .retain(|id, at| now.since(*at) < FORGOTTEN_AFTER && !next.contains_key(id));
+        let gone = self.candidates.keys().filter(|id| !next.contains_key(*id));
+        self.departed.extend(gone.map(|id| (id.clone(), now)));
+    }
+
     /// Fences those of the next candidates that have started again.
     pub(super) fn fence_restarts(&mut self, now: Time, next: &BTreeMap<UpstreamId, Candidate>) {
         let is_new = |id: &&UpstreamId| !self.candidates.contains_key(*id);
@@ -39,7 +52,8 @@
     fn known_by_name(&self) -> BTreeMap<&UpstreamName, Vec<&UpstreamId>> {
         let holders = self.slices.values().filter_map(Slice::current);
         let known = self.candidates.keys().chain(self.contacts.keys());
-        let known = known.chain(holders).chain(self.lost_holders.upstreams());
+        let known = known.chain(holders).chain(self.departed.keys());
+        let known = known.chain(self.lost_holders.upstreams());
         let mut by_name: BTreeMap<&UpstreamName, Vec<&UpstreamId>> = BTreeMap::new();
         for id in known {
             by_name.entry(&id.name).or_default().push(id);
--- a/crates/sharding/src/lost_holders.rs
+++ b/crates/sharding/src/lost_holders.rs
@@ -44,7 +44,7 @@
 /// How long an upstream that is not registered any more is told. What was written before
 /// it vanished comes by the retransmission after 51 s at the latest; senders reset their
 /// connections long before that.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+pub(crate) const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
 /// An upstream that may still take old grants of keys that it lost.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
--- a/crates/sharding/tests/restarts.rs
+++ b/crates/sharding/tests/restarts.rs
@@ -213,3 +213,44 @@
     }
     assert_eq!(granter.held_count(now), granter.slice_count());
 }
+
+/// The first incarnation vanished, gave its keys back to the last, and nothing holds or is
+/// registered that would name it.
+fn gave_all_back() -> (Granter, FencingToken) {
+    let (mut granter, highest) = granted();
+    granter.set_candidates(at(2_100), [ready("other", None)]);
+    for millis in (2_100..6_000).step_by(20) {
+        for order in granter.poll(at(millis)) {
+            answer(&mut granter, at(millis), &order);
+        }
+        write_record(&mut granter, at(millis));
+    }
+    granter.set_candidates(at(6_000), [ready("other", None), ready("third", None)]);
+    (granter, highest)
+}
+
+/// Seen: an upstream gave its keys back and vanished; a second later it was up again under
+/// its name, and in three seconds nobody told it of a token, until it took a grant that had
+/// been left lying. How: nothing named the one before any more, since it held no keys and was
+/// not registered, so the one that came was taken for a new upstream. The simulator's lines
+/// show it: no order at all to the restart between its start and that grant.
+#[test]
+fn a_restart_is_fenced_though_the_one_before_had_given_all_back() {
+    let (mut granter, highest) = gave_all_back();
+    granter.set_candidates(at(6_100), [candidate(born(2)), ready("other", None)]);
+    assert_eq!(granter.unfenced_count(), 1);
+    let orders = granter.poll(at(6_100)).into_iter();
+    let orders: Vec<GrantOrder> = orders.filter(|order| order.holder == born(2)).collect();
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].kind, OrderKind::Release);
+    assert_eq!(orders[0].range, KeyRange::ALL);
+    assert!(orders[0].token > highest);
+}
+
+/// Nothing is left then that it could take: what is not taken for a minute is lost.
+#[test]
+fn a_restart_long_after_is_a_new_upstream() {
+    let (mut granter, _) = gave_all_back();
+    granter.set_candidates(at(70_000), [candidate(born(2)), ready("other", None)]);
+    assert_eq!(granter.unfenced_count(), 0);
+}
