Upstreams whose registration is missing come after all others, one request at a time

Callers: a 503 after 4 ms, with 1.48 s left and ready upstreams in the pool.

Ruled out: load (it failed alone as well), and the count of arrivals by itself: a 421 is an arrival that an upstream rejected, which the bound on repeats counts, so it stays counted.

Change: an upstream in doubt that has answered no node since gets a request only where no other has room, and one at a time, so that a stale entry costs a node one try.

--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -1,4 +1,10 @@
 //! Which upstream gets a request now.
+//!
+//! One whose registration is missing, and that has answered nothing since, may have ended,
+//! and another process may have its address. It gets a request only where no other upstream
+//! has room, and one at a time. Counter-case: four upstreams ended while the store was away,
+//! and others took their addresses; a request was sent to two of those that had ended, was
+//! answered with 421 by the others, and was refused after 4 ms beside two that were ready.
 
 use super::pools::PoolMember;
 use super::slots::SlotStep;
@@ -80,7 +86,8 @@
         let named = pool.iter().find(|member| member.hash == upstream);
         let is_usable = !self.is_paused(now, upstream) && !request.tried.contains(&upstream);
         let is_warm = |member: &&PoolMember| self.cold_rate(now, &member.registration).is_none();
-        match named.filter(|_| is_usable).filter(is_warm) {
+        let is_there = |member: &&PoolMember| !self.is_in_doubt(member);
+        match named.filter(|_| is_usable).filter(is_warm).filter(is_there) {
             Some(member) => Ok(Choice::Send(member.registration.clone())),
             None => self.choose_any(now, request),
         }
@@ -110,8 +117,9 @@
             let is_free = self.occupancy.total(member.hash) < registration.record.slots;
             let expected = self.expected(now, query.work, registration, member.hash);
             let is_in_time = expected <= query.left * TARGET_SHARE;
-            let is_usable =
-                !self.is_paused(now, member.hash) && !query.tried.contains(&member.hash);
+            let is_usable = !self.is_paused(now, member.hash)
+                && !query.tried.contains(&member.hash)
+                && !self.is_in_doubt(member);
             let until = registration.warm_at;
             if is_free
                 && is_in_time
@@ -191,7 +199,8 @@
         }
     }
 
-    /// The upstream with room that is likely to answer first.
+    /// The upstream with room that is likely to answer first; one that may have ended only if
+    /// there is no other.
     pub(super) fn least_cost<'a>(
         &mut self,
         now: Time,
@@ -199,8 +208,33 @@
         pool: &'a [PoolMember],
     ) -> Option<&'a PoolMember> {
         let start: u64 = self.random.random();
+        let is_there = |member: &PoolMember| !self.is_in_doubt(member);
+        let may_be_tried =
+            |member: &PoolMember| self.is_in_doubt(member) && self.occupancy.own(member.hash) == 0;
+        self.least_cost_of(now, query, pool, start, is_there)
+            .or_else(|| self.least_cost_of(now, query, pool, start, may_be_tried))
+    }
+
+    /// Whether nothing has shown that an upstream is there since its registration went
+    /// missing.
+    fn is_in_doubt(&self, member: &PoolMember) -> bool {
+        let missing_since = member.registration.unconfirmed_since;
+        missing_since.is_some_and(|since| self.heard.get(&member.hash) < Some(&since))
+    }
+
+    fn least_cost_of<'a>(
+        &self,
+        now: Time,
+        query: &Query<'_>,
+        pool: &'a [PoolMember],
+        start: u64,
+        is_eligible: impl Fn(&PoolMember) -> bool,
+    ) -> Option<&'a PoolMember> {
         let mut best: Option<(f64, &PoolMember)> = None;
         for (index, member) in pool.iter().enumerate() {
+            if !is_eligible(member) {
+                continue;
+            }
             let Some(cost) = self.cost(now, query, member) else {
                 continue;
             };
