The gate of orders forgets by time, not with each order

Callers saw nothing; found on reading the change. With more than 1,024 upstreams the gate looked at all of them before each order, which is work that grows with the square of the deployment on the granter's thread. It looks once in 10 s now. The end of a connection is told in one function. A test of what is forgotten.

--- a/crates/router/src/core/order_gate.rs
+++ b/crates/router/src/core/order_gate.rs
@@ -20,10 +20,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Most upstreams that are remembered without a look at which of them are still given
-/// orders; an entry takes some 100 bytes.
-const MANY: usize = 1_024;
-/// How long an upstream that is given no order is remembered where there are many: longer
+/// How long an upstream that is given no order is remembered, twice as long at most: longer
 /// than an order that was given may wait for its connection.
 const REMEMBERED: Duration = Duration::from_secs(10);
 
@@ -40,6 +37,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct OrderGate {
     upstreams: BTreeMap<UpstreamName, Written>,
+    /// When those that are given no orders any more are forgotten next: not with each order,
+    /// which would look at all upstreams for each.
+    forget_at: Time,
 }
 
 impl OrderGate {
@@ -55,7 +55,8 @@
 
     /// Notes that an order is about to be written.
     pub fn written(&mut self, now: Time, order: &GrantOrder) {
-        if self.upstreams.len() >= MANY {
+        if now >= self.forget_at {
+            self.forget_at = now + REMEMBERED;
             self.upstreams
                 .retain(|_, written| now.since(written.at) < REMEMBERED);
         }
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -5,7 +5,7 @@
 use crate::shell::handle::Shared;
 use beamtray_dialect::{CallMethod, HttpAnswer, HttpCall};
 use beamtray_metastore::{StoreCall, StoreOutcome};
-use beamtray_sharding::{GrantReply, OrderKind};
+use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
@@ -91,14 +91,13 @@
         .before(shared.clock.clone(), task.until);
     match timeout(limit, send(shared, address, call, &progress)).await {
         Ok(Ok(answer)) => shared.dialect.decode_order(&task.order.kind, &answer),
-        Ok(Err(failure @ (CallFailure::Ended | CallFailure::BrokenOff))) => {
-            let upstream = &task.order.holder.name;
-            shared.order_gate.borrow_mut().connection_ended(upstream);
-            shared.connections.forget(address);
-            match failure {
-                CallFailure::BrokenOff => GrantReply::BrokenOff,
-                _ => GrantReply::Undelivered,
-            }
+        Ok(Err(CallFailure::Ended)) => {
+            connection_ended(shared, address, &task.order);
+            GrantReply::Undelivered
+        }
+        Ok(Err(CallFailure::BrokenOff)) => {
+            connection_ended(shared, address, &task.order);
+            GrantReply::BrokenOff
         }
         Ok(Err(_)) | Err(_) if progress.may_be_written() => {
             // Other connections may be as dead: on a new one it shows that an
@@ -110,6 +109,13 @@
     }
 }
 
+/// Another process may listen at the upstream's address now.
+fn connection_ended(shared: &Shared, address: SocketAddr, order: &GrantOrder) {
+    let upstream = &order.holder.name;
+    shared.order_gate.borrow_mut().connection_ended(upstream);
+    shared.connections.forget(address);
+}
+
 async fn send(
     shared: &Shared,
     address: SocketAddr,
--- a/crates/router/tests/order_gate.rs
+++ b/crates/router/tests/order_gate.rs
@@ -80,3 +80,17 @@
     gate.written(Time::ZERO, &renewal(14));
     assert!(gate.may_connect(&renewal(11), TERM));
 }
+
+/// A restart long after finds its keys with others: whom no order went to is forgotten, one
+/// that is still given orders is not.
+#[test]
+fn who_is_given_no_orders_is_forgotten() {
+    let mut gate = after_an_end();
+    let mut other = renewal(20);
+    other.holder = UpstreamId::from("ledger-2");
+    gate.written(Time::ZERO + Duration::from_secs(9), &renewal(15));
+    gate.written(Time::ZERO + Duration::from_secs(11), &other);
+    assert!(!gate.may_connect(&renewal(14), TERM));
+    gate.written(Time::ZERO + Duration::from_secs(30), &other);
+    assert!(gate.may_connect(&renewal(14), TERM));
+}
