--- a/crates/routersim/tests/restarts.rs
+++ b/crates/routersim/tests/restarts.rs
@@ -47,8 +47,17 @@
 
 /// What is broken of the promises that are asked for.
 fn broken(plan: impl Fn(u64) -> Vec<Fault>, is_asked: fn(Promise) -> bool) -> Vec<String> {
+    broken_in(0..SEEDS, plan, is_asked)
+}
+
+/// The same in the histories of some seeds.
+fn broken_in(
+    seeds: impl IntoIterator<Item = u64>,
+    plan: impl Fn(u64) -> Vec<Fault>,
+    is_asked: fn(Promise) -> bool,
+) -> Vec<String> {
     let mut all = Vec::new();
-    for seed in 0..SEEDS {
+    for seed in seeds {
         let faults = restarts(seed).into_iter().chain(plan(seed)).collect();
         let outcome = play(config(seed), FaultPlan { faults }, None);
         let violations = outcome.violations.into_iter();
@@ -79,6 +88,17 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Known red: upstreams that end without a word and are up again after 150 ms, while orders
+/// wait on every connection to them, so that none rests that could tell of it. The renewals
+/// that follow open new ones, 1 to 125 ms after the start, under the tokens of the process
+/// before. 3 of the first 240 histories, 23 before connections that ended stopped them.
+#[test]
+fn restarts_that_no_connection_tells_of_take_keys_under_higher_tokens() {
+    let of_restarts = |promise| promise == Promise::RisingTokensOfRestarts;
+    let broken = broken_in([58, 148, 198], |_| Vec::new(), of_restarts);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 #[test]
 fn restarts_in_series_keep_every_promise() {
     keeps_every_promise(|_| Vec::new());
@@ -95,6 +115,16 @@
     keeps_every_promise(late_orders);
 }
 
+/// Known red: 30 of the first 240 histories, none of the first 24. Each grant that breaks the
+/// promise was given to one process and left lying, and is taken by a later one that has not
+/// answered its first release.
+#[test]
+fn restarts_under_late_orders_keep_every_promise_in_other_histories() {
+    let is_asked = |promise| promise != Promise::RisingTokensOfRestarts;
+    let broken = broken_in([27, 28, 30], late_orders, is_asked);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 #[test]
 fn restarts_under_late_orders_make_no_two_owners() {
     let broken = broken(late_orders, |promise| {
