What the lines of the refused request show: entries that vanished together

The comments said that the store had been away. The lines show three entries missing at one moment, in doubt since they vanished together; no outage. Comments only.

--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -2,9 +2,10 @@
 //!
 //! One whose registration is missing, and that has answered nothing since, may have ended,
 //! and another process may have its address. It gets a request only where no other upstream
-//! has room, and one at a time. Counter-case: four upstreams ended while the store was away,
-//! and others took their addresses; a request was sent to two of those that had ended, was
-//! answered with 421 by the others, and was refused after 4 ms beside two that were ready.
+//! has room, and one at a time. Counter-case: three upstreams ended, others took their addresses,
+//! and the registrations of the three vanished together, which proves nothing. A request was
+//! sent to two of them, was answered with 421 by the others, and was refused after 4 ms
+//! beside four that were ready.
 
 use super::pools::PoolMember;
 use super::slots::SlotStep;
--- a/crates/dispatch/tests/unconfirmed.rs
+++ b/crates/dispatch/tests/unconfirmed.rs
@@ -1,8 +1,8 @@
 //! Upstreams whose registrations are missing without proof that they left.
 //!
-//! Seen: a request was refused after 4 ms, with 1.48 s left and two ready upstreams in the
-//! pool. How: four upstreams had ended, and others had registered at their addresses. The
-//! entries of those that ended were missing since an outage of the store, so they counted as
+//! Seen: a request was refused after 4 ms, with 1.48 s left and four ready upstreams in the
+//! pool. How: three upstreams had ended, and others had registered at their addresses. The
+//! entries of those that ended vanished together, which proves nothing, so they counted as
 //! unconfirmed. The request was sent to one of them, which another process answered with 421,
 //! then to the next one, and with that it had been sent as often as its route allows. Cause:
 //! an unconfirmed upstream was chosen like any other. The routers' lines show it:
