Make visible which rates upstreams name: a line, a gauge, and the header decoded once

Whether a node took notice of a named rate could not be seen, so a node that never knew looked like one that keeps below the rate by itself. What is no number tells nothing and costs a bounded line. No decision changes.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod evacuation;
 mod incarnations;
+mod rate;
 mod route_table;
 mod upstream;
 
@@ -17,5 +18,6 @@
 };
 pub use directory::{Directory, DirectoryChange, DirectoryPolicy, Registration};
 pub use incarnations::CLAIM_STANDS;
+pub use rate::{RateWord, RequestRate};
 pub use route_table::RouteTable;
 pub use upstream::{Birth, UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -4,7 +4,7 @@
 //! A [`Dialect`] translates. It decides nothing, waits for nothing and keeps
 //! nothing.
 
-use beamtray_catalog::{Configuration, UpstreamRecord};
+use beamtray_catalog::{Configuration, RateWord, UpstreamRecord};
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
 use thiserror::Error;
@@ -84,6 +84,8 @@
     pub shard_key: &'static str,
     /// What a holder hands over with its keys.
     pub handover: &'static str,
+    /// Requests a second that an upstream takes from all nodes together.
+    pub rate_limit: &'static str,
 }
 
 /// Keys of the metadata store.
@@ -133,4 +135,8 @@
     /// client's request came late in the place of the order's answer, which is
     /// then not known.
     fn decode_order(&self, kind: &OrderKind, answer: &HttpAnswer) -> GrantReply;
+
+    /// Reads what an upstream's answer says of the rate that it takes, from the values of
+    /// the header for it, in their order.
+    fn decode_rate(&self, values: &[&[u8]]) -> RateWord;
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
 mod cold_starts;
 mod decide;
 mod faults;
+mod limits;
 mod outcome;
 mod pools;
 mod reports;
@@ -14,6 +15,7 @@
 use crate::fingerprint::{Fingerprint, Fingerprints};
 use crate::occupancy::Occupancy;
 use crate::quarantine::{Quarantine, RunHash};
+use crate::rate_limit::KnownLimits;
 use crate::report::{NodeHash, UpstreamHash};
 use crate::request::{Admission, AssignmentNumber, RequestHead, Ticket, UnknownCause};
 use crate::speed::SpeedTable;
@@ -174,6 +176,7 @@
     doubted_at: HashMap<UpstreamHash, Time>,
     /// When each upstream last answered a request of any node.
     heard: HashMap<UpstreamHash, Time>,
+    limits: KnownLimits,
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
     nodes: usize,
     sequence: u32,
@@ -214,6 +217,7 @@
             doubted: Vec::new(),
             doubted_at: HashMap::new(),
             heard: HashMap::new(),
+            limits: KnownLimits::default(),
             key_loads: HashMap::new(),
             nodes: 1,
             sequence: 0,
@@ -278,6 +282,7 @@
         self.speeds.retain(|hash| known.contains(&hash));
         self.heard.retain(|hash, _| known.contains(hash));
         self.doubted_at.retain(|hash, _| known.contains(hash));
+        self.limits.retain(|hash| known.contains(&hash));
         for registration in directory.iter() {
             let record = &registration.record;
             if record.state == UpstreamState::Draining {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod fingerprint;
 mod occupancy;
 mod quarantine;
+mod rate_limit;
 mod report;
 mod request;
 mod speed;
@@ -24,6 +25,7 @@
     Quarantine, QuarantineNotice, RunHash, Suspicion, SuspicionRecord, TrialOutcome, TrialReply,
     TrialReport, TrialRequest, UPSTREAMS_ENDED,
 };
+pub use rate_limit::LimitNotice;
 pub use report::{
     Answers, Contained, InFlight, KeyLoad, KeyReport, LoadReport, LoadSum, NodeHash, UpstreamHash,
 };
--- /dev/null
+++ b/crates/dispatch/src/rate_limit.rs
@@ -0,0 +1,6 @@
+//! Rates that upstreams name.
+
+mod known;
+
+pub(crate) use known::KnownLimits;
+pub use known::LimitNotice;
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -3,11 +3,11 @@
 use crate::core::node::CoreConfig;
 use crate::core::standby::{StandbyReport, StandbyState, StandbyWord};
 use crate::core::views::{Snapshot, ViewHeads, ViewName, ViewNotice, ViewRequest};
-use beamtray_catalog::{ClientLimits, UpstreamId};
+use beamtray_catalog::{ClientLimits, RateWord, UpstreamId};
 use beamtray_dispatch::{
-    Admission, Answers, AttemptOutcome, DoubtedUpstream, Ending, Forward, KeyReport, LoadReport,
-    LoadSum, QuarantineNotice, RequestHead, SlotReply, SlotRequest, Suspicion, Ticket, TrialReply,
-    TrialReport, TrialRequest,
+    Admission, Answers, AttemptOutcome, DoubtedUpstream, Ending, Forward, KeyReport, LimitNotice,
+    LoadReport, LoadSum, QuarantineNotice, RequestHead, SlotReply, SlotRequest, Suspicion, Ticket,
+    TrialReply, TrialReport, TrialRequest,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{FenceNotice, GrantOrder, GrantReply, OwnedAgain};
@@ -177,6 +177,8 @@
         ticket: Ticket,
         /// How.
         outcome: AttemptOutcome,
+        /// What its answer said of the rate that the upstream takes; none if none came.
+        rate: Option<RateWord>,
     },
     /// The client left.
     Cancelled {
@@ -256,6 +258,8 @@
     Probe(DoubtedUpstream),
     /// What is known of requests that end upstreams changed.
     Quarantine(QuarantineNotice),
+    /// What is known of the rates that upstreams take changed.
+    RateLimit(LimitNotice),
     /// Bounds on clients changed.
     Limits(ClientLimits),
     /// A belief changed.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -3,6 +3,7 @@
 mod fetch;
 mod load;
 mod quarantine;
+mod rate_limits;
 mod slots;
 mod standby;
 mod store_path;
@@ -139,7 +140,14 @@
                     self.outputs.push(Output::Deny(ticket, admission));
                 }
             }
-            Input::Ended { ticket, outcome } => {
+            Input::Ended {
+                ticket,
+                outcome,
+                rate,
+            } => {
+                if let Some(word) = rate {
+                    self.dispatcher.rate_named(now, ticket, word);
+                }
                 if outcome == AttemptOutcome::Untouched(Untouched::Misdirected) {
                     self.fetch_from_granter(now);
                 }
@@ -187,6 +195,7 @@
             Input::Stop => self.stop(),
         }
         self.follow_quarantine(now);
+        self.follow_rate_limits();
         self.tell_changes(now);
         if may_decide {
             self.dispatch(now);
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -4,6 +4,7 @@
 use crate::shell::answer::strip_connection_headers;
 use crate::shell::connections::{Answer, CallFailure, CallProgress};
 use crate::shell::handle::{AnswerBody, Shared, Step};
+use beamtray_catalog::RateWord;
 use beamtray_dispatch::{AttemptOutcome, Fingerprints, Forward, Ticket, UnknownCause, Untouched};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -32,6 +33,8 @@
     response: Option<Response<AnswerBody>>,
     /// Set when an upstream of another name answered at the upstream's address.
     replaced: bool,
+    /// What the upstream's answer said of the rate that it takes.
+    rate: Option<RateWord>,
 }
 
 impl Result {
@@ -40,6 +43,7 @@
             outcome,
             response: None,
             replaced: false,
+            rate: None,
         }
     }
 }
@@ -91,6 +95,7 @@
     shared.input(Input::Ended {
         ticket,
         outcome: result.outcome,
+        rate: result.rate,
     });
 }
 
@@ -149,6 +154,9 @@
     let foreign = id.is_some_and(|id| id != request.id);
     let status = answer.head.status;
     let not_executed = headers.contains_key(names.not_executed);
+    let named = headers.get_all(names.rate_limit).iter();
+    let named: Vec<&[u8]> = named.map(HeaderValue::as_bytes).collect();
+    let rate = (!foreign).then(|| shared.dialect.decode_rate(&named));
     if !foreign && (not_executed || status == StatusCode::MISDIRECTED_REQUEST) {
         let answering = text(names.answering_upstream);
         let replaced = answering.is_some_and(|name| name != forward.upstream.name.0);
@@ -161,6 +169,8 @@
             outcome: AttemptOutcome::Untouched(proof),
             response: None,
             replaced,
+            // Another upstream speaks of itself.
+            rate: rate.filter(|_| !replaced),
         };
     }
     let unsigned = status.is_success() && text(names.signature).is_none();
@@ -190,5 +200,6 @@
         },
         response: Some(response),
         replaced: false,
+        rate,
     }
 }
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -67,6 +67,7 @@
     slots_in_use: Family<UpstreamLabel, Gauge>,
     slots: Family<SlotLabel, Gauge>,
     suspects: Family<SuspectLabel, Gauge>,
+    limited_upstreams: Gauge,
     pub trials: Family<TrialLabel, Counter>,
     slices: Gauge,
     slices_held: Gauge,
@@ -104,6 +105,7 @@
             slots_in_use: Family::default(),
             slots: Family::default(),
             suspects: Family::default(),
+            limited_upstreams: Gauge::default(),
             trials: Family::default(),
             slices: Gauge::default(),
             slices_held: Gauge::default(),
@@ -214,6 +216,11 @@
             "Fingerprints of requests under which upstreams ended, and of those kept off",
             self.suspects.clone(),
         );
+        registry.register(
+            "limited_upstreams",
+            "Upstreams that name the requests a second that they take",
+            self.limited_upstreams.clone(),
+        );
         registry.register(
             "trials",
             "Trials of requests under which upstreams ended, by outcome",
@@ -297,6 +304,8 @@
             let label = SuspectLabel { state };
             self.suspects.get_or_create(&label).set(count as i64);
         }
+        self.limited_upstreams
+            .set(dispatcher.limited_count() as i64);
         let (slices, held) = control.slice_counts(now);
         self.slices.set(slices as i64);
         self.slices_held.set(held as i64);
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -3,6 +3,7 @@
 mod names;
 mod ownership;
 mod quarantine;
+mod rate_limits;
 
 use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
 use crate::shell::attempt::ClientRequest;
--- a/crates/router/src/shell/rate.rs
+++ b/crates/router/src/shell/rate.rs
@@ -17,6 +17,8 @@
     Suspicion,
     /// Entries of the store that can't be used.
     Entry,
+    /// Rates that upstreams name.
+    Limit,
 }
 
 impl LineKind {
@@ -30,6 +32,8 @@
             LineKind::Suspicion => 20,
             // Another writer decides how many there are and how often they change.
             LineKind::Entry => 20,
+            // An upstream may name another one with each answer.
+            LineKind::Limit => 20,
         }
     }
 }
--- a/crates/router/tests/restarts.rs
+++ b/crates/router/tests/restarts.rs
@@ -111,8 +111,13 @@
     fn breaks_off(&mut self, millis: u64, ticket: u64) {
         let ticket = Ticket(ticket);
         let outcome = AttemptOutcome::Unknown(UnknownCause::BrokenOff);
-        self.core
-            .handle(at(millis), Input::Ended { ticket, outcome });
+        let rate = None;
+        let ended = Input::Ended {
+            ticket,
+            outcome,
+            rate,
+        };
+        self.core.handle(at(millis), ended);
     }
 }
 
--- a/crates/routersim/src/dialect.rs
+++ b/crates/routersim/src/dialect.rs
@@ -1,7 +1,7 @@
 //! Values of the emulated store: numbers of entries in a shared list, so that
 //! the world needs no format of its own.
 
-use beamtray_catalog::{Configuration, UpstreamRecord};
+use beamtray_catalog::{Configuration, RateWord, UpstreamRecord};
 use beamtray_dialect::{
     CallMethod, Dialect, DialectError, HeaderNames, HttpAnswer, HttpCall, StoreKeys,
 };
@@ -19,6 +19,7 @@
     signature: "signature",
     shard_key: "key",
     handover: "handover",
+    rate_limit: "rate-limit",
 };
 
 const KEYS: StoreKeys = StoreKeys {
@@ -121,4 +122,8 @@
     fn decode_order(&self, _: &OrderKind, _: &HttpAnswer) -> GrantReply {
         GrantReply::Unanswered
     }
+
+    fn decode_rate(&self, _: &[&[u8]]) -> RateWord {
+        RateWord::Unlimited
+    }
 }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -316,7 +316,8 @@
                 self.suspicion.notices += 1;
                 self.note_remembered(node);
             }
-            Output::Limits(_)
+            Output::RateLimit(_)
+            | Output::Limits(_)
             | Output::Notice(_)
             | Output::Granter(_)
             | Output::Ownership(..)
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -475,7 +475,16 @@
             return;
         }
         *number = attempt;
-        self.input(node, run, Input::Ended { ticket, outcome });
+        let rate = None;
+        self.input(
+            node,
+            run,
+            Input::Ended {
+                ticket,
+                outcome,
+                rate,
+            },
+        );
         if matches!(outcome, AttemptOutcome::Answered { .. }) {
             self.answered(node, run, ticket);
         }
