Upstreams that name a rate go on getting what they got: tests that fail

With three real routers an upstream that names 4.5 a second gets 105 in 4 s, allowed 32, while every router's line says that it knows: so it is not that one node keeps below the rate and eleven do not; no node does anything about it.

--- a/crates/routersim/src/check.rs
+++ b/crates/routersim/src/check.rs
@@ -1,11 +1,14 @@
 //! Checkers. Each sees events at clients, upstreams and the store, and objects
 //! to a history in which its promise is broken.
 
+mod rate_limit;
 mod tokens;
 
 use beamtray_catalog::{UpstreamId, UpstreamName};
 use beamtray_sharding::ShardKey;
 use beamtray_types::{Time, Zone};
+use rate_limit::RateLimits;
+pub use rate_limit::Sender;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::time::Duration;
@@ -40,6 +43,9 @@
     /// A request that ended three times with the upstream that ran it comes to upstreams
     /// no more than three times more from nodes that had the time to hear of it.
     PoisonKeptOff,
+    /// An upstream that names the requests a second that it takes gets not much more from
+    /// all nodes together that had such an answer.
+    RateLimit,
     /// After the troubles most requests are served again.
     Recovery,
 }
@@ -127,6 +133,7 @@
     evacuated: BTreeMap<Zone, Time>,
     /// Requests that reached cold upstreams within the last second.
     cold: BTreeMap<UpstreamId, VecDeque<Time>>,
+    rate_limits: RateLimits,
     poison: BTreeMap<String, Poison>,
     late_served: usize,
     late_asked: usize,
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -97,6 +97,13 @@
         /// Which links.
         from: CutFrom,
     },
+    /// An upstream is in need: its answers name the requests a second that it takes.
+    UpstreamInNeed {
+        /// Its number.
+        upstream: usize,
+        /// Requests in a thousand seconds.
+        rate_milli: u32,
+    },
     /// A node's machine loses power, and starts again after the time.
     NodePowerLoss {
         /// The node; the granter for none.
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -3,6 +3,7 @@
 use super::World;
 use super::network::Event;
 use crate::fault::{CutFrom, Trouble};
+use beamtray_catalog::RequestRate;
 use beamtray_sharding::ShardKey;
 use rand::RngExt;
 use std::time::Duration;
@@ -85,6 +86,13 @@
             Trouble::UpstreamUnreachable { upstream, from } => {
                 self.cut_links(*upstream, from.clone());
             }
+            Trouble::UpstreamInNeed {
+                upstream,
+                rate_milli,
+            } => {
+                let rate = RequestRate::new(f64::from(*rate_milli) / 1e3);
+                self.set_rate(*upstream, rate);
+            }
             Trouble::NodePowerLoss { node: chosen } => {
                 if let Some(node) = chosen.or_else(|| self.granter()) {
                     self.nodes[node].boot += 1;
@@ -219,6 +227,7 @@
                 state.cut_since = None;
                 state.healed_at = Some(self.now);
             }
+            Trouble::UpstreamInNeed { upstream, .. } => self.set_rate(*upstream, None),
             Trouble::ZoneEvacuation { zone } => self.end_evacuation(zone),
             Trouble::OrdersLate { .. } => self.orders_late_percent = 0,
             Trouble::AnswersLost { .. } => self.answers_lost_percent = 0,
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -2,6 +2,7 @@
 
 use super::World;
 use super::links::WrittenOrder;
+use super::upstreams::Answer;
 use crate::fault::Trouble;
 use beamtray_catalog::{UpstreamId, UpstreamRecord};
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket};
@@ -87,6 +88,7 @@
         ticket: Ticket,
         attempt: u32,
         outcome: AttemptOutcome,
+        answer: Option<Answer>,
     },
     RunEnds {
         index: usize,
@@ -262,7 +264,8 @@
                 ticket,
                 attempt,
                 outcome,
-            } => self.attempt_ends(node, run, ticket, attempt, outcome),
+                answer,
+            } => self.attempt_ends(node, run, ticket, attempt, outcome, answer),
             Event::RunEnds {
                 index,
                 incarnation,
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -4,8 +4,9 @@
 use super::restarts::tells_birth;
 use super::{KEYED, POOL, World};
 use crate::check::COLD_START;
+use crate::check::Sender;
 use crate::fault::CutFrom;
-use beamtray_catalog::{Birth, UpstreamId, UpstreamState as Announced};
+use beamtray_catalog::{Birth, RateWord, RequestRate, UpstreamId, UpstreamState as Announced};
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket, UnknownCause, Untouched};
 use beamtray_emulator::{
     Arrival, FullPolicy, Run as WorkRun, RunId, UpstreamConfig, UpstreamEmulator, WorkRequest,
@@ -42,6 +43,13 @@
     begun: bool,
 }
 
+/// What an upstream's answer says besides.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub upstream: UpstreamId,
+    pub rate: RateWord,
+}
+
 /// A release that waits for work to end.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingRelease {
@@ -72,6 +80,8 @@
     pub healed_at: Option<Time>,
     /// Until when it is cold.
     pub cold_until: Time,
+    /// The rate that its answers name.
+    pub rate: Option<RequestRate>,
     /// Whether it took its registration back for good.
     pub withdrawn: bool,
     pub next_heartbeat: Time,
@@ -252,6 +262,7 @@
                 ticket,
                 attempt,
                 outcome,
+                answer: None,
             },
         );
         let delay = self.millis(1, 3);
@@ -266,6 +277,43 @@
         );
     }
 
+    /// A request of a node comes to an upstream.
+    fn check_rate(&mut self, index: usize, node: usize, run: Run, upstream: &UpstreamId) {
+        let present = self.upstreams[index].as_ref();
+        if present.is_none_or(|present| present.config.id != *upstream) {
+            return;
+        }
+        let sender = Sender { node, run };
+        let excused: Vec<bool> = (0..self.nodes.len())
+            .map(|node| !self.is_connected(node))
+            .collect();
+        let is_excused = |sender: Sender| excused[sender.node];
+        self.checkers
+            .arrives_limited(self.now, upstream, sender, is_excused);
+    }
+
+    /// An answer comes to a node, with the rate that its upstream names.
+    fn note_rate_told(&mut self, node: usize, run: Run, answer: &Answer) {
+        if self.nodes[node].run == run && matches!(answer.rate, RateWord::Limited(_)) {
+            let sender = Sender { node, run };
+            self.checkers.told_rate(self.now, &answer.upstream, sender);
+        }
+    }
+
+    /// An upstream begins to name a rate, or ceases to.
+    pub(super) fn set_rate(&mut self, index: usize, rate: Option<RequestRate>) {
+        self.upstream_state[index].rate = rate;
+        let Some(upstream) = &self.upstreams[index] else {
+            return;
+        };
+        match rate {
+            Some(rate) => self
+                .checkers
+                .names_rate(self.now, &upstream.config.id, rate),
+            None => self.checkers.names_no_rate(&upstream.config.id),
+        }
+    }
+
     fn check_configuration(&mut self, node: usize) {
         let Some((at, newest)) = self.configurations.last().copied() else {
             return;
@@ -336,6 +384,7 @@
             target: forward.upstream.clone(),
             work: asked.work,
         };
+        self.check_rate(index, node, run, &forward.upstream);
         let now = self.now;
         let arrival = match &mut self.upstreams[index] {
             Some(upstream) => upstream.arrive(now, request),
@@ -356,11 +405,11 @@
             }
             Arrival::Full => {
                 let outcome = AttemptOutcome::Untouched(Untouched::Full);
-                self.end_attempt(soon, &taken, outcome);
+                self.answer_attempt(soon, index, &taken, outcome);
             }
             Arrival::Misdirected => {
                 let outcome = AttemptOutcome::Untouched(Untouched::Misdirected);
-                self.end_attempt(soon, &taken, outcome);
+                self.answer_attempt(soon, index, &taken, outcome);
             }
             Arrival::Hangs => {}
         }
@@ -444,11 +493,39 @@
     /// time ends it then.
     fn end_reached(&mut self, index: usize, taken: &Taken, outcome: AttemptOutcome) {
         if self.reaches(taken.node, index) {
-            self.end_attempt(Duration::from_millis(1), taken, outcome);
+            self.answer_attempt(Duration::from_millis(1), index, taken, outcome);
         }
     }
 
+    /// Ends an attempt with its upstream's answer, if the outcome is one.
+    fn answer_attempt(
+        &mut self,
+        after: Duration,
+        index: usize,
+        taken: &Taken,
+        outcome: AttemptOutcome,
+    ) {
+        let is_answer = !matches!(outcome, AttemptOutcome::Unknown(_));
+        let present = self.upstreams[index].as_ref().filter(|_| is_answer);
+        let rate = self.upstream_state[index].rate;
+        let answer = present.map(|upstream| Answer {
+            upstream: upstream.config.id.clone(),
+            rate: rate.map_or(RateWord::Unlimited, RateWord::Limited),
+        });
+        self.schedule_end(after, taken, outcome, answer);
+    }
+
     fn end_attempt(&mut self, after: Duration, taken: &Taken, outcome: AttemptOutcome) {
+        self.schedule_end(after, taken, outcome, None);
+    }
+
+    fn schedule_end(
+        &mut self,
+        after: Duration,
+        taken: &Taken,
+        outcome: AttemptOutcome,
+        answer: Option<Answer>,
+    ) {
         self.schedule(
             after,
             Event::AttemptEnds {
@@ -457,6 +534,7 @@
                 ticket: taken.ticket,
                 attempt: taken.attempt,
                 outcome,
+                answer,
             },
         );
     }
@@ -469,13 +547,17 @@
         ticket: Ticket,
         attempt: u32,
         outcome: AttemptOutcome,
+        answer: Option<Answer>,
     ) {
         let number = self.ended_attempts.entry((node, run, ticket)).or_default();
         if *number >= attempt {
             return;
         }
         *number = attempt;
-        let rate = None;
+        if let Some(answer) = &answer {
+            self.note_rate_told(node, run, answer);
+        }
+        let rate = answer.map(|answer| answer.rate);
         self.input(
             node,
             run,
--- /dev/null
+++ b/crates/routersim/tests/named_rates.rs
@@ -0,0 +1,91 @@
+//! Upstreams in need name the requests a second that they take from all nodes together.
+//!
+//! Seen: two holders of keys named 4.5 a second each and went on getting 12, from all of
+//! eleven nodes that had passed such an answer on, each of which sent 1 to 8 in four seconds.
+
+use beamtray_routersim::{Fault, FaultPlan, Trouble, WorldConfig, play};
+use beamtray_types::Time;
+use std::time::Duration;
+
+const SEEDS: u64 = 12;
+/// Requests in a thousand seconds that an upstream in need takes; it gets three times as
+/// many.
+const RATE_MILLI: u32 = 3_500;
+
+fn config(seed: u64) -> WorldConfig {
+    WorldConfig {
+        nodes: 8,
+        keyed: 4,
+        pool: 4,
+        rate: 60,
+        ..WorldConfig::drawn(seed)
+    }
+}
+
+fn in_need(upstream: usize, millis: u64, lasts: u64) -> Fault {
+    Fault {
+        at: Time(millis * 1_000),
+        lasts: Duration::from_millis(lasts),
+        trouble: Trouble::UpstreamInNeed {
+            upstream,
+            rate_milli: RATE_MILLI,
+        },
+    }
+}
+
+fn fault(millis: u64, lasts: u64, trouble: Trouble) -> Fault {
+    Fault {
+        at: Time(millis * 1_000),
+        lasts: Duration::from_millis(lasts),
+        trouble,
+    }
+}
+
+/// Histories in which a promise is broken.
+fn broken(faults: &[Fault]) -> Vec<String> {
+    let mut all = Vec::new();
+    for seed in 0..SEEDS {
+        let plan = FaultPlan {
+            faults: faults.to_vec(),
+        };
+        let violations = play(config(seed), plan, None).violations;
+        all.extend(violations.first().map(|one| format!("seed {seed}: {one}")));
+    }
+    all
+}
+
+#[test]
+fn a_holder_of_keys_gets_no_more_than_it_takes() {
+    let broken = broken(&[in_need(0, 8_000, 10_000)]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+#[test]
+fn nor_do_two_of_four_that_hold_no_keys() {
+    let broken = broken(&[in_need(4, 8_000, 10_000), in_need(5, 8_000, 10_000)]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Nodes that are killed, or cut off from the others, are excused; the others are not.
+#[test]
+fn nor_while_nodes_are_lost() {
+    let broken = broken(&[
+        in_need(0, 8_000, 12_000),
+        in_need(4, 8_000, 12_000),
+        fault(10_000, 3_000, Trouble::NodeKill { node: Some(1) }),
+        fault(11_000, 4_000, Trouble::PeerCut { node: 2 }),
+        fault(12_500, 3_000, Trouble::NodeKill { node: None }),
+        fault(13_000, 2_000, Trouble::NodeFreeze { node: Some(3) }),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// The promise is about need that comes and goes, too.
+#[test]
+fn nor_when_it_is_in_need_again_and_again() {
+    let again: Vec<Fault> = (0..3)
+        .map(|time| in_need(0, 8_000 + 4_500 * time, 4_000))
+        .collect();
+    let broken = broken(&again);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -112,6 +112,8 @@
     /// Speed of its clock for holds, in percent.
     #[options(default = "100")]
     clock_percent: u32,
+    /// Requests in a thousand seconds that its answers name as what it takes.
+    rate_milli: Option<u32>,
 }
 
 #[derive(Debug, Options)]
@@ -172,6 +174,7 @@
                     service: upstream.service,
                     zone: upstream.zone,
                     clock_percent: upstream.clock_percent.max(1),
+                    rate_milli: upstream.rate_milli,
                 })
                 .await?;
                 Ok(true)
--- a/crates/soak/src/message.rs
+++ b/crates/soak/src/message.rs
@@ -149,6 +149,9 @@
     Configure(u64),
     /// Percent of the answers that an upstream loses from now on.
     LoseAnswers(u32),
+    /// Requests in a thousand seconds that an upstream's answers name from now on as what it
+    /// takes; none if they name nothing.
+    NameRate(Option<u32>),
     /// Newest version that callers probe for.
     Probe(u64),
     /// Callers begin.
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -167,7 +167,11 @@
                 let version = *version;
                 self.reporter.tell(Observation::Configured { version });
             }
-            Command::LoseAnswers(_) | Command::Probe(_) | Command::Begin | Command::End => {}
+            Command::LoseAnswers(_)
+            | Command::NameRate(_)
+            | Command::Probe(_)
+            | Command::Begin
+            | Command::End => {}
         }
     }
 
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -67,6 +67,9 @@
     pub driver: SocketAddr,
     /// How fast its clock for holds runs, in percent.
     pub clock_percent: u32,
+    /// Requests in a thousand seconds that its answers name as what it takes from all
+    /// routers together, until it is told otherwise.
+    pub rate_milli: Option<u32>,
 }
 
 type Answer = Response<Full<Bytes>>;
@@ -77,6 +80,7 @@
     /// Requests that wait for a slot.
     waiting: RefCell<HashMap<String, oneshot::Sender<Option<Run>>>>,
     lost_percent: Cell<u32>,
+    rate_milli: Cell<Option<u32>>,
     calls: Cell<u64>,
     reporter: Reporter,
 }
@@ -102,11 +106,13 @@
         full: FullPolicy::Hang,
         slowness_percent: 100,
     });
+    let rate_milli = settings.rate_milli;
     let upstream = Rc::new(Upstream {
         settings,
         emulator: RefCell::new(emulator),
         waiting: RefCell::default(),
         lost_percent: Cell::new(0),
+        rate_milli: Cell::new(rate_milli),
         calls: Cell::new(0),
         reporter,
     });
@@ -117,6 +123,7 @@
             _ = terminate.recv() => break,
             command = commands.recv() => match command {
                 Some(Command::LoseAnswers(percent)) => upstream.lost_percent.set(percent),
+                Some(Command::NameRate(rate_milli)) => upstream.rate_milli.set(rate_milli),
                 Some(_) => {}
                 None => return Ok(()),
             },
@@ -174,7 +181,9 @@
         let answer = task.await;
         return Ok(answer.unwrap_or_else(|_| upstream.status(500)));
     }
-    Ok(upstream.request(&head.headers, &path).await)
+    let mut answer = upstream.request(&head.headers, &path).await;
+    upstream.name_rate(&mut answer);
+    Ok(answer)
 }
 
 /// Tells when a request's work ended, also when its caller left.
@@ -231,6 +240,14 @@
         }
     }
 
+    /// Has an answer name the rate that this upstream takes.
+    fn name_rate(&self, response: &mut Answer) {
+        if let Some(milli) = self.rate_milli.get() {
+            let rate = f64::from(milli) / 1e3;
+            self.sign(response, Platform.headers().rate_limit, &rate.to_string());
+        }
+    }
+
     fn not_executed(&self, status: u16) -> Answer {
         let mut response = self.status(status);
         self.sign(&mut response, Platform.headers().not_executed, "1");
--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -155,7 +155,16 @@
 
     /// The same in a service of that name.
     pub fn start_in(&self, service: &str, folder: &Path) -> Process {
-        let arguments = [
+        self.start_with(service, Vec::new(), folder)
+    }
+
+    /// One whose answers name that many requests in a thousand seconds.
+    pub fn start_in_need(&self, rate_milli: u32, folder: &Path) -> Process {
+        self.start_with("pool", vec![format!("--rate-milli={rate_milli}")], folder)
+    }
+
+    fn start_with(&self, service: &str, more: Vec<String>, folder: &Path) -> Process {
+        let mut arguments = vec![
             "upstream".to_owned(),
             format!("--id={}", self.id),
             format!("--service={service}"),
@@ -165,6 +174,7 @@
             format!("--store={}", self.store),
             format!("--driver={}", self.driver),
         ];
+        arguments.extend(more);
         Process::start(soak(), &arguments, &folder.join("upstreams.log"))
     }
 }
