Requests to an upstream that names a rate need a permit, lent by three nodes

What callers saw: nothing; what upstreams saw: two holders of keys in need named 4.5 requests a second each and went on getting 12, from all eleven nodes that had passed such answers on.

Cause: nobody read what the answers named. Ruled out: repeats (all counted sends were first attempts), and nodes that keep to the rate each by itself (with the rate made visible every node knew and none changed its pace). Reading it alone would not do: each of eleven nodes sent no more than 8 in 4 s.

Mend: each request to such an upstream needs a permit. Three nodes, picked by a hash as the senders to cold upstreams are, lend a third of the rate each; a bucket that takes another's place begins empty, so views that differ for a moment, restarts and lost words never let more through. What nodes sent in the seconds before is worked off first, for one second at the most; where an upstream gets less than it takes nothing is held back. Requests without a key go to upstreams with room first. What can't have a permit in time is refused at once, with a time to come back that is spread over the lenders' backlog.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -15,7 +15,7 @@
 use crate::fingerprint::{Fingerprint, Fingerprints};
 use crate::occupancy::Occupancy;
 use crate::quarantine::{Quarantine, RunHash};
-use crate::rate_limit::KnownLimits;
+use crate::rate_limit::RateLimits;
 use crate::report::{NodeHash, UpstreamHash};
 use crate::request::{Admission, AssignmentNumber, RequestHead, Ticket, UnknownCause};
 use crate::speed::SpeedTable;
@@ -110,6 +110,16 @@
     returned: bool,
     /// The holder that denied the key, and the assignment that named it.
     denied: Option<Denial>,
+    /// Whose rate it last waited for.
+    limited_by: Option<LimitWait>,
+}
+
+/// A request waits for a permit to be sent to an upstream that names a rate.
+#[derive(Clone, Copy, Debug)]
+struct LimitWait {
+    upstream: UpstreamHash,
+    /// When there may be one; none while a lender's answer is waited for.
+    until: Option<Time>,
 }
 
 /// A holder said that it does not hold a key.
@@ -176,7 +186,7 @@
     doubted_at: HashMap<UpstreamHash, Time>,
     /// When each upstream last answered a request of any node.
     heard: HashMap<UpstreamHash, Time>,
-    limits: KnownLimits,
+    limits: RateLimits,
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
     nodes: usize,
     sequence: u32,
@@ -189,7 +199,8 @@
     /// A dispatcher that knows no configuration yet.
     pub fn new(config: DispatchConfig) -> Self {
         let random = ChaCha8Rng::seed_from_u64(config.run);
-        let cold_starts = ColdStarts::new(NodeHash::of(&config.node), config.cold_start);
+        let own = NodeHash::of(&config.node);
+        let cold_starts = ColdStarts::new(own, config.cold_start);
         Self {
             config,
             configured: false,
@@ -217,7 +228,7 @@
             doubted: Vec::new(),
             doubted_at: HashMap::new(),
             heard: HashMap::new(),
-            limits: KnownLimits::default(),
+            limits: RateLimits::new(own, random.clone().random()),
             key_loads: HashMap::new(),
             nodes: 1,
             sequence: 0,
@@ -258,6 +269,7 @@
 
     /// States which nodes there are, this one included if it is registered.
     pub fn set_members(&mut self, now: Time, members: Vec<NodeHash>) {
+        self.limits.set_nodes(now, &members);
         self.cold_starts.set_nodes(now, members);
     }
 
@@ -344,6 +356,7 @@
                 unknown: None,
                 returned,
                 denied: None,
+                limited_by: None,
                 route,
             },
         );
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -10,6 +10,7 @@
 use super::pools::PoolMember;
 use super::slots::SlotStep;
 use super::{Dispatcher, Request};
+use crate::rate_limit::PermitRequest;
 use crate::report::UpstreamHash;
 use crate::request::{AssignmentNumber, RefusalReason};
 use beamtray_catalog::{ColdStart, Directory, Registration, UpstreamId};
@@ -18,7 +19,7 @@
 use rand::RngExt;
 
 /// Part of the time left that likely work may take.
-const TARGET_SHARE: f64 = 0.85;
+pub(super) const TARGET_SHARE: f64 = 0.85;
 /// Part of a route's target latency that its work takes while nothing is
 /// learned.
 const UNKNOWN_WORK_SHARE: f64 = 0.33;
@@ -41,6 +42,8 @@
     Ask,
     /// The relay's answer is waited for.
     Wait,
+    /// A lender is asked for permits.
+    AskPermit(PermitRequest),
 }
 
 /// What is looked for on behalf of a request.
@@ -51,6 +54,8 @@
     pub left: f64,
     /// Upstreams that it is not to be sent to.
     pub tried: &'a [UpstreamHash],
+    /// Whether another node would send it: the permits here are not for that.
+    pub is_others: bool,
 }
 
 impl Dispatcher {
@@ -61,12 +66,16 @@
         request: &mut Request,
     ) -> Result<Choice, RefusalReason> {
         if let Some(key) = request.key {
-            let holder = self.choose_holder(now, directory, request, key)?;
-            return Ok(Choice::Send(holder.clone()));
+            let holder = self.choose_holder(now, directory, request, key)?.clone();
+            let hash = UpstreamHash::of(&holder.record.id);
+            return self.with_permit(now, request, hash, &holder);
         }
         if let Some(cold) = self.choose_cold(now, request) {
             return Ok(Choice::Send(cold));
         }
+        if let Some(choice) = self.choose_limited_early(now, request) {
+            return Ok(choice);
+        }
         match self.slot_step(now, request) {
             SlotStep::Ask => Ok(Choice::Ask),
             SlotStep::Wait => Ok(Choice::Wait),
@@ -80,7 +89,7 @@
     fn use_slot(
         &mut self,
         now: Time,
-        request: &Request,
+        request: &mut Request,
         upstream: UpstreamHash,
     ) -> Result<Choice, RefusalReason> {
         let pool = self.pools.of(&request.service);
@@ -88,7 +97,9 @@
         let is_usable = !self.is_paused(now, upstream) && !request.tried.contains(&upstream);
         let is_warm = |member: &&PoolMember| self.cold_rate(now, &member.registration).is_none();
         let is_there = |member: &&PoolMember| !self.is_in_doubt(member);
-        match named.filter(|_| is_usable).filter(is_warm).filter(is_there) {
+        let is_permitted = |member: &&PoolMember| self.limits.has_permit(now, member.hash);
+        let named = named.filter(|_| is_usable).filter(is_permitted);
+        match named.filter(is_warm).filter(is_there) {
             Some(member) => Ok(Choice::Send(member.registration.clone())),
             None => self.choose_any(now, request),
         }
@@ -118,9 +129,8 @@
             let is_free = self.occupancy.total(member.hash) < registration.record.slots;
             let expected = self.expected(now, query.work, registration, member.hash);
             let is_in_time = expected <= query.left * TARGET_SHARE;
-            let is_usable = !self.is_paused(now, member.hash)
-                && !query.tried.contains(&member.hash)
-                && !self.is_in_doubt(member);
+            let is_usable =
+                self.is_usable(now, &query, member) && !self.is_limited(now, &query, member);
             let until = registration.warm_at;
             if is_free
                 && is_in_time
@@ -190,16 +200,29 @@
         })
     }
 
-    fn choose_any(&mut self, now: Time, request: &Request) -> Result<Choice, RefusalReason> {
+    fn choose_any(&mut self, now: Time, request: &mut Request) -> Result<Choice, RefusalReason> {
         let pool = self.pools.of(&request.service);
         let query = self.query(now, request);
         match self.least_cost(now, &query, &pool) {
             Some(member) => Ok(Choice::Send(member.registration.clone())),
             None if pool.is_empty() => Err(RefusalReason::NoUpstream),
-            None => Err(RefusalReason::Busy),
+            None => self.choose_limited(now, request),
         }
     }
 
+    /// Whether nothing but its load speaks against an upstream.
+    pub(super) fn is_usable(&self, now: Time, query: &Query<'_>, member: &PoolMember) -> bool {
+        !self.is_paused(now, member.hash)
+            && !query.tried.contains(&member.hash)
+            && !self.is_in_doubt(member)
+    }
+
+    /// Whether an upstream names a rate and no permit is here for it.
+    fn is_limited(&self, now: Time, query: &Query<'_>, member: &PoolMember) -> bool {
+        let is_named = self.limits.rate(member.hash).is_some();
+        is_named && (query.is_others || !self.limits.has_permit(now, member.hash))
+    }
+
     /// The upstream with room that is likely to answer first; one that may have ended only if
     /// there is no other.
     pub(super) fn least_cost<'a>(
@@ -255,7 +278,9 @@
         if self.is_paused(now, member.hash) || query.tried.contains(&member.hash) {
             return None;
         }
-        if self.cold_rate(now, &member.registration).is_some() {
+        if self.cold_rate(now, &member.registration).is_some()
+            || self.is_limited(now, query, member)
+        {
             return None;
         }
         let occupied = self.occupancy.total(member.hash);
@@ -289,12 +314,13 @@
             work: learned.unwrap_or(unknown),
             left: end.min(request.deadline).since(now).as_secs_f64(),
             tried: &request.tried,
+            is_others: false,
         }
     }
 
     /// Seconds that a request which takes `mean` on average is likely to be at an
     /// upstream.
-    fn expected(
+    pub(super) fn expected(
         &self,
         now: Time,
         mean: f64,
--- a/crates/dispatch/src/dispatcher/cold_starts.rs
+++ b/crates/dispatch/src/dispatcher/cold_starts.rs
@@ -13,6 +13,7 @@
 //! on: who becomes one waits for [`SETTLED`], so whoever sends within a second was among the
 //! senders at its begin. The counter-case is a third view at the same time.
 
+use crate::rendezvous::is_among_first;
 use crate::report::{NodeHash, UpstreamHash};
 use beamtray_catalog::ColdStart;
 use beamtray_types::Time;
@@ -117,7 +118,7 @@
         self.nodes_changed = now;
         let (own, nodes) = (self.own, &self.nodes);
         for (upstream, access) in &mut self.accesses {
-            let is_sender = is_sender(own, nodes, *upstream, access.senders);
+            let is_sender = is_among_first(own, nodes, *upstream, access.senders);
             access.sender_since = is_sender.then(|| access.sender_since.unwrap_or(now));
         }
     }
@@ -136,7 +137,7 @@
         let (own, nodes, since) = (self.own, &self.nodes, self.nodes_changed);
         let access = self.accesses.entry(upstream).or_insert_with(|| Access {
             senders: share.senders,
-            sender_since: is_sender(own, nodes, upstream, share.senders).then_some(since),
+            sender_since: is_among_first(own, nodes, upstream, share.senders).then_some(since),
             sent_at: None,
             until,
         });
@@ -158,20 +159,3 @@
         self.accesses.retain(|_, access| now < access.until);
     }
 }
-
-/// Whether a node is among the first of an upstream, by a hash of both (rendezvous).
-fn is_sender(own: NodeHash, nodes: &[NodeHash], upstream: UpstreamHash, senders: usize) -> bool {
-    let own_weight = weight(own, upstream);
-    let before = nodes.iter().filter(|node| {
-        let weight = weight(**node, upstream);
-        weight > own_weight
-    });
-    nodes.contains(&own) && before.count() < senders
-}
-
-fn weight(node: NodeHash, upstream: UpstreamHash) -> u64 {
-    let mut bytes = [0; 8];
-    bytes[..4].copy_from_slice(&node.0.to_be_bytes());
-    bytes[4..].copy_from_slice(&upstream.0.to_be_bytes());
-    xxhash_rust::xxh3::xxh3_64(&bytes)
-}
--- a/crates/dispatch/src/dispatcher/decide.rs
+++ b/crates/dispatch/src/dispatcher/decide.rs
@@ -13,9 +13,9 @@
 use std::time::Duration;
 
 /// Least time to come back in.
-const LEAST_RETRY_AFTER: Duration = Duration::from_millis(120);
+pub(super) const LEAST_RETRY_AFTER: Duration = Duration::from_millis(120);
 /// Least spread of the time to come back in.
-const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(200);
+pub(super) const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(200);
 /// Spread as a part of the time to come back in: the longer keys are without a holder,
 /// the more clients come back for them.
 const RETRY_AFTER_SPREAD_SHARE: f64 = 0.5;
@@ -39,7 +39,9 @@
             };
             let decision = self.decide(now, directory, ticket, &mut request);
             let (waits, ended) = match &decision {
-                None | Some(Decision::Ask(_) | Decision::AskTrial(_)) => (true, false),
+                None | Some(Decision::Ask(_) | Decision::AskTrial(_) | Decision::AskPermit(_)) => {
+                    (true, false)
+                }
                 Some(Decision::Forward(..)) => (false, false),
                 Some(Decision::Conclude(..)) => (false, true),
             };
@@ -87,6 +89,7 @@
                 self.try_alone(now, ticket, request, &registration, fingerprint)
             }
             Ok(Choice::Ask) => Some(Decision::Ask(self.slot_request(now, ticket, request))),
+            Ok(Choice::AskPermit(asked)) => Some(Decision::AskPermit(asked)),
             Ok(Choice::Wait) => None,
             Err(reason) if now >= request.wait_until || self.is_futile(now, request, reason) => {
                 let ending = self.conclude(now, request, reason);
@@ -139,10 +142,15 @@
             .trial_request(fingerprint, node, number, lasts)
     }
 
-    /// Whether waiting is of no use: the key will not have a holder in time. One that a
+    /// Whether waiting is of no use: the key will not have a holder in time, or the upstream
+    /// takes no more before. One that a
     /// holder denied waits for the assignment that names the next, which may be on its
     /// way.
     fn is_futile(&self, now: Time, request: &Request, reason: RefusalReason) -> bool {
+        if reason == RefusalReason::Limited {
+            let until = request.limited_by.and_then(|wait| wait.until);
+            return until.is_some_and(|until| until > request.wait_until);
+        }
         let Some(key) = request.key else {
             return false;
         };
@@ -169,6 +177,7 @@
             service: request.service.clone(),
             key: request.key,
             assignment: self.assignment(request),
+            limited_by: self.limit_facts(now, request, reason),
             arrivals: request.arrivals,
             age: now.since(request.arrived),
             left: request.deadline.since(now),
@@ -181,6 +190,9 @@
         if let Some(remaining) = self.quarantine.remaining(now, request.fingerprints) {
             return remaining;
         }
+        if reason == RefusalReason::Limited {
+            return self.retry_after_limit(now, request);
+        }
         let expected = match request.key {
             Some(key) if reason == RefusalReason::KeyUnheld => {
                 self.absences.remaining(now, &request.service, key)
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -39,6 +39,7 @@
         let record = &registration.record;
         let hash = UpstreamHash::of(&record.id);
         self.cold_starts.sent(now, hash);
+        self.limits.sent(now, hash);
         let occupied = self.occupancy.total(hash);
         self.occupancy.begin(hash);
         if request.arrivals > 0 {
--- a/crates/dispatch/src/dispatcher/slots.rs
+++ b/crates/dispatch/src/dispatcher/slots.rs
@@ -213,6 +213,7 @@
             work: f64::from(request.work_us) / 1e6,
             left: f64::from(request.left_ms) / 1e3,
             tried: &request.excluded,
+            is_others: true,
         };
         let pool = self.pools.of(&request.service);
         let member = self.least_cost(now, &query, &pool);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod occupancy;
 mod quarantine;
 mod rate_limit;
+mod rendezvous;
 mod report;
 mod request;
 mod speed;
@@ -25,12 +26,12 @@
     Quarantine, QuarantineNotice, RunHash, Suspicion, SuspicionRecord, TrialOutcome, TrialReply,
     TrialReport, TrialRequest, UPSTREAMS_ENDED,
 };
-pub use rate_limit::LimitNotice;
+pub use rate_limit::{LimitNotice, LimitWord, PermitCounts, PermitReply, PermitRequest};
 pub use report::{
     Answers, Contained, InFlight, KeyLoad, KeyReport, LoadReport, LoadSum, NodeHash, UpstreamHash,
 };
 pub use request::{
-    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Ending, Forward,
+    Admission, AssignmentNumber, AttemptOutcome, Conclusion, Decision, Ending, Forward, LimitFacts,
     RefusalReason, RequestHead, Ticket, UnknownCause, Untouched,
 };
 pub use speed::{MeanWork, SpeedRecord, SpeedTable, UpstreamSpeed};
--- /dev/null
+++ b/crates/dispatch/src/rate_limit/permits.rs
@@ -0,0 +1,241 @@
+//! One node's permits to send requests to upstreams that name a rate.
+
+use super::lender::USE_WITHIN;
+use crate::report::{NodeHash, UpstreamHash};
+use beamtray_types::Time;
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// How long a lender's answer is waited for: a way across zones and back, and a turn of a
+/// node that has little processor time.
+pub(crate) const ANSWER_WAIT: Duration = Duration::from_millis(120);
+/// How long a lender that did not answer once is not asked; twice as long with each further
+/// time. A word may get lost, or the lender be gone.
+const SILENT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// How long is waited where no lender is known.
+const NO_LENDER: Duration = Duration::from_millis(500);
+/// How soon a lender that had none is asked again at the least.
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
+/// Most permits that are asked for at once.
+const MOST_WANTED: u32 = 16;
+
+/// What a request to an upstream that names a rate has to do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum PermitStep {
+    /// It may be sent now.
+    Send,
+    /// A lender is asked.
+    Ask {
+        lender: NodeHash,
+        number: u32,
+        wanted: u32,
+    },
+    /// One was asked, and its answer is waited for.
+    Asked,
+    /// No lender has one before then.
+    Empty { until: Time },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    number: u32,
+    lender: NodeHash,
+    asked: Time,
+    wanted: u32,
+}
+
+impl Question {
+    fn ends(&self) -> Time {
+        self.asked + ANSWER_WAIT
+    }
+}
+
+/// A lender that has no permits, or did not answer.
+#[derive(Clone, Copy, Debug)]
+struct Lender {
+    node: NodeHash,
+    ask_from: Time,
+    /// Questions in a row without an answer.
+    unanswered: u32,
+}
+
+/// What this node has, and knows, of one upstream's permits.
+#[derive(Clone, Debug, Default)]
+struct Account {
+    /// Until when each permit may be used.
+    held: VecDeque<Time>,
+    /// One at most to each lender.
+    questions: Vec<Question>,
+    lenders: Vec<Lender>,
+    /// When all who were denied would have had one, as the lenders said last.
+    room_at: Time,
+    /// Requests that looked for a permit at the last look, and at the one before.
+    looked_at: Time,
+    looking: u32,
+    wanted: u32,
+}
+
+impl Account {
+    fn expire(&mut self, now: Time) {
+        self.held.retain(|until| now < *until);
+        let unanswered: Vec<Question> = self
+            .questions
+            .extract_if(.., |question| now >= question.ends())
+            .collect();
+        for question in unanswered {
+            let lender = self.lender(question.lender);
+            let pause = SILENT_PAUSE * 2u32.saturating_pow(lender.unanswered.min(8));
+            lender.unanswered += 1;
+            lender.ask_from = now + pause.min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Permits that lenders were asked for and have not answered yet.
+    fn outstanding(&self) -> u32 {
+        self.questions.iter().map(|question| question.wanted).sum()
+    }
+
+    /// The first lender that may have permits and was not asked.
+    fn next_lender(&self, now: Time, lenders: &[NodeHash]) -> Option<NodeHash> {
+        let is_empty = |lender| {
+            let mut known = self.lenders.iter();
+            known.any(|known| known.node == lender && now < known.ask_from)
+        };
+        let is_asked = |lender| self.questions.iter().any(|one| one.lender == lender);
+        let mut free = lenders.iter().copied();
+        free.find(|lender| !is_empty(*lender) && !is_asked(*lender))
+    }
+
+    fn lender(&mut self, node: NodeHash) -> &mut Lender {
+        let known = self.lenders.iter().position(|lender| lender.node == node);
+        let index = known.unwrap_or_else(|| {
+            self.lenders.push(Lender {
+                node,
+                ask_from: Time::ZERO,
+                unanswered: 0,
+            });
+            self.lenders.len() - 1
+        });
+        &mut self.lenders[index]
+    }
+
+    /// When the first of these lenders may be asked again.
+    fn ask_from(&self, lenders: &[NodeHash]) -> Option<Time> {
+        let known = self.lenders.iter();
+        let known = known.filter(|known| lenders.contains(&known.node));
+        known.map(|known| known.ask_from).min()
+    }
+
+    fn note_look(&mut self, now: Time) {
+        if now > self.looked_at {
+            self.wanted = std::mem::take(&mut self.looking);
+            self.looked_at = now;
+        }
+        self.looking += 1;
+    }
+}
+
+/// The permits of one node.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Permits {
+    accounts: HashMap<UpstreamHash, Account>,
+    last_number: u32,
+}
+
+impl Permits {
+    /// Numbers of different processes must differ.
+    pub fn begin_after(&mut self, number: u32) {
+        self.last_number = number;
+    }
+
+    /// Whether a permit is here.
+    pub fn has_one(&self, now: Time, upstream: UpstreamHash) -> bool {
+        let account = self.accounts.get(&upstream);
+        account.is_some_and(|account| account.held.iter().any(|until| now < *until))
+    }
+
+    /// What a request has to do now that found no permit; `lenders` are asked in their
+    /// order, and more than one at a time only for more requests than the others were asked
+    /// for: what is lent and not used is lost.
+    pub fn step(&mut self, now: Time, upstream: UpstreamHash, lenders: &[NodeHash]) -> PermitStep {
+        let account = self.accounts.entry(upstream).or_default();
+        account.expire(now);
+        account.note_look(now);
+        let outstanding = account.outstanding();
+        if outstanding >= account.looking {
+            return PermitStep::Asked;
+        }
+        let Some(lender) = account.next_lender(now, lenders) else {
+            if outstanding > 0 {
+                return PermitStep::Asked;
+            }
+            let until = account.ask_from(lenders).unwrap_or(now + NO_LENDER);
+            return PermitStep::Empty { until };
+        };
+        self.last_number = self.last_number.wrapping_add(1);
+        let looking = account.wanted.max(account.looking);
+        let question = Question {
+            number: self.last_number,
+            lender,
+            asked: now,
+            wanted: (looking - outstanding).clamp(1, MOST_WANTED),
+        };
+        account.questions.push(question);
+        PermitStep::Ask {
+            lender,
+            number: question.number,
+            wanted: question.wanted,
+        }
+    }
+
+    /// Takes a lender's answer. What comes after its time is not used: the lender counts on
+    /// that.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        upstream: UpstreamHash,
+        number: u32,
+        permits: u32,
+        next_in: Duration,
+        room_in: Duration,
+    ) {
+        let Some(account) = self.accounts.get_mut(&upstream) else {
+            return;
+        };
+        let mut questions = account.questions.iter();
+        let Some(asked) = questions.position(|one| one.number == number) else {
+            return;
+        };
+        let question = account.questions.swap_remove(asked);
+        let until = question.asked + USE_WITHIN;
+        let permits = permits.min(MOST_WANTED) as usize;
+        account.held.extend(std::iter::repeat_n(until, permits));
+        let lender = account.lender(question.lender);
+        lender.unanswered = 0;
+        if permits < question.wanted as usize {
+            lender.ask_from = now + next_in.max(LEAST_PAUSE);
+        }
+        account.room_at = now + room_in;
+    }
+
+    /// Uses a permit up; whether there was one.
+    pub fn spend(&mut self, now: Time, upstream: UpstreamHash) -> bool {
+        let account = self.accounts.get_mut(&upstream);
+        account.is_some_and(|account| {
+            account.expire(now);
+            account.held.pop_front().is_some()
+        })
+    }
+
+    /// When those who were denied before will have had a permit.
+    pub fn room_at(&self, upstream: UpstreamHash) -> Option<Time> {
+        self.accounts.get(&upstream).map(|account| account.room_at)
+    }
+
+    /// Forgets upstreams.
+    pub fn retain(&mut self, keep: impl Fn(UpstreamHash) -> bool) {
+        self.accounts.retain(|upstream, _| keep(*upstream));
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/rate_limit/recent.rs
@@ -0,0 +1,62 @@
+//! How many requests this node sent to each upstream of late.
+//!
+//! When an upstream names a rate, what was sent to it just before counts: it still has that
+//! to work off.
+
+use super::lender::WINDOW;
+use crate::report::UpstreamHash;
+use beamtray_types::Time;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Steps that the window is counted in.
+const STEPS: usize = 8;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    /// Number of the newest step.
+    newest: u64,
+    sent: [u32; STEPS],
+}
+
+impl Counts {
+    /// Empties the steps that have passed since the newest one.
+    fn advance(&mut self, step: u64) {
+        let passed = step.saturating_sub(self.newest);
+        for past in 1..=passed.min(STEPS as u64) {
+            self.sent[((self.newest + past) % STEPS as u64) as usize] = 0;
+        }
+        self.newest = self.newest.max(step);
+    }
+}
+
+/// Requests to all upstreams within the window.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RecentSends(HashMap<UpstreamHash, Counts>);
+
+impl RecentSends {
+    /// Counts a request.
+    pub fn note(&mut self, now: Time, upstream: UpstreamHash) {
+        let counts = self.0.entry(upstream).or_default();
+        counts.advance(step(now));
+        counts.sent[(counts.newest % STEPS as u64) as usize] += 1;
+    }
+
+    /// Requests to an upstream within the window.
+    pub fn count(&self, now: Time, upstream: UpstreamHash) -> u32 {
+        let counts = self.0.get(&upstream).copied();
+        let mut counts = counts.unwrap_or_default();
+        counts.advance(step(now));
+        counts.sent.iter().sum()
+    }
+
+    /// Forgets upstreams.
+    pub fn retain(&mut self, keep: impl Fn(UpstreamHash) -> bool) {
+        self.0.retain(|upstream, _| keep(*upstream));
+    }
+}
+
+fn step(now: Time) -> u64 {
+    let length: Duration = WINDOW / STEPS as u32;
+    now.0 / length.as_micros() as u64
+}
--- /dev/null
+++ b/crates/dispatch/src/rendezvous.rs
@@ -0,0 +1,34 @@
+//! Which nodes an upstream's bounds are kept by: the first by a hash of both (rendezvous),
+//! so that all nodes that see the same ones agree, and one that comes or goes changes
+//! nothing else.
+
+use crate::report::{NodeHash, UpstreamHash};
+
+/// The first nodes of an upstream, the first one first.
+pub(crate) fn first(nodes: &[NodeHash], upstream: UpstreamHash, count: usize) -> Vec<NodeHash> {
+    let mut ranked = nodes.to_vec();
+    ranked.sort_by_key(|node| std::cmp::Reverse((weight(*node, upstream), *node)));
+    ranked.truncate(count);
+    ranked
+}
+
+/// Whether a node is among the first of an upstream.
+pub(crate) fn is_among_first(
+    own: NodeHash,
+    nodes: &[NodeHash],
+    upstream: UpstreamHash,
+    count: usize,
+) -> bool {
+    let own_weight = weight(own, upstream);
+    let before = nodes
+        .iter()
+        .filter(|node| weight(**node, upstream) > own_weight);
+    nodes.contains(&own) && before.count() < count
+}
+
+fn weight(node: NodeHash, upstream: UpstreamHash) -> u64 {
+    let mut bytes = [0; 8];
+    bytes[..4].copy_from_slice(&node.0.to_be_bytes());
+    bytes[4..].copy_from_slice(&upstream.0.to_be_bytes());
+    xxhash_rust::xxh3::xxh3_64(&bytes)
+}
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -3,7 +3,9 @@
 use crate::dispatcher::SlotRequest;
 use crate::fingerprint::Fingerprints;
 use crate::quarantine::TrialRequest;
-use beamtray_catalog::{Route, UpstreamId};
+use crate::rate_limit::PermitRequest;
+use crate::report::UpstreamHash;
+use beamtray_catalog::{RequestRate, Route, UpstreamId};
 use beamtray_sharding::ShardKey;
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -62,6 +64,8 @@
     TimeUp,
     /// Upstreams ended under requests that say the same.
     Quarantined,
+    /// The upstreams that could take it name rates that are used up.
+    Limited,
 }
 
 /// Proof that an attempt did not run.
@@ -152,6 +156,19 @@
     pub waited: Duration,
 }
 
+/// The rate that a request was refused for, as it stood then.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitFacts {
+    /// The upstream.
+    pub upstream: UpstreamHash,
+    /// What it takes from all nodes; none if it has just ceased to name a rate.
+    pub rate: Option<RequestRate>,
+    /// Time until a lender has a permit again, as far as known.
+    pub next_in: Duration,
+    /// Time until there would have been one for all who were denied of late.
+    pub room_in: Duration,
+}
+
 /// How a request ends that no upstream answered, and what that was decided by.
 #[derive(Clone, Debug)]
 pub struct Ending {
@@ -165,6 +182,8 @@
     pub key: Option<ShardKey>,
     /// The assignment that was in force for the key.
     pub assignment: Option<AssignmentNumber>,
+    /// The rate that it was refused for.
+    pub limited_by: Option<LimitFacts>,
     /// How often it arrived at an upstream.
     pub arrivals: u32,
     /// Time since it came.
@@ -184,4 +203,6 @@
     Ask(SlotRequest),
     /// Ask the lender for a permit to send it, since it is under suspicion.
     AskTrial(TrialRequest),
+    /// Ask a lender for permits to send to an upstream that names a rate.
+    AskPermit(PermitRequest),
 }
--- a/crates/router/src/core/membership.rs
+++ b/crates/router/src/core/membership.rs
@@ -6,7 +6,7 @@
 
 use crate::core::records::NodeRecord;
 use crate::core::relays::Relays;
-use beamtray_dispatch::Fingerprint;
+use beamtray_dispatch::{Fingerprint, NodeHash};
 use beamtray_types::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -36,6 +36,8 @@
     own_zone: String,
     /// Addresses of all nodes with an entry, this one included.
     entries: HashSet<SocketAddr>,
+    /// The same by their short names.
+    addresses: HashMap<NodeHash, SocketAddr>,
     all: Vec<SocketAddr>,
     near: Vec<SocketAddr>,
     near_and_relays: Vec<SocketAddr>,
@@ -69,6 +71,7 @@
             own: own.peers,
             own_zone: own.zone.clone(),
             entries: HashSet::new(),
+            addresses: HashMap::new(),
             all: Vec::new(),
             near: Vec::new(),
             near_and_relays: Vec::new(),
@@ -94,6 +97,10 @@
         self.zones
             .extend(zones.map(|node| (node.peers, node.zone.clone())));
         self.entries = nodes.values().map(|node| node.peers).collect();
+        let addresses = nodes.values();
+        self.addresses = addresses
+            .map(|node| (NodeHash::of(&node.name), node.peers))
+            .collect();
         let others = nodes.values().filter(|node| node.peers != self.own);
         let others: Vec<&NodeRecord> = others.collect();
         let is_near = |node: &&&NodeRecord| node.zone == self.own_zone;
@@ -154,6 +161,11 @@
         self.entries.iter().max_by_key(weight).copied()
     }
 
+    /// Where a node with an entry listens.
+    pub fn address(&self, node: NodeHash) -> Option<SocketAddr> {
+        self.addresses.get(&node).copied()
+    }
+
     /// Whether this node is a relay.
     pub fn is_relay(&self) -> bool {
         self.is_relay
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -6,8 +6,8 @@
 use beamtray_catalog::{ClientLimits, RateWord, UpstreamId};
 use beamtray_dispatch::{
     Admission, Answers, AttemptOutcome, DoubtedUpstream, Ending, Forward, KeyReport, LimitNotice,
-    LoadReport, LoadSum, QuarantineNotice, RequestHead, SlotReply, SlotRequest, Suspicion, Ticket,
-    TrialReply, TrialReport, TrialRequest,
+    LimitWord, LoadReport, LoadSum, PermitReply, PermitRequest, QuarantineNotice, RequestHead,
+    SlotReply, SlotRequest, Suspicion, Ticket, TrialReply, TrialReport, TrialRequest,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{FenceNotice, GrantOrder, GrantReply, OwnedAgain};
@@ -147,6 +147,12 @@
     TrialReply(TrialReply),
     /// How such a trial ended.
     TrialReport(TrialReport),
+    /// Rates that upstreams name, or have ceased to.
+    Limits(Vec<LimitWord>),
+    /// Asks for permits to send requests to an upstream that names a rate.
+    PermitRequest(PermitRequest),
+    /// The lender's answer.
+    PermitReply(PermitReply),
 }
 
 /// What the try to connect to an upstream showed.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -78,6 +78,8 @@
     trouble_at: Option<Time>,
     key_report_at: Time,
     suspicion_news: SuspicionNews,
+    /// When rates that upstreams name may be told next.
+    limits_told_at: Time,
     fetches: Fetches,
     /// Relays of this node's zone that a node which has just started still asks for
     /// their copies; none before it knows who they are.
@@ -117,6 +119,7 @@
             trouble_at: None,
             key_report_at: Time::ZERO,
             suspicion_news: SuspicionNews::default(),
+            limits_told_at: Time::ZERO,
             fetches: Fetches::default(),
             first_asked: None,
             ask_at: Time::ZERO,
@@ -195,7 +198,7 @@
             Input::Stop => self.stop(),
         }
         self.follow_quarantine(now);
-        self.follow_rate_limits();
+        self.follow_rate_limits(now);
         self.tell_changes(now);
         if may_decide {
             self.dispatch(now);
@@ -225,6 +228,9 @@
             Datagram::TrialRequest(request) => self.lend_trial(now, from, request),
             Datagram::TrialReply(reply) => self.trial_answered(now, reply),
             Datagram::TrialReport(report) => self.trial_reported(now, report),
+            Datagram::Limits(words) => self.take_limits(now, words),
+            Datagram::PermitRequest(request) => self.lend_permits(now, from, request),
+            Datagram::PermitReply(reply) => self.dispatcher.permits_lent(now, reply),
             Datagram::Suspicions(suspicions) => self.take_suspicions(now, suspicions),
             Datagram::Keys(report) => self.control.report(report),
             Datagram::StandbyWord(word) => self.standby.hear(now, word),
@@ -406,6 +412,7 @@
                     self.outputs.push(Output::Send(datagram, relay));
                 }
                 Decision::AskTrial(request) => self.ask_trial(now, request),
+                Decision::AskPermit(request) => self.ask_permits(request),
             }
         }
     }
@@ -480,6 +487,7 @@
                 | Datagram::Heads(_)
                 | Datagram::SlotRequest(_)
                 | Datagram::TrialRequest(_)
+                | Datagram::PermitRequest(_)
                 | Datagram::Keys(_)
                 | Datagram::Answers(_)
                 | Datagram::StandbyReport(_)
--- a/crates/router/src/core/node/rate_limits.rs
+++ b/crates/router/src/core/node/rate_limits.rs
@@ -1,12 +1,81 @@
-//! Rates that upstreams name.
+//! Rates that upstreams name: whom this node tells of them, whom it asks for permits, and
+//! what it lends itself.
+//!
+//! Where there are few nodes each tells all. Where there are many each tells the relays, and
+//! these tell the nodes of their zones. A node that missed the word learns of the rate from
+//! its first answer, and a lender from the question.
 
 use super::NodeCore;
-use crate::core::message::Output;
+use crate::core::membership::Audience;
+use crate::core::message::{Datagram, Output};
+use beamtray_dispatch::{LimitWord, PermitRequest};
+use beamtray_types::Time;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Between two tellings: an upstream may name another rate with each answer.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Rates in one datagram, 17 bytes each.
+const LIMITS_A_DATAGRAM: usize = 60;
 
 impl NodeCore {
     /// Passes on what became known of rates.
-    pub(super) fn follow_rate_limits(&mut self) {
+    pub(super) fn follow_rate_limits(&mut self, now: Time) {
         let notices = self.dispatcher.take_limit_notices().into_iter();
         self.outputs.extend(notices.map(Output::RateLimit));
+        if now < self.limits_told_at {
+            return;
+        }
+        let words = self.dispatcher.take_untold_limits(now);
+        if words.is_empty() {
+            return;
+        }
+        self.limits_told_at = now + PAUSE;
+        if self.are_few() {
+            self.tell_limits(&words, &self.membership.peers(Audience::All));
+            return;
+        }
+        let mut relays = self.near_relays();
+        relays.extend(self.other_relays());
+        self.tell_limits(&words, &relays);
+        if self.is_relay() {
+            self.tell_limits(&words, &self.membership.peers(Audience::Near));
+        }
+    }
+
+    fn tell_limits(&mut self, words: &[LimitWord], audience: &[SocketAddr]) {
+        for part in words.chunks(LIMITS_A_DATAGRAM) {
+            let datagram = Datagram::Limits(part.to_vec());
+            self.outputs.push(Output::Send(datagram, audience.to_vec()));
+        }
+    }
+
+    /// Takes other nodes' words; as a relay of many, passes on what was news.
+    pub(super) fn take_limits(&mut self, now: Time, words: &[LimitWord]) {
+        let mut news = Vec::new();
+        for word in words {
+            if self.dispatcher.limit_told(now, word) {
+                news.extend(self.dispatcher.limit_word(now, word.upstream));
+            }
+        }
+        if !news.is_empty() && self.is_relay() && !self.are_few() {
+            self.tell_limits(&news, &self.membership.peers(Audience::Near));
+        }
+    }
+
+    /// Asks a lender for permits. One that has no entry any more is not heard from, and
+    /// counts as silent.
+    pub(super) fn ask_permits(&mut self, request: PermitRequest) {
+        let lender = self.membership.address(request.lender);
+        let datagram = Datagram::PermitRequest(request);
+        self.outputs
+            .push(Output::Send(datagram, lender.into_iter().collect()));
+    }
+
+    /// As a lender: answers a question for permits.
+    pub(super) fn lend_permits(&mut self, now: Time, from: SocketAddr, request: &PermitRequest) {
+        let reply = self.dispatcher.lend_permits(now, request);
+        let datagram = Datagram::PermitReply(reply);
+        self.outputs.push(Output::Send(datagram, vec![from]));
     }
 }
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -7,9 +7,9 @@
 use beamtray_catalog::UpstreamName;
 use beamtray_types::Time;
 pub(crate) use labels::{
-    AttemptLabels, EntryLabel, LossLabel, OrderLabels, OrderName, RefusalLabels, RequestLabels,
-    RouteLabel, ServiceLabel, SlotLabel, StoreLabels, SuspectLabel, TrialLabel, UnansweredLabel,
-    UpstreamLabel, ViewLabel,
+    AttemptLabels, EntryLabel, LossLabel, OrderLabels, OrderName, PermitLabel, RefusalLabels,
+    RequestLabels, RouteLabel, ServiceLabel, SlotLabel, StoreLabels, SuspectLabel, TrialLabel,
+    UnansweredLabel, UpstreamLabel, ViewLabel,
 };
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -68,6 +68,7 @@
     slots: Family<SlotLabel, Gauge>,
     suspects: Family<SuspectLabel, Gauge>,
     limited_upstreams: Gauge,
+    permits: Family<PermitLabel, Gauge>,
     pub trials: Family<TrialLabel, Counter>,
     slices: Gauge,
     slices_held: Gauge,
@@ -106,6 +107,7 @@
             slots: Family::default(),
             suspects: Family::default(),
             limited_upstreams: Gauge::default(),
+            permits: Family::default(),
             trials: Family::default(),
             slices: Gauge::default(),
             slices_held: Gauge::default(),
@@ -221,6 +223,12 @@
             "Upstreams that name the requests a second that they take",
             self.limited_upstreams.clone(),
         );
+        registry.register(
+            "permits",
+            "Permits for upstreams that name a rate: questions and what was used here; lent and \
+             denied as a lender",
+            self.permits.clone(),
+        );
         registry.register(
             "trials",
             "Trials of requests under which upstreams ended, by outcome",
@@ -306,6 +314,16 @@
         }
         self.limited_upstreams
             .set(dispatcher.limited_count() as i64);
+        let permits = dispatcher.permit_counts();
+        for (outcome, count) in [
+            ("asked", permits.asked),
+            ("used", permits.used),
+            ("lent", permits.lent),
+            ("denied", permits.denied),
+        ] {
+            let label = PermitLabel { outcome };
+            self.permits.get_or_create(&label).set(count as i64);
+        }
         let (slices, held) = control.slice_counts(now);
         self.slices.set(slices as i64);
         self.slices_held.set(held as i64);
--- a/crates/router/src/shell/metrics/labels.rs
+++ b/crates/router/src/shell/metrics/labels.rs
@@ -106,3 +106,9 @@
     pub prefix: String,
     pub cause: &'static str,
 }
+
+/// What became of a permit for an upstream that names a rate.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct PermitLabel {
+    pub outcome: &'static str,
+}
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -20,6 +20,7 @@
 use beamtray_metastore::StoreOutcome;
 use beamtray_sharding::{GrantReply, OrderKind, ShardKey};
 use names::{attempt_outcome, grant_reply, store_outcome, store_task};
+use rate_limits::LimitFields;
 use slog::{Logger, Record, debug, info, warn};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -345,11 +346,13 @@
             }
         );
         let fingerprints = FingerprintFields(is_quarantined.then_some(fingerprints));
+        let limit = LimitFields(ending.limited_by);
         info!(self.log, "concluded"; "request" => id, "route" => &ending.route,
             "service" => %ending.service, "outcome" => outcome, "reason" => reason,
             "arrivals" => ending.arrivals, "age_ms" => ending.age.as_millis() as u64,
             "left_ms" => ending.left.as_millis() as u64,
-            "retry_after_ms" => retry_after.as_millis() as u64, fields, fingerprints, left_out);
+            "retry_after_ms" => retry_after.as_millis() as u64, fields, fingerprints, limit,
+            left_out);
     }
 
     fn refused(&self, ending: &Ending, reason: RefusalReason) {
--- a/crates/router/src/shell/observer/rate_limits.rs
+++ b/crates/router/src/shell/observer/rate_limits.rs
@@ -2,8 +2,24 @@
 
 use super::Observer;
 use crate::shell::rate::LineKind;
-use beamtray_dispatch::LimitNotice;
-use slog::{info, warn};
+use beamtray_dispatch::{LimitFacts, LimitNotice};
+use slog::{Record, info, warn};
+
+/// The rate that a request was refused for.
+pub(super) struct LimitFields(pub Option<LimitFacts>);
+
+impl slog::KV for LimitFields {
+    fn serialize(&self, _: &Record, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        let Some(facts) = self.0 else {
+            return Ok(());
+        };
+        serializer.emit_u32("limited_by", facts.upstream.0)?;
+        let rate = facts.rate.map_or(f64::INFINITY, |rate| rate.a_second());
+        serializer.emit_f64("a_second", rate)?;
+        serializer.emit_u64("next_in_ms", facts.next_in.as_millis() as u64)?;
+        serializer.emit_u64("room_in_ms", facts.room_in.as_millis() as u64)
+    }
+}
 
 impl Observer {
     /// What is known of an upstream's rate changed. `short` is the upstream's name in what
@@ -14,12 +30,17 @@
         };
         let log = &self.log;
         match notice {
-            LimitNotice::Limited { upstream, rate } => {
+            LimitNotice::Limited {
+                upstream,
+                rate,
+                is_own,
+            } => {
                 info!(log, "rate_limited"; "short" => upstream.0, "a_second" => rate.a_second(),
-                    left_out);
+                    "heard_from" => heard_from(is_own), left_out);
             }
-            LimitNotice::Ended { upstream } => {
-                info!(log, "rate_limit_ended"; "short" => upstream.0, left_out);
+            LimitNotice::Ended { upstream, is_own } => {
+                info!(log, "rate_limit_ended"; "short" => upstream.0,
+                    "heard_from" => heard_from(is_own), left_out);
             }
             LimitNotice::Unreadable { upstream } => {
                 warn!(log, "rate_unreadable"; "short" => upstream.0, left_out);
@@ -27,3 +48,7 @@
         }
     }
 }
+
+fn heard_from(is_own: bool) -> &'static str {
+    if is_own { "answer" } else { "node" }
+}
--- a/crates/routersim/tests/named_rates.rs
+++ b/crates/routersim/tests/named_rates.rs
@@ -2,6 +2,9 @@
 //!
 //! Seen: two holders of keys named 4.5 a second each and went on getting 12, from all of
 //! eleven nodes that had passed such an answer on, each of which sent 1 to 8 in four seconds.
+//! Cause: nobody read what the answers named; and had each node kept to it alone, eleven would
+//! have sent eleven times as much. Proof: 41 of the 48 histories below break the promise
+//! without permits, up to 84 requests where 26 are allowed, and none with them.
 
 use beamtray_routersim::{Fault, FaultPlan, Trouble, WorldConfig, play};
 use beamtray_types::Time;
--- a/crates/soak/tests/named_rates.rs
+++ b/crates/soak/tests/named_rates.rs
@@ -2,7 +2,8 @@
 //! only upstream of a service, whose answers name the requests a second that it takes.
 //!
 //! Seen: upstreams named 4.5 a second and got 12, from all of eleven routers that had passed
-//! such an answer on.
+//! such an answer on. Cause: nobody read what the answers named. Proof: here it got 105 in
+//! four seconds where 32 are allowed while each router's line told that it knew of the rate.
 
 mod common;
 
