Nodes that start hear of named rates; need as a drawn fault, a guard and a promise of the soak

A node that has just started sent at full pace to an upstream in need up to its first answer. Nodes that see a new process (by its run) tell it all rates they know; where there are many the relays of its zone do.

The soak's check counts what upstreams saw, with the rule's excuses and one more: where the way to any upstream is harmed a router is excused, since the disturbance does not say which.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -62,6 +62,9 @@
     pub evacuation_grace: Duration,
     /// What a cold upstream may be sent.
     pub cold_start: ColdStartBound,
+    /// Whether requests to upstreams that name a rate need permits. Only a test that shows
+    /// why turns it off.
+    pub keeps_named_rates: bool,
     /// Whether what may not be repeated is sent again only on proof that it
     /// has not run. Only a test that shows why turns it off.
     pub proves_before_repeat: bool,
--- a/crates/dispatch/src/dispatcher/limits.rs
+++ b/crates/dispatch/src/dispatcher/limits.rs
@@ -37,6 +37,9 @@
 impl Dispatcher {
     /// Takes what the answer to a request said of its upstream's rate, before its end.
     pub fn rate_named(&mut self, now: Time, ticket: Ticket, word: RateWord) {
+        if !self.config.keeps_named_rates {
+            return;
+        }
         let request = self.requests.get(&ticket);
         let Some(attempt) = request.and_then(|request| request.attempt.as_ref()) else {
             return;
@@ -54,6 +57,11 @@
         self.limits.known().word(now, upstream)
     }
 
+    /// All rates that are known to be named, for another node.
+    pub fn limit_words(&mut self, now: Time) -> Vec<LimitWord> {
+        self.limits.known().words(now)
+    }
+
     /// What other nodes were not told of rates.
     pub fn take_untold_limits(&mut self, now: Time) -> Vec<LimitWord> {
         self.limits.known().take_untold(now)
--- a/crates/dispatch/src/rate_limit/known.rs
+++ b/crates/dispatch/src/rate_limit/known.rs
@@ -184,6 +184,14 @@
         })
     }
 
+    /// All rates that are named, for another node.
+    pub fn words(&self, now: Time) -> Vec<LimitWord> {
+        let limited = self.known.iter().filter(|(_, known)| known.rate.is_some());
+        limited
+            .filter_map(|(upstream, _)| self.word(now, *upstream))
+            .collect()
+    }
+
     /// What other nodes were not told of.
     pub fn take_untold(&mut self, now: Time) -> Vec<LimitWord> {
         let untold: Vec<UpstreamHash> = self.untold.drain().collect();
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -142,6 +142,7 @@
             overage: 1.5,
             slack: 8.0,
         },
+        keeps_named_rates: true,
         proves_before_repeat: true,
     }
 }
--- a/crates/router/src/core/membership.rs
+++ b/crates/router/src/core/membership.rs
@@ -41,6 +41,8 @@
     all: Vec<SocketAddr>,
     near: Vec<SocketAddr>,
     near_and_relays: Vec<SocketAddr>,
+    /// The run of each other node with an entry.
+    runs: HashMap<SocketAddr, u64>,
     /// When each node was last heard.
     heard: HashMap<SocketAddr, Time>,
     /// Nodes that are heard and have no entry: a node that lost the store loses
@@ -75,6 +77,7 @@
             all: Vec::new(),
             near: Vec::new(),
             near_and_relays: Vec::new(),
+            runs: HashMap::new(),
             heard: HashMap::new(),
             unregistered: BTreeSet::new(),
             zones: HashMap::new(),
@@ -85,8 +88,12 @@
         }
     }
 
-    /// Takes the nodes that have an entry.
-    pub fn registered(&mut self, own: &NodeRecord, nodes: &BTreeMap<String, NodeRecord>) {
+    /// Takes the nodes that have an entry; the other ones whose process is a new one.
+    pub fn registered(
+        &mut self,
+        own: &NodeRecord,
+        nodes: &BTreeMap<String, NodeRecord>,
+    ) -> Vec<SocketAddr> {
         let mut with_own = nodes.clone();
         with_own.insert(own.name.clone(), own.clone());
         self.relays = Relays::choose(&with_own);
@@ -113,6 +120,11 @@
         let heard = self.heard.keys().copied();
         let unregistered = heard.filter(|address| !self.entries.contains(address));
         self.unregistered = unregistered.collect();
+        let runs = others.iter().map(|node| (node.peers, node.run)).collect();
+        let before = std::mem::replace(&mut self.runs, runs);
+        let is_new = |(address, run): &(&SocketAddr, &u64)| before.get(address) != Some(run);
+        let started = self.runs.iter().filter(is_new);
+        started.map(|(address, _)| *address).collect()
     }
 
     /// Notes that a node was heard.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -293,7 +293,8 @@
     /// Follows changes among the nodes.
     fn choose_relays(&mut self, now: Time) {
         let own = &self.config.control.record;
-        self.membership.registered(own, &self.views.nodes);
+        let started = self.membership.registered(own, &self.views.nodes);
+        self.tell_started(now, started);
         self.dispatcher.set_nodes(self.node_count());
         let members = self.views.nodes.keys().map(|name| NodeHash::of(name));
         self.dispatcher.set_members(now, members.collect());
--- a/crates/router/src/core/node/rate_limits.rs
+++ b/crates/router/src/core/node/rate_limits.rs
@@ -2,8 +2,8 @@
 //! what it lends itself.
 //!
 //! Where there are few nodes each tells all. Where there are many each tells the relays, and
-//! these tell the nodes of their zones. A node that missed the word learns of the rate from
-//! its first answer, and a lender from the question.
+//! these tell the nodes of their zones, and those that have just started. A node that missed
+//! the word learns of the rate from its first answer, and a lender from the question.
 
 use super::NodeCore;
 use crate::core::membership::Audience;
@@ -50,6 +50,19 @@
         }
     }
 
+    /// Tells nodes that have just started all that is known, so that they don't send at full
+    /// pace up to their first answers.
+    pub(super) fn tell_started(&mut self, now: Time, mut started: Vec<SocketAddr>) {
+        if !self.are_few() {
+            let is_relay = self.is_relay();
+            started.retain(|address| is_relay && self.membership.is_near(address));
+        }
+        let words = self.dispatcher.limit_words(now);
+        if !words.is_empty() && !started.is_empty() {
+            self.tell_limits(&words, &started);
+        }
+    }
+
     /// Takes other nodes' words; as a relay of many, passes on what was news.
     pub(super) fn take_limits(&mut self, now: Time, words: &[LimitWord]) {
         let mut news = Vec::new();
--- a/crates/router/src/settings/core_config.rs
+++ b/crates/router/src/settings/core_config.rs
@@ -97,6 +97,7 @@
                 slack: self.bounds.cold_slack,
             },
             evacuation_grace: Duration::from_millis(self.bounds.evacuate_ms) / 2,
+            keeps_named_rates: true,
             proves_before_repeat: true,
         }
     }
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -205,6 +205,7 @@
         faults.extend(draw_poison(seed, config));
         faults.extend(draw_suspensions(seed, config));
         faults.extend(draw_unreachable(seed, config));
+        faults.extend(draw_need(seed, config));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -297,6 +298,28 @@
     [unreachable].into_iter().chain(granter).collect()
 }
 
+/// In one history of three, upstreams are in need for longer than it may take to keep to what
+/// they name: from a generator of its own, as above.
+fn draw_need(seed: u64, config: &WorldConfig) -> Vec<Fault> {
+    const ONE_IN: u32 = 3;
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x11E_0000);
+    if !random.random_ratio(1, ONE_IN) {
+        return Vec::new();
+    }
+    let troubled = config.troubled.as_millis() as u64;
+    let count = random.random_range(1..3);
+    (0..count)
+        .map(|_| Fault {
+            at: Time::ZERO + config.lead + Duration::from_millis(random.random_range(0..troubled)),
+            lasts: Duration::from_millis(random.random_range(4_000..9_000)),
+            trouble: Trouble::UpstreamInNeed {
+                upstream: random.random_range(0..config.upstreams()),
+                rate_milli: random.random_range(2_000..8_000),
+            },
+        })
+        .collect()
+}
+
 fn draw_trouble(random: &mut ChaCha8Rng, config: &WorldConfig) -> Trouble {
     let node = random.random_range(0..config.nodes);
     let chosen = random.random_bool(0.5).then_some(node);
--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -29,11 +29,13 @@
     SuspicionsKept,
     /// Time asleep counts.
     BootClock,
+    /// Requests to upstreams that name a rate need permits.
+    NamedRates,
 }
 
 impl Guard {
     /// All protections.
-    pub const ALL: [Guard; 12] = [
+    pub const ALL: [Guard; 13] = [
         Guard::RecordFirst,
         Guard::LapseWait,
         Guard::PredecessorWait,
@@ -46,6 +48,7 @@
         Guard::SuspicionsTold,
         Guard::SuspicionsKept,
         Guard::BootClock,
+        Guard::NamedRates,
     ];
 
     /// The promise that is broken without it.
@@ -61,6 +64,7 @@
             Guard::ProofBeforeRepeat => Promise::AtMostOnce,
             Guard::ShortDoubt => Promise::Drain,
             Guard::SuspicionsTold | Guard::SuspicionsKept => Promise::PoisonKeptOff,
+            Guard::NamedRates => Promise::RateLimit,
         }
     }
 }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -111,6 +111,7 @@
 /// The core's configuration, with a protection switched off or none.
 pub(crate) fn core_config(node: usize, run: Run, off: Option<Guard>) -> CoreConfig {
     let mut config = settings(node).core_config(run);
+    config.dispatch.keeps_named_rates = off != Some(Guard::NamedRates);
     config.dispatch.proves_before_repeat = off != Some(Guard::ProofBeforeRepeat);
     config.tells_suspicions = off != Some(Guard::SuspicionsTold);
     config.control.keeps_suspicions = off != Some(Guard::SuspicionsKept);
--- a/crates/routersim/tests/guards.rs
+++ b/crates/routersim/tests/guards.rs
@@ -134,3 +134,12 @@
     ];
     matters(Guard::BootClock, &faults);
 }
+
+#[test]
+fn named_rates() {
+    let in_need = Trouble::UpstreamInNeed {
+        upstream: 0,
+        rate_milli: 2_000,
+    };
+    matters(Guard::NamedRates, &[fault(8_000, 9_000, in_need)]);
+}
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -3,6 +3,7 @@
 mod history;
 mod load;
 mod owners;
+mod rates;
 mod requests;
 mod tokens;
 
@@ -39,13 +40,15 @@
     Budget,
     /// Work ends when its caller has left.
     Gone,
+    /// An upstream that names the requests a second that it takes gets not much more.
+    Limit,
     /// After the troubles requests are served again.
     Recover,
 }
 
 impl Promise {
     /// All promises.
-    pub const ALL: [Promise; 12] = [
+    pub const ALL: [Promise; 13] = [
         Promise::Mixed,
         Promise::Unasked,
         Promise::Twice,
@@ -57,6 +60,7 @@
         Promise::Config,
         Promise::Budget,
         Promise::Gone,
+        Promise::Limit,
         Promise::Recover,
     ];
 }
@@ -161,6 +165,14 @@
     token: u64,
 }
 
+/// What an upstream named from then on.
+#[derive(Clone, Debug)]
+struct NamedRate {
+    at: Time,
+    upstream: String,
+    rate_milli: Option<u32>,
+}
+
 struct Checker<'a> {
     history: &'a History,
     requests: HashMap<String, Request>,
@@ -168,6 +180,8 @@
     takings: Vec<Taking>,
     left: HashMap<String, Time>,
     configured: Vec<(Time, u64)>,
+    /// What upstreams named, from when on.
+    named: Vec<NamedRate>,
     verdict: Verdict,
 }
 
@@ -182,6 +196,7 @@
         takings: Vec::new(),
         left: HashMap::new(),
         configured: Vec::new(),
+        named: Vec::new(),
         verdict: Verdict::default(),
     };
     for report in &history.reports {
@@ -194,6 +209,7 @@
     checker.judge_work();
     checker.judge_budget();
     checker.judge_leavers();
+    checker.judge_rates();
     checker.judge_recovery();
     checker.verdict
 }
@@ -269,6 +285,11 @@
             Observation::Left { upstream } => {
                 self.left.entry(upstream.clone()).or_insert(at);
             }
+            Observation::NamesRate { rate_milli } => self.named.push(NamedRate {
+                at,
+                upstream: from,
+                rate_milli: *rate_milli,
+            }),
             Observation::Configured { version } => self.configured.push((at, *version)),
         }
     }
--- /dev/null
+++ b/crates/soak/src/checker/rates.rs
@@ -0,0 +1,123 @@
+//! The promise about upstreams that name a rate.
+
+use super::{Checker, Disturbed, NamedRate, Promise};
+use crate::config::CONTACT;
+use beamtray_types::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Over which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// How long a router has had an answer that names the rate when its requests count.
+const TOLD_FOR: Duration = Duration::from_millis(500);
+/// Requests that an upstream may get, as a multiple of what it takes.
+const OVERAGE: f64 = 1.5;
+/// Requests beyond that.
+const SLACK: f64 = 5.0;
+
+/// A time in which an upstream named a rate.
+struct Need {
+    upstream: String,
+    rate: f64,
+    from: Time,
+    until: Time,
+}
+
+/// A request as it came to an upstream, and when its work there ended.
+struct Arrival {
+    at: Time,
+    node: usize,
+    finished: Option<Time>,
+}
+
+impl Checker<'_> {
+    pub(super) fn judge_rates(&mut self) {
+        for need in self.needs() {
+            let arrivals = self.arrivals(&need.upstream);
+            self.judge_need(&need, &arrivals);
+        }
+    }
+
+    fn needs(&self) -> Vec<Need> {
+        let begun = self.named.iter().enumerate();
+        let begun = begun.filter_map(|(index, named)| Some((index, named, named.rate_milli?)));
+        begun
+            .map(|(index, named, rate_milli)| {
+                let is_next = |later: &&NamedRate| later.upstream == named.upstream;
+                let next = self.named[index + 1..].iter().find(is_next);
+                Need {
+                    upstream: named.upstream.clone(),
+                    rate: f64::from(rate_milli) / 1e3,
+                    from: named.at,
+                    until: next.map_or(self.history.recovered, |next| next.at),
+                }
+            })
+            .collect()
+    }
+
+    fn arrivals(&self, upstream: &str) -> Vec<Arrival> {
+        let mut arrivals = Vec::new();
+        for request in self.requests.values() {
+            let came = request.arrived.iter().filter(|(_, at)| at == upstream);
+            let finished = request.finished.iter().find(|(_, at)| at == upstream);
+            arrivals.extend(came.map(|(at, _)| Arrival {
+                at: *at,
+                node: request.node,
+                finished: finished.map(|(at, _)| *at),
+            }));
+        }
+        arrivals.sort_by_key(|arrival| arrival.at);
+        arrivals
+    }
+
+    fn judge_need(&mut self, need: &Need, arrivals: &[Arrival]) {
+        let mut told: BTreeMap<usize, Time> = BTreeMap::new();
+        for arrival in arrivals {
+            let answered = arrival.finished.filter(|at| *at >= need.from);
+            if let Some(at) = answered {
+                let first = told.entry(arrival.node).or_insert(at);
+                *first = at.min(*first);
+            }
+        }
+        let last = arrivals.iter().map(|arrival| arrival.at);
+        let ends = last.filter(|at| *at >= need.from + CONTACT && *at <= need.until);
+        let mut most: Option<(Time, usize)> = None;
+        for end in ends {
+            let counts = |node: usize| {
+                let told = told.get(&node);
+                told.is_some_and(|told| *told + TOLD_FOR <= end) && !self.is_excused(node, end)
+            };
+            let within = arrivals
+                .iter()
+                .filter(|one| one.at + WINDOW > end && one.at <= end);
+            let count = within.filter(|one| counts(one.node)).count();
+            if most.is_none_or(|(_, most)| count > most) {
+                most = Some((end, count));
+            }
+        }
+        let Some((at, count)) = most else { return };
+        let allowed = need.rate * WINDOW.as_secs_f64() * OVERAGE + SLACK;
+        self.verdict
+            .test(Promise::Limit, count as f64 <= allowed, at, || {
+                format!(
+                    "{} takes {} a second and got {count} in 4 s, allowed {allowed}",
+                    need.upstream, need.rate
+                )
+            });
+    }
+
+    /// Whether a router was killed, stopped, stood still or was cut off of late, or its way
+    /// to an upstream was harmed.
+    fn is_excused(&self, node: usize, until: Time) -> bool {
+        let from = until - WINDOW - CONTACT;
+        let disturbs = |whom: Disturbed| matches!(whom, Disturbed::Router(other) if other == node);
+        let is_stopped = self
+            .history
+            .stops
+            .iter()
+            .any(|stop| stop.node == node && stop.at <= until && from <= stop.until);
+        is_stopped
+            || self.disturbed(from, until, disturbs)
+            || self.disturbed(from, until, |whom| whom == Disturbed::Upstream)
+    }
+}
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -16,6 +16,9 @@
 const SLOW_LINK: Duration = Duration::from_millis(120);
 /// Percent of answers that are lost.
 const LOST_PERCENT: u32 = 30;
+/// Requests in a thousand seconds that an upstream in need takes: less than half of what it
+/// gets.
+const IN_NEED_MILLI: u32 = 3_000;
 /// How long watches hear nothing before the history is dropped.
 const DEAF: Duration = Duration::from_secs(1);
 /// How long a planned stop may take before the process is killed.
@@ -64,6 +67,7 @@
         SoakFault::RouterStop(_)
         | SoakFault::RouterReload(_)
         | SoakFault::UpstreamDrain(_)
+        | SoakFault::UpstreamInNeed(_)
         | SoakFault::Configure => Target::Nobody,
     }
 }
@@ -151,6 +155,10 @@
                 let name = self.upstream_name(index);
                 self.tell(&name, &Command::LoseAnswers(LOST_PERCENT));
             }
+            SoakFault::UpstreamInNeed(index) => {
+                let name = self.upstream_name(index);
+                self.tell(&name, &Command::NameRate(Some(IN_NEED_MILLI)));
+            }
             SoakFault::Configure => self.configure(),
             _ => {}
         }
@@ -227,6 +235,10 @@
                 let name = self.upstream_name(index);
                 self.tell(&name, &Command::LoseAnswers(0));
             }
+            SoakFault::UpstreamInNeed(index) => {
+                let name = self.upstream_name(index);
+                self.tell(&name, &Command::NameRate(None));
+            }
             SoakFault::StoreCompact => self.tell("store", &Command::Compact),
             _ => {}
         }
--- a/crates/soak/src/message.rs
+++ b/crates/soak/src/message.rs
@@ -96,6 +96,12 @@
         /// Last key.
         last: u16,
     },
+    /// An upstream's answers name from now on how many requests in a thousand seconds it
+    /// takes; none if they name nothing.
+    NamesRate {
+        /// The rate.
+        rate_milli: Option<u32>,
+    },
     /// The store accepted that an upstream leaves, or its entry is gone.
     Left {
         /// The upstream's incarnation.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -63,6 +63,8 @@
     UpstreamDelay(usize),
     /// An upstream loses answers.
     AnswersLost(usize),
+    /// An upstream's answers name the requests a second that it takes.
+    UpstreamInNeed(usize),
     /// A new configuration.
     Configure,
 }
@@ -107,6 +109,8 @@
         }
         let unreachable = draw_unreachable(seed, end, size).into_iter();
         faults.extend(unreachable.filter(|fault| fault.at_ms < end));
+        let in_need = draw_need(seed, end, size).into_iter();
+        faults.extend(in_need.filter(|fault| fault.at_ms < end));
         faults.sort_by_key(|fault| fault.at_ms);
         Self { faults }
     }
@@ -158,6 +162,21 @@
     [unreachable].into_iter().chain(killed).collect()
 }
 
+/// In one run of two, upstreams are in need: from a generator of its own, as above.
+fn draw_need(seed: u64, end_ms: u64, size: Size) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x11E_0000);
+    if random.random_bool(0.5) {
+        return Vec::new();
+    }
+    let count = random.random_range(1..=3);
+    let in_need = (0..count).map(|_| PlannedFault {
+        at_ms: random.random_range(0..end_ms.max(1)),
+        for_ms: random.random_range(5_000..12_000),
+        fault: SoakFault::UpstreamInNeed(random.random_range(0..size.upstreams())),
+    });
+    in_need.collect()
+}
+
 /// Planned work in a series, one step a machine, as operators and platforms do it. It
 /// overlaps other series and faults.
 fn draw_series(random: &mut ChaCha8Rng, begin_ms: u64, size: Size) -> Vec<PlannedFault> {
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -123,7 +123,7 @@
             _ = terminate.recv() => break,
             command = commands.recv() => match command {
                 Some(Command::LoseAnswers(percent)) => upstream.lost_percent.set(percent),
-                Some(Command::NameRate(rate_milli)) => upstream.rate_milli.set(rate_milli),
+                Some(Command::NameRate(rate_milli)) => upstream.set_rate(rate_milli),
                 Some(_) => {}
                 None => return Ok(()),
             },
@@ -240,6 +240,12 @@
         }
     }
 
+    /// Has answers name a rate from now on, or none.
+    fn set_rate(&self, rate_milli: Option<u32>) {
+        self.rate_milli.set(rate_milli);
+        self.reporter.tell(Observation::NamesRate { rate_milli });
+    }
+
     /// Has an answer name the rate that this upstream takes.
     fn name_rate(&self, response: &mut Answer) {
         if let Some(milli) = self.rate_milli.get() {
--- /dev/null
+++ b/crates/soak/tests/rates.rs
@@ -0,0 +1,100 @@
+//! The check of named rates objects to bad histories, and to these alone.
+
+use beamtray_soak::{Disturbance, Disturbed, History, Observation, Promise, Report, check};
+use beamtray_types::Time;
+
+fn at(millis: u64) -> Time {
+    Time(100_000_000 + millis * 1_000)
+}
+
+/// An upstream names four a second from 2 s to 12 s: 29 are allowed in four seconds.
+struct Story {
+    history: History,
+    next: usize,
+}
+
+impl Story {
+    fn new() -> Self {
+        let mut story = Self {
+            history: History::default(),
+            next: 0,
+        };
+        let named = |rate_milli| Observation::NamesRate { rate_milli };
+        story.tell(2_000, "pool-1", named(Some(4_000)));
+        story.tell(12_000, "pool-1", named(None));
+        story.history.recovered = at(60_000);
+        story
+    }
+
+    fn tell(&mut self, millis: u64, from: &str, observation: Observation) {
+        self.history.reports.push(Report {
+            at: at(millis),
+            from: from.to_owned(),
+            observation,
+        });
+    }
+
+    /// Requests of a router, one after the other.
+    fn requests(mut self, node: usize, from: u64, until: u64, every: usize) -> Self {
+        for millis in (from..until).step_by(every) {
+            self.next += 1;
+            let id = format!("request-{}", self.next);
+            let asked = Observation::Asked {
+                id: id.clone(),
+                node,
+                path: "/order/5".to_owned(),
+                repeatable: true,
+            };
+            self.tell(millis, "caller", asked);
+            self.tell(millis, "pool-1", Observation::Arrived { id: id.clone() });
+            self.tell(millis + 5, "pool-1", Observation::Finished { id });
+        }
+        self
+    }
+
+    fn disturbed(mut self, whom: Disturbed) -> Self {
+        let (from, until) = (at(6_000), at(7_000));
+        let disturbance = Disturbance { whom, from, until };
+        self.history.disturbances.push(disturbance);
+        self
+    }
+
+    fn objections(&self) -> usize {
+        let findings = check(&self.history).findings.into_iter();
+        let limits = findings.filter(|finding| finding.promise == Promise::Limit);
+        limits.count()
+    }
+}
+
+#[test]
+fn who_gets_more_than_half_beyond_it_is_objected_to() {
+    let within = Story::new().requests(0, 0, 12_000, 145);
+    assert_eq!(within.objections(), 0);
+    let beyond = Story::new().requests(0, 0, 12_000, 125);
+    assert_eq!(beyond.objections(), 1);
+    let together = Story::new()
+        .requests(0, 0, 12_000, 250)
+        .requests(1, 0, 12_000, 250);
+    assert_eq!(together.objections(), 1);
+}
+
+#[test]
+fn what_comes_before_and_after_is_not() {
+    let before = Story::new().requests(0, 0, 4_900, 50);
+    assert_eq!(before.objections(), 0);
+    let after = Story::new().requests(0, 12_001, 20_000, 50);
+    assert_eq!(after.objections(), 0);
+}
+
+#[test]
+fn routers_that_had_no_such_answer_or_were_disturbed_are_excused() {
+    let untold = Story::new()
+        .requests(0, 2_500, 4_500, 100)
+        .requests(1, 11_000, 11_490, 10);
+    assert_eq!(untold.objections(), 0);
+    let story = || Story::new().requests(0, 7_000, 9_000, 60);
+    assert_eq!(story().objections(), 1);
+    assert_eq!(story().disturbed(Disturbed::Router(0)).objections(), 0);
+    assert_eq!(story().disturbed(Disturbed::Router(1)).objections(), 1);
+    assert_eq!(story().disturbed(Disturbed::Store).objections(), 1);
+}
