Keys of a holder that names a rate go to holders with room

What callers saw: with permits alone, two thirds of the requests for the keys of a holder in need were refused for as long as it lasted, beside holders with room.

Cause: the granter planned with what a holder's slots could do. The named rate now bounds that, as the rate of a cold one does, so the ordinary moves relieve it.

--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -2,7 +2,7 @@
 
 use crate::core::records::{AssignmentKey, OwnKeys, decode_part};
 use crate::core::views::Views;
-use beamtray_catalog::{Directory, Registration, UpstreamId, UpstreamState};
+use beamtray_catalog::{Directory, Registration, RequestRate, UpstreamId, UpstreamState};
 use beamtray_dispatch::{Dispatcher, UpstreamHash};
 use beamtray_metastore::{Condition, Epoch, Item, Revision, StoreCall, Transaction, Write};
 use beamtray_sharding::{
@@ -320,10 +320,13 @@
             let capacity = f64::from(record.slots) / (work * slowness);
             let is_cold = now < registration.warm_at;
             let cold_rate = cold_start.filter(|_| is_cold).map(|cold| cold.rate);
+            // Keys go on to holders with room, sooner than requests wait for permits.
+            let named_rate = dispatcher.named_rate(hash).map(RequestRate::a_second);
+            let rates = cold_rate.into_iter().chain(named_rate);
             Candidate {
                 id: record.id.clone(),
                 standing: standing(directory, registration, cold_rate.is_some()),
-                capacity: cold_rate.map_or(capacity, |rate| capacity.min(rate)),
+                capacity: rates.fold(capacity, f64::min),
                 heard: dispatcher.heard(hash),
             }
         })
--- a/crates/routersim/tests/named_rates.rs
+++ b/crates/routersim/tests/named_rates.rs
@@ -92,3 +92,19 @@
     let broken = broken(&again);
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// A holder in need takes a third of what its keys get: they go on to holders with room,
+/// sooner than their requests are refused for want of permits.
+#[test]
+fn keys_of_a_holder_in_need_go_to_others() {
+    let (mut served, mut asked) = (0, 0);
+    for seed in 0..SEEDS {
+        let plan = FaultPlan {
+            faults: vec![in_need(0, 8_000, 12_000)],
+        };
+        let outcome = play(config(seed), plan, None);
+        served += outcome.served;
+        asked += outcome.asked;
+    }
+    assert!(served * 100 >= asked * 97, "{served} of {asked} served");
+}
