--- a/crates/dispatch/src/rate_limit/known.rs
+++ b/crates/dispatch/src/rate_limit/known.rs
@@ -56,6 +56,17 @@
     },
 }
 
+impl LimitNotice {
+    /// Whose rate it is.
+    pub fn upstream(&self) -> UpstreamHash {
+        match *self {
+            LimitNotice::Limited { upstream, .. }
+            | LimitNotice::Ended { upstream, .. }
+            | LimitNotice::Unreadable { upstream } => upstream,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     /// None once the upstream has ceased to name one: an older word must not bring it back.
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -264,8 +264,8 @@
     Probe(DoubtedUpstream),
     /// What is known of requests that end upstreams changed.
     Quarantine(QuarantineNotice),
-    /// What is known of the rates that upstreams take changed.
-    RateLimit(LimitNotice),
+    /// What is known of the rate that an upstream takes changed; its id, if it is registered.
+    RateLimit(Option<UpstreamId>, LimitNotice),
     /// Bounds on clients changed.
     Limits(ClientLimits),
     /// A belief changed.
--- a/crates/router/src/core/node/rate_limits.rs
+++ b/crates/router/src/core/node/rate_limits.rs
@@ -8,7 +8,8 @@
 use super::NodeCore;
 use crate::core::membership::Audience;
 use crate::core::message::{Datagram, Output};
-use beamtray_dispatch::{LimitWord, PermitRequest};
+use beamtray_catalog::UpstreamId;
+use beamtray_dispatch::{LimitWord, PermitRequest, UpstreamHash};
 use beamtray_types::Time;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,8 +22,10 @@
 impl NodeCore {
     /// Passes on what became known of rates.
     pub(super) fn follow_rate_limits(&mut self, now: Time) {
-        let notices = self.dispatcher.take_limit_notices().into_iter();
-        self.outputs.extend(notices.map(Output::RateLimit));
+        for notice in self.dispatcher.take_limit_notices() {
+            let id = self.registered_as(notice.upstream());
+            self.outputs.push(Output::RateLimit(id, notice));
+        }
         if now < self.limits_told_at {
             return;
         }
@@ -43,6 +46,11 @@
         }
     }
 
+    fn registered_as(&self, upstream: UpstreamHash) -> Option<UpstreamId> {
+        let mut ids = self.views.directory.iter().map(|one| &one.record.id);
+        ids.find(|id| UpstreamHash::of(id) == upstream).cloned()
+    }
+
     fn tell_limits(&mut self, words: &[LimitWord], audience: &[SocketAddr]) {
         for part in words.chunks(LIMITS_A_DATAGRAM) {
             let datagram = Datagram::Limits(part.to_vec());
--- a/crates/router/src/shell/observer/rate_limits.rs
+++ b/crates/router/src/shell/observer/rate_limits.rs
@@ -2,6 +2,7 @@
 
 use super::Observer;
 use crate::shell::rate::LineKind;
+use beamtray_catalog::UpstreamId;
 use beamtray_dispatch::{LimitFacts, LimitNotice};
 use slog::{Record, info, warn};
 
@@ -23,27 +24,25 @@
 
 impl Observer {
     /// What is known of an upstream's rate changed. `short` is the upstream's name in what
-    /// nodes tell each other.
-    pub fn rate_limit(&self, notice: LimitNotice) {
+    /// nodes tell each other, and in the lines of requests that were refused for its rate.
+    pub fn rate_limit(&self, upstream: Option<&UpstreamId>, notice: LimitNotice) {
         let Some(left_out) = self.admit(LineKind::Limit) else {
             return;
         };
         let log = &self.log;
+        let short = notice.upstream().0;
+        let name = upstream.map_or("-", |upstream| upstream.name.0.as_str());
         match notice {
-            LimitNotice::Limited {
-                upstream,
-                rate,
-                is_own,
-            } => {
-                info!(log, "rate_limited"; "short" => upstream.0, "a_second" => rate.a_second(),
+            LimitNotice::Limited { rate, is_own, .. } => {
+                info!(log, "rate_limited"; "upstream" => name, "short" => short, "a_second" => rate.a_second(),
                     "heard_from" => heard_from(is_own), left_out);
             }
-            LimitNotice::Ended { upstream, is_own } => {
-                info!(log, "rate_limit_ended"; "short" => upstream.0,
+            LimitNotice::Ended { is_own, .. } => {
+                info!(log, "rate_limit_ended"; "upstream" => name, "short" => short,
                     "heard_from" => heard_from(is_own), left_out);
             }
-            LimitNotice::Unreadable { upstream } => {
-                warn!(log, "rate_unreadable"; "short" => upstream.0, left_out);
+            LimitNotice::Unreadable { .. } => {
+                warn!(log, "rate_unreadable"; "upstream" => name, "short" => short, left_out);
             }
         }
     }
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -20,7 +20,9 @@
         Output::Ask(address, request, wait) => peers::ask(shared, address, request, wait),
         Output::Probe(doubted) => probe::listens(shared, doubted),
         Output::Quarantine(notice) => shared.observer.quarantine(notice),
-        Output::RateLimit(notice) => shared.observer.rate_limit(notice),
+        Output::RateLimit(upstream, notice) => {
+            shared.observer.rate_limit(upstream.as_ref(), notice);
+        }
         Output::Limits(limits) => shared.limits.set(limits),
         Output::Notice(notice) => {
             shared.observer.notice(&notice);
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -317,7 +317,7 @@
                 self.suspicion.notices += 1;
                 self.note_remembered(node);
             }
-            Output::RateLimit(_)
+            Output::RateLimit(..)
             | Output::Limits(_)
             | Output::Notice(_)
             | Output::Granter(_)
