Soak: what came before a rate was named can't be kept; a drawn history that breaks the order of tokens is listed

So a window in which these alone are beyond the bound tells nothing of routers and is passed over; one in which they are not counts whole, as before. The check's test has both.

Not traced; a test by itself, known red.

--- a/crates/routersim/tests/late_orders.rs
+++ b/crates/routersim/tests/late_orders.rs
@@ -66,3 +66,13 @@
     let outcome = explore(WorldSize::Drawn, 1_312);
     assert_eq!(outcome.violations, []);
 }
+
+/// Found among fresh seeds; the code before it broke the same way. Orders were left lying up to
+/// 15.6 s, the granter was killed at 12.5 s, and the upstream was cut off from 15.7 s to
+/// 22.4 s. At 21.6 s it took keys under a token of the granter before, which another upstream
+/// had under a higher one. Not traced; known red.
+#[test]
+fn nor_is_one_of_a_granter_that_was_killed() {
+    let outcome = explore(WorldSize::Drawn, 70_188);
+    assert_eq!(outcome.violations, []);
+}
--- a/crates/soak/tests/rates.rs
+++ b/crates/soak/tests/rates.rs
@@ -86,6 +86,21 @@
     assert_eq!(after.objections(), 0);
 }
 
+/// Seen at the begin of a run: callers that all began at once sent more within half a second
+/// before the rate was named than is allowed in four, and three in the next three seconds.
+#[test]
+fn a_burst_before_the_rate_was_named_is_nobodys_fault() {
+    let burst = |every| {
+        Story::new()
+            .requests(0, 1_500, 2_000, every)
+            .requests(0, 2_001, 2_002, 1)
+            .requests(0, 2_600, 5_200, 500)
+    };
+    // 32 and 28 come before, seven after.
+    assert_eq!(burst(16).objections(), 0);
+    assert_eq!(burst(18).objections(), 1);
+}
+
 #[test]
 fn routers_that_had_no_such_answer_or_were_disturbed_are_excused() {
     let untold = Story::new()
