What came before a rate was named is worked off for two seconds at most, not one

Cause: what came before was worked off for one second only, which gives back 3 of 6 beyond what it takes in the window. Ruled out: requests past the permits (the routers' lines show 2 in the moment of the naming, then none for 2.1 s, then 2.3 a second).

It costs callers one more second of the rate at the begin of a need that comes with at least twice the rate.

--- a/crates/dispatch/src/rate_limit/lender.rs
+++ b/crates/dispatch/src/rate_limit/lender.rs
@@ -34,7 +34,7 @@
 /// heard that it is none any more.
 const SETTLED: Duration = Duration::from_secs(1);
 /// Longest pause for what was sent before the rate was known, at the rate.
-const LONGEST_DEBT: Duration = Duration::from_secs(1);
+const LONGEST_DEBT: Duration = Duration::from_secs(2);
 /// Requests a second that an upstream is sent at least, also where it takes none: the only
 /// way to learn that it takes some again.
 const LEAST_RATE: f64 = 0.2;
