Soak: until the first answer that names a rate no router can know of it

The window that is passed over is the one in which what came before the first such answer is beyond the bound by itself; it was counted up to the moment at which the upstream was told to name it, before any answer did.

--- a/crates/soak/src/checker/rates.rs
+++ b/crates/soak/src/checker/rates.rs
@@ -82,6 +82,7 @@
         let last = arrivals.iter().map(|arrival| arrival.at);
         let ends = last.filter(|at| *at >= need.from + CONTACT && *at <= need.until);
         let allowed = need.rate * WINDOW.as_secs_f64() * OVERAGE + SLACK;
+        let known_from = told.values().min().copied();
         let mut most: Option<(Time, usize)> = None;
         for end in ends {
             let counts = |node: usize| {
@@ -92,8 +93,9 @@
                 .iter()
                 .filter(|one| one.at + WINDOW > end && one.at <= end);
             let counted: Vec<&Arrival> = within.filter(|one| counts(one.node)).collect();
-            // No router can take back what came before the rate was named.
-            let before = counted.iter().filter(|one| one.at < need.from).count();
+            // No router can take back what came before the first answer that named the rate.
+            let before = counted.iter().filter(|one| Some(one.at) < known_from);
+            let before = before.count();
             if before as f64 > allowed {
                 continue;
             }
