Tests of real processes: no port is given out twice

Its lines were kept: router-0 ended at once, 'listen for peers on ...: Address already in use'; the port was also given to router-1 for its metrics. Addresses are free when they are drawn and not held until the process listens, so a second draw can meet the first. Now the test remembers what it gave out.

--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use beamtray_dialect::Dialect;
 use beamtray_soak::{Command, HOST, Observation, Report};
 use beamtray_wire::{FrameBuffer, encode};
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -51,11 +52,24 @@
     }
 }
 
+/// Addresses that are free, and that were not given out before: who got them may not listen
+/// there yet. Without that a router found the port of its peers taken by the next one's
+/// metrics, ended, and the test waited for it in vain.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
-    let address = |listener: &TcpListener| listener.local_addr().expect("an address");
-    listeners.iter().map(address).collect()
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    let mut given = GIVEN.lock().expect("not poisoned");
+    // Kept open, so that each is another one.
+    let mut listeners = Vec::new();
+    let mut addresses = Vec::new();
+    while addresses.len() < count {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        listeners.push(listener);
+        if given.insert(address) {
+            addresses.push(address);
+        }
+    }
+    addresses
 }
 
 /// Stands in for the soak's driver: it gives the store its configuration.
