--- a/crates/dispatch/tests/named_rates.rs
+++ b/crates/dispatch/tests/named_rates.rs
@@ -387,6 +387,28 @@
     assert!(last >= 15, "{last} in the last second");
 }
 
+/// An upstream that names another rate with each answer gets no more than its highest allows,
+/// and something.
+#[test]
+fn a_rate_that_changes_with_each_answer_is_kept_to() {
+    let rates = [3.0, 9.0, 0.0];
+    let highest = 9.0;
+    let mut world = World::new(5, 5);
+    for millis in 0..NAMED_MS + 20_000 {
+        if millis >= NAMED_MS {
+            world.word = limited(rates[millis as usize % rates.len()]);
+        }
+        if millis % 977 == 0 && millis > NAMED_MS {
+            world.word = RateWord::Unreadable;
+        }
+        world.step(millis, "/keyed/1", Some(7), &every(200));
+    }
+    kept(&world, highest);
+    // What it gets where it takes nothing: one in five seconds.
+    let sent = world.sent.len();
+    assert!(sent >= 4, "{sent} in 20 s");
+}
+
 /// Half of a pool is in need: the other half gets what is too much for it.
 #[test]
 fn requests_without_a_key_go_to_others_that_have_room() {
