--- a/crates/dispatch/src/rate_limit/lender.rs
+++ b/crates/dispatch/src/rate_limit/lender.rs
@@ -7,9 +7,8 @@
 //! permit may lie unused, so that permits which come together, or late, are paid for.
 //!
 //! What nodes sent before they knew of the rate is worked off first, as far as it is beyond
-//! the rate and [`LONGEST_DEBT`] at the most: the upstream has it in its queue. Without that
-//! one that got three times what it takes went on getting more than half beyond it for
-//! seconds, at the rate itself; where it got less than it takes nothing is held back.
+//! the rate and [`LONGEST_DEBT`] at the most: the upstream has it in its queue, and at the
+//! rate itself the queue would stay. Where it got less than it takes nothing is held back.
 //!
 //! Counter-cases: lenders that two nodes see differently for longer than [`SETTLED`], and a
 //! rate that falls: what was lent by the higher one may still be used for [`USE_WITHIN`].
