--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -61,6 +61,8 @@
     Removed(UpstreamId),
     /// A registration is missing, which proves nothing now.
     Unconfirmed(UpstreamId),
+    /// An upstream says in its answers that it leaves.
+    Leaves(UpstreamId),
     /// The upstreams of a zone are to get nothing.
     Evacuated(Zone),
     /// They may get work again.
@@ -92,6 +94,8 @@
     store_sound: Option<Time>,
     /// Upstreams that were found gone, and when.
     gone: BTreeMap<UpstreamId, Time>,
+    /// Upstreams whose answers said that they leave, and when that was first heard.
+    leaving: BTreeMap<UpstreamId, Time>,
     /// Zones whose upstreams are to get nothing.
     evacuations: Evacuations,
     /// Which incarnation counts where an upstream started again under its name.
@@ -110,6 +114,7 @@
             store_trouble: None,
             store_sound: None,
             gone: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             evacuations: Evacuations::default(),
             incarnations: Incarnations::default(),
         }
@@ -274,6 +279,15 @@
         self.remove(id)
     }
 
+    /// Takes an upstream's word that it leaves.
+    pub fn says_it_leaves(&mut self, now: Time, id: &UpstreamId) -> Option<DirectoryChange> {
+        if self.leaving.contains_key(id) || self.gone.contains_key(id) {
+            return None;
+        }
+        self.leaving.insert(id.clone(), now);
+        Some(DirectoryChange::Leaves(id.clone()))
+    }
+
     /// Removes an upstream whose entry names it no more: that is no lapse of a lease, so
     /// there is nothing to wait for, and no proof that it ended, so it may come back.
     pub fn withdraw(&mut self, now: Time, name: &UpstreamName) -> Option<DirectoryChange> {
@@ -296,6 +310,10 @@
             self.forget_at = now + FORGET_PAUSE;
             self.gone
                 .retain(|_, since| now.since(*since) < REMEMBER_GONE);
+            let upstreams = &self.upstreams;
+            self.leaving.retain(|id, since| {
+                upstreams.contains_key(id) || now.since(*since) < REMEMBER_GONE
+            });
             for (earlier, record) in self.take_believed(now) {
                 changes.extend(self.restarted(now, earlier, record));
             }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod evacuation;
 mod incarnations;
+mod leaving;
 mod rate;
 mod route_table;
 mod upstream;
@@ -18,6 +19,7 @@
 };
 pub use directory::{Directory, DirectoryChange, DirectoryPolicy, Registration};
 pub use incarnations::CLAIM_STANDS;
+pub use leaving::LeaveWord;
 pub use rate::{RateWord, RequestRate};
 pub use route_table::RouteTable;
 pub use upstream::{Birth, UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -4,7 +4,7 @@
 //! A [`Dialect`] translates. It decides nothing, waits for nothing and keeps
 //! nothing.
 
-use beamtray_catalog::{Configuration, RateWord, UpstreamRecord};
+use beamtray_catalog::{Configuration, LeaveWord, RateWord, UpstreamRecord};
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
 use thiserror::Error;
@@ -86,6 +86,8 @@
     pub handover: &'static str,
     /// Requests a second that an upstream takes from all nodes together.
     pub rate_limit: &'static str,
+    /// Tells that the upstream leaves.
+    pub leaving: &'static str,
 }
 
 /// Keys of the metadata store.
@@ -139,4 +141,7 @@
     /// Reads what an upstream's answer says of the rate that it takes, from the values of
     /// the header for it, in their order.
     fn decode_rate(&self, values: &[&[u8]]) -> RateWord;
+
+    /// Reads what an upstream's answer says of its leaving, in the same way.
+    fn decode_leaving(&self, values: &[&[u8]]) -> LeaveWord;
 }
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -186,6 +186,11 @@
         /// What its answer said of the rate that the upstream takes; none if none came.
         rate: Option<RateWord>,
     },
+    /// An upstream said in an answer that it leaves.
+    Leaves {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// The client left.
     Cancelled {
         /// The request.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -1,6 +1,7 @@
 //! One node's core: inputs and the time go in, outputs come out.
 
 mod fetch;
+mod leaving;
 mod load;
 mod quarantine;
 mod rate_limits;
@@ -158,6 +159,7 @@
                     self.outputs.push(Output::Conclude(ticket, ending));
                 }
             }
+            Input::Leaves { upstream } => self.heard_leaving(now, &upstream),
             Input::Cancelled { ticket } => {
                 self.dispatcher.cancel(ticket);
             }
--- a/crates/router/src/core/views.rs
+++ b/crates/router/src/core/views.rs
@@ -347,6 +347,14 @@
         self.note_directory(change);
     }
 
+    /// Takes an upstream's word that it leaves; whether that was news.
+    pub fn says_it_leaves(&mut self, now: Time, id: &UpstreamId) -> bool {
+        let change = self.directory.says_it_leaves(now, id);
+        let is_news = change.is_some();
+        self.note_directory(change);
+        is_news
+    }
+
     /// Whether the registered nodes changed since the last call.
     pub fn take_nodes_changed(&mut self) -> bool {
         std::mem::take(&mut self.nodes_changed)
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -4,7 +4,7 @@
 use crate::shell::answer::strip_connection_headers;
 use crate::shell::connections::{Answer, CallFailure, CallProgress};
 use crate::shell::handle::{AnswerBody, Shared, Step};
-use beamtray_catalog::RateWord;
+use beamtray_catalog::{LeaveWord, RateWord};
 use beamtray_dispatch::{AttemptOutcome, Fingerprints, Forward, Ticket, UnknownCause, Untouched};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -35,6 +35,8 @@
     replaced: bool,
     /// What the upstream's answer said of the rate that it takes.
     rate: Option<RateWord>,
+    /// Whether the upstream's answer said that it leaves.
+    leaves: bool,
 }
 
 impl Result {
@@ -44,6 +46,7 @@
             response: None,
             replaced: false,
             rate: None,
+            leaves: false,
         }
     }
 }
@@ -87,6 +90,11 @@
             upstream: forward.upstream.clone(),
         });
     }
+    if result.leaves {
+        shared.input(Input::Leaves {
+            upstream: forward.upstream.clone(),
+        });
+    }
     if let Some(response) = result.response {
         let age = forward.waited + took;
         shared.observer.answered(&forward.route.name, age);
@@ -154,9 +162,9 @@
     let foreign = id.is_some_and(|id| id != request.id);
     let status = answer.head.status;
     let not_executed = headers.contains_key(names.not_executed);
-    let named = headers.get_all(names.rate_limit).iter();
-    let named: Vec<&[u8]> = named.map(HeaderValue::as_bytes).collect();
+    let named = values(headers, names.rate_limit);
     let rate = (!foreign).then(|| shared.dialect.decode_rate(&named));
+    let leaves = !foreign && leaves(shared, forward, headers);
     if !foreign && (not_executed || status == StatusCode::MISDIRECTED_REQUEST) {
         let answering = text(names.answering_upstream);
         let replaced = answering.is_some_and(|name| name != forward.upstream.name.0);
@@ -171,6 +179,7 @@
             replaced,
             // Another upstream speaks of itself.
             rate: rate.filter(|_| !replaced),
+            leaves: leaves && !replaced,
         };
     }
     let unsigned = status.is_success() && text(names.signature).is_none();
@@ -186,7 +195,10 @@
     ];
     if promises.contains(&status) {
         shared.connections.keep(answer);
-        return Result::failed(AttemptOutcome::Unknown(UnknownCause::BrokenOff));
+        return Result {
+            leaves,
+            ..Result::failed(AttemptOutcome::Unknown(UnknownCause::BrokenOff))
+        };
     }
     let mut headers = headers.clone();
     strip_connection_headers(&mut headers);
@@ -201,5 +213,28 @@
         response: Some(response),
         replaced: false,
         rate,
+        leaves,
+    }
+}
+
+fn values<'a>(headers: &'a HeaderMap, name: &str) -> Vec<&'a [u8]> {
+    let all = headers.get_all(name).iter();
+    all.map(HeaderValue::as_bytes).collect()
+}
+
+fn leaves(shared: &Shared, forward: &Forward, headers: &HeaderMap) -> bool {
+    let names = shared.dialect.headers();
+    match shared
+        .dialect
+        .decode_leaving(&values(headers, names.leaving))
+    {
+        LeaveWord::Leaves => true,
+        LeaveWord::Stays => false,
+        LeaveWord::Unreadable => {
+            shared
+                .observer
+                .word_unreadable(&forward.upstream, "leaving");
+            false
+        }
     }
 }
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -12,7 +12,7 @@
     StoreLabels,
 };
 use crate::shell::rate::{LineKind, LineRate};
-use beamtray_catalog::DirectoryChange;
+use beamtray_catalog::{DirectoryChange, UpstreamId};
 use beamtray_dispatch::{
     Admission, AssignmentNumber, AttemptOutcome, Conclusion, Ending, Fingerprints, Forward,
     RefusalReason, UnknownCause,
@@ -157,6 +157,9 @@
             DirectoryChange::Unconfirmed(id) => {
                 info!(log, "upstream_unconfirmed"; "upstream" => %id);
             }
+            DirectoryChange::Leaves(id) => {
+                info!(log, "upstream_leaves"; "upstream" => %id);
+            }
             DirectoryChange::Evacuated(zone) => {
                 info!(log, "zone_evacuated"; "zone" => %zone);
             }
@@ -257,6 +260,14 @@
             "left_ms" => left.as_millis() as u64, fields, left_out);
     }
 
+    /// An upstream's answer says something of itself that can't be read.
+    pub fn word_unreadable(&self, upstream: &UpstreamId, subject: &str) {
+        if let Some(left_out) = self.admit(LineKind::Word) {
+            warn!(self.log, "word_unreadable"; "upstream" => %upstream, "subject" => subject,
+                left_out);
+        }
+    }
+
     /// An attempt ended.
     pub fn ended(
         &self,
--- a/crates/router/src/shell/rate.rs
+++ b/crates/router/src/shell/rate.rs
@@ -19,6 +19,8 @@
     Entry,
     /// Rates that upstreams name.
     Limit,
+    /// What upstreams say of themselves and can't be read.
+    Word,
 }
 
 impl LineKind {
@@ -34,6 +36,8 @@
             LineKind::Entry => 20,
             // An upstream may name another one with each answer.
             LineKind::Limit => 20,
+            // An upstream may say it with each answer.
+            LineKind::Word => 20,
         }
     }
 }
--- a/crates/routersim/src/dialect.rs
+++ b/crates/routersim/src/dialect.rs
@@ -1,7 +1,7 @@
 //! Values of the emulated store: numbers of entries in a shared list, so that
 //! the world needs no format of its own.
 
-use beamtray_catalog::{Configuration, RateWord, UpstreamRecord};
+use beamtray_catalog::{Configuration, LeaveWord, RateWord, UpstreamRecord};
 use beamtray_dialect::{
     CallMethod, Dialect, DialectError, HeaderNames, HttpAnswer, HttpCall, StoreKeys,
 };
@@ -20,6 +20,7 @@
     shard_key: "key",
     handover: "handover",
     rate_limit: "rate-limit",
+    leaving: "leaving",
 };
 
 const KEYS: StoreKeys = StoreKeys {
@@ -126,4 +127,8 @@
     fn decode_rate(&self, _: &[&[u8]]) -> RateWord {
         RateWord::Unlimited
     }
+
+    fn decode_leaving(&self, _: &[&[u8]]) -> LeaveWord {
+        LeaveWord::Stays
+    }
 }
