An upstream that says in an answer that it leaves is a leaver at once, for all nodes

What callers saw: nothing; what the upstream saw: requests from all nodes for 12 s after its answers had said that it leaves, the last ones of the report 3.2 and 3.5 s after, 2 s allowed.

Cause: leaving was learned from the upstream's entry in the store only, and the store was away. Ruled out: nodes that know and go on for the sake of keys (no line names the upstream as a leaver before its entry does).

Mend: the directory takes the answer's word for the incarnation, whatever its entry says, so everything that treats leavers (pools, the grace of a holder, the granter's taking back of its keys) follows from one place. The word goes to all nodes, through relays where there are many, and to nodes that have just started.

It is a drawn fault of one history of four now.

--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -181,7 +181,10 @@
         changes.flatten().collect()
     }
 
-    fn admit(&mut self, now: Time, record: UpstreamRecord) -> Option<DirectoryChange> {
+    fn admit(&mut self, now: Time, mut record: UpstreamRecord) -> Option<DirectoryChange> {
+        if self.leaving.contains_key(&record.id) {
+            record.state = UpstreamState::Draining;
+        }
         let known = self.upstreams.get(&record.id);
         let cold_until = known.map_or(Time::ZERO, |known| known.cold_until);
         let warm_at = cold_until.max(now + record.warm_up_left);
@@ -279,15 +282,27 @@
         self.remove(id)
     }
 
-    /// Takes an upstream's word that it leaves.
+    /// Takes an upstream's word that it leaves, from an answer. It holds for as long as this
+    /// incarnation is there, whatever its entry says: the store may not have been told yet, or
+    /// an entry may have been written before the answer.
     pub fn says_it_leaves(&mut self, now: Time, id: &UpstreamId) -> Option<DirectoryChange> {
         if self.leaving.contains_key(id) || self.gone.contains_key(id) {
             return None;
         }
         self.leaving.insert(id.clone(), now);
+        if let Some(registration) = self.upstreams.get_mut(id) {
+            Rc::make_mut(&mut registration.record).state = UpstreamState::Draining;
+            self.changes += 1;
+        }
         Some(DirectoryChange::Leaves(id.clone()))
     }
 
+    /// Upstreams that said in answers that they leave and are still there, as far as known.
+    pub fn leaving(&self) -> impl Iterator<Item = &UpstreamId> {
+        let ids = self.leaving.keys();
+        ids.filter(|id| self.upstreams.contains_key(id))
+    }
+
     /// Removes an upstream whose entry names it no more: that is no lapse of a lease, so
     /// there is nothing to wait for, and no proof that it ended, so it may come back.
     pub fn withdraw(&mut self, now: Time, name: &UpstreamName) -> Option<DirectoryChange> {
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -127,6 +127,8 @@
     Answers(Vec<Answers>),
     /// An upstream is gone: another one answered at its address.
     Gone(UpstreamId),
+    /// Upstreams that said in answers that they leave.
+    Leaving(Vec<UpstreamId>),
     /// Upstreams that ended under requests.
     Suspicions(Vec<Suspicion>),
     /// Requests by key, for the granter.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -159,7 +159,7 @@
                     self.outputs.push(Output::Conclude(ticket, ending));
                 }
             }
-            Input::Leaves { upstream } => self.heard_leaving(now, &upstream),
+            Input::Leaves { upstream } => self.heard_leaving(now, upstream),
             Input::Cancelled { ticket } => {
                 self.dispatcher.cancel(ticket);
             }
@@ -225,6 +225,7 @@
                 self.viewed(now);
                 self.upstream_ended(now, upstream);
             }
+            Datagram::Leaving(upstreams) => self.take_leaving(now, upstreams),
             Datagram::SlotRequest(request) => self.give_slot(now, from, request),
             Datagram::SlotReply(reply) => self.dispatcher.slot_given(now, *reply),
             Datagram::TrialRequest(request) => self.lend_trial(now, from, request),
--- a/crates/router/src/core/node/rate_limits.rs
+++ b/crates/router/src/core/node/rate_limits.rs
@@ -6,7 +6,6 @@
 //! the word learns of the rate from its first answer, and a lender from the question.
 
 use super::NodeCore;
-use crate::core::membership::Audience;
 use crate::core::message::{Datagram, Output};
 use beamtray_catalog::UpstreamId;
 use beamtray_dispatch::{LimitWord, PermitRequest, UpstreamHash};
@@ -34,16 +33,8 @@
             return;
         }
         self.limits_told_at = now + PAUSE;
-        if self.are_few() {
-            self.tell_limits(&words, &self.membership.peers(Audience::All));
-            return;
-        }
-        let mut relays = self.near_relays();
-        relays.extend(self.other_relays());
-        self.tell_limits(&words, &relays);
-        if self.is_relay() {
-            self.tell_limits(&words, &self.membership.peers(Audience::Near));
-        }
+        let audience = self.news_audience();
+        self.tell_limits(&words, &audience);
     }
 
     fn registered_as(&self, upstream: UpstreamHash) -> Option<UpstreamId> {
@@ -52,6 +43,9 @@
     }
 
     fn tell_limits(&mut self, words: &[LimitWord], audience: &[SocketAddr]) {
+        if audience.is_empty() {
+            return;
+        }
         for part in words.chunks(LIMITS_A_DATAGRAM) {
             let datagram = Datagram::Limits(part.to_vec());
             self.outputs.push(Output::Send(datagram, audience.to_vec()));
@@ -66,9 +60,8 @@
             started.retain(|address| is_relay && self.membership.is_near(address));
         }
         let words = self.dispatcher.limit_words(now);
-        if !words.is_empty() && !started.is_empty() {
-            self.tell_limits(&words, &started);
-        }
+        self.tell_limits(&words, &started);
+        self.tell_started_of_leaving(&started);
     }
 
     /// Takes other nodes' words; as a relay of many, passes on what was news.
@@ -79,9 +72,8 @@
                 news.extend(self.dispatcher.limit_word(now, word.upstream));
             }
         }
-        if !news.is_empty() && self.is_relay() && !self.are_few() {
-            self.tell_limits(&news, &self.membership.peers(Audience::Near));
-        }
+        let audience = self.passed_on_to();
+        self.tell_limits(&news, &audience);
     }
 
     /// Asks a lender for permits. One that has no entry any more is not heard from, and
--- a/crates/router/src/core/node/talk.rs
+++ b/crates/router/src/core/node/talk.rs
@@ -38,6 +38,26 @@
         }
     }
 
+    /// Whom this node tells of what it has found out itself, for all to know: all where there
+    /// are few, else the relays, which pass it on.
+    pub(super) fn news_audience(&self) -> Vec<SocketAddr> {
+        if self.are_few() {
+            return self.membership.peers(Audience::All);
+        }
+        let mut audience = self.near_relays();
+        audience.extend(self.other_relays());
+        audience.extend(self.passed_on_to());
+        audience
+    }
+
+    /// Whom this node passes other nodes' news on to, as a relay of many.
+    pub(super) fn passed_on_to(&self) -> Vec<SocketAddr> {
+        if self.is_relay() && !self.are_few() {
+            return self.membership.peers(Audience::Near);
+        }
+        Vec::new()
+    }
+
     /// Tells of a change at once, if others rely on this node for it.
     pub(super) fn tell_changes(&mut self, now: Time) {
         let latest = self.views.own_heads(None).latest;
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -211,6 +211,7 @@
         faults.extend(draw_suspensions(seed, config));
         faults.extend(draw_unreachable(seed, config));
         faults.extend(draw_need(seed, config));
+        faults.extend(draw_leaving(seed, config));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -325,6 +326,27 @@
         .collect()
 }
 
+/// In one history of four, upstreams say in their answers that they leave, seconds before the
+/// store hears of it: from a generator of its own, as above.
+fn draw_leaving(seed: u64, config: &WorldConfig) -> Vec<Fault> {
+    const ONE_IN: u32 = 4;
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x1EAE_0000);
+    if !random.random_ratio(1, ONE_IN) {
+        return Vec::new();
+    }
+    let troubled = config.troubled.as_millis() as u64;
+    let count = random.random_range(1..3);
+    (0..count)
+        .map(|_| Fault {
+            at: Time::ZERO + config.lead + Duration::from_millis(random.random_range(0..troubled)),
+            lasts: Duration::from_millis(random.random_range(0..6_000)),
+            trouble: Trouble::UpstreamLeaves {
+                upstream: random.random_range(0..config.upstreams()),
+            },
+        })
+        .collect()
+}
+
 fn draw_trouble(random: &mut ChaCha8Rng, config: &WorldConfig) -> Trouble {
     let node = random.random_range(0..config.nodes);
     let chosen = random.random_bool(0.5).then_some(node);
