Make visible which upstreams ask a node for rest

An upstream that turns a request away may say how long it wants none from the node that sent it. Nothing is decided by it yet.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -10,6 +10,7 @@
 mod incarnations;
 mod leaving;
 mod rate;
+mod rest;
 mod route_table;
 mod upstream;
 
@@ -21,5 +22,6 @@
 pub use incarnations::CLAIM_STANDS;
 pub use leaving::LeaveWord;
 pub use rate::{RateWord, RequestRate};
+pub use rest::RestWord;
 pub use route_table::RouteTable;
 pub use upstream::{Birth, UpstreamId, UpstreamName, UpstreamRecord, UpstreamState};
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -4,7 +4,7 @@
 //! A [`Dialect`] translates. It decides nothing, waits for nothing and keeps
 //! nothing.
 
-use beamtray_catalog::{Configuration, LeaveWord, RateWord, UpstreamRecord};
+use beamtray_catalog::{Configuration, LeaveWord, RateWord, RestWord, UpstreamRecord};
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
 use thiserror::Error;
@@ -88,6 +88,8 @@
     pub rate_limit: &'static str,
     /// Tells that the upstream leaves.
     pub leaving: &'static str,
+    /// How long an upstream that turned a request away wants none from the node.
+    pub rest: &'static str,
 }
 
 /// Keys of the metadata store.
@@ -144,4 +146,7 @@
 
     /// Reads what an upstream's answer says of its leaving, in the same way.
     fn decode_leaving(&self, values: &[&[u8]]) -> LeaveWord;
+
+    /// Reads how long an upstream that turned a request away asks for rest, in the same way.
+    fn decode_rest(&self, values: &[&[u8]]) -> RestWord;
 }
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -193,6 +193,13 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// An upstream turned a request away and asked this node for rest.
+    Rests {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// For so long.
+        rest: Duration,
+    },
     /// The client left.
     Cancelled {
         /// The request.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -160,6 +160,8 @@
                 }
             }
             Input::Leaves { upstream } => self.heard_leaving(now, upstream),
+            // Nothing is decided by it yet.
+            Input::Rests { .. } => {}
             Input::Cancelled { ticket } => {
                 self.dispatcher.cancel(ticket);
             }
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -4,7 +4,7 @@
 use crate::shell::answer::strip_connection_headers;
 use crate::shell::connections::{Answer, CallFailure, CallProgress};
 use crate::shell::handle::{AnswerBody, Shared, Step};
-use beamtray_catalog::{LeaveWord, RateWord};
+use beamtray_catalog::{LeaveWord, RateWord, RestWord};
 use beamtray_dispatch::{AttemptOutcome, Fingerprints, Forward, Ticket, UnknownCause, Untouched};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -37,6 +37,8 @@
     rate: Option<RateWord>,
     /// Whether the upstream's answer said that it leaves.
     leaves: bool,
+    /// How long it asked this node for rest.
+    rest: Option<Duration>,
 }
 
 impl Result {
@@ -47,6 +49,7 @@
             replaced: false,
             rate: None,
             leaves: false,
+            rest: None,
         }
     }
 }
@@ -95,6 +98,13 @@
             upstream: forward.upstream.clone(),
         });
     }
+    if let Some(rest) = result.rest {
+        shared.observer.rest_asked(&forward.upstream, rest);
+        shared.input(Input::Rests {
+            upstream: forward.upstream.clone(),
+            rest,
+        });
+    }
     if let Some(response) = result.response {
         let age = forward.waited + took;
         shared.observer.answered(&forward.route.name, age);
@@ -165,6 +175,7 @@
     let named = values(headers, names.rate_limit);
     let rate = (!foreign).then(|| shared.dialect.decode_rate(&named));
     let leaves = !foreign && leaves(shared, forward, headers);
+    let rest = rest(shared, forward, &answer).filter(|_| !foreign);
     if !foreign && (not_executed || status == StatusCode::MISDIRECTED_REQUEST) {
         let answering = text(names.answering_upstream);
         let replaced = answering.is_some_and(|name| name != forward.upstream.name.0);
@@ -180,6 +191,7 @@
             // Another upstream speaks of itself.
             rate: rate.filter(|_| !replaced),
             leaves: leaves && !replaced,
+            rest: rest.filter(|_| !replaced),
         };
     }
     let unsigned = status.is_success() && text(names.signature).is_none();
@@ -197,6 +209,7 @@
         shared.connections.keep(answer);
         return Result {
             leaves,
+            rest,
             ..Result::failed(AttemptOutcome::Unknown(UnknownCause::BrokenOff))
         };
     }
@@ -214,6 +227,7 @@
         replaced: false,
         rate,
         leaves,
+        rest: None,
     }
 }
 
@@ -238,3 +252,24 @@
         }
     }
 }
+
+/// The rest that an answer asks for which turns a request away.
+fn rest(shared: &Shared, forward: &Forward, answer: &Answer) -> Option<Duration> {
+    let turned_away = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    if !turned_away.contains(&answer.head.status) {
+        return None;
+    }
+    let names = shared.dialect.headers();
+    let values = values(&answer.head.headers, names.rest);
+    match shared.dialect.decode_rest(&values) {
+        RestWord::Rest(rest) => Some(rest),
+        RestWord::Unsaid => None,
+        RestWord::Unreadable => {
+            shared.observer.word_unreadable(&forward.upstream, "rest");
+            None
+        }
+    }
+}
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -268,6 +268,14 @@
         }
     }
 
+    /// An upstream turned a request away and asked this node for rest.
+    pub fn rest_asked(&self, upstream: &UpstreamId, rest: Duration) {
+        if let Some(left_out) = self.admit(LineKind::Word) {
+            info!(self.log, "rest_asked"; "upstream" => %upstream,
+                "rest_ms" => rest.as_millis() as u64, left_out);
+        }
+    }
+
     /// An attempt ended.
     pub fn ended(
         &self,
--- a/crates/router/src/shell/rate.rs
+++ b/crates/router/src/shell/rate.rs
@@ -19,7 +19,7 @@
     Entry,
     /// Rates that upstreams name.
     Limit,
-    /// What upstreams say of themselves and can't be read.
+    /// What upstreams say of themselves.
     Word,
 }
 
--- a/crates/routersim/src/dialect.rs
+++ b/crates/routersim/src/dialect.rs
@@ -1,7 +1,7 @@
 //! Values of the emulated store: numbers of entries in a shared list, so that
 //! the world needs no format of its own.
 
-use beamtray_catalog::{Configuration, LeaveWord, RateWord, UpstreamRecord};
+use beamtray_catalog::{Configuration, LeaveWord, RateWord, RestWord, UpstreamRecord};
 use beamtray_dialect::{
     CallMethod, Dialect, DialectError, HeaderNames, HttpAnswer, HttpCall, StoreKeys,
 };
@@ -21,6 +21,7 @@
     handover: "handover",
     rate_limit: "rate-limit",
     leaving: "leaving",
+    rest: "rest",
 };
 
 const KEYS: StoreKeys = StoreKeys {
@@ -131,4 +132,8 @@
     fn decode_leaving(&self, _: &[&[u8]]) -> LeaveWord {
         LeaveWord::Stays
     }
+
+    fn decode_rest(&self, _: &[&[u8]]) -> RestWord {
+        RestWord::Unsaid
+    }
 }
