Nothing is sent to an upstream before the rest is over that it asked this node for

What callers saw: a quarter of two classes refused for nine seconds, told to come back in 0.1 to 0.3 s, refused again; what upstreams saw: 20 requests and more from a node that had been asked for 3 s of rest, second attempts 34 ms after first ones.

Cause: nobody read how long was asked for; being turned away paused an upstream for 30 ms. Ruled out: a rest that is known and that keys go past, or that the next answer ends (no pause of any length at any node).

Mend: the rest is kept by incarnation, the latest end counts, and each way to an upstream goes past it: choice, slots of a relay, cold upstreams, trials, holders of keys. A request that only such upstreams could take is refused at once, with a time to come back after the first rest is over, spread. It counts as no failure.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod pools;
 mod reports;
+mod resting;
 mod slots;
 
 use crate::budget::{BudgetConfig, RetryBudget};
@@ -18,6 +19,7 @@
 use crate::rate_limit::RateLimits;
 use crate::report::{NodeHash, UpstreamHash};
 use crate::request::{Admission, AssignmentNumber, RequestHead, Ticket, UnknownCause};
+use crate::rests::Rests;
 use crate::speed::SpeedTable;
 use absences::Absences;
 use beamtray_catalog::{ColdStart, UpstreamState, WeightedBackend};
@@ -115,6 +117,8 @@
     denied: Option<Denial>,
     /// Whose rate it last waited for.
     limited_by: Option<LimitWait>,
+    /// When the upstreams that could take it have rested, the first of them.
+    rests_until: Option<Time>,
 }
 
 /// A request waits for a permit to be sent to an upstream that names a rate.
@@ -190,6 +194,7 @@
     /// When each upstream last answered a request of any node.
     heard: HashMap<UpstreamHash, Time>,
     limits: RateLimits,
+    rests: Rests,
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
     nodes: usize,
     sequence: u32,
@@ -232,6 +237,7 @@
             doubted_at: HashMap::new(),
             heard: HashMap::new(),
             limits: RateLimits::new(own, random.clone().random()),
+            rests: Rests::default(),
             key_loads: HashMap::new(),
             nodes: 1,
             sequence: 0,
@@ -360,6 +366,7 @@
                 returned,
                 denied: None,
                 limited_by: None,
+                rests_until: None,
                 route,
             },
         );
--- a/crates/dispatch/src/dispatcher/choice.rs
+++ b/crates/dispatch/src/dispatcher/choice.rs
@@ -70,6 +70,7 @@
             let hash = UpstreamHash::of(&holder.record.id);
             return self.with_permit(now, request, hash, &holder);
         }
+        self.check_rests(now, request)?;
         if let Some(cold) = self.choose_cold(now, request) {
             return Ok(Choice::Send(cold));
         }
@@ -147,7 +148,7 @@
         &mut self,
         now: Time,
         directory: &'a Directory,
-        request: &Request,
+        request: &mut Request,
         key: ShardKey,
     ) -> Result<&'a Registration, RefusalReason> {
         let slice = self
@@ -172,6 +173,7 @@
             return Err(RefusalReason::KeyUnheld);
         }
         let hash = UpstreamHash::of(holder);
+        self.check_rest(now, request, hash)?;
         if self.is_paused(now, hash) {
             return Err(RefusalReason::Busy);
         }
@@ -352,9 +354,9 @@
     }
 
     fn is_paused(&self, now: Time, upstream: UpstreamHash) -> bool {
-        self.health
-            .get(&upstream)
-            .is_some_and(|health| now < health.paused_until)
+        let health = self.health.get(&upstream);
+        let failed = health.is_some_and(|health| now < health.paused_until);
+        failed || self.is_resting(now, upstream)
     }
 
     /// The assignment that a keyed request is sent by.
--- a/crates/dispatch/src/dispatcher/decide.rs
+++ b/crates/dispatch/src/dispatcher/decide.rs
@@ -151,6 +151,10 @@
             let until = request.limited_by.and_then(|wait| wait.until);
             return until.is_some_and(|until| until > request.wait_until);
         }
+        if reason == RefusalReason::Resting {
+            let until = request.rests_until;
+            return until.is_some_and(|until| until > request.wait_until);
+        }
         let Some(key) = request.key else {
             return false;
         };
@@ -197,7 +201,7 @@
             Some(key) if reason == RefusalReason::KeyUnheld => {
                 self.absences.remaining(now, &request.service, key)
             }
-            _ => Duration::ZERO,
+            _ => self.rest_left(now, request, reason),
         };
         let spread = RETRY_AFTER_SPREAD + expected.mul_f64(RETRY_AFTER_SPREAD_SHARE);
         let least = expected.max(LEAST_RETRY_AFTER);
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -234,6 +234,8 @@
                 // It never arrived, so it costs no budget.
                 request.arrivals -= 1;
             }
+            // What is to be done about a request whose upstream rests is known at once.
+            Untouched::Full if self.is_resting(now, attempt.hash) => {}
             Untouched::Full => request.not_before = now + FULL_PAUSE,
             Untouched::Misdirected if request.key.is_some() => {
                 request.denied = Some(Denial {
@@ -246,6 +248,8 @@
         }
         if request.key.is_none() {
             request.tried.push(attempt.hash);
+        } else {
+            request.rests_until = self.rests.until(now, attempt.hash);
         }
         let half = request.route.target_latency / 2;
         request.wait_until = request.wait_until.max(now + half).min(request.deadline);
--- a/crates/dispatch/src/dispatcher/reports.rs
+++ b/crates/dispatch/src/dispatcher/reports.rs
@@ -24,6 +24,7 @@
     /// Forgets peers that fell silent.
     pub fn expire(&mut self, now: Time) {
         self.quarantine.expire(now);
+        self.rests.expire(now);
         self.occupancy.expire(now);
         self.cold_starts.expire(now);
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod rendezvous;
 mod report;
 mod request;
+mod rests;
 mod speed;
 
 pub use budget::{BudgetConfig, RetryBudget};
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -66,6 +66,8 @@
     Quarantined,
     /// The upstreams that could take it name rates that are used up.
     Limited,
+    /// The upstreams that could take it asked for rest.
+    Resting,
 }
 
 /// Proof that an attempt did not run.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -160,8 +160,9 @@
                 }
             }
             Input::Leaves { upstream } => self.heard_leaving(now, upstream),
-            // Nothing is decided by it yet.
-            Input::Rests { .. } => {}
+            Input::Rests { upstream, rest } => {
+                self.dispatcher.asked_to_rest(now, &upstream, rest);
+            }
             Input::Cancelled { ticket } => {
                 self.dispatcher.cancel(ticket);
             }
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -68,6 +68,7 @@
     slots: Family<SlotLabel, Gauge>,
     suspects: Family<SuspectLabel, Gauge>,
     limited_upstreams: Gauge,
+    resting_upstreams: Gauge,
     permits: Family<PermitLabel, Gauge>,
     pub trials: Family<TrialLabel, Counter>,
     slices: Gauge,
@@ -107,6 +108,7 @@
             slots: Family::default(),
             suspects: Family::default(),
             limited_upstreams: Gauge::default(),
+            resting_upstreams: Gauge::default(),
             permits: Family::default(),
             trials: Family::default(),
             slices: Gauge::default(),
@@ -223,6 +225,11 @@
             "Upstreams that name the requests a second that they take",
             self.limited_upstreams.clone(),
         );
+        registry.register(
+            "resting_upstreams",
+            "Upstreams that asked this node for rest that is not over",
+            self.resting_upstreams.clone(),
+        );
         registry.register(
             "permits",
             "Permits for upstreams that name a rate: questions and what was used here; lent and \
@@ -314,6 +321,8 @@
         }
         self.limited_upstreams
             .set(dispatcher.limited_count() as i64);
+        self.resting_upstreams
+            .set(dispatcher.resting_count(now) as i64);
         let permits = dispatcher.permit_counts();
         for (outcome, count) in [
             ("asked", permits.asked),
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -219,6 +219,7 @@
         faults.extend(draw_unreachable(seed, config));
         faults.extend(draw_need(seed, config));
         faults.extend(draw_leaving(seed, config));
+        faults.extend(draw_rests(seed, config));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -354,6 +355,28 @@
         .collect()
 }
 
+/// In one history of four, upstreams turn requests away and ask for rest: from a generator of
+/// its own, as above.
+fn draw_rests(seed: u64, config: &WorldConfig) -> Vec<Fault> {
+    const ONE_IN: u32 = 4;
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x2E57_0000);
+    if !random.random_ratio(1, ONE_IN) {
+        return Vec::new();
+    }
+    let troubled = config.troubled.as_millis() as u64;
+    let count = random.random_range(1..4);
+    (0..count)
+        .map(|_| Fault {
+            at: Time::ZERO + config.lead + Duration::from_millis(random.random_range(0..troubled)),
+            lasts: Duration::from_millis(random.random_range(1_000..9_000)),
+            trouble: Trouble::UpstreamRests {
+                upstream: random.random_range(0..config.upstreams()),
+                rest_ms: random.random_range(500..5_000),
+            },
+        })
+        .collect()
+}
+
 fn draw_trouble(random: &mut ChaCha8Rng, config: &WorldConfig) -> Trouble {
     let node = random.random_range(0..config.nodes);
     let chosen = random.random_bool(0.5).then_some(node);
