Keys of holders that rest go to others

Cause: nothing is sent to a holder that asked for rest, so requests for its keys were refused for the whole of it, beside holders with room.

Where more than half of the ready holders rest, nothing moves: keys would go round. Other nodes hold nothing back for a rest that was not told to them.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -195,6 +195,8 @@
     heard: HashMap<UpstreamHash, Time>,
     limits: RateLimits,
     rests: Rests,
+    /// Upstreams that asked some node for rest: their keys are better held by others.
+    rests_of_any: Rests,
     key_loads: HashMap<ServiceName, HashMap<ShardKey, u16>>,
     nodes: usize,
     sequence: u32,
@@ -238,6 +240,7 @@
             heard: HashMap::new(),
             limits: RateLimits::new(own, random.clone().random()),
             rests: Rests::default(),
+            rests_of_any: Rests::default(),
             key_loads: HashMap::new(),
             nodes: 1,
             sequence: 0,
--- a/crates/dispatch/src/dispatcher/reports.rs
+++ b/crates/dispatch/src/dispatcher/reports.rs
@@ -25,6 +25,7 @@
     pub fn expire(&mut self, now: Time) {
         self.quarantine.expire(now);
         self.rests.expire(now);
+        self.rests_of_any.expire(now);
         self.occupancy.expire(now);
         self.cold_starts.expire(now);
     }
--- a/crates/dispatch/src/dispatcher/resting.rs
+++ b/crates/dispatch/src/dispatcher/resting.rs
@@ -10,12 +10,26 @@
 use beamtray_types::Time;
 use std::time::Duration;
 
+/// How long an upstream whose rest is over counts as one that may ask for it again: it would
+/// lose the keys that it gets in that time once more.
+const PROBATION: Duration = Duration::from_secs(2);
+
 impl Dispatcher {
     /// An upstream turned a request away and asked this node for rest.
     pub fn asked_to_rest(&mut self, now: Time, upstream: &UpstreamId, rest: Duration) {
         self.rests.asked(now, UpstreamHash::of(upstream), rest);
     }
 
+    /// An upstream asked some node for rest. That binds this node in nothing.
+    pub fn asked_any_to_rest(&mut self, now: Time, upstream: UpstreamHash, rest: Duration) {
+        self.rests_of_any.asked(now, upstream, rest + PROBATION);
+    }
+
+    /// Whether an upstream asked some node for rest, as far as known, of late.
+    pub fn rests_for_any(&self, now: Time, upstream: UpstreamHash) -> bool {
+        self.rests_of_any.until(now, upstream).is_some()
+    }
+
     /// How many upstreams asked this node for rest that is not over.
     pub fn resting_count(&self, now: Time) -> usize {
         self.rests.count(now)
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -312,7 +312,7 @@
     let of_service = directory
         .iter()
         .filter(|registration| registration.record.service == *service);
-    of_service
+    let mut candidates: Vec<Candidate> = of_service
         .map(|registration| {
             let record = &registration.record;
             let hash = UpstreamHash::of(&record.id);
@@ -330,7 +330,30 @@
                 heard: dispatcher.heard(hash),
             }
         })
-        .collect()
+        .collect();
+    relieve_resting(now, &mut candidates, dispatcher);
+    candidates
+}
+
+/// Has holders that asked nodes for rest lose their keys, unless so many did that the others
+/// could not take them.
+///
+/// Counter-case for the bound: where all shed, each for the load that others gave up, keys
+/// would go round and nobody would serve them.
+fn relieve_resting(now: Time, candidates: &mut [Candidate], dispatcher: &Dispatcher) {
+    let ready = candidates.iter_mut();
+    let ready: Vec<&mut Candidate> = ready
+        .filter(|one| one.standing == Standing::Ready)
+        .collect();
+    let count = ready.len();
+    let rests = |one: &&mut Candidate| dispatcher.rests_for_any(now, UpstreamHash::of(&one.id));
+    let resting: Vec<&mut Candidate> = ready.into_iter().filter(rests).collect();
+    if resting.len() * 2 > count {
+        return;
+    }
+    for candidate in resting {
+        candidate.standing = Standing::Draining;
+    }
 }
 
 /// What an upstream is to the granter. One whose zone is evacuated is to lose its keys.
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -7,7 +7,7 @@
 use beamtray_dispatch::{
     Admission, Answers, AttemptOutcome, DoubtedUpstream, Ending, Forward, KeyReport, LimitNotice,
     LimitWord, LoadReport, LoadSum, PermitReply, PermitRequest, QuarantineNotice, RequestHead,
-    SlotReply, SlotRequest, Suspicion, Ticket, TrialReply, TrialReport, TrialRequest,
+    SlotReply, SlotRequest, Suspicion, Ticket, TrialReply, TrialReport, TrialRequest, UpstreamHash,
 };
 use beamtray_metastore::{StoreCall, StoreOutcome};
 use beamtray_sharding::{FenceNotice, GrantOrder, GrantReply, OwnedAgain};
@@ -127,6 +127,8 @@
     Answers(Vec<Answers>),
     /// An upstream is gone: another one answered at its address.
     Gone(UpstreamId),
+    /// To the granter: an upstream asked the node for rest.
+    Rest(RestNotice),
     /// Upstreams that said in answers that they leave.
     Leaving(Vec<UpstreamId>),
     /// Upstreams that ended under requests.
@@ -157,6 +159,15 @@
     PermitReply(PermitReply),
 }
 
+/// An upstream asked a node for rest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct RestNotice {
+    /// The upstream.
+    pub upstream: UpstreamHash,
+    /// Milliseconds that it asked for.
+    pub rest_ms: u32,
+}
+
 /// What the try to connect to an upstream showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -5,6 +5,7 @@
 mod load;
 mod quarantine;
 mod rate_limits;
+mod rests;
 mod slots;
 mod standby;
 mod store_path;
@@ -160,9 +161,7 @@
                 }
             }
             Input::Leaves { upstream } => self.heard_leaving(now, upstream),
-            Input::Rests { upstream, rest } => {
-                self.dispatcher.asked_to_rest(now, &upstream, rest);
-            }
+            Input::Rests { upstream, rest } => self.asked_to_rest(now, &upstream, rest),
             Input::Cancelled { ticket } => {
                 self.dispatcher.cancel(ticket);
             }
@@ -228,6 +227,7 @@
                 self.viewed(now);
                 self.upstream_ended(now, upstream);
             }
+            Datagram::Rest(notice) => self.take_rest_notice(now, notice),
             Datagram::Leaving(upstreams) => self.take_leaving(now, upstreams),
             Datagram::SlotRequest(request) => self.give_slot(now, from, request),
             Datagram::SlotReply(reply) => self.dispatcher.slot_given(now, *reply),
@@ -496,6 +496,7 @@
                 | Datagram::TrialRequest(_)
                 | Datagram::PermitRequest(_)
                 | Datagram::Keys(_)
+                | Datagram::Rest(_)
                 | Datagram::Answers(_)
                 | Datagram::StandbyReport(_)
                 | Datagram::StandbyWord(_)
--- a/crates/routersim/tests/rests.rs
+++ b/crates/routersim/tests/rests.rs
@@ -92,3 +92,18 @@
     ]);
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Holders that rest lose their keys to others, sooner than their requests are refused for
+/// the rest's whole length.
+#[test]
+fn keys_of_holders_that_rest_go_to_others() {
+    let faults = [rests(0, 8_000, 9_000), rests(1, 8_200, 9_000)];
+    let (mut served, mut asked, mut releases) = (0, 0, 0);
+    for (_, outcome) in outcomes(&faults) {
+        served += outcome.served;
+        asked += outcome.asked;
+        releases += outcome.releases;
+    }
+    println!("{served} of {asked} served, {releases} releases");
+    assert!(served * 1_000 >= asked * 985, "{served} of {asked} served");
+}
