--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -5,7 +5,7 @@
 //! nothing.
 
 use beamtray_catalog::{Configuration, LeaveWord, RateWord, RestWord, UpstreamRecord};
-use beamtray_metastore::{StoreCall, StoreOutcome};
+use beamtray_metastore::{StoreCall, StoreEra, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
 use thiserror::Error;
 
@@ -61,6 +61,8 @@
     pub handover: Option<String>,
     /// Id of the client's request that it says it answers, if it says so.
     pub request_id: Option<String>,
+    /// Value of the header that tells the store's era, if there is one.
+    pub store_era: Option<String>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -84,6 +86,8 @@
     pub shard_key: &'static str,
     /// What a holder hands over with its keys.
     pub handover: &'static str,
+    /// The metadata store's era.
+    pub store_era: &'static str,
     /// Requests a second that an upstream takes from all nodes together.
     pub rate_limit: &'static str,
     /// Tells that the upstream leaves.
@@ -120,6 +124,10 @@
     /// Reads the store's answer to a call.
     fn decode_store(&self, call: &StoreCall, answer: &HttpAnswer) -> StoreOutcome;
 
+    /// Reads the store's era from an answer; `None` where it tells none, or none that can be
+    /// read.
+    fn decode_era(&self, answer: &HttpAnswer) -> Option<StoreEra>;
+
     /// Reads a configuration.
     ///
     /// # Errors
--- a/crates/metastore/src/call.rs
+++ b/crates/metastore/src/call.rs
@@ -9,6 +9,13 @@
 )]
 pub struct Revision(pub u64);
 
+/// Number of the store's life: it rises whenever the store comes back from an older copy of
+/// itself, which takes back what it had acknowledged since.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize,
+)]
+pub struct StoreEra(pub u32);
+
 /// A lease of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseId(pub u64);
--- a/crates/metastore/src/lib.rs
+++ b/crates/metastore/src/lib.rs
@@ -11,7 +11,8 @@
 mod mirror;
 
 pub use call::{
-    Condition, Item, LeaseId, Revision, StoreCall, StoreEvent, StoreOutcome, Transaction, Write,
+    Condition, Item, LeaseId, Revision, StoreCall, StoreEra, StoreEvent, StoreOutcome, Transaction,
+    Write,
 };
 pub use election::{Authority, Election, ElectionConfig, ElectionStep, Epoch, GranterRecord};
 pub use lease::{LeaseKeeper, LeaseTiming};
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -9,7 +9,7 @@
     LimitWord, LoadReport, LoadSum, PermitReply, PermitRequest, QuarantineNotice, RequestHead,
     SlotReply, SlotRequest, Suspicion, Ticket, TrialReply, TrialReport, TrialRequest, UpstreamHash,
 };
-use beamtray_metastore::{StoreCall, StoreOutcome};
+use beamtray_metastore::{StoreCall, StoreEra, StoreOutcome};
 use beamtray_sharding::{FenceNotice, GrantOrder, GrantReply, OwnedAgain};
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -216,6 +216,9 @@
         /// The request.
         ticket: Ticket,
     },
+    /// The store's answers tell another era than before, or the first one. What they say
+    /// comes after.
+    StoreEra(StoreEra),
     /// The store answered, or did not.
     Store {
         /// What the call was for.
@@ -291,6 +294,13 @@
     Quarantine(QuarantineNotice),
     /// What is known of the rate that an upstream takes changed; its id, if it is registered.
     RateLimit(Option<UpstreamId>, LimitNotice),
+    /// The store has begun another era.
+    StoreEra {
+        /// The era before; none if none was known.
+        before: Option<StoreEra>,
+        /// The era now.
+        era: StoreEra,
+    },
     /// Bounds on clients changed.
     Limits(ClientLimits),
     /// A belief changed.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -24,6 +24,7 @@
 use beamtray_dispatch::{
     AttemptOutcome, Decision, DispatchConfig, Dispatcher, NodeHash, SumSource, Untouched,
 };
+use beamtray_metastore::StoreEra;
 use beamtray_sharding::{GrantReply, StandbyId};
 use beamtray_types::Time;
 use fetch::Fetches;
@@ -76,6 +77,8 @@
     membership: Membership,
     /// Whether this is the relay that its zone relies on.
     acts_as_relay: bool,
+    /// The store's era, as far as known.
+    era: Option<StoreEra>,
     /// When a call to the store last got no answer.
     trouble_at: Option<Time>,
     key_report_at: Time,
@@ -118,6 +121,7 @@
             heads: HeadsSchedule::default(),
             membership: Membership::new(&config.control.record),
             acts_as_relay: false,
+            era: None,
             trouble_at: None,
             key_report_at: Time::ZERO,
             suspicion_news: SuspicionNews::default(),
@@ -165,6 +169,7 @@
             Input::Cancelled { ticket } => {
                 self.dispatcher.cancel(ticket);
             }
+            Input::StoreEra(era) => self.store_era(now, era),
             Input::Store { task, outcome } => self.store(now, &task, outcome),
             Input::Order {
                 service,
--- a/crates/router/src/core/node/store_path.rs
+++ b/crates/router/src/core/node/store_path.rs
@@ -1,12 +1,21 @@
 //! Answers of the store, and what they tell of the path to it.
 
 use super::{NodeCore, TROUBLE_TOLD};
-use crate::core::message::StoreTask;
+use crate::core::message::{Output, StoreTask};
 use crate::core::relays::STANDBY_TRUST;
-use beamtray_metastore::StoreOutcome;
+use beamtray_metastore::{StoreEra, StoreOutcome};
 use beamtray_types::Time;
 
 impl NodeCore {
+    /// The store's answers tell an era.
+    pub(super) fn store_era(&mut self, _now: Time, era: StoreEra) {
+        if self.era.is_some_and(|known| era <= known) {
+            return;
+        }
+        let before = self.era.replace(era);
+        self.outputs.push(Output::StoreEra { before, era });
+    }
+
     pub(super) fn store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
         self.follow_path(now, task, &outcome);
         match task {
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -33,7 +33,10 @@
         let progress = CallProgress::repeatable();
         let answer = timeout(limit, send(&shared, shared.store, encoded, &progress)).await;
         let outcome = match answer {
-            Ok(Ok(answer)) => shared.dialect.decode_store(&call, &answer),
+            Ok(Ok(answer)) => {
+                note_era(&shared, &answer);
+                shared.dialect.decode_store(&call, &answer)
+            }
             Ok(Err(_)) | Err(_) => {
                 // Other connections may be as dead, without having noticed.
                 shared.connections.forget(shared.store);
@@ -45,6 +48,22 @@
     });
 }
 
+/// Tells the core of the era that an answer of the store tells, before what it says.
+fn note_era(shared: &Shared, answer: &HttpAnswer) {
+    match shared.dialect.decode_era(answer) {
+        Some(era) if shared.store_era.get() < Some(era) => {
+            shared.store_era.set(Some(era));
+            shared.input(Input::StoreEra(era));
+        }
+        Some(_) => {}
+        None => {
+            if let Some(text) = &answer.store_era {
+                shared.observer.era_unreadable(text);
+            }
+        }
+    }
+}
+
 /// Gives an order and tells the core how it went.
 pub(crate) fn order(shared: &Rc<Shared>, task: OrderTask, epoch: u64) {
     let shared = shared.clone();
@@ -167,6 +186,7 @@
         status: answer.head.status.as_u16(),
         handover: header(names.handover),
         request_id: header(names.request_id),
+        store_era: header(names.store_era),
         body: answer.body.to_vec(),
     }
 }
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -9,6 +9,7 @@
 use beamtray_clock::BootClock;
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{Admission, Ending, Forward, Ticket};
+use beamtray_metastore::StoreEra;
 use beamtray_types::Time;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -58,6 +59,8 @@
     /// Number of this run.
     pub run: u64,
     pub store: SocketAddr,
+    /// The store's era, as its answers told it.
+    pub store_era: Cell<Option<StoreEra>>,
     pub datagrams: UdpSocket,
     pub last_answer: LastAnswer,
     pub observer: Observer,
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -5,6 +5,7 @@
 use crate::core::{NodeCore, ViewName, Views};
 use crate::shell::log::dropped_lines;
 use beamtray_catalog::UpstreamName;
+use beamtray_metastore::StoreEra;
 use beamtray_types::Time;
 pub(crate) use labels::{
     AttemptLabels, EntryLabel, LossLabel, OrderLabels, OrderName, PermitLabel, RefusalLabels,
@@ -69,6 +70,7 @@
     suspects: Family<SuspectLabel, Gauge>,
     limited_upstreams: Gauge,
     resting_upstreams: Gauge,
+    store_era: Gauge,
     permits: Family<PermitLabel, Gauge>,
     pub trials: Family<TrialLabel, Counter>,
     slices: Gauge,
@@ -109,6 +111,7 @@
             suspects: Family::default(),
             limited_upstreams: Gauge::default(),
             resting_upstreams: Gauge::default(),
+            store_era: Gauge::default(),
             permits: Family::default(),
             trials: Family::default(),
             slices: Gauge::default(),
@@ -230,6 +233,11 @@
             "Upstreams that asked this node for rest that is not over",
             self.resting_upstreams.clone(),
         );
+        registry.register(
+            "store_era",
+            "The metadata store's era: it rises when the store comes back from an older copy",
+            self.store_era.clone(),
+        );
         registry.register(
             "permits",
             "Permits for upstreams that name a rate: questions and what was used here; lent and \
@@ -277,6 +285,11 @@
         self.lines_left_out.inc();
     }
 
+    /// Notes the store's era.
+    pub fn store_era(&self, era: StoreEra) {
+        self.store_era.set(era.0.into());
+    }
+
     /// Counts an attempt and the time of its answer.
     pub fn answered(&self, upstream: &str, took: Duration) {
         let label = UpstreamLabel {
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -17,7 +17,7 @@
     Admission, AssignmentNumber, AttemptOutcome, Conclusion, Ending, Fingerprints, Forward,
     RefusalReason, UnknownCause,
 };
-use beamtray_metastore::StoreOutcome;
+use beamtray_metastore::{StoreEra, StoreOutcome};
 use beamtray_sharding::{GrantReply, OrderKind, ShardKey};
 use names::{attempt_outcome, grant_reply, store_outcome, store_task};
 use rate_limits::LimitFields;
@@ -260,6 +260,27 @@
             "left_ms" => left.as_millis() as u64, fields, left_out);
     }
 
+    /// The store has begun another era: it came back from an older copy, unless it is the first
+    /// one that this process sees.
+    pub fn store_era(&self, before: Option<StoreEra>, era: StoreEra) {
+        self.metrics.store_era(era);
+        match before {
+            Some(before) => {
+                warn!(self.log, "store_went_back"; "era" => era.0, "before" => before.0);
+            }
+            None => info!(self.log, "store_era"; "era" => era.0),
+        }
+    }
+
+    /// An answer of the store names an era that can't be read.
+    pub fn era_unreadable(&self, text: &str) {
+        const LONGEST: usize = 40;
+        if let Some(left_out) = self.admit(LineKind::Entry) {
+            let shown: String = text.chars().take(LONGEST).collect();
+            warn!(self.log, "store_era_unreadable"; "value" => shown, left_out);
+        }
+    }
+
     /// An upstream's answer says something of itself that can't be read.
     pub fn word_unreadable(&self, upstream: &UpstreamId, subject: &str) {
         if let Some(left_out) = self.admit(LineKind::Word) {
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -23,6 +23,7 @@
         Output::RateLimit(upstream, notice) => {
             shared.observer.rate_limit(upstream.as_ref(), notice);
         }
+        Output::StoreEra { before, era } => shared.observer.store_era(before, era),
         Output::Limits(limits) => shared.limits.set(limits),
         Output::Notice(notice) => {
             shared.observer.notice(&notice);
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -137,6 +137,7 @@
         stop: Notify::new(),
         run,
         store: settings.store.address,
+        store_era: Cell::new(None),
         datagrams: listeners.datagrams,
         last_answer: peers::LastAnswer::default(),
         observer: Observer::new(log),
--- a/crates/routersim/src/dialect.rs
+++ b/crates/routersim/src/dialect.rs
@@ -5,7 +5,7 @@
 use beamtray_dialect::{
     CallMethod, Dialect, DialectError, HeaderNames, HttpAnswer, HttpCall, StoreKeys,
 };
-use beamtray_metastore::{StoreCall, StoreOutcome};
+use beamtray_metastore::{StoreCall, StoreEra, StoreOutcome};
 use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -19,6 +19,7 @@
     signature: "signature",
     shard_key: "key",
     handover: "handover",
+    store_era: "era",
     rate_limit: "rate-limit",
     leaving: "leaving",
     rest: "rest",
@@ -105,6 +106,10 @@
         StoreOutcome::Unknown
     }
 
+    fn decode_era(&self, _: &HttpAnswer) -> Option<StoreEra> {
+        None
+    }
+
     fn decode_configuration(&self, value: &[u8]) -> Result<Configuration, DialectError> {
         let values = self.values.borrow();
         let configuration = values.configurations.get(index(value)?);
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -324,6 +324,7 @@
             | Output::Limits(_)
             | Output::Notice(_)
             | Output::Granter(_)
+            | Output::StoreEra { .. }
             | Output::Ownership(..)
             | Output::Standby(_) => {}
         }
