A store that goes back breaks CONFIG and OWNER: tests that fail

The simulator's store is away and comes back from a copy that it made some seconds before: era one higher, revisions given out again, watches from revisions that it does not have answered as history lost; operators and upstreams write again soon after. 24 histories of each of five plans: sole ownership, configurations in force and the recovery break.

--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -122,6 +122,18 @@
         }
     }
 
+    /// Comes back from an older copy: what was done since is gone, and revisions are given
+    /// out again.
+    pub fn go_back_to(&mut self, copy: StoreEmulator) {
+        *self = copy;
+    }
+
+    /// The keys below a prefix.
+    pub fn keys_below(&self, prefix: &str) -> Vec<String> {
+        let below = self.items.keys().filter(|key| key.starts_with(prefix));
+        below.cloned().collect()
+    }
+
     fn end_lease(&mut self, now: Time, lease: LeaseId) -> bool {
         if self.leases.remove(&lease.0).is_none() {
             return false;
@@ -253,7 +265,7 @@
 
     /// The outcome of a waiting watch, once there is one.
     pub fn watch(&self, now: Time, wait: &WatchWait) -> Option<StoreOutcome> {
-        if wait.after < self.forgotten {
+        if wait.after < self.forgotten || wait.after > self.revision {
             return Some(StoreOutcome::Compacted);
         }
         let events: Vec<StoreEvent> = self
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -53,6 +53,12 @@
         /// Whether leases run out meanwhile.
         lapse: bool,
     },
+    /// The store is silent and comes back from a copy of itself that is older than its
+    /// silence. What operators and upstreams wrote since is written again.
+    StoreGoesBack {
+        /// How old the copy is when the silence begins, in milliseconds.
+        back_ms: u64,
+    },
     /// Answers to writes are lost; the writes are done, some of them late.
     StoreLost {
         /// Part of the writes, in percent.
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -336,6 +336,15 @@
         self.configurations.push((self.now, version));
     }
 
+    /// Puts the newest configuration into the store once more.
+    pub(crate) fn write_configuration_again(&mut self) {
+        let Some((_, version)) = self.configurations.last().copied() else {
+            return;
+        };
+        let value = self.dialect.encode_configuration(configuration(version));
+        self.store.put(self.now, "operator/configuration", value);
+    }
+
     /// Puts the evacuation of a zone into the store.
     pub(crate) fn evacuate(&mut self, zone: &str) {
         self.store.put(self.now, &evacuation_key(zone), Vec::new());
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -72,6 +72,13 @@
                 self.store.leases_run = *lapse;
                 self.silence_watches(|_| true);
             }
+            Trouble::StoreGoesBack { back_ms } => {
+                self.store_state.down = true;
+                self.store_state
+                    .keep_copy(self.now, Duration::from_millis(*back_ms));
+                self.store.leases_run = false;
+                self.silence_watches(|_| true);
+            }
             Trouble::StoreLost { percent, late } => {
                 self.store_state.lost_percent = *percent;
                 self.store_state.late = *late;
@@ -215,6 +222,7 @@
                     self.schedule(Duration::from_millis(300), Event::NodeStart { node: *node });
                 }
             }
+            Trouble::StoreGoesBack { .. } => self.store_goes_back(),
             Trouble::StoreDown { lapse } => {
                 self.store_state.down = false;
                 self.store_state.disturbed = Some(self.now);
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -44,6 +44,8 @@
         task: StoreTask,
         outcome: StoreOutcome,
     },
+    /// What operators and upstreams wrote before the store went back is written again.
+    WritesAgain,
     LateWrite {
         call: StoreCall,
     },
@@ -219,7 +221,8 @@
                 run,
                 task,
                 outcome,
-            } => self.input(node, run, Input::Store { task, outcome }),
+            } => self.store_answers(node, run, task, outcome),
+            Event::WritesAgain => self.write_again(),
             Event::LateWrite { call } => self.late_write(&call),
             Event::OrderArrives {
                 node,
--- a/crates/routersim/src/world/registrations.rs
+++ b/crates/routersim/src/world/registrations.rs
@@ -3,7 +3,7 @@
 use super::network::Event;
 use super::upstreams::{MISSED, key_of};
 use super::{HEARTBEAT, World};
-use beamtray_catalog::{UpstreamId, UpstreamRecord};
+use beamtray_catalog::{UpstreamId, UpstreamRecord, UpstreamState as Announced};
 use beamtray_dialect::Dialect;
 use rand::RngExt;
 
@@ -71,6 +71,33 @@
         }
     }
 
+    /// Upstreams that live write their entries again, those of others go.
+    pub(super) fn write_registrations_again(&mut self) {
+        let now = self.now;
+        let mut living = Vec::new();
+        for index in 0..self.upstreams.len() {
+            let Some(upstream) = &self.upstreams[index] else {
+                continue;
+            };
+            let state = &self.upstream_state[index];
+            let is_leaver = upstream.state == Announced::Draining && state.leaves;
+            if state.cut_since.is_some() || (state.withdrawn && !is_leaver) {
+                continue;
+            }
+            let mut record = upstream.record();
+            record.warm_up_left = state.cold_until.since(now);
+            let key = key_of(&record.id);
+            let value = self.dialect.encode_upstream(record);
+            self.store.put(now, &key, value);
+            living.push(key);
+        }
+        for key in self.store.keys_below("upstreams/") {
+            if !living.contains(&key) {
+                self.store.delete(now, &key);
+            }
+        }
+    }
+
     pub(super) fn late_registration(&mut self, record: UpstreamRecord) {
         if self.store_state.down {
             return;
--- a/crates/routersim/src/world/stores.rs
+++ b/crates/routersim/src/world/stores.rs
@@ -2,14 +2,20 @@
 
 use super::network::{Event, Run};
 use super::{CONTACT, HOUSEKEEPING, World};
-use beamtray_emulator::{StoreReply, WatchWait};
-use beamtray_metastore::{StoreCall, StoreOutcome};
-use beamtray_router::core::StoreTask;
+use crate::fault::{Fault, Trouble};
+use beamtray_emulator::{StoreEmulator, StoreReply, WatchWait};
+use beamtray_metastore::{StoreCall, StoreEra, StoreOutcome};
+use beamtray_router::core::{Input, StoreTask};
 use beamtray_types::Time;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// How long a node waits for an answer.
 const TIMEOUT: Duration = Duration::from_millis(900);
+/// Between two copies of the store.
+const COPY_PAUSE: Duration = Duration::from_millis(250);
+/// How long copies are kept.
+const COPIES_KEPT: Duration = Duration::from_secs(20);
 
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -29,9 +35,36 @@
     /// When something was last wrong.
     pub disturbed: Option<Time>,
     watches: Vec<Waiting>,
+    /// Its era.
+    pub era: StoreEra,
+    /// Copies of it, the oldest first; none where it never goes back.
+    copies: VecDeque<(Time, StoreEmulator)>,
+    copy_at: Time,
+    /// The copy from which it comes back.
+    kept: Option<StoreEmulator>,
 }
 
 impl StoreState {
+    /// Notes how the store stands, so that it can go back to that.
+    fn copy(&mut self, now: Time, store: &StoreEmulator) {
+        if now < self.copy_at || self.down {
+            return;
+        }
+        self.copy_at = now + COPY_PAUSE;
+        self.copies.push_back((now, store.clone()));
+        while now.since(self.copies[0].0) > COPIES_KEPT {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Chooses the newest copy of that age from which the store comes back.
+    pub fn keep_copy(&mut self, now: Time, age: Duration) {
+        let mut copies = self.copies.iter().rev();
+        let old = copies.find(|(at, _)| now.since(*at) >= age);
+        let copy = old.or(self.copies.front());
+        self.kept = copy.map(|(_, copy)| copy.clone());
+    }
+
     /// Drops the watches of a node whose process ended.
     pub fn forget_node(&mut self, node: usize) {
         self.watches.retain(|waiting| waiting.node != node);
@@ -136,8 +169,52 @@
         }
     }
 
+    /// The store comes back from an older copy, and what operators and upstreams wrote since
+    /// is soon written again.
+    pub(super) fn store_goes_back(&mut self) {
+        let now = self.now;
+        self.store_state.down = false;
+        self.store_state.disturbed = Some(now);
+        self.store_state.era.0 += 1;
+        if let Some(copy) = self.store_state.kept.take() {
+            self.store.go_back_to(copy);
+        }
+        self.store.leases_run = true;
+        self.store.renew_all(now);
+        self.store_state.copies.clear();
+        let delay = self.millis(50, 800);
+        self.schedule(delay, Event::WritesAgain);
+    }
+
+    pub(super) fn write_again(&mut self) {
+        if self.store_state.down {
+            return self.schedule(Duration::from_millis(200), Event::WritesAgain);
+        }
+        self.write_configuration_again();
+        self.write_registrations_again();
+    }
+
+    /// Tells a node the store's era before what the store says, as answers do.
+    pub(super) fn store_answers(
+        &mut self,
+        node: usize,
+        run: Run,
+        task: StoreTask,
+        outcome: StoreOutcome,
+    ) {
+        let era = self.store_state.era;
+        if !matches!(outcome, StoreOutcome::Unknown) {
+            self.input(node, run, Input::StoreEra(era));
+        }
+        self.input(node, run, Input::Store { task, outcome });
+    }
+
     pub(super) fn housekeeping(&mut self) {
         self.schedule(HOUSEKEEPING, Event::Housekeeping);
+        let goes_back = |fault: &Fault| matches!(fault.trouble, Trouble::StoreGoesBack { .. });
+        if self.faults.iter().any(goes_back) {
+            self.store_state.copy(self.now, &self.store);
+        }
         self.store.advance(self.now);
         if self.store_state.is_disturbed() {
             self.store_state.disturbed = Some(self.now);
--- /dev/null
+++ b/crates/routersim/tests/store_goes_back.rs
@@ -0,0 +1,120 @@
+//! The store is away for a moment and comes back from an older copy of itself.
+//!
+//! Seen: nodes acted by a configuration that was two versions old, since their copies refused
+//! every reading of the new store, whose revisions were lower; and after all nodes had been
+//! killed, holders that had given keys back got them again beside those who had them, since
+//! the record of the grants had gone back and nobody had written it again. Proof: histories
+//! below break their promises for nodes that take no notice of the store's era.
+
+use beamtray_routersim::{Fault, FaultPlan, Promise, Trouble, WorldConfig, play};
+use beamtray_types::Time;
+use std::time::Duration;
+
+const SEEDS: u64 = 24;
+
+fn config(seed: u64) -> WorldConfig {
+    WorldConfig {
+        keyed: 6,
+        rate: 60,
+        ..WorldConfig::drawn(seed)
+    }
+}
+
+fn fault(millis: u64, lasts: u64, trouble: Trouble) -> Fault {
+    Fault {
+        at: Time(millis * 1_000),
+        lasts: Duration::from_millis(lasts),
+        trouble,
+    }
+}
+
+fn goes_back(millis: u64, lasts: u64, back_ms: u64) -> Fault {
+    fault(millis, lasts, Trouble::StoreGoesBack { back_ms })
+}
+
+/// What is broken first of each promise in each history.
+fn broken(faults: &[Fault]) -> Vec<String> {
+    let mut all = Vec::new();
+    for seed in 0..SEEDS {
+        let plan = FaultPlan {
+            faults: faults.to_vec(),
+        };
+        let outcome = play(config(seed), plan, None);
+        let mut told: Vec<Promise> = Vec::new();
+        for violation in outcome.violations {
+            if !told.contains(&violation.promise) {
+                told.push(violation.promise);
+                all.push(format!("seed {seed}: {violation}"));
+            }
+        }
+    }
+    all
+}
+
+/// Guards against copies that refuse what a store says which came back from an older copy.
+#[test]
+fn a_configuration_is_in_force_in_time_after_the_store_went_back() {
+    let broken = broken(&[
+        fault(7_000, 8_000, Trouble::HotKey),
+        fault(14_800, 0, Trouble::Configure),
+        goes_back(15_000, 1_000, 9_000),
+        fault(17_000, 0, Trouble::Configure),
+        fault(17_500, 0, Trouble::Configure),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against a granter that trusts a record which went back with the store.
+#[test]
+fn keys_have_one_owner_after_the_store_went_back_and_all_nodes_were_killed() {
+    let broken = broken(&[
+        fault(7_000, 6_000, Trouble::HotKey),
+        goes_back(12_000, 2_000, 6_000),
+        fault(18_000, 2_000, Trouble::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// The same where the granter, or all nodes, go while the store is away.
+#[test]
+fn keys_have_one_owner_where_the_granter_is_lost_as_the_store_goes_back() {
+    let faults = [
+        fault(7_000, 6_000, Trouble::HotKey),
+        goes_back(12_000, 2_000, 5_000),
+        fault(12_500, 2_500, Trouble::NodeKill { node: None }),
+    ];
+    let mut broken_in = broken(&faults);
+    let faults = [
+        fault(7_000, 6_000, Trouble::HotKey),
+        goes_back(12_000, 2_500, 5_000),
+        fault(12_500, 2_000, Trouble::KillAll),
+    ];
+    broken_in.extend(broken(&faults));
+    assert!(broken_in.is_empty(), "{}", broken_in.join("\n"));
+}
+
+/// The same where another node became the granter after the copy was made.
+#[test]
+fn tokens_rise_where_a_granter_began_after_the_copy() {
+    let broken = broken(&[
+        fault(7_000, 9_000, Trouble::HotKey),
+        fault(9_000, 1_500, Trouble::NodeKill { node: None }),
+        goes_back(14_000, 1_500, 6_000),
+        fault(17_000, 1_500, Trouble::NodeKill { node: None }),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// The same where the store goes back twice, the second time behind the first.
+#[test]
+fn nothing_is_broken_where_the_store_goes_back_twice() {
+    let broken = broken(&[
+        fault(7_000, 9_000, Trouble::HotKey),
+        goes_back(10_000, 1_500, 4_000),
+        fault(12_500, 0, Trouble::Configure),
+        goes_back(14_000, 1_500, 2_000),
+        fault(17_500, 0, Trouble::Configure),
+        fault(18_000, 1_500, Trouble::NodeKill { node: None }),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
