A revision is an era and a number, compared as a pair

No behaviour changes: all are of the first era as yet. The one type and its order stand in metastore/call.rs, with the invariant; calls carry the number alone.

--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -71,9 +71,9 @@
         Self {
             items: BTreeMap::new(),
             leases: BTreeMap::new(),
-            revision: Revision(0),
+            revision: Revision::ABSENT,
             history: Vec::new(),
-            forgotten: Revision(0),
+            forgotten: Revision::ABSENT,
             history_span,
             next_lease: 1,
             leases_run: true,
@@ -104,7 +104,7 @@
 
     fn forget(&mut self, changes: usize) {
         for change in self.history.drain(..changes) {
-            self.forgotten = self.forgotten.max(event_revision(&change.event));
+            self.forgotten = self.forgotten.max(change.event.revision());
         }
     }
 
@@ -145,7 +145,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         if !keys.is_empty() {
-            self.revision.0 += 1;
+            self.revision.number += 1;
         }
         for key in keys {
             self.remove(now, &key);
@@ -174,14 +174,14 @@
 
     /// Writes a key as operators and upstreams do, without a condition.
     pub fn put(&mut self, now: Time, key: &str, value: Vec<u8>) -> Revision {
-        self.revision.0 += 1;
+        self.revision.number += 1;
         self.write(now, key, value, None);
         self.revision
     }
 
     /// Removes a key as operators and upstreams do.
     pub fn delete(&mut self, now: Time, key: &str) {
-        self.revision.0 += 1;
+        self.revision.number += 1;
         self.remove(now, key);
     }
 
@@ -217,7 +217,8 @@
             } => {
                 let wait = WatchWait {
                     prefix: prefix.clone(),
-                    after: *after,
+                    // The wire carries the number alone.
+                    after: Revision::new(after.number),
                     until: now + *wait,
                 };
                 return match self.watch(now, &wait) {
@@ -271,7 +272,7 @@
         let events: Vec<StoreEvent> = self
             .history
             .iter()
-            .filter(|change| event_revision(&change.event) > wait.after)
+            .filter(|change| change.event.revision() > wait.after)
             .filter(|change| change.key.starts_with(&wait.prefix))
             .map(|change| change.event.clone())
             .collect();
@@ -299,7 +300,7 @@
                 items: keys.filter_map(|one| self.get(&one.key)).collect(),
             };
         }
-        self.revision.0 += 1;
+        self.revision.number += 1;
         for write in &transaction.writes {
             self.write(now, &write.key, write.value.clone(), write.lease);
         }
@@ -313,7 +314,8 @@
 
     fn holds(&self, condition: &Condition) -> bool {
         let stored = self.items.get(&condition.key);
-        stored.map_or(Revision(0), |stored| stored.revision) == condition.revision
+        let revision = stored.map_or(Revision::ABSENT, |stored| stored.revision);
+        revision.number == condition.revision.number
     }
 
     fn grant(&mut self, now: Time, ttl: Duration) -> StoreOutcome {
@@ -335,10 +337,3 @@
         revision: stored.revision,
     }
 }
-
-fn event_revision(event: &StoreEvent) -> Revision {
-    match event {
-        StoreEvent::Put(item) => item.revision,
-        StoreEvent::Removed { revision, .. } => *revision,
-    }
-}
--- a/crates/metastore/src/call.rs
+++ b/crates/metastore/src/call.rs
@@ -3,18 +3,44 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::time::Duration;
 
-/// The store's counter of changes. 0 stands for an absent key.
+/// Number of the store's life: it rises whenever the store comes back from an older copy of
+/// itself, which takes back what it had acknowledged since.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize,
 )]
-pub struct Revision(pub u64);
+pub struct StoreEra(pub u32);
 
-/// Number of the store's life: it rises whenever the store comes back from an older copy of
-/// itself, which takes back what it had acknowledged since.
+/// A state of the store: its era, and its counter of changes in that era.
+///
+/// Invariant: a later state is the greater one, whatever its counter says. A store that comes
+/// back from an older copy gives numbers out again; by numbers alone a reading of it would
+/// seem older than what it is to replace.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize,
 )]
-pub struct StoreEra(pub u32);
+pub struct Revision {
+    /// The era.
+    pub era: StoreEra,
+    /// The store's counter of changes. 0 stands for an absent key.
+    pub number: u64,
+}
+
+impl Revision {
+    /// The revision of a key that is absent.
+    pub const ABSENT: Self = Self::new(0);
+
+    /// A revision of the first era.
+    pub const fn new(number: u64) -> Self {
+        Self {
+            era: StoreEra(0),
+            number,
+        }
+    }
+
+    fn put_in(&mut self, era: StoreEra) {
+        self.era = era;
+    }
+}
 
 /// A lease of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -168,3 +194,54 @@
     /// No answer. A write may have taken effect, or take effect later.
     Unknown,
 }
+
+impl StoreOutcome {
+    /// The same, as an answer of the store in that era.
+    pub fn of_era(mut self, era: StoreEra) -> Self {
+        match &mut self {
+            Self::Found(item) => item.revision.put_in(era),
+            Self::Page { items, at, .. } => {
+                put_items_in(era, items);
+                at.put_in(era);
+            }
+            Self::Events { events, at } => {
+                for event in events {
+                    event.revision_mut().put_in(era);
+                }
+                at.put_in(era);
+            }
+            Self::Committed { revision } => revision.put_in(era),
+            Self::Conflict { items } => put_items_in(era, items),
+            Self::Absent
+            | Self::Compacted
+            | Self::Leased { .. }
+            | Self::Revoked
+            | Self::Refused
+            | Self::Unknown => {}
+        }
+        self
+    }
+}
+
+fn put_items_in(era: StoreEra, items: &mut [Item]) {
+    for item in items {
+        item.revision.put_in(era);
+    }
+}
+
+impl StoreEvent {
+    /// The revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+
+    fn revision_mut(&mut self) -> &mut Revision {
+        match self {
+            Self::Put(item) => &mut item.revision,
+            Self::Removed { revision, .. } => revision,
+        }
+    }
+}
--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -125,7 +125,7 @@
             attempted: None,
             place: None,
             vacant_since: None,
-            replaces: Revision(0),
+            replaces: Revision::ABSENT,
             observed: None,
             handicap: Duration::ZERO,
             retry_at: Time::ZERO,
@@ -167,7 +167,7 @@
             return Some(self.send(now, ElectionStep::Lease, call));
         }
         let vacant_since = self.vacant_since?;
-        let waits_for_others = self.replaces == Revision(0);
+        let waits_for_others = self.replaces == Revision::ABSENT;
         let patience = self.config.patience + self.handicap;
         if waits_for_others && now.since(vacant_since) < patience {
             return None;
@@ -184,7 +184,7 @@
     fn observe(&mut self, now: Time, granter: Option<&Item>) {
         let Some(item) = granter else {
             self.vacant_since.get_or_insert(now);
-            self.replaces = Revision(0);
+            self.replaces = Revision::ABSENT;
             self.observed = None;
             // The key may be unseen as yet right after this node wrote it;
             // the lease alone decides whether the place is still held.
@@ -251,7 +251,7 @@
             value,
             lease,
         };
-        let epoch_revision = epoch.map_or(Revision(0), |item| item.revision);
+        let epoch_revision = epoch.map_or(Revision::ABSENT, |item| item.revision);
         StoreCall::Commit(Transaction {
             conditions: vec![
                 condition(&self.config.granter_key, self.replaces),
@@ -317,7 +317,7 @@
     };
     let read = Epoch::try_from_slice(&item.value).ok();
     let read = read.filter(|epoch| *epoch <= HIGHEST_EPOCH);
-    read.unwrap_or(Epoch(item.revision.0))
+    read.unwrap_or(Epoch(item.revision.number))
 }
 
 fn encode(value: &impl BorshSerialize) -> Vec<u8> {
--- a/crates/metastore/tests/election.rs
+++ b/crates/metastore/tests/election.rs
@@ -39,7 +39,7 @@
     Item {
         key: key.to_owned(),
         value,
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
@@ -52,7 +52,7 @@
     election.handle(at(70), &leased(Some(1)));
     let call = election.poll(at(100), Some((None, None)));
     assert!(matches!(call, Some(StoreCall::Commit(_))));
-    let revision = Revision(5);
+    let revision = Revision::new(5);
     election.handle(at(110), &StoreOutcome::Committed { revision });
     election
 }
@@ -111,8 +111,8 @@
     let Some(StoreCall::Commit(transaction)) = call else {
         panic!("not a taking of the place: {call:?}");
     };
-    assert_eq!(transaction.conditions[0].revision, Revision(0));
-    assert_eq!(transaction.conditions[1].revision, Revision(3));
+    assert_eq!(transaction.conditions[0].revision, Revision::new(0));
+    assert_eq!(transaction.conditions[1].revision, Revision::new(3));
     let written: Epoch = borsh::from_slice(&transaction.writes[1].value).expect("an epoch");
     assert_eq!(written, Epoch(42));
 }
@@ -135,7 +135,7 @@
     let seen = item("granter", borsh::to_vec(&record).expect("encodes"), 9);
     election.poll(at(1_010), Some((Some(&seen), None)));
     let authority = election.authority(at(1_020)).expect("the place is held");
-    assert_eq!(authority.revision, Revision(9));
+    assert_eq!(authority.revision, Revision::new(9));
 }
 
 fn held_by(node: &str, port: u16) -> Item {
@@ -165,9 +165,9 @@
     };
     let condition = &transaction.conditions[0];
     assert_eq!(condition.key, "granter");
-    assert_eq!(condition.revision, Revision(9));
+    assert_eq!(condition.revision, Revision::new(9));
     assert!(election.authority(at(515)).is_none());
-    let revision = Revision(12);
+    let revision = Revision::new(12);
     election.handle(at(520), &StoreOutcome::Committed { revision });
     assert!(election.authority(at(520)).is_some());
 }
--- a/crates/metastore/tests/mirror.rs
+++ b/crates/metastore/tests/mirror.rs
@@ -9,47 +9,54 @@
     Item {
         key: key.to_owned(),
         value: vec![revision as u8],
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
 #[test]
 fn an_older_reading_is_ignored() {
     let mut mirror = Mirror::default();
-    mirror.replace(Revision(10), vec![item("a", 9)]);
-    assert!(mirror.replace(Revision(8), vec![item("a", 3)]).is_empty());
-    assert_eq!(mirror.get("a").map(|item| item.revision), Some(Revision(9)));
+    mirror.replace(Revision::new(10), vec![item("a", 9)]);
+    assert!(
+        mirror
+            .replace(Revision::new(8), vec![item("a", 3)])
+            .is_empty()
+    );
+    assert_eq!(
+        mirror.get("a").map(|item| item.revision),
+        Some(Revision::new(9))
+    );
 }
 
 #[test]
 fn a_page_read_early_does_not_undo_what_a_watch_told() {
     let mut mirror = Mirror::default();
-    mirror.replace(Revision(10), vec![item("a", 9)]);
-    mirror.apply(Revision(12), vec![StoreEvent::Put(item("a", 12))]);
-    mirror.replace(Revision(13), vec![item("a", 9)]);
+    mirror.replace(Revision::new(10), vec![item("a", 9)]);
+    mirror.apply(Revision::new(12), vec![StoreEvent::Put(item("a", 12))]);
+    mirror.replace(Revision::new(13), vec![item("a", 9)]);
     assert_eq!(
         mirror.get("a").map(|item| item.revision),
-        Some(Revision(12))
+        Some(Revision::new(12))
     );
 }
 
 #[test]
 fn a_removal_that_is_older_than_the_item_is_ignored() {
     let mut mirror = Mirror::default();
-    mirror.replace(Revision(10), vec![item("a", 10)]);
+    mirror.replace(Revision::new(10), vec![item("a", 10)]);
     let removed = StoreEvent::Removed {
         key: "a".to_owned(),
-        revision: Revision(7),
+        revision: Revision::new(7),
     };
-    assert!(mirror.apply(Revision(11), vec![removed]).is_empty());
+    assert!(mirror.apply(Revision::new(11), vec![removed]).is_empty());
     assert!(mirror.get("a").is_some());
 }
 
 #[test]
 fn a_reading_tells_what_is_absent() {
     let mut mirror = Mirror::default();
-    mirror.replace(Revision(1), vec![item("a", 1), item("b", 1)]);
-    let changes = mirror.replace(Revision(2), vec![item("b", 1)]);
+    mirror.replace(Revision::new(1), vec![item("a", 1), item("b", 1)]);
+    let changes = mirror.replace(Revision::new(2), vec![item("b", 1)]);
     assert_eq!(changes, [MirrorChange::Absent("a".to_owned())]);
 }
 
@@ -58,7 +65,7 @@
         let mut mirror = Mirror::default();
         let mut last = None;
         steps.into_iter().all(|(revision, whole)| {
-            let at = Revision(revision.into());
+            let at = Revision::new(revision.into());
             if whole {
                 mirror.replace(at, vec![item("a", revision.into())]);
             } else {
@@ -76,7 +83,7 @@
 fn a_difference_brings_an_older_copy_level() {
     fn levels(before: Vec<(u8, bool)>, after: Vec<(u8, bool)>) -> bool {
         let mut ahead = Mirror::default();
-        ahead.replace(Revision(1), Vec::new());
+        ahead.replace(Revision::new(1), Vec::new());
         let mut revision = 1;
         let mut step = |mirror: &mut Mirror, (key, present): (u8, bool)| {
             revision += 1;
@@ -85,10 +92,10 @@
                 true => StoreEvent::Put(item(&key, revision)),
                 false => StoreEvent::Removed {
                     key,
-                    revision: Revision(revision),
+                    revision: Revision::new(revision),
                 },
             };
-            mirror.apply(Revision(revision), vec![event]);
+            mirror.apply(Revision::new(revision), vec![event]);
         };
         before.into_iter().for_each(|one| step(&mut ahead, one));
         let mut behind = ahead.clone();
@@ -111,19 +118,19 @@
 #[test]
 fn a_copy_that_forgot_removals_gives_no_difference() {
     let mut mirror = Mirror::default();
-    mirror.replace(Revision(10), Vec::new());
-    assert!(mirror.delta(Revision(9)).is_none());
-    assert!(mirror.delta(Revision(10)).is_some());
+    mirror.replace(Revision::new(10), Vec::new());
+    assert!(mirror.delta(Revision::new(9)).is_none());
+    assert!(mirror.delta(Revision::new(10)).is_some());
     for revision in 0..1_100 {
         let key = format!("{revision}");
         let put = 11 + 2 * revision;
         let removed = StoreEvent::Removed {
             key: key.clone(),
-            revision: Revision(put + 1),
+            revision: Revision::new(put + 1),
         };
-        mirror.apply(Revision(put), vec![StoreEvent::Put(item(&key, put))]);
-        mirror.apply(Revision(put + 1), vec![removed]);
+        mirror.apply(Revision::new(put), vec![StoreEvent::Put(item(&key, put))]);
+        mirror.apply(Revision::new(put + 1), vec![removed]);
     }
-    assert!(mirror.delta(Revision(10)).is_none());
+    assert!(mirror.delta(Revision::new(10)).is_none());
     assert!(mirror.delta(mirror.at().expect("read")).is_some());
 }
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -60,7 +60,7 @@
     pub fn new(now: Time, timing: GranterTiming, epoch: Epoch) -> Self {
         Self {
             granter: Granter::new(now, timing, epoch, None),
-            head_revision: Revision(0),
+            head_revision: Revision::ABSENT,
             stored: BTreeMap::new(),
             unwritten: None,
             writing: None,
@@ -129,7 +129,7 @@
         };
         for part in &writing.parts {
             let stored = self.stored.get(&part.part);
-            let revision = stored.map_or(Revision(0), |stored| stored.revision);
+            let revision = stored.map_or(Revision::ABSENT, |stored| stored.revision);
             let key = OwnKeys::assignment_part(service, part.part);
             put(key, encode(part), revision);
         }
@@ -173,7 +173,7 @@
         let parts = self.writing.take().map(|writing| writing.parts);
         for part in parts.into_iter().flatten() {
             let unknown = StoredPart {
-                revision: Revision(0),
+                revision: Revision::ABSENT,
                 slices: None,
             };
             self.stored.entry(part.part).or_insert(unknown).slices = None;
--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -77,7 +77,7 @@
             longest_value: usize::MAX,
             watch_wait: FIRST_WATCH.min(timing.wait),
             mirror: Mirror::default(),
-            latest: Revision(0),
+            latest: Revision::default(),
             generation: 0,
             phase: Phase::Reading {
                 at: None,
@@ -228,7 +228,7 @@
                     return (ReplicaHealth::Sound, Vec::new());
                 }
                 for event in &events {
-                    self.note(event_revision(event));
+                    self.note(event.revision());
                 }
                 (ReplicaHealth::Sound, self.mirror.apply(at, events))
             }
@@ -270,7 +270,7 @@
             return Vec::new();
         }
         for event in &events {
-            self.note(event_revision(event));
+            self.note(event.revision());
         }
         self.mirror.apply(at, events)
     }
@@ -358,15 +358,8 @@
         let written = items.into_iter().map(StoreEvent::Put);
         let events: Vec<StoreEvent> = removed.chain(written).collect();
         for event in &events {
-            self.note(event_revision(event));
+            self.note(event.revision());
         }
         self.mirror.apply(at, events)
     }
 }
-
-fn event_revision(event: &StoreEvent) -> Revision {
-    match event {
-        StoreEvent::Put(item) => item.revision,
-        StoreEvent::Removed { revision, .. } => *revision,
-    }
-}
--- a/crates/router/src/core/views/apply.rs
+++ b/crates/router/src/core/views/apply.rs
@@ -18,7 +18,7 @@
         drop_overtaken(&mut changes);
         // The newest registration at an address counts, so in their order.
         changes.sort_by_key(|change| match change {
-            MirrorChange::Absent(_) => Revision(0),
+            MirrorChange::Absent(_) => Revision::ABSENT,
             MirrorChange::Present(item) => item.revision,
         });
         if view == ViewName::Upstreams {
--- a/crates/router/tests/foreign_entries.rs
+++ b/crates/router/tests/foreign_entries.rs
@@ -91,7 +91,7 @@
             let empty = StoreOutcome::Page {
                 items: Vec::new(),
                 more: false,
-                at: Revision(1),
+                at: Revision::new(1),
             };
             views.handle(at(1), view, 0, empty);
         }
@@ -108,7 +108,7 @@
 
     fn write(&mut self, view: ViewName, key: &str, value: &[u8]) {
         self.revision += 1;
-        let revision = Revision(self.revision);
+        let revision = Revision::new(self.revision);
         let item = Item {
             key: key.to_owned(),
             value: value.to_vec(),
--- a/crates/router/tests/foreign_records.rs
+++ b/crates/router/tests/foreign_records.rs
@@ -204,7 +204,7 @@
         let empty = StoreOutcome::Page {
             items: Vec::new(),
             more: false,
-            at: Revision(1),
+            at: Revision::new(1),
         };
         views.handle(at(1), view, 0, empty);
     }
@@ -215,11 +215,11 @@
     let item = Item {
         key: key.to_owned(),
         value,
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     };
     let events = StoreOutcome::Events {
         events: vec![StoreEvent::Put(item)],
-        at: Revision(revision),
+        at: Revision::new(revision),
     };
     views.handle(at(revision), view, 0, events);
 }
--- a/crates/router/tests/node.rs
+++ b/crates/router/tests/node.rs
@@ -61,11 +61,11 @@
     let item = Item {
         value: dialect.encode_upstream(record),
         key,
-        revision: Revision(3),
+        revision: Revision::new(3),
     };
     let snapshot = Snapshot {
         view: ViewName::Upstreams,
-        at: Revision(3),
+        at: Revision::new(3),
         items: vec![item],
         removals: Vec::new(),
         is_whole: true,
@@ -92,7 +92,7 @@
 fn a_node_without_an_entry_is_told_as_long_as_it_is_heard() {
     let mut core = core();
     assert!(told(core.handle(at(10), Input::Tick)).is_empty());
-    let latest = [Revision(0); ViewName::ALL.len()];
+    let latest = [Revision::new(0); ViewName::ALL.len()];
     let heads = Datagram::Heads(ViewHeads {
         latest,
         contact: None,
@@ -115,11 +115,11 @@
     let item = |record: NodeRecord| Item {
         key: OwnKeys::node(&record.name),
         value: borsh::to_vec(&record).expect("a record in memory"),
-        revision: Revision(4),
+        revision: Revision::new(4),
     };
     Snapshot {
         view: ViewName::Members,
-        at: Revision(4),
+        at: Revision::new(4),
         items: others.map(item).collect(),
         removals: Vec::new(),
         is_whole: true,
--- a/crates/router/tests/restarts.rs
+++ b/crates/router/tests/restarts.rs
@@ -54,7 +54,7 @@
 
     fn adopt(&mut self, millis: u64, view: ViewName, key: String, value: Vec<u8>) -> Vec<Output> {
         self.revision += 1;
-        let revision = Revision(self.revision);
+        let revision = Revision::new(self.revision);
         let snapshot = Snapshot {
             view,
             at: revision,
--- a/crates/router/tests/short_lived_entries.rs
+++ b/crates/router/tests/short_lived_entries.rs
@@ -33,7 +33,7 @@
         let page = StoreOutcome::Page {
             items: Vec::new(),
             more: false,
-            at: Revision(10),
+            at: Revision::new(10),
         };
         views.handle(at(1), view, 0, page);
         views.follow(at(1), true);
@@ -46,21 +46,21 @@
     StoreEvent::Put(Item {
         key: key.to_owned(),
         value: value.to_vec(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     })
 }
 
 fn removed(key: &str, revision: u64) -> StoreEvent {
     StoreEvent::Removed {
         key: key.to_owned(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
 fn tell(views: &mut Views, millis: u64, view: ViewName, events: Vec<StoreEvent>, revision: u64) {
     let outcome = StoreOutcome::Events {
         events,
-        at: Revision(revision),
+        at: Revision::new(revision),
     };
     let generation = views.replica(view).generation();
     views.handle(at(millis), view, generation, outcome);
@@ -133,10 +133,10 @@
         items: vec![Item {
             key: KEY.to_owned(),
             value: dialect.encode_upstream(record()),
-            revision: Revision(9),
+            revision: Revision::new(9),
         }],
         more: false,
-        at: Revision(12),
+        at: Revision::new(12),
     };
     views.handle(at(160), ViewName::Upstreams, 0, page);
     let known = views.directory.get(&UpstreamId::from("u1".to_owned()));
--- a/crates/router/tests/views.rs
+++ b/crates/router/tests/views.rs
@@ -42,7 +42,7 @@
         let page = StoreOutcome::Page {
             items: Vec::new(),
             more: false,
-            at: Revision(10),
+            at: Revision::new(10),
         };
         views.handle(at(1), view, 0, page);
         views.follow(at(1), true);
@@ -55,8 +55,8 @@
 }
 
 fn heads(upstreams: u64) -> ViewHeads {
-    let mut latest = [Revision(0); ViewName::ALL.len()];
-    latest[ViewName::Upstreams as usize] = Revision(upstreams);
+    let mut latest = [Revision::new(0); ViewName::ALL.len()];
+    latest[ViewName::Upstreams as usize] = Revision::new(upstreams);
     ViewHeads {
         latest,
         contact: None,
@@ -72,7 +72,7 @@
     assert_eq!(views.poll(at(350), ViewName::Upstreams), None);
     views.heads(at(450), peer(), &heads(12));
     let call = views.poll(at(450), ViewName::Upstreams);
-    assert!(matches!(call, Some(StoreCall::Watch { after, .. }) if after == Revision(10)));
+    assert!(matches!(call, Some(StoreCall::Watch { after, .. }) if after == Revision::new(10)));
 }
 
 #[test]
@@ -82,9 +82,9 @@
     let outcome = StoreOutcome::Events {
         events: vec![StoreEvent::Removed {
             key: "upstreams/x".to_owned(),
-            revision: Revision(12),
+            revision: Revision::new(12),
         }],
-        at: Revision(12),
+        at: Revision::new(12),
     };
     views.handle(at(105), ViewName::Upstreams, 0, outcome);
     views.heads(at(500), peer(), &heads(12));
@@ -98,12 +98,12 @@
     views.restart_all(at(100));
     let outcome = StoreOutcome::Events {
         events: Vec::new(),
-        at: Revision(99),
+        at: Revision::new(99),
     };
     views.handle(at(200), ViewName::Upstreams, 0, outcome);
     assert_eq!(
         views.replica(ViewName::Upstreams).mirror().at(),
-        Some(Revision(10))
+        Some(Revision::new(10))
     );
 }
 
@@ -130,11 +130,11 @@
     let item = Item {
         key: format!("{}x", OwnKeys::NODES),
         value: Vec::new(),
-        revision: Revision(15),
+        revision: Revision::new(15),
     };
     let outcome = StoreOutcome::Events {
         events: vec![StoreEvent::Put(item)],
-        at: Revision(15),
+        at: Revision::new(15),
     };
     ahead.handle(at(100), ViewName::Members, 0, outcome);
     let mut behind = watching();
@@ -142,7 +142,7 @@
     assert_eq!(snapshots.len(), 1);
     behind.adopt(at(200), snapshots);
     let members = |views: &Views| views.replica(ViewName::Members).mirror().at();
-    assert_eq!(members(&behind), Some(Revision(15)));
+    assert_eq!(members(&behind), Some(Revision::new(15)));
     assert!(ahead.answer(&behind.request(&ViewName::ALL)).is_empty());
     assert!(behind.answer(&ahead.request(&ViewName::ALL)).is_empty());
 }
@@ -152,7 +152,7 @@
     let record = |name: &str, revision| Item {
         key: format!("{}{name}", OwnKeys::STATE),
         value: Vec::new(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     };
     let mut granter = watching();
     granter.wrote(at(100), record("one", 11));
@@ -242,11 +242,11 @@
     let mut views = watching();
     let outcome = StoreOutcome::Events {
         events: Vec::new(),
-        at: Revision(20),
+        at: Revision::new(20),
     };
     views.handle(at(8_000), ViewName::Operator, 0, outcome);
     let call = views.poll(at(8_001), ViewName::Operator);
-    assert!(matches!(call, Some(StoreCall::Watch { after, .. }) if after == Revision(10)));
+    assert!(matches!(call, Some(StoreCall::Watch { after, .. }) if after == Revision::new(10)));
 }
 
 /// Found on grown days: a slow node gave each watch up before it answered, and
@@ -258,15 +258,15 @@
     let item = Item {
         key: OwnKeys::node("late"),
         value: Vec::new(),
-        revision: Revision(12),
+        revision: Revision::new(12),
     };
     let late = StoreOutcome::Events {
         events: vec![StoreEvent::Put(item)],
-        at: Revision(12),
+        at: Revision::new(12),
     };
     views.handle(at(500), ViewName::Members, 0, late);
     let mirror = views.replica(ViewName::Members).mirror();
-    assert_eq!(mirror.at(), Some(Revision(12)));
+    assert_eq!(mirror.at(), Some(Revision::new(12)));
     // The watch that was sent instead is still under way.
     assert!(views.poll(at(500), ViewName::Members).is_some());
     assert!(views.poll(at(510), ViewName::Members).is_none());
@@ -293,7 +293,7 @@
     Item {
         key: "upstreams/x".to_owned(),
         value: Vec::new(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
@@ -309,7 +309,7 @@
     assert!(matches!(call, Some(StoreCall::Range { .. })));
     let copy = Snapshot {
         view: ViewName::Upstreams,
-        at: Revision(12),
+        at: Revision::new(12),
         items: Vec::new(),
         removals: Vec::new(),
         is_whole: true,
@@ -318,12 +318,12 @@
     let page = StoreOutcome::Page {
         items: vec![upstream(15)],
         more: false,
-        at: Revision(15),
+        at: Revision::new(15),
     };
     views.handle(at(300), ViewName::Upstreams, 0, page);
     let replica = views.replica(ViewName::Upstreams);
     let has_it = replica.mirror().get("upstreams/x").is_some();
-    assert_eq!(has_it, !replica.lacks(Revision(15)));
+    assert_eq!(has_it, !replica.lacks(Revision::new(15)));
 }
 
 #[test]
@@ -334,12 +334,12 @@
     let page = StoreOutcome::Page {
         items: vec![upstream(15)],
         more: true,
-        at: Revision(15),
+        at: Revision::new(15),
     };
     views.handle(at(300), ViewName::Upstreams, 0, page);
     views.poll(at(310), ViewName::Upstreams);
     views.handle(at(400), ViewName::Upstreams, 0, StoreOutcome::Unknown);
-    assert!(views.replica(ViewName::Upstreams).lacks(Revision(15)));
+    assert!(views.replica(ViewName::Upstreams).lacks(Revision::new(15)));
 }
 
 /// Found by a hunt (CONFIG): watches heard nothing for a second in which a configuration
@@ -399,13 +399,13 @@
             Some(StoreCall::Range { .. }) => StoreOutcome::Page {
                 items: Vec::new(),
                 more: false,
-                at: Revision(20),
+                at: Revision::new(20),
             },
             Some(StoreCall::Watch { wait, .. }) => {
                 waits.push(wait.as_millis());
                 StoreOutcome::Events {
                     events: Vec::new(),
-                    at: Revision(20),
+                    at: Revision::new(20),
                 }
             }
             other => panic!("{other:?}"),
