Copies of a store that went back are filled from its new state, not kept as newer

What callers saw: requests handled by a configuration that two acknowledged ones had replaced, 2.1 s after the second (2 s allowed).

Cause: the store came back from an older copy, its revisions went back, and a node's copy refuses whatever has a lower revision than it has: each reading was dropped, each watch that followed answered as history lost, 75 times a second, for up to half a minute. Ruled out: a lost way to the store (the same nodes' renewals were answered).

Mend: what the store answers is put in the era that the answer tells, and revisions are compared as pairs. A new era has all copies read again; what they had stays in force until then, and the configuration in force is never replaced by a lower version. Changes of an era are taken only by a copy that was read in it: the revision that an older watch began at may be another state by now. An answer of an older era that comes late changes nothing.

Three tests of the mirror, which hold.

--- a/crates/metastore/src/mirror.rs
+++ b/crates/metastore/src/mirror.rs
@@ -1,7 +1,9 @@
 //! A node's copy of the keys below one prefix.
 //!
 //! Invariant: the revision of a copy never falls, whichever way it was filled:
-//! by the store itself or by another node.
+//! by the store itself or by another node. Changes are taken in the copy's own era only:
+//! those of a later one begin at a state of the store that the copy never had, so it is
+//! filled from a whole reading first.
 
 use crate::call::{Item, Revision, StoreEvent};
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -70,7 +72,9 @@
         if self.at.is_some_and(|known| at < known) {
             return Vec::new();
         }
-        if self.at.is_none() {
+        if self.at.is_none_or(|known| known.era != at.era) {
+            // What was removed in an era before tells nothing of this one.
+            self.removals.clear();
             self.removals_from = at;
         }
         self.at = Some(at);
@@ -106,7 +110,10 @@
 
     /// Takes the changes up to `at`.
     pub fn apply(&mut self, at: Revision, events: Vec<StoreEvent>) -> Vec<MirrorChange> {
-        if self.at.is_some_and(|known| at < known) {
+        if self
+            .at
+            .is_some_and(|known| at < known || at.era != known.era)
+        {
             return Vec::new();
         }
         if self.at.is_none() {
--- a/crates/metastore/tests/mirror.rs
+++ b/crates/metastore/tests/mirror.rs
@@ -1,6 +1,6 @@
 //! A copy of a prefix never goes back.
 
-use beamtray_metastore::{Item, Mirror, MirrorChange, Revision, StoreEvent};
+use beamtray_metastore::{Item, Mirror, MirrorChange, Revision, StoreEra, StoreEvent};
 use quickcheck::{Gen, QuickCheck, quickcheck};
 
 const SEED: u64 = 20_261_202;
@@ -134,3 +134,56 @@
     assert!(mirror.delta(Revision::new(10)).is_none());
     assert!(mirror.delta(mirror.at().expect("read")).is_some());
 }
+
+fn later(number: u64) -> Revision {
+    Revision {
+        era: StoreEra(1),
+        number,
+    }
+}
+
+fn item_at(key: &str, revision: Revision) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: Vec::new(),
+        revision,
+    }
+}
+
+/// Guards against a copy that refuses the store's readings after it came back from an older
+/// copy, whose numbers are lower.
+#[test]
+fn a_reading_of_a_later_era_counts_whatever_its_number() {
+    let mut mirror = Mirror::default();
+    let old = vec![
+        item_at("a", Revision::new(80)),
+        item_at("b", Revision::new(90)),
+    ];
+    mirror.replace(Revision::new(100), old);
+    let changes = mirror.replace(later(60), vec![item_at("a", later(55))]);
+    assert_eq!(mirror.at(), Some(later(60)));
+    assert!(changes.contains(&MirrorChange::Absent("b".to_owned())));
+    assert!(changes.contains(&MirrorChange::Present(item_at("a", later(55)))));
+    let late = mirror.replace(Revision::new(120), vec![item_at("c", Revision::new(110))]);
+    assert!(late.is_empty(), "a reading of the era before came late");
+}
+
+/// Guards against changes that are applied to a state of the store that the copy never had.
+#[test]
+fn changes_of_another_era_are_not_taken_before_it_was_read() {
+    let mut mirror = Mirror::default();
+    mirror.replace(Revision::new(100), vec![item_at("a", Revision::new(80))]);
+    let put = StoreEvent::Put(item_at("c", later(101)));
+    assert!(mirror.apply(later(101), vec![put]).is_empty());
+    assert_eq!(mirror.at(), Some(Revision::new(100)));
+}
+
+/// Guards against another node's copy of an era before that is taken for a part of this one.
+#[test]
+fn what_a_copy_of_an_earlier_era_lacks_is_everything() {
+    let mut mirror = Mirror::default();
+    mirror.replace(Revision::new(100), vec![item_at("a", Revision::new(80))]);
+    mirror.replace(later(60), vec![item_at("a", later(55))]);
+    assert!(mirror.delta(Revision::new(100)).is_none());
+    assert!(mirror.delta(later(60)).is_some());
+}
--- a/crates/router/src/core/node/store_path.rs
+++ b/crates/router/src/core/node/store_path.rs
@@ -7,13 +7,17 @@
 use beamtray_types::Time;
 
 impl NodeCore {
-    /// The store's answers tell an era.
-    pub(super) fn store_era(&mut self, _now: Time, era: StoreEra) {
+    /// The store's answers tell an era. With a later one all copies are read again, and what
+    /// they had before stays in force until then.
+    pub(super) fn store_era(&mut self, now: Time, era: StoreEra) {
         if self.era.is_some_and(|known| era <= known) {
             return;
         }
         let before = self.era.replace(era);
         self.outputs.push(Output::StoreEra { before, era });
+        if before.is_some() {
+            self.views.restart_all(now);
+        }
     }
 
     pub(super) fn store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -215,6 +215,10 @@
                 self.sound(now);
                 (ReplicaHealth::Sound, self.page(items, more, at))
             }
+            StoreOutcome::Events { at, .. } if self.is_of_other_era(at) => {
+                self.read_again();
+                (ReplicaHealth::Troubled, Vec::new())
+            }
             StoreOutcome::Events { events, at } => {
                 self.sound(now);
                 self.watch_wait = (self.watch_wait * 2).min(self.timing.wait);
@@ -252,6 +256,12 @@
         }
     }
 
+    /// Whether the store has begun another era since this copy was filled: the revision
+    /// that a watch began at may be another state by now.
+    fn is_of_other_era(&self, at: Revision) -> bool {
+        self.mirror.at().is_none_or(|known| known.era != at.era)
+    }
+
     /// Tries again at once what has failed: the store answers other calls.
     pub fn retry(&mut self, now: Time) {
         if self.failures > 0 {
@@ -299,6 +309,10 @@
         // Later pages may hold newer items; what changed on earlier ones since
         // comes with the watch, so the first page's revision counts.
         let from = *at.get_or_insert(page_at);
+        if from.era != page_at.era {
+            self.read_again();
+            return Vec::new();
+        }
         items.extend(page);
         if more {
             return Vec::new();
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -33,10 +33,7 @@
         let progress = CallProgress::repeatable();
         let answer = timeout(limit, send(&shared, shared.store, encoded, &progress)).await;
         let outcome = match answer {
-            Ok(Ok(answer)) => {
-                note_era(&shared, &answer);
-                shared.dialect.decode_store(&call, &answer)
-            }
+            Ok(Ok(answer)) => judge(&shared, &call, &answer),
             Ok(Err(_)) | Err(_) => {
                 // Other connections may be as dead, without having noticed.
                 shared.connections.forget(shared.store);
@@ -48,20 +45,26 @@
     });
 }
 
-/// Tells the core of the era that an answer of the store tells, before what it says.
-fn note_era(shared: &Shared, answer: &HttpAnswer) {
-    match shared.dialect.decode_era(answer) {
-        Some(era) if shared.store_era.get() < Some(era) => {
-            shared.store_era.set(Some(era));
-            shared.input(Input::StoreEra(era));
-        }
-        Some(_) => {}
+/// What an answer of the store says. The core is told of a new era before.
+///
+/// One of an older era came late: what it says has been taken back.
+fn judge(shared: &Shared, call: &StoreCall, answer: &HttpAnswer) -> StoreOutcome {
+    let known = shared.store_era.get();
+    let era = match shared.dialect.decode_era(answer) {
+        Some(era) if known.is_some_and(|known| era < known) => return StoreOutcome::Unknown,
+        Some(era) => era,
         None => {
             if let Some(text) = &answer.store_era {
                 shared.observer.era_unreadable(text);
             }
+            known.unwrap_or_default()
         }
+    };
+    if known != Some(era) {
+        shared.store_era.set(Some(era));
+        shared.input(Input::StoreEra(era));
     }
+    shared.dialect.decode_store(call, answer).of_era(era)
 }
 
 /// Gives an order and tells the core how it went.
--- a/crates/routersim/benches/core_cost.rs
+++ b/crates/routersim/benches/core_cost.rs
@@ -190,7 +190,9 @@
         if self.now.0.is_multiple_of(HEADS_PAUSE.as_micros() as u64) && self.role == Role::Plain {
             let (views, ..) = self.core.inspect();
             let mut latest = ViewName::ALL.map(|view| views.replica(view).latest());
-            latest.iter_mut().for_each(|head| head.number = head.number.max(1));
+            latest
+                .iter_mut()
+                .for_each(|head| head.number = head.number.max(1));
             let contact = Some(StoreContact::new(Duration::from_millis(100), None));
             let heads = Datagram::Heads(ViewHeads { latest, contact });
             let relay = self.nodes[ZONES - 1].peers;
--- a/crates/routersim/src/world/stores.rs
+++ b/crates/routersim/src/world/stores.rs
@@ -206,6 +206,7 @@
         if !matches!(outcome, StoreOutcome::Unknown) {
             self.input(node, run, Input::StoreEra(era));
         }
+        let outcome = outcome.of_era(era);
         self.input(node, run, Input::Store { task, outcome });
     }
 
