Nodes are told of a removal that a relay learned of by reading everything again

Cause: the store dropped its history, so the relays' watches ended and they read the entries again; a removal that a reading shows has no revision of its own and was not counted among the changes seen, which is what nodes tell each other.

Mend: such a removal counts as seen at the reading's revision.

The test failed before: the node that has its copy from the relay kept the upstream.

--- a/crates/router/src/core/replica.rs
+++ b/crates/router/src/core/replica.rs
@@ -322,9 +322,11 @@
         self.watch_wait = FIRST_WATCH.min(self.timing.wait);
         let changes = self.mirror.replace(from, items);
         for change in &changes {
-            if let MirrorChange::Present(item) = change {
-                self.note(item.revision);
-            }
+            self.note(match change {
+                MirrorChange::Present(item) => item.revision,
+                // When it was removed is not told: by the reading at the latest.
+                MirrorChange::Absent(_) => from,
+            });
         }
         changes
     }
