A new era of the store ends every term; records that may have gone back are doubted

What callers saw: two upstreams held the same keys for 1.3 to 1.6 s, right after all nodes had been killed.

Cause: the store had come back from an older copy 45 s before. The granter lived through that, kept its term and its grants, believed its record durable and wrote none of it again; the next granter read the old record, renewed its holders, heard "outdated" from one that had given keys back, and gave it the same keys under a fresh token. Ruled out: tokens or terms given out twice (the tokens of the report differ and rise), though the highest term is kept in the same store.

Mend: a new era ends the right to grant, which is won again; the first term of an era is above all that the eras before can have had, so tokens rise whatever the store forgot. A term takes over the newer of what the store has and what its node knows, and writes all of it again. Where no term of this era wrote the record yet, "outdated" to an inherited token means that the keys went on: nobody gets them before the grants of a holder that is not known have run out. Unless the term before was the node's own, no key is given or moved before that; the holders that are known are renewed meanwhile.

--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -9,7 +9,7 @@
 //! Its lease would go on for up to its whole life.
 
 use crate::call::{
-    Condition, Item, LeaseId, Revision, StoreCall, StoreOutcome, Transaction, Write,
+    Condition, Item, LeaseId, Revision, StoreCall, StoreEra, StoreOutcome, Transaction, Write,
 };
 use crate::lease::{LeaseKeeper, LeaseTiming};
 use beamtray_types::Time;
@@ -27,6 +27,17 @@
 /// that are counted from here on must fit, too.
 const HIGHEST_EPOCH: Epoch = Epoch((1 << 39) - 1);
 
+impl Epoch {
+    /// The first one of an era of the store. Above all of the eras before: those that the
+    /// store has forgotten are not known to it, and an era has fewer terms than lie between.
+    pub fn first_of(era: StoreEra) -> Self {
+        Self((u64::from(era.0) * EPOCHS_OF_AN_ERA).min(HIGHEST_EPOCH.0 / 2))
+    }
+}
+
+/// Terms that an era has at most: one a second for most of a day.
+const EPOCHS_OF_AN_ERA: u64 = 1 << 16;
+
 /// What the granter's key holds.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct GranterRecord {
@@ -69,6 +80,8 @@
     pub until: Time,
     /// Revision of the granter's key: writes are made on this condition.
     pub revision: Revision,
+    /// The last term before, as far as the store knew.
+    pub predecessor: Epoch,
 }
 
 /// What an election waits for.
@@ -85,6 +98,14 @@
     epoch: Epoch,
     revision: Revision,
     lease: LeaseId,
+    predecessor: Epoch,
+}
+
+/// The term that the pending taking of the place would begin, and the one before.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    epoch: Epoch,
+    predecessor: Epoch,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -99,8 +120,11 @@
     config: ElectionConfig,
     keeper: LeaseKeeper,
     pending: Option<Pending>,
-    /// Epoch that the pending taking of the place would have.
-    attempted: Option<Epoch>,
+    attempted: Option<Attempt>,
+    /// The store's era, if it is known.
+    era: StoreEra,
+    /// Whether the place is taken again though the store names this process as its holder.
+    reclaims: bool,
     place: Option<Place>,
     vacant_since: Option<Time>,
     /// Revision that the granter's key must have when this node takes the place: none
@@ -123,6 +147,8 @@
             keeper,
             pending: None,
             attempted: None,
+            era: StoreEra::default(),
+            reclaims: false,
             place: None,
             vacant_since: None,
             replaces: Revision::ABSENT,
@@ -147,6 +173,7 @@
             epoch: place.epoch,
             until,
             revision: place.revision,
+            predecessor: place.predecessor,
         })
     }
 
@@ -180,6 +207,17 @@
         Some(self.send(now, ElectionStep::Take, call))
     }
 
+    /// The store has begun an era. What it acknowledged before may be gone, the place among
+    /// it, and others may have had it since the state that it went back to: the right to
+    /// grant has to be won again, in a term above all that were.
+    pub fn begin_era(&mut self, era: StoreEra) {
+        self.era = era;
+        self.reclaims = self.place.take().is_some();
+        self.attempted = None;
+        self.observed = None;
+        self.replaces = Revision::ABSENT;
+    }
+
     /// Follows the granter's key as this node sees it.
     fn observe(&mut self, now: Time, granter: Option<&Item>) {
         let Some(item) = granter else {
@@ -217,15 +255,26 @@
         }
         // A taking of the place whose answer was lost shows here.
         if self.place.is_none()
-            && self.attempted == Some(record.epoch)
+            && let Some(attempt) = self.attempted
+            && attempt.epoch == record.epoch
             && let Some(lease) = self.keeper.lease(now)
         {
-            self.place = Some(Place {
-                epoch: record.epoch,
-                revision: item.revision,
-                lease,
-            });
+            self.hold(attempt, item.revision, lease);
         }
+        if self.place.is_none() && self.reclaims {
+            self.vacant_since = Some(now);
+            self.replaces = item.revision;
+        }
+    }
+
+    fn hold(&mut self, attempt: Attempt, revision: Revision, lease: LeaseId) {
+        self.reclaims = false;
+        self.place = Some(Place {
+            epoch: attempt.epoch,
+            revision,
+            lease,
+            predecessor: attempt.predecessor,
+        });
     }
 
     fn send(&mut self, now: Time, step: ElectionStep, call: StoreCall) -> StoreCall {
@@ -234,8 +283,12 @@
     }
 
     fn take(&mut self, lease: LeaseId, epoch: Option<&Item>) -> StoreCall {
-        let next = Epoch(last_epoch(epoch).0 + 1);
-        self.attempted = Some(next);
+        let predecessor = last_epoch(epoch);
+        let next = Epoch(predecessor.0 + 1).max(Epoch::first_of(self.era));
+        self.attempted = Some(Attempt {
+            epoch: next,
+            predecessor,
+        });
         let record = GranterRecord {
             node: self.config.node.clone(),
             run: self.config.run,
@@ -284,12 +337,8 @@
     fn taken(&mut self, now: Time, outcome: &StoreOutcome) {
         match outcome {
             StoreOutcome::Committed { revision } => {
-                if let (Some(lease), Some(epoch)) = (self.keeper.lease(now), self.attempted) {
-                    self.place = Some(Place {
-                        epoch,
-                        revision: *revision,
-                        lease,
-                    });
+                if let (Some(lease), Some(attempt)) = (self.keeper.lease(now), self.attempted) {
+                    self.hold(attempt, *revision, lease);
                 }
             }
             StoreOutcome::Absent => {
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -15,13 +15,16 @@
 use beamtray_catalog::{Directory, UpstreamId};
 use beamtray_dispatch::{Dispatcher, KeyReport, SpeedTable};
 use beamtray_metastore::{
-    Authority, Condition, Election, ElectionConfig, Item, LeaseTiming, StoreCall, StoreOutcome,
-    Transaction, Write,
+    Authority, Condition, Election, ElectionConfig, Epoch, Item, LeaseTiming, StoreCall, StoreEra,
+    StoreOutcome, Transaction, Write,
+};
+use beamtray_sharding::{
+    Assignment, BalanceLimits, GrantOrder, GrantReply, GranterTiming, KeyRange,
 };
-use beamtray_sharding::{BalanceLimits, GrantOrder, GrantReply, GranterTiming};
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use suspicions::SuspicionWriter;
 use term::Term;
@@ -62,6 +65,9 @@
     pub balance: BalanceLimits,
 }
 
+/// Assignments of divided services, as a node knows them.
+pub type KnownAssignments = BTreeMap<ServiceName, Rc<Assignment>>;
+
 /// A write that the store takes only from the granter.
 fn granters_write(authority: &Authority, key: &str, value: Vec<u8>) -> StoreCall {
     StoreCall::Commit(Transaction {
@@ -90,6 +96,10 @@
     standbys: StandbyWords,
     /// Assignments in the store that this node's views don't show yet.
     written: Vec<Item>,
+    /// The store's era.
+    era: StoreEra,
+    /// The last term of this node that had its grants, if an era ended it.
+    last_term: Option<Epoch>,
     /// What was read at the start of the term.
     reading: Option<Snapshot>,
     speeds_at: Time,
@@ -114,6 +124,8 @@
             term: None,
             standbys: StandbyWords::default(),
             written: Vec::new(),
+            era: StoreEra::default(),
+            last_term: None,
             reading: None,
             speeds_at: Time::ZERO,
             suspicions: SuspicionWriter::default(),
@@ -151,6 +163,17 @@
         self.election.authority(now).is_some()
     }
 
+    /// The store has begun an era: a term of the one before is over, and its grants are
+    /// continued, if at all, by the next one.
+    pub fn begin_era(&mut self, era: StoreEra) {
+        self.era = era;
+        self.election.begin_era(era);
+        let ended = self.term.take().filter(|term| term.grants.is_some());
+        if let Some(term) = ended {
+            self.last_term = Some(term.authority.epoch);
+        }
+    }
+
     /// Calls to the store that are due.
     pub fn poll_store(
         &mut self,
@@ -161,6 +184,7 @@
         let mirror = views.replica(ViewName::Members).mirror();
         let view = mirror
             .at()
+            .filter(|at| at.era >= self.era)
             .map(|_| (mirror.get(OwnKeys::GRANTER), mirror.get(OwnKeys::EPOCH)));
         let mut calls = Vec::new();
         if let Some(call) = self.election.poll(now, view) {
@@ -194,11 +218,17 @@
     }
 
     /// Takes the outcome of a call.
-    pub fn handle_store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
+    pub fn handle_store(
+        &mut self,
+        now: Time,
+        task: &StoreTask,
+        outcome: StoreOutcome,
+        known: &KnownAssignments,
+    ) {
         match task {
             StoreTask::Election => self.election.handle(now, &outcome),
             StoreTask::Registration => self.registrar.handle(now, &outcome),
-            StoreTask::TakeOver => self.taken_over(now, outcome),
+            StoreTask::TakeOver => self.taken_over(now, outcome, known),
             StoreTask::Record(service) => self.recorded(now, service, outcome),
             StoreTask::Suspicions => self.suspicions_written(now, &outcome),
             StoreTask::View(..) | StoreTask::Speeds | StoreTask::Farewell => {}
@@ -288,6 +318,7 @@
             return;
         };
         let epoch = term.authority.epoch;
+        let lacks_records = term.lacks_records;
         if configuration
             .services
             .iter()
@@ -297,8 +328,13 @@
         }
         let divided = configuration.services.iter().filter(|s| s.divided);
         for service in divided {
-            all.entry(service.name.clone())
-                .or_insert_with(|| Grants::new(now, self.config.grants, epoch));
+            all.entry(service.name.clone()).or_insert_with(|| {
+                let mut grants = Grants::new(now, self.config.grants, epoch);
+                if lacks_records {
+                    grants.granter.withhold(now, KeyRange::ALL);
+                }
+                grants
+            });
         }
     }
 
--- a/crates/router/src/core/control/term.rs
+++ b/crates/router/src/core/control/term.rs
@@ -2,10 +2,11 @@
 //! start, and the records that it writes.
 
 use super::Control;
-use crate::core::grants::{Grants, adopt, read_state};
+use super::KnownAssignments;
+use crate::core::grants::{Grants, RecordTrust, adopt, read_state};
 use crate::core::message::StoreTask;
 use crate::core::views::{Snapshot, ViewName};
-use beamtray_metastore::{Authority, Item, Revision, StoreCall, StoreOutcome};
+use beamtray_metastore::{Authority, Epoch, Item, Revision, StoreCall, StoreOutcome};
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     /// they were last taken from.
     pub(super) candidates_at: Time,
     pub(super) candidates_of: Option<u64>,
+    /// Whether a service without a record may have had one that the store has forgotten.
+    pub(super) lacks_records: bool,
 }
 
 impl Term {
@@ -56,6 +59,7 @@
             orders_at: now,
             candidates_at: now,
             candidates_of: None,
+            lacks_records: false,
         }
     }
 
@@ -116,7 +120,16 @@
     }
 
     /// Takes a page of the assignments read at a takeover.
-    pub(super) fn taken_over(&mut self, now: Time, outcome: StoreOutcome) {
+    ///
+    /// They may be older than what was granted, where no term of this era has written them
+    /// yet. What this node knows of newer records counts beside them; and unless the last
+    /// term before was its own, it knows that there may be more.
+    pub(super) fn taken_over(
+        &mut self,
+        now: Time,
+        outcome: StoreOutcome,
+        known: &KnownAssignments,
+    ) {
         let Some(term) = &mut self.term else {
             return;
         };
@@ -134,7 +147,16 @@
         let timing = self.config.grants;
         let epoch = term.authority.epoch;
         let read = std::mem::take(&mut term.read);
-        term.grants = Some(adopt(now, timing, epoch, &read));
+        let predecessor = term.authority.predecessor;
+        let first = Epoch::first_of(self.era);
+        let newest = known.values().filter_map(|one| one.number()).max();
+        let newest = newest.map_or(predecessor, |newest| newest.epoch.max(predecessor));
+        let trust = RecordTrust {
+            proven_from: first,
+            continues: self.last_term.is_some_and(|own| own >= newest),
+        };
+        term.lacks_records = !trust.continues && newest > Epoch(0) && predecessor < first;
+        term.grants = Some(adopt(now, timing, epoch, &read, known, trust));
         term.candidates_of = None;
         self.reading = Some(Snapshot {
             view: ViewName::State,
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -1,12 +1,13 @@
 //! The grants of one service, and their record in the store.
 
+use crate::core::control::KnownAssignments;
 use crate::core::records::{AssignmentKey, OwnKeys, decode_part};
 use crate::core::views::Views;
 use beamtray_catalog::{Directory, Registration, RequestRate, UpstreamId, UpstreamState};
 use beamtray_dispatch::{Dispatcher, UpstreamHash};
 use beamtray_metastore::{Condition, Epoch, Item, Revision, StoreCall, Transaction, Write};
 use beamtray_sharding::{
-    Assignment, AssignmentHead, AssignmentPart, Candidate, Granter, GranterTiming, Part,
+    Assignment, AssignmentHead, AssignmentPart, Candidate, Granter, GranterTiming, KeyRange, Part,
     SliceRecord, Standing,
 };
 use beamtray_types::{ServiceName, Time};
@@ -230,15 +231,32 @@
     lacks_head: bool,
 }
 
-/// Continues the grants that were read from the store; keys of items that can't be
-/// read are without a holder until their last grants have run out.
+/// How far a new term trusts the records that it takes over.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RecordTrust {
+    /// Records of earlier terms may have been written before a state that the store went back
+    /// to, and have gone further since.
+    pub proven_from: Epoch,
+    /// Whether the last term before was this node's own, so that it knows all records.
+    pub continues: bool,
+}
+
+/// Continues the grants that were read from the store, or that this node knows newer records
+/// of; keys of items that can't be read are without a holder until their last grants have
+/// run out.
 pub(crate) fn adopt(
     now: Time,
     timing: GranterTiming,
     epoch: Epoch,
     items: &[Item],
+    known: &KnownAssignments,
+    trust: RecordTrust,
 ) -> BTreeMap<ServiceName, Grants> {
     let mut read: BTreeMap<ServiceName, ReadAssignment> = BTreeMap::new();
+    for (service, assignment) in known {
+        let read = read.entry(service.clone()).or_default();
+        read.assignment = Assignment::clone(assignment);
+    }
     for item in items {
         match OwnKeys::assignment_key(&item.key) {
             Some(AssignmentKey::Head(service)) => {
@@ -278,6 +296,13 @@
         if read.lacks_head {
             granter.standbys_unknown(now);
         }
+        let number = read.assignment.number();
+        if number.is_none_or(|number| number.epoch < trust.proven_from) {
+            granter.doubt_record(now);
+            if !trust.continues {
+                granter.withhold(now, KeyRange::ALL);
+            }
+        }
         granter.not_written();
         let grants = Grants {
             granter,
--- a/crates/router/src/core/node/store_path.rs
+++ b/crates/router/src/core/node/store_path.rs
@@ -18,6 +18,7 @@
         if before.is_some() {
             self.views.restart_all(now);
         }
+        self.control.begin_era(era);
     }
 
     pub(super) fn store(&mut self, now: Time, task: &StoreTask, outcome: StoreOutcome) {
@@ -28,7 +29,10 @@
                 self.views.handle(now, *view, *generation, outcome);
                 self.viewed(now);
             }
-            task => self.control.handle_store(now, task, outcome),
+            task => {
+                let known = &self.views.assignments;
+                self.control.handle_store(now, task, outcome, known);
+            }
         }
         if let Some(snapshot) = self.control.take_reading() {
             self.views.adopt(now, vec![snapshot]);
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -226,6 +226,7 @@
         faults.extend(draw_need(seed, config));
         faults.extend(draw_leaving(seed, config));
         faults.extend(draw_rests(seed, config));
+        faults.extend(draw_drill(seed, config));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -383,6 +384,39 @@
         .collect()
 }
 
+/// In one history of six, the store goes back, in half of these while the granter or all nodes
+/// are killed: from a generator of its own, as above.
+fn draw_drill(seed: u64, config: &WorldConfig) -> Vec<Fault> {
+    const ONE_IN: u32 = 6;
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0xE2A_0000);
+    if !random.random_ratio(1, ONE_IN) {
+        return Vec::new();
+    }
+    let troubled = config.troubled.as_millis() as u64;
+    let at = Time::ZERO + config.lead + Duration::from_millis(random.random_range(0..troubled));
+    let lasts = Duration::from_millis(random.random_range(1_000..4_000));
+    let back_ms = random.random_range(500..8_000);
+    let drill = Fault {
+        at,
+        lasts,
+        trouble: Trouble::StoreGoesBack { back_ms },
+    };
+    let kill = Fault {
+        at: at + Duration::from_millis(random.random_range(0..6_000)),
+        lasts: Duration::from_millis(random.random_range(500..4_000)),
+        trouble: if random.random() {
+            Trouble::NodeKill { node: None }
+        } else {
+            Trouble::KillAll
+        },
+    };
+    let with_kill = random.random_bool(0.5);
+    [drill]
+        .into_iter()
+        .chain(with_kill.then_some(kill))
+        .collect()
+}
+
 fn draw_trouble(random: &mut ChaCha8Rng, config: &WorldConfig) -> Trouble {
     let node = random.random_range(0..config.nodes);
     let chosen = random.random_bool(0.5).then_some(node);
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -197,6 +197,8 @@
     knows_candidates: bool,
     dead: Vec<UpstreamId>,
     withheld: Vec<WithheldKeys>,
+    /// Until when grants may be in force that the record which was taken over does not tell.
+    record_doubted_until: Time,
     /// When holders whose address is contested were last asked.
     probed: BTreeMap<UpstreamId, Time>,
     /// Upstreams that lost keys for their silence, until when they get none.
@@ -240,6 +242,7 @@
             knows_candidates: false,
             dead: Vec::new(),
             withheld: Vec::new(),
+            record_doubted_until: Time::ZERO,
             probed: BTreeMap::new(),
             avoided: BTreeMap::new(),
             calls: BTreeMap::new(),
--- a/crates/sharding/src/granter/moves.rs
+++ b/crates/sharding/src/granter/moves.rs
@@ -10,6 +10,9 @@
     /// Moves slices from busy to idle upstreams, splitting them where needed;
     /// how many were moved.
     pub fn rebalance(&mut self, now: Time, limits: &BalanceLimits) -> usize {
+        if self.withholds_any() {
+            return 0;
+        }
         let most = (self.candidates.len() as f64 * limits.moves_share) as usize;
         let moving = self.slices.values().filter(|slice| slice.next().is_some());
         let moving = moving.count();
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -3,7 +3,7 @@
 use super::{AVOID, Granter, Standing};
 use crate::order::{CallId, GrantReply, Handover};
 use crate::range::ShardKey;
-use crate::slice::{OwnedAgain, Phase};
+use crate::slice::{OwnedAgain, Phase, Slice};
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
 use std::time::Duration;
@@ -89,6 +89,8 @@
     fn granted(&mut self, now: Time, first: ShardKey, hold: Duration, reply: &GrantReply) {
         let timing = self.timing;
         let renewal = timing.pace(self.slices.len()).renewal;
+        let token = self.slices.get(&first).and_then(Slice::token);
+        let went_on = self.went_on(now, token);
         let Some(slice) = self.slices.get_mut(&first) else {
             return;
         };
@@ -115,6 +117,7 @@
                 slice.due = now + RETRY;
                 self.renew_token(first);
             }
+            GrantReply::Outdated if went_on => self.lose_sight(now, first),
             GrantReply::Outdated => self.raise_token(now, first),
             GrantReply::Undelivered
             | GrantReply::Rejected
@@ -203,7 +206,11 @@
                 .is_some_and(|candidate| candidate.standing != Standing::Draining)
                 && !self.lost_holders.is_unfenced(id)
         };
-        if let Some(next) = next.filter(ready) {
+        let is_withheld = self
+            .slices
+            .get(&first)
+            .is_some_and(|slice| self.is_withheld(slice.range));
+        if let Some(next) = next.filter(ready).filter(|_| !is_withheld) {
             self.give(now, first, next);
         }
     }
--- a/crates/sharding/src/granter/withheld.rs
+++ b/crates/sharding/src/granter/withheld.rs
@@ -6,8 +6,9 @@
 //! longer: 3.3 s, or 8.5 s with the longest holds, in which nobody serves these keys.
 
 use super::Granter;
-use crate::range::KeyRange;
-use crate::record::RecordNumber;
+use crate::range::{KeyRange, ShardKey};
+use crate::record::{FencingToken, RecordNumber};
+use crate::slice::Phase;
 use beamtray_types::Time;
 
 /// Keys that go to nobody for a while.
@@ -27,6 +28,42 @@
         self.withheld.push(WithheldKeys { range, until });
     }
 
+    /// Takes over at `now` a record that may be older than the last grants: the store may have
+    /// gone back since it was written.
+    ///
+    /// Its holders are renewed under its tokens, which harms nobody: one that has given keys
+    /// back since, or has got them under a later token, answers that the token is outdated.
+    /// That proves that the keys went on, to a holder that is not known, and nobody gets them
+    /// before its grants have run out. Counter-case: such a holder was given the same keys
+    /// under a fresh token, took them, and held them for 1.5 s beside those who had them.
+    pub fn doubt_record(&mut self, now: Time) {
+        if self.timing.guards.respects_predecessor {
+            self.record_doubted_until = now + self.timing.longest_bound() + self.timing.transit;
+        }
+    }
+
+    /// Whether an answer "outdated" tells that the keys went on to a holder that the record
+    /// which was taken over does not name.
+    pub(super) fn went_on(&self, now: Time, token: Option<FencingToken>) -> bool {
+        let is_inherited = token < Some(FencingToken::new(self.epoch, 0));
+        now < self.record_doubted_until && is_inherited
+    }
+
+    /// Nobody is known to hold a slice, and somebody may.
+    pub(super) fn lose_sight(&mut self, now: Time, first: ShardKey) {
+        let until = self.record_doubted_until;
+        let told_in = self.next_sequence;
+        let Some(slice) = self.slices.get_mut(&first) else {
+            return;
+        };
+        slice.set_phase(Phase::Free { handover: None });
+        slice.told_in = told_in;
+        slice.settled_at = now;
+        let range = slice.range;
+        self.withheld.push(WithheldKeys { range, until });
+        self.dirty = true;
+    }
+
     /// Takes over at `now` keys whose standbys the record does not tell, since its head can't
     /// be read: a holder that does not answer keeps its keys until the last word of any
     /// standby has run out, 15 s at most.
@@ -54,6 +91,12 @@
         self.withheld.retain(|keys| now < keys.until.max(prolonged));
     }
 
+    /// Whether some keys go to nobody yet. Their load is not known to belong to those who
+    /// are thought to hold them.
+    pub(super) fn withholds_any(&self) -> bool {
+        !self.withheld.is_empty()
+    }
+
     /// Whether some of these keys go to nobody yet.
     pub(super) fn is_withheld(&self, range: KeyRange) -> bool {
         let mut withheld = self.withheld.iter();
--- a/crates/sharding/src/slice.rs
+++ b/crates/sharding/src/slice.rs
@@ -116,6 +116,14 @@
         self.token_is_out = false;
     }
 
+    /// The token under which it is held, or is to be.
+    pub fn token(&self) -> Option<FencingToken> {
+        match &self.phase {
+            Phase::Held { token, .. } | Phase::Leaving { token, .. } => Some(*token),
+            Phase::Free { .. } => None,
+        }
+    }
+
     /// Who holds it, is to hold it, or is to give it back.
     pub fn current(&self) -> Option<&UpstreamId> {
         match &self.phase {
