--- a/crates/catalog/src/directory.rs
+++ b/crates/catalog/src/directory.rs
@@ -94,7 +94,9 @@
     store_sound: Option<Time>,
     /// Upstreams that were found gone, and when.
     gone: BTreeMap<UpstreamId, Time>,
-    /// Upstreams whose answers said that they leave, and when that was first heard.
+    /// Upstreams that said in answers or in their entries that they leave, and when that was
+    /// first heard. None comes back from that as the same incarnation; an entry that says
+    /// otherwise is older, and the store may have gone back to it.
     leaving: BTreeMap<UpstreamId, Time>,
     /// Zones whose upstreams are to get nothing.
     evacuations: Evacuations,
@@ -182,7 +184,9 @@
     }
 
     fn admit(&mut self, now: Time, mut record: UpstreamRecord) -> Option<DirectoryChange> {
-        if self.leaving.contains_key(&record.id) {
+        if record.state == UpstreamState::Draining {
+            self.leaving.entry(record.id.clone()).or_insert(now);
+        } else if self.leaving.contains_key(&record.id) {
             record.state = UpstreamState::Draining;
         }
         let known = self.upstreams.get(&record.id);
@@ -297,7 +301,7 @@
         Some(DirectoryChange::Leaves(id.clone()))
     }
 
-    /// Upstreams that said in answers that they leave and are still there, as far as known.
+    /// Upstreams that said that they leave and are still there, as far as known.
     pub fn leaving(&self) -> impl Iterator<Item = &UpstreamId> {
         let ids = self.leaving.keys();
         ids.filter(|id| self.upstreams.contains_key(id))
--- a/crates/catalog/tests/directory.rs
+++ b/crates/catalog/tests/directory.rs
@@ -136,3 +136,33 @@
         assert_eq!(known.warm_at, at(12_000));
     }
 }
+
+/// Guards against an upstream that leaves and is ready again by an older entry, to which the
+/// store has gone back, or which was written before an answer told of its leaving.
+#[test]
+fn one_that_said_it_leaves_is_not_ready_again_by_an_older_entry() {
+    let mut directory = directory(3);
+    let mut leaving = record(0, 8_000);
+    leaving.state = UpstreamState::Draining;
+    directory.register(at(1_000), leaving);
+    directory.says_it_leaves(at(1_000), &id(1));
+    for number in 0..3 {
+        directory.register(at(2_000), record(number, 8_000 + number));
+    }
+    let state = |number| directory.get(&id(number)).map(|one| one.record.state);
+    assert_eq!(state(0), Some(UpstreamState::Draining));
+    assert_eq!(state(1), Some(UpstreamState::Draining));
+    assert_eq!(state(2), Some(UpstreamState::Ready));
+}
+
+/// The same after its entry was gone for a while.
+#[test]
+fn nor_after_its_entry_was_gone() {
+    let mut directory = directory(3);
+    directory.says_it_leaves(at(1_000), &id(1));
+    directory.vanish(at(2_000), &[id(1).name]);
+    directory.expire(at(4_000));
+    directory.register(at(5_000), record(1, 8_001));
+    let state = directory.get(&id(1)).map(|one| one.record.state);
+    assert_eq!(state, Some(UpstreamState::Draining));
+}
