Soak: upstreams say that they leave, ask for rest, and the store goes back

Real processes: an upstream that was told to stop says so in its answers; one run of two has upstreams that turn all away and ask for three seconds of rest; one run of three has the store come back from a copy five seconds old, its era one higher, in half of these beside kills of all routers or of one.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -6,6 +6,7 @@
 mod rates;
 mod requests;
 mod tokens;
+mod words;
 
 pub use history::{Disturbance, Disturbed, Healed, HeldUp, History, PlannedStop, UpstreamEnd};
 
@@ -14,6 +15,7 @@
 use beamtray_types::Time;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
+use std::time::Duration;
 
 /// What must hold; the names are those under which its users know them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,13 +44,15 @@
     Gone,
     /// An upstream that names the requests a second that it takes gets not much more.
     Limit,
+    /// An upstream that asked a router for rest gets next to nothing from it meanwhile.
+    Rest,
     /// After the troubles requests are served again.
     Recover,
 }
 
 impl Promise {
     /// All promises.
-    pub const ALL: [Promise; 13] = [
+    pub const ALL: [Promise; 14] = [
         Promise::Mixed,
         Promise::Unasked,
         Promise::Twice,
@@ -61,6 +65,7 @@
         Promise::Budget,
         Promise::Gone,
         Promise::Limit,
+        Promise::Rest,
         Promise::Recover,
     ];
 }
@@ -173,6 +178,23 @@
     rate_milli: Option<u32>,
 }
 
+/// What an upstream said in an answer to a request.
+#[derive(Clone, Debug)]
+struct Word {
+    at: Time,
+    upstream: String,
+    request: String,
+    said: Said,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Said {
+    /// That it leaves.
+    Leaves,
+    /// That it wants rest for so long.
+    Rest(Duration),
+}
+
 struct Checker<'a> {
     history: &'a History,
     requests: HashMap<String, Request>,
@@ -182,6 +204,8 @@
     configured: Vec<(Time, u64)>,
     /// What upstreams named, from when on.
     named: Vec<NamedRate>,
+    /// What upstreams said of themselves in answers to single requests.
+    words: Vec<Word>,
     verdict: Verdict,
 }
 
@@ -197,6 +221,7 @@
         left: HashMap::new(),
         configured: Vec::new(),
         named: Vec::new(),
+        words: Vec::new(),
         verdict: Verdict::default(),
     };
     for report in &history.reports {
@@ -210,6 +235,7 @@
     checker.judge_budget();
     checker.judge_leavers();
     checker.judge_rates();
+    checker.judge_words();
     checker.judge_recovery();
     checker.verdict
 }
@@ -282,6 +308,18 @@
                 token: *token,
             }),
             Observation::Released { first, last } => self.release(at, &from, *first, *last),
+            Observation::SaidItLeaves { id } => self.words.push(Word {
+                at,
+                upstream: from,
+                request: id.clone(),
+                said: Said::Leaves,
+            }),
+            Observation::AskedForRest { id, rest_ms } => self.words.push(Word {
+                at,
+                upstream: from,
+                request: id.clone(),
+                said: Said::Rest(Duration::from_millis((*rest_ms).into())),
+            }),
             Observation::Left { upstream } => {
                 self.left.entry(upstream.clone()).or_insert(at);
             }
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -19,6 +19,10 @@
 /// Requests in a thousand seconds that an upstream in need takes: less than half of what it
 /// gets.
 const IN_NEED_MILLI: u32 = 3_000;
+/// Milliseconds of rest that an upstream asks for.
+const REST_MS: u32 = 3_000;
+/// How old the copy is from which the store comes back, in milliseconds.
+const BACK_MS: u32 = 5_000;
 /// How long watches hear nothing before the history is dropped.
 const DEAF: Duration = Duration::from_secs(1);
 /// How long a planned stop may take before the process is killed.
@@ -56,6 +60,7 @@
         | SoakFault::StoreSlow
         | SoakFault::StoreLost
         | SoakFault::StoreLate
+        | SoakFault::StoreGoesBack
         | SoakFault::StoreCompact => Target::Some(Disturbed::Store),
         SoakFault::UpstreamKill(_)
         | SoakFault::UpstreamPause(_)
@@ -68,6 +73,7 @@
         | SoakFault::RouterReload(_)
         | SoakFault::UpstreamDrain(_)
         | SoakFault::UpstreamInNeed(_)
+        | SoakFault::UpstreamRests(_)
         | SoakFault::Configure => Target::Nobody,
     }
 }
@@ -159,6 +165,10 @@
                 let name = self.upstream_name(index);
                 self.tell(&name, &Command::NameRate(Some(IN_NEED_MILLI)));
             }
+            SoakFault::UpstreamRests(index) => {
+                let name = self.upstream_name(index);
+                self.tell(&name, &Command::Rest(Some(REST_MS)));
+            }
             SoakFault::Configure => self.configure(),
             _ => {}
         }
@@ -239,6 +249,11 @@
                 let name = self.upstream_name(index);
                 self.tell(&name, &Command::NameRate(None));
             }
+            SoakFault::UpstreamRests(index) => {
+                let name = self.upstream_name(index);
+                self.tell(&name, &Command::Rest(None));
+            }
+            SoakFault::StoreGoesBack => self.tell("store", &Command::GoBack(BACK_MS)),
             SoakFault::StoreCompact => self.tell("store", &Command::Compact),
             _ => {}
         }
@@ -303,7 +318,9 @@
         let active: Vec<SoakFault> = self.active.iter().map(|one| one.fault).collect();
         let has = |fault: SoakFault| active.contains(&fault);
         let faults = StoreFaults {
-            silent: has(SoakFault::StoreDown) || has(SoakFault::StoreDownLapse),
+            silent: has(SoakFault::StoreDown)
+                || has(SoakFault::StoreDownLapse)
+                || has(SoakFault::StoreGoesBack),
             lapse: has(SoakFault::StoreDownLapse),
             busy: has(SoakFault::StoreBusy),
             delay_ms: if has(SoakFault::StoreSlow) {
--- a/crates/soak/src/message.rs
+++ b/crates/soak/src/message.rs
@@ -102,6 +102,18 @@
         /// The rate.
         rate_milli: Option<u32>,
     },
+    /// An upstream's answer to a request says that it leaves.
+    SaidItLeaves {
+        /// The request.
+        id: String,
+    },
+    /// An upstream turned a request away and asked its router for rest.
+    AskedForRest {
+        /// The request.
+        id: String,
+        /// Milliseconds.
+        rest_ms: u32,
+    },
     /// The store accepted that an upstream leaves, or its entry is gone.
     Left {
         /// The upstream's incarnation.
@@ -158,6 +170,11 @@
     /// Requests in a thousand seconds that an upstream's answers name from now on as what it
     /// takes; none if they name nothing.
     NameRate(Option<u32>),
+    /// An upstream turns all requests away from now on and asks for so many milliseconds of
+    /// rest; none if it does not.
+    Rest(Option<u32>),
+    /// The store comes back from a copy of itself that is so many milliseconds old.
+    GoBack(u32),
     /// Newest version that callers probe for.
     Probe(u64),
     /// Callers begin.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -65,6 +65,10 @@
     AnswersLost(usize),
     /// An upstream's answers name the requests a second that it takes.
     UpstreamInNeed(usize),
+    /// An upstream turns all requests away and asks for rest.
+    UpstreamRests(usize),
+    /// The store is silent and comes back from an older copy of itself.
+    StoreGoesBack,
     /// A new configuration.
     Configure,
 }
@@ -111,6 +115,9 @@
         faults.extend(unreachable.filter(|fault| fault.at_ms < end));
         let in_need = draw_need(seed, end, size).into_iter();
         faults.extend(in_need.filter(|fault| fault.at_ms < end));
+        let rests = draw_rests(seed, end, size).into_iter();
+        faults.extend(rests.filter(|fault| fault.at_ms < end));
+        faults.extend(draw_drill(seed, end, size));
         faults.sort_by_key(|fault| fault.at_ms);
         Self { faults }
     }
@@ -177,6 +184,51 @@
     in_need.collect()
 }
 
+/// In one run of two, upstreams ask for rest: from a generator of its own, as above.
+fn draw_rests(seed: u64, end_ms: u64, size: Size) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x2E57_0000);
+    if random.random_bool(0.5) {
+        return Vec::new();
+    }
+    let count = random.random_range(1..=3);
+    let rests = (0..count).map(|_| PlannedFault {
+        at_ms: random.random_range(0..end_ms.max(1)),
+        for_ms: random.random_range(1_000..9_000),
+        fault: SoakFault::UpstreamRests(random.random_range(0..size.upstreams())),
+    });
+    rests.collect()
+}
+
+/// In one run of three, the store goes back, in half of these while all routers are killed or
+/// soon after: from a generator of its own, as above.
+fn draw_drill(seed: u64, end_ms: u64, size: Size) -> Vec<PlannedFault> {
+    const ONE_IN: u32 = 3;
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0xE2A_0000);
+    if !random.random_ratio(1, ONE_IN) {
+        return Vec::new();
+    }
+    let at_ms = random.random_range(0..end_ms.max(1));
+    let drill = PlannedFault {
+        at_ms,
+        for_ms: random.random_range(1_000..4_000),
+        fault: SoakFault::StoreGoesBack,
+    };
+    let kill = PlannedFault {
+        at_ms: (at_ms + random.random_range(0..6_000)).min(end_ms.saturating_sub(1)),
+        for_ms: random.random_range(500..3_000),
+        fault: if random.random() {
+            SoakFault::KillAll
+        } else {
+            SoakFault::RouterKill(random.random_range(0..size.routers))
+        },
+    };
+    let with_kill = random.random_bool(0.5);
+    [drill]
+        .into_iter()
+        .chain(with_kill.then_some(kill))
+        .collect()
+}
+
 /// Planned work in a series, one step a machine, as operators and platforms do it. It
 /// overlaps other series and faults.
 fn draw_series(random: &mut ChaCha8Rng, begin_ms: u64, size: Size) -> Vec<PlannedFault> {
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::convert::Infallible;
 use std::future::pending;
 use std::net::SocketAddr;
@@ -35,6 +35,12 @@
 const HEARTBEATS: u32 = 3;
 /// Between looks at waiting watches, leases and entries.
 const POLL: Duration = Duration::from_millis(10);
+/// Between two copies of the store.
+const COPY_PAUSE: Duration = Duration::from_millis(250);
+/// How long copies are kept.
+const COPIES_KEPT: Duration = Duration::from_secs(20);
+/// The store's era at first.
+const FIRST_ERA: u32 = 1;
 /// Range of the time after which a late write is done.
 const LATE_MS: std::ops::Range<u64> = 1_000..6_000;
 
@@ -56,6 +62,11 @@
     emulator: RefCell<StoreEmulator>,
     entries: RefCell<BTreeMap<String, Entry>>,
     faults: Cell<StoreFaults>,
+    era: Cell<u32>,
+    /// Copies of the store, the oldest first.
+    copies: RefCell<VecDeque<(Time, StoreEmulator)>>,
+    /// The newest configuration.
+    configuration: RefCell<Option<Vec<u8>>>,
     reporter: Reporter,
 }
 
@@ -70,6 +81,9 @@
         emulator: RefCell::new(StoreEmulator::new(HISTORY)),
         entries: RefCell::default(),
         faults: Cell::default(),
+        era: Cell::new(FIRST_ERA),
+        copies: RefCell::default(),
+        configuration: RefCell::default(),
         reporter,
     });
     tokio::task::spawn_local(accept(listener, store.clone()));
@@ -115,33 +129,45 @@
         return pending().await;
     }
     tokio::time::sleep(Duration::from_millis(faults.delay_ms.into())).await;
+    let mut answer = carry(&store, faults, &method, &target, &body).await;
+    store.tell_era(&mut answer);
+    Ok(answer)
+}
+
+async fn carry(
+    store: &Rc<Store>,
+    faults: StoreFaults,
+    method: &Method,
+    target: &str,
+    body: &Bytes,
+) -> Answer {
     if faults.busy {
-        return Ok(status(503));
+        return status(503);
     }
     if let Some(id) = target.strip_prefix(REGISTER) {
-        store.register(id, &method, &body);
-        return Ok(status(200));
+        store.register(id, method, body);
+        return status(200);
     }
-    let method = match method {
+    let method = match *method {
         Method::GET => CallMethod::Get,
         Method::DELETE => CallMethod::Delete,
         _ => CallMethod::Post,
     };
-    let Some(call) = reverse::read_store_call(method, &target, &body) else {
-        return Ok(status(400));
+    let Some(call) = reverse::read_store_call(method, target, body) else {
+        return status(400);
     };
     if store.loses(&call) {
         return pending().await;
     }
     let outcome = store.carry_out(&call).await;
-    Ok(match reverse::write_store_outcome(&outcome) {
+    match reverse::write_store_outcome(&outcome) {
         Some(answer) => {
             let mut response = Response::new(Full::from(answer.body));
             *response.status_mut() = code(answer.status);
             response
         }
         None => pending().await,
-    })
+    }
 }
 
 fn code(status: u16) -> hyper::StatusCode {
@@ -155,26 +181,79 @@
 }
 
 impl Store {
+    fn tell_era(&self, answer: &mut Answer) {
+        let era = self.era.get().into();
+        answer
+            .headers_mut()
+            .insert(Platform.headers().store_era, era);
+    }
+
     fn command(self: &Rc<Self>, command: &Command) {
         let now = clock::now();
         match command {
             Command::Store(faults) => self.set_faults(now, *faults),
             Command::Compact => self.emulator.borrow_mut().compact(),
+            Command::GoBack(millis) => {
+                self.go_back(now, Duration::from_millis((*millis).into()));
+            }
             Command::Configure(version) => {
                 let value = reverse::write_configuration(&configuration(*version));
                 let key = Platform.keys().configuration;
-                self.emulator.borrow_mut().put(now, key, value);
+                self.emulator.borrow_mut().put(now, key, value.clone());
+                self.configuration.replace(Some(value));
                 let version = *version;
                 self.reporter.tell(Observation::Configured { version });
             }
             Command::LoseAnswers(_)
             | Command::NameRate(_)
+            | Command::Rest(_)
             | Command::Probe(_)
             | Command::Begin
             | Command::End => {}
         }
     }
 
+    /// Comes back from an older copy; what upstreams and operators wrote since is written
+    /// again.
+    fn go_back(&self, now: Time, age: Duration) {
+        let mut copies = self.copies.borrow_mut();
+        let old = copies.iter().rev().find(|(at, _)| now.since(*at) >= age);
+        let Some((_, copy)) = old.or(copies.front()).cloned() else {
+            return;
+        };
+        copies.clear();
+        self.era.set(self.era.get() + 1);
+        let mut emulator = self.emulator.borrow_mut();
+        emulator.go_back_to(copy);
+        emulator.renew_all(now);
+        if let Some(value) = self.configuration.borrow().clone() {
+            emulator.put(now, Platform.keys().configuration, value);
+        }
+        let prefix = Platform.keys().upstream_prefix;
+        let entries = self.entries.borrow();
+        for key in emulator.keys_below(prefix) {
+            if !entries.contains_key(&key[prefix.len()..]) {
+                emulator.delete(now, &key);
+            }
+        }
+        for (id, entry) in entries.iter() {
+            emulator.put(now, &format!("{prefix}{id}"), entry.value.clone());
+        }
+    }
+
+    /// Notes how the store stands, so that it can go back to that.
+    fn copy(&self, now: Time) {
+        let mut copies = self.copies.borrow_mut();
+        let last = copies.back().map(|(at, _)| *at);
+        if last.is_some_and(|last| now.since(last) < COPY_PAUSE) {
+            return;
+        }
+        copies.push_back((now, self.emulator.borrow().clone()));
+        while now.since(copies[0].0) > COPIES_KEPT {
+            copies.pop_front();
+        }
+    }
+
     fn set_faults(&self, now: Time, faults: StoreFaults) {
         let before = self.faults.replace(faults);
         let mut emulator = self.emulator.borrow_mut();
@@ -193,6 +272,9 @@
         let now = clock::now();
         self.emulator.borrow_mut().advance(now);
         let faults = self.faults.get();
+        if !faults.silent {
+            self.copy(now);
+        }
         if faults.silent && !faults.lapse {
             return;
         }
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -81,6 +81,8 @@
     waiting: RefCell<HashMap<String, oneshot::Sender<Option<Run>>>>,
     lost_percent: Cell<u32>,
     rate_milli: Cell<Option<u32>>,
+    /// Milliseconds of rest that it asks for as it turns all requests away.
+    rest_ms: Cell<Option<u32>>,
     calls: Cell<u64>,
     reporter: Reporter,
 }
@@ -113,6 +115,7 @@
         waiting: RefCell::default(),
         lost_percent: Cell::new(0),
         rate_milli: Cell::new(rate_milli),
+        rest_ms: Cell::new(None),
         calls: Cell::new(0),
         reporter,
     });
@@ -124,6 +127,7 @@
             command = commands.recv() => match command {
                 Some(Command::LoseAnswers(percent)) => upstream.lost_percent.set(percent),
                 Some(Command::NameRate(rate_milli)) => upstream.set_rate(rate_milli),
+                Some(Command::Rest(rest_ms)) => upstream.rest_ms.set(rest_ms),
                 Some(_) => {}
                 None => return Ok(()),
             },
@@ -183,6 +187,7 @@
     }
     let mut answer = upstream.request(&head.headers, &path).await;
     upstream.name_rate(&mut answer);
+    upstream.say_it_leaves(&head.headers, &mut answer);
     Ok(answer)
 }
 
@@ -254,6 +259,29 @@
         }
     }
 
+    /// Has an answer say that this upstream leaves, if it does.
+    fn say_it_leaves(&self, headers: &HeaderMap, response: &mut Answer) {
+        if self.emulator.borrow().state != UpstreamState::Draining {
+            return;
+        }
+        self.sign(response, Platform.headers().leaving, "1");
+        if let Some(id) = header(headers, Platform.headers().request_id) {
+            self.reporter.tell(Observation::SaidItLeaves { id });
+        }
+    }
+
+    /// Turns a request away and asks its router for rest.
+    fn ask_for_rest(&self, id: &str, rest_ms: u32) -> Answer {
+        let mut response = self.not_executed(503);
+        let seconds = f64::from(rest_ms) / 1e3;
+        self.sign(&mut response, Platform.headers().rest, &seconds.to_string());
+        self.reporter.tell(Observation::AskedForRest {
+            id: id.to_owned(),
+            rest_ms,
+        });
+        response
+    }
+
     fn not_executed(&self, status: u16) -> Answer {
         let mut response = self.status(status);
         self.sign(&mut response, Platform.headers().not_executed, "1");
@@ -321,6 +349,9 @@
             return self.not_executed(400);
         };
         self.reporter.tell(Observation::Arrived { id: id.clone() });
+        if let Some(rest_ms) = self.rest_ms.get() {
+            return self.ask_for_rest(&id, rest_ms);
+        }
         let key = header(headers, names.shard_key).and_then(|key| key.parse().ok());
         let request = WorkRequest {
             id: id.clone(),
