--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -226,7 +226,7 @@
         faults.extend(draw_need(seed, config));
         faults.extend(draw_leaving(seed, config));
         faults.extend(draw_rests(seed, config));
-        faults.extend(draw_drill(seed, config));
+        faults.extend(draw_going_back(seed, config));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -386,7 +386,7 @@
 
 /// In one history of six, the store goes back, in half of these while the granter or all nodes
 /// are killed: from a generator of its own, as above.
-fn draw_drill(seed: u64, config: &WorldConfig) -> Vec<Fault> {
+fn draw_going_back(seed: u64, config: &WorldConfig) -> Vec<Fault> {
     const ONE_IN: u32 = 6;
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0xE2A_0000);
     if !random.random_ratio(1, ONE_IN) {
@@ -396,7 +396,7 @@
     let at = Time::ZERO + config.lead + Duration::from_millis(random.random_range(0..troubled));
     let lasts = Duration::from_millis(random.random_range(1_000..4_000));
     let back_ms = random.random_range(500..8_000);
-    let drill = Fault {
+    let going_back = Fault {
         at,
         lasts,
         trouble: Trouble::StoreGoesBack { back_ms },
@@ -411,7 +411,7 @@
         },
     };
     let with_kill = random.random_bool(0.5);
-    [drill]
+    [going_back]
         .into_iter()
         .chain(with_kill.then_some(kill))
         .collect()
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -117,7 +117,7 @@
         faults.extend(in_need.filter(|fault| fault.at_ms < end));
         let rests = draw_rests(seed, end, size).into_iter();
         faults.extend(rests.filter(|fault| fault.at_ms < end));
-        faults.extend(draw_drill(seed, end, size));
+        faults.extend(draw_going_back(seed, end, size));
         faults.sort_by_key(|fault| fault.at_ms);
         Self { faults }
     }
@@ -201,14 +201,14 @@
 
 /// In one run of three, the store goes back, in half of these while all routers are killed or
 /// soon after: from a generator of its own, as above.
-fn draw_drill(seed: u64, end_ms: u64, size: Size) -> Vec<PlannedFault> {
+fn draw_going_back(seed: u64, end_ms: u64, size: Size) -> Vec<PlannedFault> {
     const ONE_IN: u32 = 3;
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0xE2A_0000);
     if !random.random_ratio(1, ONE_IN) {
         return Vec::new();
     }
     let at_ms = random.random_range(0..end_ms.max(1));
-    let drill = PlannedFault {
+    let going_back = PlannedFault {
         at_ms,
         for_ms: random.random_range(1_000..4_000),
         fault: SoakFault::StoreGoesBack,
@@ -223,7 +223,7 @@
         },
     };
     let with_kill = random.random_bool(0.5);
-    [drill]
+    [going_back]
         .into_iter()
         .chain(with_kill.then_some(kill))
         .collect()
