Simulator: an upstream that names a higher rate is judged by that

Trace: two needs of one upstream overlap; its answers named 2.262 a second from 7.711 s and 3.785 from 8.080 s on, the check went on by the first, and nodes kept to what they were told: 27.7 are allowed by it. So the case is allowed, and the check is narrowed to it alone: a rate that falls is judged as before, by the higher one. The test is the history that objected before.

--- a/crates/routersim/src/check/rate_limit.rs
+++ b/crates/routersim/src/check/rate_limit.rs
@@ -43,7 +43,7 @@
 }
 
 impl Checkers {
-    /// An upstream begins to name a rate.
+    /// An upstream names a rate. One that names a higher one than before takes that.
     pub fn names_rate(&mut self, at: Time, upstream: &UpstreamId, rate: RequestRate) {
         let limited = Limited {
             rate,
@@ -51,7 +51,10 @@
             told: BTreeMap::new(),
         };
         let all = &mut self.rate_limits.limited;
-        all.entry(upstream.clone()).or_insert(limited);
+        let known = all.entry(upstream.clone()).or_insert(limited);
+        if rate > known.rate {
+            known.rate = rate;
+        }
     }
 
     /// It names none any more.
--- a/crates/routersim/tests/named_rates.rs
+++ b/crates/routersim/tests/named_rates.rs
@@ -6,7 +6,7 @@
 //! have sent eleven times as much. Proof: 41 of the 48 histories below break the promise
 //! without permits, up to 84 requests where 26 are allowed, and none with them.
 
-use beamtray_routersim::{Fault, FaultPlan, Trouble, WorldConfig, play};
+use beamtray_routersim::{Fault, FaultPlan, Trouble, WorldConfig, WorldSize, explore, play};
 use beamtray_types::Time;
 use std::time::Duration;
 
@@ -108,3 +108,16 @@
     }
     assert!(served * 100 >= asked * 97, "{served} of {asked} served");
 }
+
+/// Guards against a check that goes on by the first rate of an upstream that names a higher
+/// one by now: it objected to 19 requests in four seconds, of 27 that are allowed.
+#[test]
+fn an_upstream_that_names_a_higher_rate_gets_that() {
+    let outcome = explore(WorldSize::Drawn, 40_047);
+    let violations: Vec<String> = outcome
+        .violations
+        .iter()
+        .map(|one| one.to_string())
+        .collect();
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
