Tests: terms and records in a store that went back

The right to grant ends with an era and is won again in a higher term, another node's place is left to it, terms of eras don't meet; keys of a doubted record that went on wait for unknown grants to run out, those of a sound record don't.

--- a/crates/metastore/tests/election.rs
+++ b/crates/metastore/tests/election.rs
@@ -2,7 +2,7 @@
 
 use beamtray_metastore::{
     Election, ElectionConfig, Epoch, GranterRecord, Item, LeaseId, LeaseTiming, Revision,
-    StoreCall, StoreOutcome,
+    StoreCall, StoreEra, StoreOutcome,
 };
 use beamtray_types::Time;
 use std::time::Duration;
@@ -191,3 +191,72 @@
     assert!(election.authority(at(120)).is_none());
     assert_eq!(election.poll(at(10_000), Some((None, None))), None);
 }
+
+fn of_run(run: u64, epoch: u64, revision: u64) -> Item {
+    let record = GranterRecord {
+        node: "node".to_owned(),
+        run,
+        epoch: Epoch(epoch),
+        peers: ([127, 0, 0, 1], 7_000).into(),
+    };
+    item(
+        "granter",
+        borsh::to_vec(&record).expect("encodes"),
+        revision,
+    )
+}
+
+/// Guards against a granter that goes on with its term in a store that went back: another
+/// one may have had the place since the state that the store is in again.
+#[test]
+fn a_new_era_ends_the_right_and_it_is_won_again_at_once_in_a_higher_term() {
+    let mut election = elected();
+    let era = StoreEra(3);
+    election.begin_era(era);
+    assert!(election.authority(at(130)).is_none());
+    let place = of_run(7, 1, 2);
+    let epoch = item("epoch", borsh::to_vec(&Epoch(1)).expect("encodes"), 2);
+    let call = election.poll(at(200), Some((Some(&place), Some(&epoch))));
+    let Some(StoreCall::Commit(transaction)) = call else {
+        panic!("not a taking of the place: {call:?}");
+    };
+    assert_eq!(transaction.conditions[0].revision, Revision::new(2));
+    let revision = Revision::new(3);
+    election.handle(at(210), &StoreOutcome::Committed { revision });
+    let authority = election.authority(at(220)).expect("the place is held");
+    assert_eq!(authority.epoch, Epoch::first_of(era));
+    assert_eq!(authority.predecessor, Epoch(1));
+}
+
+/// Guards against a term that begins twice, since the store forgot the first one.
+#[test]
+fn terms_of_an_era_are_above_all_that_the_eras_before_can_have_had() {
+    let many = 60_000;
+    for era in [0, 1, 2, 40, 9_000] {
+        let last = Epoch::first_of(StoreEra(era)).0 + many;
+        assert!(Epoch::first_of(StoreEra(era + 1)) > Epoch(last));
+    }
+    assert_eq!(Epoch::first_of(StoreEra(0)), Epoch(0));
+}
+
+/// Guards against a node that takes the place of another one by force, since it had the place
+/// itself before the store went back.
+#[test]
+fn the_place_of_another_node_is_left_to_it_in_a_new_era() {
+    let mut election = elected();
+    election.begin_era(StoreEra(1));
+    let record = GranterRecord {
+        node: "other".to_owned(),
+        run: 3,
+        epoch: Epoch(1),
+        peers: ([127, 0, 0, 2], 7_000).into(),
+    };
+    let place = item("granter", borsh::to_vec(&record).expect("encodes"), 2);
+    for millis in [200, 400, 1_000] {
+        let call = election.poll(at(millis), Some((Some(&place), None)));
+        assert!(
+            !matches!(call, Some(StoreCall::Commit(_))),
+            "at {millis} ms"
+        );
+    }
+}
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -451,3 +451,72 @@
     assert!(!holders.is_empty());
     assert!(holders.iter().all(|holder| holder == "cold"));
 }
+
+/// Takes over a record of the term before that may be older than the last grants, and renews
+/// its holders; the orders.
+fn takes_over_doubted() -> (Granter, Vec<GrantOrder>) {
+    let mut before = granted();
+    before.not_written();
+    let record = before.record().expect("a record");
+    let mut granter = Granter::new(at(10_000), TIMING, Epoch(2), Some(&record));
+    granter.doubt_record(at(10_000));
+    granter.not_written();
+    granter.set_candidates(at(10_000), [ready("a", 20.0), ready("b", 20.0)]);
+    let mut orders = granter.poll(at(10_010));
+    write_record(&mut granter, at(10_020));
+    orders.extend(granter.poll(at(10_100)));
+    (granter, orders)
+}
+
+/// Guards against keys that are given to a holder of an old record under a fresh token, while
+/// a holder that the record does not know has them.
+#[test]
+fn keys_that_went_on_unseen_go_to_nobody_before_their_grants_have_run_out() {
+    let (mut granter, orders) = takes_over_doubted();
+    let outdated = orders.first().expect("an order").clone();
+    assert!(outdated.token < FencingToken::new(Epoch(2), 0));
+    granter.handle(at(10_110), outdated.call, GrantReply::Outdated);
+    for order in &orders[1..] {
+        granter.handle(at(10_110), order.call, GrantReply::Granted);
+    }
+    let given = |granter: &mut Granter, millis: u64| {
+        write_record(granter, at(millis));
+        let orders = give_all(granter, at(millis));
+        let mut again = orders
+            .iter()
+            .filter(|order| order.range.overlaps(outdated.range));
+        again.any(|order| matches!(order.kind, OrderKind::Grant { .. }))
+    };
+    for millis in (10_200..18_400).step_by(100) {
+        assert!(!given(&mut granter, millis), "given at {millis} ms");
+    }
+    assert!(
+        (18_400..19_500)
+            .step_by(100)
+            .any(|millis| given(&mut granter, millis))
+    );
+}
+
+/// Guards against the same of a record that is not doubted: there the predecessor released
+/// the keys itself, and the same holder gets a higher token at once.
+#[test]
+fn an_outdated_token_of_a_record_that_is_not_doubted_is_raised() {
+    let mut before = granted();
+    before.not_written();
+    let record = before.record().expect("a record");
+    let mut granter = Granter::new(at(10_000), TIMING, Epoch(2), Some(&record));
+    granter.not_written();
+    granter.set_candidates(at(10_000), [ready("a", 20.0), ready("b", 20.0)]);
+    let orders = granter.poll(at(10_010));
+    write_record(&mut granter, at(10_020));
+    let outdated = orders.first().expect("an order").clone();
+    granter.handle(at(10_110), outdated.call, GrantReply::Outdated);
+    answer_all(&mut granter, at(10_110), &orders[1..]);
+    write_record(&mut granter, at(10_120));
+    let again = give_all(&mut granter, at(10_300));
+    let same = again.iter().find(|order| order.range == outdated.range);
+    assert!(
+        same.is_some_and(|order| order.holder == outdated.holder
+            && order.token >= FencingToken::new(Epoch(2), 0))
+    );
+}
