Guards: leaving words, rests and the doubt of records can be switched off, and are missed

A rest of one holder alone is not missed, since its keys go to others: three holders rest in that test.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -67,6 +67,9 @@
     /// Whether requests to upstreams that name a rate need permits. Only a test that shows
     /// why turns it off.
     pub keeps_named_rates: bool,
+    /// Whether nothing is sent to upstreams that asked for rest. Only a test that shows why
+    /// turns it off.
+    pub keeps_rests: bool,
     /// Whether what may not be repeated is sent again only on proof that it
     /// has not run. Only a test that shows why turns it off.
     pub proves_before_repeat: bool,
--- a/crates/dispatch/src/dispatcher/resting.rs
+++ b/crates/dispatch/src/dispatcher/resting.rs
@@ -17,7 +17,9 @@
 impl Dispatcher {
     /// An upstream turned a request away and asked this node for rest.
     pub fn asked_to_rest(&mut self, now: Time, upstream: &UpstreamId, rest: Duration) {
-        self.rests.asked(now, UpstreamHash::of(upstream), rest);
+        if self.config.keeps_rests {
+            self.rests.asked(now, UpstreamHash::of(upstream), rest);
+        }
     }
 
     /// An upstream asked some node for rest. That binds this node in nothing.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -143,6 +143,7 @@
             slack: 8.0,
         },
         keeps_named_rates: true,
+        keeps_rests: true,
         proves_before_repeat: true,
     }
 }
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -53,6 +53,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Pauses.
     pub timing: Timing,
+    /// Whether upstreams that say in answers that they leave are taken at their word. Only a
+    /// test that shows why turns it off.
+    pub hears_leaving: bool,
     /// Whether nodes tell each other of requests that end upstreams. Only a test that
     /// shows why turns it off.
     pub tells_suspicions: bool,
--- a/crates/router/src/core/node/leaving.rs
+++ b/crates/router/src/core/node/leaving.rs
@@ -30,7 +30,7 @@
     }
 
     fn note_leaving(&mut self, now: Time, upstream: &UpstreamId) -> bool {
-        let is_news = self.views.says_it_leaves(now, upstream);
+        let is_news = self.config.hears_leaving && self.views.says_it_leaves(now, upstream);
         if is_news {
             self.viewed(now);
         }
--- a/crates/router/src/settings/core_config.rs
+++ b/crates/router/src/settings/core_config.rs
@@ -60,6 +60,7 @@
             start_delay: self.start_delay(),
             seeds: self.seeds.clone(),
             timing: Timing::default(),
+            hears_leaving: true,
             tells_suspicions: true,
         }
     }
@@ -98,6 +99,7 @@
             },
             evacuation_grace: Duration::from_millis(self.bounds.evacuate_ms) / 2,
             keeps_named_rates: true,
+            keeps_rests: true,
             proves_before_repeat: true,
         }
     }
--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -31,11 +31,17 @@
     BootClock,
     /// Requests to upstreams that name a rate need permits.
     NamedRates,
+    /// Upstreams that say in answers that they leave are leavers.
+    LeavingWords,
+    /// Nothing is sent to upstreams that asked for rest.
+    Rests,
+    /// Records that the store may have gone back from are doubted.
+    RecordDoubt,
 }
 
 impl Guard {
     /// All protections.
-    pub const ALL: [Guard; 13] = [
+    pub const ALL: [Guard; 16] = [
         Guard::RecordFirst,
         Guard::LapseWait,
         Guard::PredecessorWait,
@@ -49,6 +55,9 @@
         Guard::SuspicionsKept,
         Guard::BootClock,
         Guard::NamedRates,
+        Guard::LeavingWords,
+        Guard::Rests,
+        Guard::RecordDoubt,
     ];
 
     /// The promise that is broken without it.
@@ -59,12 +68,15 @@
             | Guard::PredecessorWait
             | Guard::UnansweredCounts
             | Guard::StandbyWait
+            | Guard::RecordDoubt
             | Guard::BootClock => Promise::SoleOwner,
             Guard::LostHolderFence | Guard::TokenRenewal => Promise::RisingTokens,
             Guard::ProofBeforeRepeat => Promise::AtMostOnce,
             Guard::ShortDoubt => Promise::Drain,
             Guard::SuspicionsTold | Guard::SuspicionsKept => Promise::PoisonKeptOff,
             Guard::NamedRates => Promise::RateLimit,
+            Guard::LeavingWords => Promise::LeavingWord,
+            Guard::Rests => Promise::Rest,
         }
     }
 }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -113,6 +113,8 @@
 pub(crate) fn core_config(node: usize, run: Run, off: Option<Guard>) -> CoreConfig {
     let mut config = settings(node).core_config(run);
     config.dispatch.keeps_named_rates = off != Some(Guard::NamedRates);
+    config.dispatch.keeps_rests = off != Some(Guard::Rests);
+    config.hears_leaving = off != Some(Guard::LeavingWords);
     config.dispatch.proves_before_repeat = off != Some(Guard::ProofBeforeRepeat);
     config.tells_suspicions = off != Some(Guard::SuspicionsTold);
     config.control.keeps_suspicions = off != Some(Guard::SuspicionsKept);
@@ -124,6 +126,7 @@
         waits_for_standbys: off != Some(Guard::StandbyWait),
         fences_lost_holders: off != Some(Guard::LostHolderFence),
         renews_tokens: off != Some(Guard::TokenRenewal),
+        doubts_records: off != Some(Guard::RecordDoubt),
     };
     if off == Some(Guard::ShortDoubt) {
         config.directory.patience = CONTACT * 3;
--- a/crates/routersim/tests/guards.rs
+++ b/crates/routersim/tests/guards.rs
@@ -143,3 +143,33 @@
     };
     matters(Guard::NamedRates, &[fault(8_000, 9_000, in_need)]);
 }
+
+#[test]
+fn leaving_words() {
+    let faults = [
+        fault(8_000, 6_000, Trouble::UpstreamLeaves { upstream: 0 }),
+        fault(8_000, 6_000, Trouble::StoreDown { lapse: false }),
+    ];
+    matters(Guard::LeavingWords, &faults);
+}
+
+#[test]
+fn rests() {
+    // So many holders rest that their keys stay.
+    let rests = |upstream| {
+        let rest_ms = 4_000;
+        fault(8_000, 9_000, Trouble::UpstreamRests { upstream, rest_ms })
+    };
+    matters(Guard::Rests, &[rests(0), rests(1), rests(2)]);
+}
+
+#[test]
+fn record_doubt() {
+    // All nodes go while the store does, so that nobody knows newer records than it.
+    let faults = [
+        fault(7_000, 6_000, Trouble::HotKey),
+        fault(12_000, 2_500, Trouble::StoreGoesBack { back_ms: 5_000 }),
+        fault(12_500, 2_000, Trouble::KillAll),
+    ];
+    matters(Guard::RecordDoubt, &faults);
+}
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -159,6 +159,8 @@
     pub fences_lost_holders: bool,
     /// A holder whose connection was lost is renewed under fresh tokens.
     pub renews_tokens: bool,
+    /// A record that the store may have gone back from is doubted.
+    pub doubts_records: bool,
 }
 
 impl Default for GranterGuards {
@@ -171,6 +173,7 @@
             waits_for_standbys: true,
             fences_lost_holders: true,
             renews_tokens: true,
+            doubts_records: true,
         }
     }
 }
--- a/crates/sharding/src/granter/withheld.rs
+++ b/crates/sharding/src/granter/withheld.rs
@@ -37,7 +37,7 @@
     /// before its grants have run out. Counter-case: such a holder was given the same keys
     /// under a fresh token, took them, and held them for 1.5 s beside those who had them.
     pub fn doubt_record(&mut self, now: Time) {
-        if self.timing.guards.respects_predecessor {
+        if self.timing.guards.doubts_records {
             self.record_doubted_until = now + self.timing.longest_bound() + self.timing.transit;
         }
     }
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -30,6 +30,7 @@
         waits_for_standbys: true,
         fences_lost_holders: true,
         renews_tokens: true,
+        doubts_records: true,
     },
 };
 const LIMITS: BalanceLimits = BalanceLimits {
