Keys that no record of the first era names are granted at once

Cause: a record without a head was doubted whatever the era, so where the first granter was lost before it had written its record whole, or the head can't be read, all keys of the service waited for grants that nobody can have given (some 8 s).

Mend: without a head the record counts as one of term 0, which is doubted only where the store went back. The test failed before.

--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -296,8 +296,8 @@
         if read.lacks_head {
             granter.standbys_unknown(now);
         }
-        let number = read.assignment.number();
-        if number.is_none_or(|number| number.epoch < trust.proven_from) {
+        let epoch = read.assignment.number().map_or(Epoch(0), |one| one.epoch);
+        if epoch < trust.proven_from {
             granter.doubt_record(now);
             if !trust.continues {
                 granter.withhold(now, KeyRange::ALL);
--- a/crates/router/tests/foreign_records.rs
+++ b/crates/router/tests/foreign_records.rs
@@ -142,6 +142,23 @@
     assert!(orders.iter().any(is_granted));
 }
 
+/// Guards against a wait for unknown grants where the store never went back: the first granter
+/// was lost before it had written its record whole, so nobody was granted what is missing.
+#[test]
+fn keys_that_no_record_of_the_first_era_names_are_granted_at_once() {
+    let part = Part::numbered(3).expect("a part");
+    let dialect = SimDialect::default();
+    let mut store = store(&dialect);
+    let service = KEYED.into();
+    store.delete(at(0), &OwnKeys::assignment_part(&service, part));
+    store.delete(at(0), &OwnKeys::assignment_head(&service));
+    let orders = orders(&mut store, dialect, WITHIN_HOLD);
+    let is_granted = |order: &GrantOrder| {
+        matches!(order.kind, OrderKind::Grant { .. }) && order.range.overlaps(part.range())
+    };
+    assert!(orders.iter().any(is_granted));
+}
+
 /// Whether keys of a holder that is no upstream any more, and does not answer, are granted
 /// to another before `until`.
 fn passes_keys_on(head: Option<&[u8]>, until: u64) -> bool {
