The granter's place is won again at once also after two eras in a row

Cause: that this process had the place was forgotten with the second era, so it waited for its own old lease (2 s). The test failed before.

--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -212,7 +212,7 @@
     /// grant has to be won again, in a term above all that were.
     pub fn begin_era(&mut self, era: StoreEra) {
         self.era = era;
-        self.reclaims = self.place.take().is_some();
+        self.reclaims |= self.place.take().is_some();
         self.attempted = None;
         self.observed = None;
         self.replaces = Revision::ABSENT;
--- a/crates/metastore/tests/election.rs
+++ b/crates/metastore/tests/election.rs
@@ -260,3 +260,16 @@
         );
     }
 }
+
+/// Guards against a granter that waits for its own old lease where the store goes back again
+/// before it has won its place.
+#[test]
+fn the_place_is_won_again_at_once_after_two_eras_in_a_row() {
+    let mut election = elected();
+    election.begin_era(StoreEra(1));
+    election.begin_era(StoreEra(2));
+    let place = of_run(7, 1, 2);
+    let epoch = item("epoch", borsh::to_vec(&Epoch(1)).expect("encodes"), 2);
+    let call = election.poll(at(200), Some((Some(&place), Some(&epoch))));
+    assert!(matches!(call, Some(StoreCall::Commit(_))), "{call:?}");
+}
