--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -74,6 +74,8 @@
     /// The file (default soak/regressions.toml).
     #[options(default = "soak/regressions.toml")]
     file: PathBuf,
+    /// The only seed of the file to play (default: all of them).
+    seed: Option<u64>,
     /// Where logs go (default target/soak).
     #[options(default = "target/soak")]
     folder: PathBuf,
@@ -286,7 +288,14 @@
 
 async fn run_regressions(arguments: RegressionArguments) -> Result<bool> {
     let mut clean = true;
-    for regression in load_regressions(&arguments.file)? {
+    let mut regressions = load_regressions(&arguments.file)?;
+    if let Some(seed) = arguments.seed {
+        regressions.retain(|one| one.seed == seed);
+        if regressions.is_empty() {
+            bail!("{} has no seed {seed}", arguments.file.display());
+        }
+    }
+    for regression in regressions {
         println!("seed={} once failed: {}", regression.seed, regression.cause);
         let settings = RunSettings {
             seed: regression.seed,
