Simulator: what no process and no store can know any more counts anew

A check is narrowed, by traces that show that the case is allowed; no product code.

The promise was always about nodes that had the time to hear. Now a request counts anew when all processes are killed and its last end lies less than a second before what the store keeps.

--- a/crates/routersim/src/check.rs
+++ b/crates/routersim/src/check.rs
@@ -117,6 +117,10 @@
 /// to hear of that.
 const POISON_LET_THROUGH: usize = 3;
 
+/// Within which time nodes have the store keep what they know of such requests, while they
+/// and the store are sound.
+pub const KEPT_WITHIN: Duration = Duration::from_secs(1);
+
 /// What a request did to the upstreams that ran it, over all its sendings.
 #[derive(Clone, Debug, Default)]
 struct Poison {
@@ -246,6 +250,17 @@
         }
     }
 
+    /// All processes end at once, and the store keeps what it was told until `kept_until`. Of
+    /// requests whose last end lies too close before that nobody knows any more: they count
+    /// anew.
+    pub fn poison_forgotten(&mut self, kept_until: Time) {
+        let is_kept = |poison: &Poison| {
+            let known = poison.known_at;
+            known.is_none_or(|known| known + KEPT_WITHIN <= kept_until)
+        };
+        self.poison.retain(|_, poison| is_kept(poison));
+    }
+
     /// A request with that content, sent at `sent` by a node that reaches the store, if not
     /// the other nodes, comes to an upstream.
     pub fn poison_arrives(&mut self, sent: Time, contact: Duration, content: &str) {
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -181,6 +181,8 @@
     }
 
     fn kill_all(&mut self, lasts: Duration) {
+        let kept_until = self.store_state.keeps_until(self.now);
+        self.checkers.poison_forgotten(kept_until);
         for node in 0..self.nodes.len() {
             if self.nodes[node].core.is_none() {
                 continue;
--- a/crates/routersim/tests/checkers.rs
+++ b/crates/routersim/tests/checkers.rs
@@ -4,6 +4,7 @@
 use beamtray_routersim::{Checkers, Holder, OtherHolder, Promise, Taking, Violation};
 use beamtray_sharding::{KeyRange, ShardKey};
 use beamtray_types::Time;
+use std::time::Duration;
 
 const LOWER: KeyRange = KeyRange {
     first: ShardKey(0),
@@ -165,3 +166,34 @@
     checkers.takes(Time(3), &holder(0, 2), taking(LOWER, 7));
     assert_eq!(promises(checkers), [Promise::RisingTokens]);
 }
+
+/// A request ended three upstreams at 1 s, and comes to four more from 5 s on.
+fn poison_after(forgotten: Option<Time>) -> Vec<Violation> {
+    const CONTACT: Duration = Duration::from_secs(3);
+    let mut checkers = Checkers::default();
+    for _ in 0..3 {
+        checkers.poison_ends(Time(1_000_000), "a");
+    }
+    if let Some(kept_until) = forgotten {
+        checkers.poison_forgotten(kept_until);
+    }
+    for _ in 0..4 {
+        checkers.poison_arrives(Time(5_000_000), CONTACT, "a");
+    }
+    checkers.finish(END)
+}
+
+#[test]
+fn a_request_that_all_processes_and_the_store_forgot_counts_anew() {
+    assert_eq!(poison_after(Some(Time(1_999_000))), []);
+}
+
+/// The store had the time to keep it: who starts reads it there.
+#[test]
+fn a_request_that_the_store_could_keep_is_to_be_kept_off() {
+    for forgotten in [None, Some(Time(2_000_000)), Some(Time(4_000_000))] {
+        let broken = poison_after(forgotten);
+        assert_eq!(broken.len(), 1, "{forgotten:?}");
+        assert_eq!(broken[0].promise, Promise::PoisonKeptOff);
+    }
+}
