Each order has a token that no order had before

What callers saw: nothing directly. An upstream that ended without a word and was up again under its name within 150 ms took renewals under the tokens of the process before, which what is behind the upstream may rely on.

Cause: renewals repeated a token until something told of a restart. What could tell were connections that had ended; where orders waited on every one of them none rested.

Mend: tokens come in blocks of 1,024, one block for a holder and slice. The record names the last token of the block; renewals count up to it without a write, and take a fresh block when it is used up, after 12 minutes at the usual pace. The last one is for those who go by the record alone: standbys, and a successor's first renewal. So records, standbys and the doubt about a store that went back stay as they were. renew_token and renew_tokens are gone: a token that is not used twice needs no rule for when it may be. A token that was refused is replaced at once; it waited for a record before, which a store that is down doesn't take.

Tokens have 32 bits for blocks and orders now, and a term 32 where it had 40.

Ruled out: a token for each connection (changes the record each time an upstream lets one go); blocks over all slices (a standby that lags by one record could prolong nothing).

--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -23,9 +23,9 @@
 )]
 pub struct Epoch(pub u64);
 
-/// Highest number of a term that is believed: tokens carry it in 40 bits, and terms
+/// Highest number of a term that is believed: tokens carry it in 32 bits, and terms
 /// that are counted from here on must fit, too.
-const HIGHEST_EPOCH: Epoch = Epoch((1 << 39) - 1);
+const HIGHEST_EPOCH: Epoch = Epoch((1 << 31) - 1);
 
 impl Epoch {
     /// The first one of an era of the store. Above all of the eras before: those that the
--- a/crates/routersim/tests/restarts.rs
+++ b/crates/routersim/tests/restarts.rs
@@ -88,7 +88,7 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
-/// Known red: upstreams that end without a word and are up again after 150 ms, while orders
+/// Upstreams that end without a word and are up again after 150 ms, while orders
 /// wait on every connection to them, so that none rests that could tell of it. The renewals
 /// that follow open new ones, 1 to 125 ms after the start, under the tokens of the process
 /// before. 3 of the first 240 histories, 23 before connections that ended stopped them.
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -31,8 +31,8 @@
 use crate::lost_holders::LostHolders;
 use crate::order::CallId;
 use crate::range::{KeyRange, ShardKey};
-use crate::record::{AssignmentRecord, FencingToken, SliceState};
-use crate::slice::{OwnedAgain, Phase, Slice};
+use crate::record::{AssignmentRecord, SliceState};
+use crate::slice::{BlockUse, OwnedAgain, Phase, Slice};
 use crate::standby::{StandbyBounds, Standbys};
 use beamtray_catalog::UpstreamId;
 use beamtray_metastore::Epoch;
@@ -168,7 +168,7 @@
     /// An upstream that lost keys without an answer is told of it until it answers, and
     /// gets none before.
     pub fences_lost_holders: bool,
-    /// A holder whose connection was lost is renewed under fresh tokens.
+    /// Each order has a token that no order had before.
     pub renews_tokens: bool,
     /// A record that the store may have gone back from is doubted.
     pub doubts_records: bool,
@@ -207,7 +207,7 @@
 pub struct Granter {
     timing: GranterTiming,
     epoch: Epoch,
-    counter: u64,
+    blocks: u64,
     slices: BTreeMap<ShardKey, Slice>,
     candidates: BTreeMap<UpstreamId, Candidate>,
     /// Whether it was ever stated which upstreams there are. Before that a holder
@@ -255,7 +255,7 @@
         let mut granter = Self {
             timing,
             epoch,
-            counter: 0,
+            blocks: 0,
             slices: BTreeMap::new(),
             candidates: BTreeMap::new(),
             knows_candidates: false,
@@ -330,11 +330,6 @@
         }
     }
 
-    fn next_token(&mut self) -> FencingToken {
-        self.counter += 1;
-        FencingToken::new(self.epoch, self.counter)
-    }
-
     /// States which upstreams there are.
     pub fn set_candidates(&mut self, now: Time, candidates: impl IntoIterator<Item = Candidate>) {
         let next: BTreeMap<UpstreamId, Candidate> = candidates
@@ -453,8 +448,7 @@
         range,
         phase,
         told_in: 0,
-        // That of a record may have been granted by the granter before.
-        token_is_out: true,
+        tokens: BlockUse::Inherited,
         lapses,
         call: None,
         due: now,
--- a/crates/sharding/src/granter/orders.rs
+++ b/crates/sharding/src/granter/orders.rs
@@ -141,6 +141,7 @@
 
     /// The order that is due for a slice.
     fn order(&mut self, now: Time, first: ShardKey) -> Option<GrantOrder> {
+        self.renew_block(now, first);
         let hold = self.timing.pace(self.slices.len()).hold;
         let slice = self.slices.get_mut(&first)?;
         let told = slice.told_in <= self.durable || !self.timing.guards.records_first;
@@ -174,6 +175,10 @@
             }
             contact.sent(now, call);
         }
+        let token = match is_grant && self.timing.guards.renews_tokens {
+            true => slice.take_order_token(token),
+            false => token,
+        };
         self.next_call += 1;
         slice.call = Some(call);
         let sent = Call {
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -34,10 +34,6 @@
             let answered = matches!(reply, GrantReply::Granted | GrantReply::Outdated);
             self.follow_answer(now, answered, !was_silent);
             self.note_contact(now, call, &sent.holder, &reply);
-            self.note_token(sent.first, &sent.holder, &reply);
-        }
-        if matches!(reply, GrantReply::Undelivered | GrantReply::BrokenOff) {
-            self.renew_tokens(&sent.holder);
         }
         let Some(slice) = self.slices.get_mut(&sent.first) else {
             return;
@@ -71,15 +67,6 @@
         }
     }
 
-    /// Notes that the holder may have seen the token of a slice.
-    fn note_token(&mut self, first: ShardKey, holder: &UpstreamId, reply: &GrantReply) {
-        if let Some(slice) = self.slices.get_mut(&first)
-            && slice.holder() == Some(holder)
-        {
-            slice.token_is_out |= *reply != GrantReply::Undelivered;
-        }
-    }
-
     fn note_contact(&mut self, now: Time, call: CallId, holder: &UpstreamId, reply: &GrantReply) {
         let heard = self.candidates.get(holder).and_then(|one| one.heard);
         let contact = self.contacts.entry(holder.clone()).or_default();
@@ -135,7 +122,6 @@
                     slice.lapses = slice.lapses.max(lapses);
                 }
                 slice.due = now + RETRY;
-                self.renew_token(first);
             }
             GrantReply::Outdated if went_on => self.lose_sight(now, first),
             GrantReply::Outdated => self.raise_token(now, first),
@@ -154,18 +140,12 @@
         }
     }
 
-    /// The holder has seen a higher token: the same holder gets a new one.
-    pub(super) fn raise_token(&mut self, now: Time, first: ShardKey) {
-        let fresh = self.next_token();
-        let told_in = self.next_sequence;
-        let Some(slice) = self.slices.get_mut(&first) else {
-            return;
-        };
-        if slice.holder().is_some() {
-            slice.set_token(fresh);
-            slice.told_in = told_in;
+    /// The holder has seen a higher token, of a standby or of a block that no record names: it
+    /// is renewed under a fresh one.
+    fn raise_token(&mut self, now: Time, first: ShardKey) {
+        self.take_block(first);
+        if let Some(slice) = self.slices.get_mut(&first) {
             slice.due = now;
-            self.dirty = true;
         }
     }
 
--- a/crates/sharding/src/granter/tokens.rs
+++ b/crates/sharding/src/granter/tokens.rs
@@ -1,35 +1,51 @@
-//! Fresh tokens for a holder that may yet take an order under the one that it has.
+//! Tokens of orders.
 //!
-//! Invariant: a token is used again only while every order under it was answered, on
-//! connections that did not end. Two counter-cases:
+//! Invariant: a granter gives each order under a token that no order had before. Tokens come
+//! in blocks: a holder has one for each of its slices, the record names its last token, and
+//! renewals count up to that without a word to the record. Two counter-cases, where
+//! renewals repeated one token:
 //!
 //! - An upstream left a renewal lying, answered ten more under the same token over the next
 //!   seven seconds, and was cut off. Its keys went to another; then it took the one that
-//!   lay, since it had never seen a higher token. So an order without an answer is the last
-//!   one under its token, and the next one that is answered outdates it. What is left is a
-//!   holder that is cut off before it answers that one.
+//!   lay, since it had never seen a higher token.
 //! - An upstream that restarts under its name forgets all tokens, and the directory tells of
-//!   it some milliseconds to a heartbeat later. A renewal that comes in between is taken
-//!   under the token that the incarnation before had. What shows a restart sooner is the
-//!   connection: it ends with the process, and no new one comes up while there is none.
+//!   it some milliseconds to a heartbeat later. Renewals that came in between were taken
+//!   under the tokens that the process before had.
 //!
-//! They are used at once. The record has to name the holder before a grant, which it does;
-//! that it tells an older token for a moment costs a successor one refused renewal. A
-//! standby can't choose tokens: if the granter and the store are lost before the record is
-//! written, it can't prolong these holds.
+//! The last token of a block is for those who go by the record alone: a standby, which
+//! repeats it, and a successor, once. A block after the first one is used at once: the record
+//! has to name the holder before a grant, which it does. That it tells the block before for a
+//! moment costs a successor one refused renewal, and a standby the holds that it would have
+//! prolonged, if granter and store are lost in that moment.
+//!
+//! A record that the store may have gone back from is a case of its own: its holders are
+//! renewed under the tokens that it names until it is not doubted any more.
 
 use super::Granter;
 use crate::range::ShardKey;
 use crate::record::FencingToken;
-use beamtray_catalog::UpstreamId;
+use crate::slice::{BlockUse, Slice};
+use beamtray_types::Time;
 
 impl Granter {
-    /// Has a slice renewed under a fresh token: an order under the one before may still be
-    /// taken.
-    pub(super) fn renew_token(&mut self, first: ShardKey) {
-        if !self.timing.guards.renews_tokens {
-            return;
+    /// A token above all that this granter has taken, the last one of its block.
+    pub(super) fn next_token(&mut self) -> FencingToken {
+        self.blocks += 1;
+        FencingToken::last_of_block(self.epoch, self.blocks)
+    }
+
+    /// Gives a slice a fresh block where the one that it has is used up.
+    pub(super) fn renew_block(&mut self, now: Time, first: ShardKey) {
+        let slice = self.slices.get(&first);
+        let is_used_up = slice.is_some_and(|slice| slice.tokens == BlockUse::UsedUp);
+        let token = slice.and_then(Slice::token);
+        if is_used_up && self.timing.guards.renews_tokens && !self.went_on(now, token) {
+            self.take_block(first);
         }
+    }
+
+    /// Gives a slice a fresh block for the same holder.
+    pub(super) fn take_block(&mut self, first: ShardKey) {
         let fresh = self.next_token();
         if let Some(slice) = self.slices.get_mut(&first)
             && slice.holder().is_some()
@@ -38,19 +54,20 @@
             self.dirty = true;
         }
     }
+}
 
-    /// Has the keys of a holder renewed under fresh tokens.
-    pub(super) fn renew_tokens(&mut self, holder: &UpstreamId) {
-        if !self.timing.guards.renews_tokens {
-            return;
-        }
-        let (epoch, counter) = (self.epoch, &mut self.counter);
-        for slice in self.slices.values_mut() {
-            if slice.holder() == Some(holder) && slice.token_is_out {
-                *counter += 1;
-                slice.set_token(FencingToken::new(epoch, *counter));
-                self.dirty = true;
-            }
-        }
+impl Slice {
+    /// The token of the next order under the block that ends with `last`.
+    pub(super) fn take_order_token(&mut self, last: FencingToken) -> FencingToken {
+        let BlockUse::Given(given) = self.tokens else {
+            self.tokens = BlockUse::UsedUp;
+            return last;
+        };
+        let Some(token) = last.of_order(given) else {
+            self.tokens = BlockUse::UsedUp;
+            return last;
+        };
+        self.tokens = BlockUse::Given(given + 1);
+        token
     }
 }
--- a/crates/sharding/src/record.rs
+++ b/crates/sharding/src/record.rs
@@ -8,8 +8,12 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::fmt;
 
-/// Bits of a token that count within one epoch.
-const COUNTER_BITS: u32 = 24;
+/// Bits of a token that count within one epoch: blocks of tokens, and orders within a block.
+const COUNTER_BITS: u32 = 32;
+/// Bits of those that count orders within a block.
+const ORDER_BITS: u32 = 10;
+/// Number of the last token of a block.
+const LAST_OF_BLOCK: u64 = (1 << ORDER_BITS) - 1;
 
 /// Orders the holders of a key: a later holder has a higher token.
 #[derive(
@@ -23,6 +27,19 @@
     pub fn new(epoch: Epoch, counter: u64) -> Self {
         Self((epoch.0 << COUNTER_BITS) + counter)
     }
+
+    /// The last token of the `block`-th block of a term. Records name blocks by it, and
+    /// whoever gives orders by a record alone has no other token of the block.
+    pub(crate) fn last_of_block(epoch: Epoch, block: u64) -> Self {
+        Self::new(epoch, (block << ORDER_BITS) + LAST_OF_BLOCK)
+    }
+
+    /// The token of the `number`-th order under a block, by the last token of the block; none
+    /// if the block has only its last token left.
+    pub(crate) fn of_order(self, number: u64) -> Option<Self> {
+        let first = self.0.saturating_sub(LAST_OF_BLOCK);
+        (number < LAST_OF_BLOCK).then_some(Self(first + number))
+    }
 }
 
 impl fmt::Display for FencingToken {
--- a/crates/sharding/src/slice.rs
+++ b/crates/sharding/src/slice.rs
@@ -62,6 +62,23 @@
     pub after: Duration,
 }
 
+/// Which tokens of a block were given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BlockUse {
+    /// So many of this granter's own block, from its first one on.
+    Given(u64),
+    /// Those of the granter before, which is not told; not the last one, unless a standby did.
+    Inherited,
+    /// All of them.
+    UsedUp,
+}
+
+impl Default for BlockUse {
+    fn default() -> Self {
+        Self::Given(0)
+    }
+}
+
 /// A grant may lie with an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Doubt {
@@ -78,8 +95,8 @@
     pub phase: Phase,
     /// Sequence of the record that first tells this phase.
     pub told_in: u64,
-    /// Whether the holder may have seen its token.
-    pub token_is_out: bool,
+    /// Which tokens of the holder's block were given.
+    pub tokens: BlockUse,
     /// After this no grant that was answered, or could have been, is in force.
     pub lapses: Time,
     /// Order under way.
@@ -119,7 +136,7 @@
     pub fn set_token(&mut self, fresh: FencingToken) {
         if let Phase::Held { token, .. } = &mut self.phase {
             *token = fresh;
-            self.token_is_out = false;
+            self.tokens = BlockUse::default();
         }
     }
 
@@ -127,7 +144,7 @@
     pub fn set_phase(&mut self, phase: Phase) {
         self.waits_in_doubt = false;
         self.phase = phase;
-        self.token_is_out = false;
+        self.tokens = BlockUse::default();
     }
 
     /// The token under which it is held, or is to be.
