The order gate is needless: a restart takes what it takes under a fresh token

Cause of the removal: the gate kept grants from opening a connection under a token that was not above all written before. Each order has such a token now, so it held up orders whose connection had rested too long, and protected nothing. With it go the end of a call with its resting connection, and the simulator's model of both.

--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -5,7 +5,6 @@
 mod membership;
 mod message;
 mod node;
-mod order_gate;
 mod records;
 mod registration;
 mod relays;
@@ -19,7 +18,6 @@
     Datagram, GRANT_TIMEOUT, Input, Liveness, OrderTask, Output, OwnershipNotice, StoreTask, Timing,
 };
 pub use node::{CoreConfig, NodeCore};
-pub use order_gate::OrderGate;
 pub use records::{AssignmentKey, NodeRecord, OwnKeys};
 pub use registration::Registrar;
 pub use relays::{RelayedContact, Relays, RelaysHeard, STANDBY_TRUST, TIERED_TRUST, TRUST};
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -137,9 +137,7 @@
             }
             CallFailure::Unconnected => AttemptOutcome::Untouched(Untouched::Unconnected),
             CallFailure::Refused => AttemptOutcome::Untouched(Untouched::ConnectionRefused),
-            CallFailure::Unsent | CallFailure::Ended => {
-                AttemptOutcome::Untouched(Untouched::Unsent)
-            }
+            CallFailure::Unsent => AttemptOutcome::Untouched(Untouched::Unsent),
         }),
     }
 }
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -5,7 +5,7 @@
 use crate::shell::handle::Shared;
 use beamtray_dialect::{CallMethod, HttpAnswer, HttpCall};
 use beamtray_metastore::{StoreCall, StoreOutcome};
-use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
+use beamtray_sharding::{GrantReply, OrderKind};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
@@ -83,7 +83,7 @@
     let decided = shared.now();
     tokio::task::spawn_local(async move {
         let reply = match task.address {
-            Some(address) => give(&shared, address, &task, epoch).await,
+            Some(address) => give(&shared, address, &task).await,
             None => GrantReply::Undelivered,
         };
         let took = shared.now().since(decided);
@@ -97,7 +97,7 @@
     });
 }
 
-async fn give(shared: &Shared, address: SocketAddr, task: &OrderTask, term: u64) -> GrantReply {
+async fn give(shared: &Shared, address: SocketAddr, task: &OrderTask) -> GrantReply {
     let connections = &shared.order_connections;
     // The right to grant is looked at right before the order is written: the process may
     // have stood still since it was decided on, and a connection may take long.
@@ -105,35 +105,22 @@
     if right_left.is_zero() {
         return GrantReply::Undelivered;
     }
-    // Nothing is waited for between this look and the choice of a connection.
-    let may_connect = shared.order_gate.borrow().may_connect(&task.order, term);
-    if !may_connect && !connections.has_resting(address) {
-        return GrantReply::Undelivered;
-    }
-    shared
-        .order_gate
-        .borrow_mut()
-        .written(shared.now(), &task.order);
     let limit = match task.order.kind {
         OrderKind::Grant { .. } => GRANT_TIMEOUT,
         OrderKind::Release => RELEASE_TIMEOUT,
     };
     let call = shared.dialect.encode_order(&task.order);
-    let progress = CallProgress::repeatable()
-        .of_one_process()
-        .before(shared.clock.clone(), task.until);
+    let progress = CallProgress::repeatable().before(shared.clock.clone(), task.until);
     match timeout(limit, send(shared, connections, address, call, &progress)).await {
         Ok(Ok(answer)) => match shared.dialect.decode_order(&task.order.kind, &answer) {
             // The answer of another call: that of the order did not come.
             GrantReply::Unanswered => GrantReply::InDoubt,
             reply => reply,
         },
-        Ok(Err(CallFailure::Ended)) => {
-            connection_ended(shared, address, &task.order);
-            GrantReply::Undelivered
-        }
         Ok(Err(CallFailure::BrokenOff)) => {
-            connection_ended(shared, address, &task.order);
+            // Others to the same upstream may have ended with it.
+            shared.connections.forget(address);
+            connections.forget(address);
             GrantReply::BrokenOff
         }
         Ok(Err(CallFailure::Unacknowledged)) => {
@@ -150,14 +137,6 @@
     }
 }
 
-/// Another process may listen at the upstream's address now.
-fn connection_ended(shared: &Shared, address: SocketAddr, order: &GrantOrder) {
-    let upstream = &order.holder.name;
-    shared.order_gate.borrow_mut().connection_ended(upstream);
-    shared.connections.forget(address);
-    shared.order_connections.forget(address);
-}
-
 async fn send(
     shared: &Shared,
     connections: &Connections,
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -73,14 +73,6 @@
     }
 }
 
-/// What was found among the connections that rest.
-enum Resting {
-    Usable(Connection),
-    /// None but some that the other side ended before their time.
-    Ended,
-    None,
-}
-
 /// Connections that rest.
 #[derive(Default)]
 pub(crate) struct Connections {
@@ -125,13 +117,8 @@
             .is_some_and(|length| length <= SMALL_BODY as u64);
         loop {
             let (mut connection, rested) = match self.take(address, progress.longest_rest) {
-                Resting::Usable(connection) => (connection, true),
-                Resting::Ended if progress.ends_with_connection => {
-                    return Err(CallFailure::Ended);
-                }
-                Resting::Ended | Resting::None => {
-                    (connect(address, self.unacknowledged_for).await?, false)
-                }
+                Some(connection) => (connection, true),
+                None => (connect(address, self.unacknowledged_for).await?, false),
             };
             if progress.is_too_late() {
                 return Err(CallFailure::Unsent);
@@ -142,17 +129,13 @@
                 Ok(response) => return read(connection, response, small).await,
                 Err(mut error) => match error.take_message() {
                     // A connection that ended while it rested.
-                    Some(unsent) if rested && !progress.ends_with_connection => {
+                    Some(unsent) if rested => {
                         progress.written.set(false);
                         request = unsent;
                     }
                     Some(_) => {
                         progress.written.set(false);
-                        return Err(if rested {
-                            CallFailure::Ended
-                        } else {
-                            CallFailure::Unsent
-                        });
+                        return Err(CallFailure::Unsent);
                     }
                     None if is_unacknowledged(error.error()) => {
                         return Err(CallFailure::Unacknowledged);
@@ -163,37 +146,21 @@
         }
     }
 
-    /// Whether a connection to an address rests, ended or not.
-    pub fn has_resting(&self, address: SocketAddr) -> bool {
-        let now = Instant::now();
-        let resting = self.resting.borrow();
-        let mut kept = resting.get(&address).into_iter().flatten();
-        kept.any(|connection| connection.usable_until > now)
-    }
-
-    fn take(&self, address: SocketAddr, longest_rest: Duration) -> Resting {
+    fn take(&self, address: SocketAddr, longest_rest: Duration) -> Option<Connection> {
         let mut resting = self.resting.borrow_mut();
-        let Some(kept) = resting.get_mut(&address) else {
-            return Resting::None;
-        };
+        let kept = resting.get_mut(&address)?;
         let now = Instant::now();
         // The last one has rested the shortest time.
-        let rested = kept.last().map(|last| last.rests_since);
-        let rested = rested.map(|since| now.saturating_duration_since(since));
-        if rested.is_none_or(|rested| rested > longest_rest) {
-            return Resting::None;
+        let rested = now.saturating_duration_since(kept.last()?.rests_since);
+        if rested > longest_rest {
+            return None;
         }
-        let mut found = Resting::None;
         while let Some(connection) = kept.pop() {
-            if connection.usable_until <= now {
-                continue;
-            }
-            if connection.sender.is_ready() {
-                return Resting::Usable(connection);
+            if connection.usable_until > now && connection.sender.is_ready() {
+                return Some(connection);
             }
-            found = Resting::Ended;
         }
-        found
+        None
     }
 
     /// Keeps the connection of an answer that was in order.
--- a/crates/router/src/shell/connections/progress.rs
+++ b/crates/router/src/shell/connections/progress.rs
@@ -18,8 +18,6 @@
     Refused,
     /// The connection ended before anything was written.
     Unsent,
-    /// The same, and it had been used before: another process may listen there now.
-    Ended,
     /// It ended without a whole answer.
     BrokenOff,
     /// It ended since the other side acknowledged nothing of what was written.
@@ -39,8 +37,6 @@
 pub(crate) struct CallProgress {
     /// Longest rest of a connection that is used.
     pub(super) longest_rest: Duration,
-    /// Whether the end of a resting connection ends the call.
-    pub(super) ends_with_connection: bool,
     /// The request is not written after this.
     write_before: Option<WriteBefore>,
     /// Whether the request may have been written.
@@ -55,7 +51,6 @@
     pub fn repeatable() -> Self {
         Self {
             longest_rest: Duration::MAX,
-            ends_with_connection: false,
             write_before: None,
             written: Cell::new(false),
             rested: Cell::new(false),
@@ -67,7 +62,6 @@
     pub fn unrepeatable() -> Self {
         Self {
             longest_rest: SAFE_REST,
-            ends_with_connection: false,
             write_before: None,
             written: Cell::new(false),
             rested: Cell::new(false),
@@ -83,15 +77,6 @@
         }
     }
 
-    /// The same call, which is not made on a new connection if the one that rested has
-    /// ended meanwhile: another process may listen at the address.
-    pub fn of_one_process(self) -> Self {
-        Self {
-            ends_with_connection: true,
-            ..self
-        }
-    }
-
     pub(super) fn is_too_late(&self) -> bool {
         let before = self.write_before.as_ref();
         before.is_some_and(|before| before.clock.now() >= before.end)
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -1,6 +1,6 @@
 //! What every task of the process shares.
 
-use crate::core::{Input, NodeCore, OrderGate};
+use crate::core::{Input, NodeCore};
 use crate::shell::actor::RouterActor;
 use crate::shell::connections::Connections;
 use crate::shell::observer::Observer;
@@ -44,8 +44,6 @@
     pub connections: Connections,
     /// Connections for orders to holders of keys.
     pub order_connections: Connections,
-    /// Which orders may open one of them.
-    pub order_gate: RefCell<OrderGate>,
     pub clients: RefCell<HashMap<Ticket, UnboundedSender<Step>>>,
     pub actor: RefCell<Option<ActorOwn<RouterActor>>>,
     pub wake: Notify,
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -126,7 +126,6 @@
         dialect,
         connections: Connections::default(),
         order_connections: Connections::that_end_after(ORDER_UNACKNOWLEDGED),
-        order_gate: RefCell::default(),
         clients: RefCell::new(HashMap::new()),
         actor: RefCell::new(None),
         wake: Notify::new(),
--- a/crates/routersim/src/world/links.rs
+++ b/crates/routersim/src/world/links.rs
@@ -10,7 +10,6 @@
 use super::upstreams::{CONNECT_TIMEOUT, PendingRelease};
 use crate::fault::CutFrom;
 use beamtray_emulator::Delivery;
-use beamtray_router::core::OrderGate;
 use beamtray_sharding::GrantReply;
 use beamtray_types::Time;
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,8 +66,6 @@
     resting: BTreeMap<Link, Vec<Resting>>,
     /// Orders whose packets were lost and whose answers are still waited for.
     open: BTreeSet<OpenOrder>,
-    /// Which orders may open connections, by the run of a node.
-    gates: BTreeMap<(usize, Run), OrderGate>,
 }
 
 impl Links {
@@ -85,11 +82,6 @@
         })
     }
 
-    fn has_resting(&self, now: Time, link: Link) -> bool {
-        let mut resting = self.resting.get(&link).into_iter().flatten();
-        resting.any(|one| one.since <= now && now < one.until)
-    }
-
     fn keep(&mut self, since: Time, link: Link) {
         let resting = self.resting.entry(link).or_default();
         if resting.len() < KEPT {
@@ -147,42 +139,6 @@
         self.links.keep(now + Duration::from_millis(2), link);
     }
 
-    /// Whether a connection rests whose other end was an earlier incarnation: it ended with
-    /// that, as far as the node can hear of it. It is forgotten.
-    fn connection_has_ended(&mut self, node: usize, run: Run, index: usize) -> bool {
-        let now = self.now;
-        let link = self.link(node, run, index);
-        let is_reached = self.reaches(node, index);
-        let mut has_ended = false;
-        self.links.resting.retain(|other, resting| {
-            let is_same = (other.node, other.run, other.index) == (node, run, index);
-            let is_earlier = is_same && other.incarnation < link.incarnation && is_reached;
-            has_ended |= is_earlier && resting.iter().any(|one| now < one.until);
-            !is_earlier
-        });
-        has_ended
-    }
-
-    /// Whether an order may be written, as the shell finds it: connections to the upstream
-    /// may have ended, and it may not open one.
-    pub(super) fn may_be_written(&mut self, pending: &PendingRelease, index: usize) -> bool {
-        let (node, run) = (pending.node, pending.run);
-        let has_ended = self.connection_has_ended(node, run, index);
-        let link = self.link(node, run, index);
-        let has_resting = self.links.has_resting(self.now, link);
-        let gate = self.links.gates.entry((node, run)).or_default();
-        let order = &pending.order;
-        if has_ended {
-            gate.connection_ended(&order.holder.name);
-            return false;
-        }
-        if !has_resting && !gate.may_connect(order, pending.epoch) {
-            return false;
-        }
-        gate.written(self.now, order);
-        true
-    }
-
     /// The answer to an order doesn't come: the other connections may be as dead.
     pub(super) fn forget_connections(&mut self, node: usize, run: Run, index: usize) {
         let link = self.link(node, run, index);
--- a/crates/routersim/src/world/orders.rs
+++ b/crates/routersim/src/world/orders.rs
@@ -41,9 +41,6 @@
             self.forget_connections(node, run, index);
             return self.order_answered(REFUSED_IN, pending, GrantReply::Undelivered);
         }
-        if !self.may_be_written(&pending, index) {
-            return self.order_answered(Duration::ZERO, pending, GrantReply::Undelivered);
-        }
         if !is_up || !self.reaches(node, index) {
             return self.order_lost(index, timeout, pending);
         }
