Repeats keep their budget in any window, and over processes that are replaced

What callers saw: nothing by itself; the service got more repeats in ten seconds than it is to get (BUDGET), which adds load where it is in trouble.

Cause, two parts, by a test without network (dispatch/tests/budget.rs, failed before): - A repeat was forgotten with the first of ten buckets, as little as nine tenths of a window after it. Four nodes that spent all at once did so again within the window: 80 repeats where 71 are allowed, with nobody replaced. - A process that takes the place of another began with a whole part of the allowance; four that were replaced in turn made 82, of 71. By reading: until the first list of nodes was there, a process took the whole allowance for its own.

Mend: repeats are counted over the window and one bucket more; a process spends 0.4 of its part in its first window, so that with the one before it stays below the whole; unknown nodes count as sixteen from the start.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -2,13 +2,26 @@
 //!
 //! The bound holds over all nodes without talking: each node spends its own
 //! requests' share, and its part of the fixed allowance.
+//!
+//! Invariant: the processes of one node, one after the other, spend no more of the allowance
+//! in a window than is the node's. A process does not know what the one before has spent.
+//! Counter-case: four routers were stopped in turn within three seconds, while keys had no
+//! holder; each began with a whole part, and together they repeated more than is allowed.
 
 use beamtray_types::Time;
 use std::time::Duration;
 
+/// Buckets that a window is counted in.
 const BUCKETS: usize = 10;
-/// Share of what is allowed that is spent: windows slide, buckets don't.
+/// A repeat is forgotten when all of its bucket lies before the window: one that was forgotten
+/// with the window's first bucket was as little as nine tenths of a window old, and a node that
+/// spent all at once could spend it again within the window.
+const REPEAT_BUCKETS: usize = BUCKETS + 1;
+/// Share of what is allowed that is spent: what other nodes count differs in time.
 const PRUDENCE: f64 = 0.7;
+/// Part of a node's allowance that a process spends in its first window. With what the one
+/// before may have spent it stays below the whole, by [`PRUDENCE`].
+const FIRST_WINDOW_PART: f64 = 0.4;
 
 /// What is allowed for one service, over all nodes.
 #[derive(Clone, Copy, Debug)]
@@ -21,48 +34,87 @@
     pub window: Duration,
 }
 
-/// Counts of one service at one node.
-#[derive(Clone, Debug, Default)]
-pub struct RetryBudget {
-    requests: [u32; BUCKETS],
-    repeats: [u32; BUCKETS],
+/// Counts of the last buckets of time.
+#[derive(Clone, Debug)]
+struct RecentCounts<const KEPT: usize> {
+    counts: [u32; KEPT],
     bucket: u64,
 }
 
-impl RetryBudget {
-    fn advance(&mut self, config: &BudgetConfig, now: Time) -> usize {
+impl<const KEPT: usize> Default for RecentCounts<KEPT> {
+    fn default() -> Self {
+        Self {
+            counts: [0; KEPT],
+            bucket: 0,
+        }
+    }
+}
+
+impl<const KEPT: usize> RecentCounts<KEPT> {
+    fn advance(&mut self, config: &BudgetConfig, now: Time) {
         let length = (config.window.as_micros() as u64 / BUCKETS as u64).max(1);
         let bucket = now.0 / length;
-        let passed = bucket.saturating_sub(self.bucket).min(BUCKETS as u64);
+        let passed = bucket.saturating_sub(self.bucket).min(KEPT as u64);
         for step in 0..passed {
-            let index = ((bucket - step) % BUCKETS as u64) as usize;
-            self.requests[index] = 0;
-            self.repeats[index] = 0;
+            self.counts[index::<KEPT>(bucket - step)] = 0;
         }
         self.bucket = self.bucket.max(bucket);
-        (self.bucket % BUCKETS as u64) as usize
     }
 
+    fn count(&mut self, config: &BudgetConfig, now: Time) {
+        self.advance(config, now);
+        self.counts[index::<KEPT>(self.bucket)] += 1;
+    }
+
+    fn sum(&mut self, config: &BudgetConfig, now: Time) -> u32 {
+        self.advance(config, now);
+        self.counts.iter().sum()
+    }
+}
+
+fn index<const KEPT: usize>(bucket: u64) -> usize {
+    (bucket % KEPT as u64) as usize
+}
+
+/// Counts of one service at one node.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    requests: RecentCounts<BUCKETS>,
+    repeats: RecentCounts<REPEAT_BUCKETS>,
+    /// When the first request came.
+    begun: Option<Time>,
+}
+
+impl RetryBudget {
     /// Counts a request that a client sent.
     pub fn request(&mut self, config: &BudgetConfig, now: Time) {
-        let index = self.advance(config, now);
-        self.requests[index] += 1;
+        self.begun.get_or_insert(now);
+        self.requests.count(config, now);
     }
 
     /// Counts an arrival beyond a request's first.
     pub fn repeat(&mut self, config: &BudgetConfig, now: Time) {
-        let index = self.advance(config, now);
-        self.repeats[index] += 1;
+        self.repeats.count(config, now);
     }
 
     /// Whether one more repeat is within this node's part, `nodes` sharing the
     /// allowance.
     pub fn allows(&mut self, config: &BudgetConfig, now: Time, nodes: usize) -> bool {
-        self.advance(config, now);
-        let requests: u32 = self.requests.iter().sum();
-        let repeats: u32 = self.repeats.iter().sum();
-        let share = config.allowance / nodes.max(1) as f64;
-        let allowed = (config.ratio * f64::from(requests) + share) * PRUDENCE;
-        f64::from(repeats) + 1.0 <= allowed
+        let requests = f64::from(self.requests.sum(config, now));
+        let repeats = f64::from(self.repeats.sum(config, now));
+        let allowed = (config.ratio * requests + self.share(config, now, nodes)) * PRUDENCE;
+        repeats + 1.0 <= allowed
+    }
+
+    /// The part of the allowance that is this process's.
+    fn share(&self, config: &BudgetConfig, now: Time, nodes: usize) -> f64 {
+        let whole = config.allowance / nodes.max(1) as f64;
+        let begun = self
+            .begun
+            .filter(|begun| now.since(*begun) >= config.window);
+        match begun {
+            Some(_) => whole,
+            None => whole * FIRST_WINDOW_PART,
+        }
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/budget.rs
@@ -0,0 +1,76 @@
+//! The bound on repeats over all nodes, where processes are replaced.
+
+use beamtray_dispatch::{BudgetConfig, RetryBudget};
+use beamtray_types::Time;
+use std::time::Duration;
+
+const NODES: usize = 4;
+const CONFIG: BudgetConfig = BudgetConfig {
+    ratio: 0.2,
+    allowance: 47.0,
+    window: Duration::from_secs(10),
+};
+
+/// Requests that each node gets in a second, and repeats that it would make.
+const REQUESTS_A_SECOND: u64 = 3;
+const WANTED_FOR_EACH: usize = 10;
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+/// Most arrivals beyond the first in any window, and the requests in it, where the process of
+/// each node is replaced at the moments that are given for it.
+fn most_repeats(replaced: [&[u64]; NODES]) -> (usize, usize) {
+    const LENGTH_MS: u64 = 40_000;
+    let mut repeats = Vec::new();
+    for moments in replaced {
+        let mut budget = RetryBudget::default();
+        for now in (0..LENGTH_MS).step_by(1_000 / REQUESTS_A_SECOND as usize) {
+            if moments.iter().any(|moment| now.abs_diff(*moment) < 167) {
+                budget = RetryBudget::default();
+            }
+            budget.request(&CONFIG, at(now));
+            for _ in 0..WANTED_FOR_EACH {
+                if budget.allows(&CONFIG, at(now), NODES) {
+                    budget.repeat(&CONFIG, at(now));
+                    repeats.push(now);
+                }
+            }
+        }
+    }
+    let window = CONFIG.window.as_millis() as u64;
+    let in_window = |begin: u64| {
+        let inside = repeats
+            .iter()
+            .filter(|at| (begin..begin + window).contains(*at));
+        inside.count()
+    };
+    let most = (0..LENGTH_MS - window).map(in_window).max();
+    let requests = NODES * (REQUESTS_A_SECOND * window / 1_000) as usize;
+    (most.unwrap_or_default(), requests)
+}
+
+fn allowed(requests: usize) -> usize {
+    (CONFIG.ratio * requests as f64 + CONFIG.allowance) as usize
+}
+
+/// Four routers that were stopped in turn each spent a whole part of the allowance again.
+#[test]
+fn nodes_that_are_replaced_in_turn_spend_the_allowance_once() {
+    let (most, requests) = most_repeats([&[16_000], &[16_900], &[17_700], &[18_600]]);
+    let allowed = allowed(requests);
+    assert!(most <= allowed, "{most} repeats, {allowed} allowed");
+}
+
+/// Each node spent all at once, and again nine tenths of a window later.
+#[test]
+fn nodes_that_run_on_keep_the_bound_and_spend_most_of_it() {
+    let (most, requests) = most_repeats([&[], &[], &[], &[]]);
+    let allowed = allowed(requests);
+    assert!(most <= allowed, "{most} repeats, {allowed} allowed");
+    assert!(
+        most * 10 >= allowed * 6,
+        "{most} repeats, {allowed} allowed"
+    );
+}
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -103,6 +103,16 @@
     outputs: Vec<Output>,
 }
 
+/// Nodes that share the retry allowance while none is known.
+const UNKNOWN_NODES: usize = 16;
+
+/// A dispatcher that takes the allowance for shared before it knows any node.
+fn new_dispatcher(config: &CoreConfig) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(config.dispatch.clone());
+    dispatcher.set_nodes(UNKNOWN_NODES);
+    dispatcher
+}
+
 impl NodeCore {
     /// A node that knows nothing yet.
     pub fn new(config: CoreConfig, dialect: Rc<dyn Dialect>) -> Self {
@@ -117,7 +127,7 @@
                 timing: config.control.grants,
             }),
             standby_state: StandbyState::default(),
-            dispatcher: Dispatcher::new(config.dispatch.clone()),
+            dispatcher: new_dispatcher(&config),
             stopping: false,
             started_at: None,
             reports: ReportSchedule::default(),
@@ -340,9 +350,8 @@
     /// Nodes that share what is bounded over all of them. Before any is known
     /// there may be many.
     fn node_count(&self) -> usize {
-        const UNKNOWN: usize = 16;
         match self.views.nodes.len() {
-            0 => UNKNOWN,
+            0 => UNKNOWN_NODES,
             known => known,
         }
     }
