--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -118,6 +118,7 @@
         let rests = draw_rests(seed, end, size).into_iter();
         faults.extend(rests.filter(|fault| fault.at_ms < end));
         faults.extend(draw_going_back(seed, end, size));
+        faults.extend(draw_long_pauses(seed, end, size));
         faults.sort_by_key(|fault| fault.at_ms);
         Self { faults }
     }
@@ -229,6 +230,23 @@
         .collect()
 }
 
+/// In one run of two, upstreams that hold keys stand still for longer than their holds, and
+/// up to the time for which an order counts that may lie with one: from a generator of its
+/// own, as above.
+fn draw_long_pauses(seed: u64, end_ms: u64, size: Size) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x9A05_0000);
+    if random.random_bool(0.5) {
+        return Vec::new();
+    }
+    let count = random.random_range(1..=2);
+    let pauses = (0..count).map(|_| PlannedFault {
+        at_ms: random.random_range(0..end_ms.max(1)),
+        for_ms: random.random_range(5_000..15_000),
+        fault: SoakFault::UpstreamPause(random.random_range(0..size.keyed)),
+    });
+    pauses.collect()
+}
+
 /// Planned work in a series, one step a machine, as operators and platforms do it. It
 /// overlaps other series and faults.
 fn draw_series(random: &mut ChaCha8Rng, begin_ms: u64, size: Size) -> Vec<PlannedFault> {
