A grant is sent to a process only that has just answered a question

What callers saw: two upstreams worked on the same keys.

Cause: a process that stands still has a kernel that takes bytes for it, for any time. What it then has in its buffers is decided by what was sent to it.

Mend: before each grant the connection is asked something that gives nothing: the release of a key that another upstream holds, under a token below those of all grants. Without an answer in half a second the grant is not written, which costs its keys nothing but the usual wait. So a process that stands still has a question in its buffers. What is left: one that stops between its answer and the grant, some milliseconds later, and stands for longer than 15 s.

A grant was left lying while the store was away, all processes were killed, and the store came back from an older copy: no record could name the doubt. Ruled out: to count the lifetime of orders wherever records are doubted or lost; it breaks keys_of_an_unreadable_part_are_granted_once_their_grants_have_run_out and keys_that_went_on_unseen_go_to_nobody_before_their_grants_have_run_out.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -281,6 +281,7 @@
                 tasks.push(OrderTask {
                     service: service.clone(),
                     address: self.addresses.get(&order.holder).copied(),
+                    asks_about: granter.key_of_others(&order.holder),
                     order,
                     until: authority.until,
                 });
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -10,7 +10,7 @@
     SlotReply, SlotRequest, Suspicion, Ticket, TrialReply, TrialReport, TrialRequest, UpstreamHash,
 };
 use beamtray_metastore::{StoreCall, StoreEra, StoreOutcome};
-use beamtray_sharding::{DoubtNotice, FenceNotice, GrantOrder, GrantReply, OwnedAgain};
+use beamtray_sharding::{DoubtNotice, FenceNotice, GrantOrder, GrantReply, OwnedAgain, ShardKey};
 use beamtray_types::{ServiceName, Time};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
@@ -89,6 +89,9 @@
     pub address: Option<SocketAddr>,
     /// The order.
     pub order: GrantOrder,
+    /// A key that the upstream does not hold: it is asked to release that before a grant, so
+    /// that no grant is sent to a process that does not read. None if it holds them all.
+    pub asks_about: Option<ShardKey>,
     /// Until when it may be sent.
     pub until: Time,
 }
--- a/crates/router/src/core/standby.rs
+++ b/crates/router/src/core/standby.rs
@@ -267,6 +267,7 @@
                 Some(OrderTask {
                     service: service.clone(),
                     address: addresses.get(&order.holder).copied(),
+                    asks_about: key_of_others(assignment, &order.holder),
                     order,
                     until: self.word_until,
                 })
@@ -333,3 +334,13 @@
         }
     }
 }
+
+/// A key that another upstream holds, if there is one.
+fn key_of_others(assignment: &Assignment, holder: &UpstreamId) -> Option<ShardKey> {
+    let mut slices = assignment.slices();
+    let of_others = slices.find(|slice| match &slice.state {
+        SliceState::Held { holder: other, .. } => other.name != holder.name,
+        SliceState::Free | SliceState::Leaving { .. } => false,
+    });
+    of_others.map(|slice| slice.range.first)
+}
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -5,7 +5,8 @@
 use crate::shell::handle::Shared;
 use beamtray_dialect::{CallMethod, HttpAnswer, HttpCall};
 use beamtray_metastore::{StoreCall, StoreOutcome};
-use beamtray_sharding::{GrantReply, OrderKind};
+use beamtray_sharding::{GrantOrder, GrantReply, OrderKind};
+use beamtray_types::Time;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
@@ -98,21 +99,48 @@
 }
 
 async fn give(shared: &Shared, address: SocketAddr, task: &OrderTask) -> GrantReply {
-    let connections = &shared.order_connections;
     // The right to grant is looked at right before the order is written: the process may
     // have stood still since it was decided on, and a connection may take long.
     let right_left = task.until.since(shared.now());
     if right_left.is_zero() {
         return GrantReply::Undelivered;
     }
+    let is_grant = matches!(task.order.kind, OrderKind::Grant { .. });
+    if let Some(key) = task.asks_about.filter(|_| is_grant) {
+        let question = task.order.question(key);
+        match exchange(shared, address, &question, GRANT_TIMEOUT, task.until).await {
+            GrantReply::Replaced => return GrantReply::Replaced,
+            // The grant itself was not written.
+            GrantReply::Undelivered
+            | GrantReply::Unanswered
+            | GrantReply::InDoubt
+            | GrantReply::BrokenOff => return GrantReply::Undelivered,
+            GrantReply::Granted
+            | GrantReply::Outdated
+            | GrantReply::Released(_)
+            | GrantReply::Rejected => {}
+        }
+    }
     let limit = match task.order.kind {
         OrderKind::Grant { .. } => GRANT_TIMEOUT,
         OrderKind::Release => RELEASE_TIMEOUT,
     };
-    let call = shared.dialect.encode_order(&task.order);
-    let progress = CallProgress::repeatable().before(shared.clock.clone(), task.until);
+    exchange(shared, address, &task.order, limit, task.until).await
+}
+
+/// Writes an order, unless it is later than `until` by then, and waits so long for the answer.
+async fn exchange(
+    shared: &Shared,
+    address: SocketAddr,
+    order: &GrantOrder,
+    limit: Duration,
+    until: Time,
+) -> GrantReply {
+    let connections = &shared.order_connections;
+    let call = shared.dialect.encode_order(order);
+    let progress = CallProgress::repeatable().before(shared.clock.clone(), until);
     match timeout(limit, send(shared, connections, address, call, &progress)).await {
-        Ok(Ok(answer)) => match shared.dialect.decode_order(&task.order.kind, &answer) {
+        Ok(Ok(answer)) => match shared.dialect.decode_order(&order.kind, &answer) {
             // The answer of another call: that of the order did not come.
             GrantReply::Unanswered => GrantReply::InDoubt,
             reply => reply,
--- /dev/null
+++ b/crates/routersim/tests/lying_order_and_old_store.rs
@@ -0,0 +1,11 @@
+//! An order that is left lying while the store goes back to an older copy.
+
+use beamtray_routersim::{WorldSize, explore_further};
+
+/// A grant was given up on while the store was away, all processes were killed, and the store
+/// came back from before: no record told of the grant, and it was taken after its keys went on.
+#[test]
+fn a_grant_that_no_record_could_tell_of_is_not_taken_after_its_keys_went_on() {
+    let outcome = explore_further(WorldSize::Drawn, 9_000_118);
+    assert_eq!(outcome.violations, []);
+}
--- a/crates/sharding/src/granter/orders.rs
+++ b/crates/sharding/src/granter/orders.rs
@@ -21,6 +21,7 @@
 use crate::order::{CallId, GrantOrder, OrderKind};
 use crate::range::ShardKey;
 use crate::slice::{Phase, Slice};
+use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -197,6 +198,16 @@
         })
     }
 
+    /// A key that another upstream holds, if there is one.
+    pub fn key_of_others(&self, holder: &UpstreamId) -> Option<ShardKey> {
+        let of_others = |slice: &&Slice| {
+            let other = slice.holder();
+            other.is_some_and(|other| other.name != holder.name)
+        };
+        let slice = self.slices.values().find(of_others);
+        slice.map(|slice| slice.range.first)
+    }
+
     /// How many orders may be given now.
     fn room(&self, now: Time) -> Room {
         let mut under_way = Room::default();
--- a/crates/sharding/src/order.rs
+++ b/crates/sharding/src/order.rs
@@ -1,6 +1,6 @@
 //! Orders to upstreams and their answers.
 
-use crate::range::KeyRange;
+use crate::range::{KeyRange, ShardKey};
 use crate::record::FencingToken;
 use beamtray_catalog::UpstreamId;
 use std::time::Duration;
@@ -43,6 +43,26 @@
     pub kind: OrderKind,
 }
 
+impl GrantOrder {
+    /// A question to the holder of a grant: the release of a key that it does not hold. Its
+    /// answer tells that the process reads orders now, and it gives nothing.
+    pub fn question(&self, key_of_others: ShardKey) -> Self {
+        Self {
+            call: self.call,
+            holder: self.holder.clone(),
+            range: KeyRange {
+                first: key_of_others,
+                last: key_of_others,
+            },
+            token: QUESTION_TOKEN,
+            kind: OrderKind::Release,
+        }
+    }
+}
+
+/// Below all tokens of grants, so that a question that is read late outdates none.
+const QUESTION_TOKEN: FencingToken = FencingToken(1);
+
 /// How an order ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GrantReply {
--- a/crates/sharding/tests/doubt.rs
+++ b/crates/sharding/tests/doubt.rs
@@ -200,3 +200,38 @@
     }
     assert_eq!(doubted, 0);
 }
+
+/// A grant goes to a process only that has just answered: what lies in the buffers of one
+/// that stands still is a question.
+#[test]
+fn a_question_is_about_a_key_of_another_and_outdates_nothing() {
+    let mut granter = granted();
+    let grants = granter
+        .poll(at(2_700))
+        .into_iter()
+        .filter(|order| is_grant(order));
+    let grants: Vec<GrantOrder> = grants.collect();
+    assert!(!grants.is_empty());
+    granter.not_written();
+    let record = granter.record().expect("a record");
+    for grant in grants {
+        let key = granter.key_of_others(&grant.holder).expect("there are two");
+        let slice = record.slice(key).expect("a slice");
+        let holds = |state: &SliceState| matches!(state, SliceState::Held { holder, .. } if *holder == grant.holder);
+        assert!(!holds(&slice.state));
+        let question = grant.question(key);
+        assert_eq!(question.kind, OrderKind::Release);
+        assert_eq!(question.range.len(), 1);
+        assert!(question.token < grant.token);
+    }
+}
+
+#[test]
+fn who_holds_all_keys_is_asked_nothing() {
+    let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
+    granter.set_candidates(at(0), [ready("a", None)]);
+    granter.poll(at(1_500));
+    write_record(&mut granter, at(1_510)).expect("the keys were divided");
+    give_all(&mut granter, at(2_000));
+    assert_eq!(granter.key_of_others(&id("a")), None);
+}
--- a/crates/soak/tests/regressions.rs
+++ b/crates/soak/tests/regressions.rs
@@ -37,6 +37,13 @@
     plays_clean("510021");
 }
 
+/// The same after a pause that is longer than any wait for an order that may lie: a grant is
+/// not sent to a process that does not read.
+#[test]
+fn an_upstream_that_stood_still_for_long_takes_no_keys_that_went_on() {
+    plays_clean("510022");
+}
+
 /// Routers that were stopped in turn while keys had no granter sent more repeats than their
 /// service allows in ten seconds.
 #[test]
