--- a/crates/sharding/tests/doubt.rs
+++ b/crates/sharding/tests/doubt.rs
@@ -206,10 +206,7 @@
 #[test]
 fn a_question_is_about_a_key_of_another_and_outdates_nothing() {
     let mut granter = granted();
-    let grants = granter
-        .poll(at(2_700))
-        .into_iter()
-        .filter(|order| is_grant(order));
+    let grants = granter.poll(at(2_700)).into_iter().filter(is_grant);
     let grants: Vec<GrantOrder> = grants.collect();
     assert!(!grants.is_empty());
     granter.not_written();
