Search: an upstream that stands still for any time, and the question before each grant

A step for its beginning, one for its end, at which it reads what came meanwhile; and a granter that asks first. Without the question 14 steps are enough for a counter-case, with it all histories of that length keep the rule (guard); two cuts, a pause and an order left lying, 11 steps, keep it too.

--- a/crates/grantsearch/src/main.rs
+++ b/crates/grantsearch/src/main.rs
@@ -52,6 +52,13 @@
         no_short
     )]
     late: u8,
+    #[options(help = "most upstreams that stand still", default = "0", no_short)]
+    stands: u8,
+    #[options(
+        help = "a grant is only written to a process that has just answered",
+        no_short
+    )]
+    asks_first: bool,
     #[options(help = "most restarts under the same id", default = "0", no_short)]
     same_id: u8,
     #[options(help = "most restarts under another id", default = "0", no_short)]
@@ -115,6 +122,7 @@
     scope.upstreams = arguments.upstreams.clamp(2, 3);
     scope.ranges = arguments.ranges.clamp(1, 2);
     scope.standby = arguments.standby;
+    scope.asks_first = arguments.asks_first;
     scope.owned_within = arguments.owned_within.map(Duration::from_millis);
     scope.longest_pass = Duration::from_millis(arguments.longest_pass);
     scope.tells_lives_apart = arguments.tells_lives_apart;
@@ -123,6 +131,7 @@
         cuts: arguments.cuts,
         messages: arguments.messages,
         late: arguments.late,
+        stands: arguments.stands,
         restarts_same_id: arguments.same_id,
         restarts_new_id: arguments.new_id,
         drains: arguments.drains,
@@ -137,6 +146,7 @@
             "waits_for_lapse" => &mut guards.waits_for_lapse,
             "respects_predecessor" => &mut guards.respects_predecessor,
             "counts_unanswered" => &mut guards.counts_unanswered,
+            "waits_for_doubt" => &mut guards.waits_for_doubt,
             "waits_for_standbys" => &mut guards.waits_for_standbys,
             "fences_lost_holders" => &mut guards.fences_lost_holders,
             other => return Err(eyre!("there is no guard {other}")),
--- a/crates/grantsearch/src/scope.rs
+++ b/crates/grantsearch/src/scope.rs
@@ -23,6 +23,9 @@
     /// Orders that an upstream leaves unanswered and carries out later, whatever becomes of
     /// the path and of the sender.
     pub late: u8,
+    /// Times that an upstream's process stands still, for any time, while its machine takes
+    /// orders for it.
+    pub stands: u8,
     /// Upstreams that start again under their id.
     pub restarts_same_id: u8,
     /// Upstreams that start again under another id.
@@ -51,6 +54,8 @@
     pub transport: Transport,
     /// Timing and guards of all granters.
     pub timing: GranterTiming,
+    /// Whether a grant is only written to a process that has just answered.
+    pub asks_first: bool,
     /// What may happen.
     pub faults: Faults,
     /// Longest time that passes in one step if nothing happens. A fault begins or ends
@@ -79,6 +84,7 @@
             standby: false,
             transport,
             timing: timing(),
+            asks_first: false,
             faults: Faults::default(),
             longest_pass: LONGEST_PASS,
             only: None,
--- a/crates/grantsearch/src/transport.rs
+++ b/crates/grantsearch/src/transport.rs
@@ -59,6 +59,8 @@
     Path,
     /// At the upstream, which has not carried it out yet.
     Upstream,
+    /// In the buffers of an upstream that stands still: it carries it out as it goes on.
+    Buffers,
 }
 
 /// How a call ends if no answer comes.
--- a/crates/grantsearch/src/world.rs
+++ b/crates/grantsearch/src/world.rs
@@ -37,6 +37,10 @@
     Cut(usize),
     /// It heals.
     Heal(usize),
+    /// An upstream's process stands still.
+    Stand(usize),
+    /// It goes on, with what is in its buffers.
+    GoOn(usize),
     /// An upstream ends and starts again under its id.
     RestartSameId(usize),
     /// An upstream ends and starts again under another id.
@@ -86,6 +90,8 @@
 #[derive(Clone, Debug, Default)]
 struct Path {
     is_cut: bool,
+    /// The upstream's process stands still.
+    is_still: bool,
     healed_at: Option<Time>,
     /// When the upstream is up again after a restart.
     back_at: Option<Time>,
@@ -216,6 +222,8 @@
             Step::CopyArrives(index) => self.copy_arrives(index),
             Step::Cut(upstream) => self.cut(upstream),
             Step::Heal(upstream) => self.heal(upstream),
+            Step::Stand(upstream) => self.stand(upstream),
+            Step::GoOn(upstream) => self.go_on(upstream),
             Step::RestartSameId(upstream) => self.restart(upstream, true),
             Step::RestartNewId(upstream) => self.restart(upstream, false),
             Step::Drain(upstream) => self.drain(upstream),
--- a/crates/grantsearch/src/world/faults.rs
+++ b/crates/grantsearch/src/world/faults.rs
@@ -25,6 +25,11 @@
                 steps.push(Step::Cut(index));
             }
             let is_up = path.back_at.is_none();
+            if path.is_still {
+                steps.push(Step::GoOn(index));
+            } else if is_up && self.left.stands > 0 {
+                steps.push(Step::Stand(index));
+            }
             if is_up && !path.is_draining && self.left.drains > 0 {
                 steps.push(Step::Drain(index));
             }
@@ -75,6 +80,29 @@
         self.note(|| format!("the path to {id} heals"));
     }
 
+    pub(super) fn stand(&mut self, index: usize) {
+        self.left.stands -= 1;
+        self.paths[index].is_still = true;
+        let id = self.upstreams[index].id.clone();
+        self.note(|| format!("{id} stands still"));
+    }
+
+    /// What lies in its buffers is read at once, in the order in which it came.
+    pub(super) fn go_on(&mut self, index: usize) {
+        self.paths[index].is_still = false;
+        let id = self.upstreams[index].id.clone();
+        self.note(|| format!("{id} goes on"));
+        let copies = std::mem::take(&mut self.copies);
+        let (read, others) = copies
+            .into_iter()
+            .partition(|copy| copy.place == Place::Buffers && self.index_of(&copy.order) == index);
+        self.copies = others;
+        let read: Vec<HeldCopy> = read;
+        for copy in read {
+            self.read_from_buffers(&copy);
+        }
+    }
+
     /// What an upstream held and knew is gone at once; it is up again later.
     pub(super) fn restart(&mut self, index: usize, same_id: bool) {
         let old = &self.upstreams[index];
--- a/crates/grantsearch/src/world/orders.rs
+++ b/crates/grantsearch/src/world/orders.rs
@@ -39,7 +39,7 @@
 
 impl World {
     /// The index of the upstream at whose address an order goes: the first letter tells it.
-    fn index_of(&self, order: &GrantOrder) -> usize {
+    pub(super) fn index_of(&self, order: &GrantOrder) -> usize {
         let letter = order.holder.name.0.bytes().next().unwrap_or(b'a');
         usize::from(letter - b'a')
     }
@@ -60,6 +60,18 @@
                 .handle(self.now, order.call, GrantReply::Undelivered);
             return false;
         }
+        let is_grant = matches!(order.kind, OrderKind::Grant { .. });
+        if self.scope.asks_first && is_grant && (path.is_cut || path.is_still) {
+            // The question gets no answer, so the grant is not written.
+            let wait = self.scope.timing.order_wait;
+            self.wait(order, wait, NoAnswer::Undelivered);
+            return false;
+        }
+        if path.is_still && !path.is_cut {
+            self.note(|| format!("{} lies in its buffers", words(&order)));
+            self.leave_unanswered(order, Place::Buffers);
+            return true;
+        }
         if path.is_cut && had_connection {
             self.note(|| format!("{} is written into the cut", words(&order)));
             self.leave_unanswered(order, Place::Path);
@@ -137,7 +149,7 @@
         };
         let without_answer = match place {
             Place::Path => NoAnswer::Unanswered,
-            Place::Upstream => NoAnswer::InDoubt,
+            Place::Upstream | Place::Buffers => NoAnswer::InDoubt,
         };
         self.wait(order, wait, without_answer);
     }
@@ -223,8 +235,9 @@
     pub(super) fn may_arrive(&self, copy: &HeldCopy) -> bool {
         let path = &self.paths[self.index_of(&copy.order)];
         match copy.place {
-            Place::Path => path.is_open(),
-            Place::Upstream => path.back_at.is_none(),
+            Place::Path => path.is_open() && !path.is_still,
+            Place::Upstream => path.back_at.is_none() && !path.is_still,
+            Place::Buffers => false,
         }
     }
 
@@ -239,9 +252,13 @@
             is_excluded,
         };
         let reply = self.take(&copy.order, arrival);
-        if !on_way {
-            return;
+        if on_way {
+            self.answer(&copy, reply);
         }
+    }
+
+    /// The answer to a copy comes to its sender, if that still waits.
+    fn answer(&mut self, copy: &HeldCopy, reply: GrantReply) {
         let Some(process) = &mut self.process else {
             return;
         };
@@ -256,6 +273,17 @@
         }
     }
 
+    /// An upstream that stood still reads an order; nobody waits for it any more, or somebody
+    /// does.
+    pub(super) fn read_from_buffers(&mut self, copy: &HeldCopy) {
+        let arrival = Arrival {
+            is_late: true,
+            is_excluded: false,
+        };
+        let reply = self.take(&copy.order, arrival);
+        self.answer(copy, reply);
+    }
+
     /// Calls whose time is over are given up on; whether one that was sent is.
     pub(super) fn end_calls(&mut self) -> bool {
         let now = self.now;
--- a/crates/grantsearch/tests/guards.rs
+++ b/crates/grantsearch/tests/guards.rs
@@ -19,6 +19,7 @@
     cuts: 1,
     messages: 0,
     late: 0,
+    stands: 0,
     restarts_same_id: 0,
     restarts_new_id: 0,
     drains: 0,
@@ -92,6 +93,21 @@
     assert_needed(&reset().with(faults), 12, guards);
 }
 
+/// No wait is long enough for a process that stands still for any time.
+#[test]
+fn a_grant_must_go_to_a_process_only_that_has_just_answered() {
+    let faults = Faults {
+        cuts: 0,
+        stands: 1,
+        ..CUT
+    };
+    let without = reset().with(faults);
+    let mut with = without;
+    with.asks_first = true;
+    find(&without, 14);
+    assert_kept(&with, 14);
+}
+
 /// Neither the end of all holds nor a reset is enough: a granter that stands still closes
 /// no connection.
 #[test]
--- a/crates/grantsearch/tests/kept.rs
+++ b/crates/grantsearch/tests/kept.rs
@@ -37,6 +37,19 @@
     assert_kept(&reset().with(faults), 14);
 }
 
+/// A process that stands still for any time, beside all else that may leave an order lying.
+#[test]
+fn with_an_upstream_that_stands_still_for_any_time() {
+    let mut scope = reset().with(Faults {
+        cuts: 2,
+        stands: 1,
+        late: 1,
+        ..Faults::default()
+    });
+    scope.asks_first = true;
+    assert_kept(&scope, 11);
+}
+
 #[test]
 fn with_a_granter_succeeded_twice() {
     let faults = Faults {
