Records tell for how long keys go to nobody; a term that an era ended is continued as it was

The store came back in a new era; the same node's next term renewed by its records, was told "outdated" by all holders, took the keys for gone on unseen and wrote them down as free, to be withheld.

Mend: the head names keys in doubt and keys withheld, with the time that is left, and is written again every 2 s meanwhile; a successor counts from its own start. What a term would have written next stays with the node when an era ends it, and its next term goes on from that.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -19,7 +19,7 @@
     StoreOutcome, Transaction, Write,
 };
 use beamtray_sharding::{
-    Assignment, BalanceLimits, GrantOrder, GrantReply, GranterTiming, KeyRange,
+    Assignment, AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, GranterTiming, KeyRange,
 };
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
@@ -100,6 +100,8 @@
     era: StoreEra,
     /// The last term of this node that had its grants, if an era ended it.
     last_term: Option<Epoch>,
+    /// What that term would have written next.
+    last_records: BTreeMap<ServiceName, AssignmentRecord>,
     /// What was read at the start of the term.
     reading: Option<Snapshot>,
     speeds_at: Time,
@@ -126,6 +128,7 @@
             written: Vec::new(),
             era: StoreEra::default(),
             last_term: None,
+            last_records: BTreeMap::new(),
             reading: None,
             speeds_at: Time::ZERO,
             suspicions: SuspicionWriter::default(),
@@ -171,6 +174,10 @@
         let ended = self.term.take().filter(|term| term.grants.is_some());
         if let Some(term) = ended {
             self.last_term = Some(term.authority.epoch);
+            let grants = term.grants.unwrap_or_default().into_iter();
+            self.last_records = grants
+                .map(|(service, grants)| (service, grants.granter.snapshot()))
+                .collect();
         }
     }
 
--- a/crates/router/src/core/control/term.rs
+++ b/crates/router/src/core/control/term.rs
@@ -7,8 +7,10 @@
 use crate::core::message::StoreTask;
 use crate::core::views::{Snapshot, ViewName};
 use beamtray_metastore::{Authority, Epoch, Item, Revision, StoreCall, StoreOutcome};
+use beamtray_sharding::AssignmentRecord;
 use beamtray_types::{ServiceName, Time};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Pause between two records, so that changes close together go in one.
@@ -151,9 +153,14 @@
         let first = Epoch::first_of(self.era);
         let newest = known.values().filter_map(|one| one.number()).max();
         let newest = newest.map_or(predecessor, |newest| newest.epoch.max(predecessor));
+        let continues = self.last_term.is_some_and(|own| own >= newest);
         let trust = RecordTrust {
             proven_from: first,
-            continues: self.last_term.is_some_and(|own| own >= newest),
+            continues,
+        };
+        let known = match continues {
+            true => &with_last_records(known, &self.last_records),
+            false => known,
         };
         term.lacks_records = !trust.continues && newest > Epoch(0) && predecessor < first;
         term.grants = Some(adopt(now, timing, epoch, &read, known, trust));
@@ -212,3 +219,21 @@
         term.orders_at = now;
     }
 }
+
+/// What is known, with what this node's last term did not come to write: its holders may have
+/// seen tokens that no record names, and would refuse those of the records.
+fn with_last_records(
+    known: &KnownAssignments,
+    last: &BTreeMap<ServiceName, AssignmentRecord>,
+) -> KnownAssignments {
+    let mut all = known.clone();
+    for (service, record) in last {
+        let assignment = all.entry(service.clone()).or_default();
+        let assignment = Rc::make_mut(assignment);
+        assignment.take_head(record.head());
+        for part in record.parts() {
+            assignment.take_part(part);
+        }
+    }
+    all
+}
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -231,6 +231,9 @@
     departed: BTreeMap<UpstreamId, Time>,
     owned_again: Vec<OwnedAgain>,
     doubt_notices: Vec<DoubtNotice>,
+    /// When records last told for how long keys are in doubt.
+    doubt_told_at: Time,
+    polled_at: Time,
     next_call: u64,
     /// Sequence of the next record.
     next_sequence: u64,
@@ -276,6 +279,8 @@
             departed: BTreeMap::new(),
             owned_again: Vec::new(),
             doubt_notices: Vec::new(),
+            doubt_told_at: now,
+            polled_at: now,
             next_call: 0,
             next_sequence: 1,
             durable: 0,
@@ -322,7 +327,7 @@
                 ),
             };
             let mut slice = new_slice(now, slice.range, phase, lapses);
-            slice.doubt = self.inherited_doubt(now, &slice, &record.doubted);
+            self.inherit_doubt(now, &mut slice, &record.doubted);
             self.slices.insert(slice.range.first, slice);
         }
         if self.timing.guards.fences_lost_holders {
@@ -391,16 +396,21 @@
             return None;
         }
         self.dirty = false;
-        let sequence = self.next_sequence;
+        let record = self.snapshot();
         self.next_sequence += 1;
-        Some(AssignmentRecord {
+        Some(record)
+    }
+
+    /// All that the next record would tell.
+    pub fn snapshot(&self) -> AssignmentRecord {
+        AssignmentRecord {
             epoch: self.epoch,
-            sequence,
+            sequence: self.next_sequence,
             standbys: self.standbys.ids(),
             unfenced: self.unfenced_record(),
-            doubted: self.doubted_ranges(),
+            doubted: self.doubted_keys(),
             slices: self.slices.values().map(Slice::record).collect(),
-        })
+        }
     }
 
     /// Notes that the record of that sequence is durable.
--- a/crates/sharding/src/granter/doubt.rs
+++ b/crates/sharding/src/granter/doubt.rs
@@ -15,18 +15,23 @@
 //!   Keys that were given back meanwhile go to the upstream of the same name again, if it is
 //!   there to stay.
 //!
-//! Records name the keys that are in doubt, and a successor waits the whole time for them.
+//! Records name the keys that are in doubt, and for how much longer; a successor counts from
+//! its own start, which is later.
 //!
 //! Not covered: an upstream that keeps an order for longer than the lifetime of orders, and
 //! one that left a grant lying whose granter ended before it gave that up and wrote so.
 
 use super::{Call, Granter, GranterTiming, Standing};
 use crate::range::{KeyRange, ShardKey};
+use crate::record::DoubtedKeys;
 use crate::slice::{Doubt, Phase, Slice};
 use beamtray_catalog::{UpstreamId, UpstreamName};
 use beamtray_types::Time;
 use std::time::Duration;
 
+/// How often records tell how much doubt is left.
+const TELL_AGAIN: Duration = Duration::from_secs(2);
+
 /// Keys are without an owner for longer than a hold, since their last holder may have left
 /// a grant lying.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,13 +70,20 @@
         }
     }
 
-    /// Ends the doubt of slices of which no grant can lie any more.
+    /// Ends the doubt of slices of which no grant can lie any more, and has records tell again
+    /// how much of it is left: a successor waits for what the last one told.
     pub(super) fn end_doubts(&mut self, now: Time) {
+        let mut is_any = self.withholds_any();
         for slice in self.slices.values_mut() {
             if slice.doubt.as_ref().is_some_and(|doubt| now >= doubt.until) {
                 slice.doubt = None;
                 self.dirty = true;
             }
+            is_any |= slice.doubt.is_some();
+        }
+        if is_any && now.since(self.doubt_told_at) >= TELL_AGAIN {
+            self.doubt_told_at = now;
+            self.dirty = true;
         }
     }
 
@@ -108,29 +120,43 @@
         }
     }
 
-    /// What the next record tells of keys in doubt.
-    pub(super) fn doubted_ranges(&self) -> Vec<KeyRange> {
+    /// What the next record tells of keys in doubt, and of those that go to nobody.
+    pub(super) fn doubted_keys(&self) -> Vec<DoubtedKeys> {
         let slices = self.slices.values();
-        let doubted = slices.filter(|slice| slice.doubt.is_some());
-        doubted.map(|slice| slice.range).collect()
+        let doubted = slices.filter_map(|slice| {
+            let doubt = slice.doubt.as_ref()?;
+            Some((slice.range, doubt.until))
+        });
+        let all = doubted.chain(self.withheld_keys());
+        let left = all.map(|(range, until)| DoubtedKeys {
+            range,
+            left_ms: u32::try_from(until.since(self.polled_at).as_millis()).unwrap_or(u32::MAX),
+        });
+        left.collect()
     }
 
-    /// The doubt of a slice of a record that is taken over: for how long it was is not told.
-    pub(super) fn inherited_doubt(
-        &self,
-        now: Time,
-        slice: &Slice,
-        doubted: &[KeyRange],
-    ) -> Option<Doubt> {
+    /// Takes over what a record says of the doubt of a slice. Keys without a holder go to nobody
+    /// meanwhile.
+    pub(super) fn inherit_doubt(&mut self, now: Time, slice: &mut Slice, doubted: &[DoubtedKeys]) {
         let guards = self.timing.guards;
-        let is_doubted = doubted.iter().any(|range| range.overlaps(slice.range));
-        if !is_doubted || !guards.waits_for_doubt || !guards.respects_predecessor {
-            return None;
+        let of_slice = doubted
+            .iter()
+            .filter(|keys| keys.range.overlaps(slice.range));
+        let left = of_slice.map(|keys| keys.left_ms).max();
+        let Some(left) = left.filter(|_| guards.respects_predecessor) else {
+            return;
+        };
+        let until = now + Duration::from_millis(left.into());
+        match slice.current() {
+            Some(holder) if guards.waits_for_doubt => {
+                slice.doubt = Some(Doubt {
+                    upstream: holder.name.clone(),
+                    until,
+                });
+            }
+            Some(_) => {}
+            None => self.withhold_until(slice.range, until),
         }
-        Some(Doubt {
-            upstream: slice.current()?.name.clone(),
-            until: self.timing.doubt_end(now, self.timing.longest_hold()),
-        })
     }
 
     /// Keys that wait since their holder may have left a grant lying, since the last call.
--- a/crates/sharding/src/granter/orders.rs
+++ b/crates/sharding/src/granter/orders.rs
@@ -90,6 +90,7 @@
             return Vec::new();
         }
         self.found(now);
+        self.polled_at = now;
         self.take_from_leavers(now);
         self.end_doubts(now);
         self.free_lapsed(now);
--- a/crates/sharding/src/granter/withheld.rs
+++ b/crates/sharding/src/granter/withheld.rs
@@ -3,7 +3,9 @@
 //! Invariant: where the record of a granter before can't be read, its keys go to nobody
 //! until every grant that it may have given there has run out, and every order of a standby
 //! that still knows the record. That is the wait for a holder that does not answer, and no
-//! longer: 3.3 s, or 8.5 s with the longest holds, in which nobody serves these keys.
+//! longer: 3.3 s, or 8.5 s with the longest holds, in which nobody serves these keys. Records
+//! name them. Counter-case: a granter found that all keys had gone on unseen and wrote them
+//! down as free; it was killed, and its successor gave them away beside their holders.
 
 use super::Granter;
 use crate::range::{KeyRange, ShardKey};
@@ -28,6 +30,16 @@
         self.withheld.push(WithheldKeys { range, until });
     }
 
+    /// Has keys go to nobody until then.
+    pub(super) fn withhold_until(&mut self, range: KeyRange, until: Time) {
+        self.withheld.push(WithheldKeys { range, until });
+    }
+
+    /// The keys that go to nobody, and until when.
+    pub(super) fn withheld_keys(&self) -> impl Iterator<Item = (KeyRange, Time)> {
+        self.withheld.iter().map(|keys| (keys.range, keys.until))
+    }
+
     /// Takes over at `now` a record that may be older than the last grants: the store may have
     /// gone back since it was written.
     ///
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -26,6 +26,8 @@
 pub use order::{CallId, GrantOrder, GrantReply, Handover, OrderKind};
 pub use part::{Assignment, AssignmentHead, AssignmentPart, Part};
 pub use range::{KeyRange, ShardKey};
-pub use record::{AssignmentRecord, FencingToken, RecordNumber, SliceRecord, SliceState};
+pub use record::{
+    AssignmentRecord, DoubtedKeys, FencingToken, RecordNumber, SliceRecord, SliceState,
+};
 pub use slice::{LossCause, OwnedAgain};
 pub use standby::{STANDBY_SPAN, StandbyAnswer, StandbyId};
--- a/crates/sharding/src/part.rs
+++ b/crates/sharding/src/part.rs
@@ -12,7 +12,9 @@
 
 use crate::lost_holders::UnfencedUpstream;
 use crate::range::{KeyRange, ShardKey};
-use crate::record::{AssignmentRecord, FencingToken, RecordNumber, SliceRecord, SliceState};
+use crate::record::{
+    AssignmentRecord, DoubtedKeys, FencingToken, RecordNumber, SliceRecord, SliceState,
+};
 use crate::standby::StandbyId;
 use beamtray_catalog::UpstreamId;
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -73,8 +75,8 @@
     pub standbys: Vec<StandbyId>,
     /// Upstreams that may still take old grants of keys that they lost.
     pub unfenced: Vec<UnfencedUpstream>,
-    /// Keys of which a grant may lie with their holder.
-    pub doubted: Vec<KeyRange>,
+    /// Keys of which a grant may lie with an upstream, or be in force unseen.
+    pub doubted: Vec<DoubtedKeys>,
 }
 
 /// The slices of one part, in the order of their keys, without gaps.
@@ -273,7 +275,7 @@
     }
 
     /// Keys of which a grant may lie with their holder.
-    fn doubted(&self) -> &[KeyRange] {
+    fn doubted(&self) -> &[DoubtedKeys] {
         let head = self.head.as_ref();
         head.map_or(&[], |head| &head.doubted)
     }
--- a/crates/sharding/src/record.rs
+++ b/crates/sharding/src/record.rs
@@ -89,6 +89,15 @@
     pub sequence: u64,
 }
 
+/// Keys that go to nobody for a while unless they are given back.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct DoubtedKeys {
+    /// The keys.
+    pub range: KeyRange,
+    /// For how long at most, in milliseconds from when the record was written.
+    pub left_ms: u32,
+}
+
 /// All slices of one service, in the order of their keys, without gaps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AssignmentRecord {
@@ -100,8 +109,8 @@
     pub standbys: Vec<StandbyId>,
     /// Upstreams that may still take old grants of keys that they lost.
     pub unfenced: Vec<UnfencedUpstream>,
-    /// Keys whose holder, or the one that they are taken from, may have left a grant lying.
-    pub doubted: Vec<KeyRange>,
+    /// Keys of which a grant may lie with an upstream, or be in force unseen.
+    pub doubted: Vec<DoubtedKeys>,
     /// The slices.
     pub slices: Vec<SliceRecord>,
 }
--- a/crates/sharding/tests/doubt.rs
+++ b/crates/sharding/tests/doubt.rs
@@ -5,7 +5,7 @@
 use beamtray_catalog::{Birth, UpstreamId};
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
-    AssignmentRecord, Candidate, GrantOrder, GrantReply, Granter, OrderKind, SliceState,
+    AssignmentRecord, Candidate, GrantOrder, GrantReply, Granter, KeyRange, OrderKind, SliceState,
 };
 use common::*;
 
@@ -133,7 +133,8 @@
 fn a_successor_waits_for_the_grant_too() {
     let mut granter = granted();
     let (lying, given_up, record) = left_lying(&mut granter);
-    assert_eq!(record.doubted, [lying.range]);
+    let doubted: Vec<KeyRange> = record.doubted.iter().map(|keys| keys.range).collect();
+    assert_eq!(doubted, [lying.range]);
     let begin = given_up + 1_000;
     let mut successor = Granter::new(at(begin), timing(), Epoch(2), Some(&record));
     successor.set_candidates(at(begin), [ready("a", None), ready("b", None)]);
@@ -232,3 +233,65 @@
     give_all(&mut granter, at(2_000));
     assert_eq!(granter.key_of_others(&id("a")), None);
 }
+
+/// Each successor began the wait anew, and keys of an upstream that had ended were without an
+/// owner for 25 s.
+#[test]
+fn successors_do_not_begin_the_wait_anew() {
+    let mut granter = granted();
+    let (lying, given_up, mut record) = left_lying(&mut granter);
+    let mut begin = given_up;
+    for term in 2..6 {
+        begin += 4_000;
+        let mut successor = Granter::new(at(begin), timing(), Epoch(term), Some(&record));
+        successor.set_candidates(at(begin), [ready("a", None), ready("b", None)]);
+        successor.not_written();
+        for now in (begin..begin + 3_000).step_by(10) {
+            for order in successor.poll(at(now)) {
+                match order.holder == id("a") {
+                    true => successor.handle(at(now), order.call, GrantReply::Undelivered),
+                    false => answer(&mut successor, at(now), &order),
+                }
+            }
+            record = write_record(&mut successor, at(now)).unwrap_or(record);
+        }
+    }
+    let mut last = Granter::new(at(begin + 4_000), timing(), Epoch(6), Some(&record));
+    last.set_candidates(at(begin + 4_000), [ready("a", None), ready("b", None)]);
+    let went_on = goes_on_at(&mut last, begin + 4_000, &lying);
+    assert!(went_on <= begin + 4_000 + 8_000, "went on at {went_on}");
+}
+
+/// A granter found that keys had gone on unseen, wrote them down as free and was killed; its
+/// successor gave them away while their holders had them.
+#[test]
+fn keys_that_go_to_nobody_go_to_nobody_at_a_successor() {
+    let mut granter = granted();
+    granter.not_written();
+    let record = granter.record().expect("a record");
+    let mut doubting = Granter::new(at(5_000), timing(), Epoch(2), Some(&record));
+    doubting.doubt_record(at(5_000));
+    doubting.set_candidates(at(5_000), [ready("a", None), ready("b", None)]);
+    for order in doubting.poll(at(5_010)) {
+        doubting.handle(at(5_020), order.call, GrantReply::Outdated);
+    }
+    let record = write_record(&mut doubting, at(5_030)).expect("the keys are nobody's");
+    assert!(
+        record
+            .slices
+            .iter()
+            .all(|one| one.state == SliceState::Free)
+    );
+    let mut successor = Granter::new(at(5_500), timing(), Epoch(3), Some(&record));
+    successor.set_candidates(at(5_500), [ready("a", None), ready("b", None)]);
+    for now in (5_500..8_300).step_by(50) {
+        assert!(successor.poll(at(now)).is_empty(), "at {now}");
+        write_record(&mut successor, at(now));
+    }
+    let mut granted = 0;
+    for now in (8_300..10_000).step_by(50) {
+        granted += successor.poll(at(now)).len();
+        write_record(&mut successor, at(now));
+    }
+    assert!(granted > 0, "they never go to anybody");
+}
