Keys in doubt wait for an upstream that was registered a moment ago

Mend: keys that were given back in doubt wait 4 s for an upstream that left the directory, as long as one that fell silent gets none. One that is known to leave gives its keys on at once, as before.

--- a/crates/sharding/src/granter/doubt.rs
+++ b/crates/sharding/src/granter/doubt.rs
@@ -29,6 +29,8 @@
 use beamtray_types::Time;
 use std::time::Duration;
 
+/// How long an upstream that has given keys back in doubt and left the directory is waited for.
+const RETURN_WAIT: Duration = Duration::from_secs(4);
 /// How often records tell how much doubt is left.
 const TELL_AGAIN: Duration = Duration::from_secs(2);
 
@@ -107,12 +109,19 @@
             match last.map(|one| one.id.clone()) {
                 Some(id) if self.lost_holders.is_unfenced(&id) => {}
                 Some(id) => self.give(now, first, id),
-                // It is not to come back.
+                None if self.may_return(now, &upstream) => {}
                 None => self.forget_doubt(first),
             }
         }
     }
 
+    /// Whether an upstream that is not registered may be so again soon: the entry of a process
+    /// before it ran out and took its own with it.
+    fn may_return(&self, now: Time, upstream: &UpstreamName) -> bool {
+        let mut departed = self.departed.iter();
+        departed.any(|(id, at)| id.name == *upstream && now.since(*at) < RETURN_WAIT)
+    }
+
     fn forget_doubt(&mut self, first: ShardKey) {
         if let Some(slice) = self.slices.get_mut(&first) {
             slice.doubt = None;
