--- a/crates/routersim/tests/lying_order_and_old_store.rs
+++ b/crates/routersim/tests/lying_order_and_old_store.rs
@@ -9,3 +9,10 @@
     let outcome = explore_further(WorldSize::Drawn, 9_000_118);
     assert_eq!(outcome.violations, []);
 }
+
+/// The same in another history: the granter and the store were away when it was given up on.
+#[test]
+fn nor_is_one_of_a_term_whose_records_went_back() {
+    let outcome = explore_further(WorldSize::Drawn, 9_000_482);
+    assert_eq!(outcome.violations, []);
+}
