Finding of drawn histories: two terms right after a store went back; listed

Traced by the terms' records and order lines: 16.833 s, the first term of the era renews under its doubted record and is told "outdated"; at 17.244 s the next one reads a record of the new era that was written before that answer, doubts nothing, is told "outdated" at 17.250 s, raises the token and gives the keys to their recorded holder at 17.253 s, beside who has them. Not mended: the doubt of a whole record would have to stand in the head as that of single keys does.

--- a/crates/routersim/tests/lying_order_and_old_store.rs
+++ b/crates/routersim/tests/lying_order_and_old_store.rs
@@ -16,3 +16,11 @@
     let outcome = explore_further(WorldSize::Drawn, 9_000_482);
     assert_eq!(outcome.violations, []);
 }
+
+/// A term that doubted an older record was told that keys had gone on, and ended before its own
+/// record said so; the next one, 0.4 s later, took the record for proven and gave the keys away.
+#[test]
+fn keys_of_a_doubted_record_stay_doubted_at_a_successor() {
+    let outcome = explore_further(WorldSize::Drawn, 9_100_653);
+    assert_eq!(outcome.violations, []);
+}
