--- a/crates/sharding/tests/common/mod.rs
+++ b/crates/sharding/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "not every test file uses every helper")]
 
 use beamtray_catalog::UpstreamId;
+use beamtray_metastore::Epoch;
 use beamtray_sharding::{
     AssignmentRecord, BalanceLimits, Candidate, GrantOrder, GrantReply, Granter, GranterGuards,
     GranterTiming, OrderKind, SliceState, Standing,
@@ -96,3 +97,13 @@
     });
     of_it.count()
 }
+
+/// All keys granted to "a" and "b", at 2,000 ms.
+pub fn granted() -> Granter {
+    let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
+    granter.set_candidates(at(0), [ready("a", None), ready("b", None)]);
+    granter.poll(at(1_500));
+    write_record(&mut granter, at(1_510)).expect("the keys were divided");
+    give_all(&mut granter, at(2_000));
+    granter
+}
--- a/crates/sharding/tests/doubt.rs
+++ b/crates/sharding/tests/doubt.rs
@@ -14,16 +14,6 @@
 /// lifetime of orders and a hold by a clock that is 2% slow.
 const DOUBT: u64 = 12_000 + 3_060;
 
-/// All keys granted to "a" and "b", at 2,000 ms.
-fn granted() -> Granter {
-    let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
-    granter.set_candidates(at(0), [ready("a", None), ready("b", None)]);
-    granter.poll(at(1_500));
-    write_record(&mut granter, at(1_510)).expect("the keys were divided");
-    give_all(&mut granter, at(2_000));
-    granter
-}
-
 fn is_grant(order: &GrantOrder) -> bool {
     matches!(order.kind, OrderKind::Grant { .. })
 }
--- a/crates/sharding/tests/holds.rs
+++ b/crates/sharding/tests/holds.rs
@@ -4,19 +4,9 @@
 
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{GrantOrder, GrantReply, Granter, GranterTiming};
-use common::{HOLD, answer, at, give_all, id, ready, slices_of, timing, write_record};
+use common::{HOLD, answer, at, give_all, granted, id, ready, slices_of, timing, write_record};
 use std::time::Duration;
 
-/// All keys granted to "a" and "b", at 2,000 ms.
-fn granted() -> Granter {
-    let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
-    granter.set_candidates(at(0), [ready("a", None), ready("b", None)]);
-    granter.poll(at(1_500));
-    write_record(&mut granter, at(1_510)).expect("the keys were divided");
-    give_all(&mut granter, at(2_000));
-    granter
-}
-
 /// Why a holder answers nothing.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Silence {
--- a/crates/sharding/tests/old_grants.rs
+++ b/crates/sharding/tests/old_grants.rs
@@ -17,21 +17,11 @@
     AssignmentRecord, FencingToken, GrantOrder, GrantReply, Granter, KeyRange, OrderKind, ShardKey,
     SliceRecord, SliceState, UnfencedUpstream,
 };
-use common::{LIMITS, answer, at, give_all, id, ready, slices_of, timing, write_record};
+use common::{LIMITS, answer, at, granted, id, ready, slices_of, timing, write_record};
 
 /// Between two ends of the time in which a path is whole and the old holder hears nothing.
 const LONGEST_PAUSE: u64 = 300;
 
-/// All keys granted to "a" and "b", at 2,000 ms.
-fn granted() -> Granter {
-    let mut granter = Granter::new(at(0), timing(), Epoch(1), None);
-    granter.set_candidates(at(0), [ready("a", None), ready("b", None)]);
-    granter.poll(at(1_500));
-    write_record(&mut granter, at(1_510)).expect("the keys were divided");
-    give_all(&mut granter, at(2_000));
-    granter
-}
-
 /// A granter whose holder "a" is cut off from 2,010 ms on.
 struct Cut {
     granter: Granter,
--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -112,6 +112,26 @@
     Path::new(env!("CARGO_BIN_EXE_beamtray-soak"))
 }
 
+/// Plays runs of the soak, each of which has to keep every promise.
+pub fn plays_clean(arguments: &[&str], folder: &str) {
+    let router = soak().with_file_name("beamtray");
+    assert!(
+        router.exists(),
+        "{} is not built: cargo build -p beamtray-node",
+        router.display()
+    );
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder);
+    let run = Program::new(soak())
+        .args(arguments)
+        .arg("--folder")
+        .arg(&folder)
+        .output()
+        .expect("the soak starts");
+    let told = String::from_utf8_lossy(&run.stdout);
+    let errors = String::from_utf8_lossy(&run.stderr);
+    assert!(run.status.success(), "{told}{errors}");
+}
+
 /// Starts a router; where clients reach it.
 pub fn router(folder: &Path, node: usize, store: SocketAddr) -> (SocketAddr, Process) {
     let addresses = free_addresses(4);
