Soak: a run claims its ports, so that two runs never share them

Ports went by the process id modulo 220; the two runs' ids had the same rest, so routers of one sent requests to upstreams of the other.

Its bound is that runs of one size claim the same blocks; runs of different sizes may still overlap.

--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -4,6 +4,8 @@
 mod faults;
 mod ports;
 
+pub use ports::Ports;
+
 use crate::checker::{Verdict, check};
 use crate::clock;
 use crate::config::RECOVERY;
--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -88,7 +88,7 @@
         let folder = settings.folder.clone();
         let own = std::env::current_exe()?;
         let size = settings.size;
-        let ports = Ports::of_this_process(size);
+        let ports = Ports::claim(size)?;
         let store_address = ports.free_address()?;
         let arguments = vec![
             "store".to_owned(),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -29,7 +29,7 @@
     UpstreamEnd, Verdict, check,
 };
 pub use config::{HOST, ORDER, PROBE};
-pub use driver::{RunSettings, play, shorten};
+pub use driver::{Ports, RunSettings, play, shorten};
 pub use message::{CallerEnd, Command, Observation, Report};
 pub use plan::{Plan, PlannedFault, SoakFault};
 pub use proxy::{Harm, LinkHarm, Proxy};
