Simulator: a log of the orders, terms and faults of a history

A violation names one grant.

`--extended` draws leaving upstreams, retry-after periods and store rollbacks as well; `--events` prints the log of each history that violates an invariant.

--- a/crates/routersim/src/lib.rs
+++ b/crates/routersim/src/lib.rs
@@ -4,12 +4,14 @@
 
 mod check;
 mod dialect;
+mod event_log;
 mod fault;
 mod guard;
 mod world;
 
 pub use check::{Checkers, GrantObservation, Holder, Invariant, OtherHolder, Violation};
 pub use dialect::SimDialect;
+pub use event_log::{LogEntry, LoggedEvent};
 pub use fault::{CutFrom, Fault, FaultKind, FaultPlan};
 pub use guard::Guard;
 pub use world::{
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -17,6 +17,7 @@
 use crate::check::{COLD_RATE, COLD_START};
 use crate::check::{Checkers, Violation};
 use crate::dialect::SimDialect;
+use crate::event_log::{EventLog, LogEntry};
 use crate::fault::{Fault, FaultPlan};
 use crate::guard::Guard;
 use beamtray_catalog::{
@@ -108,6 +109,8 @@
     pub disabled_guard: Option<Guard>,
     /// How a node closes the connection of an order that timed out.
     pub close_mode: CloseMode,
+    /// Whether the outcome contains the events that decide about ownership.
+    pub logs_events: bool,
 }
 
 impl WorldConfig {
@@ -125,6 +128,7 @@
             rate: random.random_range(20..50),
             disabled_guard: None,
             close_mode: CloseMode::default(),
+            logs_events: false,
         }
     }
 
@@ -219,6 +223,8 @@
     pub releases: usize,
     /// Faults of the history.
     pub plan: FaultPlan,
+    /// Events that decide about ownership, if they were logged.
+    pub events: Vec<LogEntry>,
 }
 
 /// A client request in progress.
@@ -261,6 +267,7 @@
     pub(crate) asked: BTreeMap<(usize, u64, Ticket), ClientRequest>,
     pub(crate) configurations: Vec<(Time, u64)>,
     pub(crate) checkers: Checkers,
+    pub(crate) event_log: EventLog,
     pub(crate) request_count: usize,
     pub(crate) served_count: usize,
     pub(crate) quarantined_count: usize,
@@ -294,6 +301,7 @@
             asked: BTreeMap::new(),
             configurations: Vec::new(),
             checkers: Checkers::default(),
+            event_log: EventLog::new(config.logs_events),
             request_count: 0,
             served_count: 0,
             quarantined_count: 0,
@@ -408,6 +416,7 @@
             plan: FaultPlan {
                 faults: self.faults,
             },
+            events: self.event_log.into_entries(),
         }
     }
 }
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -3,6 +3,7 @@
 use super::World;
 use super::network::Event;
 use crate::check::Sender;
+use crate::event_log::LoggedEvent;
 use crate::fault::{CutFrom, FaultKind};
 use beamtray_catalog::RequestRate;
 use beamtray_sharding::ShardKey;
@@ -19,6 +20,8 @@
         let fault = self.faults[index].clone();
         let duration = fault.duration;
         let mut node = None;
+        self.event_log
+            .add(self.now, || LoggedEvent::FaultBegan(fault.clone()));
         match &fault.kind {
             FaultKind::NodeKill { node: chosen } => {
                 let node = chosen.or_else(|| self.granter());
@@ -194,6 +197,8 @@
     }
 
     pub(super) fn fault_ends(&mut self, kind: &FaultKind, node: Option<usize>) {
+        self.event_log
+            .add(self.now, || LoggedEvent::FaultEnded(kind.clone()));
         match kind {
             FaultKind::UpstreamLeaves { upstream } if self.store_state.down => {
                 let kind = FaultKind::UpstreamLeaves {
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -3,6 +3,7 @@
 use super::World;
 use super::links::WrittenOrder;
 use super::upstreams::Answer;
+use crate::event_log::LoggedEvent;
 use crate::fault::FaultKind;
 use beamtray_catalog::{UpstreamId, UpstreamRecord};
 use beamtray_dispatch::{AttemptOutcome, Forward, Ticket};
@@ -237,16 +238,20 @@
                 order,
                 epoch,
                 reply,
-            } => self.input(
-                node,
-                run,
-                Input::Order {
+            } => {
+                self.event_log.add(self.now, || LoggedEvent::ReplyReceived {
+                    node,
+                    order: order.clone(),
+                    reply: reply.clone(),
+                });
+                let input = Input::Order {
                     service,
                     order,
                     epoch,
                     reply,
-                },
-            ),
+                };
+                self.input(node, run, input);
+            }
             Event::LateOrder {
                 index,
                 order,
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -4,6 +4,7 @@
 use super::{CONNECTED_AFTER, HEARTBEAT, TICK, World};
 use crate::check::Sender;
 use crate::check::{COLD_OVERAGE, COLD_SLACK, DRAIN_TIME, EVACUATION_TIME};
+use crate::event_log::LoggedEvent;
 use crate::guard::Guard;
 use beamtray_dispatch::{AdmissionError, Conclusion, RefusalReason};
 use beamtray_router::core::{
@@ -156,6 +157,7 @@
     pub(super) fn start_node(&mut self, node: usize) {
         let dialect = Rc::new(self.dialect.clone());
         let now = self.now;
+        self.event_log.add(now, || LoggedEvent::NodeStarted(node));
         let slot = &mut self.nodes[node];
         slot.run += 1;
         let run = slot.run;
@@ -173,6 +175,7 @@
     /// Kills a node's process.
     pub(super) fn kill_node(&mut self, node: usize) {
         let now = self.now;
+        self.event_log.add(now, || LoggedEvent::NodeEnded(node));
         let slot = &mut self.nodes[node];
         slot.core = None;
         slot.run += 1;
@@ -324,12 +327,16 @@
                 self.suspicion.log_lines += 1;
                 self.note_remembered(node);
             }
+            Output::Granter(epoch) => self
+                .event_log
+                .add(self.now, || LoggedEvent::Term { node, epoch }),
+            Output::Ownership(_, notice) => self
+                .event_log
+                .add(self.now, || LoggedEvent::Ownership { node, notice }),
             Output::RateLimit(..)
             | Output::ClientLimits(_)
             | Output::ViewChanged(_)
-            | Output::Granter(_)
             | Output::StoreEra { .. }
-            | Output::Ownership(..)
             | Output::Standby(_) => {}
         }
     }
@@ -354,6 +361,11 @@
     /// grant deadline expires before it is sent is dropped.
     fn give_order(&mut self, node: usize, run: Run, task: OrderTask, epoch: u64) {
         let now = self.now;
+        self.event_log.add(now, || LoggedEvent::OrderSent {
+            node,
+            epoch,
+            order: task.order.clone(),
+        });
         let slot = &mut self.nodes[node];
         slot.orders_given = slot.orders_given.max(now) + slot.order_cost;
         let sent_after = slot.orders_given.since(now);
--- a/crates/routersim/src/world/orders.rs
+++ b/crates/routersim/src/world/orders.rs
@@ -3,6 +3,7 @@
 use super::World;
 use super::network::{Event, Run};
 use super::upstreams::{PendingRelease, index_of};
+use crate::event_log::LoggedEvent;
 use beamtray_emulator::Delivery;
 use beamtray_router::core::{GRANT_TIMEOUT, OrderTask};
 use beamtray_sharding::{CallId, GrantOrder, GrantReply, OrderKind};
@@ -51,6 +52,10 @@
         if unanswered && self.chance(LATE_PERCENT) {
             let delay = self.millis(2_000, 12_000);
             let order = pending.order.clone();
+            self.event_log.add(self.now, || LoggedEvent::OrderDelayed {
+                order: order.clone(),
+                delay,
+            });
             let delivery = Delivery {
                 is_late: true,
                 ..delivery
@@ -104,6 +109,12 @@
         let now = self.now;
         let upstream = self.upstreams[index].as_mut()?;
         let reply = upstream.deliver_order(now, order, delivery);
+        self.event_log.add(now, || LoggedEvent::OrderExecuted {
+            upstream: upstream.config.id.clone(),
+            order: order.clone(),
+            is_late: delivery.is_late,
+            reply: reply.clone(),
+        });
         if reply == Some(GrantReply::Granted) {
             self.check_taken(index, order, delivery);
         }
--- a/crates/routersim/src/world/restarts.rs
+++ b/crates/routersim/src/world/restarts.rs
@@ -3,6 +3,7 @@
 use super::network::Event;
 use super::upstreams::{LATE_REGISTRATION_PERCENT, MISSED_HEARTBEATS};
 use super::{HEARTBEAT, World};
+use crate::event_log::LoggedEvent;
 use std::time::Duration;
 
 /// Whether the upstream with this index reports its birth, as most do.
@@ -21,6 +22,9 @@
             return;
         };
         let record = upstream.record();
+        self.event_log.add(self.now, || {
+            LoggedEvent::UpstreamEnded(upstream.config.id.clone())
+        });
         let state = &mut self.upstream_state[index];
         state.dark = dark;
         state.keeps_name = true;
--- a/crates/routersim/src/world/stores.rs
+++ b/crates/routersim/src/world/stores.rs
@@ -3,6 +3,7 @@
 use super::network::{Event, Run};
 use super::{CONNECTED_AFTER, HOUSEKEEPING, World};
 use crate::check::POISON_PERSIST_TIME;
+use crate::event_log::LoggedEvent;
 use crate::fault::{Fault, FaultKind};
 use beamtray_emulator::{StoreEmulator, StoreReply, WatchWait};
 use beamtray_metastore::{StoreCall, StoreEra, StoreOutcome};
@@ -197,6 +198,9 @@
         self.store_state.down = false;
         self.store_state.disturbed = Some(now);
         self.store_state.era.0 += 1;
+        let snapshot_at = self.store_state.kept.as_ref().map(|(at, _)| *at);
+        self.event_log
+            .add(now, || LoggedEvent::StoreRolledBack { snapshot_at });
         if let Some((copy_of, copy)) = self.store_state.kept.take() {
             self.store.restore(copy);
             self.store_state.rollback = Some(Rollback { copy_of, at: now });
@@ -225,6 +229,11 @@
         outcome: StoreOutcome,
     ) {
         let era = self.store_state.era;
+        if matches!(task, StoreTask::Record(_)) {
+            let committed = matches!(outcome, StoreOutcome::Committed { .. });
+            self.event_log
+                .add(self.now, || LoggedEvent::RecordWritten { node, committed });
+        }
         if !matches!(outcome, StoreOutcome::Unknown) {
             self.input(node, run, Input::StoreEra(era));
         }
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -5,6 +5,7 @@
 use super::{KEYED, POOL, World};
 use crate::check::COLD_START;
 use crate::check::Sender;
+use crate::event_log::LoggedEvent;
 use crate::fault::CutFrom;
 use beamtray_catalog::{
     AdvertisedRate, RequestRate, StartTimestamp, UpstreamId, UpstreamState as Announced,
@@ -149,6 +150,8 @@
         }
         let mut id = UpstreamId::from(format!("u{index}-{named}"));
         id.started_at = reports_birth(index).then_some(StartTimestamp(self.now.0 / 1_000));
+        self.event_log
+            .add(self.now, || LoggedEvent::UpstreamStarted(id.clone()));
         let is_sharded = index < self.config.keyed;
         let slowness_percent = [70, 100, 160][self.random.random_range(0..3)];
         self.upstreams[index] = Some(UpstreamEmulator::new(UpstreamConfig {
@@ -209,6 +212,9 @@
         let Some(upstream) = self.upstreams[index].take() else {
             return;
         };
+        self.event_log.add(self.now, || {
+            LoggedEvent::UpstreamEnded(upstream.config.id.clone())
+        });
         let planned = self.upstream_state[index].withdrawn;
         if planned && !self.store_state.down {
             self.store.delete(self.now, &key_of(&upstream.config.id));
@@ -239,6 +245,8 @@
         };
         let record = upstream.record();
         let id = upstream.config.id;
+        self.event_log
+            .add(self.now, || LoggedEvent::UpstreamEnded(id.clone()));
         self.upstream_state[index].dark = dark;
         self.break_off(index);
         self.upstream_state[index].withdrawn = true;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -113,6 +113,16 @@
         default = "drawn"
     )]
     size: WorldSize,
+    #[options(
+        help = "also draw leaving upstreams, retry-after periods and store rollbacks",
+        no_short
+    )]
+    extended: bool,
+    #[options(
+        help = "print the faults, terms and orders of each history that violates an invariant",
+        no_short
+    )]
+    events: bool,
 }
 
 #[derive(Debug, Options)]
--- a/crates/sim/src/router.rs
+++ b/crates/sim/src/router.rs
@@ -23,6 +23,11 @@
         self.releases += outcome.releases;
         self.faults += outcome.plan.faults.len();
         self.violations += outcome.violations.len();
+        if !outcome.violations.is_empty() {
+            for entry in &outcome.events {
+                println!("seed {seed}: {entry}");
+            }
+        }
         for violation in &outcome.violations {
             println!("seed {seed}: {violation}");
         }
@@ -38,16 +43,29 @@
     }
 }
 
+/// Which histories to run, and how.
+#[derive(Clone, Copy)]
+struct Selection {
+    size: WorldSize,
+    disabled_guard: Option<Guard>,
+    is_extended: bool,
+    logs_events: bool,
+}
+
 pub(crate) fn explore(arguments: &ExploreRouterArguments) -> Result<ExitCode> {
-    let off = arguments.without.as_deref().map(guard).transpose()?;
-    let size = arguments.size;
+    let selection = Selection {
+        size: arguments.size,
+        disabled_guard: arguments.without.as_deref().map(guard).transpose()?,
+        is_extended: arguments.extended,
+        logs_events: arguments.events,
+    };
     let threads = arguments.threads.max(1);
     let first = arguments.first_seed;
     let end = first + arguments.seeds;
     let workers: Vec<_> = (0..threads)
         .map(|worker| {
             let seeds = (first + worker..end).step_by(threads as usize);
-            thread::spawn(move || run(seeds, size, off))
+            thread::spawn(move || run(seeds, selection))
         })
         .collect();
     let mut total = Total::default();
@@ -66,12 +84,18 @@
     })
 }
 
-fn run(seeds: impl Iterator<Item = u64>, size: WorldSize, off: Option<Guard>) -> Total {
+fn run(seeds: impl Iterator<Item = u64>, selection: Selection) -> Total {
     let mut total = Total::default();
     for seed in seeds {
-        let config = WorldConfig::sized(size, seed);
-        let plan = FaultPlan::draw(seed, &config);
-        total.add(seed, &run_plan(config, plan, off));
+        let config = WorldConfig {
+            logs_events: selection.logs_events,
+            ..WorldConfig::sized(selection.size, seed)
+        };
+        let plan = match selection.is_extended {
+            true => FaultPlan::draw_extended(seed, &config),
+            false => FaultPlan::draw(seed, &config),
+        };
+        total.add(seed, &run_plan(config, plan, selection.disabled_guard));
     }
     total
 }
