--- /dev/null
+++ b/crates/routersim/tests/lost_records.rs
@@ -0,0 +1,158 @@
+//! Delayed grants of a term whose records the store lost, with fixed times.
+//!
+//! Guards against upstreams that execute such grants after a term without a record has granted
+//! the keys to others.
+
+use beamtray_routersim::{CutFrom, Fault, FaultKind, FaultPlan, Invariant, WorldConfig, run_plan};
+
+/// Number of histories, which differ in all that a plan does not fix.
+const SEEDS: u64 = 24;
+/// When the store knows a term, but no assignment, in milliseconds.
+const NO_RECORD_MS: u64 = 1_500;
+
+/// Violations of the order of tokens or of sole ownership, one for each history.
+fn broken(faults: &[Fault]) -> Vec<String> {
+    let mut broken = Vec::new();
+    for seed in 0..SEEDS {
+        let plan = FaultPlan {
+            faults: faults.to_vec(),
+        };
+        let outcome = run_plan(WorldConfig::drawn(seed), plan, None);
+        let first = outcome.violations.into_iter().find(|one| {
+            matches!(
+                one.invariant,
+                Invariant::SoleOwner | Invariant::RisingTokens
+            )
+        });
+        broken.extend(first.map(|one| format!("seed {seed}: {one}")));
+    }
+    broken
+}
+
+fn orders_late(millis: u64, duration: u64) -> Fault {
+    Fault::new(millis, duration, FaultKind::OrdersLate { percent: 100 })
+}
+
+/// The store goes back to its state of that time.
+fn goes_back(millis: u64, duration: u64, snapshot_at: u64) -> Fault {
+    let back_ms = millis - snapshot_at;
+    Fault::new(millis, duration, FaultKind::StoreGoesBack { back_ms })
+}
+
+/// Guards against standby grants, sent while the store is down, that outlive their record.
+#[test]
+fn delayed_grants_of_a_standby_are_not_accepted_after_keys_of_a_lost_record_moved() {
+    let broken = broken(&[
+        Fault::new(7_300, 1_800, FaultKind::StoreCut { node: None }),
+        goes_back(8_000, 4_000, NO_RECORD_MS),
+        orders_late(10_000, 2_000),
+        Fault::new(12_100, 1_500, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against delayed standby grants that later ones do not outdate, because all of them have
+/// one token.
+#[test]
+fn nor_are_those_that_were_followed_by_answered_ones() {
+    let broken = broken(&[
+        Fault::new(7_300, 1_800, FaultKind::StoreCut { node: None }),
+        goes_back(8_000, 4_000, NO_RECORD_MS),
+        orders_late(10_200, 100),
+        Fault::new(12_100, 1_500, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against renewals that outlive their record when all nodes are killed before the
+/// renewals are given up on.
+#[test]
+fn delayed_grants_of_a_granter_are_not_accepted_after_keys_of_a_lost_record_moved() {
+    let broken = broken(&[
+        orders_late(8_000, 400),
+        goes_back(8_000, 1_000, NO_RECORD_MS),
+        Fault::new(8_400, 1_000, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against the same when all nodes are killed after the renewals were given up on.
+#[test]
+fn nor_are_delayed_grants_that_the_granter_gave_up_on() {
+    let broken = broken(&[
+        orders_late(8_000, 400),
+        goes_back(8_000, 2_000, NO_RECORD_MS),
+        Fault::new(9_200, 1_500, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against the same with an older record, in which other upstreams hold some keys.
+#[test]
+fn nor_are_delayed_grants_of_keys_that_an_older_record_gives_to_others() {
+    let broken = broken(&[
+        Fault::new(6_500, 4_000, FaultKind::HotKey),
+        orders_late(11_000, 400),
+        goes_back(11_000, 1_000, 6_400),
+        Fault::new(11_400, 1_000, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against a successor that forgets the records that its node knows.
+#[test]
+fn nor_are_they_if_the_granter_alone_is_killed() {
+    let broken = broken(&[
+        orders_late(8_000, 400),
+        goes_back(8_000, 1_000, NO_RECORD_MS),
+        Fault::new(8_400, 1_000, FaultKind::NodeKill { node: None }),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against a successor that grants to others what the newest record assigns.
+#[test]
+fn nor_are_they_without_a_rollback() {
+    let broken = broken(&[
+        orders_late(8_000, 400),
+        Fault::new(8_400, 1_000, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against a successor that moves the keys of an unreachable upstream whose delayed
+/// grants no record names.
+#[test]
+fn nor_are_they_without_a_rollback_at_an_unreachable_upstream() {
+    let unreachable = FaultKind::UpstreamUnreachable {
+        upstream: 0,
+        from: CutFrom::Everything,
+    };
+    let broken = broken(&[
+        orders_late(8_000, 400),
+        Fault::new(8_400, 1_000, FaultKind::KillAll),
+        Fault::new(8_400, 14_000, unreachable),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against a term that grants keys at once because the store knows no earlier term,
+/// although it is not in its first era.
+#[test]
+fn keys_have_one_owner_after_a_rollback_to_before_the_first_term() {
+    let broken = broken(&[
+        goes_back(8_000, 1_000, 0),
+        Fault::new(8_400, 1_000, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// The same with a store that knows an earlier term, but no record of it.
+#[test]
+fn keys_have_one_owner_after_a_rollback_to_before_the_first_record() {
+    let broken = broken(&[
+        goes_back(8_000, 1_000, NO_RECORD_MS),
+        Fault::new(8_400, 1_000, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
