A term that may not know all earlier grants fences all upstreams before it assigns keys

What callers saw: two upstreams held the same keys, and the older one under the lower token. The next granter withheld all keys for 4.7 s, gave them to others, and 1.6 to 4.2 s later the upstream executed the renewal.

Cause: keys went on after the time of a grant in force, without an order under a token of the new term for them to the upstream that had the old grant. It was registered and answered all the time. What hides this otherwise is the record: it names the holder, which is renewed or released first, or the doubt. A record that the store lost names nobody. "Outdated" was taken for a fence, too; a refused grant raises no token.

Change: a term whose records may have been lost sends each registered upstream a release, under its own token, of all keys that the record does not give it, and of those to whose old token it says "outdated". It assigns no keys while a registered upstream has not replied, for as long as an earlier grant may be executed or be in force; keys of a holder that the record names wait likewise until the holder has executed an order of this term. After the reply the upstream refuses every earlier grant, whoever sent it and whatever was recorded of it.

Price: none where all upstreams answer (a round trip within the wait there was). While a registered one is silent, keys wait up to 20.5 s.

The guard is missed when switched off (tests/guards.rs).

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -351,6 +351,7 @@
                 let mut grants = Grants::new(now, self.config.grants, epoch);
                 if may_have_lost_records {
                     grants.granter.withhold(now, KeyRange::ALL);
+                    grants.granter.doubt_record(now);
                 }
                 grants
             });
--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -40,11 +40,14 @@
     RecordDoubt,
     /// Keys are withheld until no grant that their holder may have delayed can be in force.
     DoubtWait,
+    /// A term that may not know all earlier grants fences all upstreams before it assigns
+    /// keys.
+    TermFence,
 }
 
 impl Guard {
     /// All guards.
-    pub const ALL: [Guard; 17] = [
+    pub const ALL: [Guard; 18] = [
         Guard::RecordFirst,
         Guard::LapseWait,
         Guard::PredecessorWait,
@@ -62,6 +65,7 @@
         Guard::Rests,
         Guard::RecordDoubt,
         Guard::DoubtWait,
+        Guard::TermFence,
     ];
 
     /// The invariant that is violated without the guard.
@@ -74,7 +78,7 @@
             | Guard::StandbyWait
             | Guard::RecordDoubt
             | Guard::BootClock => Invariant::SoleOwner,
-            Guard::LostHolderFence | Guard::TokenRenewal | Guard::DoubtWait => {
+            Guard::LostHolderFence | Guard::TokenRenewal | Guard::DoubtWait | Guard::TermFence => {
                 Invariant::RisingTokens
             }
             Guard::ProofBeforeRepeat => Invariant::AtMostOnce,
--- a/crates/routersim/tests/guards.rs
+++ b/crates/routersim/tests/guards.rs
@@ -195,3 +195,14 @@
     ];
     matters(Guard::DoubtWait, &faults);
 }
+
+#[test]
+fn term_fence() {
+    // Grants are delayed, the store loses all records, and no process survives.
+    let faults = [
+        fault(8_000, 400, FaultKind::OrdersLate { percent: 95 }),
+        fault(8_000, 1_000, FaultKind::StoreGoesBack { back_ms: 6_500 }),
+        fault(8_400, 1_000, FaultKind::KillAll),
+    ];
+    matters(Guard::TermFence, &faults);
+}
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -24,6 +24,7 @@
 mod replies;
 mod restarts;
 mod standbys;
+mod term_fence;
 mod tokens;
 mod withheld;
 
@@ -31,7 +32,7 @@
 use crate::lost_holders::LostHolders;
 use crate::order::CallId;
 use crate::range::{KeyRange, ShardKey};
-use crate::record::{AssignmentRecord, SliceState};
+use crate::record::{AssignmentRecord, FencingToken, SliceState};
 use crate::slice::{BlockUse, OwnedAgain, Phase, Slice};
 use crate::standby::{StandbyBounds, Standbys};
 use beamtray_catalog::UpstreamId;
@@ -42,6 +43,7 @@
 use orders::OrderWindow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use term_fence::TermFence;
 use withheld::WithheldKeys;
 
 /// How long an upstream that lost keys because it was unresponsive gets no new ones.
@@ -174,6 +176,9 @@
     /// Keys of an unresponsive holder are reassigned only when no delayed grant of them can
     /// be in force.
     pub waits_for_doubt: bool,
+    /// A term that may not know all earlier grants assigns keys only when each registered
+    /// upstream has executed an order of this term for all keys.
+    pub fences_all_upstreams: bool,
 }
 
 impl Default for GranterGuards {
@@ -188,6 +193,7 @@
             renews_tokens: true,
             doubts_records: true,
             waits_for_doubt: true,
+            fences_all_upstreams: true,
         }
     }
 }
@@ -199,6 +205,7 @@
     holder: UpstreamId,
     /// Duration of the grant; `None` for a release.
     hold: Option<Duration>,
+    token: FencingToken,
 }
 
 /// Grants the slices of one service.
@@ -216,6 +223,7 @@
     withheld: Vec<WithheldKeys>,
     /// Until when grants that the adopted record does not contain may be in force.
     record_doubted_until: Time,
+    term_fence: TermFence,
     /// When holders with a contested address were last probed.
     probed_at: BTreeMap<UpstreamId, Time>,
     /// Upstreams that lost keys because they were unresponsive, and until when they get none.
@@ -264,6 +272,7 @@
             terminated: Vec::new(),
             withheld: Vec::new(),
             record_doubted_until: Time::ZERO,
+            term_fence: TermFence::default(),
             probed_at: BTreeMap::new(),
             excluded_until: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -347,6 +356,8 @@
         self.knows_candidates = true;
         self.lost_holders
             .set_registered(now, |id| next.contains_key(id));
+        self.term_fence
+            .set_registered(now, |id| next.contains_key(id));
         self.record_departures(now, &next);
         self.fence_restarts(now, &next);
         let same = next.keys().eq(self.candidates.keys());
@@ -374,6 +385,7 @@
             self.terminated.push(id.clone());
         }
         self.lost_holders.mark_terminated(id);
+        self.term_fence.mark_terminated(id);
     }
 
     /// Schedules one grant of a holder immediately, to learn whether it still has its
@@ -473,6 +485,7 @@
         changed_at: now,
         unowned: None,
         doubt: None,
+        unconfirmed_until: None,
         awaits_doubt_end: false,
     }
 }
--- a/crates/sharding/src/granter/doubt.rs
+++ b/crates/sharding/src/granter/doubt.rs
@@ -113,7 +113,7 @@
                 stays && one.id.name == upstream
             });
             match last.map(|one| one.id.clone()) {
-                Some(id) if self.lost_holders.is_unfenced(&id) => {}
+                Some(id) if self.is_unfenced(&id) => {}
                 Some(id) => self.assign(now, first, id),
                 None if self.may_return(now, &upstream) => {}
                 None => self.clear_doubt(first),
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -70,7 +70,7 @@
         self.candidates
             .values()
             .filter(move |one| one.state == state && !self.terminated.contains(&one.id))
-            .filter(|one| !self.lost_holders.is_unfenced(&one.id))
+            .filter(|one| !self.is_unfenced(&one.id))
     }
 
     /// Upstreams to choose new holders from: the assignable ones that respond, or all
@@ -185,6 +185,7 @@
         let epoch = self.epoch;
         let standbys = &self.standbys;
         let waits_for_standbys = self.timing.guards.waits_for_standbys;
+        let candidates = &self.candidates;
         let mut lost = Vec::new();
         for slice in self.slices.values_mut() {
             let Phase::Leaving { holder, .. } = &slice.phase else {
@@ -205,6 +206,10 @@
             let lapsed = lapsed && !grant_pending && slice.recorded_in <= durable;
             let has_terminated = self.terminated.contains(holder);
             let doubt_end = slice.doubt.as_ref().map(|doubt| doubt.until);
+            let unconfirmed_until = slice
+                .unconfirmed_until
+                .filter(|_| candidates.contains_key(holder));
+            let doubt_end = doubt_end.max(unconfirmed_until);
             let left = doubt_end.unwrap_or_default().since(now);
             let is_doubted = waits && !left.is_zero() && !has_terminated;
             if lapsed && is_doubted && !slice.awaits_doubt_end {
@@ -250,6 +255,9 @@
     /// Assigns free slices, each to the least loaded upstream.
     pub(super) fn assign_free(&mut self, now: Time) {
         self.expire_withheld(now);
+        if self.awaits_term_fence(now) {
+            return;
+        }
         self.reassign_doubted(now);
         let free: Vec<ShardKey> = self
             .slices
--- a/crates/sharding/src/granter/lost_holders.rs
+++ b/crates/sharding/src/granter/lost_holders.rs
@@ -1,7 +1,7 @@
 //! Fencing of upstreams that lost keys without a reply: the granter's part.
 
 use super::Granter;
-use crate::lost_holders::{FenceNotice, UnfencedUpstream};
+use crate::lost_holders::{DueRelease, FenceNotice, LostHolders, UnfencedUpstream};
 use crate::order::{CallId, GrantOrder, GrantReply, OrderKind};
 use crate::range::KeyRange;
 use crate::slice::Phase;
@@ -56,11 +56,21 @@
         let slices = &self.slices;
         let holds = |id: &UpstreamId| slices.values().any(|slice| slice.holder() == Some(id));
         let due = self.lost_holders.due(now, holds);
+        self.release_orders(now, due, |granter| &mut granter.lost_holders)
+    }
+
+    /// The orders for due releases, which are counted as sent where their replies are awaited.
+    pub(super) fn release_orders(
+        &mut self,
+        now: Time,
+        due: Vec<DueRelease>,
+        awaited_in: impl Fn(&mut Self) -> &mut LostHolders,
+    ) -> Vec<GrantOrder> {
         let mut orders = Vec::new();
         for release in due {
             let call = CallId(self.next_call);
             self.next_call += 1;
-            self.lost_holders.sent(now, call, &release);
+            awaited_in(self).sent(now, call, &release);
             orders.push(GrantOrder {
                 call,
                 token: release.token,
@@ -74,6 +84,12 @@
 
     /// Handles the reply to such a release.
     pub(super) fn handle_fence_reply(&mut self, now: Time, call: CallId, reply: &GrantReply) {
+        if let Some(upstream) = self.term_fence.handle_reply(now, call, reply) {
+            if *reply == GrantReply::Replaced {
+                self.mark_terminated(&upstream);
+            }
+            return;
+        }
         let Some(upstream) = self.lost_holders.recipient(call) else {
             return;
         };
@@ -95,6 +111,11 @@
         }
     }
 
+    /// Whether an upstream has to confirm a release before it gets keys.
+    pub(super) fn is_unfenced(&self, id: &UpstreamId) -> bool {
+        self.lost_holders.is_unfenced(id) || self.term_fence.is_unfenced(id)
+    }
+
     /// Takes the fencing notices since the last call.
     pub fn take_fence_notices(&mut self) -> Vec<FenceNotice> {
         self.lost_holders.take_notices()
--- a/crates/sharding/src/granter/moves.rs
+++ b/crates/sharding/src/granter/moves.rs
@@ -12,7 +12,7 @@
     /// Moves slices from busy to idle upstreams, splitting them where needed; returns the
     /// number of moves started.
     pub fn rebalance(&mut self, now: Time, limits: &BalanceLimits) -> usize {
-        if self.withholds_any() {
+        if self.withholds_any() || self.awaits_term_fence(now) {
             return 0;
         }
         let max_overload_moves =
--- a/crates/sharding/src/granter/orders.rs
+++ b/crates/sharding/src/granter/orders.rs
@@ -111,6 +111,7 @@
             }
         }
         orders.extend(self.fence_orders(now));
+        orders.extend(self.term_fence_orders(now));
         orders
     }
 
@@ -192,6 +193,7 @@
             first,
             holder: holder.clone(),
             hold: is_grant.then_some(hold),
+            token,
         };
         self.calls.insert(call, sent);
         Some(GrantOrder {
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -3,6 +3,7 @@
 use super::{Call, CandidateState, EXCLUSION_PERIOD, Granter};
 use crate::order::{CallId, GrantReply, Handover};
 use crate::range::ShardKey;
+use crate::record::FencingToken;
 use crate::slice::{OwnedAgain, Phase, Slice};
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
@@ -45,6 +46,7 @@
         match sent.hold {
             Some(hold) => {
                 self.track_doubt(now, &sent, hold, &reply);
+                self.confirm_holder(&sent, &reply);
                 self.handle_grant_reply(now, sent.first, hold, &reply);
             }
             None => self.handle_release_reply(now, sent.first, reply),
@@ -67,6 +69,17 @@
         }
     }
 
+    /// Records that the holder executed an order under a token of this term.
+    fn confirm_holder(&mut self, sent: &Call, reply: &GrantReply) {
+        let is_of_term = sent.token >= FencingToken::new(self.epoch, 0);
+        if *reply == GrantReply::Granted
+            && is_of_term
+            && let Some(slice) = self.slices.get_mut(&sent.first)
+        {
+            slice.unconfirmed_until = None;
+        }
+    }
+
     fn record_contact(&mut self, now: Time, call: CallId, holder: &UpstreamId, reply: &GrantReply) {
         let last_answered = self
             .candidates
@@ -214,7 +227,7 @@
             self.candidates
                 .get(id)
                 .is_some_and(|candidate| candidate.state != CandidateState::Draining)
-                && !self.lost_holders.is_unfenced(id)
+                && !self.is_unfenced(id)
         };
         let is_withheld = self
             .slices
@@ -224,7 +237,8 @@
             .slices
             .get(&first)
             .is_some_and(|one| one.doubt.is_some());
-        if let Some(next) = next.filter(ready).filter(|_| !is_withheld && !is_doubted) {
+        let waits = is_withheld || is_doubted || self.awaits_term_fence(now);
+        if let Some(next) = next.filter(ready).filter(|_| !waits) {
             self.assign(now, first, next);
         }
     }
--- /dev/null
+++ b/crates/sharding/src/granter/term_fence.rs
@@ -0,0 +1,184 @@
+//! Fencing of all upstreams by a term that may not know all earlier grants.
+//!
+//! After a rollback of the store, a record lacks the holders that the lost records named, and
+//! the granters and standbys that sent grants under those may be gone. Any upstream may then
+//! have a grant of any key that it has not executed yet, and nothing that the term can read
+//! names it.
+//!
+//! Invariant: such a term assigns keys only when each registered upstream has executed an
+//! order under a token of this term for all keys: a release of the keys that the record does
+//! not give it, and a grant or a release of the others. From then on it refuses every grant of
+//! an earlier term, whoever sent it. While one of them does not reply, keys wait until no
+//! earlier grant can be executed or be in force any more. Failure that this prevents: an upstream
+//! that the record did not name was sent nothing by the new term, executed a standby's renewal
+//! after seven seconds, and held keys that had been granted to another upstream meanwhile.
+//!
+//! Not covered: an upstream that is neither registered nor named by the record, and one that
+//! restarts after it has replied and executes an old grant before it is registered again.
+
+use super::Granter;
+use crate::lost_holders::LostHolders;
+use crate::order::{CallId, GrantOrder, GrantReply};
+use crate::range::{KeyRange, ShardKey};
+use crate::record::FencingToken;
+use beamtray_catalog::UpstreamId;
+use beamtray_types::Time;
+use std::collections::BTreeSet;
+
+/// The fencing of all upstreams by a term.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TermFence {
+    /// Until when grants that the adopted record does not contain may be executed or be in
+    /// force.
+    until: Time,
+    /// Upstreams that have been sent releases, whether they replied or not.
+    addressed: BTreeSet<UpstreamId>,
+    /// Those that have not replied.
+    unfenced: LostHolders,
+}
+
+impl TermFence {
+    /// Whether an upstream has been sent releases and has not replied.
+    pub fn is_unfenced(&self, upstream: &UpstreamId) -> bool {
+        self.unfenced.is_unfenced(upstream)
+    }
+
+    /// Records that an upstream has terminated and executes no more orders.
+    pub fn mark_terminated(&mut self, upstream: &UpstreamId) {
+        self.unfenced.mark_terminated(upstream);
+    }
+
+    /// Updates which upstreams are registered.
+    pub fn set_registered(&mut self, now: Time, is_registered: impl Fn(&UpstreamId) -> bool) {
+        self.unfenced.set_registered(now, is_registered);
+    }
+
+    /// Applies the reply to a release; returns the upstream if the release was one of these.
+    pub fn handle_reply(
+        &mut self,
+        now: Time,
+        call: CallId,
+        reply: &GrantReply,
+    ) -> Option<UpstreamId> {
+        let upstream = self.unfenced.recipient(call)?;
+        self.unfenced.handle_reply(now, &upstream, call, reply);
+        Some(upstream)
+    }
+}
+
+impl Granter {
+    /// Begins to fence all upstreams: until then, grants that the record does not contain may
+    /// be executed or be in force.
+    pub(super) fn begin_term_fence(&mut self, until: Time) {
+        if !self.timing.guards.fences_all_upstreams {
+            return;
+        }
+        self.term_fence.until = self.term_fence.until.max(until);
+        for slice in self.slices.values_mut() {
+            if slice.current_holder().is_some() {
+                slice.unconfirmed_until = Some(until);
+            }
+        }
+    }
+
+    /// When no grant that was sent before `now` can be executed or be in force any more.
+    pub(super) fn earlier_grants_end(&self, now: Time) -> Time {
+        now + self.timing.transit + self.timing.order_lifetime + self.timing.longest_bound()
+    }
+
+    /// Whether keys wait because an upstream may execute a grant of an earlier term.
+    pub(super) fn awaits_term_fence(&self, now: Time) -> bool {
+        let fence = &self.term_fence;
+        let is_fenced = |id: &UpstreamId| {
+            let is_addressed = fence.addressed.contains(id) && !fence.is_unfenced(id);
+            is_addressed || self.terminated.contains(id)
+        };
+        now < fence.until && !self.candidates.keys().all(is_fenced)
+    }
+
+    /// The releases that are due to upstreams that this term has not fenced yet.
+    pub(super) fn term_fence_orders(&mut self, now: Time) -> Vec<GrantOrder> {
+        if now >= self.term_fence.until {
+            self.end_term_fence();
+            return Vec::new();
+        }
+        if self.fences_term() {
+            self.address_candidates(now);
+        }
+        for upstream in self.term_fence.unfenced.remove_settled(now) {
+            if let Some(contact) = self.contacts.get_mut(&upstream) {
+                contact.clear_silence();
+            }
+        }
+        let slices = &self.slices;
+        let holds = |id: &UpstreamId| {
+            let mut slices = slices.values();
+            slices.any(|slice| slice.current_holder() == Some(id))
+        };
+        let due = self.term_fence.unfenced.due(now, holds);
+        self.release_orders(now, due, |granter| &mut granter.term_fence.unfenced)
+    }
+
+    fn end_term_fence(&mut self) {
+        if self.term_fence.until == Time::ZERO {
+            return;
+        }
+        self.term_fence = TermFence::default();
+        self.dirty = true;
+    }
+
+    /// Whether upstreams are to be fenced now. While nobody may hold keys and all are
+    /// withheld, fencing later also revokes the grants that are executed until then.
+    fn fences_term(&self) -> bool {
+        let mut slices = self.slices.values();
+        !self.withholds_any() || slices.any(|slice| slice.current_holder().is_some())
+    }
+
+    /// Adds the registered upstreams that have not been addressed yet.
+    fn address_candidates(&mut self, now: Time) {
+        let candidates = self.candidates.keys();
+        let new: Vec<UpstreamId> = candidates
+            .filter(|id| !self.term_fence.addressed.contains(*id))
+            .cloned()
+            .collect();
+        for id in new {
+            let token = self.next_token();
+            for range in self.keys_of_others(&id) {
+                self.fence_range(now, &id, range, token);
+            }
+            self.term_fence.addressed.insert(id);
+        }
+    }
+
+    fn fence_range(&mut self, now: Time, id: &UpstreamId, range: KeyRange, token: FencingToken) {
+        self.term_fence.unfenced.add(now, id, range, token);
+    }
+
+    /// Fences an upstream that no longer holds the keys that the record gives it.
+    pub(super) fn fence_recorded_holder(&mut self, now: Time, id: &UpstreamId, range: KeyRange) {
+        if now < self.term_fence.until {
+            let token = self.next_token();
+            self.fence_range(now, id, range, token);
+        }
+    }
+
+    /// All keys except those that the upstream holds or is asked to give back, as few ranges.
+    fn keys_of_others(&self, id: &UpstreamId) -> Vec<KeyRange> {
+        let mut ranges = Vec::new();
+        let mut first = Some(KeyRange::ALL.first);
+        let own = self
+            .slices
+            .values()
+            .filter(|slice| slice.current_holder() == Some(id));
+        for slice in own {
+            if let Some(first) = first.filter(|first| *first < slice.range.first) {
+                let last = ShardKey(slice.range.first.0 - 1);
+                ranges.push(KeyRange { first, last });
+            }
+            first = slice.range.last.0.checked_add(1).map(ShardKey);
+        }
+        let last = KeyRange::ALL.last;
+        ranges.extend(first.map(|first| KeyRange { first, last }));
+        ranges
+    }
+}
--- a/crates/sharding/src/granter/withheld.rs
+++ b/crates/sharding/src/granter/withheld.rs
@@ -52,6 +52,7 @@
     pub fn doubt_record(&mut self, now: Time) {
         if self.timing.guards.doubts_records {
             self.record_doubted_until = now + self.timing.longest_bound() + self.timing.transit;
+            self.begin_term_fence(self.earlier_grants_end(now));
         }
     }
 
@@ -69,10 +70,14 @@
         let Some(slice) = self.slices.get_mut(&first) else {
             return;
         };
+        let holder = slice.current_holder().cloned();
         slice.set_phase(Phase::Free { handover: None });
         slice.recorded_in = recorded_in;
         slice.changed_at = now;
         let range = slice.range;
+        if let Some(holder) = holder {
+            self.fence_recorded_holder(now, &holder, range);
+        }
         self.withheld.push(WithheldKeys { range, until });
         self.dirty = true;
     }
--- a/crates/sharding/src/slice.rs
+++ b/crates/sharding/src/slice.rs
@@ -110,6 +110,9 @@
     pub unowned: Option<Unowned>,
     /// Set while the holder, or the previous one, may still execute a grant.
     pub doubt: Option<Doubt>,
+    /// Set while the holder has executed no order under a token of this term and may execute
+    /// a grant of an earlier one: when no such grant can be in force any more.
+    pub unconfirmed_until: Option<Time>,
     /// Whether the assignment of the keys is known to wait for that grant to expire.
     pub awaits_doubt_end: bool,
 }
@@ -144,6 +147,9 @@
     /// Enters another phase.
     pub fn set_phase(&mut self, phase: Phase) {
         self.awaits_doubt_end = false;
+        if matches!(phase, Phase::Free { .. }) {
+            self.unconfirmed_until = None;
+        }
         self.phase = phase;
         self.tokens = BlockUse::default();
     }
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -33,6 +33,7 @@
         renews_tokens: true,
         doubts_records: true,
         waits_for_doubt: true,
+        fences_all_upstreams: true,
     },
 };
 const LIMITS: BalanceLimits = BalanceLimits {
