Records of a term that may not know all earlier grants say so

The first term after a rollback doubted the record that it had read, was told that keys had gone on, and ended. The next one, 0.4 s later, read the first one's record, which was of the new era and so counted as proven, was told the same, raised the token and gave the keys to their recorded holder beside the one that had them.

Cause: whether a record is in doubt was decided by its era alone. The first record of an era is written before the term can have learned anything, and repeats what the old record says.

Change: such a term's records name the whole key space as in doubt, with the time for which earlier grants remain possible. A successor doubts its record for as long, fences all upstreams again, and waits for them. The format of records is as it was.

--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -338,6 +338,7 @@
             self.inherit_doubt(now, &mut slice, &record.doubted);
             self.slices.insert(slice.range.first, slice);
         }
+        self.adopt_term_fence(now, &record.doubted);
         if self.timing.guards.fences_lost_holders {
             self.adopt_unfenced(now, &record.unfenced);
         }
--- a/crates/sharding/src/granter/doubt.rs
+++ b/crates/sharding/src/granter/doubt.rs
@@ -79,7 +79,7 @@
     /// the remaining time of the others: a successor waits for as long as the last record
     /// says.
     pub(super) fn expire_doubts(&mut self, now: Time) {
-        let mut is_any = self.withholds_any();
+        let mut is_any = self.withholds_any() || self.term_fence.until().is_some();
         for slice in self.slices.values_mut() {
             if slice.doubt.as_ref().is_some_and(|doubt| now >= doubt.until) {
                 slice.doubt = None;
@@ -142,7 +142,8 @@
             let doubt = slice.doubt.as_ref()?;
             Some((slice.range, doubt.until))
         });
-        let all = doubted.chain(self.withheld_keys());
+        let unrecorded = self.term_fence.until().map(|until| (KeyRange::ALL, until));
+        let all = doubted.chain(self.withheld_keys()).chain(unrecorded);
         let left = all.map(|(range, until)| DoubtedKeys {
             range,
             left_ms: u32::try_from(until.since(self.polled_at).as_millis()).unwrap_or(u32::MAX),
@@ -156,7 +157,7 @@
         let guards = self.timing.guards;
         let of_slice = doubted
             .iter()
-            .filter(|keys| keys.range.overlaps(slice.range));
+            .filter(|keys| keys.range != KeyRange::ALL && keys.range.overlaps(slice.range));
         let left = of_slice.map(|keys| keys.left_ms).max();
         let Some(left) = left.filter(|_| guards.respects_predecessor) else {
             return;
--- a/crates/sharding/src/granter/term_fence.rs
+++ b/crates/sharding/src/granter/term_fence.rs
@@ -13,6 +13,8 @@
 //! that the record did not name was sent nothing by the new term, executed a standby's renewal
 //! after seven seconds, and held keys that had been granted to another upstream meanwhile.
 //!
+//! Records state how long earlier grants remain possible, so that a successor fences too.
+//!
 //! Not covered: an upstream that is neither registered nor named by the record, and one that
 //! restarts after it has replied and executes an old grant before it is registered again.
 
@@ -20,10 +22,11 @@
 use crate::lost_holders::LostHolders;
 use crate::order::{CallId, GrantOrder, GrantReply};
 use crate::range::{KeyRange, ShardKey};
-use crate::record::FencingToken;
+use crate::record::{DoubtedKeys, FencingToken};
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// The fencing of all upstreams by a term.
 #[derive(Clone, Debug, Default)]
@@ -53,6 +56,12 @@
         self.unfenced.set_registered(now, is_registered);
     }
 
+    /// Until when grants that the adopted record does not contain remain possible, if any
+    /// are.
+    pub fn until(&self) -> Option<Time> {
+        (self.until > Time::ZERO).then_some(self.until)
+    }
+
     /// Applies the reply to a release; returns the upstream if the release was one of these.
     pub fn handle_reply(
         &mut self,
@@ -81,6 +90,23 @@
         }
     }
 
+    /// Continues the fencing that a doubted record requires.
+    pub(super) fn adopt_term_fence(&mut self, now: Time, doubted: &[DoubtedKeys]) {
+        let whole = doubted.iter().filter(|keys| keys.range == KeyRange::ALL);
+        let left = whole.map(|keys| Duration::from_millis(keys.left_ms.into()));
+        let (Some(shortest), Some(longest)) = (left.clone().min(), left.max()) else {
+            return;
+        };
+        let in_force = self.timing.longest_bound() + self.timing.transit;
+        if self.timing.guards.doubts_records {
+            self.record_doubted_until = now + longest.min(in_force);
+            self.begin_term_fence(now + longest);
+        }
+        if self.timing.guards.respects_predecessor {
+            self.withhold_until(KeyRange::ALL, now + shortest.min(in_force));
+        }
+    }
+
     /// When no grant that was sent before `now` can be executed or be in force any more.
     pub(super) fn earlier_grants_end(&self, now: Time) -> Time {
         now + self.timing.transit + self.timing.order_lifetime + self.timing.longest_bound()
--- a/crates/sharding/tests/doubt.rs
+++ b/crates/sharding/tests/doubt.rs
@@ -5,8 +5,8 @@
 use beamtray_catalog::{StartTimestamp, UpstreamId};
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
-    AssignmentRecord, Candidate, CandidateState, GrantOrder, GrantReply, Granter, KeyRange,
-    OrderKind, SliceState,
+    AssignmentRecord, Candidate, CandidateState, FencingToken, GrantOrder, GrantReply, Granter,
+    KeyRange, OrderKind, SliceRecord, SliceState,
 };
 use common::*;
 
@@ -329,3 +329,73 @@
     }
     assert!(granted > 0, "the keys were never assigned");
 }
+
+/// The record of a term that doubts the record it took over, and that ends before any of its
+/// orders is answered.
+fn record_of_a_doubting_term() -> AssignmentRecord {
+    let mut granter = granted();
+    granter.mark_dirty();
+    let record = granter.take_record().expect("a record");
+    let mut doubting = Granter::new(at(5_000), timing(), Epoch(2), Some(&record));
+    doubting.doubt_record(at(5_000));
+    doubting.mark_dirty();
+    doubting.set_candidates(at(5_000), [ready("a", None), ready("b", None)]);
+    doubting.poll(at(5_010));
+    write_record(&mut doubting, at(5_020)).expect("the record")
+}
+
+/// Guards against a successor that trusts such a record: it raised the token of a recorded
+/// holder that answered "outdated", beside the holder that the lost record had named.
+#[test]
+fn a_successor_of_a_doubting_term_doubts_its_record() {
+    let record = record_of_a_doubting_term();
+    let mut successor = Granter::new(at(5_500), timing(), Epoch(3), Some(&record));
+    successor.set_candidates(at(5_500), [ready("a", None), ready("b", None)]);
+    for now in (5_500..8_800).step_by(10) {
+        for order in successor.poll(at(now)) {
+            let is_fresh = order.token >= FencingToken::new(Epoch(3), 0);
+            assert!(!is_grant(&order) || !is_fresh, "at {now}: {order:?}");
+            match is_grant(&order) {
+                true => successor.handle_reply(at(now), order.call, GrantReply::Outdated),
+                false => answer(&mut successor, at(now), &order),
+            }
+        }
+        write_record(&mut successor, at(now));
+    }
+}
+
+/// Guards against delayed grants of lost records that outlive the term which began to fence
+/// the upstreams.
+#[test]
+fn a_successor_of_a_doubting_term_fences_all_upstreams() {
+    let record = record_of_a_doubting_term();
+    let mut successor = Granter::new(at(5_500), timing(), Epoch(3), Some(&record));
+    let upstreams = ["a", "b", "c"];
+    successor.set_candidates(at(5_500), upstreams.map(|name| ready(name, None)));
+    let mut fenced: Vec<(UpstreamId, KeyRange)> = Vec::new();
+    for now in (5_500..6_500).step_by(10) {
+        for order in successor.poll(at(now)) {
+            let is_fresh = order.token >= FencingToken::new(Epoch(3), 0);
+            if order.kind == OrderKind::Release && is_fresh {
+                fenced.push((order.holder.clone(), order.range));
+            }
+            answer(&mut successor, at(now), &order);
+        }
+        write_record(&mut successor, at(now));
+    }
+    for name in upstreams {
+        let is_others = |slice: &&SliceRecord| match &slice.state {
+            SliceState::Held { holder, .. } => *holder != id(name),
+            SliceState::Leaving { .. } | SliceState::Free => true,
+        };
+        for slice in record.slices.iter().filter(is_others) {
+            let mut releases = fenced.iter();
+            let covers = |one: &(UpstreamId, KeyRange)| {
+                one.0 == id(name)
+                    && one.1.contains(slice.range.first)
+                    && one.1.contains(slice.range.last)
+            };
+            assert!(releases.any(covers), "{name} {}", slice.range);
+        }
+    }
+}
