A rollback to before the first term is told from a first start

What callers saw: two upstreams held the same keys for 1.4 s and more. The store came back from a copy of before the first term, all processes had been killed, and the new term gave all keys to new holders 1.4 s after it began, beside those that still had them.

Cause: whether records may have been lost was decided by whether any earlier term was known. A store that lost all of them knows none, like one that was never used, whatever its era.

Change: a node that is not on its first start withholds keys and fences upstreams where the era is not the first, whether it knows of an earlier term or not. Settings tell a first start.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -58,6 +58,8 @@
     /// Whether the granter stores suspected poison requests. Disabled only by a test that shows why
     /// this is needed.
     pub persist_suspicions: bool,
+    /// Whether all nodes of the system are starting for the first time.
+    pub is_first_start: bool,
     /// Timing of the grants.
     pub grants: GranterTiming,
     /// Limits on rebalancing.
--- a/crates/router/src/core/control/term.rs
+++ b/crates/router/src/core/control/term.rs
@@ -162,7 +162,10 @@
             true => &with_last_records(known, &self.last_records),
             false => known,
         };
-        term.may_have_lost_records = !trust.continues && newest > Epoch(0) && predecessor < first;
+        // The store may have lost all traces of earlier terms, unless there were none.
+        let may_have_predecessor = newest > Epoch(0) || !self.config.is_first_start;
+        term.may_have_lost_records =
+            !trust.continues && may_have_predecessor && predecessor < first;
         term.grants = Some(restore_grants(now, timing, epoch, &read, known, trust));
         term.candidates_version = None;
         self.loaded_state = Some(Snapshot {
--- a/crates/router/src/settings/core_config.rs
+++ b/crates/router/src/settings/core_config.rs
@@ -142,6 +142,7 @@
             },
             election_delay,
             persist_suspicions: true,
+            is_first_start: self.first_start,
             grants: GranterTiming {
                 hold,
                 renewal,
