--- a/crates/sharding/src/granter/lost_holders.rs
+++ b/crates/sharding/src/granter/lost_holders.rs
@@ -121,8 +121,8 @@
         self.lost_holders.take_notices()
     }
 
-    /// Number of upstreams that lost keys and have not replied yet.
+    /// Number of upstreams that have to confirm a release and have not replied yet.
     pub fn unfenced_count(&self) -> usize {
-        self.lost_holders.count()
+        self.lost_holders.count() + self.term_fence.unfenced_count()
     }
 }
--- a/crates/sharding/src/granter/term_fence.rs
+++ b/crates/sharding/src/granter/term_fence.rs
@@ -46,6 +46,11 @@
         self.unfenced.is_unfenced(upstream)
     }
 
+    /// Number of upstreams that have been sent releases and have not replied.
+    pub fn unfenced_count(&self) -> usize {
+        self.unfenced.count()
+    }
+
     /// Records that an upstream has terminated and executes no more orders.
     pub fn mark_terminated(&mut self, upstream: &UpstreamId) {
         self.unfenced.mark_terminated(upstream);
@@ -165,6 +170,7 @@
         let candidates = self.candidates.keys();
         let new: Vec<UpstreamId> = candidates
             .filter(|id| !self.term_fence.addressed.contains(*id))
+            .filter(|id| !self.terminated.contains(id))
             .cloned()
             .collect();
         for id in new {
