Search: the store may roll back

Why: the search had no store that goes back, so it could not miss the fence of a term that may not know all earlier grants.

Change: a scope may contain rollbacks. One ends the granter's term; the store keeps an earlier record, or none if the scope says so, and the next term begins in a new era and treats what is left as restore_grants and add_services of the router do (doubt_record, withhold all keys; without a record only in the first term of the era). Earlier records are those that the history replaced, one in which nobody held keys and one of a past holder that has released them.

Left out: nodes or upstreams that know newer records, a term that continues its node's own, registrations that are lost with the records, a store that also loses that there were terms, and any effect of a rollback on connections other than those of an ended process.

--- a/crates/grantsearch/src/lib.rs
+++ b/crates/grantsearch/src/lib.rs
@@ -38,6 +38,10 @@
 //!   reset undoes that, and a partitioned upstream cannot be told. Only a wait longer than the
 //!   execution delay preserves sole ownership then.
 //!
+//! - The store may roll back to an earlier record or to none. The next term then does not know
+//!   all earlier grants, and point 4 does not cover them. It fences all registered upstreams
+//!   by releases under its own token before it assigns keys.
+//!
 //! Without the reset, point 5 has the same weakness for every order.
 //!
 //! # The search
--- a/crates/grantsearch/src/main.rs
+++ b/crates/grantsearch/src/main.rs
@@ -71,6 +71,10 @@
     freezes: u8,
     #[options(help = "most outages of the store", default = "0", no_short)]
     store_outages: u8,
+    #[options(help = "most rollbacks of the store", default = "0", no_short)]
+    rollbacks: u8,
+    #[options(help = "a rollback may lose all records", no_short)]
+    loses_all_records: bool,
     #[options(help = "check that keys have an owner within so many ms", no_short)]
     owned_within: Option<u64>,
     #[options(
@@ -126,6 +130,7 @@
     scope.owned_within = arguments.owned_within.map(Duration::from_millis);
     scope.max_time_step = Duration::from_millis(arguments.longest_pass);
     scope.distinguish_restarts = arguments.tells_lives_apart;
+    scope.loses_all_records = arguments.loses_all_records;
     scope.count_excluded = arguments.counts_excluded;
     scope.faults = Faults {
         cuts: arguments.cuts,
@@ -138,6 +143,7 @@
         granter_exits: arguments.ends,
         granter_pauses: arguments.freezes,
         store_outages: arguments.store_outages,
+        rollbacks: arguments.rollbacks,
     };
     for guard in &arguments.without {
         let guards = &mut scope.timing.guards;
@@ -149,6 +155,9 @@
             "waits_for_doubt" => &mut guards.waits_for_doubt,
             "waits_for_standbys" => &mut guards.waits_for_standbys,
             "fences_lost_holders" => &mut guards.fences_lost_holders,
+            "renews_tokens" => &mut guards.renews_tokens,
+            "doubts_records" => &mut guards.doubts_records,
+            "fences_all_upstreams" => &mut guards.fences_all_upstreams,
             other => return Err(eyre!("there is no guard {other}")),
         };
         *guard = false;
--- a/crates/grantsearch/src/scope.rs
+++ b/crates/grantsearch/src/scope.rs
@@ -38,6 +38,9 @@
     pub granter_pauses: u8,
     /// Outages of the store, during which it accepts no records.
     pub store_outages: u8,
+    /// Rollbacks of the store to an earlier record. Each ends the granter's term, and the next
+    /// term begins in a new era.
+    pub rollbacks: u8,
 }
 
 /// Configuration of one search.
@@ -68,6 +71,9 @@
     /// Also count grants that the ownership rule excludes because a path recovered or their sender
     /// resumed just before.
     pub count_excluded: bool,
+    /// Whether a rollback may lose all records. The granter then divides the keys again, into
+    /// many more slices than [`Scope::ranges`], which makes states large.
+    pub loses_all_records: bool,
     /// Treat an upstream that restarted under the same id as a different holder, which needs a
     /// higher token than its previous incarnation had.
     pub distinguish_restarts: bool,
@@ -90,6 +96,7 @@
             max_time_step: DEFAULT_MAX_TIME_STEP,
             only_invariant: None,
             count_excluded: false,
+            loses_all_records: false,
             distinguish_restarts: false,
             owned_within: None,
         }
--- a/crates/grantsearch/src/standby.rs
+++ b/crates/grantsearch/src/standby.rs
@@ -37,10 +37,15 @@
 
 impl Standby {
     /// Exchanges records, status reports and authorizations with the granter.
-    pub fn exchange(&mut self, now: Time, granter: &mut Granter, record: &AssignmentRecord) {
+    pub fn exchange(
+        &mut self,
+        now: Time,
+        granter: &mut Granter,
+        record: Option<&AssignmentRecord>,
+    ) {
         let known = self.known_record.as_ref().map(AssignmentRecord::number);
-        if known < Some(record.number()) {
-            self.known_record = Some(record.clone());
+        if known < record.map(AssignmentRecord::number) {
+            self.known_record = record.cloned();
         }
         let known_record: Option<RecordNumber> =
             self.known_record.as_ref().map(AssignmentRecord::number);
--- a/crates/grantsearch/src/world.rs
+++ b/crates/grantsearch/src/world.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod orders;
 mod recovery;
+mod rollback;
 mod start;
 mod time;
 
@@ -14,6 +15,7 @@
 use beamtray_catalog::UpstreamId;
 use beamtray_sharding::{AssignmentRecord, GrantOrder, Granter, KeyRange};
 use beamtray_types::Time;
+use rollback::StoreHistory;
 use std::collections::VecDeque;
 use std::fmt::{self, Write};
 use std::hash::{DefaultHasher, Hasher};
@@ -57,6 +59,8 @@
     StoreFails,
     /// The store accepts records again.
     StoreReturns,
+    /// The store rolls back and keeps that number of its earlier records.
+    RollBack(usize),
 }
 
 /// One event of a human-readable trace.
@@ -128,8 +132,9 @@
     /// A paused granter that has a successor.
     superseded: Option<Process>,
     store_fails: bool,
-    /// The newest durable record.
-    record: AssignmentRecord,
+    /// The newest durable record; `None` after a rollback that lost all of them.
+    record: Option<AssignmentRecord>,
+    history: StoreHistory,
     upstreams: Vec<Upstream>,
     paths: Vec<Path>,
     copies: Vec<DelayedCopy>,
@@ -164,7 +169,7 @@
             self.terms,
         );
         let processes = (&self.process, &self.superseded, &self.resumed);
-        let stored = (self.store_fails, &self.record);
+        let stored = (self.store_fails, &self.record, &self.history);
         let upstreams = (&self.upstreams, &self.paths);
         let orders = (&self.copies, &self.pending_orders);
         // Writing to a hasher cannot fail.
@@ -239,6 +244,7 @@
             Step::ResumeGranter => self.resume_granter(),
             Step::StoreFails => self.store_fails(),
             Step::StoreReturns => self.store_returns(),
+            Step::RollBack(kept) => self.roll_back(kept),
         }
     }
 }
--- a/crates/grantsearch/src/world/faults.rs
+++ b/crates/grantsearch/src/world/faults.rs
@@ -46,6 +46,7 @@
         } else if self.remaining_faults.store_outages > 0 {
             steps.push(Step::StoreFails);
         }
+        steps.extend(self.rollback_steps());
         steps
     }
 
--- a/crates/grantsearch/src/world/recovery.rs
+++ b/crates/grantsearch/src/world/recovery.rs
@@ -52,8 +52,11 @@
     /// Whether each range is held by the upstream that the record names, and that upstream is
     /// reachable.
     fn is_owned(&self) -> bool {
+        let Some(record) = &self.record else {
+            return false;
+        };
         self.ranges.iter().enumerate().all(|(number, range)| {
-            let slices = self.record.slices.iter();
+            let slices = record.slices.iter();
             let mut slices = slices.filter(|slice| slice.range.overlaps(*range));
             slices.all(|slice| self.is_held(number, &slice.state))
         })
--- a/crates/grantsearch/src/world/start.rs
+++ b/crates/grantsearch/src/world/start.rs
@@ -1,5 +1,6 @@
 //! The initial state: all ranges are held and renewed, without faults.
 
+use super::rollback::StoreHistory;
 use super::{Path, Process, World};
 use crate::check::InvariantChecker;
 use crate::scope::{Faults, Scope};
@@ -29,13 +30,23 @@
     UpstreamId::from(format!("{letter}{number}"))
 }
 
+/// Returns the index of the upstream that holds a slice at the start. In a scope with rollbacks
+/// it is not the upstream that a granter without a record would choose.
+pub(super) fn first_holder(scope: &Scope, slice: usize) -> usize {
+    match scope.faults.rollbacks {
+        0 => slice,
+        _ => scope.upstreams - 1 - slice,
+    }
+}
+
 impl World {
     /// Creates a state in which the first granter has been the leader for some time.
     pub fn new(scope: &Scope) -> Self {
-        let ranges = KeyRange::ALL.divide(scope.ranges as u32);
+        let slices = KeyRange::ALL.divide(scope.ranges as u32);
+        let ranges = checked_ranges(scope, &slices);
         let ids = (0..scope.upstreams).map(|index| upstream_id(index, 1));
         let upstreams: Vec<Upstream> = ids.map(|id| Upstream::new(id, 1, &ranges)).collect();
-        let record = founding_record(scope, &upstreams, &ranges);
+        let record = founding_record(scope, &upstreams, &slices);
         let mut world = Self {
             scope: *scope,
             ranges,
@@ -46,7 +57,8 @@
             terms: FOUNDING_TERM,
             superseded: None,
             store_fails: false,
-            record,
+            record: Some(record),
+            history: StoreHistory::default(),
             paths: vec![Path::default(); upstreams.len()],
             upstreams,
             copies: Vec::new(),
@@ -61,6 +73,9 @@
             world.tick();
         }
         world.remaining_faults = scope.faults;
+        if scope.faults.rollbacks > 0 {
+            world.add_past_records();
+        }
         world
     }
 
@@ -70,7 +85,9 @@
         let term = self.terms;
         self.trace_event(|| format!("granter {term} takes over"));
         let epoch = Epoch(term);
-        let granter = Granter::new(self.now, self.scope.timing, epoch, Some(&self.record));
+        let record = self.record.as_ref();
+        let mut granter = Granter::new(self.now, self.scope.timing, epoch, record);
+        self.doubt_lost_records(&mut granter, epoch);
         let mut process = Process {
             term: Term(term),
             granter,
@@ -111,27 +128,42 @@
     }
 }
 
-/// Creates a record in which each range is held by a different upstream. A granter creates the
-/// record so that it is complete; only its slices are replaced.
-fn founding_record(scope: &Scope, upstreams: &[Upstream], ranges: &[KeyRange]) -> AssignmentRecord {
+/// The ranges that are checked one by one: the slices at the start, or those into which a
+/// granter without a record divides the keys.
+fn checked_ranges(scope: &Scope, slices: &[KeyRange]) -> Vec<KeyRange> {
+    if !scope.loses_all_records {
+        return slices.to_vec();
+    }
+    let ids = (0..scope.upstreams).map(|index| upstream_id(index, 1));
+    let divided = divided_record(scope, ids).slices;
+    divided.iter().map(|slice| slice.range).collect()
+}
+
+/// Creates the first record of a granter that finds none.
+fn divided_record(scope: &Scope, ids: impl Iterator<Item = UpstreamId>) -> AssignmentRecord {
     let epoch = Epoch(FOUNDING_TERM);
     let mut granter = Granter::new(Time::ZERO, scope.timing, epoch, None);
-    let all = upstreams
-        .iter()
-        .map(|upstream| candidate(upstream.id.clone(), false));
-    granter.set_candidates(Time::ZERO, all);
+    granter.set_candidates(Time::ZERO, ids.map(|id| candidate(id, false)));
     if scope.standby {
         granter.set_standbys(Time::ZERO, &[standby_id()]);
     }
     granter.poll(Time::ZERO + scope.timing.quiet_period);
-    let mut record = granter
+    granter
         .take_record()
-        .expect("keys are divided once settled");
-    let held = ranges.iter().zip(upstreams).enumerate();
-    let slices = held.map(|(index, (range, upstream))| SliceRecord {
+        .expect("keys are divided once settled")
+}
+
+/// Creates a record in which each range is held by a different upstream. A granter creates the
+/// record so that it is complete; only its slices are replaced.
+fn founding_record(scope: &Scope, upstreams: &[Upstream], ranges: &[KeyRange]) -> AssignmentRecord {
+    let epoch = Epoch(FOUNDING_TERM);
+    let ids = upstreams.iter().map(|upstream| upstream.id.clone());
+    let mut record = divided_record(scope, ids);
+    let held = ranges.iter().enumerate();
+    let slices = held.map(|(index, range)| SliceRecord {
         range: *range,
         state: SliceState::Held {
-            holder: upstream.id.clone(),
+            holder: upstreams[first_holder(scope, index)].id.clone(),
             token: FencingToken::new(epoch, index as u64 + 1),
         },
     });
--- a/crates/grantsearch/src/world/time.rs
+++ b/crates/grantsearch/src/world/time.rs
@@ -4,6 +4,7 @@
 use crate::check::RECOVERY_WINDOW;
 use crate::scope::TICK;
 use crate::standby::standby_id;
+use beamtray_sharding::AssignmentRecord;
 
 impl World {
     /// Advances time until a choice is possible, an invariant is violated or the maximum time step
@@ -87,7 +88,7 @@
         let running = self.process.as_mut().filter(|process| !process.is_paused);
         if let Some(process) = running.filter(|_| !is_apart) {
             process.granter.set_standbys(self.now, &[standby_id()]);
-            standby.exchange(self.now, &mut process.granter, &self.record);
+            standby.exchange(self.now, &mut process.granter, self.record.as_ref());
         }
         let timing = self.scope.timing;
         let orders = standby.poll(self.now, timing.hold, timing.renewal);
@@ -123,16 +124,19 @@
             return false;
         };
         process.granter.mark_durable(self.now, record.sequence);
-        let changed = record.slices != self.record.slices;
-        self.record = record;
+        let before = self.record.replace(record.clone());
+        let changed = before.as_ref().map(|before| &before.slices) != Some(&record.slices);
+        if self.remaining_faults.rollbacks > 0 {
+            self.history.add(before, &record);
+        }
         if changed {
-            self.trace_record();
+            self.trace_record(&record);
         }
         changed
     }
 
-    fn trace_record(&mut self) {
-        let states = self.record.slices.iter();
+    pub(super) fn trace_record(&mut self, record: &AssignmentRecord) {
+        let states = record.slices.iter();
         let states: Vec<String> = states
             .enumerate()
             .map(|(range, slice)| format!("range {range} {:?}", slice.state))
--- a/crates/grantsearch/tests/guards.rs
+++ b/crates/grantsearch/tests/guards.rs
@@ -26,6 +26,7 @@
     granter_exits: 0,
     granter_pauses: 0,
     store_outages: 0,
+    rollbacks: 0,
 };
 
 #[test]
