A service without a record is doubted in each term of an era that a rollback began

What callers saw: nothing yet; the model search finds two owners in six steps, without any delayed order. The store loses all records, the first term of the new era withholds all keys and ends before its first record, and the second one finds an earlier term of its own era, no record, and gives keys on after 1.3 s.

Cause: whether a missing record counted as lost was decided by the epoch of the term before. The first term of an era leaves its epoch behind, and for seconds nothing else.

Change: in eras that a rollback began a service without a record is doubted, whichever term finds it.

--- a/crates/grantsearch/src/world/rollback.rs
+++ b/crates/grantsearch/src/world/rollback.rs
@@ -2,8 +2,8 @@
 //!
 //! The store loses its newest records, and the term of the granter ends. The next granter has
 //! no other source, as if no node knew a newer record, and treats what is left as the router
-//! does: a record of an earlier era is doubted, and all keys are withheld. Without a record,
-//! only the first term of the era does so. The upstreams stay registered, and it stays known
+//! does: a record of an earlier era is doubted, and all keys are withheld, as they are without
+//! a record. The upstreams stay registered, and it stays known
 //! that there were earlier terms.
 
 use super::start::first_holder;
@@ -133,11 +133,11 @@
     }
 
     /// Lets a new granter doubt a record that the store may have lost successors of.
-    pub(super) fn doubt_lost_records(&self, granter: &mut Granter, epoch: Epoch) {
+    pub(super) fn doubt_lost_records(&self, granter: &mut Granter) {
         let first = self.history.first_epoch();
         let is_doubted = match &self.record {
             Some(record) => record.epoch < first,
-            None => epoch == first,
+            None => first > Epoch(0),
         };
         if !is_doubted {
             return;
--- a/crates/grantsearch/src/world/start.rs
+++ b/crates/grantsearch/src/world/start.rs
@@ -87,7 +87,7 @@
         let epoch = Epoch(term);
         let record = self.record.as_ref();
         let mut granter = Granter::new(self.now, self.scope.timing, epoch, record);
-        self.doubt_lost_records(&mut granter, epoch);
+        self.doubt_lost_records(&mut granter);
         let mut process = Process {
             term: Term(term),
             granter,
--- a/crates/router/src/core/control/term.rs
+++ b/crates/router/src/core/control/term.rs
@@ -162,10 +162,11 @@
             true => &with_last_records(known, &self.last_records),
             false => known,
         };
-        // The store may have lost all traces of earlier terms, unless there were none.
+        // A rollback may have lost all traces of earlier terms, and a term of this era may have
+        // ended before it wrote any record.
+        let is_rolled_back = first > Epoch(0);
         let may_have_predecessor = newest > Epoch(0) || !self.config.is_first_start;
-        term.may_have_lost_records =
-            !trust.continues && may_have_predecessor && predecessor < first;
+        term.may_have_lost_records = is_rolled_back && may_have_predecessor && !trust.continues;
         term.grants = Some(restore_grants(now, timing, epoch, &read, known, trust));
         term.candidates_version = None;
         self.loaded_state = Some(Snapshot {
--- a/crates/routersim/tests/lost_records.rs
+++ b/crates/routersim/tests/lost_records.rs
@@ -156,3 +156,15 @@
     ]);
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Guards against a second term that finds no record and trusts that, because the first term of
+/// the era ended before it had written one.
+#[test]
+fn keys_have_one_owner_if_the_first_term_of_an_era_ends_without_a_record() {
+    let broken = broken(&[
+        goes_back(8_000, 1_000, NO_RECORD_MS),
+        Fault::new(8_400, 1_000, FaultKind::KillAll),
+        Fault::new(9_150, 1_000, FaultKind::KillAll),
+    ]);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
