Term fence: it begins before it ends, outlasts its wait, and covers unreadable records

- While a standby that does not report prolonged the withholding of all keys beyond the time of the fence, the fence ended without a release sent.
It begins at the end of the wait for unknown holders now, whatever a standby prolongs.
- An unreadable part or head of a record is fenced, too, within the wait that there is for it.
- A successor withholds free keys for no longer than the term before would have.

Notices and the gauge of unfenced holders tell of the fence. The longest times of grants have one name each. Left, and listed: renewals under the tokens of a record that rolled back go out before the fence is answered; to hold them back, unknown holders would have to be told from recorded ones without the old token.

--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -306,7 +306,7 @@
             granter.withhold(now, part.range());
         }
         if read.head_unreadable {
-            granter.adopt_unknown_standbys(now);
+            granter.adopt_unreadable_head(now);
         }
         let epoch = read.assignment.number().map_or(Epoch(0), |one| one.epoch);
         if epoch < trust.proven_from {
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -121,6 +121,17 @@
         self.bound(self.longest_hold())
     }
 
+    /// The longest time for which a grant that was sent may be in force, if it is executed at
+    /// once.
+    fn longest_in_force(&self) -> Duration {
+        self.longest_bound() + self.transit
+    }
+
+    /// The longest time for which a grant that was sent may be executed or be in force.
+    fn longest_possible(&self) -> Duration {
+        self.order_lifetime + self.longest_in_force()
+    }
+
     /// The longest duration of a grant.
     fn longest_hold(&self) -> Duration {
         self.hold + (self.max_renewal - self.renewal)
@@ -308,7 +319,7 @@
     fn adopt(&mut self, now: Time, record: &AssignmentRecord) {
         self.standbys.adopt(now, &record.standbys);
         let expires_at = if self.timing.guards.respects_predecessor {
-            now + self.timing.longest_bound() + self.timing.transit
+            now + self.timing.longest_in_force()
         } else {
             now
         };
--- a/crates/sharding/src/granter/doubt.rs
+++ b/crates/sharding/src/granter/doubt.rs
@@ -157,7 +157,7 @@
         let guards = self.timing.guards;
         let of_slice = doubted
             .iter()
-            .filter(|keys| keys.range != KeyRange::ALL && keys.range.overlaps(slice.range));
+            .filter(|keys| !keys.is_whole() && keys.range.overlaps(slice.range));
         let left = of_slice.map(|keys| keys.left_ms).max();
         let Some(left) = left.filter(|_| guards.respects_predecessor) else {
             return;
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -70,7 +70,7 @@
         self.candidates
             .values()
             .filter(move |one| one.state == state && !self.terminated.contains(&one.id))
-            .filter(|one| !self.is_unfenced(&one.id))
+            .filter(|one| !self.is_unfenced(&one.id) || self.is_none_fenced(&one.id))
     }
 
     /// Upstreams to choose new holders from: the assignable ones that respond, or all
@@ -90,9 +90,10 @@
     }
 
     /// Starts to revoke slices from holders that are draining, deregistered, unresponsive or
-    /// terminated.
+    /// terminated. While no keys can be assigned, a draining holder keeps them.
     pub(super) fn revoke_from_leavers(&mut self, now: Time) {
         let silence = self.timing.silence_timeout;
+        let keeps_draining = self.awaits_term_fence(now);
         let leaving: Vec<ShardKey> = self
             .slices
             .values()
@@ -101,7 +102,8 @@
                     return false;
                 };
                 let candidate = self.candidates.get(holder);
-                let stays = candidate.is_some_and(|one| one.state != CandidateState::Draining);
+                let stays = candidate
+                    .is_some_and(|one| one.state != CandidateState::Draining || keeps_draining);
                 let last_answered = candidate.and_then(|one| one.last_answered);
                 let contact = self.contacts.get(holder);
                 let silent = contact.is_some_and(|one| one.is_silent(now, silence, last_answered));
--- a/crates/sharding/src/granter/lost_holders.rs
+++ b/crates/sharding/src/granter/lost_holders.rs
@@ -116,9 +116,21 @@
         self.lost_holders.is_unfenced(id) || self.term_fence.is_unfenced(id)
     }
 
+    /// Whether an upstream owes the term's releases alone, and no upstream has replied to them
+    /// in time: keys then go to one of those rather than to nobody.
+    pub(super) fn is_none_fenced(&self, id: &UpstreamId) -> bool {
+        let fence = &self.term_fence;
+        let mut candidates = self.candidates.keys();
+        fence.until().is_none()
+            && !self.lost_holders.is_unfenced(id)
+            && candidates.all(|id| fence.is_unfenced(id))
+    }
+
     /// Takes the fencing notices since the last call.
     pub fn take_fence_notices(&mut self) -> Vec<FenceNotice> {
-        self.lost_holders.take_notices()
+        let mut notices = self.lost_holders.take_notices();
+        notices.extend(self.term_fence.take_notices());
+        notices
     }
 
     /// Number of upstreams that have to confirm a release and have not replied yet.
--- a/crates/sharding/src/granter/term_fence.rs
+++ b/crates/sharding/src/granter/term_fence.rs
@@ -5,24 +5,29 @@
 //! have a grant of any key that it has not executed yet, and nothing that the term can read
 //! names it.
 //!
-//! Invariant: such a term assigns keys only when each registered upstream has executed an
-//! order under a token of this term for all keys: a release of the keys that the record does
-//! not give it, and a grant or a release of the others. From then on it refuses every grant of
-//! an earlier term, whoever sent it. While one of them does not reply, keys wait until no
-//! earlier grant can be executed or be in force any more. Failure that this prevents: an upstream
+//! Invariant: such a term assigns keys only when each registered upstream has replied to a
+//! release, under a token of this term, of all keys that the record does not give it. Keys of
+//! a recorded holder that is registered move only when the holder has executed a grant or a
+//! release of them under such a token. From then on an upstream refuses every grant of an
+//! earlier term, whoever sent it. While one does not reply, keys wait until no earlier grant
+//! can be executed or be in force any more. It is sent releases beyond that, since a partition
+//! may delay a grant for longer, and gets no keys before it replies. Failure that this prevents: an upstream
 //! that the record did not name was sent nothing by the new term, executed a standby's renewal
 //! after seven seconds, and held keys that had been granted to another upstream meanwhile.
 //!
 //! Records state how long earlier grants remain possible, so that a successor fences too.
 //!
+//! Releases are sent at the end of the wait for unknown holders if nobody holds keys by the
+//! record, so that they also revoke what is executed until then.
+//!
 //! Not covered: an upstream that is neither registered nor named by the record, and one that
 //! restarts after it has replied and executes an old grant before it is registered again.
 
 use super::Granter;
-use crate::lost_holders::LostHolders;
+use crate::lost_holders::{FenceNotice, LostHolders};
 use crate::order::{CallId, GrantOrder, GrantReply};
 use crate::range::{KeyRange, ShardKey};
-use crate::record::{DoubtedKeys, FencingToken};
+use crate::record::DoubtedKeys;
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
 use std::collections::BTreeSet;
@@ -41,6 +46,11 @@
 }
 
 impl TermFence {
+    /// Whether earlier grants that the adopted record does not contain are possible.
+    fn is_active(&self, now: Time) -> bool {
+        now < self.until
+    }
+
     /// Whether an upstream has been sent releases and has not replied.
     pub fn is_unfenced(&self, upstream: &UpstreamId) -> bool {
         self.unfenced.is_unfenced(upstream)
@@ -51,6 +61,12 @@
         self.unfenced.count()
     }
 
+    /// Ends the wait. Upstreams that have not replied are sent releases until they do.
+    fn end(&mut self) {
+        self.until = Time::ZERO;
+        self.addressed.clear();
+    }
+
     /// Records that an upstream has terminated and executes no more orders.
     pub fn mark_terminated(&mut self, upstream: &UpstreamId) {
         self.unfenced.mark_terminated(upstream);
@@ -67,6 +83,11 @@
         (self.until > Time::ZERO).then_some(self.until)
     }
 
+    /// Takes the notices since the last call.
+    pub fn take_notices(&mut self) -> Vec<FenceNotice> {
+        self.unfenced.take_notices()
+    }
+
     /// Applies the reply to a release; returns the upstream if the release was one of these.
     pub fn handle_reply(
         &mut self,
@@ -90,33 +111,29 @@
         self.term_fence.until = self.term_fence.until.max(until);
         for slice in self.slices.values_mut() {
             if slice.current_holder().is_some() {
-                slice.unconfirmed_until = Some(until);
+                slice.unconfirmed_until = slice.unconfirmed_until.max(Some(until));
             }
         }
     }
 
     /// Continues the fencing that a doubted record requires.
     pub(super) fn adopt_term_fence(&mut self, now: Time, doubted: &[DoubtedKeys]) {
-        let whole = doubted.iter().filter(|keys| keys.range == KeyRange::ALL);
+        let whole = doubted.iter().filter(|keys| keys.is_whole());
         let left = whole.map(|keys| Duration::from_millis(keys.left_ms.into()));
         let (Some(shortest), Some(longest)) = (left.clone().min(), left.max()) else {
             return;
         };
-        let in_force = self.timing.longest_bound() + self.timing.transit;
+        let in_force = self.timing.longest_in_force();
         if self.timing.guards.doubts_records {
             self.record_doubted_until = now + longest.min(in_force);
             self.begin_term_fence(now + longest);
         }
-        if self.timing.guards.respects_predecessor {
-            self.withhold_until(KeyRange::ALL, now + shortest.min(in_force));
+        // A longer time is that of the fence alone: the wait for unknown holders is over.
+        if self.timing.guards.respects_predecessor && shortest <= in_force {
+            self.withhold_until(KeyRange::ALL, now + shortest);
         }
     }
 
-    /// When no grant that was sent before `now` can be executed or be in force any more.
-    pub(super) fn earlier_grants_end(&self, now: Time) -> Time {
-        now + self.timing.transit + self.timing.order_lifetime + self.timing.longest_bound()
-    }
-
     /// Whether keys wait because an upstream may execute a grant of an earlier term.
     pub(super) fn awaits_term_fence(&self, now: Time) -> bool {
         let fence = &self.term_fence;
@@ -124,17 +141,21 @@
             let is_addressed = fence.addressed.contains(id) && !fence.is_unfenced(id);
             is_addressed || self.terminated.contains(id)
         };
-        now < fence.until && !self.candidates.keys().all(is_fenced)
+        fence.is_active(now) && !self.candidates.keys().all(is_fenced)
     }
 
     /// The releases that are due to upstreams that this term has not fenced yet.
     pub(super) fn term_fence_orders(&mut self, now: Time) -> Vec<GrantOrder> {
-        if now >= self.term_fence.until {
-            self.end_term_fence();
-            return Vec::new();
+        if self.term_fence.is_active(now) {
+            if self.fences_term(now) {
+                self.address_candidates(now);
+            }
+        } else if self.term_fence.until().is_some() {
+            self.term_fence.end();
+            self.dirty = true;
         }
-        if self.fences_term() {
-            self.address_candidates(now);
+        if self.term_fence.unfenced_count() == 0 {
+            return Vec::new();
         }
         for upstream in self.term_fence.unfenced.remove_settled(now) {
             if let Some(contact) = self.contacts.get_mut(&upstream) {
@@ -150,19 +171,12 @@
         self.release_orders(now, due, |granter| &mut granter.term_fence.unfenced)
     }
 
-    fn end_term_fence(&mut self) {
-        if self.term_fence.until == Time::ZERO {
-            return;
-        }
-        self.term_fence = TermFence::default();
-        self.dirty = true;
-    }
-
-    /// Whether upstreams are to be fenced now. While nobody may hold keys and all are
-    /// withheld, fencing later also revokes the grants that are executed until then.
-    fn fences_term(&self) -> bool {
+    /// Whether upstreams are to be fenced now: the wait for unknown holders is over, or
+    /// others hold keys by the record.
+    fn fences_term(&self, now: Time) -> bool {
+        let is_over = self.withheld_keys().all(|(_, until)| now >= until);
         let mut slices = self.slices.values();
-        !self.withholds_any() || slices.any(|slice| slice.current_holder().is_some())
+        is_over || slices.any(|slice| slice.current_holder().is_some())
     }
 
     /// Adds the registered upstreams that have not been addressed yet.
@@ -176,21 +190,17 @@
         for id in new {
             let token = self.next_token();
             for range in self.keys_of_others(&id) {
-                self.fence_range(now, &id, range, token);
+                self.term_fence.unfenced.add(now, &id, range, token);
             }
             self.term_fence.addressed.insert(id);
         }
     }
 
-    fn fence_range(&mut self, now: Time, id: &UpstreamId, range: KeyRange, token: FencingToken) {
-        self.term_fence.unfenced.add(now, id, range, token);
-    }
-
     /// Fences an upstream that no longer holds the keys that the record gives it.
     pub(super) fn fence_recorded_holder(&mut self, now: Time, id: &UpstreamId, range: KeyRange) {
-        if now < self.term_fence.until {
+        if self.term_fence.is_active(now) {
             let token = self.next_token();
-            self.fence_range(now, id, range, token);
+            self.term_fence.unfenced.add(now, id, range, token);
         }
     }
 
--- a/crates/sharding/src/granter/withheld.rs
+++ b/crates/sharding/src/granter/withheld.rs
@@ -3,8 +3,9 @@
 //! Invariant: if the record of an earlier granter cannot be read, its keys are not assigned
 //! until every grant that it may have sent for them has expired, and every order of a standby
 //! that still knows the record. That is the wait for an unresponsive holder and no longer:
-//! 3.3 s, or 8.5 s with the longest grants, during which nobody serves these keys. Records
-//! name them. Failure that this prevents: a granter found that all keys had moved without its
+//! 3.3 s, or 8.5 s with the longest grants, during which nobody serves these keys. All
+//! upstreams are fenced besides, which may take longer ([`super::term_fence`]). Records name
+//! the keys. Failure that this prevents: a granter found that all keys had moved without its
 //! knowledge and recorded them as free; it was killed, and its successor assigned them while
 //! their holders still served them.
 
@@ -27,8 +28,9 @@
         if !self.timing.guards.respects_predecessor {
             return;
         }
-        let until = now + self.timing.longest_bound() + self.timing.transit;
+        let until = now + self.timing.longest_in_force();
         self.withheld.push(WithheldKeys { range, until });
+        self.begin_term_fence(until);
     }
 
     /// Withholds keys until then.
@@ -51,8 +53,8 @@
     /// fresh token, accepted, and held them for 1.5 s while their current holders did too.
     pub fn doubt_record(&mut self, now: Time) {
         if self.timing.guards.doubts_records {
-            self.record_doubted_until = now + self.timing.longest_bound() + self.timing.transit;
-            self.begin_term_fence(self.earlier_grants_end(now));
+            self.record_doubted_until = now + self.timing.longest_in_force();
+            self.begin_term_fence(now + self.timing.longest_possible());
         }
     }
 
@@ -82,12 +84,13 @@
         self.dirty = true;
     }
 
-    /// Accounts at `now` for standbys that are unknown because the head of the record cannot
-    /// be read: an unresponsive holder keeps its keys until the last authorization of any
-    /// standby has expired, 15 s at most.
-    pub fn adopt_unknown_standbys(&mut self, now: Time) {
+    /// Accounts at `now` for the standbys and the unfenced upstreams of a record whose head
+    /// cannot be read: an unresponsive holder keeps its keys until the last authorization of
+    /// any standby has expired, 15 s at most, and all upstreams are fenced.
+    pub fn adopt_unreadable_head(&mut self, now: Time) {
         if self.timing.guards.respects_predecessor {
             self.standbys.adopt_unknown(now);
+            self.begin_term_fence(now + self.timing.longest_in_force());
         }
     }
 
--- a/crates/sharding/src/record.rs
+++ b/crates/sharding/src/record.rs
@@ -97,6 +97,13 @@
     pub left_ms: u32,
 }
 
+impl DoubtedKeys {
+    /// Whether all keys are in doubt: the record itself may lack grants.
+    pub fn is_whole(&self) -> bool {
+        self.range == KeyRange::ALL
+    }
+}
+
 /// All slices of one service, in key order and without gaps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AssignmentRecord {
