--- a/crates/routersim/tests/fresh_histories.rs
+++ b/crates/routersim/tests/fresh_histories.rs
@@ -44,6 +44,13 @@
     }
 }
 
+/// Guards against requests to an upstream that removed its registration, after a rollback of the
+/// store restored it.
+#[test]
+fn an_upstream_that_left_before_a_rollback_gets_no_requests() {
+    assert_eq!(violations(9_801_634), []);
+}
+
 /// Guards against requests to an upstream seconds after it told the node that it leaves.
 #[test]
 fn an_upstream_that_announced_leaving_gets_no_requests() {
