--- a/crates/routersim/tests/fresh_histories.rs
+++ b/crates/routersim/tests/fresh_histories.rs
@@ -64,3 +64,10 @@
 fn requests_are_served_again_after_faults_of_a_drawn_history() {
     assert_eq!(violations(9_311_512), []);
 }
+
+/// The same with many nodes.
+#[test]
+fn requests_are_served_again_after_faults_of_a_history_of_many_nodes() {
+    let outcome = run_seed_extended(WorldSize::Many, 9_900_235);
+    assert_eq!(outcome.violations, []);
+}
--- a/crates/routersim/tests/lost_records.rs
+++ b/crates/routersim/tests/lost_records.rs
@@ -3,40 +3,13 @@
 //! Guards against upstreams that execute such grants after a term without a record has granted
 //! the keys to others.
 
-use beamtray_routersim::{CutFrom, Fault, FaultKind, FaultPlan, Invariant, WorldConfig, run_plan};
+mod common;
 
-/// Number of histories, which differ in all that a plan does not fix.
-const SEEDS: u64 = 24;
-/// When the store knows a term, but no assignment, in milliseconds.
-const NO_RECORD_MS: u64 = 1_500;
+use beamtray_routersim::{CutFrom, Fault, FaultKind};
+use common::{NO_RECORD_MS, goes_back, orders_late};
 
-/// Violations of the order of tokens or of sole ownership, one for each history.
 fn broken(faults: &[Fault]) -> Vec<String> {
-    let mut broken = Vec::new();
-    for seed in 0..SEEDS {
-        let plan = FaultPlan {
-            faults: faults.to_vec(),
-        };
-        let outcome = run_plan(WorldConfig::drawn(seed), plan, None);
-        let first = outcome.violations.into_iter().find(|one| {
-            matches!(
-                one.invariant,
-                Invariant::SoleOwner | Invariant::RisingTokens
-            )
-        });
-        broken.extend(first.map(|one| format!("seed {seed}: {one}")));
-    }
-    broken
-}
-
-fn orders_late(millis: u64, duration: u64) -> Fault {
-    Fault::new(millis, duration, FaultKind::OrdersLate { percent: 100 })
-}
-
-/// The store goes back to its state of that time.
-fn goes_back(millis: u64, duration: u64, snapshot_at: u64) -> Fault {
-    let back_ms = millis - snapshot_at;
-    Fault::new(millis, duration, FaultKind::StoreGoesBack { back_ms })
+    common::broken(|_| faults.to_vec())
 }
 
 /// Guards against standby grants, sent while the store is down, that outlive their record.
--- a/crates/routersim/tests/term_fence_review.rs
+++ b/crates/routersim/tests/term_fence.rs
@@ -1,48 +1,16 @@
-//! Review of the fencing of upstreams by terms that may not know all earlier grants, with fixed
-//! times.
+//! Fencing by terms that may not know all earlier grants, with fixed times: terms in a row, a
+//! standby that is cut off, upstreams that are out of reach.
 
-use beamtray_routersim::{CutFrom, Fault, FaultKind, FaultPlan, Invariant, WorldConfig, run_plan};
+mod common;
 
-/// Number of histories, which differ in all that a plan does not fix.
-const SEEDS: u64 = 24;
-/// When the store knows a term, but no assignment, in milliseconds.
-const NO_RECORD_MS: u64 = 1_500;
-
-/// Violations of the order of tokens or of sole ownership, one for each history.
-fn broken(faults: impl Fn(&WorldConfig) -> Vec<Fault>) -> Vec<String> {
-    let mut broken = Vec::new();
-    for seed in 0..SEEDS {
-        let config = WorldConfig::drawn(seed);
-        let plan = FaultPlan {
-            faults: faults(&config),
-        };
-        let outcome = run_plan(config, plan, None);
-        let first = outcome.violations.into_iter().find(|one| {
-            matches!(
-                one.invariant,
-                Invariant::SoleOwner | Invariant::RisingTokens
-            )
-        });
-        broken.extend(first.map(|one| format!("seed {seed}: {one}")));
-    }
-    broken
-}
+use beamtray_routersim::{CutFrom, Fault, FaultKind};
+use common::{NO_RECORD_MS, SEEDS, broken, goes_back, orders_late};
 
 fn assert_none(broken: &[String]) {
     let (count, text) = (broken.len(), broken.join("\n"));
     assert!(broken.is_empty(), "{count} of {SEEDS}:\n{text}");
 }
 
-fn orders_late(millis: u64, duration: u64) -> Fault {
-    Fault::new(millis, duration, FaultKind::OrdersLate { percent: 100 })
-}
-
-/// The store goes back to its state of that time.
-fn goes_back(millis: u64, duration: u64, snapshot_at: u64) -> Fault {
-    let back_ms = millis - snapshot_at;
-    Fault::new(millis, duration, FaultKind::StoreGoesBack { back_ms })
-}
-
 /// Guards against the second term after a rollback, which finds no record and an epoch of the new
 /// era, and so takes itself for the first term ever: the first one ended before it wrote a record.
 fn two_terms_without_a_record(second_kill_ms: u64) {
--- a/crates/sharding/tests/common/mod.rs
+++ b/crates/sharding/tests/common/mod.rs
@@ -3,12 +3,13 @@
 #![allow(dead_code, reason = "not every test file uses every helper")]
 
 use beamtray_catalog::UpstreamId;
+use beamtray_emulator::{FullPolicy, UpstreamConfig, UpstreamEmulator};
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
     AssignmentRecord, BalanceLimits, Candidate, CandidateState, GrantOrder, GrantReply, Granter,
     GranterGuards, GranterTiming, OrderKind, SliceState,
 };
-use beamtray_types::Time;
+use beamtray_types::{ServiceName, Time, Zone};
 use std::time::Duration;
 
 /// Duration of a grant where there are few slices.
@@ -62,6 +63,21 @@
     }
 }
 
+/// An upstream that owns keys and runs one request at a time.
+pub fn upstream(id: UpstreamId) -> UpstreamEmulator {
+    UpstreamEmulator::new(UpstreamConfig {
+        id,
+        service: ServiceName::from("keyed"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: Zone::from("zone"),
+        slots: 1,
+        queue: 1,
+        is_sharded: true,
+        full: FullPolicy::Shed,
+        slowness_percent: 100,
+    })
+}
+
 pub fn write_record(granter: &mut Granter, now: Time) -> Option<AssignmentRecord> {
     let record = granter.take_record()?;
     granter.mark_durable(now, record.sequence);
--- a/crates/sharding/tests/lost_records.rs
+++ b/crates/sharding/tests/lost_records.rs
@@ -6,13 +6,12 @@
 mod common;
 
 use beamtray_catalog::{StartTimestamp, UpstreamId};
-use beamtray_emulator::{FullPolicy, UpstreamConfig, UpstreamEmulator};
+use beamtray_emulator::UpstreamEmulator;
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
     AssignmentRecord, CallId, Candidate, DoubtedKeys, FencingToken, GrantOrder, GrantReply,
     Granter, KeyRange, OrderKind, SliceRecord, SliceState, UnfencedUpstream,
 };
-use beamtray_types::{ServiceName, Zone};
 use common::*;
 use std::collections::BTreeMap;
 
@@ -107,20 +106,6 @@
     }
 }
 
-fn upstream(id: UpstreamId) -> UpstreamEmulator {
-    UpstreamEmulator::new(UpstreamConfig {
-        id,
-        service: ServiceName::from("keyed"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: Zone::from("zone"),
-        slots: 1,
-        queue: 1,
-        is_sharded: true,
-        full: FullPolicy::Shed,
-        slowness_percent: 100,
-    })
-}
-
 fn born(birth: u64) -> UpstreamId {
     UpstreamId::with_start("a", StartTimestamp(birth))
 }
--- a/crates/sharding/tests/term_fence_review.rs
+++ b/crates/sharding/tests/term_fence_cases.rs
@@ -1,18 +1,17 @@
-//! Review of the fencing of upstreams by a term that may not know all earlier grants.
+//! Fencing by a term that may not know all earlier grants: silent standbys and upstreams,
+//! unreadable records, late releases, many upstreams.
 //!
 //! Guards against two owners, and against keys without an owner, in cases that `lost_records`
 //! does not have.
 
 mod common;
 
-use beamtray_catalog::UpstreamId;
-use beamtray_emulator::{FullPolicy, UpstreamConfig, UpstreamEmulator};
+use beamtray_emulator::UpstreamEmulator;
 use beamtray_metastore::Epoch;
 use beamtray_sharding::{
     AssignmentRecord, Candidate, CandidateState, GrantOrder, GrantReply, Granter, KeyRange,
     OrderKind, Part, SliceState, StandbyId,
 };
-use beamtray_types::{ServiceName, Zone};
 use common::*;
 use std::collections::BTreeMap;
 
@@ -90,20 +89,6 @@
     }
 }
 
-fn upstream(id: UpstreamId) -> UpstreamEmulator {
-    UpstreamEmulator::new(UpstreamConfig {
-        id,
-        service: ServiceName::from("keyed"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: Zone::from("zone"),
-        slots: 1,
-        queue: 1,
-        is_sharded: true,
-        full: FullPolicy::Shed,
-        slowness_percent: 100,
-    })
-}
-
 fn is_grant(order: &GrantOrder) -> bool {
     matches!(order.kind, OrderKind::Grant { .. })
 }
