--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -11,6 +11,8 @@
 //!   lifetime of orders ([`doubt`]).
 //! - For that reason an upstream that lost keys without a reply is sent releases until it
 //!   replies, and gets no keys before that ([`crate::FenceNotice`]).
+//! - A term that may not know all earlier grants assigns keys only when all registered
+//!   upstreams refuse them ([`term_fence`]).
 //! - Callers of [`Granter::poll`] must have the authority to grant at that instant; the
 //!   granter itself knows nothing of leases.
 
@@ -188,7 +190,7 @@
     /// be in force.
     pub waits_for_doubt: bool,
     /// A term that may not know all earlier grants assigns keys only when each registered
-    /// upstream has executed an order of this term for all keys.
+    /// upstream has replied to releases under a token of this term.
     pub fences_all_upstreams: bool,
 }
 
