--- a/crates/sharding/src/granter/withheld.rs
+++ b/crates/sharding/src/granter/withheld.rs
@@ -46,11 +46,14 @@
     /// Marks the adopted record at `now` as possibly older than the last grants: the store
     /// may have reverted to an older state since it was written.
     ///
-    /// Its holders are renewed under its tokens, which is safe: a holder that has since
-    /// returned keys, or got them under a later token, replies that the token is outdated.
-    /// That proves that the keys moved to an unknown holder, and they are not assigned before
-    /// its grants have expired. Otherwise such a holder was granted the same keys under a
-    /// fresh token, accepted, and held them for 1.5 s while their current holders did too.
+    /// Its holders are renewed under its tokens. A holder that has since returned keys, or got
+    /// them under a later token, replies that the token is outdated. That proves that the keys
+    /// moved to an unknown holder, and they are not assigned before its grants have expired.
+    /// Otherwise such a holder was granted the same keys under a fresh token, accepted, and
+    /// held them for 1.5 s while their current holders did too.
+    ///
+    /// Not covered: a holder that lost keys without a reply accepts the old token, beside their
+    /// later holder until that one is fenced.
     pub fn doubt_record(&mut self, now: Time) {
         if self.timing.guards.doubts_records {
             self.record_doubted_until = now + self.timing.longest_in_force();
