Keys wait for grants in flight after the loss of all processes

Cause: a granter records a doubt when it gives an order up, after 0.5 s. One that ends before that leaves nothing, and its successor took the absence of a doubt for the absence of an order.

Fix: a granter announces its term. A successor to which no live process has told that it observed the preceding term assumes that grants were in flight (granter/lost_predecessor.rs): keys of a recorded holder that was registered in this term wait for its reply, its end or 15.4 s. All holders are renewed under tokens of the term at once, so the first reply ends the wait. Records name the keys that wait. Successors of a granter that was lost alone keep their bound of 4.95 s.

The guard InFlightWait brings the fault back in the simulator and the search.

--- a/crates/grantsearch/src/main.rs
+++ b/crates/grantsearch/src/main.rs
@@ -75,6 +75,8 @@
     rollbacks: u8,
     #[options(help = "a rollback may lose all records", no_short)]
     loses_all_records: bool,
+    #[options(help = "all processes are lost with a granter that ends", no_short)]
+    loses_all_processes: bool,
     #[options(help = "check that keys have an owner within so many ms", no_short)]
     owned_within: Option<u64>,
     #[options(
@@ -131,6 +133,7 @@
     scope.max_time_step = Duration::from_millis(arguments.longest_pass);
     scope.distinguish_restarts = arguments.tells_lives_apart;
     scope.loses_all_records = arguments.loses_all_records;
+    scope.loses_all_processes = arguments.loses_all_processes;
     scope.count_excluded = arguments.counts_excluded;
     scope.faults = Faults {
         cuts: arguments.cuts,
@@ -159,6 +162,7 @@
             "doubts_records" => &mut guards.doubts_records,
             "fences_all_upstreams" => &mut guards.fences_all_upstreams,
             "suspends_renewals" => &mut guards.suspends_renewals,
+            "assumes_grants_in_flight" => &mut guards.assumes_grants_in_flight,
             other => return Err(eyre!("there is no guard {other}")),
         };
         *guard = false;
--- a/crates/grantsearch/src/scope.rs
+++ b/crates/grantsearch/src/scope.rs
@@ -74,6 +74,9 @@
     /// Whether a rollback may lose all records. The granter then divides the keys again, into
     /// many more slices than [`Scope::ranges`], which makes states large.
     pub loses_all_records: bool,
+    /// Whether the exit of a granter is the loss of all processes, so that its successor did not
+    /// observe its term.
+    pub loses_all_processes: bool,
     /// Treat an upstream that restarted under the same id as a different holder, which needs a
     /// higher token than its previous incarnation had.
     pub distinguish_restarts: bool,
@@ -97,6 +100,7 @@
             only_invariant: None,
             count_excluded: false,
             loses_all_records: false,
+            loses_all_processes: false,
             distinguish_restarts: false,
             owned_within: None,
         }
--- a/crates/grantsearch/src/world/rollback.rs
+++ b/crates/grantsearch/src/world/rollback.rs
@@ -132,20 +132,22 @@
         self.successor_at = Some(self.now + TICK);
     }
 
-    /// Lets a new granter doubt a record that the store may have lost successors of.
-    pub(super) fn doubt_lost_records(&self, granter: &mut Granter) {
+    /// Lets a new granter doubt a record that the store may have lost successors of. Returns
+    /// whether it does.
+    pub(super) fn doubt_lost_records(&self, granter: &mut Granter) -> bool {
         let first = self.history.first_epoch();
         let is_doubted = match &self.record {
             Some(record) => record.epoch < first,
             None => first > Epoch(0),
         };
         if !is_doubted {
-            return;
+            return false;
         }
         granter.doubt_record(self.now);
         granter.withhold(self.now, KeyRange::ALL);
         if self.record.is_some() {
             granter.mark_dirty();
         }
+        true
     }
 }
--- a/crates/grantsearch/src/world/start.rs
+++ b/crates/grantsearch/src/world/start.rs
@@ -87,7 +87,10 @@
         let epoch = Epoch(term);
         let record = self.record.as_ref();
         let mut granter = Granter::new(self.now, self.scope.timing, epoch, record);
-        self.doubt_lost_records(&mut granter);
+        let is_doubted = self.doubt_lost_records(&mut granter);
+        if self.scope.loses_all_processes && !is_doubted {
+            granter.assume_grants_in_flight(self.now);
+        }
         let mut process = Process {
             term: Term(term),
             granter,
--- a/crates/grantsearch/tests/rollbacks.rs
+++ b/crates/grantsearch/tests/rollbacks.rs
@@ -199,3 +199,11 @@
     };
     assert_kept(&reset().with(faults), 12);
 }
+
+/// Another upstream is cut off when the term would give tokens of its own to a holder that lost
+/// its keys by expiry.
+#[test]
+fn a_recorded_holder_is_not_renewed_while_another_upstream_is_cut_off() {
+    let faults = Faults { cuts: 2, ..CUT };
+    assert_kept(&reset().with(faults), 13);
+}
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -1,6 +1,7 @@
 //! This node's part in the control plane: its registration, the granter election, and the grants
 //! while it is the granter.
 
+mod observed_terms;
 mod ownership;
 mod standbys;
 mod suspicions;
@@ -22,7 +23,7 @@
     Assignment, AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, GranterTiming, KeyRange,
 };
 use beamtray_types::{ServiceName, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -101,6 +102,8 @@
     era: StoreEra,
     /// This node's last term that had loaded its grants, if a new era ended it.
     last_term: Option<Epoch>,
+    /// Terms that a live process is known to have observed.
+    observed_terms: BTreeSet<Epoch>,
     /// The records that the last term would have written next.
     last_records: BTreeMap<ServiceName, AssignmentRecord>,
     /// The records read at the start of the term.
@@ -129,6 +132,7 @@
             own_writes: Vec::new(),
             era: StoreEra::default(),
             last_term: None,
+            observed_terms: BTreeSet::new(),
             last_records: BTreeMap::new(),
             loaded_state: None,
             next_speeds_write: Time::ZERO,
@@ -185,6 +189,7 @@
         self.election.begin_era(era);
         let ended = self.term.take().filter(|term| term.grants.is_some());
         if let Some(term) = ended {
+            self.observe_term(term.authority.epoch);
             self.last_term = Some(term.authority.epoch);
             let grants = term.grants.unwrap_or_default().into_iter();
             self.last_records = grants
--- a/crates/router/src/core/control/term.rs
+++ b/crates/router/src/core/control/term.rs
@@ -3,6 +3,7 @@
 
 use super::Control;
 use super::KnownAssignments;
+use super::observed_terms::ObserverQuery;
 use crate::core::grants::{Grants, RecordTrust, read_state, restore_grants};
 use crate::core::message::StoreTask;
 use crate::core::views::{Snapshot, ViewName};
@@ -46,6 +47,10 @@
     pub(super) candidates_version: Option<u64>,
     /// Whether a service without a record may have had one that the store has lost.
     pub(super) may_have_lost_records: bool,
+    /// When the term is next announced.
+    pub(super) announced_at: Time,
+    /// Set while no live process is known to have observed the preceding term.
+    pub(super) observer_query: Option<ObserverQuery>,
 }
 
 impl Term {
@@ -62,6 +67,8 @@
             candidates_at: now,
             candidates_version: None,
             may_have_lost_records: false,
+            announced_at: now,
+            observer_query: None,
         }
     }
 
@@ -94,6 +101,9 @@
             }
             return;
         }
+        if let Some(ended) = &self.term {
+            self.observe_term(ended.authority.epoch);
+        }
         self.term = Some(Term::new(now, authority));
     }
 
@@ -157,6 +167,7 @@
         let trust = RecordTrust {
             proven_from: first,
             continues,
+            observed: predecessor == Epoch(0) || self.observed_terms.contains(&predecessor),
         };
         let known = match continues {
             true => &with_last_records(known, &self.last_records),
@@ -167,6 +178,8 @@
         let is_rolled_back = first > Epoch(0);
         let may_have_predecessor = newest > Epoch(0) || !self.config.is_first_start;
         term.may_have_lost_records = is_rolled_back && may_have_predecessor && !trust.continues;
+        let query = ObserverQuery::new(now, predecessor);
+        term.observer_query = (!trust.observed).then_some(query);
         term.grants = Some(restore_grants(now, timing, epoch, &read, known, trust));
         term.candidates_version = None;
         self.loaded_state = Some(Snapshot {
--- a/crates/router/src/core/grants.rs
+++ b/crates/router/src/core/grants.rs
@@ -252,6 +252,9 @@
     pub proven_from: Epoch,
     /// Whether this node also held the preceding term, so that it knows all records.
     pub continues: bool,
+    /// Whether a live process observed the preceding term, so that not all processes were lost
+    /// with its granter.
+    pub observed: bool,
 }
 
 /// Restores the grants from the stored records, or from newer records that this node knows. Keys
@@ -315,6 +318,9 @@
                 granter.withhold(now, KeyRange::ALL);
             }
         }
+        if !trust.observed && epoch >= trust.proven_from {
+            granter.assume_grants_in_flight(now);
+        }
         granter.mark_dirty();
         let grants = Grants {
             granter,
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -168,6 +168,10 @@
     QuotaRequest(QuotaRequest),
     /// The issuer's reply to a quota request.
     QuotaReply(QuotaReply),
+    /// From a granter: asks whether a live process is known to have observed that earlier term.
+    TermQuery(u64),
+    /// A live process observed the term: from its granter, and in reply to a query.
+    TermObserved(u64),
 }
 
 /// An upstream's request to receive no requests for a while.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -6,6 +6,7 @@
 mod gossip;
 mod leaving;
 mod load;
+mod observed_terms;
 mod quarantine;
 mod quotas;
 mod rate_limits;
@@ -26,7 +27,7 @@
 use beamtray_dispatch::{
     AttemptOutcome, Decision, DispatchConfig, Dispatcher, NodeHash, NotExecuted, SumSource,
 };
-use beamtray_metastore::StoreEra;
+use beamtray_metastore::{Epoch, StoreEra};
 use beamtray_sharding::{GrantReply, StandbyId};
 use beamtray_types::Time;
 use fetch::Fetches;
@@ -262,6 +263,8 @@
             Datagram::PermitReply(reply) => self.dispatcher.handle_permit_reply(now, reply),
             Datagram::QuotaRequest(request) => self.issue_quota(now, from, request),
             Datagram::QuotaReply(reply) => self.dispatcher.handle_quota_reply(now, reply),
+            Datagram::TermQuery(epoch) => self.answer_term_query(from, Epoch(*epoch)),
+            Datagram::TermObserved(epoch) => self.control.observe_term(Epoch(*epoch)),
             Datagram::Suspicions(suspicions) => self.handle_suspicions(now, suspicions),
             Datagram::KeyReport(report) => self.control.add_key_report(report),
             Datagram::StandbyLease(lease) => self.standby.handle_lease(now, lease),
@@ -395,6 +398,7 @@
             self.outputs.extend(orders);
         }
         self.poll_standby_leases(now);
+        self.exchange_observed_terms(now);
         let notices = self.control.take_ownership_notices().into_iter();
         let notices = notices.map(|(service, notice)| Output::Ownership(service, notice));
         self.outputs.extend(notices);
--- a/crates/routersim/src/guard.rs
+++ b/crates/routersim/src/guard.rs
@@ -48,11 +48,14 @@
     /// A term that may not know all earlier grants renews recorded holders only when no
     /// other upstream can have a grant in force.
     RenewalWait,
+    /// After the loss of all processes, keys of an unresponsive holder are withheld until no
+    /// grant that was in flight can be in force.
+    InFlightWait,
 }
 
 impl Guard {
     /// All guards.
-    pub const ALL: [Guard; 20] = [
+    pub const ALL: [Guard; 21] = [
         Guard::RecordFirst,
         Guard::LapseWait,
         Guard::PredecessorWait,
@@ -73,6 +76,7 @@
         Guard::DoubtWait,
         Guard::TermFence,
         Guard::RenewalWait,
+        Guard::InFlightWait,
     ];
 
     /// The invariant that is violated without the guard.
@@ -89,7 +93,8 @@
             | Guard::TokenRenewal
             | Guard::DoubtWait
             | Guard::TermFence
-            | Guard::RenewalWait => Invariant::RisingTokens,
+            | Guard::RenewalWait
+            | Guard::InFlightWait => Invariant::RisingTokens,
             Guard::ProofBeforeRepeat => Invariant::AtMostOnce,
             Guard::ShortDoubt => Invariant::Drain,
             Guard::SuspicionsTold | Guard::SuspicionsKept => Invariant::PoisonKeptOff,
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -141,6 +141,7 @@
         waits_for_doubt: disabled_guard != Some(Guard::DoubtWait),
         fences_all_upstreams: disabled_guard != Some(Guard::TermFence),
         suspends_renewals: disabled_guard != Some(Guard::RenewalWait),
+        assumes_grants_in_flight: disabled_guard != Some(Guard::InFlightWait),
     };
     if disabled_guard == Some(Guard::ShortDoubt) {
         config.directory.reregistration_timeout = CONNECTED_AFTER * 3;
--- a/crates/routersim/tests/fresh_histories.rs
+++ b/crates/routersim/tests/fresh_histories.rs
@@ -71,3 +71,25 @@
     let outcome = run_seed_extended(WorldSize::Many, 9_900_235);
     assert_eq!(outcome.violations, []);
 }
+
+/// Guards against a deployment that serves too little after grants that were executed late, two
+/// losses of all processes and upstreams that ended meanwhile.
+#[test]
+fn requests_are_served_again_after_two_losses_of_all_processes() {
+    for seed in [9_701_719, 9_701_826] {
+        assert_eq!(violations(seed), [], "seed {seed}");
+    }
+}
+
+/// Guards against requests to an upstream eight seconds after it left.
+#[test]
+fn an_upstream_that_left_long_ago_gets_no_requests() {
+    assert_eq!(violations(9_701_736), []);
+}
+
+/// The same as for drawn histories, with many nodes.
+#[test]
+fn requests_are_served_again_after_faults_of_another_history_of_many_nodes() {
+    let outcome = run_seed_extended(WorldSize::Many, 9_960_332);
+    assert_eq!(outcome.violations, []);
+}
--- a/crates/routersim/tests/guards.rs
+++ b/crates/routersim/tests/guards.rs
@@ -213,6 +213,21 @@
     matters(Guard::RenewalWait, &faults);
 }
 
+#[test]
+fn in_flight_wait() {
+    // All processes are killed before grants are given up that their upstream executes late.
+    let unreachable = FaultKind::UpstreamUnreachable {
+        upstream: 0,
+        from: CutFrom::Everything,
+    };
+    let faults = [
+        fault(8_000, 400, FaultKind::OrdersLate { percent: 100 }),
+        fault(8_400, 1_000, FaultKind::KillAll),
+        fault(8_400, 14_000, unreachable),
+    ];
+    matters(Guard::InFlightWait, &faults);
+}
+
 #[test]
 fn term_fence() {
     // Grants are delayed, the store loses all records, and no process survives.
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -9,6 +9,8 @@
 //!   only if nothing of it arrives later.
 //! - A grant that its upstream may execute later counts as accepted at the end of the
 //!   lifetime of orders ([`doubt`]).
+//! - The same holds for grants that were in flight when all processes ended
+//!   ([`lost_predecessor`]).
 //! - For that reason an upstream that lost keys without a reply is sent releases until it
 //!   replies, and gets no keys before that ([`crate::FenceNotice`]).
 //! - A term that may not know all earlier grants assigns keys only when all registered
@@ -22,6 +24,7 @@
 mod holders;
 mod least_loaded;
 mod lost_holders;
+mod lost_predecessor;
 mod moves;
 mod orders;
 mod recorded_holders;
@@ -198,6 +201,9 @@
     /// A term that may not know all earlier grants renews recorded holders only when no
     /// other upstream can have a grant in force.
     pub suspends_renewals: bool,
+    /// A term of which no process observed the predecessor waits for unresponsive holders that
+    /// may have a grant in flight.
+    pub assumes_grants_in_flight: bool,
 }
 
 impl Default for GranterGuards {
@@ -214,6 +220,7 @@
             waits_for_doubt: true,
             fences_all_upstreams: true,
             suspends_renewals: true,
+            assumes_grants_in_flight: true,
         }
     }
 }
@@ -244,6 +251,8 @@
     /// Until when grants that the adopted record does not contain may be in force.
     record_doubted_until: Time,
     term_fence: TermFence,
+    /// Until when recorded holders may have grants in flight that nobody observed.
+    grants_in_flight_until: Time,
     /// Since when recorded holders wait for tokens of this term, if the record may lack grants.
     renewals_suspended_at: Option<Time>,
     renewal_notices: Vec<RenewalNotice>,
@@ -296,6 +305,7 @@
             withheld: Vec::new(),
             record_doubted_until: Time::ZERO,
             term_fence: TermFence::default(),
+            grants_in_flight_until: Time::ZERO,
             renewals_suspended_at: None,
             renewal_notices: Vec::new(),
             probed_at: BTreeMap::new(),
--- a/crates/sharding/src/granter/doubt.rs
+++ b/crates/sharding/src/granter/doubt.rs
@@ -22,7 +22,8 @@
 //! its own start, which is later.
 //!
 //! Not covered: an upstream that keeps an order for longer than the lifetime of orders, and a
-//! delayed grant whose granter ended before it gave the grant up and recorded the doubt.
+//! delayed grant whose granter ended before it gave the grant up and recorded the doubt, unless
+//! no process is left that observed the granter ([`super::lost_predecessor`]).
 
 use super::{Call, CandidateState, Granter, GranterTiming};
 use crate::range::{KeyRange, ShardKey};
@@ -80,6 +81,7 @@
     /// says.
     pub(super) fn expire_doubts(&mut self, now: Time) {
         let mut is_any = self.withholds_any() || self.term_fence.until().is_some();
+        is_any |= self.keys_with_grants_in_flight().next().is_some();
         for slice in self.slices.values_mut() {
             if slice.doubt.as_ref().is_some_and(|doubt| now >= doubt.until) {
                 slice.doubt = None;
@@ -146,6 +148,7 @@
         let all = doubted
             .chain(self.withheld_keys())
             .chain(self.suspended_keys())
+            .chain(self.keys_with_grants_in_flight())
             .chain(unrecorded);
         let left = all.map(|(range, until)| DoubtedKeys {
             range,
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -188,6 +188,8 @@
         let standbys = &self.standbys;
         let waits_for_standbys = self.timing.guards.waits_for_standbys;
         let candidates = &self.candidates;
+        let departed_at = &self.departed_at;
+        let assumes_in_flight = now < self.grants_in_flight_until;
         let mut lost = Vec::new();
         for slice in self.slices.values_mut() {
             let Phase::Leaving { holder, .. } = &slice.phase else {
@@ -208,9 +210,10 @@
             let lapsed = lapsed && !grant_pending && slice.recorded_in <= durable;
             let has_terminated = self.terminated.contains(holder);
             let doubt_end = slice.doubt.as_ref().map(|doubt| doubt.until);
+            let has_departed = assumes_in_flight && departed_at.contains_key(holder);
             let unconfirmed_until = slice
                 .unconfirmed_until
-                .filter(|_| candidates.contains_key(holder));
+                .filter(|_| has_departed || candidates.contains_key(holder));
             let doubt_end = doubt_end.max(unconfirmed_until);
             let left = doubt_end.unwrap_or_default().since(now);
             let is_doubted = waits && !left.is_zero() && !has_terminated;
--- a/crates/sharding/tests/granter.rs
+++ b/crates/sharding/tests/granter.rs
@@ -35,6 +35,7 @@
         waits_for_doubt: true,
         fences_all_upstreams: true,
         suspends_renewals: true,
+        assumes_grants_in_flight: true,
     },
 };
 const LIMITS: BalanceLimits = BalanceLimits {
