Sight: which upstreams a node fails to connect to although they respond to others

Each node now keeps the paths whose last connection failed, and whether their upstreams responded to any node since. Lines path_broken, path_restored, cut_off_from_upstreams and reconnected_to_upstreams with the ages of what they rest on; gauges failed_paths by whether the upstream responds, and cut_off_seconds. Nothing acts on it yet.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod limits;
 mod outcome;
+mod paths;
 mod pools;
 mod quotas;
 mod reports;
@@ -19,6 +20,7 @@
 use crate::quarantine::{AttemptHash, Quarantine};
 use crate::quota::{QuotaBound, Quotas, TenantHash};
 use crate::rate_limit::RateLimits;
+use crate::reachability::Reachability;
 use crate::report::{NodeHash, UpstreamHash};
 use crate::request::{AdmissionError, AssignmentNumber, RequestHead, Ticket, UnknownCause};
 use crate::requested_backoffs::RequestedBackoffs;
@@ -206,6 +208,7 @@
     version: u64,
     budgets: HashMap<ServiceName, RetryBudget>,
     health: HashMap<UpstreamHash, Health>,
+    reachability: Reachability,
     pools: Pools,
     /// Change counter of the directory that was applied last.
     directory_changes: Option<u64>,
@@ -268,6 +271,7 @@
             version: 0,
             budgets: HashMap::new(),
             health: HashMap::new(),
+            reachability: Reachability::default(),
             pools: Pools::default(),
             directory_changes: None,
             draining_since: HashMap::new(),
@@ -362,6 +366,8 @@
             .map(|registration| UpstreamHash::of(&registration.record.id))
             .collect();
         self.health.retain(|hash, _| known.contains(hash));
+        self.reachability
+            .retain(known.len(), |hash| known.contains(&hash));
         self.speeds.retain(|hash| known.contains(&hash));
         self.last_answers.retain(|hash, _| known.contains(hash));
         self.probed_at.retain(|hash, _| known.contains(hash));
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -118,10 +118,12 @@
         attempt: &Attempt,
         outcome: AttemptOutcome,
     ) {
+        if matches!(outcome, AttemptOutcome::Answered { .. }) {
+            self.upstream_responded(now, attempt.hash);
+        }
         let health = self.health.entry(attempt.hash).or_default();
         match outcome {
             AttemptOutcome::Answered { success } => {
-                self.last_answers.insert(attempt.hash, now);
                 health.failures = 0;
                 if !success {
                     self.failures.record(now, attempt.hash, 1);
--- a/crates/dispatch/src/dispatcher/reports.rs
+++ b/crates/dispatch/src/dispatcher/reports.rs
@@ -69,7 +69,7 @@
     /// Applies response statistics of other nodes.
     pub fn apply_answers(&mut self, now: Time, answers: &[AnswerStats]) {
         for answers in answers {
-            self.last_answers.insert(answers.upstream, now);
+            self.upstream_responded(now, answers.upstream);
             if answers.failures > 0 {
                 let failures = u32::from(answers.failures);
                 self.failures.record(now, answers.upstream, failures);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod quota;
 mod rate_limit;
+mod reachability;
 mod rendezvous;
 mod report;
 mod request;
@@ -33,6 +34,7 @@
 };
 pub use quota::{LocatedNode, QuotaBound, QuotaReply, QuotaRequest, TenantHash};
 pub use rate_limit::{PermitReply, PermitRequest, RateLimitEvent, RateLimitUpdate};
+pub use reachability::{PathCounts, PathNotice, Reachability};
 pub use report::{
     AnswerStats, InFlight, IncludedReport, KeyLoad, KeyReport, LoadReport, LoadSum, NodeHash,
     UpstreamHash,
--- /dev/null
+++ b/crates/dispatch/src/reachability.rs
@@ -0,0 +1,203 @@
+//! Which upstreams this node can't connect to although they are running.
+//!
+//! A failed connection does not tell whether the upstream or the network path has failed. The
+//! path has if the upstream responds to any node after the failure: an upstream that has
+//! ended responds to nobody.
+//!
+//! Invariant: a path counts as broken only if its upstream is known to have been alive after the
+//! connection failed. Without it, each upstream that has ended would be sought through other
+//! nodes.
+
+use crate::report::UpstreamHash;
+use beamtray_catalog::UpstreamId;
+use beamtray_types::Time;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Number of upstreams behind broken paths from which a node counts as cut off.
+const CUT_OFF_UPSTREAMS: usize = 3;
+/// Interval between two probes of a path.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of probes that begin at the same time.
+const MAX_PROBES: usize = 4;
+
+/// A change of what this node can connect to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PathNotice {
+    /// The path to an upstream is broken: a connection failed, and the upstream responded since.
+    Broken {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Time since the connection failed.
+        failed_ago: Duration,
+    },
+    /// A connection to the upstream was opened.
+    Restored {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Time since the first connection failed.
+        failed_ago: Duration,
+    },
+    /// This node can connect to no upstream, while other nodes can.
+    CutOff {
+        /// Number of upstreams behind broken paths.
+        broken: usize,
+        /// Time since a connection was last opened, if one was.
+        connected_ago: Option<Duration>,
+    },
+    /// A connection to an upstream was opened again.
+    Reconnected {
+        /// How long this node was cut off.
+        cut_off_for: Duration,
+    },
+}
+
+/// A path to an upstream that failed and has not been restored.
+#[derive(Clone, Debug)]
+struct FailedPath {
+    upstream: UpstreamId,
+    address: SocketAddr,
+    /// Start of the first failed connection attempt.
+    failed_at: Time,
+    /// Whether the upstream responded to any node after that.
+    is_broken: bool,
+    /// When the path is next probed.
+    probe_at: Time,
+}
+
+/// The number of failed paths by what is known of their upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PathCounts {
+    /// Nothing was heard of the upstream since.
+    pub failed: usize,
+    /// The upstream responded since.
+    pub broken: usize,
+}
+
+/// The paths from this node to upstreams that failed.
+#[derive(Clone, Debug, Default)]
+pub struct Reachability {
+    failed: HashMap<UpstreamHash, FailedPath>,
+    /// When a connection to any upstream was last opened.
+    connected_at: Option<Time>,
+    cut_off_since: Option<Time>,
+    /// Number of registered upstreams.
+    upstream_count: usize,
+    notices: Vec<PathNotice>,
+}
+
+impl Reachability {
+    /// Records that a connection attempt that began at `began` failed.
+    pub fn connection_failed(&mut self, began: Time, upstream: &UpstreamId, address: SocketAddr) {
+        self.failed
+            .entry(UpstreamHash::of(upstream))
+            .or_insert_with(|| FailedPath {
+                upstream: upstream.clone(),
+                address,
+                failed_at: began,
+                is_broken: false,
+                probe_at: began + PROBE_INTERVAL,
+            });
+    }
+
+    /// Records that a connection was opened.
+    pub fn connected(&mut self, now: Time, upstream: UpstreamHash) {
+        self.connected_at = Some(now);
+        if let Some(since) = self.cut_off_since.take() {
+            // What ended for one path most likely ended for all; those that fail again are
+            // found out by their next connection.
+            self.failed.clear();
+            let cut_off_for = now.since(since);
+            self.notices.push(PathNotice::Reconnected { cut_off_for });
+            return;
+        }
+        if let Some(path) = self.failed.remove(&upstream).filter(|path| path.is_broken) {
+            self.notices.push(PathNotice::Restored {
+                upstream: path.upstream,
+                failed_ago: now.since(path.failed_at),
+            });
+        }
+    }
+
+    /// Records that an upstream responded to some node. Returns whether that shows its path from
+    /// this node to be broken.
+    pub fn responded(&mut self, now: Time, upstream: UpstreamHash) -> bool {
+        let Some(path) = self.failed.get_mut(&upstream) else {
+            return false;
+        };
+        if path.is_broken {
+            return false;
+        }
+        path.is_broken = true;
+        self.notices.push(PathNotice::Broken {
+            upstream: path.upstream.clone(),
+            failed_ago: now.since(path.failed_at),
+        });
+        self.update_cut_off(now);
+        true
+    }
+
+    fn update_cut_off(&mut self, now: Time) {
+        let broken = self.failed.values().filter(|path| path.is_broken);
+        let first = broken.clone().map(|path| path.failed_at).min();
+        let count = broken.count();
+        let needed = CUT_OFF_UPSTREAMS.min(self.upstream_count.max(1));
+        let connected_since = self.connected_at >= first;
+        if self.cut_off_since.is_some() || count < needed || connected_since {
+            return;
+        }
+        self.cut_off_since = Some(now);
+        self.notices.push(PathNotice::CutOff {
+            broken: count,
+            connected_ago: self.connected_at.map(|at| now.since(at)),
+        });
+    }
+
+    /// Whether the path to an upstream is broken.
+    pub fn is_broken(&self, upstream: UpstreamHash) -> bool {
+        let path = self.failed.get(&upstream);
+        path.is_some_and(|path| path.is_broken)
+    }
+
+    /// Since when this node has been able to connect to no upstream, while other nodes can.
+    pub fn cut_off_since(&self) -> Option<Time> {
+        self.cut_off_since
+    }
+
+    /// Applies the registered upstreams: the paths to others are forgotten.
+    pub fn retain(&mut self, count: usize, is_registered: impl Fn(UpstreamHash) -> bool) {
+        self.upstream_count = count;
+        self.failed.retain(|upstream, _| is_registered(*upstream));
+        if self.failed.is_empty() {
+            self.cut_off_since = None;
+        }
+    }
+
+    /// Takes the upstreams to whose addresses a connection is to be tried now. Only a probe shows
+    /// that a path is whole again where requests no longer use it.
+    pub fn take_probes(&mut self, now: Time) -> Vec<(UpstreamId, SocketAddr)> {
+        let due = self.failed.values_mut();
+        let due = due.filter(|path| path.is_broken && now >= path.probe_at);
+        due.take(MAX_PROBES)
+            .map(|path| {
+                path.probe_at = now + PROBE_INTERVAL;
+                (path.upstream.clone(), path.address)
+            })
+            .collect()
+    }
+
+    /// Takes the changes since the last call.
+    pub fn take_notices(&mut self) -> Vec<PathNotice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Number of failed paths.
+    pub fn counts(&self) -> PathCounts {
+        let broken = self.failed.values().filter(|path| path.is_broken).count();
+        PathCounts {
+            failed: self.failed.len() - broken,
+            broken,
+        }
+    }
+}
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -6,9 +6,9 @@
 use beamtray_catalog::{AdvertisedRate, ClientLimits, UpstreamId};
 use beamtray_dispatch::{
     AdmissionError, AnswerStats, AttemptOutcome, ConcludedRequest, Forward, KeyReport, LoadReport,
-    LoadSum, PermitReply, PermitRequest, ProbeTarget, QuarantineEvent, QuotaReply, QuotaRequest,
-    RateLimitEvent, RateLimitUpdate, RequestHead, SlotReply, SlotRequest, Suspicion, Ticket,
-    TrialReply, TrialReport, TrialRequest, UpstreamHash,
+    LoadSum, PathNotice, PermitReply, PermitRequest, ProbeTarget, QuarantineEvent, QuotaReply,
+    QuotaRequest, RateLimitEvent, RateLimitUpdate, RequestHead, SlotReply, SlotRequest, Suspicion,
+    Ticket, TrialReply, TrialReport, TrialRequest, UpstreamHash,
 };
 use beamtray_metastore::{StoreCall, StoreEra, StoreOutcome};
 use beamtray_sharding::{
@@ -257,6 +257,17 @@
         /// The upstream that has terminated.
         upstream: UpstreamId,
     },
+    /// A new connection to an upstream was tried.
+    ConnectionTried {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Its address.
+        address: SocketAddr,
+        /// When the attempt began.
+        began: Time,
+        /// Whether the connection was opened.
+        opened: bool,
+    },
     /// A connection attempt that checks an upstream has completed.
     Probed {
         /// The upstream that was probed.
@@ -310,6 +321,8 @@
     FetchSnapshots(SocketAddr, ViewRequest, Duration),
     /// Try to connect to an upstream, to check whether a process still listens there.
     Probe(ProbeTarget),
+    /// What this node can connect to changed.
+    Path(PathNotice),
     /// The knowledge about poison requests changed.
     Quarantine(QuarantineEvent),
     /// The known rate limit of an upstream changed; the id is present if the upstream is
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod load;
 mod observed_terms;
+mod paths;
 mod quarantine;
 mod quotas;
 mod rate_limits;
@@ -211,6 +212,12 @@
                 self.control.confirm_terminated(&upstream);
                 self.handle_replaced(now, upstream);
             }
+            Input::ConnectionTried {
+                upstream,
+                address,
+                began,
+                opened,
+            } => self.handle_connection_tried(now, &upstream, address, began, opened),
             Input::Probed { upstream, liveness } => self.handle_probe(now, &upstream, liveness),
             Input::Resumed => self.resumed(now),
             Input::Datagram(from, datagram) => self.datagram(now, from, &datagram),
@@ -226,6 +233,7 @@
         }
         self.poll_quarantine(now);
         self.poll_rate_limits(now);
+        self.poll_paths();
         self.announce_changes(now);
         if may_decide {
             self.dispatch(now);
@@ -525,19 +533,20 @@
 fn may_unblock_requests(input: &Input) -> bool {
     !matches!(
         input,
-        Input::Datagram(
-            _,
-            Datagram::Load(_)
-                | Datagram::LatestRevisions(_)
-                | Datagram::SlotRequest(_)
-                | Datagram::TrialRequest(_)
-                | Datagram::PermitRequest(_)
-                | Datagram::QuotaRequest(_)
-                | Datagram::KeyReport(_)
-                | Datagram::Backoff(_)
-                | Datagram::Answers(_)
-                | Datagram::StandbyReport(_)
-                | Datagram::StandbyLease(_)
-        )
+        Input::ConnectionTried { .. }
+            | Input::Datagram(
+                _,
+                Datagram::Load(_)
+                    | Datagram::LatestRevisions(_)
+                    | Datagram::SlotRequest(_)
+                    | Datagram::TrialRequest(_)
+                    | Datagram::PermitRequest(_)
+                    | Datagram::QuotaRequest(_)
+                    | Datagram::KeyReport(_)
+                    | Datagram::Backoff(_)
+                    | Datagram::Answers(_)
+                    | Datagram::StandbyReport(_)
+                    | Datagram::StandbyLease(_)
+            )
     )
 }
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -87,6 +87,7 @@
         None => AttemptResult::failed(AttemptOutcome::NotExecuted(NotExecuted::Unconnected)),
     };
     let took = shared.now().since(sent_at);
+    shared.report_connection(&forward.upstream, forward.address, sent_at, &progress);
     shared
         .observer
         .attempt_ended(&request, &forward, result.outcome, took);
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -146,7 +146,10 @@
     let pool = &shared.order_connections;
     let call = shared.dialect.encode_order(order);
     let progress = CallProgress::repeatable().with_write_deadline(shared.clock.clone(), until);
-    match timeout(limit, send(shared, pool, address, call, &progress)).await {
+    let began = shared.now();
+    let answer = timeout(limit, send(shared, pool, address, call, &progress)).await;
+    shared.report_connection(&order.holder, address, began, &progress);
+    match answer {
         Ok(Ok(answer)) => match shared.dialect.decode_order(&order.kind, &answer) {
             // This was the answer to another call; that to the order is missing.
             GrantReply::Unanswered => GrantReply::InDoubt,
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -117,7 +117,7 @@
         loop {
             let (mut connection, reused) = match self.take_idle(address, progress.max_idle_time) {
                 Some(connection) => (connection, true),
-                None => (connect(address, self.ack_timeout).await?, false),
+                None => (connect(address, self.ack_timeout, progress).await?, false),
             };
             if progress.is_past_write_deadline() {
                 return Err(CallFailure::NotSent);
@@ -267,14 +267,9 @@
 async fn connect(
     address: SocketAddr,
     ack_timeout: Option<Duration>,
+    progress: &CallProgress,
 ) -> Result<PooledConnection, CallFailure> {
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            return Err(CallFailure::ConnectionRefused);
-        }
-        Ok(Err(_)) | Err(_) => return Err(CallFailure::ConnectFailed),
-    };
+    let stream = open(address, progress).await?;
     configure_socket(&stream);
     reset_on_close(&stream);
     if let Some(limit) = ack_timeout {
@@ -301,6 +296,31 @@
     })
 }
 
+/// Opens a connection and records whether the other side accepted it.
+async fn open(address: SocketAddr, progress: &CallProgress) -> Result<TcpStream, CallFailure> {
+    let error = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => {
+            progress.opened.set(Some(true));
+            return Ok(stream);
+        }
+        Ok(Err(error)) => error.kind(),
+        Err(_) => io::ErrorKind::TimedOut,
+    };
+    let is_remote = matches!(
+        error,
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+    );
+    progress.opened.set(is_remote.then_some(false));
+    Err(match error {
+        io::ErrorKind::ConnectionRefused => CallFailure::ConnectionRefused,
+        _ => CallFailure::ConnectFailed,
+    })
+}
+
 async fn read_answer(
     connection: PooledConnection,
     response: Response<Incoming>,
--- a/crates/router/src/shell/connections/progress.rs
+++ b/crates/router/src/shell/connections/progress.rs
@@ -43,6 +43,9 @@
     pub(super) written: Cell<bool>,
     /// Whether it was written to a reused connection.
     pub(super) reused: Cell<bool>,
+    /// Whether the last new connection that was tried was opened; `None` if none was tried, or if
+    /// it failed for a local reason.
+    pub(super) opened: Cell<Option<bool>>,
 }
 
 impl CallProgress {
@@ -53,6 +56,7 @@
             write_deadline: None,
             written: Cell::new(false),
             reused: Cell::new(false),
+            opened: Cell::new(None),
         }
     }
 
@@ -64,6 +68,7 @@
             write_deadline: None,
             written: Cell::new(false),
             reused: Cell::new(false),
+            opened: Cell::new(None),
         }
     }
 
@@ -86,6 +91,11 @@
         self.reused.get()
     }
 
+    /// Whether a new connection was opened, if one was tried.
+    pub fn connection_opened(&self) -> Option<bool> {
+        self.opened.get()
+    }
+
     /// Whether the request may have been written.
     pub fn may_have_been_written(&self) -> bool {
         self.written.get()
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -2,10 +2,10 @@
 
 use crate::core::{Input, NodeCore, TransferPace};
 use crate::shell::actor::RouterActor;
-use crate::shell::connections::ConnectionPool;
+use crate::shell::connections::{CallProgress, ConnectionPool};
 use crate::shell::observer::Observer;
 use crate::shell::peers::AnswerCache;
-use beamtray_catalog::ClientLimits;
+use beamtray_catalog::{ClientLimits, UpstreamId};
 use beamtray_clock::BootClock;
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{AdmissionError, ConcludedRequest, Forward, Ticket};
@@ -86,6 +86,24 @@
         self.core_wakeup.notify_one();
     }
 
+    /// Reports to the core whether a new connection to an upstream was opened.
+    pub fn report_connection(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        began: Time,
+        progress: &CallProgress,
+    ) {
+        if let Some(opened) = progress.connection_opened() {
+            self.input(Input::ConnectionTried {
+                upstream: upstream.clone(),
+                address,
+                began,
+                opened,
+            });
+        }
+    }
+
     /// Current time on the core's clock.
     pub fn now(&self) -> Time {
         self.clock.now()
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -9,9 +9,9 @@
 use beamtray_metastore::StoreEra;
 use beamtray_types::Time;
 pub(crate) use labels::{
-    AttemptLabels, EntryLabel, OrderLabels, OrderName, PermitLabel, RefusalLabels, RequestLabels,
-    RouteLabel, ServiceLabel, SlotLabel, StoreLabels, SuspectLabel, TrialLabel, UnansweredLabel,
-    UnownedLabel, UpstreamLabel, ViewLabel,
+    AttemptLabels, EntryLabel, OrderLabels, OrderName, PathLabel, PermitLabel, RefusalLabels,
+    RequestLabels, RouteLabel, ServiceLabel, SlotLabel, StoreLabels, SuspectLabel, TrialLabel,
+    UnansweredLabel, UnownedLabel, UpstreamLabel, ViewLabel,
 };
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -71,6 +71,8 @@
     slots_in_use: Family<UpstreamLabel, Gauge>,
     slots: Family<SlotLabel, Gauge>,
     suspects: Family<SuspectLabel, Gauge>,
+    failed_paths: Family<PathLabel, Gauge>,
+    cut_off_seconds: Gauge<f64, AtomicU64>,
     limited_upstreams: Gauge,
     resting_upstreams: Gauge,
     store_era: Gauge,
@@ -117,6 +119,8 @@
             slots_in_use: Family::default(),
             slots: Family::default(),
             suspects: Family::default(),
+            failed_paths: Family::default(),
+            cut_off_seconds: Gauge::default(),
             limited_upstreams: Gauge::default(),
             resting_upstreams: Gauge::default(),
             store_era: Gauge::default(),
@@ -244,6 +248,16 @@
             "Fingerprints of requests under which upstreams ended, and of those kept off",
             self.suspects.clone(),
         );
+        registry.register(
+            "failed_paths",
+            "Upstreams to which this node could not connect, by whether they respond since",
+            self.failed_paths.clone(),
+        );
+        registry.register(
+            "cut_off_seconds",
+            "Time for which this node can connect to no upstream while other nodes can",
+            self.cut_off_seconds.clone(),
+        );
         registry.register(
             "limited_upstreams",
             "Upstreams that name the requests a second that they take",
@@ -343,6 +357,18 @@
     }
 
     /// Updates the gauges from the state of the core.
+    fn observe_paths(&self, now: Time, dispatcher: &Dispatcher) {
+        let reachability = dispatcher.reachability();
+        let counts = reachability.counts();
+        for (upstream, count) in [("silent", counts.failed), ("responds", counts.broken)] {
+            let label = PathLabel { upstream };
+            self.failed_paths.get_or_create(&label).set(count as i64);
+        }
+        let cut_off = reachability.cut_off_since();
+        let cut_off_for = cut_off.map(|since| now.since(since).as_secs_f64());
+        self.cut_off_seconds.set(cut_off_for.unwrap_or_default());
+    }
+
     pub fn update_gauges(&self, now: Time, core: &NodeCore) {
         let (views, control, dispatcher) = core.inspect();
         let (waiting, under_way) = dispatcher.request_counts();
@@ -374,6 +400,7 @@
             let label = SuspectLabel { state };
             self.suspects.get_or_create(&label).set(count as i64);
         }
+        self.observe_paths(now, dispatcher);
         self.limited_upstreams
             .set(dispatcher.rate_limited_count() as i64);
         self.resting_upstreams
--- a/crates/router/src/shell/metrics/labels.rs
+++ b/crates/router/src/shell/metrics/labels.rs
@@ -112,3 +112,9 @@
 pub(crate) struct PermitLabel {
     pub outcome: &'static str,
 }
+
+/// What is known of the upstreams behind paths that failed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct PathLabel {
+    pub upstream: &'static str,
+}
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -2,6 +2,7 @@
 
 mod names;
 mod ownership;
+mod paths;
 mod quarantine;
 mod rate_limits;
 
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -25,6 +25,7 @@
             peers::request_snapshots(shared, address, request, wait)
         }
         Output::Probe(doubted) => probe::probe_upstream(shared, doubted),
+        Output::Path(notice) => shared.observer.path_changed(&notice),
         Output::Quarantine(notice) => shared.observer.quarantine_changed(notice),
         Output::RateLimit(upstream, notice) => {
             shared
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -351,6 +351,7 @@
             Output::RateLimit(..)
             | Output::ClientLimits(_)
             | Output::ViewChanged(_)
+            | Output::Path(_)
             | Output::StoreEra { .. }
             | Output::Standby(_) => {}
         }
