--- a/crates/routersim/src/check.rs
+++ b/crates/routersim/src/check.rs
@@ -2,6 +2,7 @@
 //! violation when its invariant does not hold.
 
 mod leaving;
+mod partition;
 mod rate_limit;
 mod rest;
 mod tenants;
@@ -11,6 +12,7 @@
 use beamtray_sharding::ShardKey;
 use beamtray_types::{Time, Zone};
 use leaving::LeavingReports;
+use partition::Partitions;
 use rate_limit::RateLimits;
 pub use rate_limit::Sender;
 use rest::RetryAfterPeriods;
@@ -62,6 +64,8 @@
     Quota,
     /// A node sends next to nothing to an upstream during the retry-after period it received.
     Rest,
+    /// Clients of nodes that are partitioned from all upstreams are served like those of others.
+    PartitionedNodes,
     /// Most requests are served again after the last fault.
     Recovery,
 }
@@ -167,6 +171,7 @@
     rests: RetryAfterPeriods,
     tenant_requests: TenantRequests,
     poison: BTreeMap<String, Poison>,
+    partitions: Partitions,
     recovery_served: usize,
     recovery_requests: usize,
 }
@@ -388,6 +393,7 @@
 
     /// Ends the history, checks recovery and returns all violations.
     pub fn finish(mut self, at: Time) -> Vec<Violation> {
+        self.check_partitions(at);
         let (served, asked) = (self.recovery_served, self.recovery_requests);
         if served * 100 < asked * LEAST_SERVED_PERCENT {
             let text = format!("{served} of {asked} served at the end");
--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -117,6 +117,14 @@
         /// The links that are down.
         from: CutFrom,
     },
+    /// Nodes are partitioned from all upstreams, while clients, the store and the other nodes still
+    /// reach them.
+    NodesPartitioned {
+        /// The nodes.
+        nodes: Vec<usize>,
+        /// What happens to their connections.
+        mode: UpstreamPartition,
+    },
     /// An upstream is overloaded: its responses advertise a rate limit.
     UpstreamInNeed {
         /// Index of the upstream.
@@ -181,6 +189,17 @@
     Configure,
 }
 
+/// What happens to the connections of nodes that are partitioned from all upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamPartition {
+    /// Open connections go silent, new ones time out.
+    Silent,
+    /// Open connections are reset, new ones are refused.
+    Reset,
+    /// Open connections live on, new ones are refused.
+    Refused,
+}
+
 /// Links of an upstream that are down.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CutFrom {
--- a/crates/routersim/src/lib.rs
+++ b/crates/routersim/src/lib.rs
@@ -12,7 +12,7 @@
 pub use check::{Checkers, GrantObservation, Holder, Invariant, OtherHolder, Violation};
 pub use dialect::SimDialect;
 pub use event_log::{LogEntry, LoggedEvent};
-pub use fault::{CutFrom, Fault, FaultKind, FaultPlan};
+pub use fault::{CutFrom, Fault, FaultKind, FaultPlan, UpstreamPartition};
 pub use guard::Guard;
 pub use world::{
     CloseMode, Outcome, OwnershipCosts, SuspicionCosts, World, WorldConfig, WorldSize,
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -8,6 +8,7 @@
 mod orders;
 mod owners;
 mod ownership_costs;
+mod partitions;
 mod poison;
 mod popular;
 mod registrations;
--- a/crates/routersim/src/world/clients.rs
+++ b/crates/routersim/src/world/clients.rs
@@ -101,6 +101,8 @@
         if refused && !asked.repeatable {
             self.checkers.refused(self.now, &asked.id);
         }
+        self.checkers
+            .first_attempt_ended(asked.at, asked.node, false);
         if asked.is_late {
             self.checkers.recovery_answer(false);
         }
@@ -112,6 +114,8 @@
             return;
         };
         self.served_count += 1;
+        self.checkers
+            .first_attempt_ended(asked.at, asked.node, true);
         if asked.is_late {
             self.checkers.recovery_answer(true);
         }
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -105,6 +105,9 @@
             FaultKind::UpstreamUnreachable { upstream, from } => {
                 self.cut_links(*upstream, from.clone());
             }
+            FaultKind::NodesPartitioned { nodes, mode } => {
+                self.partition_nodes(nodes, *mode, duration);
+            }
             FaultKind::UpstreamInNeed {
                 upstream,
                 rate_milli,
@@ -266,6 +269,7 @@
                 state.cut_since = None;
                 state.healed_at = Some(self.now);
             }
+            FaultKind::NodesPartitioned { nodes, .. } => self.end_partition(nodes),
             FaultKind::UpstreamInNeed { upstream, .. } => self.set_rate(*upstream, None),
             FaultKind::ZoneEvacuation { zone } => self.end_evacuation(zone),
             FaultKind::OrdersLate { .. } => self.orders_late_percent = 0,
--- a/crates/routersim/src/world/links.rs
+++ b/crates/routersim/src/world/links.rs
@@ -8,7 +8,7 @@
 use super::World;
 use super::network::{Event, Run};
 use super::upstreams::{CONNECT_TIMEOUT, PendingRelease};
-use crate::fault::CutFrom;
+use crate::fault::{CutFrom, UpstreamPartition};
 use beamtray_emulator::Delivery;
 use beamtray_sharding::GrantReply;
 use beamtray_types::Time;
@@ -42,7 +42,7 @@
 
 /// Link between one run of a node's process and one incarnation of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Link {
+pub(super) struct Link {
     node: usize,
     run: Run,
     index: usize,
@@ -81,6 +81,13 @@
         })
     }
 
+    /// Whether there is an idle connection.
+    pub(super) fn has_idle(&self, now: Time, link: Link) -> bool {
+        let idle = self.idle.get(&link).into_iter().flatten();
+        idle.into_iter()
+            .any(|one| one.since <= now && now < one.until)
+    }
+
     fn keep(&mut self, since: Time, link: Link) {
         let idle = self.idle.entry(link).or_default();
         if idle.len() < MAX_IDLE_CONNECTIONS {
@@ -108,7 +115,7 @@
 }
 
 impl World {
-    fn link(&self, node: usize, run: Run, index: usize) -> Link {
+    pub(super) fn link(&self, node: usize, run: Run, index: usize) -> Link {
         Link {
             node,
             run,
@@ -126,7 +133,11 @@
             Some(CutFrom::Nodes(nodes)) => nodes.contains(&node),
             None => false,
         };
-        !cut && only.is_none_or(|only| only == node)
+        let is_partitioned = matches!(
+            self.nodes[node].upstream_partition,
+            Some(UpstreamPartition::Silent | UpstreamPartition::Reset)
+        );
+        !cut && !is_partitioned && only.is_none_or(|only| only == node)
     }
 
     /// Keeps the connection of a delivered order for reuse.
@@ -149,7 +160,10 @@
     pub(super) fn order_lost(&mut self, index: usize, timeout: Duration, pending: PendingRelease) {
         let link = self.link(pending.node, pending.run, index);
         if !self.links.take(self.now, link) {
-            return self.order_answered(CONNECT_TIMEOUT, pending, GrantReply::Undelivered);
+            let holder = pending.order.holder.clone();
+            let after = CONNECT_TIMEOUT;
+            self.connection_failed(pending.node, pending.run, index, &holder, after);
+            return self.order_answered(after, pending, GrantReply::Undelivered);
         }
         let written = WrittenOrder {
             link,
@@ -218,7 +232,9 @@
         let ran_again = just(self.nodes[node].thawed_at);
         Delivery {
             is_late: false,
-            is_after_recovery: ran_again || just(self.upstream_state[index].healed_at),
+            is_after_recovery: ran_again
+                || just(self.upstream_state[index].healed_at)
+                || just(self.nodes[node].partition_ended),
         }
     }
 }
--- a/crates/routersim/src/world/network.rs
+++ b/crates/routersim/src/world/network.rs
@@ -165,6 +165,12 @@
     Snapshots(SocketAddr, Vec<beamtray_router::core::Snapshot>),
     NotAnswered(SocketAddr),
     Probed(UpstreamId, Liveness),
+    ConnectionTried {
+        upstream: UpstreamId,
+        address: SocketAddr,
+        began: Time,
+        opened: bool,
+    },
 }
 
 impl From<DeferredInput> for Input {
@@ -173,6 +179,17 @@
             DeferredInput::Snapshots(from, snapshots) => Input::Snapshots(from, snapshots),
             DeferredInput::NotAnswered(from) => Input::SnapshotsUnavailable(from),
             DeferredInput::Probed(upstream, liveness) => Input::Probed { upstream, liveness },
+            DeferredInput::ConnectionTried {
+                upstream,
+                address,
+                began,
+                opened,
+            } => Input::ConnectionTried {
+                upstream,
+                address,
+                began,
+                opened,
+            },
         }
     }
 }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -8,6 +8,7 @@
     QUOTA_WINDOW, REVOCATION_TIME,
 };
 use crate::event_log::LoggedEvent;
+use crate::fault::UpstreamPartition;
 use crate::guard::Guard;
 use beamtray_dispatch::{AdmissionError, Conclusion, RefusalReason};
 use beamtray_router::core::{
@@ -18,6 +19,7 @@
 };
 use beamtray_sharding::{GrantReply, GranterGuards};
 use beamtray_types::Time;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +56,12 @@
     /// Time at which it last regained contact with the other nodes.
     pub peers_regained: Time,
     pub next_ticket: u64,
+    /// Set while it is partitioned from all upstreams.
+    pub upstream_partition: Option<UpstreamPartition>,
+    /// When such a partition last ended.
+    pub partition_ended: Option<Time>,
+    /// When each upstream last answered a request of this node over the node's own path.
+    pub answered_at: BTreeMap<usize, Time>,
 }
 
 pub(crate) fn address(node: usize) -> SocketAddr {
@@ -192,6 +200,7 @@
         let slot = &mut self.nodes[node];
         slot.core = None;
         slot.run += 1;
+        slot.answered_at.clear();
         slot.disturbed = now;
         self.store_state.forget_node(node);
         self.forget_clients_of(node);
--- a/crates/routersim/src/world/orders.rs
+++ b/crates/routersim/src/world/orders.rs
@@ -4,6 +4,7 @@
 use super::network::{Event, Run};
 use super::upstreams::{PendingRelease, index_of};
 use crate::event_log::LoggedEvent;
+use crate::fault::UpstreamPartition;
 use beamtray_emulator::Delivery;
 use beamtray_router::core::{GRANT_TIMEOUT, OrderTask};
 use beamtray_sharding::{CallId, GrantOrder, GrantReply, OrderKind};
@@ -43,6 +44,12 @@
             self.forget_connections(node, run, index);
             return self.order_answered(REFUSAL_DELAY, pending, GrantReply::Undelivered);
         }
+        if is_up && self.is_order_refused(node, run, index) {
+            self.forget_connections(node, run, index);
+            let holder = pending.order.holder.clone();
+            self.connection_failed(node, run, index, &holder, REFUSAL_DELAY);
+            return self.order_answered(REFUSAL_DELAY, pending, GrantReply::Undelivered);
+        }
         if !is_up || !self.reaches(node, index) {
             return self.order_lost(index, timeout, pending);
         }
@@ -78,6 +85,18 @@
         self.carry_out(index, pending, delivery, true);
     }
 
+    /// Whether a partition refuses the connection of an order.
+    fn is_order_refused(&self, node: usize, run: Run, index: usize) -> bool {
+        match self.nodes[node].upstream_partition {
+            Some(UpstreamPartition::Reset) => true,
+            Some(UpstreamPartition::Refused) => {
+                let link = self.link(node, run, index);
+                !self.links.has_idle(self.now, link)
+            }
+            Some(UpstreamPartition::Silent) | None => false,
+        }
+    }
+
     /// Carries out an order at an upstream and replies if the sender still waits.
     pub(super) fn carry_out(
         &mut self,
--- a/crates/routersim/src/world/poison.rs
+++ b/crates/routersim/src/world/poison.rs
@@ -5,7 +5,7 @@
 use super::tenants::RequestSender;
 use super::upstreams::{CONNECT_TIMEOUT, index_of};
 use super::{CONNECTED_AFTER, ClientRequest, ORDER, READ, World};
-use crate::fault::FaultKind;
+use crate::fault::{FaultKind, UpstreamPartition};
 use beamtray_dispatch::{ProbeTarget, Ticket};
 use beamtray_router::core::{Input, Liveness};
 use beamtray_sharding::ShardKey;
@@ -97,15 +97,20 @@
             return;
         };
         let soon = self.millis(2, 6);
-        let (after, liveness) = if !self.reaches(node, index) {
-            (CONNECT_TIMEOUT, Liveness::Silent)
-        } else if self.upstreams[index].is_some() {
-            (soon, Liveness::Listens)
-        } else if self.upstream_state[index].dark {
-            (CONNECT_TIMEOUT, Liveness::Silent)
-        } else {
-            (soon, Liveness::Ended)
-        };
+        let (after, liveness) =
+            if self.nodes[node].upstream_partition == Some(UpstreamPartition::Reset) {
+                (soon, Liveness::Ended)
+            } else if !self.reaches(node, index) {
+                (CONNECT_TIMEOUT, Liveness::Silent)
+            } else if self.nodes[node].upstream_partition.is_some() {
+                (soon, Liveness::Ended)
+            } else if self.upstreams[index].is_some() {
+                (soon, Liveness::Listens)
+            } else if self.upstream_state[index].dark {
+                (CONNECT_TIMEOUT, Liveness::Silent)
+            } else {
+                (soon, Liveness::Ended)
+            };
         let input = Box::new(DeferredInput::Probed(doubted.upstream, liveness));
         self.schedule(after, Event::Deliver { node, run, input });
     }
--- a/crates/routersim/src/world/upstreams.rs
+++ b/crates/routersim/src/world/upstreams.rs
@@ -1,6 +1,7 @@
 //! Simulated upstreams: lifecycle, requests and responses.
 
 use super::network::{Event, Run};
+use super::partitions::{Passage, REFUSAL_DELAY};
 use super::restarts::reports_birth;
 use super::{KEYED, POOL, World};
 use crate::check::COLD_START;
@@ -42,6 +43,7 @@
     run: Run,
     ticket: Ticket,
     attempt: u32,
+    upstream: UpstreamId,
     repeatable: bool,
     poison: Option<String>,
     /// Whether the upstream has begun to run it.
@@ -111,7 +113,7 @@
     }
 }
 
-fn address(index: usize) -> SocketAddr {
+pub(super) fn address(index: usize) -> SocketAddr {
     let [high, low] = (index as u16 + 1).to_be_bytes();
     SocketAddr::from((Ipv4Addr::new(10, 1, high, low), PORT))
 }
@@ -383,6 +385,7 @@
             run,
             ticket,
             attempt: forward.attempt,
+            upstream: forward.upstream.clone(),
             repeatable: asked.repeatable,
             poison: asked.poison.clone(),
             begun: false,
@@ -393,11 +396,18 @@
             } else {
                 (Duration::from_millis(1), NotExecuted::ConnectionRefused)
             };
+            self.connection_failed(node, run, index, &forward.upstream, after);
             return self.end_attempt(after, &taken, AttemptOutcome::NotExecuted(proof));
         }
-        if !self.reaches(node, index) {
-            let outcome = AttemptOutcome::NotExecuted(NotExecuted::Unconnected);
-            return self.end_attempt(CONNECT_TIMEOUT, &taken, outcome);
+        let passage = self.passage(node, index, asked.repeatable);
+        if passage == Passage::Lost {
+            return;
+        }
+        if passage == Passage::Refused {
+            return self.attempt_unconnected(index, &taken, NotExecuted::ConnectionRefused);
+        }
+        if passage == Passage::Silent || !self.reaches(node, index) {
+            return self.attempt_unconnected(index, &taken, NotExecuted::Unconnected);
         }
         if self.now < self.upstream_state[index].cold_until {
             self.checkers
@@ -557,6 +567,9 @@
     /// times out.
     fn end_reached(&mut self, index: usize, taken: &Taken, outcome: AttemptOutcome) {
         if self.reaches(taken.node, index) {
+            if matches!(outcome, AttemptOutcome::Answered { .. }) {
+                self.note_answered(taken.node, index, self.now);
+            }
             self.answer_attempt(Duration::from_millis(1), index, taken, outcome);
         }
     }
@@ -583,6 +596,29 @@
         self.schedule_end(after, taken, outcome, answer);
     }
 
+    /// Ends an attempt for which no connection was opened.
+    fn attempt_unconnected(&mut self, index: usize, taken: &Taken, proof: NotExecuted) {
+        let after = match proof {
+            NotExecuted::ConnectionRefused => REFUSAL_DELAY,
+            _ => CONNECT_TIMEOUT,
+        };
+        let upstream = taken.upstream.clone();
+        self.connection_failed(taken.node, taken.run, index, &upstream, after);
+        self.end_attempt(after, taken, AttemptOutcome::NotExecuted(proof));
+    }
+
+    /// Ends the attempts of a node whose connections are reset.
+    pub(super) fn reset_attempts_of(&mut self, node: usize) {
+        for index in 0..self.upstream_state.len() {
+            let all = &self.upstream_state[index].taken;
+            let reset = all.values().filter(|taken| taken.node == node);
+            for taken in reset.cloned().collect::<Vec<Taken>>() {
+                let outcome = AttemptOutcome::Unknown(UnknownCause::BrokenOff);
+                self.end_attempt(REFUSAL_DELAY, &taken, outcome);
+            }
+        }
+    }
+
     fn end_attempt(&mut self, after: Duration, taken: &Taken, outcome: AttemptOutcome) {
         self.schedule_end(after, taken, outcome, None);
     }
--- /dev/null
+++ b/crates/routersim/tests/partitioned_nodes.rs
@@ -0,0 +1,134 @@
+//! Nodes that are partitioned from all upstreams, while clients, the store and the other nodes still
+//! reach them.
+//!
+//! Callers of such nodes were served in 1,276 of 2,332 first attempts, those of other nodes in 1,565
+//! of 1,569.
+
+use beamtray_routersim::{
+    Fault, FaultKind, FaultPlan, Invariant, UpstreamPartition, Violation, WorldConfig, run_plan,
+};
+
+const NODES: usize = 9;
+const SEEDS: u64 = 4;
+/// Share of all requests that are served while one node is partitioned for a third of the time.
+const LEAST_SERVED_PERCENT: usize = 90;
+const MODES: [UpstreamPartition; 3] = [
+    UpstreamPartition::Silent,
+    UpstreamPartition::Reset,
+    UpstreamPartition::Refused,
+];
+/// One node of each zone, which are assigned in turn.
+const FEW: [usize; 3] = [0, 4, 8];
+/// All nodes of one zone.
+const ZONE: [usize; 3] = [0, 3, 6];
+/// All nodes of two zones.
+const TWO_ZONES: [usize; 6] = [0, 1, 3, 4, 6, 7];
+
+fn world(seed: u64) -> WorldConfig {
+    WorldConfig {
+        nodes: NODES,
+        keyed: 5,
+        pool: 4,
+        rate: 150,
+        ..WorldConfig::drawn(seed)
+    }
+}
+
+fn partition(at_ms: u64, nodes: &[usize], mode: UpstreamPartition) -> Fault {
+    let nodes = nodes.to_vec();
+    Fault::new(at_ms, 8_000, FaultKind::NodesPartitioned { nodes, mode })
+}
+
+/// The violations of all modes and of the first seeds.
+fn violations(faults: impl Fn(UpstreamPartition) -> Vec<Fault>) -> Vec<String> {
+    let mut found = Vec::new();
+    for mode in MODES {
+        for seed in 0..SEEDS {
+            let plan = FaultPlan {
+                faults: faults(mode),
+            };
+            let violations = run_plan(world(seed), plan, None).violations;
+            let told = |violation: Violation| format!("{mode:?}, seed {seed}: {violation}");
+            found.extend(violations.into_iter().map(told));
+        }
+    }
+    found
+}
+
+// Guards against serving the clients of partitioned nodes worse than those of the others.
+#[test]
+fn clients_of_a_few_partitioned_nodes_are_served() {
+    let found = violations(|mode| vec![partition(7_000, &FEW, mode)]);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
+// Guards against a zone that nobody serves, since it has no other nodes to take its clients.
+#[test]
+fn clients_of_a_partitioned_zone_are_served() {
+    let found = violations(|mode| vec![partition(7_000, &ZONE, mode)]);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
+// Guards against the loss of most nodes to a partition, twice in a row.
+#[test]
+fn clients_of_two_partitioned_zones_are_served_twice() {
+    let faults = |mode| {
+        vec![
+            partition(7_000, &TWO_ZONES, mode),
+            partition(18_000, &TWO_ZONES, mode),
+        ]
+    };
+    let found = violations(faults);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
+// Guards against other faults that hide the partition or that it makes worse.
+#[test]
+fn clients_of_partitioned_nodes_are_served_beside_other_faults() {
+    let faults = |mode| {
+        vec![
+            partition(7_000, &TWO_ZONES, mode),
+            Fault::new(8_000, 2_000, FaultKind::NodeKill { node: None }),
+            Fault::new(9_000, 0, FaultKind::Configure),
+            Fault::new(11_000, 1_500, FaultKind::StoreDown { lapse: false }),
+            Fault::new(
+                13_500,
+                0,
+                FaultKind::UpstreamDrain {
+                    upstream: 6,
+                    abrupt: false,
+                },
+            ),
+        ]
+    };
+    let found = violations(faults);
+    let unserved = |text: &&String| text.contains(&format!("{:?}", Invariant::PartitionedNodes));
+    let owners = |text: &&String| text.contains(&format!("{:?}", Invariant::SoleOwner));
+    let found: Vec<&String> = found
+        .iter()
+        .filter(|text| unserved(text) || owners(text))
+        .collect();
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+// Guards against keys without a holder at all nodes since the granter reaches no holder.
+#[test]
+fn keys_keep_their_holders_while_any_node_is_partitioned() {
+    let mut found = Vec::new();
+    for mode in MODES {
+        for node in 0..NODES {
+            let nodes = vec![node];
+            let kind = FaultKind::NodesPartitioned { nodes, mode };
+            let plan = FaultPlan {
+                faults: vec![Fault::new(7_000, 12_000, kind)],
+            };
+            let outcome = run_plan(world(1), plan, None);
+            let (served, requests) = (outcome.served, outcome.requests);
+            if served * 100 < requests * LEAST_SERVED_PERCENT {
+                let text = format!("{mode:?}, node {node}: {served} of {requests} served");
+                found.push(text);
+            }
+        }
+    }
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
