A granter that can't connect to most holders steps down

Cause: the right to grant hangs on the store alone. A granter that loses its paths renews its lease and goes on as the granter; its grants run out one by one, and nobody else may give the keys. Ruled out: orders through another node. An order that lies there could be carried out seconds later, and nothing would end its copies; requests are not bound to a time in that way. Orders that nobody acknowledges count as failed connections, so that a granter notices without requests.

--- a/crates/dispatch/src/reachability.rs
+++ b/crates/dispatch/src/reachability.rs
@@ -222,6 +222,12 @@
         std::mem::take(&mut self.notices)
     }
 
+    /// Upstreams behind broken paths.
+    pub fn broken(&self) -> impl Iterator<Item = &UpstreamId> {
+        let broken = self.failed.values().filter(|path| path.is_broken);
+        broken.map(|path| &path.upstream)
+    }
+
     /// Number of failed paths.
     pub fn counts(&self) -> PathCounts {
         let broken = self.failed.values().filter(|path| path.is_broken).count();
--- a/crates/metastore/src/election.rs
+++ b/crates/metastore/src/election.rs
@@ -137,6 +137,8 @@
     /// Added to the candidacy delay.
     extra_delay: Duration,
     retry_at: Time,
+    /// When the lease is revoked, after this node has given up its authority.
+    revoke_at: Option<Time>,
     stopped: bool,
 }
 
@@ -157,6 +159,7 @@
             last_observed: None,
             extra_delay: Duration::ZERO,
             retry_at: Time::ZERO,
+            revoke_at: None,
             stopped: false,
         }
     }
@@ -192,6 +195,9 @@
         if self.pending.is_some() || self.stopped || now < self.retry_at {
             return None;
         }
+        if let Some(revoke_at) = self.revoke_at {
+            return self.revoke_when_due(now, revoke_at);
+        }
         if self.leadership.is_some() {
             let call = self.keeper.poll(now)?;
             return Some(self.send(now, ElectionStep::Lease, call));
@@ -353,6 +359,27 @@
         }
     }
 
+    /// Gives up the authority now and the lease after `delay`, so that another node takes over. This
+    /// node remains a candidate.
+    ///
+    /// Invariant: what was sent under the authority has arrived or failed when the lease is revoked.
+    /// Otherwise a successor could act before it.
+    pub fn step_down(&mut self, now: Time, delay: Duration) {
+        if self.leadership.take().is_some() {
+            self.attempted = None;
+            self.revoke_at = Some(now + delay);
+        }
+    }
+
+    fn revoke_when_due(&mut self, now: Time, revoke_at: Time) -> Option<StoreCall> {
+        if now < revoke_at {
+            return None;
+        }
+        self.revoke_at = None;
+        let call = self.keeper.resign()?;
+        Some(self.send(now, ElectionStep::Lease, call))
+    }
+
     /// Resigns permanently and returns the call that revokes the lease.
     pub fn resign(&mut self) -> Option<StoreCall> {
         self.stopped = true;
--- a/crates/metastore/tests/election.rs
+++ b/crates/metastore/tests/election.rs
@@ -278,3 +278,39 @@
     let call = election.poll(at(200), Some((Some(&granter), Some(&epoch))));
     assert!(matches!(call, Some(StoreCall::Commit(_))), "{call:?}");
 }
+
+// Guards against a successor that acts while orders of this node are still under way.
+#[test]
+fn a_node_that_steps_down_has_no_authority_and_revokes_its_lease_later() {
+    let mut election = elected();
+    let granter = item("granter", Vec::new(), 5);
+    let delay = Duration::from_millis(500);
+    election.step_down(at(200), delay);
+    assert!(election.authority(at(200)).is_none());
+    assert_eq!(election.poll(at(690), Some((Some(&granter), None))), None);
+    let call = election.poll(at(700), Some((Some(&granter), None)));
+    let lease = LeaseId(1);
+    assert_eq!(call, Some(StoreCall::RevokeLease { lease }));
+}
+
+// Guards against a node that takes its own term up again after it stepped down.
+#[test]
+fn a_node_that_steps_down_waits_for_the_key_to_be_vacant() {
+    let mut election = elected();
+    let record = GranterRecord {
+        node: "node".to_owned(),
+        run: 7,
+        epoch: Epoch(1),
+        peer_address: ([127, 0, 0, 1], 7_000).into(),
+    };
+    let granter = item("granter", borsh::to_vec(&record).expect("encodes"), 5);
+    election.step_down(at(200), Duration::from_millis(500));
+    for millis in (210..2_000).step_by(10) {
+        election.poll(at(millis), Some((Some(&granter), None)));
+        assert!(election.authority(at(millis)).is_none(), "{millis} ms");
+    }
+    election.handle(at(2_000), &StoreOutcome::Absent);
+    election.poll(at(2_010), Some((None, None)));
+    let call = election.poll(at(2_500), Some((None, None)));
+    assert!(matches!(call, Some(StoreCall::GrantLease { .. })));
+}
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -341,6 +341,11 @@
     ClientLimits(ClientLimits),
     /// The node's view of the cluster changed.
     ViewChanged(ViewNotice),
+    /// This node stepped down as the granter: it can't connect to most holders of keys.
+    SteppedDown {
+        /// Number of holders behind broken paths.
+        broken: usize,
+    },
     /// This node became the granter in the given term, or stopped being the granter.
     Granter(Option<u64>),
     /// As the granter: the ownership of a service's keys, or the state of their holders, changed.
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -435,6 +435,7 @@
         self.dispatcher.expire(now);
         self.membership.expire_silent(now);
         self.update_standby(now);
+        self.check_reach(now);
         self.poll_control(now);
         self.report(now);
         self.send_revisions(now);
--- a/crates/router/src/core/node/paths.rs
+++ b/crates/router/src/core/node/paths.rs
@@ -4,9 +4,12 @@
 use crate::core::message::Output;
 use beamtray_catalog::UpstreamId;
 use beamtray_dispatch::ProbeTarget;
-use beamtray_types::Time;
+use beamtray_types::{ServiceName, Time};
 use std::net::SocketAddr;
 
+/// Number of holders behind broken paths below which a node counts as reaching them.
+const MIN_BROKEN_HOLDERS: usize = 2;
+
 impl NodeCore {
     /// Handles the result of an attempt to open a connection to an upstream.
     pub(super) fn handle_connection_tried(
@@ -46,6 +49,31 @@
         found.map(|one| one.record.id.clone())
     }
 
+    /// Checks whether this node can connect to most holders of keys.
+    pub(super) fn check_reach(&mut self, now: Time) {
+        let paths = self.dispatcher.reachability();
+        let broken = paths.broken().filter(|id| self.may_hold_keys(id)).count();
+        let reaches_holders = broken < MIN_BROKEN_HOLDERS || {
+            let registrations = self.views.directory.iter();
+            let all = registrations.filter(|one| self.is_sharded(&one.record.service));
+            broken * 2 < all.count()
+        };
+        if self.control.set_reaches_holders(now, reaches_holders) {
+            self.outputs.push(Output::SteppedDown { broken });
+        }
+    }
+
+    fn may_hold_keys(&self, id: &UpstreamId) -> bool {
+        let registration = self.views.directory.get(id);
+        registration.is_some_and(|one| self.is_sharded(&one.record.service))
+    }
+
+    fn is_sharded(&self, service: &ServiceName) -> bool {
+        let configuration = self.views.configuration.as_ref();
+        let mut services = configuration.into_iter().flat_map(|one| &one.services);
+        services.any(|one| one.sharded && one.name == *service)
+    }
+
     /// Reports changes of the paths, and probes those that are broken.
     pub(super) fn poll_paths(&mut self, now: Time) {
         for (upstream, address) in self.dispatcher.take_path_probes(now) {
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -162,6 +162,7 @@
             GrantReply::BrokenOff
         }
         Ok(Err(CallFailure::AckTimeout)) => {
+            report_silent_path(shared, order, address, began);
             pool.close_idle(address);
             GrantReply::Unanswered
         }
@@ -175,6 +176,16 @@
     }
 }
 
+/// Reports a connection over which nothing was acknowledged. A new one would fail as well.
+fn report_silent_path(shared: &Shared, order: &GrantOrder, address: SocketAddr, began: Time) {
+    shared.input(Input::ConnectionTried {
+        upstream: order.holder.clone(),
+        address,
+        began,
+        opened: false,
+    });
+}
+
 async fn send(
     shared: &Shared,
     pool: &ConnectionPool,
--- a/crates/router/src/shell/observer/paths.rs
+++ b/crates/router/src/shell/observer/paths.rs
@@ -18,6 +18,11 @@
         }
     }
 
+    /// This node gave up the granter's role, since it can't connect to most holders.
+    pub fn stepped_down(&self, broken: usize) {
+        warn!(self.log, "granter_stepped_down"; "broken_paths_to_holders" => broken);
+    }
+
     /// What this node can connect to changed.
     pub fn path_changed(&self, notice: &PathNotice) {
         match notice {
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -43,6 +43,7 @@
             shared.observer.view_changed(&notice);
             close_idle_to_restarted(shared, &notice);
         }
+        Output::SteppedDown { broken } => shared.observer.stepped_down(broken),
         Output::Granter(epoch) => {
             shared.order_connections.set_granter(epoch.is_some());
             shared.observer.granter_changed(epoch);
--- a/crates/routersim/src/world/links.rs
+++ b/crates/routersim/src/world/links.rs
@@ -188,6 +188,8 @@
         }
         if self.links.open.remove(&order.open()) {
             self.links.idle.remove(&link);
+            let holder = order.pending.order.holder.clone();
+            self.connection_failed(link.node, link.run, link.index, &holder, Duration::ZERO);
             self.order_answered(Duration::ZERO, order.pending, GrantReply::Unanswered);
         }
     }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -364,6 +364,7 @@
             | Output::ClientLimits(_)
             | Output::ViewChanged(_)
             | Output::Path(_)
+            | Output::SteppedDown { .. }
             | Output::StoreEra { .. }
             | Output::Standby(_) => {}
         }
