A refused connection is no proof that an upstream has ended while another node connects to it

Clients of a harmless, often sent request could be refused everywhere for seconds after a partition that resets connections: each request under way at a partitioned node was suspected of having ended its upstream, since the node's probe of that upstream was refused as well. Ruled out: one witness of the node's own zone. Now a refused probe counts if no witness, one node of each zone, opens a connection either. A probe still ends with the first node that does, and a dead upstream costs one refused connection a zone.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -259,6 +259,7 @@
             config.quota,
             random.clone().random(),
         );
+        let gateways = Gateways::new(config.zone.clone());
         Self {
             config,
             tenants: None,
@@ -279,7 +280,7 @@
             budgets: HashMap::new(),
             health: HashMap::new(),
             reachability: Reachability::default(),
-            gateways: Gateways::default(),
+            gateways,
             pools: Pools::default(),
             directory_changes: None,
             draining_since: HashMap::new(),
--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -6,7 +6,7 @@
 use crate::report::UpstreamHash;
 use crate::request::{AttemptOutcome, NotExecuted};
 use beamtray_catalog::UpstreamId;
-use beamtray_types::Time;
+use beamtray_types::{Time, Zone};
 use std::net::SocketAddr;
 
 impl Dispatcher {
@@ -30,8 +30,8 @@
         }
     }
 
-    /// Sets the other nodes; each comes with whether it is in the zone of this node.
-    pub fn set_gateways(&mut self, nodes: impl Iterator<Item = (SocketAddr, bool)>) {
+    /// Sets the other nodes; each comes with its zone.
+    pub fn set_gateways(&mut self, nodes: impl Iterator<Item = (SocketAddr, Zone)>) {
         self.gateways.set(nodes);
     }
 
@@ -44,6 +44,14 @@
         self.gateways.choose(now, upstream)
     }
 
+    /// Other nodes that can tell whether an upstream is running.
+    pub fn witnesses(&self, now: Time, upstream: UpstreamHash) -> Vec<SocketAddr> {
+        match self.config.uses_gateways {
+            true => self.gateways.of_each_zone(now, upstream),
+            false => Vec::new(),
+        }
+    }
+
     /// Whether no path to a running upstream is known: this node can't connect to it, and no other
     /// node can either.
     pub(super) fn lacks_gateway(&self, now: Time, upstream: UpstreamHash) -> bool {
--- a/crates/dispatch/src/gateways.rs
+++ b/crates/dispatch/src/gateways.rs
@@ -6,14 +6,16 @@
 //! can't be passed around.
 
 use crate::report::UpstreamHash;
-use beamtray_types::Time;
-use std::collections::HashMap;
+use beamtray_types::{Time, Zone};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long a gateway is not used for an upstream that it failed to connect to.
 const FAILURE_PERIOD: Duration = Duration::from_secs(1);
+/// Maximum number of nodes asked whether an upstream is running.
+const MAX_WITNESSES: usize = 4;
 /// Number of upstreams that a gateway failed to connect to from which it is used for none.
 const MAX_FAILED_UPSTREAMS: usize = 2;
 
@@ -28,9 +30,9 @@
     Refused,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Gateway {
-    is_near: bool,
+    zone: Zone,
     /// Set when it declined.
     unusable_until: Time,
     /// Upstreams that it failed to connect to, and until when this counts.
@@ -38,6 +40,14 @@
 }
 
 impl Gateway {
+    fn new(zone: Zone) -> Self {
+        Self {
+            zone,
+            unusable_until: Time::ZERO,
+            failed: Vec::new(),
+        }
+    }
+
     fn is_usable(&self, now: Time, upstream: UpstreamHash) -> bool {
         let mut failed = self.failed.iter().filter(|(_, until)| now < *until);
         now >= self.unusable_until
@@ -47,19 +57,28 @@
 }
 
 /// The nodes that may serve this one as gateways.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Gateways {
     all: HashMap<SocketAddr, Gateway>,
+    own_zone: Zone,
 }
 
 impl Gateways {
-    /// Replaces the nodes; each comes with whether it is in the zone of this node.
-    pub fn set(&mut self, nodes: impl Iterator<Item = (SocketAddr, bool)>) {
+    /// Creates the set of a node that knows no others yet.
+    pub fn new(own_zone: Zone) -> Self {
+        Self {
+            all: HashMap::new(),
+            own_zone,
+        }
+    }
+
+    /// Replaces the nodes; each comes with its zone.
+    pub fn set(&mut self, nodes: impl Iterator<Item = (SocketAddr, Zone)>) {
         let mut before = std::mem::take(&mut self.all);
         self.all = nodes
-            .map(|(address, is_near)| {
-                let known = before.remove(&address).unwrap_or_default();
-                (address, Gateway { is_near, ..known })
+            .map(|(address, zone)| match before.remove(&address) {
+                Some(known) => (address, Gateway { zone, ..known }),
+                None => (address, Gateway::new(zone)),
             })
             .collect();
     }
@@ -82,10 +101,25 @@
         let usable = self.all.iter();
         let usable = usable.filter(|(_, gateway)| gateway.is_usable(now, upstream));
         usable
-            .max_by_key(|(address, gateway)| (gateway.is_near, weight(address, upstream)))
+            .max_by_key(|(address, gateway)| {
+                (gateway.zone == self.own_zone, weight(address, upstream))
+            })
             .map(|(address, _)| *address)
     }
 
+    /// One usable gateway of each zone: a partition may concern all nodes of one.
+    pub fn of_each_zone(&self, now: Time, upstream: UpstreamHash) -> Vec<SocketAddr> {
+        let mut chosen: BTreeMap<&Zone, SocketAddr> = BTreeMap::new();
+        let usable = self.all.iter();
+        for (address, gateway) in usable.filter(|(_, one)| one.is_usable(now, upstream)) {
+            let best = chosen.entry(&gateway.zone).or_insert(*address);
+            if weight(address, upstream) > weight(best, upstream) {
+                *best = *address;
+            }
+        }
+        chosen.into_values().take(MAX_WITNESSES).collect()
+    }
+
     /// Records that a gateway could not be used for an upstream.
     pub fn failed(
         &mut self,
--- a/crates/dispatch/tests/gateways.rs
+++ b/crates/dispatch/tests/gateways.rs
@@ -35,7 +35,8 @@
     let (mut dispatcher, directory) = (dispatcher(), directory());
     assign(&mut dispatcher, 1, held());
     dispatcher.apply_directory(at(0), &directory);
-    let nodes = [(gateway(1), true), (gateway(2), true), (gateway(3), false)];
+    let nodes = [(1, "here"), (2, "here"), (3, "there")];
+    let nodes = nodes.map(|(number, zone)| (gateway(number), zone.into()));
     dispatcher.set_gateways(nodes.into_iter());
     let address = directory.get(&holder()).expect("registered").record.address;
     dispatcher.connection_failed(at(10), &holder(), address);
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -319,8 +319,9 @@
     Send(Datagram, Vec<SocketAddr>),
     /// Request snapshots from another node, which may be silent for so long.
     FetchSnapshots(SocketAddr, ViewRequest, Duration),
-    /// Try to connect to an upstream, to check whether a process still listens there.
-    Probe(ProbeTarget),
+    /// Try to connect to an upstream, to check whether a process still listens there. A refused
+    /// connection has to be confirmed by the other nodes: a partition may refuse connections as well.
+    Probe(ProbeTarget, Vec<SocketAddr>),
     /// Try to connect to an upstream, to check whether the path to it is whole again.
     ProbePath(ProbeTarget),
     /// What this node can connect to changed.
--- a/crates/router/src/core/node/paths.rs
+++ b/crates/router/src/core/node/paths.rs
@@ -33,7 +33,7 @@
         let others = self.views.nodes.values();
         let others = others.filter(|node| node.peers != own.peers);
         self.dispatcher
-            .set_gateways(others.map(|node| (node.peers, node.zone == own.zone)));
+            .set_gateways(others.map(|node| (node.peers, node.zone.as_str().into())));
     }
 
     /// The upstream at an address, if this node may open a connection to it for another node.
--- a/crates/router/src/core/node/quarantine.rs
+++ b/crates/router/src/core/node/quarantine.rs
@@ -140,7 +140,9 @@
     /// Probes upstreams whose connections broke, and publishes new findings.
     pub(super) fn poll_quarantine(&mut self, now: Time) {
         for doubted in self.dispatcher.take_probe_targets() {
-            self.outputs.push(Output::Probe(doubted));
+            let hash = UpstreamHash::of(&doubted.upstream);
+            let witnesses = self.dispatcher.witnesses(now, hash);
+            self.outputs.push(Output::Probe(doubted, witnesses));
         }
         self.forward_news(now);
         let found = self.dispatcher.quarantine_mut().take_local_suspicions();
--- a/crates/router/src/shell/outputs.rs
+++ b/crates/router/src/shell/outputs.rs
@@ -25,7 +25,7 @@
         Output::FetchSnapshots(address, request, wait) => {
             peers::request_snapshots(shared, address, request, wait)
         }
-        Output::Probe(doubted) => probe::probe_upstream(shared, doubted),
+        Output::Probe(doubted, witnesses) => probe::probe_upstream(shared, doubted, witnesses),
         Output::ProbePath(target) => probe::probe_path(shared, target),
         Output::Path(notice) => {
             shared.observer.path_changed(&notice);
--- a/crates/router/src/shell/probe.rs
+++ b/crates/router/src/shell/probe.rs
@@ -3,12 +3,14 @@
 use crate::core::{Input, Liveness};
 use crate::shell::connections::CONNECT_TIMEOUT;
 use crate::shell::handle::Shared;
+use crate::shell::tunnel;
 use beamtray_dispatch::ProbeTarget;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 /// Connection attempts before an upstream counts as silent: one initial packet (SYN) in forty
@@ -24,7 +26,14 @@
 
 /// Probes an upstream by connecting and reports the result to the core. Nothing is sent: a
 /// request would take one of its slots.
-pub(crate) fn probe_upstream(shared: &Rc<Shared>, doubted: ProbeTarget) {
+///
+/// If the connection is refused, the process has ended only if none of the witnesses, other nodes,
+/// opens one.
+pub(crate) fn probe_upstream(
+    shared: &Rc<Shared>,
+    doubted: ProbeTarget,
+    witnesses: Vec<SocketAddr>,
+) {
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
         let mut liveness = Liveness::Silent;
@@ -50,12 +59,29 @@
                 liveness = Liveness::Ended;
             }
         }
+        if liveness == Liveness::Ended && is_seen_by_any(witnesses, doubted.address).await {
+            liveness = Liveness::Listens;
+        }
         let upstream = doubted.upstream;
         shared.observer.upstream_probed(&upstream, liveness);
         shared.input(Input::Probed { upstream, liveness });
     });
 }
 
+/// Whether any of the nodes opens a connection to the address.
+async fn is_seen_by_any(nodes: Vec<SocketAddr>, address: SocketAddr) -> bool {
+    let mut asked = JoinSet::new();
+    for node in nodes {
+        asked.spawn_local(async move { tunnel::open(node, address).await.is_ok() });
+    }
+    while let Some(opened) = asked.join_next().await {
+        if opened.unwrap_or_default() {
+            return true;
+        }
+    }
+    false
+}
+
 /// Connects to an upstream behind a broken path once and reports whether that worked.
 pub(crate) fn probe_path(shared: &Rc<Shared>, target: ProbeTarget) {
     let shared = shared.clone();
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -349,7 +349,7 @@
                 }
             }
             Output::ProbePath(target) => self.probe_path(node, run, target),
-            Output::Probe(doubted) => self.probe(node, run, doubted),
+            Output::Probe(doubted, witnesses) => self.probe(node, run, doubted, &witnesses),
             Output::Quarantine(_) => {
                 self.suspicion.log_lines += 1;
                 self.note_remembered(node);
--- a/crates/routersim/src/world/poison.rs
+++ b/crates/routersim/src/world/poison.rs
@@ -2,6 +2,7 @@
 
 use super::clients::{CLIENT_TIMEOUT, request_head};
 use super::network::{DeferredInput, Event, Run};
+use super::nodes::node_at;
 use super::tenants::RequestSender;
 use super::upstreams::{CONNECT_TIMEOUT, index_of};
 use super::{CONNECTED_AFTER, ClientRequest, ORDER, READ, World};
@@ -10,7 +11,7 @@
 use beamtray_router::core::{Input, Liveness};
 use beamtray_sharding::ShardKey;
 use rand::RngExt;
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 /// Delay until a crashed upstream is replaced.
@@ -91,27 +92,53 @@
         }
     }
 
-    /// Handles a node's attempt to connect to an upstream.
-    pub(super) fn probe(&mut self, node: usize, run: Run, doubted: ProbeTarget) {
+    /// Handles a node's attempt to connect to an upstream. A refusal counts if no witness
+    /// reaches the upstream either.
+    pub(super) fn probe(
+        &mut self,
+        node: usize,
+        run: Run,
+        doubted: ProbeTarget,
+        witnesses: &[SocketAddr],
+    ) {
         let Some(index) = index_of(doubted.address) else {
             return;
         };
         let soon = self.millis(2, 6);
-        let (after, liveness) =
-            if self.nodes[node].upstream_partition == Some(UpstreamPartition::Reset) {
-                (soon, Liveness::Ended)
-            } else if !self.reaches(node, index) {
-                (CONNECT_TIMEOUT, Liveness::Silent)
-            } else if self.nodes[node].upstream_partition.is_some() {
-                (soon, Liveness::Ended)
-            } else if self.upstreams[index].is_some() {
-                (soon, Liveness::Listens)
-            } else if self.upstream_state[index].dark {
-                (CONNECT_TIMEOUT, Liveness::Silent)
-            } else {
-                (soon, Liveness::Ended)
-            };
+        let partition = self.nodes[node].upstream_partition;
+        let is_refused = matches!(
+            partition,
+            Some(UpstreamPartition::Reset | UpstreamPartition::Refused)
+        );
+        let is_reached = self.reaches(node, index);
+        let is_up = self.upstreams[index].is_some();
+        let is_dark = !is_up && self.upstream_state[index].dark;
+        let (after, liveness) = if is_refused {
+            (soon, Liveness::Ended)
+        } else if !is_reached || is_dark {
+            (CONNECT_TIMEOUT, Liveness::Silent)
+        } else if is_up {
+            (soon, Liveness::Listens)
+        } else {
+            (soon, Liveness::Ended)
+        };
+        let mut witnesses = witnesses.iter();
+        let is_seen = witnesses.any(|witness| self.is_seen_by(node, *witness, index));
+        let liveness = match liveness {
+            Liveness::Ended if is_seen => Liveness::Listens,
+            liveness => liveness,
+        };
         let input = Box::new(DeferredInput::Probed(doubted.upstream, liveness));
         self.schedule(after, Event::Deliver { node, run, input });
     }
+
+    /// Whether another node opens a connection to an upstream for a node.
+    fn is_seen_by(&self, node: usize, witness: SocketAddr, index: usize) -> bool {
+        let Some(witness) = node_at(witness) else {
+            return false;
+        };
+        let slot = &self.nodes[witness];
+        let is_running = slot.core.is_some() && !slot.frozen && self.is_linked(node, witness);
+        is_running && self.upstreams[index].is_some() && self.connects(witness, index)
+    }
 }
--- a/crates/routersim/tests/partitioned_nodes.rs
+++ b/crates/routersim/tests/partitioned_nodes.rs
@@ -132,3 +132,32 @@
     }
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
+
+// Guards against a harmless request that is kept off everywhere, since refused connections of
+// partitioned nodes count as the ends of the upstreams that ran it.
+#[test]
+fn a_popular_request_of_partitioned_nodes_is_not_quarantined() {
+    let mut found = Vec::new();
+    for is_read in [false, true] {
+        for seed in 0..SEEDS {
+            let popular = FaultKind::PopularRequest {
+                is_read,
+                pause_ms: 10,
+                says_the_same: true,
+            };
+            let mut faults = vec![Fault::new(6_500, 16_000, popular)];
+            for start in [7_000, 10_000, 13_000, 16_000] {
+                let nodes = TWO_ZONES.to_vec();
+                let mode = UpstreamPartition::Reset;
+                let kind = FaultKind::NodesPartitioned { nodes, mode };
+                faults.push(Fault::new(start, 1_500, kind));
+            }
+            let outcome = run_plan(world(seed), FaultPlan { faults }, None);
+            if outcome.quarantined > 0 {
+                let quarantined = outcome.quarantined;
+                found.push(format!("reads {is_read}, seed {seed}: {quarantined}"));
+            }
+        }
+    }
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
