The granter's role goes to nodes that connect to the holders, in the order of how many

Now each holder that a node failed to connect to puts it behind others in the election, by up to 1.5 s, and evidence of a broken path is dropped only after three other nodes failed in a row. The new test of such pairs passed before as well: in the simulator the second node knows all of its paths to be broken by then.

--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -69,12 +69,13 @@
         let AttemptOutcome::NotExecuted(NotExecuted::GatewayFailed(failure)) = outcome else {
             if matches!(outcome, AttemptOutcome::Answered { .. }) {
                 self.gateways.succeeded(gateway);
+                self.reachability.tried_elsewhere(now, attempt.hash, true);
             }
             return;
         };
         self.gateways.failed(now, gateway, attempt.hash, failure);
         if failure != GatewayFailure::Declined {
-            self.reachability.failed_for_another_node(now, attempt.hash);
+            self.reachability.tried_elsewhere(now, attempt.hash, false);
         }
     }
 
--- a/crates/dispatch/src/reachability.rs
+++ b/crates/dispatch/src/reachability.rs
@@ -17,6 +17,9 @@
 
 /// Number of upstreams behind broken paths from which a node counts as cut off.
 const CUT_OFF_UPSTREAMS: usize = 3;
+/// Number of other nodes that fail to connect to an upstream after which it may have ended. Some of
+/// them may be partitioned as well.
+const MAX_FAILED_ELSEWHERE: u32 = 3;
 /// Interval between two probes of a path.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of probes that begin at the same time, which is each half of that interval at the
@@ -65,6 +68,8 @@
     failed_at: Time,
     /// Whether the upstream responded to any node after that.
     is_broken: bool,
+    /// Number of other nodes in a row that could not connect either.
+    failed_elsewhere: u32,
     /// When the path is next probed.
     probe_at: Time,
 }
@@ -102,6 +107,7 @@
                 address,
                 failed_at: began,
                 is_broken: false,
+                failed_elsewhere: 0,
                 probe_at: began + PROBE_INTERVAL,
             });
     }
@@ -135,6 +141,7 @@
             return false;
         }
         path.is_broken = true;
+        path.failed_elsewhere = 0;
         self.notices.push(PathNotice::Broken {
             upstream: path.upstream.clone(),
             address: path.address,
@@ -172,10 +179,15 @@
         self.cut_off_since.is_some() || self.is_broken(upstream)
     }
 
-    /// Records that another node could not connect to an upstream either. Its path counts as broken
-    /// again when the upstream responds once more.
-    pub fn failed_for_another_node(&mut self, now: Time, upstream: UpstreamHash) {
-        if let Some(path) = self.failed.get_mut(&upstream) {
+    /// Records whether another node could connect to an upstream. After [`MAX_FAILED_ELSEWHERE`]
+    /// failures the upstream may have ended, and the path counts as broken again only when it
+    /// responds once more.
+    pub fn tried_elsewhere(&mut self, now: Time, upstream: UpstreamHash, opened: bool) {
+        let Some(path) = self.failed.get_mut(&upstream) else {
+            return;
+        };
+        path.failed_elsewhere = if opened { 0 } else { path.failed_elsewhere + 1 };
+        if path.failed_elsewhere >= MAX_FAILED_ELSEWHERE {
             path.failed_at = now;
             path.is_broken = false;
         }
@@ -222,10 +234,10 @@
         std::mem::take(&mut self.notices)
     }
 
-    /// Upstreams behind broken paths.
-    pub fn broken(&self) -> impl Iterator<Item = &UpstreamId> {
-        let broken = self.failed.values().filter(|path| path.is_broken);
-        broken.map(|path| &path.upstream)
+    /// Upstreams behind failed paths; each comes with whether the path is broken.
+    pub fn failed(&self) -> impl Iterator<Item = (&UpstreamId, bool)> {
+        let failed = self.failed.values();
+        failed.map(|path| (&path.upstream, path.is_broken))
     }
 
     /// Number of failed paths.
--- a/crates/dispatch/tests/gateways.rs
+++ b/crates/dispatch/tests/gateways.rs
@@ -76,14 +76,14 @@
 fn an_upstream_that_responds_to_nobody_is_not_sought_through_other_nodes() {
     let (mut dispatcher, directory) = cut_from_holder();
     admit(&mut dispatcher, 30, 1, "/keyed/1");
-    send(&mut dispatcher, &directory, 30);
-    let refused = failed(GatewayFailure::Refused);
-    assert!(
-        dispatcher
-            .attempt_ended(at(32), Ticket(1), refused)
-            .is_none()
-    );
-    assert_eq!(send(&mut dispatcher, &directory, 32).gateway, None);
+    for step in 0..3 {
+        let forward = send(&mut dispatcher, &directory, 31 + step);
+        assert!(forward.gateway.is_some());
+        let refused = failed(GatewayFailure::Refused);
+        let ended = dispatcher.attempt_ended(at(31 + step), Ticket(1), refused);
+        assert!(ended.is_none());
+    }
+    assert_eq!(send(&mut dispatcher, &directory, 40).gateway, None);
 }
 
 // Guards against a request that one node can't pass on and that is then given up, or that counts
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -3,12 +3,13 @@
 
 mod observed_terms;
 mod ownership;
+mod reach;
 mod standbys;
 mod suspicions;
 mod term;
 
 use crate::core::grants::{Grants, candidates, probe_contested};
-use crate::core::message::{GRANT_TIMEOUT, OrderTask, StoreTask};
+use crate::core::message::{OrderTask, StoreTask};
 use crate::core::records::{NodeRecord, RouterKeys};
 use crate::core::registration::Registrar;
 use crate::core::standby_leases::StandbyLeases;
@@ -23,6 +24,8 @@
     Assignment, AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, GranterTiming, KeyRange,
 };
 use beamtray_types::{ServiceName, Time};
+pub use reach::HolderReach;
+use reach::ReachState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -45,13 +48,6 @@
 /// How much longer a node with almost no capacity waits than the node with the highest capacity.
 const LOW_CAPACITY_ELECTION_DELAY: Duration = Duration::from_millis(250);
 
-/// How much longer than others a node waits that can't connect to most holders of keys. It still
-/// takes the role if no other node does: some keys with a holder are better than none.
-const UNREACHING_ELECTION_DELAY: Duration = Duration::from_millis(1_500);
-/// Minimum interval between two times that a granter steps down. If the role returns to it, no other
-/// node is better off.
-const STEP_DOWN_INTERVAL: Duration = Duration::from_secs(10);
-
 /// Fixed parameters of a node's control.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
@@ -117,10 +113,7 @@
     loaded_state: Option<Snapshot>,
     next_speeds_write: Time,
     suspicions: SuspicionWriter,
-    /// Whether this node can connect to most holders of keys, as far as it knows.
-    reaches_holders: bool,
-    /// When this node may next step down as the granter.
-    step_down_at: Time,
+    reach: ReachState,
 }
 
 impl Control {
@@ -148,8 +141,7 @@
             loaded_state: None,
             next_speeds_write: Time::ZERO,
             suspicions: SuspicionWriter::default(),
-            reaches_holders: true,
-            step_down_at: Time::ZERO,
+            reach: ReachState::default(),
             addresses: BTreeMap::new(),
             addresses_version: None,
             config,
@@ -182,29 +174,11 @@
         };
         let capacity_delay =
             LOW_CAPACITY_ELECTION_DELAY.mul_f64((1.0 - relative_capacity).clamp(0.0, 1.0));
-        let reach_delay = if self.reaches_holders {
-            Duration::ZERO
-        } else {
-            UNREACHING_ELECTION_DELAY
-        };
+        let reach_delay = self.reach.election_delay();
         self.election
             .set_extra_delay(relay_delay + capacity_delay + reach_delay);
     }
 
-    /// Sets whether this node can connect to most holders of keys. A granter that can't steps down:
-    /// its grants would run out although other nodes reach the holders.
-    ///
-    /// Returns whether it steps down now.
-    pub fn set_reaches_holders(&mut self, now: Time, reaches_holders: bool) -> bool {
-        self.reaches_holders = reaches_holders;
-        let steps_down = !reaches_holders && self.is_granter(now) && now >= self.step_down_at;
-        if steps_down {
-            self.step_down_at = now + STEP_DOWN_INTERVAL;
-            self.election.step_down(now, GRANT_TIMEOUT);
-        }
-        steps_down
-    }
-
     /// When the last successful call that shows the store to be reachable was sent.
     pub fn last_store_contact(&self) -> Option<Time> {
         self.registrar.last_renewal_at()
--- a/crates/router/src/core/node/paths.rs
+++ b/crates/router/src/core/node/paths.rs
@@ -1,15 +1,13 @@
 //! The network paths from this node to upstreams.
 
 use super::NodeCore;
+use crate::core::control::HolderReach;
 use crate::core::message::Output;
 use beamtray_catalog::UpstreamId;
 use beamtray_dispatch::ProbeTarget;
 use beamtray_types::{ServiceName, Time};
 use std::net::SocketAddr;
 
-/// Number of holders behind broken paths below which a node counts as reaching them.
-const MIN_BROKEN_HOLDERS: usize = 2;
-
 impl NodeCore {
     /// Handles the result of an attempt to open a connection to an upstream.
     pub(super) fn handle_connection_tried(
@@ -51,18 +49,32 @@
 
     /// Checks whether this node can connect to most holders of keys.
     pub(super) fn check_reach(&mut self, now: Time) {
-        let paths = self.dispatcher.reachability();
-        let broken = paths.broken().filter(|id| self.may_hold_keys(id)).count();
-        let reaches_holders = broken < MIN_BROKEN_HOLDERS || {
-            let registrations = self.views.directory.iter();
-            let all = registrations.filter(|one| self.is_sharded(&one.record.service));
-            broken * 2 < all.count()
+        let paths = self.dispatcher.reachability().failed();
+        let holders: Vec<bool> = paths
+            .filter(|(id, _)| self.may_hold_keys(id))
+            .map(|(_, is_broken)| is_broken)
+            .collect();
+        let all = match holders.len() {
+            0 => 0,
+            _ => self.holder_count(),
+        };
+        let reach = HolderReach {
+            all,
+            failed: holders.len(),
+            broken: holders.iter().filter(|is_broken| **is_broken).count(),
         };
-        if self.control.set_reaches_holders(now, reaches_holders) {
+        if self.control.set_holder_reach(now, reach) {
+            let broken = reach.broken;
             self.outputs.push(Output::SteppedDown { broken });
         }
     }
 
+    fn holder_count(&self) -> usize {
+        let registrations = self.views.directory.iter();
+        let holders = registrations.filter(|one| self.is_sharded(&one.record.service));
+        holders.count()
+    }
+
     fn may_hold_keys(&self, id: &UpstreamId) -> bool {
         let registration = self.views.directory.get(id);
         registration.is_some_and(|one| self.is_sharded(&one.record.service))
--- a/crates/routersim/tests/partitioned_nodes.rs
+++ b/crates/routersim/tests/partitioned_nodes.rs
@@ -9,6 +9,8 @@
 };
 
 const NODES: usize = 9;
+/// The granter of the history of seed 1.
+const GRANTER: usize = 2;
 const SEEDS: u64 = 4;
 /// Share of all requests that are served while one node is partitioned for a third of the time.
 const LEAST_SERVED_PERCENT: usize = 90;
@@ -111,25 +113,43 @@
     assert!(found.is_empty(), "{found:#?}");
 }
 
-// Guards against keys without a holder at all nodes since the granter reaches no holder.
-#[test]
-fn keys_keep_their_holders_while_any_node_is_partitioned() {
+/// The histories in which too few requests are served while these nodes are partitioned.
+fn unserved(partitions: &[Vec<usize>]) -> Vec<String> {
     let mut found = Vec::new();
     for mode in MODES {
-        for node in 0..NODES {
-            let nodes = vec![node];
-            let kind = FaultKind::NodesPartitioned { nodes, mode };
+        for nodes in partitions {
+            let kind = FaultKind::NodesPartitioned {
+                nodes: nodes.clone(),
+                mode,
+            };
             let plan = FaultPlan {
                 faults: vec![Fault::new(7_000, 12_000, kind)],
             };
             let outcome = run_plan(world(1), plan, None);
             let (served, requests) = (outcome.served, outcome.requests);
             if served * 100 < requests * LEAST_SERVED_PERCENT {
-                let text = format!("{mode:?}, node {node}: {served} of {requests} served");
+                let text = format!("{mode:?}, nodes {nodes:?}: {served} of {requests} served");
                 found.push(text);
             }
         }
     }
+    found
+}
+
+// Guards against keys without a holder at all nodes since the granter reaches no holder.
+#[test]
+fn keys_keep_their_holders_while_any_node_is_partitioned() {
+    let partitions: Vec<Vec<usize>> = (0..NODES).map(|node| vec![node]).collect();
+    let found = unserved(&partitions);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
+// Guards against a successor of the granter that is partitioned too and keeps the role.
+#[test]
+fn keys_keep_their_holders_while_the_granter_and_another_node_are_partitioned() {
+    let others = (0..NODES).filter(|node| *node != GRANTER);
+    let partitions: Vec<Vec<usize>> = others.map(|node| vec![GRANTER, node]).collect();
+    let found = unserved(&partitions);
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
