--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -19,6 +19,7 @@
     /// Records that a connection to an upstream was opened.
     pub fn connected(&mut self, now: Time, upstream: &UpstreamId) {
         self.reachability.connected(now, UpstreamHash::of(upstream));
+        self.gateways.forget_exhaustion();
     }
 
     /// Records that an upstream responded to this or another node. If that shows that only the path
@@ -61,6 +62,14 @@
             && !self.gateways.any_usable(now, upstream)
     }
 
+    /// Whether this node can pass on nothing: it can connect to no upstream, and no other node does
+    /// so for it.
+    pub fn is_stranded(&self) -> bool {
+        let is_cut_off = self.reachability.cut_off_since().is_some();
+        let has_gateways = self.config.uses_gateways && !self.gateways.is_empty();
+        is_cut_off && (!has_gateways || self.gateways.are_exhausted())
+    }
+
     /// Updates the path through another node after an attempt that used it.
     pub(super) fn record_path(&mut self, now: Time, attempt: &Attempt, outcome: AttemptOutcome) {
         let Some(gateway) = attempt.gateway else {
--- a/crates/dispatch/src/gateways.rs
+++ b/crates/dispatch/src/gateways.rs
@@ -50,9 +50,13 @@
 
     fn is_usable(&self, now: Time, upstream: UpstreamHash) -> bool {
         let mut failed = self.failed.iter().filter(|(_, until)| now < *until);
-        now >= self.unusable_until
-            && failed.clone().count() < MAX_FAILED_UPSTREAMS
-            && failed.all(|(failed, _)| *failed != upstream)
+        self.is_available(now) && failed.all(|(failed, _)| *failed != upstream)
+    }
+
+    /// Whether it is usable for any upstream.
+    fn is_available(&self, now: Time) -> bool {
+        let failed = self.failed.iter().filter(|(_, until)| now < *until);
+        now >= self.unusable_until && failed.count() < MAX_FAILED_UPSTREAMS
     }
 }
 
@@ -61,6 +65,7 @@
 pub(crate) struct Gateways {
     all: HashMap<SocketAddr, Gateway>,
     own_zone: Zone,
+    are_exhausted: bool,
 }
 
 impl Gateways {
@@ -69,6 +74,7 @@
         Self {
             all: HashMap::new(),
             own_zone,
+            are_exhausted: false,
         }
     }
 
@@ -94,6 +100,16 @@
         all.any(|gateway| gateway.is_usable(now, upstream))
     }
 
+    /// Whether all gateways were unusable when one last failed, and none has worked since.
+    pub fn are_exhausted(&self) -> bool {
+        self.are_exhausted
+    }
+
+    /// Forgets that all gateways were unusable.
+    pub fn forget_exhaustion(&mut self) {
+        self.are_exhausted = false;
+    }
+
     /// The gateway for an upstream: one in the zone of this node if any of them is usable. Each
     /// upstream has its own order of gateways, which spreads the load and lets connections be
     /// reused.
@@ -134,16 +150,18 @@
         let until = now + FAILURE_PERIOD;
         if failure == GatewayFailure::Declined {
             gateway.unusable_until = until;
-            return;
+        } else {
+            gateway
+                .failed
+                .retain(|(failed, until)| now < *until && *failed != upstream);
+            gateway.failed.push((upstream, until));
         }
-        gateway
-            .failed
-            .retain(|(failed, until)| now < *until && *failed != upstream);
-        gateway.failed.push((upstream, until));
+        self.are_exhausted = !self.all.values().any(|gateway| gateway.is_available(now));
     }
 
     /// Records that a gateway connected to an upstream.
     pub fn succeeded(&mut self, address: SocketAddr) {
+        self.are_exhausted = false;
         if let Some(gateway) = self.all.get_mut(&address) {
             gateway.failed.clear();
         }
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -499,6 +499,11 @@
         self.views.is_ready()
     }
 
+    /// Whether clients are served better by other nodes, as far as these reach upstreams.
+    pub fn is_stranded(&self) -> bool {
+        self.dispatcher.is_stranded()
+    }
+
     /// Interval until the next tick.
     ///
     /// Most nodes of a large deployment have little to do, and each wake-up costs processor time,
--- a/crates/router/src/shell/actor.rs
+++ b/crates/router/src/shell/actor.rs
@@ -16,6 +16,8 @@
     pub due: Cell<Option<Time>>,
     /// Whether the node is ready for clients.
     pub ready: Cell<bool>,
+    /// Whether clients should turn to other nodes.
+    pub stranded: Cell<bool>,
     /// Interval between ticks.
     pub tick_interval: Cell<Duration>,
 }
@@ -49,6 +51,7 @@
         }
         self.loop_state.due.set(self.core.next_due());
         self.loop_state.ready.set(self.core.is_ready());
+        self.loop_state.stranded.set(self.core.is_stranded());
         self.loop_state
             .tick_interval
             .set(self.core.tick_interval(now));
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -56,6 +56,8 @@
     pub limits: Cell<ClientLimits>,
     pub ready: Cell<bool>,
     pub stopping: Cell<bool>,
+    /// Whether this node can pass on nothing and clients should turn to other nodes.
+    pub stranded: Cell<bool>,
     pub shutdown: Notify,
     /// Random number of this run of the process.
     pub run: u64,
--- a/crates/router/src/shell/observer/paths.rs
+++ b/crates/router/src/shell/observer/paths.rs
@@ -23,6 +23,11 @@
         warn!(self.log, "granter_stepped_down"; "broken_paths_to_holders" => broken);
     }
 
+    /// Whether this node can pass on nothing changed.
+    pub fn stranded_changed(&self, is_stranded: bool) {
+        warn!(self.log, "stranded"; "ready" => !is_stranded);
+    }
+
     /// What this node can connect to changed.
     pub fn path_changed(&self, notice: &PathNotice) {
         match notice {
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -137,6 +137,7 @@
         limits: Cell::new(ClientLimits::default()),
         ready: Cell::new(false),
         stopping: Cell::new(false),
+        stranded: Cell::new(false),
         shutdown: Notify::new(),
         run,
         store: settings.store.address,
@@ -206,6 +207,7 @@
         }
         stakker.run(now, false);
         shared.ready.set(loop_state.ready.get());
+        set_stranded(&shared, loop_state.stranded.get());
         let tick_at = last_tick.unwrap_or(now) + loop_state.tick_interval.get();
         let due = loop_state
             .due
@@ -222,6 +224,12 @@
     }
 }
 
+fn set_stranded(shared: &Shared, is_stranded: bool) {
+    if shared.stranded.replace(is_stranded) != is_stranded {
+        shared.observer.stranded_changed(is_stranded);
+    }
+}
+
 /// Called after the machine was suspended. Idle connections are closed, because the other
 /// sides may have dropped them, and the core learns that its data is as old as the boot clock
 /// says. Attempts past their deadline end and orders past their validity are not written; both
