--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -39,6 +39,12 @@
         Self(child.expect("the program starts"))
     }
 
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.0.kill().expect("the process can be killed");
+        self.0.wait().expect("the process ends");
+    }
+
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.0.try_wait(), Ok(None))
     }
@@ -134,6 +140,16 @@
 
 /// Starts a router; returns its client address and process.
 pub fn router(folder: &Path, node: usize, store: SocketAddr) -> (SocketAddr, Process) {
+    let (clients, _, process) = router_with_peers(folder, node, store);
+    (clients, process)
+}
+
+/// Starts a router; returns its addresses for clients and for other routers, and its process.
+pub fn router_with_peers(
+    folder: &Path,
+    node: usize,
+    store: SocketAddr,
+) -> (SocketAddr, SocketAddr, Process) {
     let addresses = free_addresses(4);
     let [clients, readiness, peers, metrics] = addresses[..] else {
         unreachable!("as many as were asked for");
@@ -156,7 +172,7 @@
     ];
     let program = soak().with_file_name("beamtray");
     let log = folder.join(format!("router-{node}.log"));
-    (clients, Process::start(&program, &arguments, &log))
+    (clients, peers, Process::start(&program, &arguments, &log))
 }
 
 /// Starts the emulated store.
