--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -69,6 +69,18 @@
     }
 }
 
+/// Log field of the node through which a request is sent.
+struct GatewayField(Option<SocketAddr>);
+
+impl slog::KV for GatewayField {
+    fn serialize(&self, _: &Record, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        let Some(gateway) = self.0 else {
+            return Ok(());
+        };
+        serializer.emit_arguments("gateway", &format_args!("{gateway}"))
+    }
+}
+
 /// Log field of the tenant that sent a request.
 struct TenantField<'a>(Option<&'a TenantName>);
 
@@ -287,7 +299,7 @@
             "attempt" => forward.attempt, "occupied" => forward.occupied,
             "waited_ms" => forward.waited.as_millis() as u64,
             "left_ms" => left.as_millis() as u64,
-            "gateway" => forward.gateway.map(|gateway| gateway.to_string()), fields, suppressed);
+            GatewayField(forward.gateway), fields, suppressed);
     }
 
     /// The store has a new era. Unless it is the first one seen by this process, the store has
--- a/crates/router/src/shell/observer/paths.rs
+++ b/crates/router/src/shell/observer/paths.rs
@@ -36,15 +36,19 @@
                 failed_ago,
                 ..
             } => {
-                info!(self.log, "path_broken"; "upstream" => %upstream,
-                    "failed_ms_ago" => failed_ago.as_millis() as u64);
+                if let Some(suppressed) = self.admit(LineKind::Dependency) {
+                    info!(self.log, "path_broken"; "upstream" => %upstream,
+                        "failed_ms_ago" => failed_ago.as_millis() as u64, suppressed);
+                }
             }
             PathNotice::Restored {
                 upstream,
                 failed_ago,
             } => {
-                info!(self.log, "path_restored"; "upstream" => %upstream,
-                    "failed_ms_ago" => failed_ago.as_millis() as u64);
+                if let Some(suppressed) = self.admit(LineKind::Dependency) {
+                    info!(self.log, "path_restored"; "upstream" => %upstream,
+                        "failed_ms_ago" => failed_ago.as_millis() as u64, suppressed);
+                }
             }
             PathNotice::CutOff {
                 broken,
