--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -64,7 +64,7 @@
 
     /// Whether this node can pass on nothing: it can connect to no upstream, and no other node does
     /// so for it.
-    pub fn is_stranded(&self) -> bool {
+    pub fn is_isolated(&self) -> bool {
         let is_cut_off = self.reachability.cut_off_since().is_some();
         let has_gateways = self.config.uses_gateways && !self.gateways.is_empty();
         is_cut_off && (!has_gateways || self.gateways.are_exhausted())
--- a/crates/dispatch/tests/gateways.rs
+++ b/crates/dispatch/tests/gateways.rs
@@ -152,7 +152,7 @@
 
 // Guards against new clients at a node that no upstream is reached from, when others could have them.
 #[test]
-fn a_node_is_stranded_when_it_connects_to_nothing_and_no_node_helps() {
+fn a_node_is_isolated_when_it_connects_to_nothing_and_no_node_helps() {
     let (mut dispatcher, directory) = cut_from_holder();
     for (port, name) in [(8_000, "near"), (8_001, "far")] {
         let id = UpstreamId::from(name.to_owned());
@@ -161,21 +161,21 @@
         answered_elsewhere(&mut dispatcher, 20, &id);
     }
     assert!(dispatcher.reachability().cut_off_since().is_some());
-    assert!(!dispatcher.is_stranded());
+    assert!(!dispatcher.is_isolated());
     admit(&mut dispatcher, 30, 1, "/keyed/1");
     for step in 0..3 {
         send(&mut dispatcher, &directory, 31 + step);
         dispatcher.attempt_ended(at(31 + step), Ticket(1), failed(GatewayFailure::Declined));
     }
-    assert!(dispatcher.is_stranded());
+    assert!(dispatcher.is_isolated());
     // The other nodes are asked again after a while, and one of them helps.
     dispatcher.poll(at(900), &directory);
     admit(&mut dispatcher, 1_100, 2, "/keyed/1");
     send(&mut dispatcher, &directory, 1_100);
-    assert!(dispatcher.is_stranded());
+    assert!(dispatcher.is_isolated());
     let answered = AttemptOutcome::Answered { success: true };
     dispatcher.attempt_ended(at(1_110), Ticket(2), answered);
-    assert!(!dispatcher.is_stranded());
+    assert!(!dispatcher.is_isolated());
     dispatcher.connected(at(1_200), &holder());
-    assert!(!dispatcher.is_stranded());
+    assert!(!dispatcher.is_isolated());
 }
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -500,8 +500,8 @@
     }
 
     /// Whether clients are served better by other nodes, as far as these reach upstreams.
-    pub fn is_stranded(&self) -> bool {
-        self.dispatcher.is_stranded()
+    pub fn is_isolated(&self) -> bool {
+        self.dispatcher.is_isolated()
     }
 
     /// Interval until the next tick.
--- a/crates/router/src/shell/actor.rs
+++ b/crates/router/src/shell/actor.rs
@@ -17,7 +17,7 @@
     /// Whether the node is ready for clients.
     pub ready: Cell<bool>,
     /// Whether clients should turn to other nodes.
-    pub stranded: Cell<bool>,
+    pub isolated: Cell<bool>,
     /// Interval between ticks.
     pub tick_interval: Cell<Duration>,
 }
@@ -51,7 +51,7 @@
         }
         self.loop_state.due.set(self.core.next_due());
         self.loop_state.ready.set(self.core.is_ready());
-        self.loop_state.stranded.set(self.core.is_stranded());
+        self.loop_state.isolated.set(self.core.is_isolated());
         self.loop_state
             .tick_interval
             .set(self.core.tick_interval(now));
--- a/crates/router/src/shell/clients.rs
+++ b/crates/router/src/shell/clients.rs
@@ -81,7 +81,7 @@
         Ok(request) => process_request(&shared, request).await,
         Err(status) => empty_response(status),
     };
-    if shared.stopping.get() || shared.stranded.get() {
+    if shared.stopping.get() || shared.isolated.get() {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -57,7 +57,7 @@
     pub ready: Cell<bool>,
     pub stopping: Cell<bool>,
     /// Whether this node can pass on nothing and clients should turn to other nodes.
-    pub stranded: Cell<bool>,
+    pub isolated: Cell<bool>,
     pub shutdown: Notify,
     /// Random number of this run of the process.
     pub run: u64,
--- a/crates/router/src/shell/observer/paths.rs
+++ b/crates/router/src/shell/observer/paths.rs
@@ -24,8 +24,8 @@
     }
 
     /// Whether this node can pass on nothing changed.
-    pub fn stranded_changed(&self, is_stranded: bool) {
-        warn!(self.log, "stranded"; "ready" => !is_stranded);
+    pub fn isolated_changed(&self, is_isolated: bool) {
+        warn!(self.log, "isolated"; "ready" => !is_isolated);
     }
 
     /// What this node can connect to changed.
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -137,7 +137,7 @@
         limits: Cell::new(ClientLimits::default()),
         ready: Cell::new(false),
         stopping: Cell::new(false),
-        stranded: Cell::new(false),
+        isolated: Cell::new(false),
         shutdown: Notify::new(),
         run,
         store: settings.store.address,
@@ -207,7 +207,7 @@
         }
         stakker.run(now, false);
         shared.ready.set(loop_state.ready.get());
-        set_stranded(&shared, loop_state.stranded.get());
+        set_isolated(&shared, loop_state.isolated.get());
         let tick_at = last_tick.unwrap_or(now) + loop_state.tick_interval.get();
         let due = loop_state
             .due
@@ -224,9 +224,9 @@
     }
 }
 
-fn set_stranded(shared: &Shared, is_stranded: bool) {
-    if shared.stranded.replace(is_stranded) != is_stranded {
-        shared.observer.stranded_changed(is_stranded);
+fn set_isolated(shared: &Shared, is_isolated: bool) {
+    if shared.isolated.replace(is_isolated) != is_isolated {
+        shared.observer.isolated_changed(is_isolated);
     }
 }
 
--- a/crates/router/src/shell/readiness.rs
+++ b/crates/router/src/shell/readiness.rs
@@ -19,7 +19,7 @@
 }
 
 async fn readiness_response(shared: Rc<Shared>) -> Response<ResponseBody> {
-    let ready = shared.ready.get() && !shared.stopping.get() && !shared.stranded.get();
+    let ready = shared.ready.get() && !shared.stopping.get() && !shared.isolated.get();
     empty_response(if ready {
         StatusCode::OK
     } else {
