--- /dev/null
+++ b/review/standins/src/routers.rs
@@ -0,0 +1,160 @@
+//! The routers under review: processes started as the deploy file starts them.
+
+use crate::http::{Connection, Message};
+use crate::store::{LEAST_TTL_MS, Store};
+use crate::upstream::HEARTBEAT;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// `graceS` of the deployment.
+pub const GRACE: Duration = Duration::from_secs(6);
+
+/// A running router. Dropping it kills the process.
+pub struct Router {
+    pub clients: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
+    child: Child,
+}
+
+/// Starts `count` routers in the zones `z1`, `z2` and so on.
+pub fn start(
+    program: &Path,
+    folder: &Path,
+    store: &Store,
+    count: usize,
+) -> io::Result<Vec<Router>> {
+    // Kept open together, so that all ports differ, and closed before the routers bind them.
+    let listeners: Vec<TcpListener> = (0..count * 4)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect::<io::Result<_>>()?;
+    let addresses: Vec<SocketAddr> = listeners
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<io::Result<_>>()?;
+    drop(listeners);
+    let ports: Vec<&[SocketAddr]> = addresses.chunks(4).collect();
+    let seeds = ports.iter().map(|ports| format!("\"{}\"", ports[2]));
+    let seeds: Vec<String> = seeds.collect();
+    let zones: Vec<String> = (1..=count).map(|zone| format!("\"z{zone}\"")).collect();
+    let mut routers = Vec::new();
+    for (node, ports) in ports.iter().enumerate() {
+        let text = settings(node + 1, ports, &zones.join(", "), &seeds.join(", "), store);
+        let path = folder.join(format!("router-{}.toml", node + 1));
+        std::fs::write(&path, text)?;
+        routers.push(Router {
+            clients: ports[0],
+            readiness: ports[1],
+            metrics: ports[3],
+            child: spawn(program, folder, node + 1, &path)?,
+        });
+    }
+    Ok(routers)
+}
+
+/// Settings in the form of `deploy/router.toml.template`, with the figures of a small deployment.
+fn settings(node: usize, ports: &[SocketAddr], zones: &str, seeds: &str, store: &Store) -> String {
+    let [clients, readiness, peers, metrics] = ports else {
+        unreachable!("four ports a router");
+    };
+    format!(
+        "version = 1\nnode = \"front-z{node}-1\"\nzone = \"z{node}\"\nzones = [{zones}]\n\
+         ip = \"127.0.0.1\"\nseeds = [{seeds}]\nfirst_start = true\n\n\
+         [listen]\nclients = \"{clients}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\n\
+         metrics = \"{metrics}\"\n\n\
+         [store]\naddress = \"{}\"\nleast_ttl_ms = {LEAST_TTL_MS}\n\n\
+         [bounds]\ndrain_ms = 2000\ncontact_ms = 3000\ngrace_s = {}\nretry_ratio = 0.2\n\
+         retry_allowance = 56\nretry_window_s = 10\nlongest_hold_ms = 10000\n\
+         heartbeat_ms = {}\n\n\
+         [limits]\nprocessor_share = 0.2\nmemory_mb = 260\ndescriptors = 4100\n\
+         link_mbps = 1000.0\n",
+        store.address,
+        GRACE.as_secs(),
+        HEARTBEAT.as_millis(),
+    )
+}
+
+fn spawn(program: &Path, folder: &Path, node: usize, settings: &PathBuf) -> io::Result<Child> {
+    let log = File::create(folder.join(format!("router-{node}.log")))?;
+    let child = Command::new(program)
+        .arg("route")
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
+    // For the script, which ends these processes if it is ended itself.
+    let pids = folder.join("pids");
+    let mut pids = OpenOptions::new().create(true).append(true).open(pids)?;
+    writeln!(pids, "{}", child.id())?;
+    Ok(child)
+}
+
+impl Router {
+    /// Whether the readiness address answers 200.
+    fn is_ready(&self) -> bool {
+        let answer = get(self.readiness, "/v1/ready");
+        answer.is_some_and(|answer| answer.status() == 200)
+    }
+
+    /// Lines of the router's own figures that contain one of these texts. They are recorded and
+    /// decide nothing.
+    pub fn figures(&self, wanted: &[&str]) -> Vec<String> {
+        let answer = get(self.metrics, "/metrics").unwrap_or_default();
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let lines = text.lines().filter(|line| !line.starts_with('#'));
+        let lines = lines.filter(|line| wanted.iter().any(|wanted| line.contains(wanted)));
+        lines.map(str::to_owned).collect()
+    }
+
+    /// Waits until the router is ready; false if it isn't in time.
+    pub fn wait_until_ready(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if self.is_ready() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        false
+    }
+
+    /// Sends SIGTERM, as the platform does to stop a process.
+    pub fn terminate(&self) {
+        // SAFETY: kill has no preconditions; the child has not been waited for, so that its id is
+        // its own.
+        unsafe {
+            libc::kill(self.child.id() as libc::pid_t, libc::SIGTERM);
+        }
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+fn get(address: SocketAddr, target: &str) -> Option<Message> {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok()?;
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+    let mut connection = Connection::new(stream);
+    let question = Message {
+        first: format!("GET {target} HTTP/1.1"),
+        headers: vec![("Host".to_owned(), "entry".to_owned())],
+        body: Vec::new(),
+    };
+    connection.write(&question).ok()?;
+    connection.read().ok()?
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
