--- a/review/tests/cases.rs
+++ b/review/tests/cases.rs
@@ -20,3 +20,8 @@
 fn unsafe_request_runs_once_beside_surplus_rejection() {
     assert_held(1);
 }
+
+#[test]
+fn configuration_takes_force_after_lost_watch_answers() {
+    assert_held(2);
+}
