--- a/review/tests/cases.rs
+++ b/review/tests/cases.rs
@@ -25,3 +25,8 @@
 fn configuration_takes_force_after_lost_watch_answers() {
     assert_held(2);
 }
+
+#[test]
+fn planned_stop_waits_for_answers_being_read() {
+    assert_held(3);
+}
