--- a/review/standins/src/lost_watch_answers.rs
+++ b/review/standins/src/lost_watch_answers.rs
@@ -1,5 +1,4 @@
-//! The store loses the answers to watches for a moment, in which the operator changes the
-//! configuration.
+//! The store loses one answer: that to a watch which tells of a new configuration.
 
 use crate::client::{self, Outcome, Request};
 use crate::routers;
@@ -15,13 +14,11 @@
 const HOST: &str = "rent.example";
 /// How long the first configuration has been in force when the second one comes.
 const CHANGE_AT: Duration = Duration::from_secs(40);
-/// How long answers to watches are lost, from just before the change.
-const LOSS: Duration = Duration::from_millis(300);
-/// How long before the change the store begins to lose them.
-const LOSS_AHEAD: Duration = Duration::from_millis(50);
+/// Routers, in three zones.
+const ROUTERS: usize = 18;
 const DAY: Duration = Duration::from_secs(68);
 /// Requests a second on each route to each router.
-const PER_S: f64 = 4.0;
+const PER_S: f64 = 1.0;
 /// `configApplyMs`.
 const APPLY: Duration = Duration::from_millis(2_000);
 /// `contactMs`: a machine is in touch when the store has been undisturbed for so long.
@@ -63,7 +60,7 @@
             upstreams.push(upstream);
         }
     }
-    let routers = routers::start(&setting.program, &setting.temporary, &store, 3)?;
+    let routers = routers::start(&setting.program, &setting.temporary, &store, ROUTERS)?;
     if !routers
         .iter()
         .all(|router| router.wait_until_ready(Duration::from_secs(15)))
@@ -75,31 +72,26 @@
     let operator = {
         let (store, record, trouble) = (store.clone(), record.clone(), setting.trouble);
         thread::spawn(move || {
-            thread::sleep(CHANGE_AT - LOSS_AHEAD);
+            thread::sleep(CHANGE_AT);
             if trouble {
-                record.say("the store loses the answers to watches");
-                store.lose_watch_answers(LOSS);
+                store.lose_watch_answer("op/");
             }
-            thread::sleep(LOSS_AHEAD);
             store.put("op/config", &configuration(2));
             let acknowledged = Instant::now();
             record.say("the store acknowledges version 2");
-            thread::sleep(LOSS - LOSS_AHEAD);
-            let lost = store.lost_answers();
-            record.say(format!(
-                "the store is undisturbed again; {lost} answers were lost"
-            ));
-            (acknowledged, Instant::now())
+            acknowledged
         })
     };
     let endings = play(setting, &addresses, start);
-    let Ok((acknowledged, undisturbed)) = operator.join() else {
+    let Ok(acknowledged) = operator.join() else {
         return Ok(Verdict::NotRun("no configuration was written".to_owned()));
     };
-    let bound_from = (acknowledged + APPLY).max(match setting.trouble {
-        true => undisturbed + CONTACT,
-        false => acknowledged,
-    });
+    let lost_at = store.lost_at();
+    if setting.trouble && lost_at.is_none() {
+        return Ok(Verdict::NotRun("no answer was lost".to_owned()));
+    }
+    let in_touch_from = lost_at.map_or(acknowledged, |lost_at| lost_at + CONTACT);
+    let bound_from = in_touch_from.max(acknowledged + APPLY);
     let mut ran_at: BTreeMap<String, String> = BTreeMap::new();
     for run in upstreams.iter().flat_map(Upstream::runs) {
         ran_at.insert(run.id, run.upstream);
@@ -209,15 +201,19 @@
         }
     }
     for (router, after) in &last {
-        record.say(format!(
+        record.line(format!(
             "router {}: handled as by version 1 until {:.1} s after the bound began",
             router + 1,
             after.as_secs_f64()
         ));
     }
+    let longest = last.values().max().copied().unwrap_or_default();
     record.say(format!(
-        "{} requests under the bound, {outdated} handled as only version 1 allows",
-        bound.len()
+        "{} requests under the bound, {outdated} handled as only version 1 allows, by {} of {ROUTERS} \
+         routers, until {:.1} s after the bound began",
+        bound.len(),
+        last.len(),
+        longest.as_secs_f64()
     ));
     match (outdated, bound.iter().any(|one| one.outcome.is_success())) {
         (0, false) => Verdict::NotRun("nothing was served".to_owned()),
--- a/review/standins/src/routers.rs
+++ b/review/standins/src/routers.rs
@@ -21,7 +21,12 @@
     child: Child,
 }
 
-/// Starts `count` routers in the zones `z1`, `z2` and so on.
+/// Most zones of a deployment.
+const ZONES: usize = 3;
+/// Routers whose addresses are in the settings of all.
+const SEEDS: usize = 3;
+
+/// Starts `count` routers, in turn in the zones `z1`, `z2` and `z3`.
 pub fn start(
     program: &Path,
     folder: &Path,
@@ -38,9 +43,12 @@
         .collect::<io::Result<_>>()?;
     drop(listeners);
     let ports: Vec<&[SocketAddr]> = addresses.chunks(4).collect();
-    let seeds = ports.iter().map(|ports| format!("\"{}\"", ports[2]));
+    let seeds = ports.iter().take(SEEDS);
+    let seeds = seeds.map(|ports| format!("\"{}\"", ports[2]));
     let seeds: Vec<String> = seeds.collect();
-    let zones: Vec<String> = (1..=count).map(|zone| format!("\"z{zone}\"")).collect();
+    let zones: Vec<String> = (1..=count.min(ZONES))
+        .map(|zone| format!("\"z{zone}\""))
+        .collect();
     let mut routers = Vec::new();
     for (node, ports) in ports.iter().enumerate() {
         let text = settings(node + 1, ports, &zones.join(", "), &seeds.join(", "), store);
@@ -58,11 +66,12 @@
 
 /// Settings in the form of `deploy/router.toml.template`, with the figures of a small deployment.
 fn settings(node: usize, ports: &[SocketAddr], zones: &str, seeds: &str, store: &Store) -> String {
+    let zone = (node - 1) % ZONES + 1;
     let [clients, readiness, peers, metrics] = ports else {
         unreachable!("four ports a router");
     };
     format!(
-        "version = 1\nnode = \"front-z{node}-1\"\nzone = \"z{node}\"\nzones = [{zones}]\n\
+        "version = 1\nnode = \"front-z{zone}-{node}\"\nzone = \"z{zone}\"\nzones = [{zones}]\n\
          ip = \"127.0.0.1\"\nseeds = [{seeds}]\nfirst_start = true\n\n\
          [listen]\nclients = \"{clients}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\n\
          metrics = \"{metrics}\"\n\n\
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -47,10 +47,9 @@
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
     history: Vec<Change>,
-    /// The answers to watches that end before this time are lost.
-    loses_watches_until: Option<Instant>,
-    /// Number of answers that were lost.
-    lost: usize,
+    /// The next answer to a watch of this prefix is lost.
+    loses_watch_of: Option<String>,
+    lost_at: Option<Instant>,
 }
 
 /// The store.
@@ -101,24 +100,27 @@
         self.state.1.notify_all();
     }
 
-    /// Loses the answers to watches for a while. A connection on which an answer was lost says
-    /// nothing further.
-    pub fn lose_watch_answers(&self, duration: Duration) {
-        self.lock().loses_watches_until = Some(Instant::now() + duration);
+    /// Loses the next answer to a watch of that prefix. A connection on which an answer was lost
+    /// says nothing further.
+    pub fn lose_watch_answer(&self, prefix: &str) {
+        self.lock().loses_watch_of = Some(prefix.to_owned());
     }
 
-    /// Number of answers that were lost.
-    pub fn lost_answers(&self) -> usize {
-        self.lock().lost
+    /// When an answer was lost.
+    pub fn lost_at(&self) -> Option<Instant> {
+        self.lock().lost_at
     }
 
-    /// Whether the answer to this request is lost now.
+    /// Whether the answer to this request is lost.
     fn loses(&self, request: &Message) -> bool {
+        let (path, query) = request.target().split_once('?').unwrap_or_default();
+        let prefix = parse_query(query).remove("pathPrefix");
         let mut state = self.lock();
-        let until = state.loses_watches_until;
-        let is_lost = request.target().starts_with("/v1/kv-watch")
-            && until.is_some_and(|until| Instant::now() < until);
-        state.lost += usize::from(is_lost);
+        let is_lost = path == "/v1/kv-watch" && prefix.is_some() && prefix == state.loses_watch_of;
+        if is_lost {
+            state.loses_watch_of = None;
+            state.lost_at = Some(Instant::now());
+        }
         is_lost
     }
 
