--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod departed_clients;
 mod gate;
 mod http;
+mod late_grant;
 mod lost_watch_answers;
 mod paused_readers;
 mod record;
@@ -61,6 +62,7 @@
     let run = match case.as_str() {
         "repeated-rejection" => repeated_rejection::run,
         "stop-while-reading" => stop_while_reading::run,
+        "late-grant" => late_grant::run,
         "lost-watch-answers" => lost_watch_answers::run,
         "paused-readers" => paused_readers::run,
         "departed-clients" => departed_clients::run,
--- a/review/standins/src/routers.rs
+++ b/review/standins/src/routers.rs
@@ -5,7 +5,7 @@
 use crate::upstream::HEARTBEAT;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -25,6 +25,10 @@
 const ZONES: usize = 3;
 /// Routers whose addresses are in the settings of all.
 const SEEDS: usize = 3;
+/// The ports to choose from.
+const FIRST_PORT: u16 = 11_000;
+const PORTS: u16 = 20_000;
+const PORT_STEP: u32 = 97;
 
 /// Starts `count` routers, in turn in the zones `z1`, `z2` and `z3`.
 pub fn start(
@@ -33,15 +37,7 @@
     store: &Store,
     count: usize,
 ) -> io::Result<Vec<Router>> {
-    // Kept open together, so that all ports differ, and closed before the routers bind them.
-    let listeners: Vec<TcpListener> = (0..count * 4)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect::<io::Result<_>>()?;
-    let addresses: Vec<SocketAddr> = listeners
-        .iter()
-        .map(TcpListener::local_addr)
-        .collect::<io::Result<_>>()?;
-    drop(listeners);
+    let addresses = free_addresses(count * 4)?;
     let ports: Vec<&[SocketAddr]> = addresses.chunks(4).collect();
     let seeds = ports.iter().take(SEEDS);
     let seeds = seeds.map(|ports| format!("\"{}\"", ports[2]));
@@ -64,6 +60,28 @@
     Ok(routers)
 }
 
+/// Addresses that nobody listens on, with ports below those of outgoing connections, which could
+/// otherwise take one before its router does. Different runs begin at different ports.
+fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let first = FIRST_PORT + (std::process::id().wrapping_mul(PORT_STEP)) as u16 % PORTS;
+    let ports = (0..PORTS).map(|offset| FIRST_PORT + (first - FIRST_PORT + offset) % PORTS);
+    // Kept open together, so that all ports differ.
+    let mut listeners = Vec::new();
+    for port in ports {
+        let is_free = UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if let Some(listener) = TcpListener::bind(("127.0.0.1", port))
+            .ok()
+            .filter(|_| is_free)
+        {
+            listeners.push(listener);
+        }
+        if listeners.len() == count {
+            return listeners.iter().map(TcpListener::local_addr).collect();
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 /// Settings in the form of `deploy/router.toml.template`, with the figures of a small deployment.
 fn settings(node: usize, ports: &[SocketAddr], zones: &str, seeds: &str, store: &Store) -> String {
     let zone = (node - 1) % ZONES + 1;
@@ -133,6 +151,11 @@
         false
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+    }
+
     /// Sends SIGTERM, as the platform does to stop a process.
     pub fn terminate(&self) {
         // SAFETY: kill has no preconditions; the child has not been waited for, so that its id is
--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -5,6 +5,7 @@
 use crate::store::Store;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -41,6 +42,18 @@
     pub at_ms: u128,
 }
 
+/// A grant that an upstream carried out.
+#[derive(Clone, Debug)]
+pub struct Taking {
+    pub upstream: String,
+    pub first: usize,
+    pub last: usize,
+    pub fence: u64,
+    pub at_ms: u128,
+    /// Whether it was left unanswered and carried out late.
+    pub is_late: bool,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Stage {
     #[default]
@@ -76,6 +89,11 @@
     behavior: Behavior,
     record: Record,
     stage: Arc<Mutex<Stage>>,
+    takings: Arc<Mutex<Vec<Taking>>>,
+    /// The next grant is left unanswered and carried out after this time.
+    delay_of_next_grant: Arc<Mutex<Option<Duration>>>,
+    /// Number of grants that were left unanswered.
+    left_grants: Arc<AtomicUsize>,
     load: Arc<(Mutex<Load>, Condvar)>,
     keys: Arc<(Mutex<KeyState>, Condvar)>,
     runs: Arc<Mutex<Vec<Run>>>,
@@ -125,6 +143,9 @@
             behavior,
             record: record.clone(),
             stage: Arc::default(),
+            takings: Arc::default(),
+            delay_of_next_grant: Arc::default(),
+            left_grants: Arc::default(),
             load: Arc::default(),
             keys: Arc::new((Mutex::new(keys), Condvar::new())),
             runs: Arc::default(),
@@ -198,6 +219,21 @@
         *self.counts.lock().unwrap()
     }
 
+    /// The grants that were carried out.
+    pub fn takings(&self) -> Vec<Taking> {
+        self.takings.lock().unwrap().clone()
+    }
+
+    /// Leaves the next grant unanswered and carries it out after that time.
+    pub fn delay_next_grant(&self, delay: Duration) {
+        *self.delay_of_next_grant.lock().unwrap() = Some(delay);
+    }
+
+    /// Number of grants that were left unanswered.
+    pub fn left_grants(&self) -> usize {
+        self.left_grants.load(Ordering::SeqCst)
+    }
+
     /// Whether it holds a key now.
     pub fn holds(&self, key: u16) -> bool {
         self.lock_keys().holds(key)
@@ -241,14 +277,26 @@
             return Message::response(421).with("X-Instance-Id", &self.id);
         }
         match request.target() {
-            "/v1/grant" => self.grant(&request.body),
+            "/v1/grant" => self.receive_grant(&request.body),
             "/v1/release" => self.release(&request.body),
             "/health" => Message::response(200).with("X-Instance-Id", &self.id),
             _ => self.request(request),
         }
     }
 
-    fn grant(&self, body: &[u8]) -> Message {
+    fn receive_grant(&self, body: &[u8]) -> Message {
+        let delay = self.delay_of_next_grant.lock().unwrap().take();
+        let Some(delay) = delay else {
+            return self.grant(body, false);
+        };
+        self.record
+            .line(format!("{} leaves a grant unanswered", self.id));
+        self.left_grants.fetch_add(1, Ordering::SeqCst);
+        thread::sleep(delay);
+        self.grant(body, true)
+    }
+
+    fn grant(&self, body: &[u8], is_late: bool) -> Message {
         let order: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         let (Some((first, last)), Some(fence), Some(hold_ms)) = (
             range(&order),
@@ -266,6 +314,14 @@
         for held in &mut keys.held_until[first..=last] {
             *held = (*held).max(Some(until));
         }
+        self.takings.lock().unwrap().push(Taking {
+            upstream: self.id.clone(),
+            first,
+            last,
+            fence,
+            at_ms: self.record.elapsed_ms(),
+            is_late,
+        });
         Message::response(200)
     }
 
