--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,7 +2,8 @@
 
 use crate::bodies;
 use crate::channel::{Reporter, connect};
-use crate::config::{CALLER_TIMEOUT, HOST, ORDER, PROBE, READ};
+use crate::config::{CALLER_TIMEOUT, HOST, LOOK, ORDER, PROBE, READ};
+use crate::load::{KEYED_PERCENT, LOOKUP_PERCENT, MeanWork, POOL_PERCENT};
 use crate::message::{CallerEnd, Command, Observation};
 use crate::pool::Pool;
 use crate::tenants::Identity;
@@ -18,7 +19,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 /// Percentage of requests that read by key. Requests that are neither reads nor probes must
@@ -37,6 +38,15 @@
 /// Body size of a request that must not be retried.
 const ORDER_BYTES: usize = 300;
 
+/// Retries of most callers of a loaded run.
+const RETRIES: u32 = 1;
+/// Percentage of callers that retry at once and more often.
+const IMPATIENT_PERCENT: u32 = 20;
+/// Retries of these callers.
+const IMPATIENT_RETRIES: u32 = 4;
+/// Callers wait as told for up to this part of the time that they have left.
+const RETRY_AFTER_SHARE: u32 = 3;
+
 /// Tenant that all callers state.
 const FORGED_TENANT: &str = "somebody-else";
 
@@ -51,6 +61,8 @@
     pub rate: u32,
     /// Seed of the request generator.
     pub seed: u64,
+    /// Mean execution times, if the load is high; callers then retry.
+    pub work: Option<MeanWork>,
 }
 
 struct PlannedRequest {
@@ -83,18 +95,57 @@
             command = commands.recv() => match command {
                 Some(Command::StartTraffic) => begun = true,
                 Some(Command::Probe(version)) => probed.set(version),
-                Some(Command::StopTraffic) | None => break,
+                Some(Command::StopTraffic) => begun = false,
+                Some(Command::Flush) => reporter.report(Observation::Flushed),
                 Some(_) => {}
+                None => return Ok(()),
             },
             _ = ticks.tick(), if begun => {
-                let mut planned = draw(&mut random, &settings, probed.get());
-                planned.identity = Identity::draw(&mut senders, probed.get());
-                tokio::task::spawn_local(send_and_report(reporter.clone(), pool.clone(), planned));
+                let sender = Sender { reporter: reporter.clone(), pool: pool.clone() };
+                match settings.work {
+                    Some(work) => {
+                        let planned = draw_loaded(&mut random, &settings, probed.get(), work);
+                        let routers = settings.routers.clone();
+                        tokio::task::spawn_local(sender.send_with_retries(planned, routers));
+                    }
+                    None => {
+                        let mut planned = draw(&mut random, &settings, probed.get());
+                        planned.identity = Identity::draw(&mut senders, probed.get());
+                        tokio::task::spawn_local(sender.send_once(planned));
+                    }
+                }
             }
         }
     }
-    tokio::time::sleep(CALLER_TIMEOUT * 2).await;
-    Ok(())
+}
+
+/// Draws a request of a loaded run: anonymous, not cancelled, with a key spread evenly but for
+/// the hot one.
+fn draw_loaded(
+    random: &mut ChaCha8Rng,
+    settings: &CallerSettings,
+    probed: u64,
+    work: MeanWork,
+) -> PlannedRequest {
+    let mut planned = draw(random, settings, probed);
+    planned.leaves = false;
+    planned.key = None;
+    planned.repeatable = true;
+    let percent = random.random_range(50..150);
+    let kind = random.random_range(0..100);
+    if kind < KEYED_PERCENT {
+        let key = random.random_range(0..=u16::MAX);
+        planned.key = Some(key);
+        planned.path = format!("{READ}{key}/{}", work.keyed * percent / 100);
+    } else if kind < KEYED_PERCENT + LOOKUP_PERCENT {
+        planned.path = format!("{LOOK}{}", work.lookup * percent / 100);
+    } else if kind < KEYED_PERCENT + LOOKUP_PERCENT + POOL_PERCENT {
+        planned.path = format!("{ORDER}{}", work.pool * percent / 100);
+        planned.repeatable = false;
+    } else {
+        planned.path = format!("{PROBE}{probed}/{}", work.pool * percent / 100);
+    }
+    planned
 }
 
 fn draw(random: &mut ChaCha8Rng, settings: &CallerSettings, probed: u64) -> PlannedRequest {
@@ -133,53 +184,138 @@
     planned
 }
 
-async fn send_and_report(reporter: Reporter, pool: Pool, planned: PlannedRequest) {
-    reporter.report(Observation::RequestSent {
-        id: planned.id.clone(),
-        node: planned.node,
-        path: planned.path.clone(),
-        repeatable: planned.repeatable,
-    });
-    reporter.report(Observation::SentAs {
-        id: planned.id.clone(),
-        identity: planned.identity,
-    });
-    let (patience, late) = if planned.leaves {
-        (CANCEL_AFTER, CallerEnd::Cancelled)
-    } else {
-        (CALLER_TIMEOUT, CallerEnd::TimedOut)
-    };
-    let end = timeout(patience, exchange(&pool, &planned))
-        .await
-        .unwrap_or(late);
-    let id = planned.id;
-    reporter.report(Observation::RequestEnded { id, end });
+/// How a request ended, and when the router asked the caller to come back.
+struct Outcome {
+    end: CallerEnd,
+    retry_after: Option<Duration>,
 }
 
-async fn exchange(pool: &Pool, planned: &PlannedRequest) -> CallerEnd {
+impl From<CallerEnd> for Outcome {
+    fn from(end: CallerEnd) -> Self {
+        Self {
+            end,
+            retry_after: None,
+        }
+    }
+}
+
+struct Sender {
+    reporter: Reporter,
+    pool: Pool,
+}
+
+impl Sender {
+    async fn send_once(self, planned: PlannedRequest) {
+        self.send(&planned, CALLER_TIMEOUT).await;
+    }
+
+    /// Retries a failed request within its deadline: most callers once and as told, some at once
+    /// and more often.
+    async fn send_with_retries(self, planned: PlannedRequest, routers: Vec<SocketAddr>) {
+        let is_patient = rand::rng().random_range(0..100) >= IMPATIENT_PERCENT;
+        let retries = if is_patient {
+            RETRIES
+        } else {
+            IMPATIENT_RETRIES
+        };
+        let deadline = Instant::now() + CALLER_TIMEOUT;
+        let mut planned = planned;
+        for retry in 0..=retries {
+            let outcome = self.send(&planned, left(deadline)).await;
+            if !may_retry(&outcome.end, planned.repeatable) || retry == retries {
+                return;
+            }
+            if is_patient {
+                let longest = left(deadline) / RETRY_AFTER_SHARE;
+                tokio::time::sleep(outcome.retry_after.unwrap_or_default().min(longest)).await;
+            }
+            if left(deadline).is_zero() {
+                return;
+            }
+            let mut random = rand::rng();
+            planned.node = random.random_range(0..routers.len());
+            planned.address = routers[planned.node];
+            planned.id = format!("{:016x}-{}", random.random::<u64>(), std::process::id());
+        }
+    }
+
+    async fn send(&self, planned: &PlannedRequest, left: Duration) -> Outcome {
+        self.reporter.report(Observation::RequestSent {
+            id: planned.id.clone(),
+            node: planned.node,
+            path: planned.path.clone(),
+            repeatable: planned.repeatable,
+        });
+        self.reporter.report(Observation::SentAs {
+            id: planned.id.clone(),
+            identity: planned.identity,
+        });
+        let (patience, late) = if planned.leaves {
+            (CANCEL_AFTER, CallerEnd::Cancelled)
+        } else {
+            (left, CallerEnd::TimedOut)
+        };
+        let outcome = timeout(patience, exchange(&self.pool, planned, left))
+            .await
+            .unwrap_or(late.into());
+        self.reporter.report(Observation::RequestEnded {
+            id: planned.id.clone(),
+            end: outcome.end.clone(),
+        });
+        outcome
+    }
+}
+
+fn left(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now())
+}
+
+/// Whether a request may be sent again: any that may run twice, others only if they have not run.
+fn may_retry(end: &CallerEnd, repeatable: bool) -> bool {
+    match end {
+        CallerEnd::Answered { status, .. } => match status {
+            408 | 421 | 429 | 503 => true,
+            500..=599 => repeatable,
+            _ => false,
+        },
+        CallerEnd::NotSent => true,
+        CallerEnd::Disconnected => repeatable,
+        CallerEnd::Cancelled | CallerEnd::TimedOut => false,
+    }
+}
+
+async fn exchange(pool: &Pool, planned: &PlannedRequest, left: Duration) -> Outcome {
     let Some(mut connection) = pool.take(planned.address).await else {
-        return CallerEnd::NotSent;
+        return CallerEnd::NotSent.into();
     };
-    let Some(request) = request(planned) else {
-        return CallerEnd::NotSent;
+    let Some(request) = request(planned, left) else {
+        return CallerEnd::NotSent.into();
     };
     match connection.try_send_request(request).await {
         Ok(response) => {
+            let retry_after = retry_after(&response);
             let end = classify_response(planned, response).await;
             if end != CallerEnd::Disconnected && connection.ready().await.is_ok() {
                 pool.keep(planned.address, connection);
             }
-            end
+            Outcome { end, retry_after }
         }
         // The router closed the connection; the message comes back if it was not yet written.
         Err(mut error) => match error.take_message() {
-            Some(_) => CallerEnd::NotSent,
-            None => CallerEnd::Disconnected,
+            Some(_) => CallerEnd::NotSent.into(),
+            None => CallerEnd::Disconnected.into(),
         },
     }
 }
 
-fn request(planned: &PlannedRequest) -> Option<Request<Full<Bytes>>> {
+/// The time after which the router asks the caller to come back.
+fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
+    let value = response.headers().get(Platform.headers().retry_after)?;
+    let seconds: f64 = value.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+fn request(planned: &PlannedRequest, left: Duration) -> Option<Request<Full<Bytes>>> {
     let names = Platform.headers();
     let (method, body) = match planned.repeatable {
         true => (Method::GET, Bytes::new()),
@@ -190,7 +326,7 @@
         .uri(&planned.path)
         .header(hyper::header::HOST, HOST)
         .header(names.request_id, &planned.id)
-        .header(names.deadline_ms, CALLER_TIMEOUT.as_millis().to_string());
+        .header(names.deadline_ms, left.as_millis().max(1).to_string());
     if let Some(key) = planned.key {
         builder = builder.header(names.shard_key, key.to_string());
     }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -263,7 +263,7 @@
         let at = report.at;
         let from = report.from.clone();
         match &report.observation {
-            Observation::Started => {}
+            Observation::Started | Observation::Flushed => {}
             Observation::RequestSent {
                 id,
                 node,
--- a/crates/soak/src/checker/load.rs
+++ b/crates/soak/src/checker/load.rs
@@ -2,14 +2,20 @@
 
 use super::{Checker, Disturbed, Promise, Request};
 use crate::config::{
-    CONTACT, KEYED, ORDER, POOL, PROBE, RETRY_ALLOWANCE, RETRY_RATIO, RETRY_WINDOW, service_of,
+    CONTACT, KEYED, LOOKUP, ORDER, POOL, PROBE, RETRY_ALLOWANCE, RETRY_RATIO, RETRY_WINDOW,
+    service_of,
 };
 use crate::message::CallerEnd;
 use beamtray_types::Time;
+use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 /// One in this many requests after the recovery must be served.
 const SERVED_ONE_IN: usize = 4;
+/// Minimum number of requests for a service to be judged by itself: it must be served a quarter
+/// as often as all.
+const MIN_REQUESTS_OF_SERVICE: usize = 40;
 /// How long a router may take to propagate a cancellation.
 const CANCEL_PROPAGATION: Duration = Duration::from_millis(500);
 /// One in this many cancelled requests may still be executing after that time.
@@ -19,7 +25,7 @@
 
 impl Checker<'_> {
     pub(super) fn check_budget(&mut self) {
-        for service in [KEYED, POOL] {
+        for service in [KEYED, POOL, LOOKUP] {
             let of_service = |request: &&Request| service_of(&request.path) == service;
             let requests: Vec<&Request> = self.requests.values().filter(of_service).collect();
             let mut asked: Vec<Time> = requests.iter().filter_map(|one| one.asked).collect();
@@ -94,29 +100,56 @@
                 .is_some_and(|asked| asked >= self.history.recovered);
             asked && !request.path.starts_with(PROBE)
         });
-        let mut asked = 0;
-        let mut served = 0;
+        let mut all = Served::default();
+        let mut by_service = BTreeMap::<&str, Served>::new();
         for request in late {
-            asked += 1;
-            let answered = matches!(
-                request.ended,
-                Some((
-                    _,
-                    CallerEnd::Answered {
-                        status: 200..=299,
-                        ..
-                    }
-                ))
-            );
-            served += usize::from(answered);
+            all.add(request);
+            let service = service_of(&request.path);
+            by_service.entry(service).or_default().add(request);
         }
-        if asked == 0 {
+        if all.asked == 0 {
             return;
         }
-        let holds = served * SERVED_ONE_IN >= asked;
-        self.verdict
-            .test(Promise::Recover, holds, self.history.recovered, || {
-                format!("{served} of {asked} requests served after the recovery")
-            });
+        let at = self.history.recovered;
+        let holds = all.served * SERVED_ONE_IN >= all.asked;
+        self.verdict.test(Promise::Recover, holds, at, || {
+            format!("{all} served after the recovery")
+        });
+        for (service, one) in by_service {
+            let holds = one.served * SERVED_ONE_IN * all.asked >= all.served * one.asked;
+            let judged = one.asked >= MIN_REQUESTS_OF_SERVICE;
+            self.verdict
+                .test(Promise::Recover, holds || !judged, at, || {
+                    format!("{service}: {one} served after the recovery, of all {all}")
+                });
+        }
+    }
+}
+
+/// How many requests were sent, and how many of them served.
+#[derive(Clone, Copy, Default)]
+struct Served {
+    asked: usize,
+    served: usize,
+}
+
+impl Served {
+    fn add(&mut self, request: &Request) {
+        let end = request.ended.as_ref().map(|(_, end)| end);
+        let is_served = matches!(
+            end,
+            Some(CallerEnd::Answered {
+                status: 200..=299,
+                ..
+            })
+        );
+        self.asked += 1;
+        self.served += usize::from(is_served);
+    }
+}
+
+impl fmt::Display for Served {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} of {} requests", self.served, self.asked)
     }
 }
--- a/crates/soak/src/children.rs
+++ b/crates/soak/src/children.rs
@@ -1,6 +1,7 @@
 //! Child processes of a run. Only these are signalled, by process id, and all of them are
 //! killed when the driver drops them.
 
+use crate::processor_limit::ProcessorLimit;
 use eyre::{Result, WrapErr};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -12,6 +13,7 @@
 pub(crate) struct Process {
     name: String,
     child: Child,
+    limit: Option<ProcessorLimit>,
 }
 
 impl Process {
@@ -31,7 +33,21 @@
             .spawn()
             .wrap_err_with(|| format!("start {name}: {}", program.display()))?;
         let name = name.to_owned();
-        Ok(Self { name, child })
+        Ok(Self {
+            name,
+            child,
+            limit: None,
+        })
+    }
+
+    /// Limits the processor time of the process.
+    pub fn limit_processor(&mut self, limit: &ProcessorLimit) {
+        limit.add(self.pid());
+        self.limit = Some(limit.clone());
+    }
+
+    fn pid(&self) -> Pid {
+        Pid::from_raw(self.child.id() as i32)
     }
 
     /// Sends a signal if the process is still running.
@@ -39,7 +55,14 @@
         if self.has_ended() {
             return Ok(());
         }
-        let pid = Pid::from_raw(self.child.id() as i32);
+        let pid = self.pid();
+        if let Some(limit) = &self.limit {
+            match signal {
+                Signal::SIGSTOP => limit.set_held(pid, true),
+                Signal::SIGCONT => limit.set_held(pid, false),
+                _ => {}
+            }
+        }
         kill(pid, signal).wrap_err_with(|| format!("{signal} to {}", self.name))
     }
 
@@ -51,6 +74,9 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        if let Some(limit) = &self.limit {
+            limit.remove(self.pid());
+        }
         // Both calls may fail if the process has already exited.
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -1,8 +1,11 @@
 //! Router configuration, names and timing bounds of a run.
 
+use crate::load::COLD_PERIOD;
+use crate::size::Size;
 use crate::tenants::tenants;
 use beamtray_catalog::{
-    ClientLimits, Configuration, ConfigurationVersion, Route, ServiceConfig, WeightedBackend,
+    ClientLimits, ColdStart, Configuration, ConfigurationVersion, Route, ServiceConfig,
+    WeightedBackend,
 };
 use std::time::Duration;
 
@@ -10,16 +13,30 @@
 pub(crate) const KEYED: &str = "keyed";
 /// The unsharded service.
 pub(crate) const POOL: &str = "pool";
+/// The service of lookups, which only some sizes have.
+pub(crate) const LOOKUP: &str = "lookup";
 /// Host of all routes.
 pub const HOST: &str = "soak.example";
 /// Path prefix of reads by key.
 pub(crate) const READ: &str = "/read/";
+/// Path prefix of lookups.
+pub(crate) const LOOK: &str = "/look/";
 /// Path prefix of requests that must not be retried.
 pub const ORDER: &str = "/order/";
 /// Path prefix of configuration probes, followed by the configuration version.
 pub const PROBE: &str = "/probe/";
 /// Zones of routers and upstreams.
-pub(crate) const ZONES: [&str; 2] = ["a", "b"];
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Zones of deployments without lookups.
+const FEW_ZONES: usize = 2;
+
+/// Zones of a deployment of this size.
+pub(crate) fn zones(size: Size) -> &'static [&'static str] {
+    match size.lookup {
+        0 => &ZONES[..FEW_ZONES],
+        _ => &ZONES,
+    }
+}
 
 /// Deadline of a caller's request.
 pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -46,12 +63,19 @@
 
 /// The service that serves a path.
 pub(crate) fn service_of(path: &str) -> &'static str {
-    if path.starts_with(READ) { KEYED } else { POOL }
+    if path.starts_with(READ) {
+        KEYED
+    } else if path.starts_with(LOOK) {
+        LOOKUP
+    } else {
+        POOL
+    }
 }
 
 /// The configuration of a version. Each version has its own probe route, so that a probe
-/// shows which one is in force.
-pub(crate) fn configuration(version: u64) -> Configuration {
+/// shows which one is in force. With a `cold_rate` there are lookups, and upstreams take so many
+/// requests a second after their start.
+pub(crate) fn configuration(version: u64, cold_rate: Option<f64>) -> Configuration {
     let route = |name: &str, prefix: String, service: &str, repeatable, priority| Route {
         name: name.to_owned(),
         host: HOST.to_owned(),
@@ -73,16 +97,25 @@
         max_connections: 200,
         sharded,
         warm_up: Duration::ZERO,
-        cold_start: None,
+        cold_start: cold_rate.map(|rate| ColdStart {
+            duration: COLD_PERIOD,
+            rate,
+        }),
     };
+    let mut routes = vec![
+        route("read", READ.to_owned(), KEYED, true, 1),
+        route("order", ORDER.to_owned(), POOL, false, 0),
+        route("probe", format!("{PROBE}{version}/"), POOL, true, 2),
+    ];
+    let mut services = vec![service(KEYED, true), service(POOL, false)];
+    if cold_rate.is_some() {
+        routes.push(route("look", LOOK.to_owned(), LOOKUP, true, 2));
+        services.push(service(LOOKUP, false));
+    }
     Configuration {
         version: ConfigurationVersion(version),
-        routes: vec![
-            route("read", READ.to_owned(), KEYED, true, 1),
-            route("order", ORDER.to_owned(), POOL, false, 0),
-            route("probe", format!("{PROBE}{version}/"), POOL, true, 2),
-        ],
-        services: vec![service(KEYED, true), service(POOL, false)],
+        routes,
+        services,
         limits: ClientLimits::default(),
         tenants: Some(tenants(version)),
     }
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -12,6 +12,7 @@
 use crate::message::Command;
 use crate::plan::Plan;
 use crate::size::Size;
+use crate::timeline::{Timeline, timeline};
 use beamtray_types::Time;
 use cluster::Cluster;
 use eyre::{Result, WrapErr};
@@ -26,6 +27,8 @@
 const LAST_REQUESTS: Duration = Duration::from_millis(2_500);
 /// Interval at which due faults are checked.
 const TICK: Duration = Duration::from_millis(5);
+/// Interval at which upstreams that exited by themselves are sought.
+const EXIT_POLL: Duration = Duration::from_millis(100);
 /// A tick that takes longer than this shows that the machine did not schedule the processes.
 const STALL_THRESHOLD: Duration = Duration::from_millis(150);
 /// Minimum length of the fault phase.
@@ -55,11 +58,22 @@
     }
 }
 
+/// What a run showed.
+#[derive(Clone, Debug)]
+pub struct RunOutcome {
+    /// Checks of the guarantees.
+    pub verdict: Verdict,
+    /// What became of the requests after the start of the traffic and each return of all routers.
+    pub returns: Vec<Timeline>,
+    /// Upstreams that exited by themselves.
+    pub exits: usize,
+}
+
 /// Runs a plan and checks the outcome.
 ///
 /// # Errors
 /// When a process can't be started or signalled.
-pub async fn run_plan(settings: &RunSettings, plan: &Plan) -> Result<Verdict> {
+pub async fn run_plan(settings: &RunSettings, plan: &Plan) -> Result<RunOutcome> {
     std::fs::create_dir_all(&settings.folder)
         .wrap_err_with(|| format!("make {}", settings.folder.display()))?;
     let mut cluster = Cluster::start(settings).await?;
@@ -79,35 +93,50 @@
             }
         }
         cluster.end_due_faults(now)?;
-        watched_sleep(&mut cluster, TICK).await;
+        watched_sleep(&mut cluster, TICK).await?;
     }
-    watched_sleep(&mut cluster, RECOVERY).await;
+    watched_sleep(&mut cluster, RECOVERY).await?;
     let recovered = clock::now();
-    watched_sleep(&mut cluster, MEASURED).await;
+    watched_sleep(&mut cluster, MEASURED).await?;
     cluster.send_command("caller", &Command::StopTraffic);
-    watched_sleep(&mut cluster, LAST_REQUESTS).await;
+    watched_sleep(&mut cluster, LAST_REQUESTS).await?;
     cluster.require_routers()?;
-    Ok(check(&cluster.history(recovered)))
+    cluster.collect_reports().await?;
+    let history = cluster.history(recovered);
+    let returns = cluster.returns.iter();
+    Ok(RunOutcome {
+        verdict: check(&history),
+        returns: returns.map(|at| timeline(&history.reports, *at)).collect(),
+        exits: cluster.exits,
+    })
 }
 
 /// Sleeps, and records stalls of the whole machine, since the routers are not responsible for
-/// delays during a stall.
-async fn watched_sleep(cluster: &mut Cluster, time: Duration) {
+/// delays during a stall. Replaces upstreams that exit meanwhile.
+async fn watched_sleep(cluster: &mut Cluster, time: Duration) -> Result<()> {
     let end = clock::now() + time;
     loop {
         let before = clock::now();
         let left = end.since(before);
         if left.is_zero() {
-            return;
+            return Ok(());
         }
         tokio::time::sleep(left.min(TICK)).await;
         let after = clock::now();
         if after.since(before) >= STALL_THRESHOLD {
             cluster.record_stall(before, after);
         }
+        if polls(after) != polls(before) {
+            cluster.replace_exited_upstreams(after)?;
+        }
     }
 }
 
+/// Number of polls for exited upstreams that are due by `at`.
+fn polls(at: Time) -> u128 {
+    at.since(Time::ZERO).as_micros() / EXIT_POLL.as_micros()
+}
+
 fn at(begin: Time, millis: u64) -> Time {
     begin + Duration::from_millis(millis)
 }
@@ -121,7 +150,7 @@
     let mut index = 0;
     while index < plan.faults.len() {
         let shorter = plan.without(index);
-        if run_plan(settings, &shorter).await?.is_clean() {
+        if run_plan(settings, &shorter).await?.verdict.is_clean() {
             index += 1;
         } else {
             plan = shorter;
--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -10,18 +10,20 @@
 use crate::children::{Process, router_program};
 use crate::clock;
 use crate::config::{
-    CONTACT, DRAIN, HEARTBEAT, KEYED, LONGEST_HOLD, POOL, RETRY_ALLOWANCE, RETRY_RATIO,
-    RETRY_WINDOW, STOP_GRACE, ZONES,
+    CONTACT, DRAIN, HEARTBEAT, KEYED, LONGEST_HOLD, LOOKUP, POOL, RETRY_ALLOWANCE, RETRY_RATIO,
+    RETRY_WINDOW, STOP_GRACE, zones,
 };
-use crate::message::{Command, Report};
+use crate::load::{HighLoad, Room};
+use crate::message::{Command, Observation, Report};
+use crate::processor_limit::ProcessorLimit;
 use crate::proxy::Proxy;
 use crate::size::Size;
 use crate::tenants::{QUOTA_OVERAGE, QUOTA_WINDOW_S};
 use beamtray_types::Time;
 use beamtray_wire::encode;
-use eyre::{Result, WrapErr, ensure};
+use eyre::{Result, WrapErr, bail, ensure};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -34,6 +36,12 @@
 const LEAST_TTL_MS: u64 = 1_000;
 const MEMORY_MB: u64 = 256;
 const DESCRIPTORS: u64 = 1_024;
+/// Delay before an upstream that exited by itself is replaced.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
+/// Longest time for the reports of all processes to arrive at the end of a run.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(60);
+/// Interval at which the arrival of reports is checked.
+const FLUSH_POLL: Duration = Duration::from_millis(20);
 /// Speed of the clock that times holds on the first upstream, to test clock drift.
 const SLOW_CLOCK_PERCENT: u32 = 98;
 
@@ -57,6 +65,8 @@
     pub store_proxy: Proxy,
     listen: SocketAddr,
     generation: u32,
+    /// When the upstream is replaced, if it exited by itself.
+    pub replaced_at: Option<Time>,
 }
 
 /// All processes of a run.
@@ -70,6 +80,13 @@
     commands: Commands,
     reports: Reports,
     size: Size,
+    load: Option<HighLoad>,
+    limit: Option<ProcessorLimit>,
+    has_traffic: bool,
+    /// Upstreams that exited by themselves.
+    pub exits: usize,
+    /// Start of the traffic, and times at which all routers were started again.
+    pub returns: Vec<Time>,
     pub version: u64,
     pub active: Vec<ActiveFault>,
     pub disturbances: Vec<Disturbance>,
@@ -96,24 +113,27 @@
         let size = settings.size;
         let ports = Ports::claim(size)?;
         let store_address = ports.free_address()?;
-        let arguments = vec![
+        let load = HighLoad::of(size, settings.rate);
+        let mut arguments = vec![
             "store".to_owned(),
             format!("--listen={store_address}"),
             format!("--driver={driver}"),
         ];
+        arguments.extend(load.map(|load| format!("--cold-rate={}", load.cold_rate)));
         let store = Process::start(&folder, "store", &own, &arguments)?;
         let mut routers = Vec::new();
         for node in 0..size.routers {
-            routers.push(router_slot(&folder, node, store_address, &ports).await?);
+            routers.push(router_slot(&folder, node, store_address, &ports, size).await?);
         }
         let addresses: Vec<String> = routers.iter().map(|one| one.clients.to_string()).collect();
-        let arguments = vec![
+        let mut arguments = vec![
             "caller".to_owned(),
             format!("--driver={driver}"),
             format!("--routers={}", addresses.join(",")),
             format!("--rate={}", settings.rate),
             format!("--seed={}", settings.seed),
         ];
+        arguments.extend(load.map(|load| format!("--work={}", load.work)));
         let caller = Process::start(&folder, "caller", &own, &arguments)?;
         let mut upstreams = Vec::new();
         for _ in 0..size.upstreams() {
@@ -124,6 +144,7 @@
                 store_proxy: Proxy::start(store_address).await?,
                 listen,
                 generation: 0,
+                replaced_at: None,
             });
         }
         let mut cluster = Self {
@@ -136,6 +157,11 @@
             commands,
             reports,
             size,
+            load,
+            limit: load.map(|load| ProcessorLimit::start(load.router_processor_percent)),
+            has_traffic: false,
+            exits: 0,
+            returns: Vec::new(),
             version: 0,
             active: Vec::new(),
             disturbances: Vec::new(),
@@ -159,6 +185,8 @@
         self.configure();
         tokio::time::sleep(time * 3 / 4).await;
         self.send_command("caller", &Command::StartTraffic);
+        self.has_traffic = true;
+        self.returns.push(now());
         Ok(())
     }
 
@@ -183,12 +211,99 @@
         let arguments = vec!["route".to_owned(), "--settings".to_owned(), settings];
         let name = format!("router-{node}");
         let program = router_program()?;
-        slot.process = Some(Process::start(&self.folder, &name, &program, &arguments)?);
+        let mut process = Process::start(&self.folder, &name, &program, &arguments)?;
+        if let Some(limit) = &self.limit {
+            process.limit_processor(limit);
+        }
+        slot.process = Some(process);
         Ok(())
     }
 
     fn service(&self, index: usize) -> &'static str {
-        if index < self.size.keyed { KEYED } else { POOL }
+        if index < self.size.keyed {
+            KEYED
+        } else if index < self.size.keyed + self.size.pool {
+            POOL
+        } else {
+            LOOKUP
+        }
+    }
+
+    /// Index of the zone of an upstream.
+    pub fn zone_of_upstream(&self, index: usize) -> usize {
+        index % zones(self.size).len()
+    }
+
+    /// Upstreams in a zone.
+    pub fn upstreams_of_zone(&self, zone: usize) -> Vec<usize> {
+        let all = 0..self.size.upstreams();
+        all.filter(|index| self.zone_of_upstream(*index) == zone)
+            .collect()
+    }
+
+    /// Replaces upstreams that exited by themselves, as a platform does with its machines.
+    pub fn replace_exited_upstreams(&mut self, at: Time) -> Result<()> {
+        for index in 0..self.upstreams.len() {
+            if self.is_upstream_faulted(index) {
+                continue;
+            }
+            if let Some(due) = self.upstreams[index].replaced_at {
+                if at >= due {
+                    self.start_upstream(index)?;
+                }
+                continue;
+            }
+            let process = self.upstreams[index].process.as_mut();
+            if process.is_some_and(Process::has_ended) {
+                self.upstreams[index].process = None;
+                self.upstreams[index].replaced_at = Some(at + REPLACEMENT_DELAY);
+                self.exits += 1;
+                self.upstream_ended(index);
+                self.disturbances.push(Disturbance {
+                    whom: Disturbed::Upstream,
+                    from: at,
+                    until: at + REPLACEMENT_DELAY,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until the driver has read all that the other processes observed so far: judged
+    /// before that, requests that routers served would count as not served.
+    pub async fn collect_reports(&mut self) -> Result<()> {
+        let names: Vec<String> = self.commands.borrow().keys().cloned().collect();
+        let alive = names.into_iter().filter(|name| self.is_alive(name));
+        let mut missing: HashSet<String> = alive.collect();
+        for name in &missing {
+            self.send_command(name, &Command::Flush);
+        }
+        let mut seen = self.reports.borrow().len();
+        let end = now() + FLUSH_TIMEOUT;
+        while !missing.is_empty() {
+            if now() >= end {
+                bail!("the reports of {missing:?} did not arrive; the run proves nothing");
+            }
+            tokio::time::sleep(FLUSH_POLL).await;
+            let reports = self.reports.borrow();
+            for report in &reports[seen..] {
+                if report.observation == Observation::Flushed {
+                    missing.remove(&report.from);
+                }
+            }
+            seen = reports.len();
+        }
+        Ok(())
+    }
+
+    /// Whether a process with this name is running now.
+    fn is_alive(&mut self, name: &str) -> bool {
+        if name == "store" || name == "caller" {
+            return true;
+        }
+        let of_name = (0..self.upstreams.len()).find(|index| self.upstream_name(*index) == name);
+        let process = of_name.and_then(|index| self.upstreams[index].process.as_mut());
+        process.is_some_and(|process| !process.has_ended())
     }
 
     /// Name of the current incarnation of an upstream.
@@ -207,23 +322,30 @@
     /// Starts the next incarnation of an upstream.
     pub fn start_upstream(&mut self, index: usize) -> Result<()> {
         self.upstreams[index].generation += 1;
+        self.upstreams[index].replaced_at = None;
         let name = self.upstream_name(index);
         let service = self.service(index);
-        let slot = &mut self.upstreams[index];
+        let slot = &self.upstreams[index];
         let clock = if index == 0 { SLOW_CLOCK_PERCENT } else { 100 };
-        let arguments = vec![
+        let mut arguments = vec![
             "upstream".to_owned(),
             format!("--id={name}"),
             format!("--service={service}"),
-            format!("--zone={}", ZONES[index % ZONES.len()]),
+            format!("--zone={}", zones(self.size)[self.zone_of_upstream(index)]),
             format!("--listen={}", slot.listen),
             format!("--advertised={}", slot.proxy.address),
             format!("--store={}", slot.store_proxy.address),
             format!("--driver={}", self.driver),
             format!("--clock-percent={clock}"),
         ];
+        let room = self.load.map_or(Room::default(), |load| load.room);
+        arguments.push(format!("--slots={}", room.slots));
+        arguments.push(format!("--queue={}", room.queue));
+        let begins_cold = self.load.filter(|_| self.has_traffic);
+        arguments.extend(begins_cold.map(|load| format!("--cold-rate={}", load.cold_rate)));
         let program = std::env::current_exe()?;
-        slot.process = Some(Process::start(&self.folder, &name, &program, &arguments)?);
+        self.upstreams[index].process =
+            Some(Process::start(&self.folder, &name, &program, &arguments)?);
         Ok(())
     }
 
@@ -233,19 +355,24 @@
         let whom = match fault.target {
             Target::Nobody => return,
             Target::Some(whom) => whom,
-            Target::AllRouters => {
-                let routers = (0..self.routers.len()).map(|node| Disturbance {
-                    whom: Disturbed::Router(node),
-                    from,
-                    until,
-                });
-                self.disturbances.extend(routers);
-                return;
+            Target::AllRouters => return self.disturb_all_routers(from, until),
+            Target::RoutersAndUpstreams => {
+                self.disturb_all_routers(from, until);
+                Disturbed::Upstream
             }
         };
         self.disturbances.push(Disturbance { whom, from, until });
     }
 
+    fn disturb_all_routers(&mut self, from: Time, until: Time) {
+        let routers = (0..self.routers.len()).map(|node| Disturbance {
+            whom: Disturbed::Router(node),
+            from,
+            until,
+        });
+        self.disturbances.extend(routers);
+    }
+
     /// Fails if a router has exited unexpectedly, since a run without one of its routers proves
     /// nothing.
     pub fn require_routers(&mut self) -> Result<()> {
@@ -284,10 +411,11 @@
     node: usize,
     store: SocketAddr,
     ports: &Ports,
+    size: Size,
 ) -> Result<RouterSlot> {
     let store_proxy = Proxy::start(store).await?;
     let clients = ports.free_address()?;
-    let text = router_settings(node, clients, store_proxy.address, ports)?;
+    let text = router_settings(node, clients, store_proxy.address, ports, size)?;
     let settings = folder.join(format!("router-{node}.toml"));
     std::fs::write(&settings, text).wrap_err_with(|| format!("write {}", settings.display()))?;
     Ok(RouterSlot {
@@ -304,8 +432,9 @@
     clients: SocketAddr,
     store: SocketAddr,
     ports: &Ports,
+    size: Size,
 ) -> Result<String> {
-    let zone = ZONES[node % ZONES.len()];
+    let zone = zones(size)[node % zones(size).len()];
     let readiness = ports.free_address()?;
     let peers = ports.free_address()?;
     let metrics = ports.free_address()?;
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -34,6 +34,7 @@
     Nobody,
     Some(Disturbed),
     AllRouters,
+    RoutersAndUpstreams,
 }
 
 /// A fault in progress.
@@ -54,6 +55,7 @@
         | SoakFault::StoreReset(node)
         | SoakFault::StoreDelay(node) => Target::Some(Disturbed::Router(node)),
         SoakFault::KillAll => Target::AllRouters,
+        SoakFault::PowerLoss(_) => Target::RoutersAndUpstreams,
         SoakFault::StoreDownLapse
         | SoakFault::StoreDown
         | SoakFault::StoreBusy
@@ -78,6 +80,14 @@
     }
 }
 
+/// The zone whose upstreams a fault takes the power from.
+fn lost_zone(fault: &SoakFault) -> Option<usize> {
+    match fault {
+        SoakFault::PowerLoss(zone) => Some(*zone),
+        _ => None,
+    }
+}
+
 impl Cluster {
     /// Whether any fault or planned stop is in progress.
     pub fn has_active_faults(&self) -> bool {
@@ -110,15 +120,13 @@
     fn is_busy(&self, fault: SoakFault) -> bool {
         let down = |node: usize| {
             self.active.iter().any(|one| {
-                matches!(one.fault, SoakFault::KillAll)
+                matches!(one.fault, SoakFault::KillAll | SoakFault::PowerLoss(_))
                     || matches!(one.fault, SoakFault::RouterKill(other) | SoakFault::RouterPause(other) if other == node)
             })
         };
         let router = |node: usize| down(node) || self.routers[node].stopping.is_some();
         let upstream = |index: usize| {
-            self.active.iter().any(|one| {
-                matches!(one.fault, SoakFault::UpstreamKill(other) | SoakFault::UpstreamPause(other) | SoakFault::UpstreamDrain(other) if other == index)
-            })
+            self.is_upstream_faulted(index) || self.upstreams[index].replaced_at.is_some()
         };
         match fault {
             SoakFault::RouterKill(node)
@@ -127,6 +135,11 @@
             // A router may be told to reload its settings while it stops.
             SoakFault::RouterReload(node) => down(node),
             SoakFault::KillAll => (0..self.routers.len()).any(router),
+            SoakFault::PowerLoss(zone) => {
+                let upstreams = self.upstreams_of_zone(zone);
+                let has_fault = |index: &usize| self.is_upstream_faulted(*index);
+                (0..self.routers.len()).any(router) || upstreams.iter().any(has_fault)
+            }
             SoakFault::UpstreamKill(index)
             | SoakFault::UpstreamPause(index)
             | SoakFault::UpstreamDrain(index) => upstream(index),
@@ -134,6 +147,50 @@
         }
     }
 
+    /// Whether a fault has ended or suspended the process of an upstream.
+    pub fn is_upstream_faulted(&self, index: usize) -> bool {
+        self.active.iter().any(|one| match one.fault {
+            SoakFault::UpstreamKill(other)
+            | SoakFault::UpstreamPause(other)
+            | SoakFault::UpstreamDrain(other) => other == index,
+            SoakFault::PowerLoss(zone) => self.zone_of_upstream(index) == zone,
+            _ => false,
+        })
+    }
+
+    /// Suspends all routers and the upstreams of a zone: their sockets stay open, and nothing
+    /// answers on them. Their links are cut with [`Cluster::apply_states`].
+    fn lose_power(&mut self, zone: usize) -> Result<()> {
+        for node in 0..self.routers.len() {
+            self.signal_router(node, Signal::SIGSTOP)?;
+        }
+        for index in self.upstreams_of_zone(zone) {
+            self.signal_upstream(index, Signal::SIGSTOP)?;
+        }
+        Ok(())
+    }
+
+    /// Starts new processes in place of those that lost power. The kernel resets the old
+    /// connections now, as machines do that know nothing of them.
+    fn restore_power(&mut self, zone: usize) -> Result<()> {
+        for slot in &mut self.routers {
+            slot.process = None;
+            slot.store_proxy.reset();
+        }
+        for index in self.upstreams_of_zone(zone) {
+            self.upstreams[index].process = None;
+            self.upstreams[index].proxy.reset();
+            self.upstreams[index].store_proxy.reset();
+            self.upstream_ended(index);
+            self.start_upstream(index)?;
+        }
+        for node in 0..self.routers.len() {
+            self.start_router(node)?;
+        }
+        self.returns.push(now());
+        Ok(())
+    }
+
     fn begin(&mut self, now: Time, fault: SoakFault) -> Result<()> {
         match fault {
             SoakFault::RouterKill(node) => self.routers[node].process = None,
@@ -142,6 +199,7 @@
                     slot.process = None;
                 }
             }
+            SoakFault::PowerLoss(zone) => self.lose_power(zone)?,
             SoakFault::RouterPause(node) => self.signal_router(node, Signal::SIGSTOP)?,
             SoakFault::RouterStop(node) => {
                 self.routers[node].stopping = Some(now);
@@ -232,7 +290,9 @@
                 for node in 0..self.routers.len() {
                     self.start_router(node)?;
                 }
+                self.returns.push(now());
             }
+            SoakFault::PowerLoss(zone) => self.restore_power(zone)?,
             SoakFault::RouterPause(node) => self.signal_router(node, Signal::SIGCONT)?,
             SoakFault::UpstreamKill(index) => self.start_upstream(index)?,
             SoakFault::UpstreamDrain(index) => {
@@ -340,9 +400,11 @@
             watches_silent: has(SoakFault::StoreCompact),
         };
         self.send_command("store", &Command::Store(faults));
+        let lost_zones: Vec<usize> = active.iter().filter_map(lost_zone).collect();
+        let is_dark = !lost_zones.is_empty();
         for (node, slot) in self.routers.iter().enumerate() {
             slot.store_proxy
-                .set_fault(if has(SoakFault::StoreCut(node)) {
+                .set_fault(if is_dark || has(SoakFault::StoreCut(node)) {
                     LinkFault::cut()
                 } else if has(SoakFault::StoreOneWay(node)) {
                     LinkFault::one_way()
@@ -353,7 +415,8 @@
                 });
         }
         for (index, slot) in self.upstreams.iter().enumerate() {
-            let is_unreachable = has(SoakFault::UpstreamUnreachable(index));
+            let is_dark = lost_zones.contains(&self.zone_of_upstream(index));
+            let is_unreachable = is_dark || has(SoakFault::UpstreamUnreachable(index));
             slot.store_proxy.set_fault(if is_unreachable {
                 LinkFault::cut()
             } else {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,14 +14,17 @@
 pub mod clock;
 mod config;
 mod driver;
+mod load;
 mod message;
 mod plan;
 mod pool;
+mod processor_limit;
 mod proxy;
 mod regressions;
 mod size;
 mod store;
 mod tenants;
+mod timeline;
 mod upstream;
 
 pub use caller::{CallerSettings, run as run_caller};
@@ -30,7 +33,8 @@
     Promise, UpstreamEnd, Verdict, check,
 };
 pub use config::{HOST, ORDER, PROBE};
-pub use driver::{Ports, RunSettings, run_plan, shorten};
+pub use driver::{Ports, RunOutcome, RunSettings, run_plan, shorten};
+pub use load::{HighLoad, MeanWork, Room};
 pub use message::{CallerEnd, Command, Observation, Report};
 pub use plan::{Plan, PlannedFault, SoakFault};
 pub use proxy::{DirectionFault, LinkFault, Proxy};
@@ -38,4 +42,5 @@
 pub use size::Size;
 pub use store::{StoreSettings, run as run_store};
 pub use tenants::Identity;
+pub use timeline::{SecondCount, ServiceCount, Timeline, timeline};
 pub use upstream::{POISON, UpstreamSettings, run as run_upstream};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,8 +1,8 @@
 //! `beamtray-soak`: see `beamtray-soak --help` and docs/DEVELOPING.md.
 
 use beamtray_soak::{
-    CallerSettings, Plan, RunSettings, Size, StoreSettings, UpstreamSettings, load_regressions,
-    run_caller, run_plan, run_store, run_upstream, shorten,
+    CallerSettings, MeanWork, Plan, Room, RunSettings, Size, StoreSettings, UpstreamSettings,
+    load_regressions, run_caller, run_plan, run_store, run_upstream, shorten,
 };
 use eyre::{Result, WrapErr, bail, eyre};
 use gumdrop::Options;
@@ -51,7 +51,7 @@
     /// Requests per second (default 60).
     #[options(default = "60")]
     rate: u32,
-    /// Cluster size: small (the default) or full.
+    /// Cluster size: small (the default), full or large.
     #[options(default = "small", parse(try_from_str))]
     size: Size,
     /// Number of routers (default: that of the size).
@@ -89,6 +89,8 @@
     /// Address of the driver.
     #[options(required)]
     driver: Option<SocketAddr>,
+    /// Requests per second that the configuration allows to a cold upstream.
+    cold_rate: Option<f64>,
 }
 
 #[derive(Debug, Options)]
@@ -116,6 +118,12 @@
     clock_percent: u32,
     /// Rate limit announced in responses, in requests per 1000 seconds.
     rate_milli: Option<u32>,
+    /// Requests executed at once (default 4).
+    slots: Option<usize>,
+    /// Requests that wait (default 8).
+    queue: Option<usize>,
+    /// Requests per second borne after the start, when the upstream begins cold.
+    cold_rate: Option<f64>,
 }
 
 #[derive(Debug, Options)]
@@ -131,8 +139,14 @@
     /// Seed of the request generator.
     #[options(default = "1")]
     seed: u64,
+    /// Mean execution times of sharded requests, lookups and orders, in milliseconds, separated
+    /// by commas, if the load is high.
+    #[options(parse(try_from_str))]
+    work: Option<MeanWork>,
 }
 
+/// Threads of the driver that serve links.
+const LINK_THREADS: usize = 2;
 /// Request rate of regression runs, per second.
 const REGRESSION_RATE: u32 = 60;
 
@@ -150,7 +164,10 @@
 
 /// Runs a command and returns whether every guarantee held.
 fn run(arguments: Arguments) -> Result<bool> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
+    // The main thread reads reports; links between processes are served by other threads, so that
+    // neither waits for the other.
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(worker_threads(&arguments))
         .enable_all()
         .build()?;
     let local = LocalSet::new();
@@ -162,6 +179,7 @@
                 run_store(StoreSettings {
                     listen: given(store.listen)?,
                     driver: given(store.driver)?,
+                    cold_rate: store.cold_rate,
                 })
                 .await?;
                 Ok(true)
@@ -177,6 +195,11 @@
                     zone: upstream.zone,
                     clock_percent: upstream.clock_percent.max(1),
                     rate_milli: upstream.rate_milli,
+                    room: Room {
+                        slots: upstream.slots.unwrap_or(Room::default().slots),
+                        queue: upstream.queue.unwrap_or(Room::default().queue),
+                    },
+                    cold_rate: upstream.cold_rate,
                 })
                 .await?;
                 Ok(true)
@@ -189,6 +212,7 @@
                     driver: given(caller.driver)?,
                     rate: caller.rate,
                     seed: caller.seed,
+                    work: caller.work,
                 })
                 .await?;
                 Ok(true)
@@ -198,6 +222,14 @@
     }))
 }
 
+/// Threads beside the main one: the driver serves the links, the other processes have none.
+fn worker_threads(arguments: &Arguments) -> usize {
+    match arguments.command {
+        Some(Task::Run(_) | Task::Regressions(_)) => LINK_THREADS,
+        _ => 1,
+    }
+}
+
 fn given<T>(value: Option<T>) -> Result<T> {
     value.ok_or_else(|| eyre!("a required option is missing; see --help"))
 }
@@ -243,16 +275,28 @@
         routers: arguments.routers.unwrap_or(size.routers).max(1),
         keyed: arguments.upstreams.unwrap_or(size.keyed).max(1),
         pool: arguments.upstreams.unwrap_or(size.pool).max(1),
+        lookup: match size.lookup {
+            0 => 0,
+            lookup => arguments.upstreams.unwrap_or(lookup).max(1),
+        },
     }
 }
 
 async fn run_one(settings: &RunSettings, plan: &Plan, shortens: bool) -> Result<bool> {
-    let verdict = run_plan(settings, plan).await?;
+    let outcome = run_plan(settings, plan).await?;
+    let verdict = &outcome.verdict;
     println!(
         "seed={} faults={} {verdict}",
         settings.seed,
         plan.faults.len()
     );
+    for returned in &outcome.returns {
+        println!(
+            "  after a start of all routers ({} upstreams exited in the run):",
+            outcome.exits
+        );
+        print!("{returned}");
+    }
     if verdict.is_clean() {
         std::fs::remove_dir_all(&settings.folder).wrap_err("remove the logs of a clean run")?;
         return Ok(true);
--- a/crates/soak/src/message.rs
+++ b/crates/soak/src/message.rs
@@ -31,6 +31,8 @@
 pub enum Observation {
     /// The process has started.
     Started,
+    /// All observations up to this command have been reported.
+    Flushed,
     /// A caller sent a request.
     RequestSent {
         /// Request id.
@@ -197,4 +199,6 @@
     StartTraffic,
     /// Callers stop sending requests.
     StopTraffic,
+    /// The process answers with [`Observation::Flushed`].
+    Flush,
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -19,6 +19,9 @@
     RouterKill(usize),
     /// All routers are killed and restarted.
     KillAll,
+    /// All routers and the upstreams of a zone lose power: their connections go silent without
+    /// a reset until they start again.
+    PowerLoss(usize),
     /// A router is suspended.
     RouterPause(usize),
     /// A router is stopped gracefully and restarted.
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -14,9 +14,9 @@
 use eyre::{Result, WrapErr};
 use gate::Gate;
 use retransmit::{CopyEnd, copy};
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -74,22 +74,41 @@
     }
 }
 
+/// State shared by a proxy and its connections, which may run on other threads.
 #[derive(Default)]
 struct Link {
-    fault: Cell<LinkFault>,
+    fault: Mutex<LinkFault>,
     changed: Notify,
     reset: Notify,
     /// Whether the proxy has been dropped.
-    is_over: Cell<bool>,
+    is_over: AtomicBool,
     /// Times at which delayed bytes reached the target.
-    delayed_deliveries: RefCell<Vec<Time>>,
+    delayed_deliveries: Mutex<Vec<Time>>,
+}
+
+/// Locks a mutex; nothing that holds one can panic halfway through a change.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Link {
+    fn fault(&self) -> LinkFault {
+        *lock(&self.fault)
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::SeqCst)
+    }
+
     /// Waits until a direction is not silent, or the proxy has been dropped.
     async fn wait_until_passing(&self, side: impl Fn(LinkFault) -> DirectionFault) {
-        while side(self.fault.get()).silent && !self.is_over.get() {
-            self.changed.notified().await;
+        loop {
+            // Created before the check, so that a change right after it is not missed.
+            let changed = self.changed.notified();
+            if !side(self.fault()).silent || self.is_over() {
+                return;
+            }
+            changed.await;
         }
     }
 }
@@ -100,14 +119,14 @@
 pub struct Proxy {
     /// Address on which the proxy listens.
     pub address: SocketAddr,
-    link: Rc<Link>,
+    link: Arc<Link>,
     accepting: AbortHandle,
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
         self.accepting.abort();
-        self.link.is_over.set(true);
+        self.link.is_over.store(true, Ordering::SeqCst);
         self.link.reset.notify_waiters();
         self.link.changed.notify_waiters();
     }
@@ -121,8 +140,8 @@
     pub async fn start(target: SocketAddr) -> Result<Self> {
         let gate = Gate::new().await.wrap_err("listen for a proxy")?;
         let address = gate.address()?;
-        let link = Rc::new(Link::default());
-        let accepting = tokio::task::spawn_local(accept(gate, target, link.clone()));
+        let link = Arc::new(Link::default());
+        let accepting = tokio::spawn(accept(gate, target, link.clone()));
         Ok(Self {
             address,
             link,
@@ -132,7 +151,7 @@
 
     /// Sets the faults of the link.
     pub fn set_fault(&self, fault: LinkFault) {
-        self.link.fault.set(fault);
+        *lock(&self.link.fault) = fault;
         self.link.changed.notify_waiters();
     }
 
@@ -143,14 +162,15 @@
 
     /// Times at which delayed bytes reached the target since the last call.
     pub fn take_delayed_deliveries(&self) -> Vec<Time> {
-        self.link.delayed_deliveries.take()
+        std::mem::take(&mut *lock(&self.link.delayed_deliveries))
     }
 }
 
 /// Accepts connections while the direction towards the target is not cut.
-async fn accept(mut gate: Gate, target: SocketAddr, link: Rc<Link>) {
+async fn accept(mut gate: Gate, target: SocketAddr, link: Arc<Link>) {
     loop {
-        if link.fault.get().towards.silent {
+        let changed = link.changed.notified();
+        if link.fault().towards.silent {
             gate.close().await;
             link.wait_until_passing(|fault| fault.towards).await;
             gate.open();
@@ -158,28 +178,28 @@
         tokio::select! {
             client = gate.accept() => {
                 if let Some(client) = client {
-                    tokio::task::spawn_local(pass(client, target, link.clone()));
+                    tokio::spawn(pass(client, target, link.clone()));
                 }
             }
-            () = link.changed.notified() => {}
+            () = changed => {}
         }
     }
 }
 
-async fn pass(client: TcpStream, target: SocketAddr, link: Rc<Link>) {
+async fn pass(client: TcpStream, target: SocketAddr, link: Arc<Link>) {
     // If the target refuses, the client sees a reset.
     let Ok(server) = TcpStream::connect(target).await else {
         let _ = client.set_zero_linger();
         return;
     };
-    if link.is_over.get() {
+    if link.is_over() {
         return;
     }
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
     let (mut from_client, mut to_client) = client.into_split();
     let (mut from_server, mut to_server) = server.into_split();
-    let on_delayed_delivery = || link.delayed_deliveries.borrow_mut().push(clock::now());
+    let on_delayed_delivery = || lock(&link.delayed_deliveries).push(clock::now());
     let towards = copy(
         &mut from_client,
         &mut to_server,
--- a/crates/soak/src/proxy/retransmit.rs
+++ b/crates/soak/src/proxy/retransmit.rs
@@ -76,7 +76,7 @@
             read = from.read(&mut buffer), if has_room => Some(read),
             () = sleep_until(again.unwrap_or_else(Instant::now)), if again.is_some() => None,
         };
-        let is_silent = || side(link.fault.get()).silent;
+        let is_silent = || side(link.fault()).silent;
         match (read, &mut unacknowledged) {
             (Some(Err(_)), _) => return CopyEnd::Reset,
             (Some(Ok(length)), Some(unacknowledged)) => {
@@ -91,7 +91,7 @@
             }
             (Some(Ok(0)), None) => return CopyEnd::Closed,
             (Some(Ok(length)), None) => {
-                sleep(side(link.fault.get()).delay).await;
+                sleep(side(link.fault()).delay).await;
                 if to.write_all(&buffer[..length]).await.is_err() {
                     return CopyEnd::Reset;
                 }
--- a/crates/soak/src/size.rs
+++ b/crates/soak/src/size.rs
@@ -11,6 +11,8 @@
     pub keyed: usize,
     /// Number of upstreams of the unsharded service.
     pub pool: usize,
+    /// Number of upstreams of the lookup service, which only some sizes have.
+    pub lookup: usize,
 }
 
 impl Size {
@@ -19,6 +21,7 @@
         routers: 4,
         keyed: 4,
         pool: 3,
+        lookup: 0,
     };
     /// Enough routers that they exchange messages through relays and request slots from them.
     /// With the callers and the store this takes 102 processes and about 1 GB of memory.
@@ -26,11 +29,20 @@
         routers: 72,
         keyed: 16,
         pool: 12,
+        lookup: 0,
+    };
+    /// A deployment of three zones whose upstreams are loaded close to their capacity. With the
+    /// callers and the store this takes 310 processes and about 2 GB of memory.
+    pub const LARGE: Size = Size {
+        routers: 79,
+        keyed: 123,
+        pool: 21,
+        lookup: 85,
     };
 
-    /// Number of upstreams of both services; those of the sharded service come first.
+    /// Number of upstreams of all services: the sharded service, then the pool, then lookups.
     pub fn upstreams(self) -> usize {
-        self.keyed + self.pool
+        self.keyed + self.pool + self.lookup
     }
 }
 
@@ -47,7 +59,8 @@
         match text {
             "small" => Ok(Self::SMALL),
             "full" => Ok(Self::FULL),
-            _ => Err(format!("no size {text}; there are small and full")),
+            "large" => Ok(Self::LARGE),
+            _ => Err(format!("no size {text}; there are small, full and large")),
         }
     }
 }
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -51,6 +51,8 @@
     pub listen: SocketAddr,
     /// Address of the driver.
     pub driver: SocketAddr,
+    /// Requests per second that the configuration allows to a cold upstream.
+    pub cold_rate: Option<f64>,
 }
 
 struct Entry {
@@ -67,6 +69,7 @@
     snapshots: RefCell<VecDeque<(Time, StoreEmulator)>>,
     /// The newest configuration.
     configuration: RefCell<Option<Vec<u8>>>,
+    cold_rate: Option<f64>,
     reporter: Reporter,
 }
 
@@ -84,6 +87,7 @@
         era: Cell::new(FIRST_ERA),
         snapshots: RefCell::default(),
         configuration: RefCell::default(),
+        cold_rate: settings.cold_rate,
         reporter,
     });
     tokio::task::spawn_local(accept(listener, store.clone()));
@@ -197,7 +201,7 @@
                 self.restore_snapshot(now, Duration::from_millis((*millis).into()));
             }
             Command::Configure(version) => {
-                let value = reverse::write_configuration(&configuration(*version));
+                let value = reverse::write_configuration(&configuration(*version, self.cold_rate));
                 let key = Platform.keys().configuration;
                 self.emulator.borrow_mut().put(now, key, value.clone());
                 self.configuration.replace(Some(value));
@@ -205,6 +209,7 @@
                 self.reporter
                     .report(Observation::ConfigurationAccepted { version });
             }
+            Command::Flush => self.reporter.report(Observation::Flushed),
             Command::DropResponses(_)
             | Command::AnnounceRate(_)
             | Command::RequestPause(_)
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -4,6 +4,7 @@
 use crate::channel::{Reporter, connect};
 use crate::clock;
 use crate::config::{DRAIN, HEARTBEAT, KEYED};
+use crate::load::{COLD_PERIOD, COLD_SLOWNESS_PERCENT, Room, cold_limit};
 use crate::message::{Command, Observation};
 use crate::store::REGISTRATION_PREFIX;
 use beamtray_adapter::{Platform, reverse};
@@ -11,6 +12,7 @@
 use beamtray_dialect::Dialect;
 use beamtray_emulator::{Arrival, FullPolicy, Run, UpstreamConfig, UpstreamEmulator, WorkRequest};
 use beamtray_sharding::{CallId, GrantReply, OrderKind, ShardKey};
+use beamtray_types::Time;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http_body_util::{BodyExt, Full};
@@ -23,7 +25,7 @@
 use hyper_util::rt::TokioIo;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::future::pending;
 use std::net::SocketAddr;
@@ -34,8 +36,6 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-const SLOTS: usize = 4;
-const QUEUE: usize = 8;
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the upstream continues to serve after the drain time.
@@ -43,6 +43,9 @@
 /// Interval at which releases that wait for requests to finish are checked.
 const RELEASE_POLL: Duration = Duration::from_millis(5);
 
+/// Window in which requests to a cold upstream are counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
 /// A request with this in its path kills the process that executes it.
 pub const POISON: &str = "/poison/";
 /// Execution time of such a request before the process exits.
@@ -70,6 +73,10 @@
     /// Initial rate limit announced in responses for all routers together, in requests per
     /// 1000 seconds.
     pub rate_milli: Option<u32>,
+    /// Slots and queue.
+    pub room: Room,
+    /// Requests per second that the upstream bears after its start; it exits well above that.
+    pub cold_rate: Option<f64>,
 }
 
 type Answer = Response<Full<Bytes>>;
@@ -84,6 +91,10 @@
     /// If set, all requests are rejected with a pause of this many milliseconds.
     rest_ms: Cell<Option<u32>>,
     calls: Cell<u64>,
+    /// End of the cold period, if the upstream began cold.
+    cold_until: Option<Time>,
+    /// Requests of the last second while the upstream is cold.
+    recent: RefCell<VecDeque<Time>>,
     reporter: Reporter,
 }
 
@@ -102,13 +113,18 @@
         service: settings.service.as_str().into(),
         address: settings.advertised,
         zone: settings.zone.as_str().into(),
-        slots: SLOTS,
-        queue: QUEUE,
+        slots: settings.room.slots,
+        queue: settings.room.queue,
         is_sharded: settings.service == KEYED,
         full: FullPolicy::Hang,
-        slowness_percent: 100,
+        slowness_percent: if settings.cold_rate.is_some() {
+            COLD_SLOWNESS_PERCENT
+        } else {
+            100
+        },
     });
     let rate_milli = settings.rate_milli;
+    let cold_until = settings.cold_rate.map(|_| clock::now() + COLD_PERIOD);
     let upstream = Rc::new(Upstream {
         settings,
         emulator: RefCell::new(emulator),
@@ -117,10 +133,15 @@
         rate_milli: Cell::new(rate_milli),
         rest_ms: Cell::new(None),
         calls: Cell::new(0),
+        cold_until,
+        recent: RefCell::default(),
         reporter,
     });
     tokio::task::spawn_local(accept(listener, upstream.clone()));
     tokio::task::spawn_local(refresh_entry(upstream.clone()));
+    if cold_until.is_some() {
+        tokio::task::spawn_local(warm_up(upstream.clone()));
+    }
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -128,6 +149,7 @@
                 Some(Command::DropResponses(percent)) => upstream.lost_percent.set(percent),
                 Some(Command::AnnounceRate(rate_milli)) => upstream.set_rate(rate_milli),
                 Some(Command::RequestPause(rest_ms)) => upstream.rest_ms.set(rest_ms),
+                Some(Command::Flush) => upstream.reporter.report(Observation::Flushed),
                 Some(_) => {}
                 None => return Ok(()),
             },
@@ -149,6 +171,12 @@
     }
 }
 
+/// Ends the cold period when its time is over.
+async fn warm_up(upstream: Rc<Upstream>) {
+    tokio::time::sleep(COLD_PERIOD).await;
+    upstream.emulator.borrow_mut().config.slowness_percent = 100;
+}
+
 async fn accept(listener: TcpListener, upstream: Rc<Upstream>) {
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
@@ -372,6 +400,9 @@
             work: work(path),
         };
         let arrival = self.emulator.borrow_mut().arrive(clock::now(), request);
+        if !matches!(arrival, Arrival::Misdirected) {
+            self.bear_cold_request();
+        }
         let run = match arrival {
             Arrival::Runs(run) => run,
             Arrival::Queued => match self.queued(&id).await {
@@ -385,6 +416,29 @@
         self.work(run, &id, path).await
     }
 
+    /// Counts a request, and exits if a cold upstream got too many in a second.
+    fn bear_cold_request(&self) {
+        let now = clock::now();
+        let Some(cold_rate) = self.settings.cold_rate else {
+            return;
+        };
+        if self.cold_until.is_none_or(|end| now >= end) {
+            return;
+        }
+        let mut recent = self.recent.borrow_mut();
+        recent.push_back(now);
+        while recent
+            .front()
+            .is_some_and(|at| now.since(*at) >= COLD_WINDOW)
+        {
+            recent.pop_front();
+        }
+        if recent.len() > cold_limit(cold_rate) {
+            eprintln!("exits: {} requests in a second while cold", recent.len());
+            std::process::exit(1);
+        }
+    }
+
     /// Waits for a slot; `None` if the key is no longer held by then.
     async fn queued(self: &Rc<Self>, id: &str) -> Option<Run> {
         let (sender, receiver) = oneshot::channel();
@@ -468,7 +522,10 @@
         tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
-        let record = self.emulator.borrow().record();
+        let mut record = self.emulator.borrow().record();
+        if let Some(end) = self.cold_until {
+            record.warm_up_left = end.since(clock::now());
+        }
         let body = reverse::write_upstream(&record, 0);
         let request = Request::builder()
             .method(method)
