--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -34,8 +34,6 @@
 
 /// Shortest lease in milliseconds.
 const LEAST_TTL_MS: u64 = 1_000;
-const MEMORY_MB: u64 = 256;
-const DESCRIPTORS: u64 = 1_024;
 /// Delay before an upstream that exited by itself is replaced.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
 /// Longest time for the reports of all processes to arrive at the end of a run.
@@ -45,6 +43,45 @@
 /// Speed of the clock that times holds on the first upstream, to test clock drift.
 const SLOW_CLOCK_PERCENT: u32 = 98;
 
+/// Line of the settings of a router at the first start of all of them.
+const FIRST_START: &str = "first_start = true\n";
+
+/// What the settings of a router say of its machine.
+struct RouterLimits {
+    processor_share: f64,
+    memory_mb: u64,
+    descriptors: u64,
+    zones: &'static [&'static str],
+    /// Settings that only loaded runs have: that all routers start for the first time, and the
+    /// bounds on cold upstreams.
+    first_start: &'static str,
+    cold_bounds: &'static str,
+}
+
+impl RouterLimits {
+    fn of(size: Size, load: Option<HighLoad>) -> Self {
+        let zones = zones(size);
+        match load {
+            None => Self {
+                processor_share: 1.0,
+                memory_mb: 256,
+                descriptors: 1_024,
+                zones,
+                first_start: "",
+                cold_bounds: "",
+            },
+            Some(load) => Self {
+                processor_share: f64::from(load.router_processor_percent) / 100.0,
+                memory_mb: 160,
+                descriptors: 4_100,
+                zones,
+                first_start: FIRST_START,
+                cold_bounds: "cold_overage = 1.5\ncold_slack = 8.0\n",
+            },
+        }
+    }
+}
+
 type Commands = Rc<RefCell<HashMap<String, UnboundedSender<Command>>>>;
 type Reports = Rc<RefCell<Vec<Report>>>;
 
@@ -121,9 +158,10 @@
         ];
         arguments.extend(load.map(|load| format!("--cold-rate={}", load.cold_rate)));
         let store = Process::start(&folder, "store", &own, &arguments)?;
+        let limits = RouterLimits::of(size, load);
         let mut routers = Vec::new();
         for node in 0..size.routers {
-            routers.push(router_slot(&folder, node, store_address, &ports, size).await?);
+            routers.push(router_slot(&folder, node, store_address, &ports, &limits).await?);
         }
         let addresses: Vec<String> = routers.iter().map(|one| one.clients.to_string()).collect();
         let mut arguments = vec![
@@ -206,6 +244,9 @@
     }
 
     pub fn start_router(&mut self, node: usize) -> Result<()> {
+        if self.has_traffic {
+            forget_first_start(&self.routers[node].settings)?;
+        }
         let slot = &mut self.routers[node];
         let settings = slot.settings.display().to_string();
         let arguments = vec!["route".to_owned(), "--settings".to_owned(), settings];
@@ -411,11 +452,11 @@
     node: usize,
     store: SocketAddr,
     ports: &Ports,
-    size: Size,
+    limits: &RouterLimits,
 ) -> Result<RouterSlot> {
     let store_proxy = Proxy::start(store).await?;
     let clients = ports.free_address()?;
-    let text = router_settings(node, clients, store_proxy.address, ports, size)?;
+    let text = router_settings(node, clients, store_proxy.address, ports, limits)?;
     let settings = folder.join(format!("router-{node}.toml"));
     std::fs::write(&settings, text).wrap_err_with(|| format!("write {}", settings.display()))?;
     Ok(RouterSlot {
@@ -432,31 +473,43 @@
     clients: SocketAddr,
     store: SocketAddr,
     ports: &Ports,
-    size: Size,
+    limits: &RouterLimits,
 ) -> Result<String> {
-    let zone = zones(size)[node % zones(size).len()];
+    let zone = limits.zones[node % limits.zones.len()];
     let readiness = ports.free_address()?;
     let peers = ports.free_address()?;
     let metrics = ports.free_address()?;
     Ok(format!(
         "version = 1\nnode = \"router-{node}\"\nzone = \"{zone}\"\nip = \"127.0.0.1\"\n\
-         [listen]\nclients = \"{clients}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\n\
+         {}[listen]\nclients = \"{clients}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\n\
          metrics = \"{metrics}\"\n\
          [store]\naddress = \"{store}\"\nleast_ttl_ms = {LEAST_TTL_MS}\n\
          [bounds]\ndrain_ms = {}\ncontact_ms = {}\ngrace_s = {}\nretry_ratio = {RETRY_RATIO}\n\
          retry_allowance = {RETRY_ALLOWANCE:?}\nretry_window_s = {}\nlongest_hold_ms = {}\n\
          heartbeat_ms = {}\nquota_window_s = {QUOTA_WINDOW_S:?}\n\
-         quota_overage = {QUOTA_OVERAGE:?}\n\
-         [limits]\nmemory_mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n",
+         quota_overage = {QUOTA_OVERAGE:?}\n{}\
+         [limits]\nprocessor_share = {:?}\nmemory_mb = {}\ndescriptors = {}\n",
+        limits.first_start,
         DRAIN.as_millis(),
         CONTACT.as_millis(),
         STOP_GRACE.as_secs(),
         RETRY_WINDOW.as_secs(),
         LONGEST_HOLD.as_millis(),
         HEARTBEAT.as_millis(),
+        limits.cold_bounds,
+        limits.processor_share,
+        limits.memory_mb,
+        limits.descriptors,
     ))
 }
 
+/// Has the next start of a router count as a restart.
+fn forget_first_start(settings: &std::path::Path) -> Result<()> {
+    let text = std::fs::read_to_string(settings)?;
+    std::fs::write(settings, text.replace(FIRST_START, ""))?;
+    Ok(())
+}
+
 async fn accept_processes(listener: TcpListener, commands: Commands, reports: Reports) {
     while let Ok((stream, _)) = listener.accept().await {
         let commands = commands.clone();
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -186,6 +186,10 @@
 
 impl Store {
     fn add_era_header(&self, answer: &mut Answer) {
+        // A store that never goes back need not tell its era; loaded runs have such a store.
+        if self.cold_rate.is_some() && self.era.get() == FIRST_ERA {
+            return;
+        }
         let era = self.era.get().into();
         answer
             .headers_mut()
