--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -2,6 +2,7 @@
 //! while it is the granter.
 
 mod observed_terms;
+mod order_checks;
 mod ownership;
 mod reach;
 mod standbys;
@@ -24,6 +25,8 @@
     Assignment, AssignmentRecord, BalanceLimits, GrantOrder, GrantReply, GranterTiming, KeyRange,
 };
 use beamtray_types::{ServiceName, Time};
+pub use order_checks::OrderCheckWork;
+use order_checks::OrderChecks;
 pub use reach::HolderReach;
 use reach::ReachState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -37,8 +40,6 @@
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(150);
 /// Factor applied to the measured key load at each rebalancing.
 const LOAD_DECAY: f64 = 0.917;
-/// Interval of the check for due orders, when nothing requires an earlier one.
-const ORDER_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which measured speeds are written to the store.
 const SPEEDS_WRITE_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval at which a relay renews the lease of its registration.
@@ -95,6 +96,7 @@
     registrar: Registrar,
     election: Election,
     term: Option<Term>,
+    order_checks: OrderChecks,
     addresses: BTreeMap<UpstreamId, SocketAddr>,
     /// Version of the directory that the addresses were last taken from.
     addresses_version: Option<u64>,
@@ -132,6 +134,7 @@
             registrar: Registrar::new(config.record.clone(), config.node_lease),
             election,
             term: None,
+            order_checks: OrderChecks::default(),
             standbys: StandbyLeases::default(),
             own_writes: Vec::new(),
             era: StoreEra::default(),
@@ -283,10 +286,12 @@
         let Some(term) = &mut self.term else {
             return Vec::new();
         };
-        if now < term.orders_at {
+        if !self.order_checks.is_due(now) {
             return Vec::new();
         }
-        term.orders_at = now + ORDER_INTERVAL;
+        let grants = term.grants.iter().flat_map(|all| all.values());
+        let slices = grants.map(|grants| grants.granter.slice_count()).sum();
+        self.order_checks.checked(now, slices);
         // Until the upstreams are known, all holders would seem to have left.
         if term.grants.is_none() || !views.knows_upstreams() {
             return Vec::new();
@@ -388,7 +393,7 @@
             return;
         }
         if reply != GrantReply::Granted {
-            term.orders_at = now;
+            self.order_checks.hasten(now);
         }
         let grants = term.grants.as_mut().and_then(|all| all.get_mut(service));
         if let Some(grants) = grants {
@@ -404,6 +409,11 @@
         }
     }
 
+    /// Checks for due orders so far.
+    pub fn order_check_work(&self) -> OrderCheckWork {
+        self.order_checks.work()
+    }
+
     /// The term, if this node is or was the granter.
     pub fn epoch(&self) -> Option<u64> {
         self.term.as_ref().map(|term| term.authority.epoch.0)
--- a/crates/router/src/core/control/term.rs
+++ b/crates/router/src/core/control/term.rs
@@ -39,8 +39,6 @@
     pub(super) read_from: Option<Revision>,
     pub(super) read_at: Time,
     pub(super) rebalance_at: Time,
-    /// When due orders are next checked.
-    pub(super) orders_at: Time,
     /// When the candidates are next refreshed, and the version of the directory that they were last
     /// taken from.
     pub(super) candidates_at: Time,
@@ -63,7 +61,6 @@
             read_from: None,
             read_at: now,
             rebalance_at: now,
-            orders_at: now,
             candidates_at: now,
             candidates_version: None,
             may_have_lost_records: false,
@@ -238,7 +235,7 @@
                 grants.write_unconfirmed();
             }
         }
-        term.orders_at = now;
+        self.order_checks.hasten(now);
     }
 }
 
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -14,11 +14,11 @@
 mod transfer_pace;
 mod views;
 
-pub use control::{Control, ControlConfig};
+pub use control::{Control, ControlConfig, OrderCheckWork};
 pub use message::{
     Datagram, GRANT_TIMEOUT, Input, Liveness, OrderTask, Output, OwnershipNotice, StoreTask, Timing,
 };
-pub use node::{CoreConfig, NodeCore};
+pub use node::{CoreConfig, NodeCore, Waits};
 pub use records::{AssignmentKey, NodeRecord, RouterKeys};
 pub use registration::Registrar;
 pub use relays::{
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -15,8 +15,11 @@
 mod standby;
 mod store_health;
 mod trials;
+mod waits;
 mod zone_load;
 
+pub use waits::Waits;
+
 use crate::core::control::{Control, ControlConfig};
 use crate::core::membership::{Audience, Membership};
 use crate::core::message::{Datagram, Input, Output, StoreTask, Timing};
--- a/crates/router/src/shell/metrics.rs
+++ b/crates/router/src/shell/metrics.rs
@@ -68,6 +68,7 @@
     pub suspended_seconds: Counter<f64, AtomicU64>,
     pub wakeups: Family<WakeupLabel, Counter>,
     decision_work: Family<WorkLabel, Gauge>,
+    order_checks: Family<WorkLabel, Gauge>,
     waiting: Gauge,
     under_way: Gauge,
     slots_in_use: Family<UpstreamLabel, Gauge>,
@@ -119,6 +120,7 @@
             suspended_seconds: Counter::default(),
             wakeups: Family::default(),
             decision_work: Family::default(),
+            order_checks: Family::default(),
             waiting: Gauge::default(),
             under_way: Gauge::default(),
             slots_in_use: Family::default(),
@@ -243,6 +245,11 @@
             "Rounds of decisions, decisions on requests, and upstreams examined for them",
             self.decision_work.clone(),
         );
+        registry.register(
+            "order_checks",
+            "Checks of a granter for due orders, and slices examined by them",
+            self.order_checks.clone(),
+        );
         registry.register("waiting", "Requests that wait here", self.waiting.clone());
         registry.register(
             "under_way",
@@ -404,6 +411,11 @@
             let label = WorkLabel { what };
             self.decision_work.get_or_create(&label).set(count as i64);
         }
+        let work = control.order_check_work();
+        for (what, count) in [("checks", work.checks), ("slices", work.slices)] {
+            let label = WorkLabel { what };
+            self.order_checks.get_or_create(&label).set(count as i64);
+        }
         self.slots_in_use.clear();
         self.remove_deregistered_upstreams(core);
         for registration in views.directory.iter() {
--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -18,6 +18,7 @@
 mod readiness;
 mod reload;
 mod single_endpoint;
+mod startup;
 mod tenant_headers;
 mod tunnel;
 
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -6,6 +6,7 @@
 mod paths;
 mod quarantine;
 mod rate_limits;
+mod startup;
 
 use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
 use crate::shell::attempt::ClientRequest;
@@ -17,7 +18,7 @@
 use beamtray_catalog::{Credential, DirectoryChange, TenantName, UpstreamId};
 use beamtray_dispatch::{
     AdmissionError, AssignmentNumber, AttemptOutcome, ConcludedRequest, Conclusion, Fingerprints,
-    Forward, RefusalReason, UnknownCause,
+    Forward, NotExecuted, RefusalReason, UnknownCause,
 };
 use beamtray_metastore::{StoreEra, StoreOutcome};
 use beamtray_sharding::{GrantReply, OrderKind, ShardKey};
@@ -26,6 +27,7 @@
 use names::{attempt_outcome, grant_reply, store_outcome, store_task};
 use rate_limits::LimitFields;
 use slog::{Logger, Record, debug, info, warn};
+use std::cell::Cell;
 use std::hash::RandomState;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -37,6 +39,8 @@
     rate_limiter: LogRateLimiter,
     key_salt: RandomState,
     decision_review: DecisionReview,
+    /// Attempts without a connection since they were last told.
+    unconnected: Cell<u64>,
 }
 
 /// Log fields of the key and the assignment that a decision was based on.
@@ -129,6 +133,7 @@
             rate_limiter: LogRateLimiter::default(),
             key_salt: RandomState::new(),
             decision_review: DecisionReview::new(),
+            unconnected: Cell::default(),
         }
     }
 
@@ -358,6 +363,9 @@
             outcome: name.to_owned(),
         };
         self.metrics.attempts.get_or_create(&labels).inc();
+        if outcome == AttemptOutcome::NotExecuted(NotExecuted::Unconnected) {
+            self.unconnected.set(self.unconnected.get() + 1);
+        }
         let kind = match outcome {
             AttemptOutcome::Answered { .. } => {
                 self.metrics.observe_attempt(&forward.upstream.name.0, took);
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -9,7 +9,7 @@
 use crate::shell::observer::{Observer, Wakeup};
 use crate::shell::outputs::execute_output;
 use crate::shell::tunnel::Tunnels;
-use crate::shell::{clients, peers, readiness, reload};
+use crate::shell::{clients, peers, readiness, reload, startup};
 use beamtray_catalog::ClientLimits;
 use beamtray_clock::{BootClock, SuspendDetector, SystemClocks};
 use beamtray_dialect::Dialect;
@@ -158,6 +158,7 @@
         tokio::task::spawn_local(readiness::serve_metrics(shared.clone(), listener));
     }
     tokio::task::spawn_local(prune(shared.clone()));
+    tokio::task::spawn_local(startup::report_waits(shared.clone()));
     let accept_task = tokio::task::spawn_local(clients::accept(shared.clone(), listeners.clients));
     let reload_task =
         reload::watch_settings(shared.clone(), file.to_owned(), settings.clone(), hangup);
