Checks for due orders leave a granter its processor time

Cause: the granter checked all slices for due orders every 10 ms and after each reply that is no grant's: 100 to 300 checks a second of 470 slices, 61% of its processor time. A term begins with a reply from each upstream. The lease was renewed too late, the term ended, and its successor began the same work anew, each 1 to 2 s.

--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -134,7 +134,7 @@
             registrar: Registrar::new(config.record.clone(), config.node_lease),
             election,
             term: None,
-            order_checks: OrderChecks::default(),
+            order_checks: OrderChecks::new(config.grants.min_order_interval),
             standbys: StandbyLeases::default(),
             own_writes: Vec::new(),
             era: StoreEra::default(),
