A check for due orders compares fewer upstream names

Each check looked for the holder of each slice in a list of ended upstreams, sought the slices of each unfenced upstream one after the other, and copied the name of each holder that leaves: slices times upstreams comparisons of names, of which memcmp alone took a third to two thirds of a granter's processor time after a loss of a zone. Sets in their place; what is decided is the same.

--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -246,7 +246,7 @@
     /// Whether the list of upstreams has ever been set. Before that, a holder that is not in
     /// it has not left.
     knows_candidates: bool,
-    terminated: Vec<UpstreamId>,
+    terminated: BTreeSet<UpstreamId>,
     withheld: Vec<WithheldKeys>,
     /// Until when grants that the adopted record does not contain may be in force.
     record_doubted_until: Time,
@@ -301,7 +301,7 @@
             slices: BTreeMap::new(),
             candidates: BTreeMap::new(),
             knows_candidates: false,
-            terminated: Vec::new(),
+            terminated: BTreeSet::new(),
             withheld: Vec::new(),
             record_doubted_until: Time::ZERO,
             term_fence: TermFence::default(),
@@ -417,9 +417,7 @@
 
     /// Records that an upstream has terminated, so that it holds nothing.
     pub fn mark_terminated(&mut self, id: &UpstreamId) {
-        if !self.terminated.contains(id) {
-            self.terminated.push(id.clone());
-        }
+        self.terminated.insert(id.clone());
         self.lost_holders.mark_terminated(id);
         self.term_fence.mark_terminated(id);
     }
--- a/crates/sharding/src/granter/holders.rs
+++ b/crates/sharding/src/granter/holders.rs
@@ -250,8 +250,12 @@
                 continue;
             };
             if slice.expires_at.since(now) < EXPIRY_GROUPING {
-                let last = last.entry(holder.clone()).or_default();
-                *last = slice.expires_at.max(*last);
+                match last.get_mut(holder) {
+                    Some(last) => *last = slice.expires_at.max(*last),
+                    None => {
+                        last.insert(holder.clone(), slice.expires_at);
+                    }
+                }
             }
         }
         last
--- a/crates/sharding/src/granter/lost_holders.rs
+++ b/crates/sharding/src/granter/lost_holders.rs
@@ -4,10 +4,10 @@
 use crate::lost_holders::{DueRelease, FenceNotice, LostHolders, UnfencedUpstream};
 use crate::order::{CallId, GrantOrder, GrantReply, OrderKind};
 use crate::range::KeyRange;
-use crate::slice::Phase;
+use crate::slice::{Phase, Slice};
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Granter {
     /// Adopts the unfenced upstreams that the record names. Keys that the same upstream holds
@@ -53,9 +53,9 @@
         if self.lost_holders.count() == 0 {
             return Vec::new();
         }
-        let slices = &self.slices;
-        let holds = |id: &UpstreamId| slices.values().any(|slice| slice.holder() == Some(id));
-        let due = self.lost_holders.due(now, holds);
+        let holders: BTreeSet<&UpstreamId> =
+            self.slices.values().filter_map(Slice::holder).collect();
+        let due = self.lost_holders.due(now, |id| holders.contains(id));
         self.release_orders(now, due, |granter| &mut granter.lost_holders)
     }
 
--- a/crates/sharding/src/granter/lost_predecessor.rs
+++ b/crates/sharding/src/granter/lost_predecessor.rs
@@ -83,8 +83,10 @@
     pub(super) fn keys_with_grants_in_flight(&self) -> impl Iterator<Item = (KeyRange, Time)> {
         let is_assumed = self.polled_at < self.grants_in_flight_until;
         let slices = self.slices.values().filter(move |_| is_assumed);
-        let slices = slices.filter(|slice| self.was_holder_registered(slice));
-        slices.filter_map(|slice: &Slice| Some((slice.range, slice.unconfirmed_until?)))
+        let unconfirmed =
+            slices.filter_map(|slice: &Slice| Some((slice, slice.unconfirmed_until?)));
+        let waiting = unconfirmed.filter(|(slice, _)| self.was_holder_registered(slice));
+        waiting.map(|(slice, until)| (slice.range, until))
     }
 
     fn was_holder_registered(&self, slice: &Slice) -> bool {
--- a/crates/sharding/src/granter/term_fence.rs
+++ b/crates/sharding/src/granter/term_fence.rs
@@ -28,6 +28,7 @@
 use crate::order::{CallId, GrantOrder, GrantReply};
 use crate::range::{KeyRange, ShardKey};
 use crate::record::DoubtedKeys;
+use crate::slice::Slice;
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
 use std::collections::BTreeSet;
@@ -163,12 +164,12 @@
                 contact.clear_silence();
             }
         }
-        let slices = &self.slices;
-        let holds = |id: &UpstreamId| {
-            let mut slices = slices.values();
-            slices.any(|slice| slice.current_holder() == Some(id))
-        };
-        let due = self.term_fence.unfenced.due(now, holds);
+        let holders: BTreeSet<&UpstreamId> = self
+            .slices
+            .values()
+            .filter_map(Slice::current_holder)
+            .collect();
+        let due = self.term_fence.unfenced.due(now, |id| holders.contains(id));
         self.release_orders(now, due, |granter| &mut granter.term_fence.unfenced)
     }
 
