Soak: links only where a fault concerns them, and a run fails if they lack descriptors

In a loaded run each connection through a link takes two of the driver's 20,000 descriptors; 79 routers keep up to 96 each. Callers of a loaded run begin without a burst of the ticks before.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -93,7 +93,13 @@
     loop {
         tokio::select! {
             command = commands.recv() => match command {
-                Some(Command::StartTraffic) => begun = true,
+                Some(Command::StartTraffic) => {
+                    begun = true;
+                    if settings.work.is_some() {
+                        // Ticks from before would all be due at once.
+                        ticks.reset();
+                    }
+                }
                 Some(Command::Probe(version)) => probed.set(version),
                 Some(Command::StopTraffic) => begun = false,
                 Some(Command::Flush) => reporter.report(Observation::Flushed),
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -76,7 +76,7 @@
 pub async fn run_plan(settings: &RunSettings, plan: &Plan) -> Result<RunOutcome> {
     std::fs::create_dir_all(&settings.folder)
         .wrap_err_with(|| format!("make {}", settings.folder.display()))?;
-    let mut cluster = Cluster::start(settings).await?;
+    let mut cluster = Cluster::start(settings, plan).await?;
     cluster.warm_up(WARM_UP).await?;
     let begin = clock::now();
     let end = begin + Duration::from_millis(plan.end_ms());
@@ -101,6 +101,7 @@
     cluster.send_command("caller", &Command::StopTraffic);
     watched_sleep(&mut cluster, LAST_REQUESTS).await?;
     cluster.require_routers()?;
+    cluster.require_links()?;
     cluster.collect_reports().await?;
     let history = cluster.history(recovered);
     let returns = cluster.returns.iter();
--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -15,6 +15,7 @@
 };
 use crate::load::{HighLoad, Room};
 use crate::message::{Command, Observation, Report};
+use crate::plan::Plan;
 use crate::processor_limit::ProcessorLimit;
 use crate::proxy::Proxy;
 use crate::size::Size;
@@ -95,11 +96,16 @@
     pub stopping: Option<Time>,
 }
 
-/// An upstream, its address, and the proxies on the links to it and from it to the store.
-pub(super) struct UpstreamSlot {
-    pub process: Option<Process>,
+/// The proxies on the links to an upstream and from it to the store.
+pub(super) struct UpstreamLinks {
     pub proxy: Proxy,
     pub store_proxy: Proxy,
+}
+
+/// An upstream, its address, and its links if a fault of the plan concerns any.
+pub(super) struct UpstreamSlot {
+    pub process: Option<Process>,
+    pub links: Option<UpstreamLinks>,
     listen: SocketAddr,
     generation: u32,
     /// When the upstream is replaced, if it exited by itself.
@@ -113,6 +119,7 @@
     _store: Process,
     _caller: Process,
     driver: SocketAddr,
+    store: SocketAddr,
     folder: PathBuf,
     commands: Commands,
     reports: Reports,
@@ -135,7 +142,7 @@
 
 impl Cluster {
     /// Starts all processes and proxies.
-    pub async fn start(settings: &RunSettings) -> Result<Self> {
+    pub async fn start(settings: &RunSettings, plan: &Plan) -> Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let driver = listener.local_addr()?;
         let commands = Commands::default();
@@ -173,13 +180,21 @@
         ];
         arguments.extend(load.map(|load| format!("--work={}", load.work)));
         let caller = Process::start(&folder, "caller", &own, &arguments)?;
+        // Each connection through a link takes two descriptors of this process.
+        let needs_links = load.is_none() || plan.has_upstream_link_faults();
         let mut upstreams = Vec::new();
         for _ in 0..size.upstreams() {
             let listen = ports.free_address()?;
+            let links = match needs_links {
+                true => Some(UpstreamLinks {
+                    proxy: Proxy::start(listen).await?,
+                    store_proxy: Proxy::start(store_address).await?,
+                }),
+                false => None,
+            };
             upstreams.push(UpstreamSlot {
                 process: None,
-                proxy: Proxy::start(listen).await?,
-                store_proxy: Proxy::start(store_address).await?,
+                links,
                 listen,
                 generation: 0,
                 replaced_at: None,
@@ -191,6 +206,7 @@
             _store: store,
             _caller: caller,
             driver,
+            store: store_address,
             folder,
             commands,
             reports,
@@ -367,6 +383,9 @@
         let name = self.upstream_name(index);
         let service = self.service(index);
         let slot = &self.upstreams[index];
+        let links = slot.links.as_ref();
+        let advertised = links.map_or(slot.listen, |links| links.proxy.address);
+        let store = links.map_or(self.store, |links| links.store_proxy.address);
         let clock = if index == 0 { SLOW_CLOCK_PERCENT } else { 100 };
         let mut arguments = vec![
             "upstream".to_owned(),
@@ -374,8 +393,8 @@
             format!("--service={service}"),
             format!("--zone={}", zones(self.size)[self.zone_of_upstream(index)]),
             format!("--listen={}", slot.listen),
-            format!("--advertised={}", slot.proxy.address),
-            format!("--store={}", slot.store_proxy.address),
+            format!("--advertised={advertised}"),
+            format!("--store={store}"),
             format!("--driver={}", self.driver),
             format!("--clock-percent={clock}"),
         ];
@@ -424,6 +443,20 @@
         Ok(())
     }
 
+    /// Fails if a link had no descriptors left: what routers and upstreams then saw was no fault of
+    /// the plan.
+    pub fn require_links(&self) -> Result<()> {
+        let of_upstreams = self.upstreams.iter().filter_map(|slot| slot.links.as_ref());
+        let of_upstreams = of_upstreams.flat_map(|links| [&links.proxy, &links.store_proxy]);
+        let of_routers = self.routers.iter().map(|slot| &slot.store_proxy);
+        let failures: u64 = of_upstreams.chain(of_routers).map(Proxy::failures).sum();
+        ensure!(
+            failures == 0,
+            "links failed {failures} times; the run proves nothing"
+        );
+        Ok(())
+    }
+
     /// Records a stall of the machine as a disturbance of all processes.
     pub fn record_stall(&mut self, from: Time, until: Time) {
         let routers = (0..self.routers.len()).map(Disturbed::Router);
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -179,8 +179,10 @@
         }
         for index in self.upstreams_of_zone(zone) {
             self.upstreams[index].process = None;
-            self.upstreams[index].proxy.reset();
-            self.upstreams[index].store_proxy.reset();
+            if let Some(links) = &self.upstreams[index].links {
+                links.proxy.reset();
+                links.store_proxy.reset();
+            }
             self.upstream_ended(index);
             self.start_upstream(index)?;
         }
@@ -213,7 +215,11 @@
             }
             SoakFault::UpstreamPause(index) => self.signal_upstream(index, Signal::SIGSTOP)?,
             SoakFault::UpstreamDrain(index) => self.signal_upstream(index, Signal::SIGTERM)?,
-            SoakFault::UpstreamReset(index) => self.upstreams[index].proxy.reset(),
+            SoakFault::UpstreamReset(index) => {
+                if let Some(links) = &self.upstreams[index].links {
+                    links.proxy.reset();
+                }
+            }
             SoakFault::AnswersLost(index) => {
                 let name = self.upstream_name(index);
                 self.send_command(&name, &Command::DropResponses(LOST_PERCENT));
@@ -340,11 +346,11 @@
     /// Records delayed deliveries to upstreams.
     pub fn collect_delayed_deliveries(&mut self) {
         for index in 0..self.upstreams.len() {
+            let Some(links) = &self.upstreams[index].links else {
+                continue;
+            };
+            let times = links.proxy.take_delayed_deliveries().into_iter();
             let upstream = self.upstream_name(index);
-            let times = self.upstreams[index]
-                .proxy
-                .take_delayed_deliveries()
-                .into_iter();
             let deliveries = times.map(|at| DelayedDelivery {
                 upstream: upstream.clone(),
                 at,
@@ -415,15 +421,18 @@
                 });
         }
         for (index, slot) in self.upstreams.iter().enumerate() {
+            let Some(links) = &slot.links else {
+                continue;
+            };
             let is_dark = lost_zones.contains(&self.zone_of_upstream(index));
             let is_unreachable = is_dark || has(SoakFault::UpstreamUnreachable(index));
-            slot.store_proxy.set_fault(if is_unreachable {
+            links.store_proxy.set_fault(if is_unreachable {
                 LinkFault::cut()
             } else {
                 LinkFault::default()
             });
             let is_cut = is_unreachable || has(SoakFault::UpstreamCut(index));
-            slot.proxy.set_fault(if is_cut {
+            links.proxy.set_fault(if is_cut {
                 LinkFault::cut()
             } else if has(SoakFault::UpstreamDelay(index)) {
                 LinkFault::delayed(SLOW_LINK)
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -126,6 +126,20 @@
         Self { faults }
     }
 
+    /// Whether a fault concerns the links of upstreams. Power loss does not: nobody is left to use
+    /// them.
+    pub fn has_upstream_link_faults(&self) -> bool {
+        self.faults.iter().any(|one| {
+            matches!(
+                one.fault,
+                SoakFault::UpstreamCut(_)
+                    | SoakFault::UpstreamUnreachable(_)
+                    | SoakFault::UpstreamReset(_)
+                    | SoakFault::UpstreamDelay(_)
+            )
+        })
+    }
+
     /// The plan without the fault at `index`.
     pub fn without(&self, index: usize) -> Self {
         let mut faults = self.faults.clone();
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -14,8 +14,9 @@
 use eyre::{Result, WrapErr};
 use gate::Gate;
 use retransmit::{CopyEnd, copy};
+use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -84,6 +85,8 @@
     is_over: AtomicBool,
     /// Times at which delayed bytes reached the target.
     delayed_deliveries: Mutex<Vec<Time>>,
+    /// Connections that this process could not accept or open for want of descriptors.
+    failures: AtomicU64,
 }
 
 /// Locks a mutex; nothing that holds one can panic halfway through a change.
@@ -96,6 +99,13 @@
         *lock(&self.fault)
     }
 
+    fn record_failure(&self, error: &io::Error) {
+        let code = error.raw_os_error();
+        if code == Some(nix::libc::EMFILE) || code == Some(nix::libc::ENFILE) {
+            self.failures.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
     fn is_over(&self) -> bool {
         self.is_over.load(Ordering::SeqCst)
     }
@@ -160,6 +170,11 @@
         self.link.reset.notify_waiters();
     }
 
+    /// Connections that this process could not accept or open for want of descriptors.
+    pub fn failures(&self) -> u64 {
+        self.link.failures.load(Ordering::SeqCst)
+    }
+
     /// Times at which delayed bytes reached the target since the last call.
     pub fn take_delayed_deliveries(&self) -> Vec<Time> {
         std::mem::take(&mut *lock(&self.link.delayed_deliveries))
@@ -177,8 +192,12 @@
         }
         tokio::select! {
             client = gate.accept() => {
-                if let Some(client) = client {
-                    tokio::spawn(pass(client, target, link.clone()));
+                match client {
+                    Ok(Some(client)) => {
+                        tokio::spawn(pass(client, target, link.clone()));
+                    }
+                    Ok(None) => {}
+                    Err(error) => link.record_failure(&error),
                 }
             }
             () = changed => {}
@@ -188,9 +207,13 @@
 
 async fn pass(client: TcpStream, target: SocketAddr, link: Arc<Link>) {
     // If the target refuses, the client sees a reset.
-    let Ok(server) = TcpStream::connect(target).await else {
-        let _ = client.set_zero_linger();
-        return;
+    let server = match TcpStream::connect(target).await {
+        Ok(server) => server,
+        Err(error) => {
+            link.record_failure(&error);
+            let _ = client.set_zero_linger();
+            return;
+        }
     };
     if link.is_over() {
         return;
--- a/crates/soak/src/proxy/gate.rs
+++ b/crates/soak/src/proxy/gate.rs
@@ -41,10 +41,13 @@
         Ok(self.listener.local_addr()?)
     }
 
-    /// Accepts a connection; `None` for an error or for one of the gate's own.
-    pub async fn accept(&mut self) -> Option<TcpStream> {
-        let (stream, from) = self.listener.accept().await.ok()?;
-        (!self.own.remove(&from)).then_some(stream)
+    /// Accepts a connection; `None` for one of the gate's own.
+    ///
+    /// # Errors
+    /// When the system can't accept it.
+    pub async fn accept(&mut self) -> std::io::Result<Option<TcpStream>> {
+        let (stream, from) = self.listener.accept().await?;
+        Ok((!self.own.remove(&from)).then_some(stream))
     }
 
     /// Blocks new connections.
