Response bodies without end hold a bounded part of the memory together

An upstream may send bytes without end until the caller closes. Each body was bounded by 32 MB, all together by nothing: with 24 requests at once a router with a limit of 256 MB took 802 MB (chunks: 771 MB), and is ended for it where the limit is enforced.

All bodies that are being read share a quarter of the memory limit, and a body holds no more than is left of it, so that the bodies of others have room. One that is cut is a wrong answer: the connection is closed, the outcome is unknown, and no connection to the upstream is kept. Tests with real sockets, of heads, bodies, chunks, probes and through a tunnel; the two of bodies and chunks failed before.

--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -144,6 +144,10 @@
                 shared.connections.close_idle(forward.address);
                 AttemptOutcome::Unknown(UnknownCause::BrokenOff)
             }
+            CallFailure::AnswerTooLarge => {
+                shared.connections.disable_reuse(forward.address);
+                AttemptOutcome::Unknown(UnknownCause::WrongAnswer)
+            }
             CallFailure::ConnectFailed => AttemptOutcome::NotExecuted(NotExecuted::Unconnected),
             CallFailure::ConnectionRefused => {
                 AttemptOutcome::NotExecuted(NotExecuted::ConnectionRefused)
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -1,11 +1,14 @@
 //! Pool of outgoing HTTP connections.
 
+mod body;
 mod progress;
 mod socket;
 
 use crate::shell::tunnel;
+pub(crate) use body::BodyMemory;
+use body::read_body;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::CONNECTION;
@@ -91,21 +94,32 @@
 }
 
 /// Pool of idle connections.
-#[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: RefCell<HashMap<Endpoint, Vec<PooledConnection>>>,
     reuse_disabled: RefCell<HashMap<SocketAddr, Instant>>,
     is_granter: Cell<bool>,
     /// How long written bytes may stay unacknowledged, if not [`configure_socket`]'s default.
     ack_timeout: Option<Duration>,
+    body_memory: BodyMemory,
 }
 
 impl ConnectionPool {
-    /// A pool whose connections end when written bytes stay unacknowledged for this long.
-    pub fn with_ack_timeout(ack_timeout: Duration) -> Self {
+    /// A pool whose responses are read within that memory.
+    pub fn new(body_memory: BodyMemory) -> Self {
+        Self {
+            idle: RefCell::default(),
+            reuse_disabled: RefCell::default(),
+            is_granter: Cell::default(),
+            ack_timeout: None,
+            body_memory,
+        }
+    }
+
+    /// Has connections end when written bytes stay unacknowledged for this long.
+    pub fn with_ack_timeout(self, ack_timeout: Duration) -> Self {
         Self {
             ack_timeout: Some(ack_timeout),
-            ..Self::default()
+            ..self
         }
     }
 
@@ -143,7 +157,10 @@
             progress.written.set(true);
             progress.reused.set(reused);
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return read_answer(connection, response, small_body).await,
+                Ok(response) => {
+                    let memory = &self.body_memory;
+                    return read_answer(connection, response, small_body, memory).await;
+                }
                 Err(mut error) => match error.take_message() {
                     // The connection was closed while it was idle.
                     Some(unsent) if reused => {
@@ -353,13 +370,10 @@
     connection: PooledConnection,
     response: Response<Incoming>,
     small_body: bool,
+    memory: &BodyMemory,
 ) -> Result<Answer, CallFailure> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|_| CallFailure::ConnectionLost)?
-        .to_bytes();
+    let body = read_body(body, MAX_ANSWER_BYTES, memory).await?;
     let closes = head.headers.get_all(CONNECTION).iter().any(|value| {
         value
             .to_str()
--- a/crates/router/src/shell/connections/progress.rs
+++ b/crates/router/src/shell/connections/progress.rs
@@ -24,6 +24,8 @@
     NotSent,
     /// The connection ended before a complete response.
     ConnectionLost,
+    /// The response has more bytes than may be held.
+    AnswerTooLarge,
     /// The connection ended because the other side did not acknowledge what was written.
     AckTimeout,
 }
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -4,7 +4,7 @@
 use crate::settings::NodeSettings;
 use crate::shell::actor::{LoopState, RouterActor};
 use crate::shell::calls::ORDER_ACK_TIMEOUT;
-use crate::shell::connections::ConnectionPool;
+use crate::shell::connections::{BodyMemory, ConnectionPool};
 use crate::shell::handle::Shared;
 use crate::shell::observer::{Observer, Wakeup};
 use crate::shell::outputs::execute_output;
@@ -124,10 +124,11 @@
         "clients" => %settings.listen.clients, "store" => %settings.store.address);
     let clock = Rc::new(BootClock::start(SystemClocks::new()?));
     let core = NodeCore::new(settings.core_config(run), dialect.clone());
+    let body_memory = BodyMemory::of_process(settings.limits.memory_mb);
     let shared = Rc::new(Shared {
         dialect,
-        connections: ConnectionPool::default(),
-        order_connections: ConnectionPool::with_ack_timeout(ORDER_ACK_TIMEOUT),
+        connections: ConnectionPool::new(body_memory.clone()),
+        order_connections: ConnectionPool::new(body_memory).with_ack_timeout(ORDER_ACK_TIMEOUT),
         clients: RefCell::new(HashMap::new()),
         actor: RefCell::new(None),
         core_wakeup: Notify::new(),
--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -45,6 +45,15 @@
         self.0.wait().expect("the process ends");
     }
 
+    /// Largest resident memory so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.split_whitespace().next());
+        peak.and_then(|text| text.parse().ok()).expect("a number")
+    }
+
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.0.try_wait(), Ok(None))
     }
