Informational responses without end do not keep a router busy

An upstream that sent informational responses without end, each of them complete, kept the only thread of its router: with 24 requests none of them had an answer after 5 s, at a deadline of 1.2 s. The HTTP library reads them on and on, and has no bound for them.

Between a request and the head of its response a connection now reads 512 kB at most; beyond that it is closed and the outcome unknown. The test failed before.

--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -1,6 +1,7 @@
 //! Pool of outgoing HTTP connections.
 
 mod body;
+mod head_limit;
 mod progress;
 mod socket;
 
@@ -8,6 +9,7 @@
 pub(crate) use body::BodyMemory;
 use body::read_body;
 use bytes::Bytes;
+use head_limit::{HeadLimit, LimitedStream};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -82,6 +84,7 @@
 struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    head_limit: HeadLimit,
     endpoint: Endpoint,
     idle_since: Instant,
     usable_until: Instant,
@@ -156,8 +159,10 @@
             }
             progress.written.set(true);
             progress.reused.set(reused);
+            connection.head_limit.begin();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    connection.head_limit.end();
                     let memory = &self.body_memory;
                     return read_answer(connection, response, small_body, memory).await;
                 }
@@ -320,8 +325,9 @@
     if let Some(limit) = ack_timeout {
         set_ack_timeout(&stream, limit);
     }
+    let head_limit = HeadLimit::new();
     let (sender, connection) = http1::Builder::new()
-        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .handshake::<_, Full<Bytes>>(TokioIo::new(LimitedStream::new(stream, head_limit.clone())))
         .await
         .map_err(|_| CallFailure::NotSent)?;
     let driver = tokio::task::spawn_local(async move {
@@ -335,6 +341,7 @@
     Ok(PooledConnection {
         sender,
         driver: driver.abort_handle(),
+        head_limit,
         endpoint,
         idle_since: Instant::now(),
         usable_until: Instant::now(),
--- a/crates/soak/tests/endless_answers.rs
+++ b/crates/soak/tests/endless_answers.rs
@@ -32,6 +32,8 @@
 enum Endless {
     /// Header lines.
     Head,
+    /// Informational responses, each of which is complete.
+    Informational,
     /// A body that ends with its connection.
     Body,
     /// A body in chunks.
@@ -43,7 +45,7 @@
 impl Endless {
     fn begin(self) -> Vec<u8> {
         match self {
-            Self::Head | Self::Greeting => Vec::new(),
+            Self::Head | Self::Informational | Self::Greeting => Vec::new(),
             Self::Body => b"HTTP/1.1 200 OK\r\n\r\n".to_vec(),
             Self::Chunks => b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec(),
         }
@@ -53,6 +55,7 @@
     fn repeated(self) -> Vec<u8> {
         match self {
             Self::Head => b"X-More: and more\r\n".repeat(CHUNK / 18),
+            Self::Informational => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(CHUNK / 27),
             Self::Body | Self::Greeting => vec![b'x'; CHUNK],
             Self::Chunks => [b"10000\r\n".to_vec(), vec![b'x'; CHUNK], b"\r\n".to_vec()].concat(),
         }
@@ -222,6 +225,12 @@
     assert_bounded("endless-head", Endless::Head);
 }
 
+// Guards against informational responses that a router reads on and on.
+#[test]
+fn informational_responses_without_end_are_bounded() {
+    assert_bounded("endless-informational", Endless::Informational);
+}
+
 // Guards against bodies that are small enough one by one and together take more memory than there
 // is: a router was ended for it.
 #[test]
