--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -60,6 +60,8 @@
     upstreams: Option<usize>,
     /// Remove faults from the plan of a failing run while it still fails.
     shorten: bool,
+    /// Keep the logs of clean runs, too.
+    keep_logs: bool,
     /// Run this plan instead of the one drawn from the seed.
     plan: Option<PathBuf>,
     /// Directory for logs (default target/soak).
@@ -263,11 +265,24 @@
             Some(file) => read_plan(file)?,
             None => settings.plan(),
         };
-        clean &= run_one(&settings, &plan, arguments.shorten).await?;
+        let follow_up = FollowUp {
+            shortens: arguments.shorten,
+            keeps_logs: arguments.keep_logs,
+        };
+        clean &= run_one(&settings, &plan, follow_up).await?;
     }
     Ok(clean)
 }
 
+/// What is done after a run.
+#[derive(Clone, Copy, Default)]
+struct FollowUp {
+    /// Shorten the plan of a failing run.
+    shortens: bool,
+    /// Keep the logs of a clean run.
+    keeps_logs: bool,
+}
+
 /// The selected size, with the counts given on the command line.
 fn size_of(arguments: &RunArguments) -> Size {
     let size = arguments.size;
@@ -282,7 +297,7 @@
     }
 }
 
-async fn run_one(settings: &RunSettings, plan: &Plan, shortens: bool) -> Result<bool> {
+async fn run_one(settings: &RunSettings, plan: &Plan, follow_up: FollowUp) -> Result<bool> {
     let outcome = run_plan(settings, plan).await?;
     let verdict = &outcome.verdict;
     println!(
@@ -297,6 +312,9 @@
         );
         print!("{returned}");
     }
+    if verdict.is_clean() && follow_up.keeps_logs {
+        return Ok(true);
+    }
     if verdict.is_clean() {
         std::fs::remove_dir_all(&settings.folder).wrap_err("remove the logs of a clean run")?;
         return Ok(true);
@@ -309,7 +327,7 @@
             finding.text
         );
     }
-    let kept = if shortens {
+    let kept = if follow_up.shortens {
         shorten(settings, plan).await?
     } else {
         plan.clone()
@@ -352,7 +370,7 @@
             size: Size::SMALL,
         };
         let plan = regression.plan.unwrap_or_else(|| settings.plan());
-        clean &= run_one(&settings, &plan, false).await?;
+        clean &= run_one(&settings, &plan, FollowUp::default()).await?;
     }
     Ok(clean)
 }
