--- a/crates/routersim/src/fault.rs
+++ b/crates/routersim/src/fault.rs
@@ -20,6 +20,12 @@
     },
     /// All nodes are killed at once.
     KillAll,
+    /// The machines of all nodes lose power, with those of the upstreams of a zone; all boot when
+    /// the fault ends.
+    PowerLoss {
+        /// Number of the zone.
+        zone: usize,
+    },
     /// A node's process is paused.
     NodeFreeze {
         /// The affected node; `None` selects the granter.
--- a/crates/routersim/src/world.rs
+++ b/crates/routersim/src/world.rs
@@ -81,6 +81,8 @@
     Large,
     /// Dozens of nodes, each with a tenth of a processor core, and hundreds of upstreams.
     Limited,
+    /// The same with more nodes and requests; a granter's checks for due orders take time, too.
+    Loaded,
 }
 
 impl FromStr for WorldSize {
@@ -92,8 +94,9 @@
             "many" => Ok(Self::Many),
             "large" => Ok(Self::Large),
             "limited" => Ok(Self::Limited),
+            "loaded" => Ok(Self::Loaded),
             _ => Err(format!(
-                "no size {text}; there are drawn, many, large, limited"
+                "no size {text}; there are drawn, many, large, limited, loaded"
             )),
         }
     }
@@ -166,6 +169,7 @@
             },
             WorldSize::Large => Self::large(seed),
             WorldSize::Limited => Self::limited(seed),
+            WorldSize::Loaded => Self::loaded(seed),
         }
     }
 
@@ -198,6 +202,20 @@
         }
     }
 
+    /// A world whose nodes have little processor time and whose upstreams have little to spare.
+    fn loaded(seed: u64) -> Self {
+        Self {
+            nodes: 79,
+            keyed: 123,
+            pool: 106,
+            rate: 2_200,
+            fault_window: Duration::from_secs(6),
+            recovery_window: Duration::from_secs(16),
+            processor: Some(ProcessorCosts::TENTH_WITH_CHECKS),
+            ..Self::limited(seed)
+        }
+    }
+
     /// Number of upstreams of both services.
     pub fn upstreams(&self) -> usize {
         self.keyed + self.pool
--- a/crates/routersim/src/world/faults.rs
+++ b/crates/routersim/src/world/faults.rs
@@ -12,6 +12,8 @@
 
 /// Time for which watches receive nothing before the store compacts its revision history.
 const COMPACTION_DELAY: Duration = Duration::from_secs(1);
+/// Number of zones, which upstreams belong to in turn.
+const ZONES: usize = 3;
 /// Interval at which an upstream retries to write to the store that it is leaving.
 const STORE_RETRY: Duration = Duration::from_millis(200);
 
@@ -31,6 +33,7 @@
                 }
             }
             FaultKind::KillAll => self.kill_all(duration),
+            FaultKind::PowerLoss { zone } => self.lose_power(*zone, duration),
             FaultKind::NodeFreeze { node: chosen } => {
                 if let Some(node) = chosen.or_else(|| self.granter()) {
                     self.freeze(node, duration);
@@ -199,6 +202,22 @@
         }
     }
 
+    /// All nodes and the upstreams of a zone lose power.
+    fn lose_power(&mut self, zone: usize, duration: Duration) {
+        let kept_until = self.store_state.keeps_until(self.now);
+        self.checkers.forget_poison(kept_until);
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].core.is_some() {
+                self.nodes[node].boot += 1;
+                self.kill_node(node);
+                self.schedule(duration, Event::NodeStart { node });
+            }
+        }
+        for index in (0..self.upstreams.len()).filter(|index| index % ZONES == zone) {
+            self.crash(index, true, duration);
+        }
+    }
+
     pub(super) fn fault_ends(&mut self, kind: &FaultKind, node: Option<usize>) {
         self.event_log
             .add(self.now, || LoggedEvent::FaultEnded(kind.clone()));
@@ -278,6 +297,7 @@
             FaultKind::NodeKill { .. }
             | FaultKind::NodePowerLoss { .. }
             | FaultKind::KillAll
+            | FaultKind::PowerLoss { .. }
             | FaultKind::NodeFreeze { .. }
             | FaultKind::NodeSuspend { .. }
             | FaultKind::UpstreamCrash { .. }
--- a/crates/routersim/src/world/nodes.rs
+++ b/crates/routersim/src/world/nodes.rs
@@ -1,7 +1,7 @@
 //! Simulated nodes: their cores and the handling of their outputs.
 
 use super::network::{DeferredInput, Event, Question, Run};
-use super::processors::{Pending, Processor};
+use super::processors::{Examined, Pending, Processor};
 use super::{CONNECTED_AFTER, HEARTBEAT, TICK, World};
 use crate::check::Sender;
 use crate::check::{
@@ -292,9 +292,9 @@
             return;
         };
         let behind = clock_behind(asleep, self.config.disabled_guard);
-        let examined = core.inspect().2.decision_work().examined;
+        let before = Examined::by(core);
         let outputs = core.handle(now - behind, input);
-        let examined = core.inspect().2.decision_work().examined - examined;
+        let examined = Examined::by(core).since(before);
         self.processed(node, run, examined);
         for output in outputs {
             self.output(node, run, output);
--- a/crates/routersim/src/world/processors.rs
+++ b/crates/routersim/src/world/processors.rs
@@ -5,7 +5,7 @@
 
 use super::World;
 use super::network::{Event, Run};
-use beamtray_router::core::Input;
+use beamtray_router::core::{Input, NodeCore};
 use beamtray_types::Time;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -23,6 +23,8 @@
     pub input: Duration,
     /// Further time for each upstream, or node on the way to it, that a decision examines.
     pub examined: Duration,
+    /// Further time for each slice that a granter checks for due orders.
+    pub checked: Duration,
 }
 
 impl ProcessorCosts {
@@ -30,7 +32,41 @@
     pub const TENTH_OF_A_CORE: Self = Self {
         input: Duration::from_micros(500),
         examined: Duration::from_micros(3),
+        checked: Duration::ZERO,
     };
+    /// The same with the checks of a granter for due orders.
+    pub const TENTH_WITH_CHECKS: Self = Self {
+        checked: Duration::from_micros(10),
+        ..Self::TENTH_OF_A_CORE
+    };
+}
+
+/// What an input had a node examine.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Examined {
+    /// Upstreams, or nodes on the way to them, for decisions on requests.
+    pub upstreams: u64,
+    /// Slices, for orders that are due.
+    pub slices: u64,
+}
+
+impl Examined {
+    /// All that a core has examined so far.
+    pub fn by(core: &NodeCore) -> Self {
+        let (_, control, dispatcher) = core.inspect();
+        Self {
+            upstreams: dispatcher.decision_work().examined,
+            slices: control.order_check_work().slices,
+        }
+    }
+
+    /// What was examined since.
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            upstreams: self.upstreams - before.upstreams,
+            slices: self.slices - before.slices,
+        }
+    }
 }
 
 /// What waits until the processor of a node is free.
@@ -70,15 +106,16 @@
 }
 
 impl World {
-    /// Counts the time for an input that examined so many upstreams, and schedules what the core
-    /// does next.
-    pub(super) fn processed(&mut self, node: usize, run: Run, examined: u64) {
+    /// Counts the time for an input, and schedules what the core does next.
+    pub(super) fn processed(&mut self, node: usize, run: Run, examined: Examined) {
         let Some(costs) = self.config.processor else {
             return;
         };
         let now = self.now;
         let slot = &mut self.nodes[node];
-        let took = costs.input + costs.examined * examined as u32;
+        let took = costs.input
+            + costs.examined * examined.upstreams as u32
+            + costs.checked * examined.slices as u32;
         slot.processor.spent += took;
         slot.processor.busy_until = now + took;
         let due = slot.core.as_ref().and_then(|core| core.next_due());
