--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -5,7 +5,6 @@
 use beamtray_types::Time;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
-use std::time::Duration;
 
 /// Requests sent in one second, by their end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -81,18 +80,19 @@
 }
 
 impl Timeline {
-    /// Seconds from `from` until nine tenths of the requests of a second are served, for good
-    /// or at least for the seconds counted.
-    pub fn seconds_until_served(&self, from: Duration) -> Option<u64> {
+    /// Seconds until nine tenths of the requests sent in a second are served, for as long as
+    /// requests are sent. The last second, which is not whole, does not count.
+    pub fn seconds_until_served(&self) -> Option<u64> {
         let mut since = None;
-        for (second, count) in self.0.range(from.as_secs()..) {
+        let whole = self.0.len().saturating_sub(1);
+        for (second, count) in self.0.iter().take(whole) {
             if count.served * 10 < count.sent * 9 {
                 since = None;
             } else {
                 since = since.or(Some(*second));
             }
         }
-        since.map(|second| second - from.as_secs())
+        since
     }
 }
 
@@ -109,6 +109,9 @@
             }
             writeln!(formatter)?;
         }
-        Ok(())
+        match self.seconds_until_served() {
+            Some(seconds) => writeln!(formatter, "  nine tenths served from second {seconds} on"),
+            None => writeln!(formatter, "  nine tenths never served for good"),
+        }
     }
 }
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -374,6 +374,32 @@
     assert_eq!(story.violations(), [Promise::Recover]);
 }
 
+// A service that alone is not served hides behind others that are served well.
+#[test]
+fn a_service_that_alone_is_not_served_is_recover() {
+    const REQUESTS: u64 = 60;
+    let story = |read_status| {
+        let mut story = served();
+        story.history.recovered = at(40_000);
+        for number in 0..REQUESTS {
+            let (order, read) = (format!("order-{number}"), format!("read-{number}"));
+            let asked = 50_000 + number;
+            story = story
+                .asked(asked, &order, "/order/20")
+                .begun(asked + 5, "pool-1", &order, "/order/20")
+                .finished(asked + 25, "pool-1", &order)
+                .answered(asked + 30, &order, 200)
+                .asked(asked, &read, "/read/7/20")
+                .begun(asked + 5, "keyed-1", &read, "/read/7/20")
+                .finished(asked + 25, "keyed-1", &read)
+                .answered(asked + 30, &read, read_status);
+        }
+        story.violations()
+    };
+    assert!(story(200).is_empty());
+    assert_eq!(story(502), [Promise::Recover]);
+}
+
 #[test]
 fn a_request_for_another_tenant_or_with_its_key_is_tenant() {
     let story = |tenant, has_key| {
