--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -10,8 +10,7 @@
     InFlight, IncludedReport, LoadReport, LoadSum, NodeHash, UpstreamHash, divide,
 };
 use beamtray_types::Time;
-use std::collections::{HashMap, VecDeque};
-use std::hash::Hash;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 /// Reports and sums that have not been renewed for this long are dropped.
@@ -42,7 +41,7 @@
 }
 
 /// Sender of a sum.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SumSource {
     /// A relay of another zone, identified by the zone's number.
     Zone(u32),
@@ -59,10 +58,10 @@
 /// Requests in flight at each upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Occupancy {
-    own: HashMap<UpstreamHash, u16>,
+    own: BTreeMap<UpstreamHash, u16>,
     own_reports: VecDeque<OwnReport>,
-    peers: HashMap<NodeHash, Peer>,
-    sums: HashMap<(SumSource, u8), SumPart>,
+    peers: BTreeMap<NodeHash, Peer>,
+    sums: BTreeMap<(SumSource, u8), SumPart>,
     /// Sum over all other nodes.
     others: HashMap<UpstreamHash, u32>,
     expire_at: Time,
@@ -212,7 +211,9 @@
             sequence: peer.sequence,
         });
         let contains: Vec<IncludedReport> = peers.filter(|_| all_zones).collect();
-        divide(sequence, counts.into_iter().collect(), &contains)
+        let mut counts: Vec<(UpstreamHash, u32)> = counts.into_iter().collect();
+        counts.sort_unstable();
+        divide(sequence, counts, &contains)
     }
 
     /// Drops expired reports and sums.
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -23,7 +23,7 @@
 use issuer::Issuer;
 pub use issuer::{TrialOutcome, TrialReply, TrialReport, TrialRequest};
 pub(crate) use status::RequestStatus;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 pub use suspect::{AttemptHash, Suspicion, UPSTREAMS_BEFORE_QUARANTINE};
 use suspect::{MergeOutcome, Suspect};
@@ -127,7 +127,7 @@
 /// What one node knows of requests that terminate upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    suspects: HashMap<Fingerprint, Suspect>,
+    suspects: BTreeMap<Fingerprint, Suspect>,
     /// The oldest first.
     unconfirmed: Vec<UnconfirmedTermination>,
     trials: LocalTrials,
--- a/crates/dispatch/src/rate_limit/known.rs
+++ b/crates/dispatch/src/rate_limit/known.rs
@@ -11,7 +11,7 @@
 use beamtray_catalog::{AdvertisedRate, RequestRate};
 use beamtray_types::Time;
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Interval at which a limit that responses keep advertising is sent to other nodes again, up
@@ -82,8 +82,8 @@
 /// The rate limits that upstreams advertise.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct KnownLimits {
-    known: HashMap<UpstreamHash, Known>,
-    unsent: HashSet<UpstreamHash>,
+    known: BTreeMap<UpstreamHash, Known>,
+    unsent: BTreeSet<UpstreamHash>,
     nodes: usize,
     events: Vec<RateLimitEvent>,
 }
@@ -210,7 +210,7 @@
 
     /// Takes the updates that have not been sent to other nodes.
     pub fn take_unsent_updates(&mut self, now: Time) -> Vec<RateLimitUpdate> {
-        let unsent: Vec<UpstreamHash> = self.unsent.drain().collect();
+        let unsent = std::mem::take(&mut self.unsent);
         for upstream in &unsent {
             if let Some(known) = self.known.get_mut(upstream) {
                 known.last_shared = Some(now);
--- a/crates/dispatch/src/reachability.rs
+++ b/crates/dispatch/src/reachability.rs
@@ -11,7 +11,7 @@
 use crate::report::UpstreamHash;
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -88,7 +88,7 @@
 /// The paths from this node to upstreams that failed.
 #[derive(Clone, Debug, Default)]
 pub struct Reachability {
-    failed: HashMap<UpstreamHash, FailedPath>,
+    failed: BTreeMap<UpstreamHash, FailedPath>,
     /// Start of the last attempt that opened a connection to any upstream.
     connected_at: Option<Time>,
     /// Start of the last attempt that failed to.
--- a/crates/dispatch/src/requested_backoffs.rs
+++ b/crates/dispatch/src/requested_backoffs.rs
@@ -7,13 +7,13 @@
 
 use crate::report::UpstreamHash;
 use beamtray_types::Time;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Requested backoffs that have not ended.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RequestedBackoffs {
-    until: HashMap<UpstreamHash, Time>,
+    until: BTreeMap<UpstreamHash, Time>,
 }
 
 impl RequestedBackoffs {
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -7,7 +7,7 @@
 use crate::report::UpstreamHash;
 use beamtray_types::ServiceName;
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// Number of samples at speed 1 assumed for an unknown upstream.
 const PRIOR_SAMPLES: f64 = 3.0;
@@ -66,10 +66,10 @@
 /// Learned speeds.
 #[derive(Clone, Debug, Default)]
 pub struct SpeedTable {
-    routes: HashMap<String, f64>,
-    upstreams: HashMap<UpstreamHash, Samples>,
-    unreported: HashMap<UpstreamHash, UnreportedSamples>,
-    services: HashMap<ServiceName, f64>,
+    routes: BTreeMap<String, f64>,
+    upstreams: BTreeMap<UpstreamHash, Samples>,
+    unreported: BTreeMap<UpstreamHash, UnreportedSamples>,
+    services: BTreeMap<ServiceName, f64>,
 }
 
 impl SpeedTable {
@@ -197,7 +197,7 @@
 
     /// Takes the samples of this node since the last call.
     pub(crate) fn take_unreported(&mut self) -> Vec<(UpstreamHash, UnreportedSamples)> {
-        self.unreported.drain().collect()
+        std::mem::take(&mut self.unreported).into_iter().collect()
     }
 
     /// Drops upstreams that are deregistered.
--- a/crates/router/src/core/membership.rs
+++ b/crates/router/src/core/membership.rs
@@ -42,7 +42,7 @@
     same_zone: Vec<SocketAddr>,
     same_zone_and_relays: Vec<SocketAddr>,
     /// The process run of each other registered node.
-    runs: HashMap<SocketAddr, u64>,
+    runs: BTreeMap<SocketAddr, u64>,
     /// When each node was last heard.
     heard: HashMap<SocketAddr, Time>,
     /// Nodes that are heard but not registered: a node that loses the store loses its registration,
@@ -77,7 +77,7 @@
             all: Vec::new(),
             same_zone: Vec::new(),
             same_zone_and_relays: Vec::new(),
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             heard: HashMap::new(),
             unregistered: BTreeSet::new(),
             zones: HashMap::new(),
--- a/crates/router/src/core/node/load.rs
+++ b/crates/router/src/core/node/load.rs
@@ -11,7 +11,7 @@
 use crate::core::message::{Datagram, Output};
 use beamtray_dispatch::{AnswerStats, LoadReport, LoadSum, SumSource, UpstreamHash};
 use beamtray_types::Time;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -56,7 +56,7 @@
     pub(super) zone_at: Time,
     pub(super) reported_zone_idle: bool,
     pub(super) answers_at: Time,
-    pub(super) pending_answers: HashMap<UpstreamHash, PendingAnswers>,
+    pub(super) pending_answers: BTreeMap<UpstreamHash, PendingAnswers>,
     /// When nodes of other zones last reported the load of their zones.
     pub(super) zone_reporters: HashMap<SocketAddr, Time>,
     /// When relays of this zone last sent a sum.
@@ -271,7 +271,7 @@
     /// Sends the pending response statistics and clears them.
     pub(super) fn send_answers(&mut self, now: Time, audience: &[SocketAddr]) {
         self.reports.answers_at = now + self.config.timing.answers_interval;
-        let pending_answers = self.reports.pending_answers.drain();
+        let pending_answers = std::mem::take(&mut self.reports.pending_answers).into_iter();
         let answers: Vec<AnswerStats> = pending_answers
             .map(|(upstream, pending_answers)| AnswerStats {
                 upstream,
