A granter seldom releases upstreams where nobody is

Cause: a new process doesn't know the address of an upstream that is no longer registered, or nothing listens there; such an order failed within a millisecond, and was given again every 0.2 s for 60 s, beside the bound that assumes 0.35 s for each. Now the reply says that nobody was there (Refused, NoAddress), and the time until the next one is a quarter of the time since the keys were lost, as long as the upstream is unregistered; a registration makes it due at once. No earlier order gets in by that: a machine that refuses connections resets older ones, too, and without an address nothing was sent before either. Releases to upstreams that are silent are as frequent as before.

--- a/crates/grantsearch/src/world/orders.rs
+++ b/crates/grantsearch/src/world/orders.rs
@@ -58,7 +58,7 @@
             process.connected[index] = false;
             process
                 .granter
-                .handle_reply(self.now, order.call, GrantReply::Undelivered);
+                .handle_reply(self.now, order.call, GrantReply::Refused);
             return false;
         }
         let is_grant = matches!(order.kind, OrderKind::Grant { .. });
--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -92,7 +92,7 @@
     tokio::task::spawn_local(async move {
         let reply = match task.address {
             Some(address) => deliver_order(&shared, address, &task).await,
-            None => GrantReply::Undelivered,
+            None => GrantReply::NoAddress,
         };
         let took = shared.now().since(decided_at);
         shared.observer.order_ended(&task, &reply, took);
@@ -116,7 +116,9 @@
     if let Some(key) = task.probe_key.filter(|_| is_grant) {
         let question = task.order.liveness_probe(key);
         match exchange_order(shared, address, &question, GRANT_TIMEOUT, task.until).await {
-            GrantReply::Replaced => return GrantReply::Replaced,
+            reply @ (GrantReply::Replaced | GrantReply::Refused | GrantReply::NoAddress) => {
+                return reply;
+            }
             // Only the question was written, not the grant.
             GrantReply::Undelivered
             | GrantReply::Unanswered
@@ -172,6 +174,7 @@
             pool.close_idle(address);
             GrantReply::InDoubt
         }
+        Ok(Err(CallFailure::ConnectionRefused)) => GrantReply::Refused,
         Ok(Err(_)) | Err(_) => GrantReply::Undelivered,
     }
 }
--- a/crates/router/src/shell/observer/names.rs
+++ b/crates/router/src/shell/observer/names.rs
@@ -46,6 +46,8 @@
         GrantReply::Replaced => "replaced",
         GrantReply::Rejected => "rejected",
         GrantReply::Undelivered => "undelivered",
+        GrantReply::Refused => "refused",
+        GrantReply::NoAddress => "no_address",
         GrantReply::Unanswered => "unanswered",
         GrantReply::InDoubt => "in_doubt",
         GrantReply::BrokenOff => "broken_off",
--- a/crates/routersim/src/world/orders.rs
+++ b/crates/routersim/src/world/orders.rs
@@ -35,20 +35,20 @@
             epoch,
         };
         let Some(index) = index else {
-            return self.order_answered(Duration::ZERO, pending, GrantReply::Undelivered);
+            return self.order_answered(Duration::ZERO, pending, GrantReply::NoAddress);
         };
         let is_up = self.upstreams[index].is_some();
         if !is_up && !self.upstream_state[index].dark {
             // No process listens there: the kernel resets existing connections and refuses new
             // ones.
             self.forget_connections(node, run, index);
-            return self.order_answered(REFUSAL_DELAY, pending, GrantReply::Undelivered);
+            return self.order_answered(REFUSAL_DELAY, pending, GrantReply::Refused);
         }
         if is_up && self.is_order_refused(node, run, index) {
             self.forget_connections(node, run, index);
             let holder = pending.order.holder.clone();
             self.connection_failed(node, run, index, &holder, REFUSAL_DELAY);
-            return self.order_answered(REFUSAL_DELAY, pending, GrantReply::Undelivered);
+            return self.order_answered(REFUSAL_DELAY, pending, GrantReply::Refused);
         }
         if !is_up || !self.reaches(node, index) {
             return self.order_lost(index, timeout, pending);
--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -388,6 +388,7 @@
         if next.keys().any(|id| !self.candidates.contains_key(id)) {
             self.first_appeared.get_or_insert(now);
             self.last_appeared = now;
+            self.release_returned(now, &next);
         }
         self.knows_candidates = true;
         self.lost_holders
@@ -403,6 +404,18 @@
         }
     }
 
+    /// Makes the releases due of keys whose holders are among the next candidates again.
+    fn release_returned(&mut self, now: Time, next: &BTreeMap<UpstreamId, Candidate>) {
+        for slice in self.slices.values_mut() {
+            if let Phase::Leaving { holder, .. } = &slice.phase
+                && next.contains_key(holder)
+                && !self.candidates.contains_key(holder)
+            {
+                slice.due_at = now;
+            }
+        }
+    }
+
     /// Drops contacts of upstreams that are deregistered and hold nothing.
     fn prune_contacts(&mut self) {
         let holders: BTreeSet<&UpstreamId> = self
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -1,6 +1,7 @@
 //! Handling of replies to orders.
 
 use super::{Call, CandidateState, EXCLUSION_PERIOD, Granter};
+use crate::lost_holders::delay_while_nobody_there;
 use crate::order::{CallId, GrantReply, Handover};
 use crate::range::ShardKey;
 use crate::record::FencingToken;
@@ -65,6 +66,8 @@
             | GrantReply::Replaced
             | GrantReply::Rejected
             | GrantReply::Undelivered
+            | GrantReply::Refused
+            | GrantReply::NoAddress
             | GrantReply::Unanswered => {}
         }
     }
@@ -95,6 +98,8 @@
             | GrantReply::InDoubt
             | GrantReply::BrokenOff
             | GrantReply::Undelivered
+            | GrantReply::Refused
+            | GrantReply::NoAddress
             | GrantReply::Rejected
             | GrantReply::Replaced
             | GrantReply::Released(_) => {
@@ -151,6 +156,8 @@
             GrantReply::Outdated if moved_unseen => self.withhold_slice(now, first),
             GrantReply::Outdated => self.renew_token(now, first),
             GrantReply::Undelivered
+            | GrantReply::Refused
+            | GrantReply::NoAddress
             | GrantReply::Rejected
             | GrantReply::Replaced
             | GrantReply::Released(_) => {
@@ -202,10 +209,15 @@
             GrantReply::Granted
             | GrantReply::Rejected
             | GrantReply::Undelivered
+            | GrantReply::Refused
+            | GrantReply::NoAddress
             | GrantReply::BrokenOff
             | GrantReply::InDoubt
             | GrantReply::Unanswered => {
-                slice.due_at = now + RETRY_DELAY;
+                let is_gone = reply.is_nobody_there() && !self.candidates.contains_key(&holder);
+                let lost = slice.unowned.filter(|_| is_gone);
+                let delay = lost.map(|unowned| delay_while_nobody_there(now.since(unowned.since)));
+                slice.due_at = now + delay.unwrap_or(RETRY_DELAY);
                 // The holder is still unresponsive, so the exclusion starts over.
                 if let Some(until) = self.excluded_until.get_mut(&holder) {
                     *until = now + EXCLUSION_PERIOD;
--- a/crates/sharding/src/lost_holders.rs
+++ b/crates/sharding/src/lost_holders.rs
@@ -45,6 +45,9 @@
 /// Interval between checks of whether a release to an upstream is due; each check scans the
 /// slices.
 const CHECK_INTERVAL: Duration = Duration::from_millis(30);
+/// Part of the time since keys were lost that passes between releases to an unregistered upstream
+/// that reach nobody.
+const NOBODY_THERE_PART: u32 = 4;
 /// How long an unregistered upstream is sent releases. Data written before it vanished
 /// arrives by the retransmission after 51 s at the latest; senders reset their connections
 /// long before that.
@@ -70,6 +73,19 @@
     Forgotten(UpstreamId),
 }
 
+/// Time until an unregistered upstream is sent another release after one that reached nobody,
+/// since its machine refused the connection or its address is not known; `lost_for` is the time
+/// since it lost the keys.
+///
+/// A machine that refuses connections also resets those that earlier orders were written to,
+/// and a registration makes the next release due at once, so none of these delays lets an
+/// earlier order in. Failure that this prevents: after a power loss of all nodes with a third of the
+/// upstreams, a granter gave more than half of its orders to upstreams that were gone, and
+/// wrote its record half as often.
+pub(crate) fn delay_while_nobody_there(lost_for: Duration) -> Duration {
+    RELEASE_INTERVAL.max(lost_for / NOBODY_THERE_PART)
+}
+
 /// A release that is due.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct DueRelease {
@@ -295,7 +311,11 @@
         let Some(sent) = holder.pending.remove(&call) else {
             return;
         };
-        holder.check_at = now;
+        let is_gone = reply.is_nobody_there() && holder.missing_since.is_some();
+        holder.check_at = match is_gone {
+            true => now + delay_while_nobody_there(now.since(holder.since)),
+            false => now,
+        };
         if matches!(reply, GrantReply::Released(_)) && sent.token == holder.token {
             holder.ranges.retain(|range| !sent.range.covers(*range));
         }
--- a/crates/sharding/src/order.rs
+++ b/crates/sharding/src/order.rs
@@ -79,6 +79,10 @@
     Rejected,
     /// No connection was established, so the order was not sent.
     Undelivered,
+    /// As `Undelivered`: the machine was reached, and nothing listened at the address.
+    Refused,
+    /// As `Undelivered`: this node has never known the address of the upstream.
+    NoAddress,
     /// No reply, and the order was never acknowledged at the connection level. It may have
     /// been received; what remains of it ends with the connection.
     Unanswered,
@@ -88,3 +92,10 @@
     /// As `InDoubt`, and the connection ended: the upstream may have restarted.
     BrokenOff,
 }
+
+impl GrantReply {
+    /// Whether the order reached nobody, and one sent soon after would not either.
+    pub(crate) fn is_nobody_there(&self) -> bool {
+        matches!(self, Self::Refused | Self::NoAddress)
+    }
+}
