Fewer moves at a time where moves take long

Callers saw a tenth of the requests for the sharded service refused for keys without an owner, before a power loss and for as long after it as upstreams had little to spare (soak, 3,000 requests a second). Cause: under overload a quarter of the upstreams had keys in moves at any time; each move left them without an owner for 1.5 to 4 s where the granter has a tenth of a core, and the refused requests came again. Overload that feeds itself. Now the number of moves at a time is in inverse proportion to how long they take, from 1 s on; moves in time are as many as before.

--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -269,6 +269,7 @@
     /// Upstreams that are no longer registered, and when they last were.
     departed_at: BTreeMap<UpstreamId, Time>,
     owned_again: Vec<OwnedAgain>,
+    move_time: moves::MoveTime,
     doubt_notices: Vec<DoubtNotice>,
     /// When the remaining time of doubted keys was last recorded.
     doubt_recorded_at: Time,
@@ -321,6 +322,7 @@
             lost_holders: LostHolders::default(),
             departed_at: BTreeMap::new(),
             owned_again: Vec::new(),
+            move_time: moves::MoveTime::default(),
             doubt_notices: Vec::new(),
             doubt_recorded_at: now,
             polled_at: now,
--- a/crates/sharding/src/granter/moves.rs
+++ b/crates/sharding/src/granter/moves.rs
@@ -7,6 +7,40 @@
 use crate::range::{KeyRange, ShardKey};
 use crate::slice::{LossCause, Slice, Unowned};
 use beamtray_types::Time;
+use std::time::Duration;
+
+/// Time for which the keys of a move may be without an owner before there are fewer moves at once.
+const TIMELY_MOVE: Duration = Duration::from_millis(1_000);
+/// Weight of the latest move in the mean time of moves.
+const LATEST_WEIGHT: f64 = 0.2;
+
+/// How long moves that balance the load leave keys without an owner.
+///
+/// Invariant: where moves take longer than [`TIMELY_MOVE`], the number of moves at a time is in
+/// inverse proportion to how long they take. Failure that this prevents: of upstreams that were
+/// overloaded altogether, a quarter had keys in moves at any time; a granter with little processor
+/// time left these keys without an owner for two to four seconds, and the requests that were
+/// refused meanwhile came again.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct MoveTime {
+    mean_secs: Option<f64>,
+}
+
+impl MoveTime {
+    /// Records a move that has ended.
+    pub fn record(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        let before = self.mean_secs.unwrap_or(took);
+        self.mean_secs = Some(before + (took - before) * LATEST_WEIGHT);
+    }
+
+    /// How many of `most` moves may be under way at a time: at least one.
+    fn limit(&self, most: usize) -> usize {
+        let mean = self.mean_secs.unwrap_or_default();
+        let share = TIMELY_MOVE.as_secs_f64() / mean.max(TIMELY_MOVE.as_secs_f64());
+        ((most as f64 * share) as usize).max(most.min(1))
+    }
+}
 
 impl Granter {
     /// Moves slices from busy to idle upstreams, splitting them where needed; returns the
@@ -23,8 +57,14 @@
             .filter(|slice| slice.next_holder().is_some());
         let moving = moving.count();
         let budget = MoveBudget {
-            balancing: limits.max_moves.saturating_sub(moving),
-            overload: max_overload_moves.saturating_sub(moving),
+            balancing: self
+                .move_time
+                .limit(limits.max_moves)
+                .saturating_sub(moving),
+            overload: self
+                .move_time
+                .limit(max_overload_moves)
+                .saturating_sub(moving),
         };
         if budget.balancing.max(budget.overload) == 0 {
             return 0;
--- a/crates/sharding/src/granter/replies.rs
+++ b/crates/sharding/src/granter/replies.rs
@@ -5,7 +5,7 @@
 use crate::order::{CallId, GrantReply, Handover};
 use crate::range::ShardKey;
 use crate::record::FencingToken;
-use crate::slice::{OwnedAgain, Phase, Slice};
+use crate::slice::{LossCause, OwnedAgain, Phase, Slice};
 use beamtray_catalog::UpstreamId;
 use beamtray_types::Time;
 use std::time::Duration;
@@ -143,6 +143,10 @@
                         cause: unowned.cause,
                         after: now.since(unowned.since),
                     });
+                    let moved = owned_again.filter(|again| again.cause == LossCause::Balance);
+                    if let Some(moved) = moved {
+                        self.move_time.record(moved.after);
+                    }
                     self.owned_again.extend(owned_again);
                 }
             }
