--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -157,9 +157,9 @@
 
     /// Sets this node's part in its zone and whether it follows the store. Relays are the
     /// preferred granters, since they learn of a vacancy early, except those that the reports of
-    /// their zone leave little processor time. Failure that this
-    /// prevents: a granter that was also the first relay of 26 nodes, with a tenth of a core,
-    /// wrote its record twice a second, and keys that moved had no owner for four seconds.
+    /// their zone leave little processor time. Failure that this prevents: a granter that was also
+    /// the first relay of 26 nodes, with a tenth of a core, wrote its record twice a second, and
+    /// keys that moved had no owner for four seconds.
     ///
     /// Other nodes rely on a relay that follows the store, so it checks its path to the store more
     /// often; so does a standby that misses the granter.
--- a/crates/router/src/core/relays.rs
+++ b/crates/router/src/core/relays.rs
@@ -48,7 +48,7 @@
 pub enum RelayRole {
     /// Not a relay.
     Ordinary,
-    /// Any other relay.
+    /// A relay with processor time left for other duties.
     Relay,
     /// The first of several relays, which carries the reports of its zone and has less than
     /// [`ROOMY_CAPACITY_PER_NODE`] for each of its nodes.
@@ -123,7 +123,7 @@
         self.zones.get(zone).map_or(&[], Vec::as_slice)
     }
 
-    /// The part of a node of the given zone.
+    /// The part of the node at this address among those of its zone.
     pub fn role(&self, zone: &str, address: &SocketAddr) -> RelayRole {
         let relays = self.in_zone(zone);
         match relays.iter().position(|relay| relay == address) {
