Soak tests: ports of processes to come are below the ephemeral range

Here 2 of 250 plays of that file failed the same way, each with 'listen on 127.0.0.1:N: Address already in use' from the upstream. Cause: an address was found free by listening on port 0, released, and listened on later by a process. Meanwhile another test of the file was given the same port, for the driver's listener or for an address of its own (a port returned before was passed over, but stayed open until the call ended). Fix: addresses come from the run's claimed ports below the ephemeral range, as the soak's own do. No socket that asks for any port can get one.

--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 use beamtray_adapter::Platform;
 use beamtray_dialect::Dialect;
-use beamtray_soak::{Command, HOST, Observation, PROBE, Report};
+use beamtray_soak::{Command, HOST, Observation, PROBE, Ports, Report, Size};
 use beamtray_wire::{FrameBuffer, encode};
 use std::collections::BTreeSet;
 use std::fs::File;
@@ -13,7 +13,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command as Program, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, LazyLock, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -67,22 +67,19 @@
     }
 }
 
-/// Free addresses that were not returned before, since their users may not listen yet.
-/// Otherwise the peer port of a router could be taken by the metrics port of the next one; the
-/// router then exited and the test timed out.
+/// Free addresses that were not returned before, since their users may not listen yet. They are
+/// below the ephemeral range: a port of that range could be given to another socket before its
+/// user listened on it; the process then exited and the test timed out.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    static PORTS: LazyLock<Mutex<Ports>> =
+        LazyLock::new(|| Mutex::new(Ports::claim(Size::FULL).expect("ports")));
     static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    let ports = PORTS.lock().expect("not poisoned");
     let mut given = GIVEN.lock().expect("not poisoned");
-    // Kept open so that the system assigns distinct ports.
-    let mut listeners = Vec::new();
-    let mut addresses = Vec::new();
-    while addresses.len() < count {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        listeners.push(listener);
-        if given.insert(address) {
-            addresses.push(address);
-        }
+    let addresses = (0..count).map(|_| ports.free_address().expect("a free port"));
+    let addresses: Vec<SocketAddr> = addresses.collect();
+    for address in &addresses {
+        assert!(given.insert(*address), "{address} was returned before");
     }
     addresses
 }
--- a/crates/soak/tests/ports.rs
+++ b/crates/soak/tests/ports.rs
@@ -1,11 +1,22 @@
 //! Port allocation of concurrent runs.
 
+mod common;
+
 use beamtray_soak::{Ports, Size};
 use std::collections::BTreeSet;
+use std::net::TcpListener;
 
 /// So many that a block chosen without regard to them would overlap with some.
 const SMALL_RUNS: usize = 150;
 
+/// First port that the system gives to sockets that ask for none.
+fn first_ephemeral_port() -> u16 {
+    let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range");
+    let range = range.expect("the system tells its ephemeral ports");
+    let first = range.split_whitespace().next();
+    first.and_then(|first| first.parse().ok()).expect("a port")
+}
+
 /// Guards against two runs with the same ports, where upstreams of one answered requests of
 /// the other.
 #[test]
@@ -37,3 +48,20 @@
         }
     }
 }
+
+/// Guards against an upstream that exited because another socket had been given its port before
+/// it listened: the router then had no upstream and the test timed out.
+#[test]
+fn addresses_of_processes_to_come_are_given_to_no_other_socket() {
+    let addresses = common::free_addresses(20);
+    for address in &addresses {
+        assert!(address.port() < first_ephemeral_port(), "{address}");
+    }
+    let others: Vec<TcpListener> = (0..200)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    for address in addresses {
+        TcpListener::bind(address).expect("the address is free");
+    }
+    drop(others);
+}
