--- a/crates/node/tests/route.rs
+++ b/crates/node/tests/route.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::LazyLock;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,6 +14,10 @@
 const TIMEOUT: Duration = Duration::from_secs(60);
 /// A node that blocks on writing its log would not answer within this time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of processes that the tests of this file start.
+const PROCESSES: usize = 2;
+/// Number of addresses a process listens on or names.
+const PORTS_A_PROCESS: usize = 5;
 const DROPPED_LINES_METRIC: &str = "beamtray_log_lines_dropped ";
 
 /// A child process that is killed when dropped.
@@ -25,10 +30,26 @@
     }
 }
 
-fn free_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
-    let listeners: [TcpListener; COUNT] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    std::array::from_fn(|index| listeners[index].local_addr().expect("an address"))
+/// Addresses of one process. They are chosen for all tests of this file before the first
+/// process starts: a test that chose its own later could be given a port that the process of
+/// another had not yet listened on, which then exited.
+fn free_addresses(process: usize) -> [SocketAddr; PORTS_A_PROCESS] {
+    static ADDRESSES: LazyLock<Vec<[SocketAddr; PORTS_A_PROCESS]>> =
+        LazyLock::new(choose_addresses);
+    ADDRESSES[process]
+}
+
+fn choose_addresses() -> Vec<[SocketAddr; PORTS_A_PROCESS]> {
+    // Kept open until all are chosen, so that the system assigns distinct ports.
+    let listeners: [[TcpListener; PORTS_A_PROCESS]; PROCESSES] = std::array::from_fn(|_| {
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+    });
+    let addresses = listeners.each_ref().map(|ports| {
+        ports
+            .each_ref()
+            .map(|listener| listener.local_addr().expect("an address"))
+    });
+    addresses.to_vec()
 }
 
 fn connect(address: SocketAddr) -> TcpStream {
@@ -93,7 +114,7 @@
 
 #[test]
 fn requests_are_served_and_dropped_log_lines_counted_when_the_log_is_not_read() {
-    let [clients, readiness, peers, metrics, store] = free_addresses();
+    let [clients, readiness, peers, metrics, store] = free_addresses(0);
     let file = std::env::temp_dir().join(format!("beamtray-route-{}.toml", std::process::id()));
     let settings = settings_text([clients, readiness, peers, metrics, store], 56);
     std::fs::write(&file, settings).expect("the file can be written");
@@ -151,7 +172,7 @@
 
 #[test]
 fn settings_are_reloaded_on_file_change_and_on_sighup() {
-    let addresses = free_addresses();
+    let addresses = free_addresses(1);
     let file = std::env::temp_dir().join(format!("beamtray-reload-{}.toml", std::process::id()));
     let write = |allowance| {
         // Replaced atomically, since the process may read the file at any time.
