A granter's checks don't compare each free slice with each withheld range

Each check compared each of the one with each of the other, twice, at the node that all wait for. Fix: withheld keys are kept as a set of disjoint ranges beside the list of when each ends, so that one lookup finds whether keys are withheld.

--- a/crates/sharding/src/granter.rs
+++ b/crates/sharding/src/granter.rs
@@ -247,7 +247,7 @@
     /// it has not left.
     knows_candidates: bool,
     terminated: BTreeSet<UpstreamId>,
-    withheld: Vec<WithheldKeys>,
+    withheld: WithheldKeys,
     /// Until when grants that the adopted record does not contain may be in force.
     record_doubted_until: Time,
     term_fence: TermFence,
@@ -303,7 +303,7 @@
             candidates: BTreeMap::new(),
             knows_candidates: false,
             terminated: BTreeSet::new(),
-            withheld: Vec::new(),
+            withheld: WithheldKeys::default(),
             record_doubted_until: Time::ZERO,
             term_fence: TermFence::default(),
             grants_in_flight_until: Time::ZERO,
--- a/crates/sharding/src/granter/withheld.rs
+++ b/crates/sharding/src/granter/withheld.rs
@@ -10,6 +10,7 @@
 //! their holders still served them.
 
 use super::Granter;
+use crate::key_set::KeySet;
 use crate::range::{KeyRange, ShardKey};
 use crate::record::{FencingToken, RecordNumber};
 use crate::slice::Phase;
@@ -17,11 +18,35 @@
 
 /// Keys that are not assigned for some time.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct WithheldKeys {
+struct WithheldRange {
     range: KeyRange,
     until: Time,
 }
 
+/// All keys that are not assigned for some time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WithheldKeys {
+    ranges: Vec<WithheldRange>,
+    /// The keys of `ranges`.
+    keys: KeySet,
+}
+
+impl WithheldKeys {
+    fn insert(&mut self, range: KeyRange, until: Time) {
+        self.ranges.push(WithheldRange { range, until });
+        self.keys.insert(range);
+    }
+
+    /// Keeps only ranges until a time for which `keeps` holds.
+    fn retain(&mut self, keeps: impl Fn(Time) -> bool) {
+        let before = self.ranges.len();
+        self.ranges.retain(|withheld| keeps(withheld.until));
+        if self.ranges.len() < before {
+            self.keys = self.ranges.iter().map(|withheld| withheld.range).collect();
+        }
+    }
+}
+
 impl Granter {
     /// Withholds keys at `now` whose record cannot be read. Withholding all keys suspends the
     /// renewal of recorded holders, too: the whole record may lack grants.
@@ -33,18 +58,19 @@
             self.suspend_renewals(now);
         }
         let until = now + self.timing.longest_in_force();
-        self.withheld.push(WithheldKeys { range, until });
+        self.withheld.insert(range, until);
         self.begin_term_fence(until);
     }
 
     /// Withholds keys until then.
     pub(super) fn withhold_until(&mut self, range: KeyRange, until: Time) {
-        self.withheld.push(WithheldKeys { range, until });
+        self.withheld.insert(range, until);
     }
 
     /// The withheld keys, and until when.
     pub(super) fn withheld_keys(&self) -> impl Iterator<Item = (KeyRange, Time)> {
-        self.withheld.iter().map(|keys| (keys.range, keys.until))
+        let ranges = self.withheld.ranges.iter();
+        ranges.map(|withheld| (withheld.range, withheld.until))
     }
 
     /// Marks the adopted record at `now` as possibly older than the last grants: the store
@@ -89,7 +115,7 @@
         if let Some(holder) = holder {
             self.fence_recorded_holder(now, &holder, range);
         }
-        self.withheld.push(WithheldKeys { range, until });
+        self.withheld.insert(range, until);
         self.dirty = true;
     }
 
@@ -105,7 +131,7 @@
 
     /// Drops withheld keys that may be assigned again.
     pub(super) fn expire_withheld(&mut self, now: Time) {
-        if self.withheld.is_empty() {
+        if self.withheld.ranges.is_empty() {
             return;
         }
         // A standby that knows any record of this term does not extend grants of these keys.
@@ -118,24 +144,23 @@
         } else {
             Time::ZERO
         };
-        self.withheld.retain(|keys| now < keys.until.max(prolonged));
+        self.withheld.retain(|until| now < until.max(prolonged));
     }
 
     /// Whether any keys are withheld. Their load cannot be attributed to their recorded
     /// holders.
     pub(super) fn withholds_any(&self) -> bool {
-        !self.withheld.is_empty()
+        !self.withheld.ranges.is_empty()
     }
 
     /// Whether an upstream that no record names may hold any of these keys.
     pub(super) fn may_have_unknown_holder(&self, now: Time, range: KeyRange) -> bool {
-        let mut withheld = self.withheld.iter();
-        withheld.any(|keys| now < keys.until && keys.range.overlaps(range))
+        let mut withheld = self.withheld_keys();
+        withheld.any(|(withheld, until)| now < until && withheld.overlaps(range))
     }
 
     /// Whether any of these keys are withheld.
     pub(super) fn is_withheld(&self, range: KeyRange) -> bool {
-        let mut withheld = self.withheld.iter();
-        withheld.any(|keys| keys.range.overlaps(range))
+        self.withheld.keys.overlaps(range)
     }
 }
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod balance;
 mod granter;
+mod key_set;
 mod load;
 mod lost_holders;
 mod order;
@@ -22,6 +23,7 @@
     Candidate, CandidateState, Contact, DoubtNotice, GrantPace, Granter, GranterGuards,
     GranterTiming, RenewalNotice, UnansweredGrants,
 };
+pub use key_set::KeySet;
 pub use load::LoadMap;
 pub use lost_holders::{FenceNotice, UnfencedUpstream};
 pub use order::{CallId, GrantOrder, GrantReply, Handover, OrderKind};
--- a/crates/sharding/tests/many_upstreams.rs
+++ b/crates/sharding/tests/many_upstreams.rs
@@ -10,7 +10,10 @@
 mod common;
 
 use beamtray_metastore::Epoch;
-use beamtray_sharding::{Candidate, Granter, GranterTiming};
+use beamtray_sharding::{
+    AssignmentRecord, Candidate, DoubtedKeys, Granter, GranterTiming, KeyRange, SliceRecord,
+    SliceState,
+};
 use common::*;
 use nix::time::{ClockId, clock_gettime};
 use std::time::Duration;
@@ -20,6 +23,10 @@
 /// A granter that does not renew its lease for 1.5 s (the lease of 2 s, less the 0.5 s
 /// between renewals) loses it; the slowest supported machine has a fifth of a core.
 const MAX_PROCESSOR_TIME: Duration = Duration::from_millis(300);
+/// The time in which a granter has to renew its lease, and may use that much processor time.
+const RENEWAL_TIME_MS: u64 = 1_500;
+/// Least time between two checks for due orders.
+const CHECK_INTERVAL_MS: usize = 10;
 
 /// Interval between orders of a granter with a whole core, and with a fifth of one.
 const WHOLE_CORE: Duration = Duration::from_millis(1);
@@ -94,3 +101,46 @@
     granter.poll(at(6_000));
     assert_eq!(granter.slice_count(), 400);
 }
+
+/// A record by which nobody holds keys, and upstreams that are lost may still execute a grant of
+/// any of them.
+fn record_in_doubt() -> AssignmentRecord {
+    let ranges = KeyRange::ALL.divide(UPSTREAMS as u32);
+    let doubted = ranges.iter().map(|range| DoubtedKeys {
+        range: *range,
+        left_ms: 15_000,
+    });
+    let slices = ranges.iter().map(|range| SliceRecord {
+        range: *range,
+        state: SliceState::Free,
+    });
+    AssignmentRecord {
+        epoch: Epoch(1),
+        sequence: 1,
+        standbys: Vec::new(),
+        unfenced: Vec::new(),
+        doubted: doubted.collect(),
+        slices: slices.collect(),
+    }
+}
+
+/// Guards against checks that compare each slice without a holder with each range of keys that
+/// may not be assigned yet. After the loss of all processes both are many for 15 s.
+#[test]
+fn keys_in_doubt_after_a_loss_of_all_do_not_cost_the_granter_its_lease() {
+    let timing = GranterTiming {
+        min_order_interval: WHOLE_CORE,
+        max_renewal: Duration::from_secs(2),
+        ..timing()
+    };
+    let mut granter = Granter::new(at(0), timing, Epoch(2), Some(&record_in_doubt()));
+    let names = (0..UPSTREAMS).map(|number| format!("i-{number:08x}"));
+    let candidates: Vec<Candidate> = names.map(|name| ready(&name, None)).collect();
+    granter.set_candidates(at(0), candidates);
+    let before = processor_time();
+    for millis in (0..RENEWAL_TIME_MS).step_by(CHECK_INTERVAL_MS) {
+        assert!(granter.poll(at(millis)).is_empty(), "keys were assigned");
+    }
+    let took = processor_time() - before;
+    assert!(took < MAX_PROCESSOR_TIME, "{took:?}");
+}
