--- a/crates/sharding/src/key_set.rs
+++ b/crates/sharding/src/key_set.rs
@@ -7,7 +7,7 @@
 ///
 /// Invariant: the ranges have no key in common, so that one lookup finds whether keys are in the
 /// set, whatever the number of ranges. Failure that this prevents: a granter that compared each
-/// slice with each withheld range used up its processor time, and lost its lease.
+/// slice with each withheld range needed more processor time than renewals of its lease leave.
 #[derive(Clone, Debug, Default)]
 pub struct KeySet {
     /// The last key of each range, by its first one.
