Each sending of a request can be told from its last line

For an answer that says that a request did not run, the lines named the outcome of each attempt, but not the connection, whether it was new, and whether the request was written; a request whose task ended without an answer of the core, or that was not read to its end, had no line at all. No logic changes.

--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -4,6 +4,7 @@
 use crate::shell::answer::strip_connection_headers;
 use crate::shell::connections::{Answer, CallFailure, CallProgress, Endpoint};
 use crate::shell::handle::{RequestAction, ResponseBody, Shared};
+use crate::shell::sendings::Sendings;
 use crate::shell::tenant_headers::apply_sender;
 use beamtray_catalog::{AdvertisedRate, LeavingStatus, RetryAfter};
 use beamtray_dispatch::{AttemptOutcome, Fingerprints, Forward, NotExecuted, Ticket, UnknownCause};
@@ -27,6 +28,7 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub sendings: Sendings,
 }
 
 /// Result of an attempt.
@@ -90,7 +92,7 @@
     shared.report_connection(&forward.upstream, forward.address, sent_at, &progress);
     shared
         .observer
-        .attempt_ended(&request, &forward, result.outcome, took);
+        .attempt_ended(&request, &forward, &progress, result.outcome, took);
     if result.replaced {
         shared.input(Input::Replaced {
             upstream: forward.upstream.clone(),
--- a/crates/router/src/shell/clients.rs
+++ b/crates/router/src/shell/clients.rs
@@ -8,6 +8,7 @@
 use crate::shell::attempt::{ClientRequest, attempt};
 use crate::shell::connections::configure_socket;
 use crate::shell::handle::{RequestAction, ResponseBody, Shared};
+use crate::shell::sendings::Sendings;
 use beamtray_catalog::{ApiKey, Credential};
 use beamtray_dispatch::{Fingerprints, RequestContent, RequestHead, Ticket};
 use beamtray_sharding::ShardKey;
@@ -77,9 +78,13 @@
     request: Request<Incoming>,
     caller: IpAddr,
 ) -> Result<Response<ResponseBody>, Infallible> {
+    let id = request_id(&shared, request.headers());
     let mut response = match read_request(&shared, request, caller).await {
         Ok(request) => process_request(&shared, request).await,
-        Err(status) => empty_response(status),
+        Err(status) => {
+            shared.observer.request_rejected(&id, status.as_u16());
+            empty_response(status)
+        }
     };
     if shared.stopping.get() || shared.isolated.get() {
         let headers = response.headers_mut();
@@ -88,6 +93,13 @@
     Ok(response)
 }
 
+/// The id that the client gave a request; empty if it gave none.
+fn request_id(shared: &Shared, headers: &HeaderMap) -> String {
+    let id = headers.get(shared.dialect.headers().request_id);
+    let id = id.and_then(|id| id.to_str().ok());
+    id.map(str::trim).unwrap_or_default().to_owned()
+}
+
 /// Reads a request with its body.
 async fn read_request(
     shared: &Shared,
@@ -125,6 +137,7 @@
         uri: path.parse().map_err(|_| StatusCode::BAD_REQUEST)?,
         headers,
         body,
+        sendings: Sendings::default(),
     };
     Ok((head, request))
 }
@@ -149,7 +162,7 @@
         .filter(|millis| *millis >= 0.0)
         .map(|millis| Duration::from_secs_f64(millis.min(1e9) / 1_000.0));
     Ok(RequestHead {
-        id: text(names.request_id).unwrap_or_default().to_owned(),
+        id: request_id(shared, headers),
         host: host.unwrap_or_default().to_owned(),
         path: uri.path().to_owned(),
         client_timeout,
@@ -245,10 +258,7 @@
                 denial_response(admission)
             }
             RequestAction::Conclude(ending) => {
-                let fingerprints = request.fingerprints;
-                shared
-                    .observer
-                    .request_concluded(&request.id, fingerprints, &ending);
+                shared.observer.request_concluded(&request, &ending);
                 conclusion_response(ending.conclusion)
             }
             RequestAction::Respond(response) => *response,
@@ -257,5 +267,8 @@
         return response;
     }
     guard.finished = true;
-    refusal_response(INTERNAL_RETRY_AFTER)
+    let response = refusal_response(INTERNAL_RETRY_AFTER);
+    let status = response.status().as_u16();
+    shared.observer.request_abandoned(&request, status);
+    response
 }
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -17,7 +17,7 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-pub(crate) use progress::{CallFailure, CallProgress};
+pub(crate) use progress::{CallFailure, CallProgress, ConnectionNumber};
 use socket::set_ack_timeout;
 pub(crate) use socket::{configure_socket, reset_on_close};
 use std::cell::{Cell, RefCell};
@@ -82,6 +82,7 @@
 }
 
 struct PooledConnection {
+    number: ConnectionNumber,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     head_limit: HeadLimit,
@@ -104,6 +105,7 @@
     /// How long written bytes may stay unacknowledged, if not [`configure_socket`]'s default.
     ack_timeout: Option<Duration>,
     body_memory: BodyMemory,
+    opened: Cell<u64>,
 }
 
 impl ConnectionPool {
@@ -115,6 +117,7 @@
             is_granter: Cell::default(),
             ack_timeout: None,
             body_memory,
+            opened: Cell::default(),
         }
     }
 
@@ -152,8 +155,9 @@
         loop {
             let (mut connection, reused) = match self.take_idle(endpoint, progress.max_idle_time) {
                 Some(connection) => (connection, true),
-                None => (connect(endpoint, self.ack_timeout, progress).await?, false),
+                None => (self.connect(endpoint, progress).await?, false),
             };
+            progress.connection.set(Some(connection.number));
             if progress.is_past_write_deadline() {
                 return Err(CallFailure::NotSent);
             }
@@ -185,6 +189,16 @@
         }
     }
 
+    async fn connect(
+        &self,
+        endpoint: Endpoint,
+        progress: &CallProgress,
+    ) -> Result<PooledConnection, CallFailure> {
+        let number = ConnectionNumber(self.opened.get());
+        self.opened.set(number.0 + 1);
+        connect(endpoint, number, self.ack_timeout, progress).await
+    }
+
     fn take_idle(&self, endpoint: Endpoint, max_idle_time: Duration) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint)?;
@@ -313,6 +327,7 @@
 
 async fn connect(
     endpoint: Endpoint,
+    number: ConnectionNumber,
     ack_timeout: Option<Duration>,
     progress: &CallProgress,
 ) -> Result<PooledConnection, CallFailure> {
@@ -339,6 +354,7 @@
         return Err(CallFailure::ConnectFailed);
     }
     Ok(PooledConnection {
+        number,
         sender,
         driver: driver.abort_handle(),
         head_limit,
--- a/crates/router/src/shell/connections/progress.rs
+++ b/crates/router/src/shell/connections/progress.rs
@@ -47,6 +47,10 @@
     end: Time,
 }
 
+/// Number of a connection, unique within its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionNumber(pub u64);
+
 /// Constraints and progress of a call.
 #[derive(Debug)]
 pub(crate) struct CallProgress {
@@ -58,6 +62,8 @@
     pub(super) written: Cell<bool>,
     /// Whether it was written to a reused connection.
     pub(super) reused: Cell<bool>,
+    /// The connection that the call was given last, if any.
+    pub(super) connection: Cell<Option<ConnectionNumber>>,
     /// Whether the last new connection that was tried was opened; `None` if none was tried, or if
     /// it failed for a local reason.
     pub(super) opened: Cell<Option<bool>>,
@@ -71,6 +77,7 @@
             write_deadline: None,
             written: Cell::new(false),
             reused: Cell::new(false),
+            connection: Cell::new(None),
             opened: Cell::new(None),
         }
     }
@@ -83,6 +90,7 @@
             write_deadline: None,
             written: Cell::new(false),
             reused: Cell::new(false),
+            connection: Cell::new(None),
             opened: Cell::new(None),
         }
     }
@@ -106,6 +114,11 @@
         self.reused.get()
     }
 
+    /// The connection that the request was sent on, or would have been.
+    pub fn connection(&self) -> Option<ConnectionNumber> {
+        self.connection.get()
+    }
+
     /// Whether a new connection was opened, if one was tried.
     pub fn connection_opened(&self) -> Option<bool> {
         self.opened.get()
--- a/crates/router/src/shell/metrics/labels.rs
+++ b/crates/router/src/shell/metrics/labels.rs
@@ -44,6 +44,8 @@
 pub(crate) struct AttemptLabels {
     pub service: String,
     pub outcome: String,
+    /// "new", "reused" or "none".
+    pub connection: &'static str,
 }
 
 /// A route.
--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -17,6 +17,7 @@
 mod process;
 mod readiness;
 mod reload;
+mod sendings;
 mod single_endpoint;
 mod startup;
 mod tenant_headers;
--- a/crates/router/src/shell/observer.rs
+++ b/crates/router/src/shell/observer.rs
@@ -10,11 +10,13 @@
 
 use crate::core::{OrderTask, StandbyState, StoreTask, ViewNotice};
 use crate::shell::attempt::ClientRequest;
+use crate::shell::connections::CallProgress;
 use crate::shell::log_rate::{LineKind, LogRateLimiter};
 use crate::shell::metrics::{
     AttemptLabels, Metrics, OrderLabels, OrderName, RefusalLabels, RequestLabels, RouteLabel,
     StoreLabels,
 };
+use crate::shell::sendings::Sending;
 use beamtray_catalog::{Credential, DirectoryChange, TenantName, UpstreamId};
 use beamtray_dispatch::{
     AdmissionError, AssignmentNumber, AttemptOutcome, ConcludedRequest, Conclusion, Fingerprints,
@@ -89,6 +91,19 @@
     }
 }
 
+/// Log fields of the connection that a request was sent on.
+struct SendingFields(Sending);
+
+impl slog::KV for SendingFields {
+    fn serialize(&self, _: &Record, serializer: &mut dyn slog::Serializer) -> slog::Result {
+        serializer.emit_str("connection", self.0.connection_kind())?;
+        if let Some(connection) = self.0.connection {
+            serializer.emit_u64("number", connection.0)?;
+        }
+        serializer.emit_bool("written", self.0.written)
+    }
+}
+
 /// Log field of the tenant that sent a request.
 struct TenantField<'a>(Option<&'a TenantName>);
 
@@ -354,13 +369,17 @@
         &self,
         request: &ClientRequest,
         forward: &Forward,
+        progress: &CallProgress,
         outcome: AttemptOutcome,
         took: Duration,
     ) {
         let name = attempt_outcome(outcome);
+        let sending = Sending::of_call(forward.attempt, progress, name);
+        request.sendings.record(sending);
         let labels = AttemptLabels {
             service: forward.service.0.clone(),
             outcome: name.to_owned(),
+            connection: sending.connection_kind(),
         };
         self.metrics.attempts.get_or_create(&labels).inc();
         if outcome == AttemptOutcome::NotExecuted(NotExecuted::Unconnected) {
@@ -379,7 +398,7 @@
             info!(self.log, "attempt_ended"; "request" => &request.id,
                 "upstream" => %forward.upstream, "attempt" => forward.attempt,
                 "outcome" => name, "took_ms" => took.as_millis() as u64,
-                FingerprintFields(fingerprints), suppressed);
+                SendingFields(sending), FingerprintFields(fingerprints), suppressed);
         }
     }
 
@@ -420,12 +439,7 @@
     }
 
     /// A request was answered by the router itself.
-    pub fn request_concluded(
-        &self,
-        id: &str,
-        fingerprints: Fingerprints,
-        ending: &ConcludedRequest,
-    ) {
+    pub fn request_concluded(&self, request: &ClientRequest, ending: &ConcludedRequest) {
         let (outcome, reason, retry_after) = match ending.conclusion {
             Conclusion::Refused {
                 reason,
@@ -451,16 +465,32 @@
                 ..
             }
         );
-        let fingerprints = FingerprintFields(is_quarantined.then_some(fingerprints));
+        let fingerprints = FingerprintFields(is_quarantined.then_some(request.fingerprints));
         let limit = LimitFields(ending.limited_by);
-        info!(self.log, "concluded"; "request" => id, "route" => &ending.route,
+        info!(self.log, "concluded"; "request" => &request.id, "route" => &ending.route,
             "service" => %ending.service, "outcome" => outcome, "reason" => reason,
             "arrivals" => ending.arrivals, "age_ms" => ending.age.as_millis() as u64,
             "left_ms" => ending.left.as_millis() as u64,
-            "retry_after_ms" => retry_after.as_millis() as u64, fields, fingerprints, limit,
+            "retry_after_ms" => retry_after.as_millis() as u64,
+            "sendings" => %request.sendings, fields, fingerprints, limit,
             TenantField(ending.tenant.as_ref()), suppressed);
     }
 
+    /// A request was rejected before it was whole: nothing was sent.
+    pub fn request_rejected(&self, id: &str, status: u16) {
+        if let Some(suppressed) = self.admit(LineKind::Failure) {
+            info!(self.log, "rejected"; "request" => id, "status" => status, suppressed);
+        }
+    }
+
+    /// The task of a request ended without a final response of the core.
+    pub fn request_abandoned(&self, request: &ClientRequest, status: u16) {
+        if let Some(suppressed) = self.admit(LineKind::Failure) {
+            warn!(self.log, "abandoned"; "request" => &request.id, "status" => status,
+                "sendings" => %request.sendings, suppressed);
+        }
+    }
+
     fn observe_refusal_latency(&self, ending: &ConcludedRequest, reason: RefusalReason) {
         let labels = RefusalLabels {
             route: ending.route.clone(),
