Soak: upstreams that spoil answers, and requests with keys that must not repeat

No soak run had an upstream that sent a surplus, late, foreign, unframed, early or broken answer, rejections had no id, upstreams never rejected what they could not queue, and no request that must not be repeated had a key.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,7 +2,7 @@
 
 use crate::bodies;
 use crate::channel::{Reporter, connect};
-use crate::config::{CALLER_TIMEOUT, HOST, LOOK, ORDER, PROBE, READ};
+use crate::config::{CALLER_TIMEOUT, HOST, LOOK, ORDER, PROBE, READ, TRANSFER};
 use crate::load::{KEYED_PERCENT, LOOKUP_PERCENT, MeanWork, POOL_PERCENT};
 use crate::message::{CallerEnd, Command, Observation};
 use crate::pool::Pool;
@@ -35,6 +35,10 @@
 const LONG_WORK_MS: u64 = 1_200;
 /// Percentage of reads that go to a single hot key.
 const HOT_KEY_PERCENT: u32 = 20;
+/// The hot key.
+const HOT_KEY: u16 = 7;
+/// Percentage of requests that must not be retried that have a key, if any has one.
+const TRANSFER_PERCENT: u32 = 70;
 /// Body size of a request that must not be retried.
 const ORDER_BYTES: usize = 300;
 
@@ -63,6 +67,8 @@
     pub seed: u64,
     /// Mean execution times, if the load is high; callers then retry.
     pub work: Option<MeanWork>,
+    /// Whether some of the requests that must not be retried have keys.
+    pub transfers: bool,
 }
 
 struct PlannedRequest {
@@ -85,6 +91,8 @@
     let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
     // Drawn apart, so that a seed draws the same requests whoever sends them.
     let mut senders = ChaCha8Rng::seed_from_u64(!settings.seed);
+    // Drawn apart for the same reason.
+    let mut transfers = ChaCha8Rng::seed_from_u64(settings.seed ^ 0x7247);
     let probed = Rc::new(Cell::new(0u64));
     let pool = Pool::default();
     let mut begun = false;
@@ -116,6 +124,9 @@
                     }
                     None => {
                         let mut planned = draw(&mut random, &settings, probed.get());
+                        if settings.transfers && !planned.repeatable {
+                            make_transfer(&mut transfers, &mut planned);
+                        }
                         planned.identity = Identity::draw(&mut senders, probed.get());
                         tokio::task::spawn_local(sender.send_once(planned));
                     }
@@ -154,6 +165,24 @@
     planned
 }
 
+/// Gives most requests that must not be retried a key.
+fn make_transfer(random: &mut ChaCha8Rng, planned: &mut PlannedRequest) {
+    if random.random_range(0..100) >= TRANSFER_PERCENT {
+        return;
+    }
+    let key = draw_key(random);
+    let work: u64 = random.random_range(5..60);
+    planned.path = format!("{TRANSFER}{key}/{work}");
+    planned.key = Some(key);
+}
+
+fn draw_key(random: &mut ChaCha8Rng) -> u16 {
+    match random.random_range(0..100) < HOT_KEY_PERCENT {
+        true => HOT_KEY,
+        false => random.random_range(0..=u16::MAX),
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, settings: &CallerSettings, probed: u64) -> PlannedRequest {
     let node = random.random_range(0..settings.routers.len());
     // The process id keeps concurrent runs of the same seed from using the same request ids.
@@ -177,10 +206,7 @@
         planned.path = format!("{PROBE}{version}/{work}");
         planned.repeatable = true;
     } else if kind < PROBE_PERCENT + READ_PERCENT {
-        let key = match random.random_range(0..100) < HOT_KEY_PERCENT {
-            true => 7,
-            false => random.random_range(0..=u16::MAX),
-        };
+        let key = draw_key(random);
         planned.leaves = random.random_range(0..100) < CANCELLED_PERCENT;
         let work = if planned.leaves { LONG_WORK_MS } else { work };
         planned.path = format!("{READ}{key}/{work}");
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -23,6 +23,8 @@
 pub(crate) const LOOK: &str = "/look/";
 /// Path prefix of requests that must not be retried.
 pub const ORDER: &str = "/order/";
+/// Path prefix of requests with a key that must not be retried.
+pub const TRANSFER: &str = "/transfer/";
 /// Path prefix of configuration probes, followed by the configuration version.
 pub const PROBE: &str = "/probe/";
 /// Zones of routers and upstreams.
@@ -63,7 +65,7 @@
 
 /// The service that serves a path.
 pub(crate) fn service_of(path: &str) -> &'static str {
-    if path.starts_with(READ) {
+    if path.starts_with(READ) || path.starts_with(TRANSFER) {
         KEYED
     } else if path.starts_with(LOOK) {
         LOOKUP
@@ -105,6 +107,7 @@
     let mut routes = vec![
         route("read", READ.to_owned(), KEYED, true, 1),
         route("order", ORDER.to_owned(), POOL, false, 0),
+        route("transfer", TRANSFER.to_owned(), KEYED, false, 0),
         route("probe", format!("{PROBE}{version}/"), POOL, true, 2),
     ];
     let mut services = vec![service(KEYED, true), service(POOL, false)];
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -47,6 +47,9 @@
     pub rate: u32,
     /// Numbers of processes.
     pub size: Size,
+    /// Whether upstreams spoil answers and reject what they can't queue, and requests that must not
+    /// be retried have keys.
+    pub spoils: bool,
 }
 
 impl RunSettings {
@@ -54,7 +57,11 @@
     pub fn plan(&self) -> Plan {
         let calm = WARM_UP + RECOVERY + MEASURED;
         let troubled = self.length.saturating_sub(calm).max(MIN_FAULT_TIME);
-        Plan::draw(self.seed, troubled, self.size)
+        let plan = Plan::draw(self.seed, troubled, self.size);
+        if self.spoils {
+            return plan.with_spoiled_answers(self.seed, troubled, self.size);
+        }
+        plan
     }
 }
 
--- a/crates/soak/src/driver/cluster.rs
+++ b/crates/soak/src/driver/cluster.rs
@@ -125,6 +125,7 @@
     reports: Reports,
     size: Size,
     load: Option<HighLoad>,
+    spoils: bool,
     limit: Option<ProcessorLimit>,
     has_traffic: bool,
     /// Upstreams that exited by themselves.
@@ -179,6 +180,9 @@
             format!("--seed={}", settings.seed),
         ];
         arguments.extend(load.map(|load| format!("--work={}", load.work)));
+        if settings.spoils {
+            arguments.push("--transfers".to_owned());
+        }
         let caller = Process::start(&folder, "caller", &own, &arguments)?;
         // Each connection through a link takes two descriptors of this process.
         let needs_links = load.is_none() || plan.has_upstream_link_faults();
@@ -212,6 +216,7 @@
             reports,
             size,
             load,
+            spoils: settings.spoils,
             limit: load.map(|load| ProcessorLimit::start(load.router_processor_percent)),
             has_traffic: false,
             exits: 0,
@@ -398,7 +403,15 @@
             format!("--driver={}", self.driver),
             format!("--clock-percent={clock}"),
         ];
-        let room = self.load.map_or(Room::default(), |load| load.room);
+        let usual = if self.spoils {
+            Room::NARROW
+        } else {
+            Room::default()
+        };
+        let room = self.load.map_or(usual, |load| load.room);
+        if self.spoils {
+            arguments.push("--rejects-when-full".to_owned());
+        }
         arguments.push(format!("--slots={}", room.slots));
         arguments.push(format!("--queue={}", room.queue));
         let begins_cold = self.load.filter(|_| self.has_traffic);
--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -16,6 +16,8 @@
 const SLOW_LINK: Duration = Duration::from_millis(120);
 /// Percentage of lost responses.
 const LOST_PERCENT: u32 = 30;
+/// Percentage of spoiled answers.
+const SPOILED_PERCENT: u32 = 10;
 /// Rate limit that an upstream announces, in requests per 1000 seconds: less than half of what
 /// it receives without a limit.
 const ANNOUNCED_RATE_MILLI: u32 = 3_000;
@@ -70,6 +72,7 @@
         | SoakFault::UpstreamUnreachable(_)
         | SoakFault::UpstreamReset(_)
         | SoakFault::UpstreamDelay(_)
+        | SoakFault::AnswersSpoiled(_)
         | SoakFault::AnswersLost(_) => Target::Some(Disturbed::Upstream),
         SoakFault::RouterStop(_)
         | SoakFault::RouterReload(_)
@@ -224,6 +227,10 @@
                 let name = self.upstream_name(index);
                 self.send_command(&name, &Command::DropResponses(LOST_PERCENT));
             }
+            SoakFault::AnswersSpoiled(index) => {
+                let name = self.upstream_name(index);
+                self.send_command(&name, &Command::SpoilAnswers(SPOILED_PERCENT));
+            }
             SoakFault::UpstreamInNeed(index) => {
                 let name = self.upstream_name(index);
                 self.send_command(&name, &Command::AnnounceRate(Some(ANNOUNCED_RATE_MILLI)));
@@ -310,6 +317,10 @@
                 let name = self.upstream_name(index);
                 self.send_command(&name, &Command::DropResponses(0));
             }
+            SoakFault::AnswersSpoiled(index) => {
+                let name = self.upstream_name(index);
+                self.send_command(&name, &Command::SpoilAnswers(0));
+            }
             SoakFault::UpstreamInNeed(index) => {
                 let name = self.upstream_name(index);
                 self.send_command(&name, &Command::AnnounceRate(None));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -22,6 +22,7 @@
 mod proxy;
 mod regressions;
 mod size;
+mod spoil;
 mod store;
 mod tenants;
 mod timeline;
@@ -32,7 +33,7 @@
     Count, DelayedDelivery, Disturbance, Disturbed, FaultEnd, Finding, History, PlannedStop,
     Promise, UpstreamEnd, Verdict, check,
 };
-pub use config::{HOST, ORDER, PROBE};
+pub use config::{HOST, ORDER, PROBE, TRANSFER};
 pub use driver::{Ports, RunOutcome, RunSettings, run_plan, shorten};
 pub use load::{HighLoad, MeanWork, Room};
 pub use message::{CallerEnd, Command, Observation, Report};
@@ -40,6 +41,7 @@
 pub use proxy::{DirectionFault, LinkFault, Proxy};
 pub use regressions::{Regression, load as load_regressions};
 pub use size::Size;
+pub use spoil::Spoil;
 pub use store::{StoreSettings, run as run_store};
 pub use tenants::Identity;
 pub use timeline::{SecondCount, ServiceCount, Timeline, timeline};
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -43,6 +43,11 @@
     pub queue: usize,
 }
 
+impl Room {
+    /// Room for so few requests that the holder of a busy key rejects some.
+    pub const NARROW: Self = Self { slots: 2, queue: 2 };
+}
+
 impl Default for Room {
     fn default() -> Self {
         Self { slots: 4, queue: 8 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,8 +1,8 @@
 //! `beamtray-soak`: see `beamtray-soak --help` and docs/DEVELOPING.md.
 
 use beamtray_soak::{
-    CallerSettings, MeanWork, Plan, Room, RunSettings, Size, StoreSettings, UpstreamSettings,
-    load_regressions, run_caller, run_plan, run_store, run_upstream, shorten,
+    CallerSettings, MeanWork, Plan, Room, RunSettings, Size, Spoil, StoreSettings,
+    UpstreamSettings, load_regressions, run_caller, run_plan, run_store, run_upstream, shorten,
 };
 use eyre::{Result, WrapErr, bail, eyre};
 use gumdrop::Options;
@@ -62,6 +62,9 @@
     shorten: bool,
     /// Keep the logs of clean runs, too.
     keep_logs: bool,
+    /// Upstreams spoil answers and reject what they can't queue, and requests that must not be
+    /// retried have keys.
+    spoil: bool,
     /// Run this plan instead of the one drawn from the seed.
     plan: Option<PathBuf>,
     /// Directory for logs (default target/soak).
@@ -126,6 +129,13 @@
     queue: Option<usize>,
     /// Requests per second borne after the start, when the upstream begins cold.
     cold_rate: Option<f64>,
+    /// Reject requests beyond the queue; otherwise they are never answered.
+    rejects_when_full: bool,
+    /// Reject the first sending of each request.
+    rejects_first: bool,
+    /// How rejections are spoiled.
+    #[options(parse(try_from_str))]
+    spoil: Option<Spoil>,
 }
 
 #[derive(Debug, Options)]
@@ -145,6 +155,8 @@
     /// by commas, if the load is high.
     #[options(parse(try_from_str))]
     work: Option<MeanWork>,
+    /// Send requests with keys that must not be retried.
+    transfers: bool,
 }
 
 /// Threads of the driver that serve links.
@@ -202,6 +214,9 @@
                         queue: upstream.queue.unwrap_or(Room::default().queue),
                     },
                     cold_rate: upstream.cold_rate,
+                    rejects_when_full: upstream.rejects_when_full,
+                    rejects_first: upstream.rejects_first,
+                    spoil: upstream.spoil,
                 })
                 .await?;
                 Ok(true)
@@ -215,6 +230,7 @@
                     rate: caller.rate,
                     seed: caller.seed,
                     work: caller.work,
+                    transfers: caller.transfers,
                 })
                 .await?;
                 Ok(true)
@@ -260,6 +276,7 @@
             folder: arguments.folder.join(format!("seed-{seed}")),
             rate: arguments.rate,
             size: size_of(&arguments),
+            spoils: arguments.spoil,
         };
         let plan = match &arguments.plan {
             Some(file) => read_plan(file)?,
@@ -368,6 +385,7 @@
                 .join(format!("regression-{}", regression.seed)),
             rate: REGRESSION_RATE,
             size: Size::SMALL,
+            spoils: false,
         };
         let plan = regression.plan.unwrap_or_else(|| settings.plan());
         clean &= run_one(&settings, &plan, FollowUp::default()).await?;
--- a/crates/soak/src/message.rs
+++ b/crates/soak/src/message.rs
@@ -185,6 +185,8 @@
     Configure(u64),
     /// Sets the percentage of responses that an upstream drops.
     DropResponses(u32),
+    /// Sets the percentage of answers that an upstream spoils.
+    SpoilAnswers(u32),
     /// Sets the rate limit that an upstream's responses announce, in requests per 1000
     /// seconds; `None` announces no limit.
     AnnounceRate(Option<u32>),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -66,6 +66,8 @@
     UpstreamDelay(usize),
     /// An upstream drops some of its responses.
     AnswersLost(usize),
+    /// An upstream spoils some of its answers.
+    AnswersSpoiled(usize),
     /// An upstream announces a rate limit in its responses.
     UpstreamInNeed(usize),
     /// An upstream rejects all requests and asks routers to pause.
@@ -126,6 +128,24 @@
         Self { faults }
     }
 
+    /// Adds upstreams that spoil answers to the plan of a seed. Draws from a
+    /// separate generator, so that the other faults of a seed do not change.
+    pub fn with_spoiled_answers(mut self, seed: u64, troubled: Duration, size: Size) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x5901_0000);
+        let end = troubled.as_millis() as u64;
+        let spoiled = (0..size.upstreams()).filter(|_| random.random_ratio(3, 5));
+        let spoiled: Vec<usize> = spoiled.collect();
+        for upstream in spoiled {
+            self.faults.push(PlannedFault {
+                at_ms: random.random_range(0..end.max(1)),
+                for_ms: random.random_range(4_000..15_000),
+                fault: SoakFault::AnswersSpoiled(upstream),
+            });
+        }
+        self.faults.sort_by_key(|fault| fault.at_ms);
+        self
+    }
+
     /// Whether a fault concerns the links of upstreams. Power loss does not: nobody is left to use
     /// them.
     pub fn has_upstream_link_faults(&self) -> bool {
--- a/crates/soak/src/size.rs
+++ b/crates/soak/src/size.rs
@@ -23,6 +23,13 @@
         pool: 3,
         lookup: 0,
     };
+    /// A deployment of eleven routers.
+    pub const MEDIUM: Size = Size {
+        routers: 11,
+        keyed: 20,
+        pool: 16,
+        lookup: 0,
+    };
     /// Enough routers that they exchange messages through relays and request slots from them.
     /// With the callers and the store this takes 102 processes and about 1 GB of memory.
     pub const FULL: Size = Size {
@@ -58,9 +65,12 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text {
             "small" => Ok(Self::SMALL),
+            "medium" => Ok(Self::MEDIUM),
             "full" => Ok(Self::FULL),
             "large" => Ok(Self::LARGE),
-            _ => Err(format!("no size {text}; there are small, full and large")),
+            _ => Err(format!(
+                "no size {text}; there are small, medium, full and large"
+            )),
         }
     }
 }
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -215,6 +215,7 @@
             }
             Command::Flush => self.reporter.report(Observation::Flushed),
             Command::DropResponses(_)
+            | Command::SpoilAnswers(_)
             | Command::AnnounceRate(_)
             | Command::RequestPause(_)
             | Command::Probe(_)
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -6,6 +6,7 @@
 use crate::config::{DRAIN, HEARTBEAT, KEYED};
 use crate::load::{COLD_PERIOD, COLD_SLOWNESS_PERCENT, Room, cold_limit};
 use crate::message::{Command, Observation};
+use crate::spoil::{Delivery, Spoil, SpoiledConnection};
 use crate::store::REGISTRATION_PREFIX;
 use beamtray_adapter::{Platform, reverse};
 use beamtray_catalog::{UpstreamId, UpstreamState};
@@ -25,7 +26,7 @@
 use hyper_util::rt::TokioIo;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::convert::Infallible;
 use std::future::pending;
 use std::net::SocketAddr;
@@ -77,9 +78,15 @@
     pub room: Room,
     /// Requests per second that the upstream bears after its start; it exits well above that.
     pub cold_rate: Option<f64>,
+    /// What happens to requests beyond the queue: they are rejected, or never answered.
+    pub rejects_when_full: bool,
+    /// Whether the first sending of each request is rejected as if the upstream were full.
+    pub rejects_first: bool,
+    /// How all rejections are spoiled.
+    pub spoil: Option<Spoil>,
 }
 
-type Answer = Response<Full<Bytes>>;
+pub(crate) type Answer = Response<Full<Bytes>>;
 
 struct Upstream {
     settings: UpstreamSettings,
@@ -87,6 +94,9 @@
     /// Requests waiting for a slot.
     waiting: RefCell<HashMap<String, oneshot::Sender<Option<Run>>>>,
     lost_percent: Cell<u32>,
+    spoiled_percent: Cell<u32>,
+    /// Requests that were rejected at their first sending.
+    rejected_first: RefCell<HashSet<String>>,
     rate_milli: Cell<Option<u32>>,
     /// If set, all requests are rejected with a pause of this many milliseconds.
     rest_ms: Cell<Option<u32>>,
@@ -116,7 +126,11 @@
         slots: settings.room.slots,
         queue: settings.room.queue,
         is_sharded: settings.service == KEYED,
-        full: FullPolicy::Hang,
+        full: if settings.rejects_when_full {
+            FullPolicy::Shed
+        } else {
+            FullPolicy::Hang
+        },
         slowness_percent: if settings.cold_rate.is_some() {
             COLD_SLOWNESS_PERCENT
         } else {
@@ -130,6 +144,8 @@
         emulator: RefCell::new(emulator),
         waiting: RefCell::default(),
         lost_percent: Cell::new(0),
+        spoiled_percent: Cell::new(0),
+        rejected_first: RefCell::default(),
         rate_milli: Cell::new(rate_milli),
         rest_ms: Cell::new(None),
         calls: Cell::new(0),
@@ -147,6 +163,7 @@
             _ = terminate.recv() => break,
             command = commands.recv() => match command {
                 Some(Command::DropResponses(percent)) => upstream.lost_percent.set(percent),
+                Some(Command::SpoilAnswers(percent)) => upstream.spoiled_percent.set(percent),
                 Some(Command::AnnounceRate(rate_milli)) => upstream.set_rate(rate_milli),
                 Some(Command::RequestPause(rest_ms)) => upstream.rest_ms.set(rest_ms),
                 Some(Command::Flush) => upstream.reporter.report(Observation::Flushed),
@@ -182,7 +199,12 @@
         let _ = stream.set_nodelay(true);
         let upstream = upstream.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| serve(upstream.clone(), request));
+            let (stream, connection) = spoilable(stream);
+            let Some(stream) = stream else {
+                return;
+            };
+            let service =
+                service_fn(move |request| serve(upstream.clone(), connection.clone(), request));
             // A client may disconnect at any time.
             let _ = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
@@ -191,15 +213,34 @@
     }
 }
 
-async fn serve(upstream: Rc<Upstream>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+/// Splits off a second handle to a connection, on which answers are spoiled.
+fn spoilable(stream: TcpStream) -> (Option<TcpStream>, Rc<SpoiledConnection>) {
+    let Ok(stream) = stream.into_std() else {
+        return (None, SpoiledConnection::new(None));
+    };
+    let connection = SpoiledConnection::new(stream.try_clone().ok());
+    (TcpStream::from_std(stream).ok(), connection)
+}
+
+async fn serve(
+    upstream: Rc<Upstream>,
+    connection: Rc<SpoiledConnection>,
+    request: Request<Incoming>,
+) -> Result<Answer, Infallible> {
     let (head, body) = request.into_parts();
+    let request_id = header(&head.headers, Platform.headers().request_id);
+    connection.request_read(request_id.as_deref());
+    let drawn = request_id.as_ref().and_then(|_| upstream.draw_spoil());
+    if let (Some(id), Some(Spoil::Early)) = (&request_id, drawn) {
+        return Ok(upstream.reject_early(id));
+    }
     let Ok(body) = body.collect().await else {
         return Ok(upstream.status(400));
     };
     let body = body.to_bytes();
     let path = head.uri.path().to_owned();
     if upstream.is_misrouted(&head.headers) {
-        return Ok(upstream.not_executed(421));
+        return Ok(upstream.not_executed(421, request_id.as_deref()));
     }
     let call = CallId(upstream.calls.get());
     upstream.calls.set(call.0 + 1);
@@ -216,7 +257,13 @@
     let mut answer = upstream.request(&head.headers, &path).await;
     upstream.add_rate_header(&mut answer);
     upstream.announce_leaving(&head.headers, &mut answer);
-    Ok(answer)
+    let Some(kind) = drawn.or(upstream.spoil_of_rejections(&answer)) else {
+        return Ok(answer);
+    };
+    match connection.spoil(kind, answer).await {
+        Delivery::Send(answer) => Ok(*answer),
+        Delivery::Nothing => pending().await,
+    }
 }
 
 /// A request being executed. Reports its end on drop, also when the caller has disconnected.
@@ -301,7 +348,7 @@
 
     /// Rejects a request with a `Retry-After` header.
     fn reject_with_pause(&self, id: &str, rest_ms: u32) -> Answer {
-        let mut response = self.not_executed(503);
+        let mut response = self.not_executed(503, Some(id));
         let seconds = f64::from(rest_ms) / 1e3;
         self.set_header(
             &mut response,
@@ -315,8 +362,32 @@
         response
     }
 
-    fn not_executed(&self, status: u16) -> Answer {
+    /// How the answer to the next request is spoiled, if it is.
+    fn draw_spoil(&self) -> Option<Spoil> {
+        let is_spoiled = rand::rng().random_range(0..100) < self.spoiled_percent.get();
+        is_spoiled.then(Spoil::draw)
+    }
+
+    /// How an answer is spoiled if it is a rejection.
+    fn spoil_of_rejections(&self, answer: &Answer) -> Option<Spoil> {
+        let is_rejection = answer
+            .headers()
+            .contains_key(Platform.headers().not_executed);
+        self.settings.spoil.filter(|_| is_rejection)
+    }
+
+    /// Rejects a request before its body is read.
+    fn reject_early(&self, id: &str) -> Answer {
+        self.reporter
+            .report(Observation::RequestArrived { id: id.to_owned() });
+        self.not_executed(503, Some(id))
+    }
+
+    fn not_executed(&self, status: u16, id: Option<&str>) -> Answer {
         let mut response = self.status(status);
+        if let Some(id) = id {
+            self.set_header(&mut response, Platform.headers().request_id, id);
+        }
         self.set_header(&mut response, Platform.headers().not_executed, "1");
         response
     }
@@ -380,7 +451,7 @@
     async fn request(self: &Rc<Self>, headers: &HeaderMap, path: &str) -> Answer {
         let names = Platform.headers();
         let Some(id) = header(headers, names.request_id) else {
-            return self.not_executed(400);
+            return self.not_executed(400, None);
         };
         self.reporter
             .report(Observation::RequestArrived { id: id.clone() });
@@ -392,6 +463,9 @@
         if let Some(rest_ms) = self.rest_ms.get() {
             return self.reject_with_pause(&id, rest_ms);
         }
+        if self.settings.rejects_first && self.rejected_first.borrow_mut().insert(id.clone()) {
+            return self.not_executed(503, Some(&id));
+        }
         let key = header(headers, names.shard_key).and_then(|key| key.parse().ok());
         let request = WorkRequest {
             id: id.clone(),
@@ -407,10 +481,10 @@
             Arrival::Runs(run) => run,
             Arrival::Queued => match self.queued(&id).await {
                 Some(run) => run,
-                None => return self.not_executed(421),
+                None => return self.not_executed(421, Some(&id)),
             },
-            Arrival::Full => return self.not_executed(503),
-            Arrival::Misdirected => return self.not_executed(421),
+            Arrival::Full => return self.not_executed(503, Some(&id)),
+            Arrival::Misdirected => return self.not_executed(421, Some(&id)),
             Arrival::Hangs => return pending().await,
         };
         self.work(run, &id, path).await
--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -219,6 +219,12 @@
         self.start_with("pool", vec![format!("--rate-milli={rate_milli}")], folder)
     }
 
+    /// Starts an upstream with further options.
+    pub fn start_with_options(&self, service: &str, options: &[&str], folder: &Path) -> Process {
+        let more = options.iter().map(|option| (*option).to_owned());
+        self.start_with(service, more.collect(), folder)
+    }
+
     fn start_with(&self, service: &str, more: Vec<String>, folder: &Path) -> Process {
         let mut arguments = vec![
             "upstream".to_owned(),
