A rejection is proof only where the request was not rejected before

Callers saw 503, a promise, for a request that must not be repeated and that ran nonetheless (REFUSED), or that ran twice.

Cause: the id in an answer names the client's attempt, not the sending. A keyed request that its holder rejects goes to the same holder again, on the connection that was used last: the one it was rejected on. A faulty upstream sends the rejection a second time there, and it was taken as proof for the second sending while the upstream ran it. At max_attempts the caller got 503; below it the request was sent a third time.

Now what an answer proves is decided in one place (dispatch/src/proof.rs), for one sending: a rejection counts if the sending was written and the request was not rejected on that connection before; otherwise the outcome is unknown.

--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -144,7 +144,11 @@
             AttemptOutcome::NotExecuted(
                 NotExecuted::Misdirected | NotExecuted::Unsent | NotExecuted::GatewayFailed(_),
             ) => {}
-            AttemptOutcome::Unknown(UnknownCause::WrongAnswer | UnknownCause::BrokenOff) => {}
+            AttemptOutcome::Unknown(
+                UnknownCause::WrongAnswer
+                | UnknownCause::UnprovenRejection
+                | UnknownCause::BrokenOff,
+            ) => {}
             // Paused, it would be kept from requests that another node can pass on.
             AttemptOutcome::NotExecuted(
                 NotExecuted::Unconnected | NotExecuted::ConnectionRefused,
@@ -207,7 +211,9 @@
                     self.request_probe(now, request, attempt);
                 }
             }
-            AttemptOutcome::Unknown(UnknownCause::WrongAnswer) => {
+            AttemptOutcome::Unknown(
+                UnknownCause::WrongAnswer | UnknownCause::UnprovenRejection,
+            ) => {
                 self.quarantine.end_trial(permit, TrialOutcome::Unknown);
             }
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod gateways;
 mod occupancy;
 mod permit;
+mod proof;
 mod quarantine;
 mod quota;
 mod rate_limit;
@@ -32,6 +33,7 @@
 pub use gateways::GatewayFailure;
 pub use occupancy::{Occupancy, SumSource};
 pub use permit::PermitCounts;
+pub use proof::{NamedRequest, Rejection, Sending};
 pub use quarantine::{
     AttemptHash, Quarantine, QuarantineEvent, Suspicion, SuspicionRecord, TrialOutcome, TrialReply,
     TrialReport, TrialRequest, UPSTREAMS_BEFORE_QUARANTINE,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -107,6 +107,8 @@
     BrokenOff,
     /// The response does not belong to this request.
     WrongAnswer,
+    /// The response rejects the request, and may belong to another sending.
+    UnprovenRejection,
     /// No response arrived in time.
     TimedOut,
 }
--- a/crates/router/src/shell/attempt.rs
+++ b/crates/router/src/shell/attempt.rs
@@ -2,12 +2,15 @@
 
 use crate::core::Input;
 use crate::shell::answer::strip_connection_headers;
-use crate::shell::connections::{Answer, CallFailure, CallProgress, Endpoint};
+use crate::shell::connections::{Answer, CallFailure, CallProgress, Endpoint, RequestDigest};
 use crate::shell::handle::{RequestAction, ResponseBody, Shared};
 use crate::shell::sendings::Sendings;
 use crate::shell::tenant_headers::apply_sender;
 use beamtray_catalog::{AdvertisedRate, LeavingStatus, RetryAfter};
-use beamtray_dispatch::{AttemptOutcome, Fingerprints, Forward, NotExecuted, Ticket, UnknownCause};
+use beamtray_dispatch::{
+    AttemptOutcome, Fingerprints, Forward, NamedRequest, NotExecuted, Rejection, Ticket,
+    UnknownCause,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -74,7 +77,9 @@
     } else {
         CallProgress::unrepeatable()
     };
-    let progress = progress.with_write_deadline(shared.clock.clone(), forward.deadline);
+    let progress = progress
+        .for_request(&request.id)
+        .with_write_deadline(shared.clock.clone(), forward.deadline);
     let exchange = send_to_upstream(&shared, &forward, &request, &progress);
     let result = match shared.run_until(forward.deadline, exchange).await {
         Some(result) => result,
@@ -86,7 +91,7 @@
             }
             AttemptResult::failed(AttemptOutcome::Unknown(UnknownCause::TimedOut))
         }
-        None => AttemptResult::failed(AttemptOutcome::NotExecuted(NotExecuted::Unconnected)),
+        None => AttemptResult::failed(progress.sending().given_up(NotExecuted::Unconnected)),
     };
     let took = shared.now().since(sent_at);
     shared.report_connection(&forward.upstream, forward.address, sent_at, &progress);
@@ -131,7 +136,7 @@
     progress: &CallProgress,
 ) -> AttemptResult {
     let Some(outgoing) = build_request(shared, forward, request) else {
-        return AttemptResult::failed(AttemptOutcome::NotExecuted(NotExecuted::Unsent));
+        return AttemptResult::failed(progress.sending().given_up(NotExecuted::Unsent));
     };
     let endpoint = Endpoint {
         address: forward.address,
@@ -139,7 +144,7 @@
     };
     let call = shared.connections.call(endpoint, outgoing, progress);
     match call.await {
-        Ok(answer) => classify_answer(shared, forward, request, answer),
+        Ok(answer) => classify_answer(shared, forward, request, progress, answer),
         Err(failure) => AttemptResult::failed(match failure {
             CallFailure::ConnectionLost | CallFailure::AckTimeout => {
                 // Other connections to the same upstream may have ended as well.
@@ -150,14 +155,14 @@
                 shared.connections.disable_reuse(forward.address);
                 AttemptOutcome::Unknown(UnknownCause::WrongAnswer)
             }
-            CallFailure::ConnectFailed => AttemptOutcome::NotExecuted(NotExecuted::Unconnected),
+            CallFailure::ConnectFailed => progress.sending().given_up(NotExecuted::Unconnected),
             CallFailure::ConnectionRefused => {
-                AttemptOutcome::NotExecuted(NotExecuted::ConnectionRefused)
+                progress.sending().given_up(NotExecuted::ConnectionRefused)
             }
-            CallFailure::Gateway(failure) => {
-                AttemptOutcome::NotExecuted(NotExecuted::GatewayFailed(failure))
-            }
-            CallFailure::NotSent => AttemptOutcome::NotExecuted(NotExecuted::Unsent),
+            CallFailure::Gateway(failure) => progress
+                .sending()
+                .given_up(NotExecuted::GatewayFailed(failure)),
+            CallFailure::NotSent => progress.sending().given_up(NotExecuted::Unsent),
         }),
     }
 }
@@ -190,29 +195,37 @@
     shared: &Shared,
     forward: &Forward,
     request: &ClientRequest,
+    progress: &CallProgress,
     answer: Answer,
 ) -> AttemptResult {
     let names = shared.dialect.headers();
     let headers = &answer.head.headers;
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let id = text(names.request_id);
-    let is_foreign = id.is_some_and(|id| id != request.id);
+    let named = NamedRequest::of(id, &request.id);
+    let is_foreign = named == NamedRequest::Other;
     let status = answer.head.status;
     let not_executed = headers.contains_key(names.not_executed);
-    let named = header_values(headers, names.rate_limit);
-    let rate = (!is_foreign).then(|| shared.dialect.decode_rate(&named));
+    let announced = header_values(headers, names.rate_limit);
+    let rate = (!is_foreign).then(|| shared.dialect.decode_rate(&announced));
     let is_leaving = !is_foreign && announces_leaving(shared, forward, headers);
     let backoff = requested_backoff(shared, forward, &answer).filter(|_| !is_foreign);
     if !is_foreign && (not_executed || status == StatusCode::MISDIRECTED_REQUEST) {
         let answering = text(names.answering_upstream);
         let replaced = answering.is_some_and(|name| name != forward.upstream.name.0);
-        let proof = match status {
-            StatusCode::MISDIRECTED_REQUEST => NotExecuted::Misdirected,
-            _ => NotExecuted::Full,
+        let rejection = match status {
+            StatusCode::MISDIRECTED_REQUEST => Rejection::Misdirected,
+            _ => Rejection::Full,
         };
-        shared.connections.put_back(answer);
+        let outcome = progress.sending().rejected(rejection, named);
+        if matches!(outcome, AttemptOutcome::Unknown(_)) {
+            shared.connections.disable_reuse(forward.address);
+            return AttemptResult::failed(outcome);
+        }
+        let digest = RequestDigest::of(&request.id);
+        shared.connections.put_back_rejected(answer, digest);
         return AttemptResult {
-            outcome: AttemptOutcome::NotExecuted(proof),
+            outcome,
             response: None,
             replaced,
             // The announcements are those of another upstream.
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -17,7 +17,7 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-pub(crate) use progress::{CallFailure, CallProgress, ConnectionNumber};
+pub(crate) use progress::{CallFailure, CallProgress, ConnectionNumber, RequestDigest};
 use socket::set_ack_timeout;
 pub(crate) use socket::{configure_socket, reset_on_close};
 use std::cell::{Cell, RefCell};
@@ -52,6 +52,8 @@
 const NO_REUSE_PERIOD: Duration = Duration::from_secs(6);
 /// Largest response body.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Requests that may be rejected on a connection; it is closed after that.
+const MAX_REJECTED_PER_CONNECTION: usize = 64;
 /// Request bodies up to this length are fully sent before a response can arrive.
 const SMALL_BODY_BYTES: usize = 8 * 1024;
 
@@ -89,6 +91,15 @@
     endpoint: Endpoint,
     idle_since: Instant,
     usable_until: Instant,
+    /// Requests that were rejected here. The upstream may send a rejection a second time, and then
+    /// it can't be told from that of the next sending of the same request.
+    rejected: Vec<RequestDigest>,
+}
+
+impl PooledConnection {
+    fn has_rejected(&self, request: Option<RequestDigest>) -> bool {
+        request.is_some_and(|request| self.rejected.contains(&request))
+    }
 }
 
 impl Drop for PooledConnection {
@@ -153,7 +164,7 @@
             .upper()
             .is_some_and(|length| length <= SMALL_BODY_BYTES as u64);
         loop {
-            let (mut connection, reused) = match self.take_idle(endpoint, progress.max_idle_time) {
+            let (mut connection, reused) = match self.take_idle(endpoint, progress) {
                 Some(connection) => (connection, true),
                 None => (self.connect(endpoint, progress).await?, false),
             };
@@ -163,6 +174,8 @@
             }
             progress.written.set(true);
             progress.reused.set(reused);
+            let rejected_there = connection.has_rejected(progress.request);
+            progress.rejected_there.set(rejected_there);
             connection.head_limit.begin();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
@@ -199,21 +212,19 @@
         connect(endpoint, number, self.ack_timeout, progress).await
     }
 
-    fn take_idle(&self, endpoint: Endpoint, max_idle_time: Duration) -> Option<PooledConnection> {
+    /// Takes the connection that was used most recently, of those on which the request was not
+    /// rejected before.
+    fn take_idle(&self, endpoint: Endpoint, progress: &CallProgress) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint)?;
         let now = Instant::now();
-        // The last one was used most recently.
-        let idle_for = now.saturating_duration_since(connections.last()?.idle_since);
-        if idle_for > max_idle_time {
-            return None;
-        }
-        while let Some(connection) = connections.pop() {
-            if connection.usable_until > now && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|one| one.usable_until > now && one.sender.is_ready());
+        let eligible = |one: &PooledConnection| {
+            let idle_for = now.saturating_duration_since(one.idle_since);
+            idle_for <= progress.max_idle_time && !one.has_rejected(progress.request)
+        };
+        let latest = connections.iter().rposition(eligible)?;
+        Some(connections.remove(latest))
     }
 
     /// Returns the connection of a valid response to the pool.
@@ -232,6 +243,15 @@
         }
     }
 
+    /// Returns the connection of a response that rejected a client's request to the pool.
+    pub fn put_back_rejected(&self, mut answer: Answer, request: RequestDigest) {
+        let rejected = &mut answer.connection.rejected;
+        rejected.push(request);
+        if rejected.len() < MAX_REJECTED_PER_CONNECTION {
+            self.put_back(answer);
+        }
+    }
+
     /// Closes the idle connections to an address and keeps none for a while.
     pub fn disable_reuse(&self, address: SocketAddr) {
         self.close_idle(address);
@@ -361,6 +381,7 @@
         endpoint,
         idle_since: Instant::now(),
         usable_until: Instant::now(),
+        rejected: Vec::new(),
     })
 }
 
--- a/crates/router/src/shell/connections/progress.rs
+++ b/crates/router/src/shell/connections/progress.rs
@@ -2,11 +2,12 @@
 
 use crate::shell::tunnel::TunnelFailure;
 use beamtray_clock::BootClock;
-use beamtray_dispatch::GatewayFailure;
+use beamtray_dispatch::{GatewayFailure, Sending};
 use beamtray_types::Time;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Longest idle time of a connection that is reused for a request that must not be repeated.
 const UNREPEATABLE_MAX_IDLE: Duration = Duration::from_millis(200);
@@ -51,17 +52,31 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ConnectionNumber(pub u64);
 
+/// Hash of the id of a client's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RequestDigest(u64);
+
+impl RequestDigest {
+    pub fn of(id: &str) -> Self {
+        Self(xxh3_64(id.as_bytes()))
+    }
+}
+
 /// Constraints and progress of a call.
 #[derive(Debug)]
 pub(crate) struct CallProgress {
     /// Longest idle time of a connection that is reused.
     pub(super) max_idle_time: Duration,
+    /// The client's request that is sent, if it is one.
+    pub(super) request: Option<RequestDigest>,
     /// The request is not written after this.
     write_deadline: Option<WriteDeadline>,
     /// Whether the request may have been written.
     pub(super) written: Cell<bool>,
     /// Whether it was written to a reused connection.
     pub(super) reused: Cell<bool>,
+    /// Whether the same request was rejected on that connection before.
+    pub(super) rejected_there: Cell<bool>,
     /// The connection that the call was given last, if any.
     pub(super) connection: Cell<Option<ConnectionNumber>>,
     /// Whether the last new connection that was tried was opened; `None` if none was tried, or if
@@ -74,9 +89,11 @@
     pub fn repeatable() -> Self {
         Self {
             max_idle_time: Duration::MAX,
+            request: None,
             write_deadline: None,
             written: Cell::new(false),
             reused: Cell::new(false),
+            rejected_there: Cell::new(false),
             connection: Cell::new(None),
             opened: Cell::new(None),
         }
@@ -87,14 +104,32 @@
     pub fn unrepeatable() -> Self {
         Self {
             max_idle_time: UNREPEATABLE_MAX_IDLE,
+            request: None,
             write_deadline: None,
             written: Cell::new(false),
             reused: Cell::new(false),
+            rejected_there: Cell::new(false),
             connection: Cell::new(None),
             opened: Cell::new(None),
         }
     }
 
+    /// Sends a client's request: on a connection on which it was not rejected before.
+    pub fn for_request(self, id: &str) -> Self {
+        Self {
+            request: Some(RequestDigest::of(id)),
+            ..self
+        }
+    }
+
+    /// What is known of the sending.
+    pub fn sending(&self) -> Sending {
+        Sending {
+            is_written: self.written.get(),
+            was_rejected_there: self.rejected_there.get(),
+        }
+    }
+
     /// Forbids writing the call from `end` on: connecting may take longer than the call stays
     /// valid.
     pub fn with_write_deadline(self, clock: Rc<BootClock>, end: Time) -> Self {
--- a/crates/router/src/shell/observer/names.rs
+++ b/crates/router/src/shell/observer/names.rs
@@ -71,6 +71,7 @@
         AttemptOutcome::Unknown(cause) => match cause {
             UnknownCause::BrokenOff => "broken_off",
             UnknownCause::WrongAnswer => "wrong_answer",
+            UnknownCause::UnprovenRejection => "unproven_rejection",
             UnknownCause::TimedOut => "timed_out",
         },
     }
