A rejection that names no request is no proof

Callers saw 503, a promise, for a request that ran: an upstream rejected another request on the same connection before and sent that rejection a second time, without an id, where this one's answer was due.

Cause: an answer without an id counted as belonging to the request that was waiting. Only the id shows which answer it is, so a rejection without one leaves the outcome unknown, as a response without one already did.

--- a/crates/dispatch/src/proof.rs
+++ b/crates/dispatch/src/proof.rs
@@ -61,9 +61,7 @@
     pub fn rejected(self, rejection: Rejection, named: NamedRequest) -> AttemptOutcome {
         match named {
             NamedRequest::Other => AttemptOutcome::Unknown(UnknownCause::WrongAnswer),
-            NamedRequest::Same | NamedRequest::Unnamed
-                if self.is_written && !self.was_rejected_there =>
-            {
+            NamedRequest::Same if self.is_written && !self.was_rejected_there => {
                 AttemptOutcome::NotExecuted(match rejection {
                     Rejection::Full => NotExecuted::Full,
                     Rejection::Misdirected => NotExecuted::Misdirected,
--- a/crates/dispatch/tests/proofs.rs
+++ b/crates/dispatch/tests/proofs.rs
@@ -49,6 +49,15 @@
     );
 }
 
+/// Guards against a rejection of whatever request being taken for that of this one.
+#[test]
+fn a_rejection_that_names_no_request_proves_nothing() {
+    assert_eq!(
+        first_sending().rejected(Rejection::Full, NamedRequest::Unnamed),
+        AttemptOutcome::Unknown(UnknownCause::UnprovenRejection)
+    );
+}
+
 /// Guards against a request without an id being named by an empty header.
 #[test]
 fn a_request_without_an_id_is_named_by_no_answer() {
