Requests of clients that left are not sent again

Callers saw their requests refused or held although upstreams were idle: each client that left while its request, which must not be repeated, waited for its retry took one of its upstream's slots for good, at all routers.

Cause: the guard of a request took an attempt that had ended for one that was under way, and told the core nothing; the core sent the request again to a task that was gone, and the attempt never ended.

Evidence: requests_of_departed_clients_do_not_count_as_in_flight fails on (occupied=4 after four departed clients) and passes now. The core is told that the client left; an attempt in flight goes on, as before, and is not repeated.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -146,6 +146,8 @@
     tried: Vec<UpstreamHash>,
     slot: SlotState,
     attempt: Option<Attempt>,
+    /// Whether the client left while an attempt was in flight.
+    client_left: bool,
     /// Whether this node failed to connect to an upstream for it.
     own_path_failed: bool,
     unknown: Option<UnknownCause>,
@@ -457,6 +459,7 @@
                 tried: Vec::new(),
                 slot: SlotState::default(),
                 attempt: None,
+                client_left: false,
                 own_path_failed: false,
                 unknown: None,
                 is_client_retry,
--- a/crates/dispatch/src/dispatcher/outcome.rs
+++ b/crates/dispatch/src/dispatcher/outcome.rs
@@ -315,6 +315,9 @@
         if !is_proven && requires_proof {
             return false;
         }
+        if request.client_left {
+            return false;
+        }
         if request.arrivals >= request.route.max_attempts || now >= request.deadline {
             return false;
         }
@@ -326,7 +329,18 @@
         budget.allows(&self.config.budget, now, nodes)
     }
 
-    /// Drops a request whose client disconnected. Returns whether an attempt is in flight.
+    /// The client of a request disconnected. Its attempt in flight continues and is not repeated;
+    /// without one, the request is dropped.
+    pub fn client_left(&mut self, ticket: Ticket) {
+        match self.requests.get_mut(&ticket) {
+            Some(request) if request.attempt.is_some() => request.client_left = true,
+            _ => {
+                self.cancel(ticket);
+            }
+        }
+    }
+
+    /// Drops a request whose client disconnected and whose attempt does not continue. Returns whether an attempt is in flight.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let Some(request) = self.requests.remove(&ticket) else {
             return false;
--- a/crates/router/src/core/message.rs
+++ b/crates/router/src/core/message.rs
@@ -226,11 +226,16 @@
         /// How long no requests are to be sent.
         backoff: Duration,
     },
-    /// The client disconnected.
+    /// The client disconnected, and no attempt continues.
     Cancelled {
         /// The request that is cancelled.
         ticket: Ticket,
     },
+    /// The client disconnected. An attempt that is in flight continues.
+    ClientLeft {
+        /// The request of that client.
+        ticket: Ticket,
+    },
     /// The store reports a new era, or its first one. Responses of that era follow after this
     /// input.
     StoreEra(StoreEra),
--- a/crates/router/src/core/node.rs
+++ b/crates/router/src/core/node.rs
@@ -191,6 +191,7 @@
             Input::Cancelled { ticket } => {
                 self.dispatcher.cancel(ticket);
             }
+            Input::ClientLeft { ticket } => self.dispatcher.client_left(ticket),
             Input::StoreEra(era) => self.handle_store_era(now, era),
             Input::Store { task, outcome } => self.handle_store(now, &task, outcome),
             Input::Order {
--- a/crates/router/src/shell/clients.rs
+++ b/crates/router/src/shell/clients.rs
@@ -202,19 +202,21 @@
         if self.finished {
             return;
         }
-        let under_way = self.attempt.is_some();
+        let attempt = self.attempt.as_ref();
+        let under_way = attempt.is_some_and(|attempt| !attempt.is_finished());
         self.shared
             .observer
             .client_disconnected(&self.id, under_way);
+        let ticket = self.ticket;
         // An attempt that must not be repeated runs to completion, because the client may look
-        // for its effect. The core drops the request when the attempt ends.
-        if self.attempt.is_some() && !self.repeatable {
+        // for its effect.
+        if under_way && !self.repeatable {
+            self.shared.input(Input::ClientLeft { ticket });
             return;
         }
-        if let Some(attempt) = &self.attempt {
+        if let Some(attempt) = attempt {
             attempt.abort();
         }
-        let ticket = self.ticket;
         self.shared.input(Input::Cancelled { ticket });
     }
 }
--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "not every test file uses every helper")]
 
+pub mod keyed;
+
 use beamtray_adapter::Platform;
 use beamtray_dialect::Dialect;
 use beamtray_soak::{Command, HOST, Observation, PROBE, Ports, Report, Size};
