A request whose task ends without an action is refused only if never sent

Callers would see 503, a promise, for a request that may have run, if the task of a request lost the core while an attempt was under way. Unknown is now the default once an attempt was started.

--- a/crates/router/src/shell/answer.rs
+++ b/crates/router/src/shell/answer.rs
@@ -13,6 +13,8 @@
 
 /// Retry-After for clients of a node that has no configuration yet or is overloaded.
 const START_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry-After if the core gave no final response.
+const INTERNAL_RETRY_AFTER: Duration = Duration::from_millis(500);
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -52,7 +54,7 @@
 }
 
 /// A 503 response, which guarantees that the request has not run and never will.
-pub(crate) fn refusal_response(retry_after: Duration) -> Response<ResponseBody> {
+fn refusal_response(retry_after: Duration) -> Response<ResponseBody> {
     response_with_retry(StatusCode::SERVICE_UNAVAILABLE, retry_after)
 }
 
@@ -77,6 +79,16 @@
     }
 }
 
+/// The response to a request for which the core gave no final response. Once any attempt was
+/// started, nothing shows whether the request ran.
+pub(crate) fn abandoned_response(was_attempted: bool) -> Response<ResponseBody> {
+    if was_attempted {
+        empty_response(StatusCode::BAD_GATEWAY)
+    } else {
+        refusal_response(INTERNAL_RETRY_AFTER)
+    }
+}
+
 /// The response to a request that no upstream answered.
 pub(crate) fn conclusion_response(conclusion: Conclusion) -> Response<ResponseBody> {
     match conclusion {
--- a/crates/router/src/shell/clients.rs
+++ b/crates/router/src/shell/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Input;
 use crate::shell::answer::{
-    conclusion_response, denial_response, empty_response, refusal_response,
+    abandoned_response, conclusion_response, denial_response, empty_response,
     strip_connection_headers,
 };
 use crate::shell::attempt::{ClientRequest, attempt};
@@ -33,8 +33,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Timeout for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Retry-After if the core ended without a final response.
-const INTERNAL_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Smallest buffer for a request head.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -269,7 +267,7 @@
         return response;
     }
     guard.finished = true;
-    let response = refusal_response(INTERNAL_RETRY_AFTER);
+    let response = abandoned_response(guard.attempt.is_some());
     let status = response.status().as_u16();
     shared.observer.request_abandoned(&request, status);
     response
