--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -103,7 +103,7 @@
             command = commands.recv() => match command {
                 Some(Command::StartTraffic) => {
                     begun = true;
-                    if settings.work.is_some() {
+                    if settings.work.is_some() || settings.transfers {
                         // Ticks from before would all be due at once.
                         ticks.reset();
                     }
