--- a/crates/soak/src/driver/faults.rs
+++ b/crates/soak/src/driver/faults.rs
@@ -17,7 +17,7 @@
 /// Percentage of lost responses.
 const LOST_PERCENT: u32 = 30;
 /// Percentage of spoiled answers.
-const SPOILED_PERCENT: u32 = 25;
+const SPOILED_PERCENT: u32 = 10;
 /// Rate limit that an upstream announces, in requests per 1000 seconds: less than half of what
 /// it receives without a limit.
 const ANNOUNCED_RATE_MILLI: u32 = 3_000;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -138,7 +138,7 @@
         for upstream in spoiled {
             self.faults.push(PlannedFault {
                 at_ms: random.random_range(0..end.max(1)),
-                for_ms: random.random_range(4_000..15_000),
+                for_ms: random.random_range(8_000..25_000),
                 fault: SoakFault::AnswersSpoiled(upstream),
             });
         }
--- a/crates/soak/src/spoil.rs
+++ b/crates/soak/src/spoil.rs
@@ -69,13 +69,15 @@
 const MET_BY_RETRIES: [Spoil; 3] = [Spoil::Late, Spoil::LateWithoutId, Spoil::Timed];
 
 impl Spoil {
-    /// Draws one of the ways in which a faulty upstream spoils answers, in half of the cases one
-    /// that a retry may meet. That an answer names the next request is not among them: such an
-    /// upstream says of a request that it has not run it while it does.
+    /// Draws one of the ways in which a faulty upstream spoils rejections.
+    pub fn draw_of_rejection() -> Self {
+        MET_BY_RETRIES[rand::rng().random_range(0..MET_BY_RETRIES.len())]
+    }
+
+    /// Draws one of the ways in which a faulty upstream spoils answers. That an answer names the
+    /// next request is not among them: such an upstream says of a request that it has not run it
+    /// while it does.
     pub fn draw() -> Self {
-        if rand::rng().random_bool(0.5) {
-            return MET_BY_RETRIES[rand::rng().random_range(0..MET_BY_RETRIES.len())];
-        }
         loop {
             let (_, kind) = KINDS[rand::rng().random_range(0..KINDS.len())];
             if kind != Self::LateWithNextId {
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -44,6 +44,9 @@
 /// Interval at which releases that wait for requests to finish are checked.
 const RELEASE_POLL: Duration = Duration::from_millis(5);
 
+/// Share of the rejections that an upstream spoils while it spoils answers.
+const SPOILED_REJECTIONS: f64 = 0.6;
+
 /// Window in which requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -373,7 +376,14 @@
         let is_rejection = answer
             .headers()
             .contains_key(Platform.headers().not_executed);
-        self.settings.spoil.filter(|_| is_rejection)
+        if !is_rejection {
+            return None;
+        }
+        let is_faulty = self.spoiled_percent.get() > 0;
+        let is_spoiled = is_faulty && rand::rng().random_bool(SPOILED_REJECTIONS);
+        self.settings
+            .spoil
+            .or(is_spoiled.then(Spoil::draw_of_rejection))
     }
 
     /// Rejects a request before its body is read.
