A release's answer is proof only if it can't be that to another order

Callers saw nothing at once; keys went to another upstream while requests on them ran, so two upstreams acted for them (OWNER).

Answers to orders name no order; on a connection that carries one order after the other, a grant's answer that is sent again was read as that to a release.

On a reused connection the answer to a release counts only with a handover with which that upstream answered no release of other keys. Otherwise the release is in doubt and is repeated on a new connection, where nothing can be surplus.

--- a/crates/router/src/shell/calls.rs
+++ b/crates/router/src/shell/calls.rs
@@ -115,7 +115,8 @@
     let is_grant = matches!(task.order.kind, OrderKind::Grant { .. });
     if let Some(key) = task.probe_key.filter(|_| is_grant) {
         let question = task.order.liveness_probe(key);
-        match exchange_order(shared, address, &question, GRANT_TIMEOUT, task.until).await {
+        let exchange = exchange_order(shared, address, &question, GRANT_TIMEOUT, task.until);
+        match exchange.await.reply {
             reply @ (GrantReply::Replaced | GrantReply::Refused | GrantReply::NoAddress) => {
                 return reply;
             }
@@ -134,7 +135,34 @@
         OrderKind::Grant { .. } => GRANT_TIMEOUT,
         OrderKind::Release => RELEASE_TIMEOUT,
     };
-    exchange_order(shared, address, &task.order, limit, task.until).await
+    let exchange = exchange_order(shared, address, &task.order, limit, task.until).await;
+    if is_unproven_release(shared, &task.order, &exchange) {
+        // The connection is out of step. The order is repeated on a new one.
+        shared.order_connections.disable_reuse(address);
+        return GrantReply::InDoubt;
+    }
+    exchange.reply
+}
+
+/// An order and its answer.
+struct OrderExchange {
+    reply: GrantReply,
+    /// Whether the order was written to a connection that had carried others.
+    was_reused: bool,
+}
+
+/// Whether an answer says that keys were released and may belong to another order. On a connection
+/// that carried others, the answer to a release is told by its handover.
+fn is_unproven_release(shared: &Shared, order: &GrantOrder, exchange: &OrderExchange) -> bool {
+    match &exchange.reply {
+        GrantReply::Released(_) if !exchange.was_reused => false,
+        GrantReply::Released(None) => true,
+        GrantReply::Released(Some(handover)) => {
+            let mut answers = shared.release_answers.borrow_mut();
+            !answers.belongs(order, handover)
+        }
+        _ => false,
+    }
 }
 
 /// Writes an order unless `until` has passed, and waits up to `limit` for the answer.
@@ -144,14 +172,14 @@
     order: &GrantOrder,
     limit: Duration,
     until: Time,
-) -> GrantReply {
+) -> OrderExchange {
     let pool = &shared.order_connections;
     let call = shared.dialect.encode_order(order);
     let progress = CallProgress::repeatable().with_write_deadline(shared.clock.clone(), until);
     let began = shared.now();
     let answer = timeout(limit, send(shared, pool, address, call, &progress)).await;
     shared.report_connection(&order.holder, address, began, &progress);
-    match answer {
+    let reply = match answer {
         Ok(Ok(answer)) => match shared.dialect.decode_order(&order.kind, &answer) {
             // This was the answer to another call; that to the order is missing.
             GrantReply::Unanswered => GrantReply::InDoubt,
@@ -176,6 +204,10 @@
         }
         Ok(Err(CallFailure::ConnectionRefused)) => GrantReply::Refused,
         Ok(Err(_)) | Err(_) => GrantReply::Undelivered,
+    };
+    OrderExchange {
+        reply,
+        was_reused: progress.was_reused(),
     }
 }
 
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -11,6 +11,7 @@
 use beamtray_dialect::Dialect;
 use beamtray_dispatch::{AdmissionError, ConcludedRequest, Forward, Ticket};
 use beamtray_metastore::StoreEra;
+use beamtray_sharding::ReleaseAnswers;
 use beamtray_types::Time;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -45,6 +46,8 @@
     pub connections: ConnectionPool,
     /// Connections for orders to key holders.
     pub order_connections: ConnectionPool,
+    /// Answers to releases of keys.
+    pub release_answers: RefCell<ReleaseAnswers>,
     pub clients: RefCell<HashMap<Ticket, UnboundedSender<RequestAction>>>,
     pub actor: RefCell<Option<ActorOwn<RouterActor>>>,
     pub core_wakeup: Notify,
--- a/crates/router/src/shell/process.rs
+++ b/crates/router/src/shell/process.rs
@@ -128,6 +128,7 @@
     let shared = Rc::new(Shared {
         dialect,
         connections: ConnectionPool::new(body_memory.clone()),
+        release_answers: RefCell::default(),
         order_connections: ConnectionPool::new(body_memory).with_ack_timeout(ORDER_ACK_TIMEOUT),
         clients: RefCell::new(HashMap::new()),
         actor: RefCell::new(None),
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -13,6 +13,7 @@
 mod part;
 mod range;
 mod record;
+mod release_answers;
 mod slice;
 mod standby;
 
@@ -32,5 +33,6 @@
 pub use record::{
     AssignmentRecord, DoubtedKeys, FencingToken, RecordNumber, SliceRecord, SliceState,
 };
+pub use release_answers::ReleaseAnswers;
 pub use slice::{LossCause, OwnedAgain};
 pub use standby::{STANDBY_AUTHORIZATION, StandbyId, StandbyStatus};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -136,6 +136,9 @@
     /// How rejections are spoiled.
     #[options(parse(try_from_str))]
     spoil: Option<Spoil>,
+    /// How answers to grants are spoiled.
+    #[options(parse(try_from_str))]
+    spoil_grants: Option<Spoil>,
 }
 
 #[derive(Debug, Options)]
@@ -217,6 +220,7 @@
                     rejects_when_full: upstream.rejects_when_full,
                     rejects_first: upstream.rejects_first,
                     spoil: upstream.spoil,
+                    spoil_grants: upstream.spoil_grants,
                 })
                 .await?;
                 Ok(true)
--- a/crates/soak/src/upstream.rs
+++ b/crates/soak/src/upstream.rs
@@ -12,7 +12,7 @@
 use beamtray_catalog::{UpstreamId, UpstreamState};
 use beamtray_dialect::Dialect;
 use beamtray_emulator::{Arrival, FullPolicy, Run, UpstreamConfig, UpstreamEmulator, WorkRequest};
-use beamtray_sharding::{CallId, GrantReply, OrderKind, ShardKey};
+use beamtray_sharding::{CallId, GrantReply, Handover, OrderKind, ShardKey};
 use beamtray_types::Time;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -87,6 +87,8 @@
     pub rejects_first: bool,
     /// How all rejections are spoiled.
     pub spoil: Option<Spoil>,
+    /// How all answers to grants are spoiled.
+    pub spoil_grants: Option<Spoil>,
 }
 
 pub(crate) type Answer = Response<Full<Bytes>>;
@@ -249,18 +251,31 @@
     upstream.calls.set(call.0 + 1);
     let holder = UpstreamId::from(upstream.settings.id.clone());
     if let Some(order) = reverse::read_order(&path, &body, holder, call) {
+        let is_grant = matches!(order.kind, OrderKind::Grant { .. });
         // A received order is executed even if its sender has disconnected.
         let task = tokio::task::spawn_local({
             let upstream = upstream.clone();
             async move { upstream.order(order).await }
         });
         let answer = task.await;
-        return Ok(answer.unwrap_or_else(|_| upstream.status(500)));
+        let answer = answer.unwrap_or_else(|_| upstream.status(500));
+        let kind = upstream.settings.spoil_grants.filter(|_| is_grant);
+        return deliver(&connection, kind, answer).await;
     }
     let mut answer = upstream.request(&head.headers, &path).await;
     upstream.add_rate_header(&mut answer);
     upstream.announce_leaving(&head.headers, &mut answer);
-    let Some(kind) = drawn.or(upstream.spoil_of_rejections(&answer)) else {
+    let kind = drawn.or(upstream.spoil_of_rejections(&answer));
+    deliver(&connection, kind, answer).await
+}
+
+/// Sends an answer, spoiled if it is to be.
+async fn deliver(
+    connection: &Rc<SpoiledConnection>,
+    kind: Option<Spoil>,
+    answer: Answer,
+) -> Result<Answer, Infallible> {
+    let Some(kind) = kind else {
         return Ok(answer);
     };
     match connection.spoil(kind, answer).await {
@@ -453,7 +468,8 @@
             tokio::time::sleep(RELEASE_POLL).await;
             let done = self.emulator.borrow_mut().take_completed_releases();
             if done.contains(&call.0) {
-                return GrantReply::Released(None);
+                let handover = format!("{:016x}", rand::random::<u64>());
+                return GrantReply::Released(Some(Handover(handover)));
             }
         }
     }
--- a/crates/soak/tests/common/keyed.rs
+++ b/crates/soak/tests/common/keyed.rs
@@ -8,6 +8,8 @@
 const PAUSE: Duration = Duration::from_millis(15);
 /// Work of a request in milliseconds.
 pub const WORK_MS: u64 = 40;
+/// Key of requests whose key does not matter.
+const KEY: u16 = 7;
 const DEADLINE_MS: u64 = 2_000;
 /// Time for the last reports to arrive.
 const REPORTED: Duration = Duration::from_millis(500);
@@ -16,9 +18,12 @@
 pub struct KeyedCluster {
     /// Where the router takes requests.
     pub router: SocketAddr,
-    told: Arc<Mutex<Vec<Report>>>,
+    /// What the processes reported.
+    pub told: Arc<Mutex<Vec<Report>>>,
     folder: PathBuf,
-    _processes: Vec<Process>,
+    store: SocketAddr,
+    driver: SocketAddr,
+    processes: Vec<Process>,
 }
 
 impl KeyedCluster {
@@ -46,12 +51,28 @@
             router,
             told,
             folder,
-            _processes: vec![store_process, router_process, upstream_process],
+            store,
+            driver,
+            processes: vec![store_process, router_process, upstream_process],
         };
         cluster.await_keys();
         cluster
     }
 
+    /// Starts another upstream of the service.
+    pub fn add_upstream(&mut self, id: &str) {
+        let listen = free_addresses(1)[0];
+        let upstream = Upstream {
+            id,
+            listen,
+            advertised: listen,
+            store: self.store,
+            driver: self.driver,
+        };
+        self.processes
+            .push(upstream.start_in("keyed", &self.folder));
+    }
+
     fn await_keys(&self) {
         let deadline = Instant::now() + STARTUP_TIMEOUT;
         let has_keys = |report: &Report| matches!(report.observation, Observation::KeysHeld { .. });
@@ -99,7 +120,12 @@
 
 /// Sends a request with a key that must not be repeated; returns the status.
 pub fn send(router: SocketAddr, id: &str, work_ms: u64) -> u16 {
-    let mut stream = begin(router, id, work_ms);
+    send_with_key(router, id, KEY, work_ms)
+}
+
+/// Sends a request with that key.
+pub fn send_with_key(router: SocketAddr, id: &str, key: u16, work_ms: u64) -> u16 {
+    let mut stream = begin_with_key(router, id, key, work_ms);
     let mut text = String::new();
     stream.read_to_string(&mut text).expect("an answer");
     let status = text.split(' ').nth(1);
@@ -110,11 +136,15 @@
 
 /// Sends such a request and leaves its answer to the caller.
 pub fn begin(router: SocketAddr, id: &str, work_ms: u64) -> TcpStream {
+    begin_with_key(router, id, KEY, work_ms)
+}
+
+fn begin_with_key(router: SocketAddr, id: &str, key: u16, work_ms: u64) -> TcpStream {
     let names = Platform.headers();
     let mut stream = TcpStream::connect(router).expect("a connection");
     let request = format!(
-        "POST {TRANSFER}7/{work_ms} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {DEADLINE_MS}\r\n\
-         {}: 7\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
+        "POST {TRANSFER}{key}/{work_ms} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {DEADLINE_MS}\r\n\
+         {}: {key}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
         names.request_id, names.deadline_ms, names.shard_key
     );
     stream.write_all(request.as_bytes()).expect("it is read");
