--- a/crates/sim/src/router.rs
+++ b/crates/sim/src/router.rs
@@ -62,6 +62,8 @@
     logs_events: bool,
 }
 
+// Inlined into `main`, it keeps the compiler from finishing on arm64.
+#[inline(never)]
 pub(crate) fn explore(arguments: &ExploreRouterArguments) -> Result<ExitCode> {
     let selection = Selection {
         size: arguments.size,
