--- a/crates/sim/src/router.rs
+++ b/crates/sim/src/router.rs
@@ -62,7 +62,7 @@
     logs_events: bool,
 }
 
-// Inlined into `main`, it keeps the compiler from finishing on arm64.
+// Inlined into one another, the functions of this module keep the compiler from finishing on arm64.
 #[inline(never)]
 pub(crate) fn explore(arguments: &ExploreRouterArguments) -> Result<ExitCode> {
     let selection = Selection {
@@ -102,6 +102,7 @@
     })
 }
 
+#[inline(never)]
 fn run(seeds: impl Iterator<Item = u64>, selection: Selection) -> Total {
     let mut total = Total::default();
     for seed in seeds {
@@ -118,11 +119,11 @@
     total
 }
 
+#[inline(never)]
 fn guard(name: &str) -> Result<Guard> {
-    let named = |guard: &Guard| format!("{guard:?}").eq_ignore_ascii_case(name);
-    let known: Vec<String> = Guard::ALL.iter().map(|one| format!("{one:?}")).collect();
-    Guard::ALL
-        .into_iter()
-        .find(named)
-        .ok_or_else(|| eyre!("no guard {name}; there are {}", known.join(", ")))
+    let names: Vec<String> = Guard::ALL.iter().map(|one| format!("{one:?}")).collect();
+    let index = names.iter().position(|one| one.eq_ignore_ascii_case(name));
+    index
+        .and_then(|index| Guard::ALL.get(index).copied())
+        .ok_or_else(|| eyre!("no guard {name}; there are {}", names.join(", ")))
 }
