--- a/crates/soak/tests/regressions.rs
+++ b/crates/soak/tests/regressions.rs
@@ -45,3 +45,26 @@
 fn requests_are_served_again_after_the_troubles() {
     regression_is_clean("740301");
 }
+
+const SPOILED_PLAN: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../soak/spoiled-answers.toml"
+);
+
+/// Guards against too few requests being served after many faults beside spoiled answers.
+#[test]
+fn requests_are_served_again_beside_spoiled_answers() {
+    let arguments = [
+        "run",
+        "--spoil",
+        "--size",
+        "medium",
+        "--rate",
+        "250",
+        "--seed",
+        "984064",
+        "--plan",
+        SPOILED_PLAN,
+    ];
+    assert_clean_run(&arguments, "soak-served-again-beside-spoiled-answers");
+}
