Soak tests: no process starts while a port is tried

The port is of a claimed block, below the ephemeral range, and was given to nobody else. By reading: a process that another thread starts has, until it runs its own program, the socket with which this thread tries whether a port is free. Not brought about again on purpose. Starting a process and trying a port now exclude each other.

--- a/crates/soak/tests/common/mod.rs
+++ b/crates/soak/tests/common/mod.rs
@@ -25,6 +25,11 @@
 pub const POLL_INTERVAL: Duration = Duration::from_millis(250);
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Ports of the test file. Held while a process starts: until it runs its own program it has the
+/// sockets of the other threads, and one that tries whether a port is free would keep it.
+static PORTS: LazyLock<Mutex<Ports>> =
+    LazyLock::new(|| Mutex::new(Ports::claim(Size::FULL).expect("ports")));
+
 /// A child process, killed on drop.
 pub struct Process(Child);
 
@@ -32,6 +37,7 @@
     pub fn start(program: &Path, arguments: &[String], log: &Path) -> Self {
         let log = File::options().create(true).append(true).open(log);
         let log = log.expect("the log can be written");
+        let _ports = PORTS.lock().expect("not poisoned");
         let child = Program::new(program)
             .args(arguments)
             .stdin(Stdio::null())
@@ -73,8 +79,6 @@
 /// below the ephemeral range: a port of that range could be given to another socket before its
 /// user listened on it; the process then exited and the test timed out.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    static PORTS: LazyLock<Mutex<Ports>> =
-        LazyLock::new(|| Mutex::new(Ports::claim(Size::FULL).expect("ports")));
     static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
     let ports = PORTS.lock().expect("not poisoned");
     let mut given = GIVEN.lock().expect("not poisoned");
