--- a/crates/soak/tests/common/keyed.rs
+++ b/crates/soak/tests/common/keyed.rs
@@ -95,6 +95,16 @@
         .collect()
     }
 
+    /// Waits until a request runs.
+    pub fn await_begun(&self, id: &str) {
+        let deadline = Instant::now() + STARTUP_TIMEOUT;
+        let is_begun = |report: &Report| matches!(&report.observation, Observation::WorkStarted { id: begun, .. } if begun == id);
+        while !self.told.lock().expect("not poisoned").iter().any(is_begun) {
+            assert!(Instant::now() < deadline, "{id} does not run");
+            thread::sleep(PAUSE);
+        }
+    }
+
     /// Ids of the requests that began to run, one for each run.
     pub fn begun(&self) -> Vec<String> {
         thread::sleep(REPORTED);
--- a/crates/soak/tests/spoiled_answers.rs
+++ b/crates/soak/tests/spoiled_answers.rs
@@ -7,7 +7,6 @@
 use common::keyed::{KeyedCluster, send};
 use std::collections::BTreeSet;
 use std::thread;
-use std::time::Duration;
 
 const REQUESTS: usize = 40;
 /// Few enough requests that the budget allows a retry of each.
@@ -76,7 +75,7 @@
     let cluster = KeyedCluster::start("refusal-line", &options);
     let router = cluster.router;
     let first = thread::spawn(move || send(router, "filler", FILLING_MS));
-    thread::sleep(Duration::from_millis(200));
+    cluster.await_begun("filler");
     let status = send(cluster.router, "refused", FILLING_MS);
     assert_eq!(status, 503);
     let lines = cluster.lines("refused");
