--- a/review/second/src/cases/surplus.rs
+++ b/review/second/src/cases/surplus.rs
@@ -3,11 +3,10 @@
 
 use super::Verdict;
 use crate::client::{Clients, Request};
-use crate::site::{DEADLINE, KEYED, READ, Site, Size};
+use crate::site::{DEADLINE, Folders, KEYED, READ, Site, Size};
 use beamtray_catalog::UpstreamState;
 use eyre::{Result, bail};
 use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,13 +27,13 @@
 const POLL: Duration = Duration::from_millis(1);
 
 /// Runs the case.
-pub async fn run(folder: &Path, has_trouble: bool) -> Result<Verdict> {
+pub async fn run(folders: &Folders, has_trouble: bool) -> Result<Verdict> {
     let size = Size {
         routers: 3,
         keyed: 3,
         pool: 0,
     };
-    let site = Site::start(folder, &size).await?;
+    let site = Site::start(folders, &size).await?;
     for number in 0..CLIENTS {
         let router = &site.routers[usize::from(number) % site.routers.len()];
         let traffic = send_requests(site.clients.clone(), router.clients, number);
--- a/review/second/src/http.rs
+++ b/review/second/src/http.rs
@@ -36,18 +36,10 @@
             .and_then(|status| status.parse().ok())
             .unwrap_or_default()
     }
-
-    /// Whether the sender closes the connection after this message.
-    pub fn closes(&self) -> bool {
-        self.header("connection")
-            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
-    }
 }
 
 /// Reads a message; `None` if the connection ends before one begins.
-pub async fn read_message(
-    reader: &mut (impl AsyncBufRead + Unpin),
-) -> io::Result<Option<Message>> {
+pub async fn read_message(reader: &mut (impl AsyncBufRead + Unpin)) -> io::Result<Option<Message>> {
     let Some(start) = read_line(reader).await? else {
         return Ok(None);
     };
--- a/review/second/src/main.rs
+++ b/review/second/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one case of the second review: `beamtray-review-2 CASE FOLDER`.
+//! Runs one case of the second review: `beamtray-review-2 CASE FOLDER WORK`.
 //!
 //! The stand-ins run in this process, the routers in processes of their own. It exits with 1 if
 //! the rule of the case was broken, with 0 if it held, and with 2 if the case could not run. With
@@ -15,13 +15,17 @@
 mod store;
 mod upstream;
 
-use cases::{Verdict, keep_alive, standby, surplus};
+use cases::{Verdict, granter, keep_alive, standby, surplus, switching};
 use eyre::{Result, WrapErr, bail};
-use std::path::{Path, PathBuf};
+use site::Folders;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
+/// Longest time of a run.
+const LONGEST: Duration = Duration::from_secs(110);
 /// Exit code if the case could not run.
 const NOT_RUN: u8 = 2;
 
@@ -44,34 +48,40 @@
 
 fn run() -> Result<Verdict> {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        bail!("usage: beamtray-review-2 CASE FOLDER");
+    let [_, case, folder, work] = arguments.as_slice() else {
+        bail!("usage: beamtray-review-2 CASE FOLDER WORK");
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("start the runtime")?;
-    let folder = PathBuf::from(folder);
-    LocalSet::new().block_on(&runtime, run_until_ended(case, &folder, has_trouble))
+    let folders = Folders {
+        case: PathBuf::from(folder),
+        work: PathBuf::from(work),
+    };
+    LocalSet::new().block_on(&runtime, run_until_ended(case, &folders, has_trouble))
 }
 
 /// Runs a case, and ends its processes when this one is told to end.
-async fn run_until_ended(case: &str, folder: &Path, has_trouble: bool) -> Result<Verdict> {
+async fn run_until_ended(case: &str, folders: &Folders, has_trouble: bool) -> Result<Verdict> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
-        verdict = run_case(case, folder, has_trouble) => verdict,
+        verdict = run_case(case, folders, has_trouble) => verdict,
+        () = tokio::time::sleep(LONGEST) => bail!("it takes too long"),
         _ = terminate.recv() => bail!("interrupted"),
         _ = interrupt.recv() => bail!("interrupted"),
     }
 }
 
-async fn run_case(case: &str, folder: &Path, has_trouble: bool) -> Result<Verdict> {
+async fn run_case(case: &str, folders: &Folders, has_trouble: bool) -> Result<Verdict> {
     match case {
-        "surplus" => surplus::run(folder, has_trouble).await,
-        "standby" => standby::run(folder, has_trouble).await,
-        "keep-alive" => keep_alive::run(folder, has_trouble).await,
+        "surplus" => surplus::run(folders, has_trouble).await,
+        "standby" => standby::run(folders, has_trouble).await,
+        "granter" => granter::run(folders, has_trouble).await,
+        "keep-alive" => keep_alive::run(folders, has_trouble).await,
+        "switching" => switching::run(folders, has_trouble).await,
         unknown => bail!("no such case: {unknown}"),
     }
 }
--- a/review/second/src/routers.rs
+++ b/review/second/src/routers.rs
@@ -110,12 +110,25 @@
             .stdout(log)
             .spawn()
             .wrap_err_with(|| format!("start {PROGRAM}"))?;
-        self.record
-            .line(format_args!("{} started", self.name));
+        self.record.line(format_args!("{} started", self.name));
         self.process = Some(process);
         Ok(())
     }
 
+    /// Whether the process has ended by itself: another program may have taken one of its ports.
+    pub fn has_ended(&mut self) -> bool {
+        let process = self.process.as_mut();
+        process.is_some_and(|process| !matches!(process.try_wait(), Ok(None)))
+    }
+
+    /// Starts the process again, with settings that no longer tell of a first start.
+    pub fn restart(&mut self) -> Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        let text = text.replace("first_start = true", "first_start = false");
+        std::fs::write(&self.settings, text)?;
+        self.start()
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -125,17 +138,6 @@
             self.record.line(format_args!("{} killed", self.name));
         }
     }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        let process = self.process.as_mut();
-        process.is_some_and(|process| !matches!(process.try_wait(), Ok(None)))
-    }
-
-    /// What the process has logged.
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Router {
--- a/review/second/src/site.rs
+++ b/review/second/src/site.rs
@@ -12,7 +12,7 @@
 };
 use eyre::{Result, bail};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +24,8 @@
 pub const READ: &str = "/read/";
 /// Path of reads without a key; the work in milliseconds follows.
 pub const LOOK: &str = "/look/";
+/// Path of payments, which may run once; the work in milliseconds follows.
+pub const PAY: &str = "/pay/";
 /// `timeoutMs` of all routes.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// What a client says that it will wait.
@@ -31,6 +33,10 @@
 /// How long the routers may take until they are ready.
 const START_TIME: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(50);
+/// How often the routers are started at most.
+const START_TRIES: u32 = 5;
+/// How long a router takes to listen.
+const BIND_TIME: Duration = Duration::from_millis(300);
 
 /// The deployment.
 pub struct Site {
@@ -48,6 +54,14 @@
     pub record: Rc<Record>,
 }
 
+/// The folders of a run.
+pub struct Folders {
+    /// The case's own, for the record.
+    pub case: PathBuf,
+    /// A temporary one, for settings and logs.
+    pub work: PathBuf,
+}
+
 /// How many processes and upstreams a deployment has.
 pub struct Size {
     /// Routers.
@@ -59,11 +73,11 @@
 }
 
 fn configuration() -> Configuration {
-    let route = |name: &str, prefix: &str, service: &str| Route {
+    let route = |name: &str, prefix: &str, service: &str, repeatable| Route {
         name: name.to_owned(),
         host: "bank.example".to_owned(),
         path_prefix: prefix.to_owned(),
-        repeatable: true,
+        repeatable,
         timeout: ROUTE_TIMEOUT,
         target_latency: Duration::from_millis(500),
         priority: 1,
@@ -84,7 +98,11 @@
     };
     Configuration {
         version: ConfigurationVersion(1),
-        routes: vec![route("read", READ, KEYED), route("look", LOOK, POOL)],
+        routes: vec![
+            route("read", READ, KEYED, true),
+            route("look", LOOK, POOL, true),
+            route("pay", PAY, POOL, false),
+        ],
         services: vec![service(KEYED, true), service(POOL, false)],
         limits: ClientLimits::default(),
         tenants: None,
@@ -93,8 +111,8 @@
 
 impl Site {
     /// Starts a deployment and waits until it serves.
-    pub async fn start(folder: &Path, size: &Size) -> Result<Self> {
-        let record = Rc::new(Record::create(folder)?);
+    pub async fn start(folders: &Folders, size: &Size) -> Result<Self> {
+        let record = Rc::new(Record::create(&folders.case)?);
         let judge = Judge::new(&record);
         let (store, address) = Store::start(&record).await?;
         store.put("op/config", reverse::write_configuration(&configuration()));
@@ -108,10 +126,7 @@
                 upstreams.push(upstream);
             }
         }
-        let mut routers = routers::prepare(folder, size.routers, address, &record)?;
-        for router in &mut routers {
-            router.start()?;
-        }
+        let routers = start_routers(folders, size.routers, address, &record).await?;
         let site = Self {
             clients: Clients::new(&record),
             store,
@@ -152,6 +167,27 @@
     }
 }
 
+/// Starts the routers, on other ports if one of them finds its ports taken.
+async fn start_routers(
+    folders: &Folders,
+    count: usize,
+    store: SocketAddr,
+    record: &Rc<Record>,
+) -> Result<Vec<Router>> {
+    for _ in 0..START_TRIES {
+        let mut routers = routers::prepare(&folders.work, count, store, record)?;
+        for router in &mut routers {
+            router.start()?;
+        }
+        tokio::time::sleep(BIND_TIME).await;
+        if !routers.iter_mut().any(Router::has_ended) {
+            return Ok(routers);
+        }
+        record.line("a router has ended; all are started on other ports");
+    }
+    bail!("the routers end at their start")
+}
+
 async fn is_ready_at(address: SocketAddr) -> bool {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let ask = async {
--- a/review/second/src/upstream.rs
+++ b/review/second/src/upstream.rs
@@ -35,6 +35,8 @@
     pub late_grants: Cell<bool>,
     /// The next answer to an order is sent a second time, this much later.
     pub surplus: Cell<Option<Duration>>,
+    /// One in so many requests gets this status line and no body in place of an answer.
+    pub no_answer: RefCell<Option<(usize, &'static str)>>,
     /// No machine of the system reaches the upstream.
     pub is_cut: Cell<bool>,
 }
@@ -178,8 +180,10 @@
             let lease_end = self.keys.borrow().held_until(key);
             self.judge.work_begins(&self.id, id, key, lease_end);
         }
-        self.record
-            .line(format_args!("{} runs {id}: {method} {target} {key:?}", self.id));
+        self.record.line(format_args!(
+            "{} runs {id}: {method} {target} {key:?}",
+            self.id
+        ));
         let work = target.rsplit('/').next().and_then(|ms| ms.parse().ok());
         tokio::time::sleep(Duration::from_millis(work.unwrap_or(20))).await;
         self.judge.work_ends(id);
@@ -188,6 +192,13 @@
             .line(format_args!("{} has run {id} to its end", self.id));
         let mut headers = self.headers();
         headers.push(("X-Attempt-Id", id.to_owned()));
+        if let Some((one_in, line)) = *self.faults.no_answer.borrow()
+            && self.runs.get().is_multiple_of(one_in)
+        {
+            self.record
+                .line(format_args!("{} sends {line:?} for {id}", self.id));
+            return format!("{line}\r\nX-Attempt-Id: {id}\r\n\r\n").into_bytes();
+        }
         headers.push(("X-Response-Signature", format!("{}.{id}", self.id)));
         answer(200, &headers, format!("done {id}").as_bytes())
     }
