--- a/review/second/src/cases/keep_alive.rs
+++ b/review/second/src/cases/keep_alive.rs
@@ -1,8 +1,9 @@
-//! An upstream tells a very long time in `Keep-Alive`: are its answers passed on?
+//! An upstream tells a very long time in `Keep-Alive`: are its answers passed on? And are the keys
+//! of one that tells it for some seconds renewed? The second is told beside the verdict.
 
 use super::Verdict;
 use crate::client::{Outcome, Request};
-use crate::site::{DEADLINE, Folders, LOOK, PAY, ROUTE_TIMEOUT, Site, Size};
+use crate::site::{DEADLINE, Folders, KEYED, LOOK, PAY, POOL, ROUTE_TIMEOUT, Site, Size};
 use eyre::Result;
 use std::time::Duration;
 
@@ -12,6 +13,10 @@
 const ALLOWED: Duration = Duration::from_millis(500);
 /// The rule: eight or more requests are unanswered.
 const LEAST_UNANSWERED: usize = 8;
+/// All keys.
+const KEYS: usize = 1 << 16;
+/// How long one of the two holders of keys tells it.
+const KEYED_FOR: Duration = Duration::from_secs(3);
 /// No limit, in whole seconds.
 const NO_LIMIT: u64 = u64::MAX;
 
@@ -19,17 +24,25 @@
 pub async fn run(folders: &Folders, has_trouble: bool) -> Result<Verdict> {
     let size = Size {
         routers: 2,
-        keyed: 0,
+        keyed: 2,
         pool: 2,
     };
     let site = Site::start(folders, &size).await?;
     if has_trouble {
-        for upstream in &site.upstreams {
+        for upstream in site.of_service(POOL).chain(site.of_service(KEYED).take(1)) {
             let text = NO_LIMIT.to_string();
             *upstream.faults.keep_alive.borrow_mut() = Some(text);
+            site.record.line(format_args!(
+                "{} says Keep-Alive: timeout={NO_LIMIT}",
+                upstream.id
+            ));
         }
+    }
+    tokio::time::sleep(KEYED_FOR).await;
+    for upstream in site.of_service(KEYED) {
+        upstream.faults.keep_alive.take();
         site.record
-            .line(format_args!("upstreams say Keep-Alive: timeout={NO_LIMIT}"));
+            .line(format_args!("{} says the usual time", upstream.id));
     }
     let mut unanswered = 0;
     let mut served = 0;
@@ -53,12 +66,17 @@
         served += usize::from(outcome.status() == 200);
         unanswered += usize::from(matches!(outcome, Outcome::Unanswered));
     }
-    let runs: usize = site.upstreams.iter().map(|one| one.runs.get()).sum();
+    let runs: usize = site.of_service(POOL).map(|one| one.runs.get()).sum();
+    let held: usize = site.of_service(KEYED).map(|one| one.held()).sum();
     site.record.tell(format_args!(
         "{REQUESTS} requests: {served} served, {unanswered} without an answer {} ms after \
          timeoutMs; the upstreams answered {runs}",
         ALLOWED.as_millis()
     ));
+    site.record.tell(format_args!(
+        "{} of {KEYS} keys have no holder at the end",
+        KEYS - held
+    ));
     let is_broken = unanswered >= LEAST_UNANSWERED && unanswered * 4 > REQUESTS;
     Ok(if is_broken {
         Verdict::Broken
