--- a/review/second/src/cases/granter.rs
+++ b/review/second/src/cases/granter.rs
@@ -1,7 +1,7 @@
 //! The granter is killed right after an upstream has left a grant unanswered, and the upstream is
 //! cut off: is what it takes late below the fence of the next holder?
 
-use super::Verdict;
+use super::{Verdict, carry_out_late_grants};
 use crate::site::{Folders, KEYED, Site, Size};
 use eyre::{Result, bail};
 use std::time::Duration;
@@ -14,8 +14,8 @@
 const RESTART_AFTER: Duration = Duration::from_millis(300);
 /// For how long the upstream is cut off.
 const CUT_FOR: Duration = Duration::from_millis(5_500);
-/// How long before the end of the cut it carries the grants out: between 2 and 12 s later.
-const BEFORE_CUT_ENDS: Duration = Duration::from_millis(30);
+/// When it carries the grants out at the earliest.
+const LATE_BY: Duration = Duration::from_secs(2);
 /// How long the run lasts after that.
 const AFTER: Duration = Duration::from_secs(4);
 const POLL: Duration = Duration::from_millis(1);
@@ -62,8 +62,7 @@
         site.record.line(format_args!("{} is cut off", upstream.id));
         tokio::time::sleep_until(killed_at + RESTART_AFTER).await;
         granter.restart()?;
-        tokio::time::sleep_until(killed_at + CUT_FOR - BEFORE_CUT_ENDS).await;
-        upstream.carry_out_late_grants();
+        carry_out_late_grants(&upstream, killed_at + LATE_BY, killed_at + CUT_FOR).await;
     }
     tokio::time::sleep_until(killed_at + CUT_FOR).await;
     if has_trouble {
--- a/review/second/src/cases/standby.rs
+++ b/review/second/src/cases/standby.rs
@@ -1,7 +1,7 @@
 //! The store is down for some seconds, and an upstream leaves the grants of the standbys
 //! unanswered and is cut off: is what it takes late below the fence of the next holder?
 
-use super::Verdict;
+use super::{Verdict, carry_out_late_grants};
 use crate::site::{Folders, KEYED, Site, Size};
 use eyre::{Result, bail};
 use std::time::Duration;
@@ -12,8 +12,8 @@
 const STORE_DOWN: Duration = Duration::from_millis(4_500);
 /// When, after the store is down, the upstream begins to leave grants unanswered.
 const UNANSWERED_FROM: Duration = Duration::from_millis(2_900);
-/// When, after the store is down, it carries them out: between 2 and 12 s later.
-const CARRIED_OUT_AT: Duration = Duration::from_millis(9_980);
+/// When, after the store is down, it carries them out at the earliest: 2 s or more after all of them.
+const CARRIED_OUT_FROM: Duration = Duration::from_millis(6_600);
 /// When, after the store is down, the upstream is cut off.
 const CUT_FROM: Duration = Duration::from_millis(4_550);
 /// For how long.
@@ -47,9 +47,9 @@
         upstream.faults.late_grants.set(false);
         site.record.line(format_args!("{} is cut off", upstream.id));
     }
-    tokio::time::sleep_until(down_at + CARRIED_OUT_AT).await;
-    upstream.carry_out_late_grants();
-    tokio::time::sleep_until(down_at + CUT_FROM + CUT_FOR).await;
+    let cut_until = down_at + CUT_FROM + CUT_FOR;
+    carry_out_late_grants(upstream, down_at + CARRIED_OUT_FROM, cut_until).await;
+    tokio::time::sleep_until(cut_until).await;
     if has_trouble {
         upstream.faults.is_cut.set(false);
         site.record
--- a/review/second/src/judge.rs
+++ b/review/second/src/judge.rs
@@ -94,12 +94,19 @@
         });
     }
 
+    /// Whether another upstream has taken one of the keys with a higher fence.
+    pub fn has_gone_on(&self, upstream: &str, range: Range, fence: u64) -> bool {
+        let taken = self.taken.borrow();
+        let mut others = taken.iter().filter(|taken| taken.upstream != upstream);
+        others.any(|taken| taken.range.overlaps(range) && taken.fence > fence)
+    }
+
     /// "An upstream takes a key with a fencing token. That fence isn't above all those with which
     /// other upstreams had the key."
     fn check_fence(&self, upstream: &str, range: Range, fence: u64) {
         let taken = self.taken.borrow();
         let above = taken.iter().find(|taken| {
-            let overlaps = taken.range.first <= range.last && range.first <= taken.range.last;
+            let overlaps = taken.range.overlaps(range);
             taken.upstream != upstream && overlaps && taken.fence >= fence
         });
         if let Some(above) = above {
--- a/review/second/src/keys.rs
+++ b/review/second/src/keys.rs
@@ -21,6 +21,11 @@
         (self.first..=self.last).contains(&key)
     }
 
+    /// Whether some keys are among both.
+    pub fn overlaps(self, other: Self) -> bool {
+        self.first <= other.last && other.first <= self.last
+    }
+
     fn indices(self) -> std::ops::RangeInclusive<usize> {
         usize::from(self.first)..=usize::from(self.last)
     }
--- a/review/second/src/upstream.rs
+++ b/review/second/src/upstream.rs
@@ -272,6 +272,13 @@
         self.late.borrow_mut().push(grant);
     }
 
+    /// Whether another upstream has keys that it was granted so.
+    pub fn have_late_keys_gone_on(&self) -> bool {
+        let late = self.late.borrow();
+        late.iter()
+            .any(|grant| self.judge.has_gone_on(&self.id, grant.range, grant.fence))
+    }
+
     /// Carries out the grants that it left unanswered.
     pub fn carry_out_late_grants(&self) {
         for grant in self.late.take() {
