--- a/review/second/src/cases/switching.rs
+++ b/review/second/src/cases/switching.rs
@@ -40,7 +40,7 @@
             })
             .await;
         served += usize::from(outcome.status() == 200);
-        // A status below 200 tells that the answer follows; none did.
+        // A status below 200 tells that the answer follows; it is the outcome only if none did.
         let is_interim = matches!(&outcome, Outcome::Answered(message) if message.status() < 200);
         no_answers += usize::from(is_interim);
     }
--- a/review/second/src/client.rs
+++ b/review/second/src/client.rs
@@ -100,5 +100,18 @@
         key.unwrap_or_default(),
     );
     stream.write_all(head.as_bytes()).await?;
-    read_message(&mut BufReader::new(stream)).await
+    read_answer(&mut BufReader::new(stream)).await
+}
+
+/// Reads the answer. A status below 200 tells that the answer follows: it is returned only if the
+/// connection ends and none did.
+async fn read_answer(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    let mut interim = None;
+    loop {
+        match read_message(reader).await {
+            Ok(Some(message)) if message.status() < 200 => interim = Some(message),
+            Ok(None) | Err(_) if interim.is_some() => return Ok(interim),
+            answer => return answer,
+        }
+    }
 }
